--- /dev/null
+++ b/azureturn/core/_actions.py
@@ -0,0 +1,57 @@
+"""Actions: everything that the core asks of the adapters."""
+
+from dataclasses import dataclass
+
+from azureturn.core._claims import ClaimHolder
+from azureturn.errors import ErrorKind, RunState
+
+
+class Action:
+    """The base of every action."""
+
+
+@dataclass(frozen=True)
+class RequestAction(Action):
+    """The base of actions that are meant for the one request they name."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class Dispatch(RequestAction):
+    """Send the request to this upstream, once."""
+
+    upstream: str
+
+
+@dataclass(frozen=True)
+class Refuse(RequestAction):
+    """Give the caller its final answer now; the request is in no queue any more."""
+
+    kind: ErrorKind
+    retry_after_ms: int
+    run_state: RunState = RunState.NOT_RUN
+
+
+@dataclass(frozen=True)
+class AskClaimant(RequestAction):
+    """Another VM holds the claim: ask it for the answer."""
+
+    holder: ClaimHolder
+
+
+@dataclass(frozen=True)
+class CancelAtUpstream(RequestAction):
+    """Nobody waits for the answer: stop the upstream's work on it."""
+
+    upstream: str
+
+
+@dataclass(frozen=True)
+class WriteClaim(Action):
+    """Seek the right to run a call by compare-and-swap."""
+
+    request_id: str
+    organisation: str
+    idempotency_key: str
+    body_digest: str
--- /dev/null
+++ b/azureturn/core/_configuration.py
@@ -0,0 +1,54 @@
+"""The shared settings in force on this VM."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from azureturn.core._blackboard import Table
+from azureturn.settings import RouteSettings, SharedSettings
+
+
+class ConfigurationSource(StrEnum):
+    """Where a revision was learned."""
+
+    FILE = "file"
+    WATCH = "watch"
+    POLL = "poll"
+    PEER = "peer"
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One revision of the shared settings."""
+
+    #: The key-value service's own revision; 0 for what the settings files hold.
+    revision: int
+    shared: SharedSettings
+    source: ConfigurationSource = ConfigurationSource.FILE
+
+    def route(self, name: str) -> RouteSettings | None:
+        """Return the route of this name."""
+        return next((route for route in self.shared.routes if route.name == name), None)
+
+    def tier_rank(self, name: str) -> int:
+        """Return a tier's rank; 0 is the most urgent."""
+        return next(tier.rank for tier in self.shared.tiers if tier.name == name)
+
+
+class ConfigurationTable(Table[str, Configuration]):
+    """Holds the one revision in force."""
+
+    _IN_FORCE = "in_force"
+
+    def in_force(self) -> Configuration:
+        """Return the configuration in force."""
+        configuration = self.get(self._IN_FORCE)
+        assert configuration is not None
+        return configuration
+
+    def accept(self, configuration: Configuration) -> bool:
+        """Put a revision in force if it is higher than the present one."""
+        present = self.get(self._IN_FORCE)
+        if present is not None and configuration.revision <= present.revision:
+            return False
+        self.put(self._IN_FORCE, configuration)
+        return True
--- /dev/null
+++ b/azureturn/core/controllers/__init__.py
@@ -0,0 +1,13 @@
+"""The controllers; importing this package registers them."""
+
+from azureturn.core.controllers._admission import AdmissionController
+from azureturn.core.controllers._configuration import ConfigurationController
+from azureturn.core.controllers._dispatch import DispatchController
+from azureturn.core.controllers._placement import PlacementController
+
+__all__ = [
+    "AdmissionController",
+    "ConfigurationController",
+    "DispatchController",
+    "PlacementController",
+]
--- /dev/null
+++ b/azureturn/core/controllers/_dispatch.py
@@ -0,0 +1,95 @@
+"""Turns a placement into one dispatch, once the right to run is ours."""
+
+from azureturn.core._actions import AskClaimant, CancelAtUpstream, Dispatch, Refuse, WriteClaim
+from azureturn.core._claims import ClaimResult
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import (
+    CallerLeft,
+    ClaimDecided,
+    Placed,
+    RequestAnswered,
+    RequestEnded,
+    RequestFailed,
+)
+from azureturn.core._requests import Request, RequestStage, RequestTable
+from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind, RunState
+
+
+@controller("dispatch")
+class DispatchController(Controller):
+    """Sends each request at most once, and a call that is not idempotent only under a claim."""
+
+    writes = (RequestTable,)
+    after = ("placement",)
+
+    @on(Placed)
+    def _on_placed(self, event: Placed, context: Context) -> None:
+        request = self._request(event.request_id)
+        if request.idempotent:
+            self._dispatch(request, context)
+            return
+        self._set_stage(request, RequestStage.CLAIMING)
+        context.act(
+            WriteClaim(
+                request.request_id,
+                request.organisation,
+                request.idempotency_key,
+                request.body_digest,
+            )
+        )
+
+    @on(ClaimDecided)
+    def _on_claim_decided(self, event: ClaimDecided, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is None:
+            return
+        if event.result is ClaimResult.OURS:
+            self._dispatch(request, context)
+            return
+        self._end(request, context)
+        if event.result is ClaimResult.FOREIGN:
+            assert event.holder is not None
+            context.act(AskClaimant(request.request_id, event.holder))
+            return
+        undecided = event.result is ClaimResult.UNDECIDED
+        kind = ErrorKind.OUTCOME_UNKNOWN if undecided else ErrorKind.KEY_VALUE_UNAVAILABLE
+        run_state = RunState.UNKNOWN if undecided else RunState.NOT_RUN
+        context.act(Refuse(request.request_id, kind, DEFAULT_RETRY_AFTER_MS, run_state))
+
+    @on(RequestAnswered)
+    def _on_answered(self, event: RequestAnswered, context: Context) -> None:
+        self._end_if_known(event.request_id, context)
+
+    @on(RequestFailed)
+    def _on_failed(self, event: RequestFailed, context: Context) -> None:
+        self._end_if_known(event.request_id, context)
+
+    @on(CallerLeft)
+    def _on_caller_left(self, event: CallerLeft, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is None or request.stage is not RequestStage.DISPATCHED:
+            return
+        if request.idempotent:
+            context.act(CancelAtUpstream(request.request_id, request.upstream))
+            self._end(request, context)
+
+    def _dispatch(self, request: Request, context: Context) -> None:
+        self._set_stage(request, RequestStage.DISPATCHED)
+        context.act(Dispatch(request.request_id, request.upstream))
+
+    def _request(self, request_id: str) -> Request:
+        request = self.board.read(RequestTable).get(request_id)
+        assert request is not None
+        return request
+
+    def _set_stage(self, request: Request, stage: RequestStage) -> None:
+        self.board.write(RequestTable).put(request.request_id, request.with_stage(stage))
+
+    def _end_if_known(self, request_id: str, context: Context) -> None:
+        request = self.board.read(RequestTable).get(request_id)
+        if request is not None:
+            self._end(request, context)
+
+    def _end(self, request: Request, context: Context) -> None:
+        self.board.write(RequestTable).remove(request.request_id)
+        context.post(RequestEnded(request))
--- /dev/null
+++ b/azureturn/core/tests/test_controllers.py
@@ -0,0 +1,26 @@
+"""Each controller touches only the tables that it declares."""
+
+import pytest
+
+from azureturn.core import (
+    CONTROLLERS,
+    Blackboard,
+    BlackboardView,
+    QueueTable,
+    RequestTable,
+    UndeclaredTableError,
+)
+
+
+@pytest.mark.parametrize("name", CONTROLLERS)
+def test_declared_order_can_be_resolved(name: str) -> None:
+    assert all(earlier in CONTROLLERS for earlier in CONTROLLERS[name].after)
+
+
+def test_a_view_admits_only_declared_tables() -> None:
+    view = BlackboardView(Blackboard(), "one", reads=frozenset({RequestTable}), writes=frozenset())
+    view.read(RequestTable)
+    with pytest.raises(UndeclaredTableError):
+        view.write(RequestTable)
+    with pytest.raises(UndeclaredTableError):
+        view.read(QueueTable)
--- /dev/null
+++ b/azureturn/daemon/__init__.py
@@ -0,0 +1,6 @@
+"""The entry daemon: the adapters around the core."""
+
+from azureturn.daemon._daemon import Daemon
+from azureturn.daemon._main import main
+
+__all__ = ["Daemon", "main"]
--- /dev/null
+++ b/azureturn/daemon/_caller_requests.py
@@ -0,0 +1,192 @@
+"""From HTTP to a checked request: who asks, for what, by when."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+
+from azureturn.core import Configuration, Request
+from azureturn.errors import CallerError, ErrorKind
+from azureturn.settings import (
+    OrganisationSettings,
+    RouteSettings,
+    UpstreamKind,
+)
+
+ROUTE_HEADER = "Azureturn-Route"
+TIER_HEADER = "Azureturn-Tier"
+TIMEOUT_HEADER = "Azureturn-Timeout-Ms"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+
+IDEMPOTENCY_KEY_LIMIT = 255
+TIMEOUT_LIMIT_MS = 24 * 3_600_000
+OUTPUT_TOKENS_LIMIT = 1_000_000
+#: Characters to a token, for estimates before the engine has counted.
+CHARACTERS_PER_TOKEN = 5
+#: Characters to a block of the prompt, for placing requests with a shared prefix together.
+PREFIX_BLOCK_CHARACTERS = 1_024
+PREFIX_BLOCK_LIMIT = 64
+
+_BEARER = "Bearer "
+
+
+@dataclass(frozen=True)
+class ChatBody:
+    """The part of a chat-completions body that placing needs; the rest is passed on unread."""
+
+    model: str
+    text: str
+    stream: bool
+    max_tokens: int | None
+
+
+def organisation_of(
+    headers: Mapping[str, str], configuration: Configuration
+) -> OrganisationSettings:
+    """Return the organisation whose token the headers carry."""
+    value = headers.get("Authorization", "")
+    if value.startswith(_BEARER):
+        token = value.removeprefix(_BEARER)
+        for organisation in configuration.shared.organisations:
+            if organisation.token == token:
+                return organisation
+    raise CallerError(ErrorKind.UNKNOWN_ORGANISATION)
+
+
+def parse_chat_body(body: bytes) -> ChatBody:
+    """Return what is needed of a chat-completions body."""
+    document = _json_object(body)
+    model = document.get("model")
+    messages = document.get("messages")
+    if not isinstance(model, str) or not isinstance(messages, list) or not messages:
+        raise CallerError(ErrorKind.MALFORMED_JSON, "the body needs 'model' and 'messages'")
+    if not all(isinstance(message, dict) for message in messages):
+        raise CallerError(ErrorKind.MALFORMED_JSON, "each of 'messages' must be an object")
+    text = " ".join(str(message.get("content", "")) for message in messages)
+    return ChatBody(model, text, document.get("stream") is True, _max_tokens(document))
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise CallerError(ErrorKind.MALFORMED_JSON) from error
+    if not isinstance(document, dict):
+        raise CallerError(ErrorKind.MALFORMED_JSON, "the body must be a JSON object")
+    return document
+
+
+def _max_tokens(document: dict[str, Any]) -> int | None:
+    value = document.get("max_completion_tokens", document.get("max_tokens"))
+    if value is None:
+        return None
+    if not isinstance(value, int) or not 1 <= value <= OUTPUT_TOKENS_LIMIT:
+        raise CallerError(ErrorKind.MALFORMED_JSON, "'max_tokens' must be a whole number above 0")
+    return value
+
+
+def chat_route(
+    headers: Mapping[str, str], model: str, configuration: Configuration
+) -> RouteSettings:
+    """Return the route named by header, or the first that the model answers."""
+    engines = {
+        target
+        for upstream in configuration.shared.upstreams
+        if upstream.kind is UpstreamKind.MODEL_ENGINE
+        for target in upstream.targets
+    }
+    if model not in engines:
+        raise CallerError(ErrorKind.UNKNOWN_MODEL)
+    routes = [route for route in configuration.shared.routes if route.target == model]
+    name = headers.get(ROUTE_HEADER)
+    for route in routes:
+        if name is None or route.name == name:
+            return route
+    raise CallerError(ErrorKind.UNKNOWN_MODEL if name is None else ErrorKind.UNKNOWN_ROUTE)
+
+
+def new_request(
+    headers: Mapping[str, str],
+    *,
+    request_id: str,
+    organisation: OrganisationSettings,
+    route: RouteSettings,
+    configuration: Configuration,
+    kind: UpstreamKind,
+    body: bytes,
+    arrived_at_ms: int,
+    chat: ChatBody | None = None,
+) -> Request:
+    """Return the request as the core sees it."""
+    key = _idempotency_key(headers, route)
+    timeout_ms = _timeout_ms(headers, route)
+    text = "" if chat is None else chat.text
+    wanted = route.expected_output_tokens
+    if chat is not None and chat.max_tokens is not None:
+        wanted = min(wanted, chat.max_tokens)
+    return Request(
+        request_id=request_id,
+        organisation=organisation.name,
+        route=route.name,
+        tier_rank=_tier_rank(headers, route, configuration),
+        target=route.target,
+        kind=kind,
+        arrived_at_ms=arrived_at_ms,
+        deadline_ms=arrived_at_ms + timeout_ms,
+        idempotent=route.idempotent,
+        idempotency_key=key,
+        body_digest=xxhash.xxh3_128_hexdigest(route.name.encode() + b"\0" + body),
+        prompt_tokens=1 + len(text) // CHARACTERS_PER_TOKEN,
+        expected_output_tokens=wanted,
+        prefix_digests=prefix_digests(text),
+        upstream_deduplicates=route.upstream_deduplicates,
+    )
+
+
+def prefix_digests(text: str) -> tuple[str, ...]:
+    """Return a digest for each leading full block of a prompt, each covering all before it."""
+    running = xxhash.xxh3_64()
+    digests: list[str] = []
+    blocks = min(len(text) // PREFIX_BLOCK_CHARACTERS, PREFIX_BLOCK_LIMIT)
+    for number in range(blocks):
+        start = number * PREFIX_BLOCK_CHARACTERS
+        running.update(text[start : start + PREFIX_BLOCK_CHARACTERS].encode())
+        digests.append(running.hexdigest())
+    return tuple(digests)
+
+
+def _idempotency_key(headers: Mapping[str, str], route: RouteSettings) -> str:
+    key = headers.get(IDEMPOTENCY_HEADER, "")
+    if len(key) > IDEMPOTENCY_KEY_LIMIT or not key.isprintable():
+        message = f"{IDEMPOTENCY_HEADER} must be printable, {IDEMPOTENCY_KEY_LIMIT} at most"
+        raise CallerError(ErrorKind.BAD_HEADER, message)
+    if not route.idempotent and not key:
+        raise CallerError(ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
+    return key
+
+
+def _timeout_ms(headers: Mapping[str, str], route: RouteSettings) -> int:
+    value = headers.get(TIMEOUT_HEADER)
+    if value is None:
+        return route.timeout_ms
+    if not value.isascii() or not value.isdecimal() or not 1 <= len(value) <= 9:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{TIMEOUT_HEADER} must be a whole number")
+    timeout_ms = int(value)
+    if not 1 <= timeout_ms <= TIMEOUT_LIMIT_MS:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{TIMEOUT_HEADER}: 1 to {TIMEOUT_LIMIT_MS}")
+    return timeout_ms
+
+
+def _tier_rank(
+    headers: Mapping[str, str], route: RouteSettings, configuration: Configuration
+) -> int:
+    """Return the tier's rank; a caller may ask for a less urgent tier than its route's."""
+    own_rank = configuration.tier_rank(route.tier)
+    name = headers.get(TIER_HEADER)
+    if name is None:
+        return own_rank
+    if name not in {tier.name for tier in configuration.shared.tiers}:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{TIER_HEADER}: no tier has this name")
+    return max(own_rank, configuration.tier_rank(name))
--- /dev/null
+++ b/azureturn/daemon/_face.py
@@ -0,0 +1,201 @@
+"""The HTTP face towards callers, on CherryPy."""
+
+import json
+import re
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import cherrypy
+
+from azureturn.core import Configuration, ConfigurationTable
+from azureturn.daemon._answers import CallerAnswer, error_body, error_headers, identity_headers
+from azureturn.daemon._caller_requests import (
+    IDEMPOTENCY_HEADER,
+    chat_route,
+    new_request,
+    organisation_of,
+    parse_chat_body,
+)
+from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
+from azureturn.daemon._runtime import now_ms
+from azureturn.daemon._services import Services
+from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind
+from azureturn.observability import LogEvent
+from azureturn.settings import UpstreamKind
+
+_READ_BYTES = 65_536
+_CHAT_PATH = "/v1/chat/completions"
+_SAFE_PATH = re.compile(r"^[A-Za-z0-9._~!$&'()*+,;=:@/%-]*$")
+
+_CONFIG = {
+    "/": {
+        "request.process_request_body": False,
+        "request.show_tracebacks": False,
+        "tools.trailing_slash.on": False,
+        "response.headers.server": "azureturn",
+    }
+}
+
+
+class CallerFace:
+    """Maps paths to what serves them, and every error to its answer."""
+
+    def __init__(self, services: Services, *, is_ready: Callable[[], bool]) -> None:
+        self._services = services
+        self._is_ready = is_ready
+
+    def application(self) -> Any:
+        """Return the WSGI application."""
+        cherrypy.config.update(
+            {"environment": "embedded", "log.screen": False, "engine.autoreload.on": False}
+        )
+        return cherrypy.Application(self, "", config=_CONFIG)
+
+    @cherrypy.expose  # type: ignore[untyped-decorator]
+    def default(self, *path: str, **_query: str) -> bytes | Iterator[bytes]:
+        """Serve every path; CherryPy calls this one method for all of them."""
+        request_id = self._services.new_request_id()
+        try:
+            return self._send(self._serve(request_id, path))
+        except AzureturnError as error:
+            return self._send(self._refusal(error, request_id))
+        except Exception as error:  # noqa: BLE001
+            self._services.log.error(
+                LogEvent.INTERNAL_ERROR, request_id=request_id, error=repr(error)
+            )
+            failure = AzureturnError(ErrorKind.INTERNAL)
+            return self._send(self._refusal(failure, request_id))
+
+    def _serve(self, request_id: str, path: tuple[str, ...]) -> CallerAnswer:
+        method = cherrypy.request.method
+        if path == ("healthz",):
+            return self._plain(request_id, 200, {"status": "alive"})
+        if path == ("readyz",):
+            ready = self._is_ready()
+            return self._plain(request_id, 200 if ready else 503, {"ready": ready})
+        if path == ("v1", "models"):
+            return self._models(request_id)
+        if path == ("v1", "chat", "completions"):
+            if method != "POST":
+                raise CallerError(ErrorKind.METHOD_NOT_ALLOWED)
+            return self._chat(request_id)
+        if len(path) >= 2 and path[0] == "routes":
+            return self._plain_service(request_id, path[1], path[2:])
+        raise CallerError(ErrorKind.NOT_FOUND)
+
+    def _chat(self, request_id: str) -> CallerAnswer:
+        arrived_at_ms = now_ms()
+        headers = cherrypy.request.headers
+        configuration = self._configuration()
+        organisation = organisation_of(headers, configuration)
+        body = self._read_body()
+        chat = parse_chat_body(body)
+        route = chat_route(headers, chat.model, configuration)
+        request = new_request(
+            headers,
+            request_id=request_id,
+            organisation=organisation,
+            route=route,
+            configuration=configuration,
+            kind=UpstreamKind.MODEL_ENGINE,
+            body=body,
+            arrived_at_ms=arrived_at_ms,
+            chat=chat,
+        )
+        sent_headers = {"Content-Type": "application/json"}
+        outgoing = OutgoingRequest(request, "POST", _CHAT_PATH, sent_headers, body, chat.stream)
+        return RequestFlow(self._services, outgoing).serve()
+
+    def _plain_service(self, request_id: str, name: str, rest: tuple[str, ...]) -> CallerAnswer:
+        arrived_at_ms = now_ms()
+        headers = cherrypy.request.headers
+        configuration = self._configuration()
+        organisation = organisation_of(headers, configuration)
+        route = configuration.route(name)
+        if route is None or not route.path:
+            raise CallerError(ErrorKind.UNKNOWN_ROUTE)
+        if cherrypy.request.method != route.method:
+            raise CallerError(ErrorKind.METHOD_NOT_ALLOWED)
+        path = "/".join((route.path.rstrip("/"), *rest))
+        if not _SAFE_PATH.match(path) or ".." in rest:
+            raise CallerError(ErrorKind.MALFORMED_REQUEST, "the path has characters not allowed")
+        if cherrypy.request.query_string:
+            path += "?" + cherrypy.request.query_string
+        body = self._read_body()
+        request = new_request(
+            headers,
+            request_id=request_id,
+            organisation=organisation,
+            route=route,
+            configuration=configuration,
+            kind=UpstreamKind.PLAIN_SERVICE,
+            body=body,
+            arrived_at_ms=arrived_at_ms,
+        )
+        sent_headers = {"Content-Type": headers.get("Content-Type", "application/octet-stream")}
+        if request.idempotency_key:
+            sent_headers[IDEMPOTENCY_HEADER] = request.idempotency_key
+        outgoing = OutgoingRequest(request, route.method, path, sent_headers, body, False)
+        return RequestFlow(self._services, outgoing).serve()
+
+    def _models(self, request_id: str) -> CallerAnswer:
+        configuration = self._configuration()
+        organisation_of(cherrypy.request.headers, configuration)
+        models = sorted(
+            {
+                target
+                for upstream in configuration.shared.upstreams
+                if upstream.kind is UpstreamKind.MODEL_ENGINE
+                for target in upstream.targets
+            }
+        )
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "azureturn"}
+            for name in models
+        ]
+        return self._plain(request_id, 200, {"object": "list", "data": rows})
+
+    def _configuration(self) -> Configuration:
+        return self._services.runtime.inspect(
+            lambda core: core.board.table(ConfigurationTable).in_force()
+        )
+
+    def _read_body(self) -> bytes:
+        limit = self._services.settings.daemon.body_limit_bytes
+        announced = cherrypy.request.headers.get("Content-Length")
+        if announced is not None and int(announced) > limit:
+            raise CallerError(ErrorKind.BODY_TOO_LARGE)
+        body = bytearray()
+        reader = cherrypy.request.rfile
+        try:
+            while piece := reader.read(_READ_BYTES):
+                body += piece
+                if len(body) > limit:
+                    raise CallerError(ErrorKind.BODY_TOO_LARGE)
+        except TimeoutError as error:
+            raise CallerError(ErrorKind.REQUEST_TIMEOUT) from error
+        except (ValueError, OSError) as error:
+            raise CallerError(ErrorKind.MALFORMED_REQUEST, "the body broke off") from error
+        if announced is not None and len(body) != int(announced):
+            raise CallerError(ErrorKind.MALFORMED_REQUEST, "the body is shorter than announced")
+        return bytes(body)
+
+    def _refusal(self, error: AzureturnError, request_id: str) -> CallerAnswer:
+        headers = error_headers(error, request_id=request_id, vm=self._services.settings.vm.name)
+        body = json.dumps(error_body(error, request_id)).encode()
+        return CallerAnswer(ANSWERS[error.kind].status, headers, body)
+
+    def _plain(self, request_id: str, status: int, document: Any) -> CallerAnswer:
+        headers = identity_headers(request_id=request_id, vm=self._services.settings.vm.name)
+        headers["Content-Type"] = "application/json"
+        return CallerAnswer(status, headers, json.dumps(document).encode())
+
+    def _send(self, answer: CallerAnswer) -> bytes | Iterator[bytes]:
+        response = cherrypy.response
+        response.status = answer.status
+        response.headers.pop("Content-Type", None)
+        response.headers.update(answer.headers)
+        if isinstance(answer.body, bytes):
+            return answer.body
+        response.stream = True
+        return answer.body
--- /dev/null
+++ b/azureturn/errors/__init__.py
@@ -0,0 +1,34 @@
+"""Error kinds, the table from kind to answer, and the exception tree."""
+
+from azureturn.errors._exceptions import (
+    AzureturnError,
+    CallerError,
+    CompareFailedError,
+    KeyValueUnavailableError,
+    PeerUnavailableError,
+    PlatformError,
+    RefusedError,
+    SettingsError,
+    UpstreamError,
+    UpstreamUnreachableError,
+)
+from azureturn.errors._kinds import ErrorKind, RunState
+from azureturn.errors._table import ANSWERS, DEFAULT_RETRY_AFTER_MS, ErrorAnswer
+
+__all__ = [
+    "ANSWERS",
+    "AzureturnError",
+    "CallerError",
+    "CompareFailedError",
+    "DEFAULT_RETRY_AFTER_MS",
+    "ErrorAnswer",
+    "ErrorKind",
+    "KeyValueUnavailableError",
+    "PeerUnavailableError",
+    "PlatformError",
+    "RefusedError",
+    "RunState",
+    "SettingsError",
+    "UpstreamError",
+    "UpstreamUnreachableError",
+]
--- /dev/null
+++ b/azureturn/errors/_kinds.py
@@ -0,0 +1,57 @@
+"""The closed lists from which every refusal and every failure is named."""
+
+from enum import StrEnum
+
+
+class RunState(StrEnum):
+    """Whether the upstream may have run a request that was not answered in full.
+
+    ``NOT_RUN`` is a promise: no byte of the request reached an upstream and none ever will.
+    """
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(StrEnum):
+    """Every kind of error that a caller or an operator can be told of.
+
+    The list is closed: an answer, a log line and a metric all take their error from here, and
+    ``ANSWERS`` has a row for each member.
+
+    >>> ErrorKind("overloaded") is ErrorKind.OVERLOADED
+    True
+    """
+
+    MALFORMED_REQUEST = "malformed_request"
+    MALFORMED_JSON = "malformed_json"
+    BAD_HEADER = "bad_header"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_ORGANISATION = "unknown_organisation"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_ROUTE = "unknown_route"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    NOT_FOUND = "not_found"
+    FORBIDDEN = "forbidden"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    TICKET_INVALID = "ticket_invalid"
+    KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
+    OVERLOADED = "overloaded"
+    SHED = "shed"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_SILENT = "upstream_silent"
+    ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_MISMATCHED = "answer_mismatched"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CALLER_GONE = "caller_gone"
+    STOPPING = "stopping"
+    CONFLICT = "conflict"
+    INTERNAL = "internal"
--- /dev/null
+++ b/azureturn/errors/tests/test_table.py
@@ -0,0 +1,12 @@
+"""Every kind of error has its answer."""
+
+import pytest
+
+from azureturn.errors import ANSWERS, AzureturnError, ErrorKind
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+def test_each_kind_has_an_answer(kind: ErrorKind) -> None:
+    answer = ANSWERS[kind]
+    assert 400 <= answer.status <= 599
+    assert AzureturnError(kind).message == answer.summary
--- /dev/null
+++ b/azureturn/peers/__init__.py
@@ -0,0 +1,29 @@
+"""The protocol between the system's own processes, over thrift."""
+
+from azureturn.peers._authentication import EnvelopeSigner, decode_struct, encode_struct
+from azureturn.peers._client import PeerAddress, PeerClient
+from azureturn.peers._server import PeerHandler, PeerServer
+from azureturn.peers.gen.ttypes import (
+    Header,
+    Heartbeat,
+    Outcome,
+    OutcomeQuery,
+    OutcomeState,
+    PeerRefused,
+)
+
+__all__ = [
+    "EnvelopeSigner",
+    "Header",
+    "Heartbeat",
+    "Outcome",
+    "OutcomeQuery",
+    "OutcomeState",
+    "PeerAddress",
+    "PeerClient",
+    "PeerHandler",
+    "PeerRefused",
+    "PeerServer",
+    "decode_struct",
+    "encode_struct",
+]
--- /dev/null
+++ b/azureturn/peers/_authentication.py
@@ -0,0 +1,83 @@
+"""Signed envelopes: VMs and operators prove to each other that they hold the shared secret."""
+
+import secrets
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from itsdangerous import BadData, TimestampSigner
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.TSerialization import TTransport
+
+from azureturn.errors import AzureturnError, ErrorKind
+from azureturn.peers.gen.ttypes import Envelope, Message
+
+#: A message older than this is refused; nonces are remembered for at least as long.
+REPLAY_WINDOW_S = 30
+#: Most nonces remembered; beyond it messages are refused until old ones have gone.
+NONCE_LIMIT = 100_000
+_NONCE_BYTES = 12
+
+_Struct = TypeVar("_Struct")
+
+
+def encode_struct(struct: Any) -> bytes:
+    """Return a thrift struct in compact form."""
+    transport = TTransport.TMemoryBuffer()
+    struct.write(TCompactProtocol(transport))
+    return bytes(transport.getvalue())
+
+
+def decode_struct(struct_type: type[_Struct], data: bytes) -> _Struct:
+    """Return the struct in ``data``, or raise with kind ``malformed_request``."""
+    struct = struct_type()
+    try:
+        protocol = TCompactProtocol(TTransport.TMemoryBuffer(data), len(data) + 1, len(data) + 1)
+        struct.read(protocol)  # type: ignore[attr-defined]
+    except Exception as error:
+        raise AzureturnError(ErrorKind.MALFORMED_REQUEST, "not a valid peer message") from error
+    return struct
+
+
+class EnvelopeSigner:
+    """Signs messages with the shared secret, and checks signature, age and first use.
+
+    The signature covers the call's name, so that a message for one call is no good for another.
+    """
+
+    def __init__(self, secret: str, vm: str, *, clock_s: Callable[[], float]) -> None:
+        self._secret = secret
+        self._vm = vm
+        self._clock_s = clock_s
+        self._seen: OrderedDict[str, float] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def seal(self, call: str, struct: Any) -> Envelope:
+        """Return an envelope for ``call`` around a struct."""
+        nonce = secrets.token_urlsafe(_NONCE_BYTES)
+        message = Message(sender_vm=self._vm, nonce=nonce, body=encode_struct(struct))
+        return Envelope(signed_message=self._signer(call).sign(encode_struct(message)))
+
+    def open(self, call: str, envelope: Envelope, struct_type: type[_Struct]) -> _Struct:
+        """Return the struct inside, or raise with kind ``forbidden``."""
+        try:
+            signed = envelope.signed_message or b""
+            data = self._signer(call).unsign(signed, max_age=REPLAY_WINDOW_S)
+        except BadData as error:
+            raise AzureturnError(ErrorKind.FORBIDDEN, "the signature is not valid") from error
+        message = decode_struct(Message, data)
+        self._note_nonce(f"{message.sender_vm}/{message.nonce}")
+        return decode_struct(struct_type, message.body or b"")
+
+    def _signer(self, call: str) -> TimestampSigner:
+        return TimestampSigner(self._secret, salt=f"azureturn.peers.{call}")
+
+    def _note_nonce(self, nonce: str) -> None:
+        now_s = self._clock_s()
+        with self._lock:
+            while self._seen and next(iter(self._seen.values())) < now_s - 2 * REPLAY_WINDOW_S:
+                self._seen.popitem(last=False)
+            if nonce in self._seen or len(self._seen) >= NONCE_LIMIT:
+                raise AzureturnError(ErrorKind.FORBIDDEN, "the message was seen before")
+            self._seen[nonce] = now_s
--- /dev/null
+++ b/azureturn/peers/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/azureturn/platform/_key_value.py
@@ -0,0 +1,152 @@
+"""A client of the platform's key-value service, by etcd v3's published JSON gateway."""
+
+import base64
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+
+from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
+from azureturn.settings import PlatformSettings
+
+#: A watch is asked anew after this long without a line.
+WATCH_SILENCE_MS = 30_000
+_MS_PER_S = 1_000
+_POOL_CONNECTIONS = 8
+
+
+@dataclass(frozen=True)
+class KeyValueEntry:
+    """One key's value and the revision that wrote it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class KeyValueClient:
+    """Compare-and-swap, reads and watches; it never sends a call twice.
+
+    A call without an answer raises :class:`KeyValueUnavailableError`: the caller decides
+    whether to read back, since only the caller knows its nonce.
+    """
+
+    def __init__(self, base_url: str, *, timeout_ms: int, key_prefix: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._prefix = key_prefix
+        self._pool = urllib3.PoolManager(
+            num_pools=1,
+            maxsize=_POOL_CONNECTIONS,
+            retries=False,
+            timeout=urllib3.Timeout(total=timeout_ms / _MS_PER_S),
+        )
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> "KeyValueClient":
+        """Return a client for the service that the settings name."""
+        return cls(
+            settings.key_value_url,
+            timeout_ms=settings.key_value_timeout_ms,
+            key_prefix=settings.key_prefix,
+        )
+
+    def read(self, key: str) -> KeyValueEntry | None:
+        """Return the entry at ``key``, or None where there is none."""
+        answer = self._call("/v3/kv/range", {"key": self._encode_key(key)})
+        pairs = answer.get("kvs", [])
+        return self._entry(pairs[0]) if pairs else None
+
+    def read_prefix(self, prefix: str) -> list[KeyValueEntry]:
+        """Return every entry whose key starts with ``prefix``, in order of key."""
+        answer = self._call("/v3/kv/range", self._range_of(prefix))
+        return [self._entry(pair) for pair in answer.get("kvs", [])]
+
+    def compare_and_swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        """Write ``value`` if the key is at ``expected_revision`` (0: absent).
+
+        The new revision is returned. :class:`CompareFailedError` says that nothing was written;
+        :class:`KeyValueUnavailableError` says that it is not known.
+        """
+        encoded = self._encode_key(key)
+        body = {
+            "compare": [
+                {
+                    "key": encoded,
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(expected_revision),
+                }
+            ],
+            "success": [
+                {"request_put": {"key": encoded, "value": base64.b64encode(value).decode()}}
+            ],
+        }
+        answer = self._call("/v3/kv/txn", body)
+        if not answer.get("succeeded"):
+            raise CompareFailedError(ErrorKind.CONFLICT, f"{key} is at another revision")
+        return int(answer["header"]["revision"])
+
+    def watch(self, prefix: str, *, from_revision: int) -> Iterator[list[KeyValueEntry]]:
+        """Yield changed entries below ``prefix`` as they come, until the connection breaks."""
+        create = {**self._range_of(prefix), "start_revision": str(from_revision)}
+        timeout = urllib3.Timeout(connect=1.0, read=WATCH_SILENCE_MS / _MS_PER_S)
+        response = self._post(
+            "/v3/watch", {"create_request": create}, timeout=timeout, preload_content=False
+        )
+        try:
+            yield from self._watch_lines(response)
+        except urllib3.exceptions.HTTPError as error:
+            raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
+        finally:
+            response.close()
+
+    def _watch_lines(self, response: Any) -> Iterator[list[KeyValueEntry]]:
+        pending = b""
+        for piece in response.stream(65_536):
+            pending += piece
+            *lines, pending = pending.split(b"\n")
+            for line in lines:
+                events = json.loads(line)["result"].get("events", [])
+                yield [self._entry(one["kv"]) for one in events if one["type"] == "PUT"]
+
+    def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        try:
+            answer: dict[str, Any] = json.loads(self._post(path, body).data)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
+        return answer
+
+    def _post(self, path: str, body: dict[str, Any], **options: Any) -> Any:
+        try:
+            response = self._pool.request(
+                "POST",
+                self._base_url + path,
+                body=json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+                redirect=False,
+                **options,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
+        if response.status != 200:
+            message = f"status {response.status} from the key-value service"
+            raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, message)
+        return response
+
+    def _encode_key(self, key: str) -> str:
+        return base64.b64encode((self._prefix + key).encode()).decode()
+
+    def _range_of(self, prefix: str) -> dict[str, str]:
+        full = (self._prefix + prefix).encode()
+        end = full[:-1] + bytes([full[-1] + 1])
+        return {
+            "key": base64.b64encode(full).decode(),
+            "range_end": base64.b64encode(end).decode(),
+        }
+
+    def _entry(self, pair: dict[str, str]) -> KeyValueEntry:
+        key = base64.b64decode(pair["key"]).decode().removeprefix(self._prefix)
+        value = base64.b64decode(pair["value"])
+        return KeyValueEntry(key, value, int(pair["mod_revision"]))
--- /dev/null
+++ b/azureturn/platform/_vm_list.py
@@ -0,0 +1,59 @@
+"""A client of the platform's list of live and leaving VMs."""
+
+import json
+from dataclasses import dataclass
+
+import urllib3
+
+from azureturn.errors import ErrorKind, PlatformError
+
+_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True)
+class ListedVm:
+    """One VM as the platform lists it; the list is always somewhat old."""
+
+    name: str
+    availability_zone: str
+    host: str
+    port: int
+    peer_port: int
+    leaving: bool
+
+
+class VmListClient:
+    """Reads the list, and enters this VM in it."""
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._pool = urllib3.PoolManager(num_pools=1, retries=False, timeout=_TIMEOUT_S)
+
+    def read(self) -> tuple[ListedVm, ...]:
+        """Return the listed VMs, or raise :class:`PlatformError`."""
+        try:
+            response = self._pool.request("GET", self._base_url + "/vms", redirect=False)
+            rows = json.loads(response.data)["vms"]
+            return tuple(_listed_vm(row) for row in rows)
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
+            raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
+
+    def enter(self, vm: ListedVm) -> None:
+        """Put a VM's own row in the list, or raise :class:`PlatformError`."""
+        row = {**vars(vm), "state": "leaving" if vm.leaving else "live"}
+        row.pop("leaving")
+        try:
+            self._pool.request("POST", self._base_url + "/vms", json=row, redirect=False)
+        except urllib3.exceptions.HTTPError as error:
+            raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
+
+
+def _listed_vm(row: dict[str, object]) -> ListedVm:
+    return ListedVm(
+        name=str(row["name"]),
+        availability_zone=str(row["availability_zone"]),
+        host=str(row["host"]),
+        port=int(str(row["port"])),
+        peer_port=int(str(row["peer_port"])),
+        leaving=row.get("state") == "leaving",
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what surrounds azureturn, each a process of its own."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,375 @@
+"""A model engine in the chat-completions form, around :mod:`standins.engine_model`.
+
+Every answer repeats the ``X-Request-Id`` that it was sent. Streamed events carry their token's
+number as the event id, and ``GET /v1/requests/{id}/stream`` with ``Last-Event-ID`` resumes.
+"""
+
+import argparse
+import asyncio
+import hashlib
+import json
+import random
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from aiohttp import web
+
+from standins._server import changed_switches, standin
+from standins.engine_model import EngineModel, EngineSpeed, Job
+
+DEFAULT_OUTPUT_TOKENS = 24
+#: Finished answers kept for resuming.
+KEPT_STREAMS = 2_000
+#: Cache events kept for readers.
+KEPT_EVENTS = 10_000
+
+
+@dataclass(frozen=True)
+class Switches:
+    """What can be set at the start and at run time."""
+
+    #: Share of requests that fail with status 500.
+    fail_share: float = 0.0
+    slow_down: float = 1.0
+    #: Streams stay open and bring nothing.
+    silent: bool = False
+    #: Close the stream after this many tokens without a terminator.
+    truncate_after_tokens: int = 0
+    #: Answer with another request's id.
+    wrong_request_id: bool = False
+    #: Read the request, then close the connection.
+    close_after_read: bool = False
+    load_report_lag_ms: int = 0
+    #: Share of cache events that are lost.
+    cache_event_gap_share: float = 0.0
+    #: False for engines that take orders with an old fencing number.
+    checks_fence: bool = True
+    slots: int = 16
+    prefill_tokens_per_s: float = 8_000.0
+    step_base_ms: float = 12.0
+    step_per_sequence_ms: float = 0.3
+    #: Time to load a version once its weights are here.
+    load_time_ms: int = 200
+    #: Share of failures for single versions, and how many times slower they are.
+    bad_versions: dict[str, float] = field(default_factory=dict)
+    versions: tuple[str, ...] = ("v1",)
+
+
+@dataclass
+class _Stream:
+    request_id: str
+    output_tokens: int
+    model: str
+    version: str
+    prompt_tokens: int
+    cached_tokens: int = 0
+    made: int = 0
+    finished: bool = False
+    cancelled: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def block_digests(text: str, block_words: int) -> tuple[str, ...]:
+    """Return a digest for each full leading block of words, each covering all before it."""
+    words = text.split()
+    running = hashlib.blake2b(digest_size=8)
+    digests = []
+    for start in range(0, len(words) - block_words + 1, block_words):
+        running.update(" ".join(words[start : start + block_words]).encode() + b"\0")
+        digests.append(running.hexdigest())
+    return tuple(digests)
+
+
+class Engine:
+    """The state and the handlers of one engine process."""
+
+    def __init__(self, name: str, switches: Switches) -> None:
+        self.name = name
+        self.model = EngineModel()
+        self.apply(switches)
+        self.streams: OrderedDict[str, _Stream] = OrderedDict()
+        self.dispatches: dict[str, int] = {}
+        self.random = random.Random(name)
+        self.reports: deque[tuple[float, dict[str, int]]] = deque(maxlen=1_000)
+        self.cache_events: deque[dict[str, Any]] = deque(maxlen=KEPT_EVENTS)
+        self.cache_event_number = 0
+        self.loaded = dict.fromkeys(switches.versions, 0)
+        self.highest_fence = 0
+        self.stepping = asyncio.Event()
+
+    def apply(self, switches: Switches) -> None:
+        self.switches = switches
+        self.model.speed = EngineSpeed(
+            slots=switches.slots,
+            prefill_tokens_per_s=switches.prefill_tokens_per_s,
+            step_base_ms=switches.step_base_ms,
+            step_per_sequence_ms=switches.step_per_sequence_ms,
+            slow_down=switches.slow_down,
+        )
+
+    async def run_steps(self, _application: web.Application) -> Any:
+        task = asyncio.create_task(self._step_forever())
+        yield
+        task.cancel()
+
+    async def _step_forever(self) -> None:
+        while True:
+            ends_ms = self.model.step_ends_ms
+            if ends_ms is None:
+                self.stepping.clear()
+                await self.stepping.wait()
+                continue
+            await asyncio.sleep(max(0.0, ends_ms - _now_ms()) / 1_000)
+            before = set(self.model.cached_blocks())
+            for progress in self.model.advance(_now_ms()):
+                stream = self.streams[progress.request_id]
+                stream.made = progress.token
+                stream.finished = progress.finished
+                stream.wake()
+            self._note_cache_changes(before)
+
+    def _note_cache_changes(self, before: set[str]) -> None:
+        after = set(self.model.cached_blocks())
+        for kind, digests in (("stored", after - before), ("removed", before - after)):
+            if not digests:
+                continue
+            self.cache_event_number += 1
+            if self.random.random() >= self.switches.cache_event_gap_share:
+                event = {"number": self.cache_event_number, "kind": kind, "blocks": sorted(digests)}
+                self.cache_events.append(event)
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        request_id = request.headers.get("X-Request-Id", f"engine-{len(self.streams)}")
+        self.dispatches[request_id] = self.dispatches.get(request_id, 0) + 1
+        version = request.headers.get("X-Model-Version", next(iter(self.loaded)))
+        if self.switches.close_after_read:
+            assert request.transport is not None
+            request.transport.close()
+            return web.Response()
+        if version not in self.loaded:
+            return _failure(404, request_id, f"version {version} is not loaded")
+        fail_share = max(self.switches.fail_share, self.switches.bad_versions.get(version, 0.0))
+        if self.random.random() < fail_share:
+            return _failure(500, request_id, "the engine failed")
+        stream = self._start(request_id, body, version)
+        if body.get("stream"):
+            return await self._send_stream(request, stream, after=0)
+        return await self._send_whole(stream)
+
+    def _start(self, request_id: str, body: dict[str, Any], version: str) -> _Stream:
+        text = " ".join(str(message.get("content", "")) for message in body["messages"])
+        prompt_tokens = max(1, len(text.split()))
+        output_tokens = int(body.get("max_tokens") or DEFAULT_OUTPUT_TOKENS)
+        stream = _Stream(request_id, output_tokens, body["model"], version, prompt_tokens)
+        self.streams[request_id] = stream
+        while len(self.streams) > KEPT_STREAMS:
+            self.streams.popitem(last=False)
+        blocks = block_digests(text, self.model.speed.block_tokens)
+        cached_before = self.model.counters.prefill_cached_tokens
+        job = Job(request_id, prompt_tokens, output_tokens, blocks)
+        self.model.submit(job, _now_ms())
+        stream.cached_tokens = self.model.counters.prefill_cached_tokens - cached_before
+        self.stepping.set()
+        return stream
+
+    async def _send_whole(self, stream: _Stream) -> web.Response:
+        try:
+            while not stream.finished or self.switches.silent:
+                if stream.cancelled:
+                    return _failure(499, stream.request_id, "cancelled")
+                await stream.changed.wait()
+        except asyncio.CancelledError:
+            self.model.cancel(stream.request_id)
+            raise
+        content = "".join(_word(number) for number in range(1, stream.made + 1))
+        body = {
+            "id": f"chatcmpl-{stream.request_id}",
+            "object": "chat.completion",
+            "created": 0,
+            "model": stream.model,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": content},
+                    "finish_reason": "stop",
+                }
+            ],
+            "usage": _usage(stream),
+        }
+        return web.json_response(body, headers=self._headers(stream))
+
+    async def _send_stream(
+        self, request: web.Request, stream: _Stream, *, after: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._headers(stream))
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        sent = after
+        try:
+            while True:
+                while self.switches.silent or (sent >= stream.made and not stream.finished):
+                    if stream.cancelled:
+                        return response
+                    await stream.changed.wait()
+                for number in range(sent + 1, stream.made + 1):
+                    await response.write(_event(stream, number))
+                    if number == self.switches.truncate_after_tokens:
+                        assert request.transport is not None
+                        request.transport.close()
+                        return response
+                sent = stream.made
+                if stream.finished:
+                    break
+            await response.write(_last_events(stream))
+            await response.write_eof()
+        except (ConnectionResetError, asyncio.CancelledError):
+            raise
+        return response
+
+    def _headers(self, stream: _Stream) -> dict[str, str]:
+        wrong = self.switches.wrong_request_id
+        return {
+            "X-Request-Id": "another-request" if wrong else stream.request_id,
+            "X-Model-Version": stream.version,
+        }
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        stream = self.streams.get(request.match_info["request_id"])
+        if stream is None:
+            return _failure(404, request.match_info["request_id"], "no such request")
+        after = int(request.headers.get("Last-Event-ID", "0"))
+        return await self._send_stream(request, stream, after=after)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        request_id = request.match_info["request_id"]
+        found = self.model.cancel(request_id)
+        stream = self.streams.get(request_id)
+        if stream is not None:
+            stream.cancelled = True
+            stream.wake()
+        return web.json_response({"cancelled": found})
+
+    async def load(self, _request: web.Request) -> web.Response:
+        now_ms = _now_ms()
+        present = {
+            "running": self.model.running,
+            "waiting": self.model.waiting,
+            "queued_tokens": self.model.queued_tokens,
+        }
+        self.reports.append((now_ms, present))
+        taken_ms, report = self.reports[-1]
+        for older_ms, older in reversed(self.reports):
+            taken_ms, report = older_ms, older
+            if older_ms <= now_ms - self.switches.load_report_lag_ms:
+                break
+        return web.json_response({**report, "age_ms": round(now_ms - taken_ms)})
+
+    async def events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get("after", "0"))
+        events = [one for one in self.cache_events if one["number"] > after]
+        return web.json_response({"events": events})
+
+    async def order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        fence = int(body["fence"])
+        if self.switches.checks_fence and fence < self.highest_fence:
+            return web.json_response({"error": "old fence"}, status=409)
+        self.highest_fence = max(fence, self.highest_fence)
+        if body["kind"] == "load":
+            await asyncio.sleep(self.switches.load_time_ms / 1_000)
+            self.loaded[body["version"]] = fence
+        elif body["kind"] == "unload":
+            self.loaded.pop(body["version"], None)
+        return web.json_response({"versions": sorted(self.loaded), "fence": self.highest_fence})
+
+    async def versions(self, _request: web.Request) -> web.Response:
+        body = {"versions": sorted(self.loaded), "fence": self.highest_fence}
+        return web.json_response(body)
+
+    async def runs(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.dispatches)
+
+    async def counters(self, _request: web.Request) -> web.Response:
+        return web.json_response(vars(self.model.counters))
+
+    async def control(self, request: web.Request) -> web.Response:
+        self.apply(changed_switches(self.switches, await request.json()))
+        for stream in self.streams.values():
+            stream.wake()
+        return web.json_response({})
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1_000
+
+
+def _word(number: int) -> str:
+    return f"word{number} "
+
+
+def _usage(stream: _Stream) -> dict[str, Any]:
+    return {
+        "prompt_tokens": stream.prompt_tokens,
+        "completion_tokens": stream.made,
+        "total_tokens": stream.prompt_tokens + stream.made,
+        "prompt_tokens_details": {"cached_tokens": stream.cached_tokens},
+    }
+
+
+def _chunk(stream: _Stream, choices: list[dict[str, Any]], **more: Any) -> bytes:
+    body = {
+        "id": f"chatcmpl-{stream.request_id}",
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": stream.model,
+        "choices": choices,
+        **more,
+    }
+    return f"data: {json.dumps(body)}\n\n".encode()
+
+
+def _event(stream: _Stream, number: int) -> bytes:
+    delta = {"content": _word(number)}
+    chunk = _chunk(stream, [{"index": 0, "delta": delta, "finish_reason": None}])
+    return f"id: {number}\n".encode() + chunk
+
+
+def _last_events(stream: _Stream) -> bytes:
+    stop = [{"index": 0, "delta": {}, "finish_reason": "stop"}]
+    return _chunk(stream, stop, usage=_usage(stream)) + b"data: [DONE]\n\n"
+
+
+def _failure(status: int, request_id: str, message: str) -> web.Response:
+    body = {"error": {"message": message, "type": "engine_error"}}
+    return web.json_response(body, status=status, headers={"X-Request-Id": request_id})
+
+
+@standin("engine")
+def make_engine(arguments: argparse.Namespace) -> web.Application:
+    """Return the application of one engine."""
+    switches = replace(Switches(), **json.loads(arguments.switches))
+    engine = Engine(arguments.name, switches)
+    application = web.Application(client_max_size=1 << 24)
+    application.cleanup_ctx.append(engine.run_steps)
+    application.add_routes(
+        [
+            web.post("/v1/chat/completions", engine.chat),
+            web.get("/v1/requests/{request_id}/stream", engine.resume),
+            web.post("/v1/requests/{request_id}/cancel", engine.cancel),
+            web.get("/load", engine.load),
+            web.get("/cache/events", engine.events),
+            web.post("/orders", engine.order),
+            web.get("/versions", engine.versions),
+            web.get("/runs", engine.runs),
+            web.get("/counters", engine.counters),
+            web.post("/control", engine.control),
+        ]
+    )
+    return application
--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,91 @@
+"""A plain service whose calls may not be repeated; it counts every run by its idempotency key."""
+
+import argparse
+import asyncio
+import json
+from dataclasses import dataclass, replace
+
+from aiohttp import web
+
+from standins._server import changed_switches, standin
+
+
+@dataclass(frozen=True)
+class Switches:
+    """What can be set at the start and at run time."""
+
+    delay_ms: int = 2
+    #: Status of every answer; the call runs all the same.
+    status: int = 200
+    #: Run the call, then close the connection without an answer.
+    close_after_run: bool = False
+    #: Run the call, then never answer.
+    silent: bool = False
+    #: Read the call, then close the connection without running it.
+    close_after_read: bool = False
+    #: Announce more bytes than are sent.
+    truncate: bool = False
+
+
+class PlainService:
+    """The state and the handlers of one plain service."""
+
+    def __init__(self, name: str, switches: Switches) -> None:
+        self.name = name
+        self.switches = switches
+        self.run_counts: dict[str, int] = {}
+        self.attempts = 0
+
+    async def call(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.attempts += 1
+        assert request.transport is not None
+        if self.switches.close_after_read:
+            request.transport.close()
+            return web.Response()
+        if request.method != "GET":
+            key = request.headers.get("Idempotency-Key", "")
+            self.run_counts[key] = self.run_counts.get(key, 0) + 1
+        if self.switches.close_after_run:
+            request.transport.close()
+            return web.Response()
+        await asyncio.sleep(self.switches.delay_ms / 1_000)
+        while self.switches.silent:
+            await asyncio.sleep(0.02)
+        answer = {"service": self.name, "path": request.path_qs, "received_bytes": len(body)}
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if self.switches.truncate:
+            headers["Content-Length"] = "1000"
+            response = web.StreamResponse(headers=headers)
+            await response.prepare(request)
+            await response.write(b"short")
+            request.transport.close()
+            return response
+        return web.json_response(answer, status=self.switches.status, headers=headers)
+
+    async def runs(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.run_counts)
+
+    async def attempt_count(self, _request: web.Request) -> web.Response:
+        return web.json_response({"attempts": self.attempts})
+
+    async def control(self, request: web.Request) -> web.Response:
+        self.switches = changed_switches(self.switches, await request.json())
+        return web.json_response({})
+
+
+@standin("plain_service")
+def make_plain_service(arguments: argparse.Namespace) -> web.Application:
+    """Return the application of one plain service."""
+    switches = replace(Switches(), **json.loads(arguments.switches))
+    service = PlainService(arguments.name, switches)
+    application = web.Application(client_max_size=1 << 24)
+    application.add_routes(
+        [
+            web.get("/runs", service.runs),
+            web.get("/attempts", service.attempt_count),
+            web.post("/control", service.control),
+            web.route("*", "/{path:.*}", service.call),
+        ]
+    )
+    return application
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,273 @@
+"""Starts a small site of processes on loopback: stand-ins, and daemons in several zones."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from standins._server import LOOPBACK
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 15.0
+_POLL_S = 0.02
+
+ORGANISATION = "call-centre"
+TOKEN = "kuiseb-call-centre-token"
+MODEL = "fibre-large"
+
+
+def free_port() -> int:
+    """Return a port of the loopback address that nothing uses."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass
+class Process:
+    """One process of the site."""
+
+    name: str
+    arguments: list[str]
+    port: int
+    log_path: Path
+    handle: subprocess.Popen[bytes] | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the process."""
+        return f"http://{LOOPBACK}:{self.port}"
+
+    def start(self) -> None:
+        """Start the process, or start it again after its end."""
+        with self.log_path.open("ab") as log:
+            self.handle = subprocess.Popen(
+                [sys.executable, *self.arguments], stdout=log, stderr=log, start_new_session=True
+            )
+
+    def wait_until_listening(self) -> None:
+        """Return once the port takes connections."""
+        ends_at_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < ends_at_s:
+            assert self.handle is not None
+            if self.handle.poll() is not None:
+                break
+            with socket.socket() as probe:
+                if probe.connect_ex((LOOPBACK, self.port)) == 0:
+                    return
+            time.sleep(_POLL_S)
+        raise RuntimeError(f"{self.name} did not start: {self.log_path.read_text()[-2_000:]}")
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.handle is not None and self.handle.poll() is None:
+            self.handle.send_signal(number)
+
+    def stop(self) -> int:
+        """End the process in an orderly way and return its exit code."""
+        if self.handle is None:
+            return 0
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            return self.handle.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            return self.kill()
+
+    def kill(self) -> int:
+        """End the process at once."""
+        if self.handle is None:
+            return 0
+        self.handle.kill()
+        return self.handle.wait()
+
+
+@dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body's JSON."""
+        return json.loads(self.body)
+
+
+@dataclass
+class Site:
+    """Stand-ins and daemons, as the demo and the end-to-end tests use them."""
+
+    vms: int = 4
+    zones: int = 2
+    engines: int = 3
+    services: int = 2
+    #: Changes merged onto each daemon's settings.
+    daemon_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto the shared settings.
+    shared_settings: dict[str, Any] = field(default_factory=dict)
+    #: Initial switches of the stand-ins, by name.
+    switches: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="azureturn-site-")
+        self.folder = Path(self._folder.name)
+        self.processes: dict[str, Process] = {}
+        self.http = urllib3.PoolManager(retries=False, maxsize=32)
+        self._standin("key_value", "key-value")
+        self._standin("vm_list", "vm-list")
+        self._standin("weight_store", "weight-store")
+        for number in range(1, self.engines + 1):
+            self._standin("engine", f"engine-{number}")
+        for number in range(1, self.services + 1):
+            self._standin("plain_service", f"bookings-{number}")
+        for number in range(1, self.vms + 1):
+            self._daemon(number)
+
+    def __enter__(self) -> "Site":
+        self.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def vm_names(self) -> list[str]:
+        """Return the names of the daemons."""
+        return [name for name in self.processes if name.startswith("vm-") and name != "vm-list"]
+
+    @property
+    def service_names(self) -> list[str]:
+        """Return the names of the stand-ins."""
+        return [name for name in self.processes if name not in self.vm_names]
+
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of a numbered process."""
+        number = int(name.rpartition("-")[2])
+        return "zone-" + "abcdefgh"[(number - 1) % self.zones]
+
+    def start(self) -> None:
+        """Start everything and return once every daemon is ready."""
+        try:
+            for names in (self.service_names, self.vm_names):
+                for name in names:
+                    self.processes[name].start()
+                for name in names:
+                    self.processes[name].wait_until_listening()
+        except RuntimeError:
+            self.stop()
+            raise
+
+    def stop(self) -> dict[str, int]:
+        """End everything and return the exit codes; daemons go first and together."""
+        for name in self.vm_names:
+            self.processes[name].send_signal(signal.SIGCONT)
+            self.processes[name].send_signal(signal.SIGTERM)
+        codes = {name: self.processes[name].stop() for name in self.vm_names}
+        for name in self.service_names:
+            self.processes[name].kill()
+        self._folder.cleanup()
+        return codes
+
+    def call(
+        self,
+        vm: str,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 30.0,
+        token: str = TOKEN,
+    ) -> Answer:
+        """Send a caller's request to a daemon and return the answer."""
+        data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+        sent = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+        sent.update(headers or {})
+        response = self.http.request(
+            method,
+            self.processes[vm].url + path,
+            body=data,
+            headers=sent,
+            timeout=timeout_s,
+            redirect=False,
+        )
+        return Answer(response.status, dict(response.headers), response.data)
+
+    def control(self, name: str, **switches: Any) -> None:
+        """Set switches of a stand-in."""
+        url = self.processes[name].url + "/control"
+        response = self.http.request("POST", url, json=switches, timeout=5.0)
+        if response.status != 200:
+            raise RuntimeError(response.data.decode())
+
+    def read(self, name: str, path: str) -> Any:
+        """Return JSON that a stand-in tells of itself."""
+        return self.http.request("GET", self.processes[name].url + path, timeout=5.0).json()
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each idempotency key ran, over all plain services."""
+        total: dict[str, int] = {}
+        for name in self.service_names:
+            if name.startswith("bookings-"):
+                for key, count in self.read(name, "/runs").items():
+                    total[key] = total.get(key, 0) + count
+        return total
+
+    def _standin(self, kind: str, name: str) -> None:
+        port = free_port()
+        switches = json.dumps(self.switches.get(name, {}))
+        arguments = ["-m", "standins", kind, "--port", str(port), "--name", name]
+        arguments += ["--switches", switches]
+        self.processes[name] = Process(name, arguments, port, self.folder / f"{name}.log")
+
+    def _daemon(self, number: int) -> None:
+        name = f"vm-{number}"
+        port = free_port()
+        overlay = self.folder / f"{name}.json"
+        overlay.write_text(json.dumps(self._overlay(name, port)))
+        arguments = ["-m", "azureturn.daemon", "--config", str(EXAMPLES / "base.json")]
+        arguments += ["--overlay", str(EXAMPLES / "kuiseb.json"), "--overlay", str(overlay)]
+        self.processes[name] = Process(name, arguments, port, self.folder / f"{name}.log")
+
+    def _overlay(self, name: str, port: int) -> dict[str, Any]:
+        daemon = {"balancer_lag_ms": 50, "random_seed": 1, **self.daemon_settings}
+        return {
+            "vm": {
+                "name": name,
+                "availability_zone": self.zone_of(name),
+                "port": port,
+                "peer_port": free_port(),
+            },
+            "platform": {
+                "key_value_url": self.processes["key-value"].url,
+                "vm_list_url": self.processes["vm-list"].url,
+            },
+            "daemon": daemon,
+            "shared": {**self.shared_settings, "upstreams": self._upstreams()},
+        }
+
+    def _upstreams(self) -> list[dict[str, Any]]:
+        """Return this site's upstreams, and the removal of the example's."""
+        example = json.loads((EXAMPLES / "kuiseb.json").read_text())["shared"]["upstreams"]
+        rows = [{"name": row["name"], "$remove": True} for row in example]
+        for name in self.service_names:
+            if not name[-1].isdigit():
+                continue
+            zone = self.zone_of(name)
+            row = {"name": name, "availability_zone": zone, "url": self.processes[name].url}
+            if name.startswith("engine-"):
+                rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
+            elif name.startswith("bookings-"):
+                rows.append({**row, "kind": "plain_service", "targets": ["bookings"], "slots": 64})
+        return rows
--- /dev/null
+++ b/standins/vm_list.py
@@ -0,0 +1,60 @@
+"""The platform's list of live and leaving VMs; what it says is always somewhat old."""
+
+import argparse
+import json
+import time
+from dataclasses import dataclass, replace
+from typing import Any
+
+from aiohttp import web
+
+from standins._server import changed_switches, standin
+
+
+@dataclass(frozen=True)
+class Switches:
+    """What can be set at the start and at run time."""
+
+    lag_ms: int = 200
+    outage: bool = False
+
+
+class VmList:
+    """The state and the handlers of the list."""
+
+    def __init__(self, switches: Switches) -> None:
+        self.switches = switches
+        self.versions: list[tuple[float, dict[str, dict[str, Any]]]] = [(0.0, {})]
+
+    async def read(self, _request: web.Request) -> web.Response:
+        if self.switches.outage:
+            return web.json_response({"error": "outage"}, status=503)
+        limit_s = time.monotonic() - self.switches.lag_ms / 1_000
+        shown = [vms for changed_s, vms in self.versions if changed_s <= limit_s][-1]
+        return web.json_response({"vms": list(shown.values())})
+
+    async def write(self, request: web.Request) -> web.Response:
+        vm = await request.json()
+        present = {**self.versions[-1][1], vm["name"]: vm}
+        self.versions.append((time.monotonic(), present))
+        del self.versions[1:-1_000]
+        return web.json_response({})
+
+    async def control(self, request: web.Request) -> web.Response:
+        self.switches = changed_switches(self.switches, await request.json())
+        return web.json_response({})
+
+
+@standin("vm_list")
+def make_vm_list(arguments: argparse.Namespace) -> web.Application:
+    """Return the application of the list of VMs."""
+    service = VmList(replace(Switches(), **json.loads(arguments.switches)))
+    application = web.Application()
+    application.add_routes(
+        [
+            web.get("/vms", service.read),
+            web.post("/vms", service.write),
+            web.post("/control", service.control),
+        ]
+    )
+    return application
--- /dev/null
+++ b/standins/weight_store.py
@@ -0,0 +1,50 @@
+"""The store of model weights, which serves only so many bytes a second to all readers together."""
+
+import argparse
+import asyncio
+import json
+from dataclasses import dataclass, replace
+
+from aiohttp import web
+
+from standins._server import changed_switches, standin
+
+
+@dataclass(frozen=True)
+class Switches:
+    """What can be set at the start and at run time."""
+
+    bytes_per_s: float = 10_000_000.0
+    weight_bytes: int = 2_000_000
+
+
+class WeightStore:
+    """The state and the handlers of the weight store."""
+
+    def __init__(self, switches: Switches) -> None:
+        self.switches = switches
+        self.lock = asyncio.Lock()
+
+    async def read(self, request: web.Request) -> web.Response:
+        async with self.lock:
+            await asyncio.sleep(self.switches.weight_bytes / self.switches.bytes_per_s)
+        body = {"version": request.match_info["version"], "bytes": self.switches.weight_bytes}
+        return web.json_response(body)
+
+    async def control(self, request: web.Request) -> web.Response:
+        self.switches = changed_switches(self.switches, await request.json())
+        return web.json_response({})
+
+
+@standin("weight_store")
+def make_weight_store(arguments: argparse.Namespace) -> web.Application:
+    """Return the application of the weight store."""
+    service = WeightStore(replace(Switches(), **json.loads(arguments.switches)))
+    application = web.Application()
+    application.add_routes(
+        [
+            web.get("/weights/{version}", service.read),
+            web.post("/control", service.control),
+        ]
+    )
+    return application
