Answers are whole: resumed after silence or a cut, checked by id, given up with their caller

Cause: a stream that broke or went silent was told as an error although the engine could go on; a whole answer had no bound on silence but its deadline; a caller that left while its request waited, or while it waited for a whole answer, was noticed by nobody; an answer without an announced length passed for whole; chunks of another request passed. Ruled out: long read timeouts for whole answers (silence is told from a busy engine by nothing but the deadline), kept connections for dispatches (nothing tells whether one went silent; a new one costs a round trip). Change: engines are always asked for a stream; ResumingStream resumes it at event boundaries, EventSplitter checks ids and holds partial events back, AnswerAssembler makes whole answers. Every dispatch has a new connection. CallerWatch (one epoll thread) finds callers that left. PlannedStop: a module of its own; new requests after the balancer's lag are refused 'stopping', a second signal cuts. Content-Length must be decimal; passed headers lose line ends.

--- a/azureturn/daemon/_caller_requests.py
+++ b/azureturn/daemon/_caller_requests.py
@@ -40,6 +40,8 @@
     text: str
     stream: bool
     max_tokens: int | None
+    #: The whole body, to be asked of the engine in another form.
+    document: dict[str, Any]
 
 
 def organisation_of(
@@ -65,7 +67,8 @@
     if not all(isinstance(message, dict) for message in messages):
         raise CallerError(ErrorKind.MALFORMED_JSON, "each of 'messages' must be an object")
     text = " ".join(str(message.get("content", "")) for message in messages)
-    return ChatBody(model, text, document.get("stream") is True, _max_tokens(document))
+    streamed = document.get("stream") is True
+    return ChatBody(model, text, streamed, _max_tokens(document), document)
 
 
 def _json_object(body: bytes) -> dict[str, Any]:
--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -3,13 +3,14 @@
 import _pyio  # type: ignore[import-not-found]
 import json
 import socket
+import threading
 import time
 from collections.abc import Callable
 from typing import Any
 
 from cheroot.makefile import MakeFile, StreamReader
 from cheroot.server import HTTPConnection, HTTPRequest
-from cheroot.wsgi import Server
+from cheroot.wsgi import Gateway_10, Server
 
 from azureturn.daemon._answers import ERROR_KIND_HEADER, error_body, error_headers
 from azureturn.errors import ANSWERS, AzureturnError, ErrorKind
@@ -18,6 +19,17 @@
 _MS_PER_S = 1_000
 #: Longest wait until a caller takes more of its answer.
 CALLER_WRITE_TIMEOUT_S = 30.0
+#: Name under which the WSGI environment holds the caller's connection.
+CALLER_SOCKET_NAME = "azureturn.caller_socket"
+
+#: A caller whose VM has vanished is noticed after about 30 s, also while it waits.
+_CALLER_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 10),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 4),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 30_000),
+)
 
 #: Bounds on what is still read of a refused request.
 DRAIN_LIMIT_MS = 300
@@ -85,8 +97,17 @@
         super().parse_request()
         self.conn.rfile.raw.limit(self.server.body_timeout_ms)
 
+    def respond(self) -> None:
+        """Serve the request; it counts as in flight until its last byte has left."""
+        self.server.count_in_flight(1)
+        try:
+            super().respond()
+        finally:
+            self.server.count_in_flight(-1)
+
     def send_headers(self) -> None:
         """Send the headers; a refused request's unread rest ends the connection."""
+        self.conn.rfile.raw.unlimit()
         refused = any(name == _ERROR_KIND_NAME for name, _ in self.outheaders)
         if refused and (self.chunked_read or getattr(self.rfile, "remaining", False)):
             self.close_connection = True
@@ -121,6 +142,8 @@
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
         super().__init__(server, sock, _make_file)
         self.drains_on_close = False
+        for level, name, value in _CALLER_SOCKET_OPTIONS:
+            sock.setsockopt(level, name, value)
 
     def close(self) -> None:
         """Close; where the caller is still sending, let it read its answer first."""
@@ -144,6 +167,13 @@
             return
 
 
+class _CallerGateway(Gateway_10):
+    def get_environ(self) -> Any:
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[CALLER_SOCKET_NAME] = self.req.conn.socket
+        return environ
+
+
 class CallerServer(Server):
     """CherryPy's HTTP server with azureturn's limits.
 
@@ -181,6 +211,19 @@
         self.vm_name = settings.vm.name
         self.new_request_id = new_request_id
         self._report_error = report_error
+        self.gateway = _CallerGateway
+        self._in_flight = 0
+        self._in_flight_lock = threading.Lock()
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Return how many requests have been read whose answer has not left whole."""
+        return self._in_flight
+
+    def count_in_flight(self, change: int) -> None:
+        """Count a request that begins (1) or has ended (-1)."""
+        with self._in_flight_lock:
+            self._in_flight += change
 
     def _serve_unservicable(self) -> None:
         while self.ready:
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -12,6 +12,7 @@
 from azureturn.daemon._outcomes import OutcomeStore, unknown_outcome
 from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.daemon._services import Services
+from azureturn.daemon._stop import PlannedStop, StopLimits, StopStage
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.observability import EventLog, LogEvent, metrics_from_settings
 from azureturn.peers import (
@@ -25,9 +26,7 @@
 from azureturn.platform import KeyValueClient, VmListClient
 from azureturn.settings import Settings
 
-_MS_PER_S = 1_000
 _BOOT_ID_BYTES = 8
-_STOP_POLL_S = 0.02
 
 
 class _PeerFace:
@@ -71,9 +70,13 @@
 
     def __init__(self, services: Services) -> None:
         self._services = services
-        self._ready = False
+        self._started = False
         settings = services.settings
-        face = CallerFace(services, is_ready=lambda: self._ready)
+        limits = settings.daemon
+        self._stop = PlannedStop(
+            StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms), unfinished=self._unfinished
+        )
+        face = CallerFace(services, is_ready=self._is_ready, is_finishing=self._is_finishing)
         self._caller_server = CallerServer(
             settings,
             face.application(),
@@ -123,32 +126,37 @@
         self._caller_server.prepare()
         threading.Thread(target=self._caller_server.serve, name="caller-server").start()
         self._background.start()
-        self._ready = True
+        self._started = True
         vm = self._services.settings.vm
         self._services.log.info(
             LogEvent.DAEMON_STARTED, host=vm.host, port=vm.port, peer_port=vm.peer_port
         )
 
     def stop(self) -> bool:
-        """Stop in an orderly way and return whether no request in flight was cut."""
-        limits = self._services.settings.daemon
-        self._ready = False
-        self._background.announce_leaving()
+        """Stop in an orderly way and return whether nothing in flight was cut."""
         self._services.log.info(LogEvent.DAEMON_STOPPING)
-        time.sleep(limits.balancer_lag_ms / _MS_PER_S)
-        ends_at_ms = now_ms() + limits.stop_limit_ms
-        while self._services.runtime.requests_in_progress and now_ms() < ends_at_ms:
-            time.sleep(_STOP_POLL_S)
-        cut = self._services.runtime.requests_in_progress
+        cut = self._stop.run(announce=self._background.announce_leaving)
         self._background.stop()
-        self._caller_server.stop()
-        self._peer_server.stop()
+        if not cut:
+            self._caller_server.stop()
+            self._peer_server.stop()
         self._services.runtime.stop()
         self._services.log.info(LogEvent.DAEMON_STOPPED, requests_cut=cut)
         return cut == 0
 
+    def cut(self) -> None:
+        """Let a planned stop wait no longer."""
+        self._stop.cut()
+
+    def _unfinished(self) -> int:
+        in_flight = self._caller_server.requests_in_flight
+        return max(in_flight, self._services.runtime.requests_in_progress)
+
+    def _is_ready(self) -> bool:
+        return self._started and self._stop.stage is StopStage.SERVING
+
+    def _is_finishing(self) -> bool:
+        return self._stop.stage >= StopStage.FINISHING
+
     def _cancel(self, action: CancelAtUpstream) -> None:
-        client = self._services.upstream_client(action.upstream)
-        threading.Thread(
-            target=client.cancel, args=(action.request_id,), name="cancel", daemon=True
-        ).start()
+        self._services.cancel_at_engine(action.upstream, action.request_id)
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -16,14 +16,18 @@
     organisation_of,
     parse_chat_body,
 )
+from azureturn.daemon._caller_server import CALLER_SOCKET_NAME
 from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
-from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind
+from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind, RefusedError
 from azureturn.observability import LogEvent
 from azureturn.settings import UpstreamKind
+from azureturn.upstreams import streamed_body
 
 _READ_BYTES = 65_536
+#: Most digits of an announced length.
+_LENGTH_DIGITS = 15
 _CHAT_PATH = "/v1/chat/completions"
 _SAFE_PATH = re.compile(r"^[A-Za-z0-9._~!$&'()*+,;=:@/%-]*$")
 
@@ -40,9 +44,17 @@
 class CallerFace:
     """Maps paths to what serves them, and every error to its answer."""
 
-    def __init__(self, services: Services, *, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        services: Services,
+        *,
+        is_ready: Callable[[], bool],
+        is_finishing: Callable[[], bool],
+    ) -> None:
         self._services = services
         self._is_ready = is_ready
+        #: A planned stop has come so far that new requests are refused.
+        self._is_finishing = is_finishing
 
     def application(self) -> Any:
         """Return the WSGI application."""
@@ -73,6 +85,8 @@
         if path == ("readyz",):
             ready = self._is_ready()
             return self._plain(request_id, 200 if ready else 503, {"ready": ready})
+        if self._is_finishing():
+            raise RefusedError(ErrorKind.STOPPING)
         if path == ("v1", "models"):
             return self._models(request_id)
         if path == ("v1", "chat", "completions"):
@@ -103,8 +117,11 @@
             chat=chat,
         )
         sent_headers = {"Content-Type": "application/json"}
-        outgoing = OutgoingRequest(request, "POST", _CHAT_PATH, sent_headers, body, chat.stream)
-        return RequestFlow(self._services, outgoing).serve()
+        sent_body = body if chat.stream else streamed_body(chat.document)
+        outgoing = OutgoingRequest(
+            request, "POST", _CHAT_PATH, sent_headers, sent_body, chat.stream
+        )
+        return self._serve_request(outgoing)
 
     def _plain_service(self, request_id: str, name: str, rest: tuple[str, ...]) -> CallerAnswer:
         arrived_at_ms = now_ms()
@@ -136,7 +153,11 @@
         if request.idempotency_key:
             sent_headers[IDEMPOTENCY_HEADER] = request.idempotency_key
         outgoing = OutgoingRequest(request, route.method, path, sent_headers, body, False)
-        return RequestFlow(self._services, outgoing).serve()
+        return self._serve_request(outgoing)
+
+    def _serve_request(self, outgoing: OutgoingRequest) -> CallerAnswer:
+        caller = cherrypy.request.wsgi_environ[CALLER_SOCKET_NAME]
+        return RequestFlow(self._services, outgoing, caller).serve()
 
     def _models(self, request_id: str) -> CallerAnswer:
         configuration = self._configuration()
@@ -162,8 +183,8 @@
 
     def _read_body(self) -> bytes:
         limit = self._services.settings.daemon.body_limit_bytes
-        announced = cherrypy.request.headers.get("Content-Length")
-        if announced is not None and int(announced) > limit:
+        announced_bytes = _announced_bytes(cherrypy.request.headers.get("Content-Length"))
+        if announced_bytes is not None and announced_bytes > limit:
             raise CallerError(ErrorKind.BODY_TOO_LARGE)
         body = bytearray()
         reader = cherrypy.request.rfile
@@ -176,7 +197,7 @@
             raise CallerError(ErrorKind.REQUEST_TIMEOUT) from error
         except (ValueError, OSError) as error:
             raise CallerError(ErrorKind.MALFORMED_REQUEST, "the body broke off") from error
-        if announced is not None and len(body) != int(announced):
+        if announced_bytes is not None and len(body) != announced_bytes:
             raise CallerError(ErrorKind.MALFORMED_REQUEST, "the body is shorter than announced")
         return bytes(body)
 
@@ -199,3 +220,11 @@
             return answer.body
         response.stream = True
         return answer.body
+
+
+def _announced_bytes(header: str | None) -> int | None:
+    if header is None:
+        return None
+    if not header.isascii() or not header.isdecimal() or len(header) > _LENGTH_DIGITS:
+        raise CallerError(ErrorKind.BAD_HEADER, "Content-Length must be a whole number")
+    return int(header)
--- a/azureturn/daemon/_main.py
+++ b/azureturn/daemon/_main.py
@@ -31,7 +31,10 @@
 
 
 def main() -> None:
-    """Run the daemon until SIGTERM or SIGINT; exit 3 if requests were cut."""
+    """Run the daemon until SIGTERM or SIGINT; exit 3 if requests were cut.
+
+    A second signal ends the wait for requests in flight.
+    """
     command = cappa.parse(DaemonCommand)
     try:
         settings = load_settings(command.config, command.overlay)
@@ -39,9 +42,15 @@
         sys.stderr.write(error.message + "\n")
         sys.exit(EXIT_SETTINGS)
     stop_wanted = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stop_wanted.set())
     daemon = Daemon.from_settings(settings)
+
+    def on_signal(*_: object) -> None:
+        if stop_wanted.is_set():
+            daemon.cut()
+        stop_wanted.set()
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, on_signal)
     daemon.start()
     stop_wanted.wait()
     whole = daemon.stop()
--- /dev/null
+++ b/azureturn/daemon/_relay.py
@@ -0,0 +1,56 @@
+"""The body of a streamed answer: blocks of events as they come, and one end for each stream."""
+
+from collections.abc import Callable, Iterator
+
+from azureturn.errors import AzureturnError, ErrorKind, UpstreamError
+from azureturn.upstreams import ResumingStream, error_event
+
+
+class RelayedStream:
+    """An iterator that the HTTP server reads, and closes when the caller has left.
+
+    ``on_end`` is called once: with None for a stream that was whole, else with the error. A
+    stream that can't be made whole ends with an event that says so, never with a terminator.
+    """
+
+    def __init__(
+        self,
+        stream: ResumingStream,
+        request_id: str,
+        *,
+        on_end: Callable[[AzureturnError | None], None],
+    ) -> None:
+        self._stream = stream
+        self._request_id = request_id
+        self._on_end = on_end
+        self._ended = False
+        self._blocks = stream.blocks()
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._ended:
+            raise StopIteration
+        try:
+            return next(self._blocks)
+        except StopIteration:
+            self._finish(None)
+            raise
+        except UpstreamError as error:
+            self._finish(error)
+            return error_event(error, self._request_id)
+        except Exception:
+            self._finish(AzureturnError(ErrorKind.INTERNAL))
+            raise
+
+    def close(self) -> None:
+        """End the stream; before its end that means that the caller has left."""
+        self._finish(AzureturnError(ErrorKind.CALLER_GONE))
+
+    def _finish(self, error: AzureturnError | None) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._stream.close()
+        self._on_end(error)
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -1,7 +1,7 @@
 """One request's way through the daemon: to the core, to one upstream, and back."""
 
 import queue
-from collections.abc import Iterator
+import socket
 from dataclasses import dataclass
 
 from azureturn.core import (
@@ -19,6 +19,7 @@
 from azureturn.daemon._answers import CallerAnswer, identity_headers
 from azureturn.daemon._claimants import ask_claimant
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
+from azureturn.daemon._relay import RelayedStream
 from azureturn.daemon._runtime import next_action, now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import (
@@ -32,18 +33,21 @@
 from azureturn.observability import LogEvent
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import (
-    EventRelay,
-    StreamedAnswer,
+    AnswerAssembler,
+    ResumingStream,
     UpstreamRequest,
+    Usage,
     WholeAnswer,
-    error_event,
+    check_answer_id,
+    json_of,
     usage_of_whole,
 )
 
 #: How long after a request's deadline the core may still speak before that is an error.
 DEADLINE_GRACE_MS = 2_000
-#: Headers of an upstream's answer that are passed on.
-_PASSED_HEADERS = ("Content-Type", "X-Model-Version")
+#: Headers of an upstream's answer that are passed on, and the most that is passed of each.
+_PASSED_HEADERS = ("Content-Type", "Content-Encoding", "X-Model-Version")
+_PASSED_HEADER_LIMIT = 256
 
 
 @dataclass(frozen=True)
@@ -55,37 +59,41 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    #: Whether the caller wants its answer as a stream.
     streamed: bool
 
 
 class RequestFlow:
     """Serves one request on the caller's thread."""
 
-    def __init__(self, services: Services, outgoing: OutgoingRequest) -> None:
+    def __init__(
+        self, services: Services, outgoing: OutgoingRequest, caller: socket.socket
+    ) -> None:
         self._services = services
         self._outgoing = outgoing
         self._request = outgoing.request
+        self._caller = caller
+        self._watched = -1
         self._upstream = ""
-
-    @property
-    def upstream(self) -> str:
-        """Return the name of the upstream that was dispatched to, or an empty string."""
-        return self._upstream
+        self._stream: ResumingStream | None = None
+        self._caller_is_gone = False
 
     def serve(self) -> CallerAnswer:
         """Return the answer, or raise the error that the caller is to be told."""
         request_id = self._request.request_id
         mailbox = self._services.runtime.open_mailbox(request_id)
+        self._watched = self._services.caller_watch.watch(self._caller, self._on_caller_gone)
         try:
             self._services.runtime.submit(RequestArrived(self._request))
             answer = self._follow(mailbox)
         except AzureturnError as error:
-            self._services.runtime.close_mailbox(request_id)
-            self._account(error.kind.value)
+            self._end(error.kind.value)
+            raise
+        except Exception:
+            self._end(ErrorKind.INTERNAL.value)
             raise
         if isinstance(answer.body, bytes):
-            self._services.runtime.close_mailbox(request_id)
-            self._account("answered")
+            self._end("answered")
         return answer
 
     def _follow(self, mailbox: "queue.SimpleQueue[RequestAction]") -> CallerAnswer:
@@ -106,50 +114,80 @@
         if not self._request.idempotent:
             self._services.outcomes.begin(key, self._request.body_digest)
         try:
-            answer = self._send(action.upstream)
-            if self._outgoing.streamed and answer.status == 200:
-                return self._streamed_answer(answer)
-            whole = answer.read_whole()
+            if self._request.kind is UpstreamKind.MODEL_ENGINE:
+                return self._ask_engine()
+            return self._ask_service()
         except UpstreamError as error:
-            self._failed(error)
+            self._fail(error)
             if not self._request.idempotent:
                 self._settle_failed(key, error)
+            elif self._caller_is_gone:
+                raise AzureturnError(ErrorKind.CALLER_GONE) from error
+            raise
+        except Exception:
+            self._fail(UpstreamError(ErrorKind.INTERNAL))
             raise
-        return self._whole_answer(whole)
 
-    def _send(self, upstream: str) -> StreamedAnswer:
-        request = self._request
-        self._services.runtime.submit(FirstByteSent(request.request_id))
-        limits = self._services.settings.daemon
-        left_ms = max(1, request.deadline_ms - now_ms())
-        silence_ms = limits.silence_timeout_ms if self._outgoing.streamed else left_ms
-        sent = UpstreamRequest(
+    def _ask_engine(self) -> CallerAnswer:
+        silence_ms = self._services.settings.daemon.silence_timeout_ms
+        client = self._services.upstream_client(self._upstream)
+        sent = self._upstream_request(read_timeout_ms=min(self._left_ms(), silence_ms))
+        stream = ResumingStream(client, sent, left_ms=self._left_ms)
+        self._stream = stream
+        if self._caller_is_gone:
+            stream.abort()
+        answer = stream.open()
+        if answer.status != 200:
+            answer.close()
+            raise UpstreamError(ErrorKind.UPSTREAM_FAILED, f"status {answer.status}")
+        if not answer.is_event_stream:
+            return self._engine_answer(answer.read_whole())
+        headers = self._passed_headers(answer.headers)
+        if self._outgoing.streamed:
+            body = RelayedStream(stream, self._request.request_id, on_end=self._on_stream_end)
+            return CallerAnswer(200, self._with_identity(headers), body)
+        return self._assembled_answer(stream, headers)
+
+    def _engine_answer(self, whole: WholeAnswer) -> CallerAnswer:
+        document = json_of(whole.body)
+        if not isinstance(document, dict):
+            raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "the answer is not a JSON object")
+        check_answer_id(document.get("id"), self._request.request_id)
+        return self._whole_answer(whole, usage_of_whole(whole.body))
+
+    def _assembled_answer(self, stream: ResumingStream, headers: dict[str, str]) -> CallerAnswer:
+        assembler = AnswerAssembler()
+        for block in stream.blocks():
+            assembler.add(block)
+            if self._left_ms() <= 0:
+                stream.close()
+                raise UpstreamError(ErrorKind.UPSTREAM_SILENT, "no whole answer by the deadline")
+        headers = {**headers, "Content-Type": "application/json"}
+        return self._whole_answer(WholeAnswer(200, headers, assembler.body()), stream.usage)
+
+    def _ask_service(self) -> CallerAnswer:
+        client = self._services.upstream_client(self._upstream)
+        answer = client.send(self._upstream_request(read_timeout_ms=self._left_ms()))
+        return self._whole_answer(answer.read_whole(), Usage())
+
+    def _upstream_request(self, *, read_timeout_ms: int) -> UpstreamRequest:
+        self._services.runtime.submit(FirstByteSent(self._request.request_id))
+        return UpstreamRequest(
             method=self._outgoing.method,
             path=self._outgoing.path,
             headers=self._outgoing.headers,
             body=self._outgoing.body,
-            request_id=request.request_id,
-            connect_timeout_ms=limits.connect_timeout_ms,
-            read_timeout_ms=min(left_ms, silence_ms),
-            fresh_connection=not request.idempotent,
+            request_id=self._request.request_id,
+            connect_timeout_ms=self._services.settings.daemon.connect_timeout_ms,
+            read_timeout_ms=max(1, read_timeout_ms),
         )
-        return self._services.upstream_client(upstream).send(sent)
 
-    def _whole_answer(self, whole: WholeAnswer) -> CallerAnswer:
+    def _left_ms(self) -> int:
+        return self._request.deadline_ms - now_ms()
+
+    def _whole_answer(self, whole: WholeAnswer, usage: Usage) -> CallerAnswer:
         request = self._request
-        if request.kind is UpstreamKind.MODEL_ENGINE and whole.status != 200:
-            error = UpstreamError(ErrorKind.UPSTREAM_FAILED, f"status {whole.status}")
-            self._failed(error)
-            raise error
-        usage = usage_of_whole(whole.body)
-        answered = RequestAnswered(
-            request.request_id,
-            prompt_tokens=usage.prompt_tokens,
-            cached_tokens=usage.cached_tokens,
-            output_tokens=usage.output_tokens,
-            status=whole.status,
-        )
-        self._services.runtime.submit(answered)
+        self._tell_answered(usage, status=whole.status)
         headers = self._passed_headers(whole.headers)
         if not request.idempotent:
             outcome = answered_outcome(whole.status, headers, whole.body, upstream=self._upstream)
@@ -157,39 +195,42 @@
             self._services.outcomes.settle(key, outcome)
         return CallerAnswer(whole.status, self._with_identity(headers), whole.body)
 
-    def _streamed_answer(self, answer: StreamedAnswer) -> CallerAnswer:
-        headers = self._with_identity(self._passed_headers(answer.headers))
-        return CallerAnswer(answer.status, headers, self._relay(answer))
+    def _tell_answered(self, usage: Usage, *, status: int = 200) -> None:
+        answered = RequestAnswered(
+            self._request.request_id,
+            prompt_tokens=usage.prompt_tokens,
+            cached_tokens=usage.cached_tokens,
+            output_tokens=usage.output_tokens,
+            status=status,
+        )
+        self._services.runtime.submit(answered)
 
-    def _relay(self, answer: StreamedAnswer) -> Iterator[bytes]:
-        request_id = self._request.request_id
-        relay = EventRelay()
-        ended = "answered"
-        try:
-            yield from relay.relay(answer.pieces())
-            answer.release()
-            usage = relay.usage
-            answered = RequestAnswered(
-                request_id, usage.prompt_tokens, usage.cached_tokens, usage.output_tokens
-            )
-            self._services.runtime.submit(answered)
-        except UpstreamError as error:
-            answer.close()
-            ended = error.kind.value
-            self._failed(error)
-            yield error_event(error, request_id)
-        except GeneratorExit:
-            answer.close()
-            ended = ErrorKind.CALLER_GONE.value
-            self._services.runtime.submit(CallerLeft(request_id))
-            raise
-        finally:
-            self._services.runtime.close_mailbox(request_id)
-            self._account(ended)
+    def _on_stream_end(self, error: AzureturnError | None) -> None:
+        """Account for a stream that has ended, whole where there is no error."""
+        assert self._stream is not None
+        if error is not None and self._caller_is_gone:
+            error = AzureturnError(ErrorKind.CALLER_GONE)
+        if error is None:
+            self._tell_answered(self._stream.usage)
+        elif error.kind is ErrorKind.CALLER_GONE:
+            self._services.runtime.submit(CallerLeft(self._request.request_id))
+        else:
+            self._fail(error)
+        self._end("answered" if error is None else error.kind.value)
+
+    def _on_caller_gone(self) -> None:
+        """Give up what nobody waits for; a call that is not idempotent runs to its end."""
+        self._caller_is_gone = True
+        self._services.runtime.submit(CallerLeft(self._request.request_id))
+        if self._request.idempotent and self._stream is not None:
+            self._stream.abort()
 
-    def _failed(self, error: UpstreamError) -> None:
+    def _fail(self, error: AzureturnError) -> None:
+        """Tell the core of a failure, and let the engine do no more work on the request."""
         failed = RequestFailed(self._request.request_id, error.kind, error.run_state)
         self._services.runtime.submit(failed)
+        if error.run_state is RunState.UNKNOWN:
+            self._services.cancel_at_engine(self._upstream, self._request.request_id)
 
     def _settle_failed(self, key: tuple[str, str], error: UpstreamError) -> None:
         outcome = unknown_outcome()
@@ -201,7 +242,12 @@
             error.run_state = RunState.UNKNOWN
 
     def _passed_headers(self, headers: dict[str, str]) -> dict[str, str]:
-        return {name: headers[name] for name in _PASSED_HEADERS if name in headers}
+        # A folded header holds line ends, which must not reach the caller's headers.
+        return {
+            name: " ".join(headers[name].split())[:_PASSED_HEADER_LIMIT]
+            for name in _PASSED_HEADERS
+            if name in headers
+        }
 
     def _with_identity(self, headers: dict[str, str]) -> dict[str, str]:
         identity = identity_headers(
@@ -211,7 +257,9 @@
         )
         return {**headers, **identity}
 
-    def _account(self, ended: str) -> None:
+    def _end(self, ended: str) -> None:
+        self._services.caller_watch.unwatch(self._watched)
+        self._services.runtime.close_mailbox(self._request.request_id)
         took_ms = now_ms() - self._request.arrived_at_ms
         self._services.metrics.incr(f"requests.{self._request.route}.{ended}")
         self._services.metrics.timing(f"requests.{self._request.route}.time_ms", took_ms)
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -1,16 +1,18 @@
 """What the parts of one daemon share."""
 
 import secrets
+import threading
 from dataclasses import dataclass, field
 
 from azureturn.core import ConfigurationTable
+from azureturn.daemon._caller_watch import CallerWatch
 from azureturn.daemon._outcomes import OutcomeStore
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
 from azureturn.peers import PeerClient
 from azureturn.platform import KeyValueClient, VmListClient
-from azureturn.settings import Settings
+from azureturn.settings import Settings, UpstreamKind, UpstreamSettings
 from azureturn.upstreams import UpstreamClient
 
 _REQUEST_ID_BYTES = 10
@@ -44,6 +46,7 @@
     log: EventLog
     metrics: Metrics
     upstreams: UpstreamClients = field(default_factory=UpstreamClients)
+    caller_watch: CallerWatch = field(default_factory=CallerWatch)
 
     def new_request_id(self) -> str:
         """Return an id that no other request of any VM has."""
@@ -51,10 +54,22 @@
 
     def upstream_client(self, name: str) -> UpstreamClient:
         """Return the client of a configured upstream."""
+        return self.upstreams.of(name, self._upstream_settings(name).url)
+
+    def cancel_at_engine(self, name: str, request_id: str) -> None:
+        """Tell a model engine, without waiting, that nobody wants an answer any more."""
+        if self._upstream_settings(name).kind is not UpstreamKind.MODEL_ENGINE:
+            return
+        client = self.upstream_client(name)
+        threading.Thread(
+            target=client.cancel, args=(request_id,), name="cancel", daemon=True
+        ).start()
+
+    def _upstream_settings(self, name: str) -> UpstreamSettings:
         configuration = self.runtime.inspect(
             lambda core: core.board.table(ConfigurationTable).in_force()
         )
         for upstream in configuration.shared.upstreams:
             if upstream.name == name:
-                return self.upstreams.of(name, upstream.url)
+                return upstream
         raise RefusedError(ErrorKind.NO_UPSTREAM)
--- a/azureturn/upstreams/_client.py
+++ b/azureturn/upstreams/_client.py
@@ -1,8 +1,8 @@
 """Dispatches: each is one attempt at one upstream, never repeated by the library."""
 
-import json
 import socket
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,13 +10,18 @@
 
 from azureturn.core import LoadReport
 from azureturn.errors import ErrorKind, RunState, UpstreamError, UpstreamUnreachableError
+from azureturn.upstreams._events import json_of
 
 _MS_PER_S = 1_000
-#: Idle connections kept to one upstream.
-_POOL_CONNECTIONS = 64
+#: Connections kept for load reports and cancels; dispatches never use a kept one.
+_POOL_CONNECTIONS = 4
 _READ_BYTES = 65_536
 #: Largest whole answer that is taken from an upstream.
 ANSWER_LIMIT_BYTES = 16 << 20
+#: Largest load report or answer to a cancel.
+REPORT_LIMIT_BYTES = 65_536
+#: Largest number that a load report may hold.
+_REPORT_NUMBER_LIMIT = 1 << 40
 _REPORT_TIMEOUT_S = 1.0
 
 _KEEP_ALIVE_IDLE_S = 5
@@ -34,6 +39,8 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
 )
 
+_NO_BODY_STATUSES = frozenset({204, 304})
+
 
 @dataclass(frozen=True)
 class UpstreamRequest:
@@ -48,8 +55,6 @@
     connect_timeout_ms: int
     #: Longest wait for the next byte.
     read_timeout_ms: int
-    #: A new connection is made, since an old one may have gone silent.
-    fresh_connection: bool = False
 
 
 @dataclass(frozen=True)
@@ -62,44 +67,72 @@
 
 
 class StreamedAnswer:
-    """An answer whose pieces are still coming."""
+    """An answer whose pieces are still coming, on a connection of its own."""
 
-    def __init__(self, response: Any) -> None:
+    def __init__(self, response: Any, pool: urllib3.HTTPConnectionPool) -> None:
         self._response = response
+        self._pool = pool
         self.status: int = response.status
         self.headers: dict[str, str] = dict(response.headers)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Return whether the answer comes as server-sent events."""
+        return str(self._response.headers.get("Content-Type", "")).startswith("text/event-stream")
+
+    def limit_wait(self, timeout_ms: int) -> None:
+        """Change the longest wait for the next byte."""
+        if (sock := self._socket()) is not None:
+            sock.settimeout(max(1, timeout_ms) / _MS_PER_S)
+
     def pieces(self) -> Iterator[bytes]:
         """Yield what comes, as it comes; raise :class:`UpstreamError` when it breaks."""
         try:
-            yield from self._response.stream(_READ_BYTES)
-        except urllib3.exceptions.HTTPError as error:
+            yield from self._response.stream(_READ_BYTES, decode_content=False)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise _after_first_byte(error) from error
 
     def read_whole(self) -> WholeAnswer:
-        """Return the rest as one answer; its length must be as announced."""
-        body = bytearray()
-        for piece in self.pieces():
-            body += piece
-            if len(body) > ANSWER_LIMIT_BYTES:
-                self.close()
-                raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "the answer is over the limit")
-        self._response.release_conn()
+        """Return the rest as one answer; it must be as long as was announced."""
+        try:
+            if not self._announces_end():
+                message = "the answer announces neither its length nor chunks"
+                raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, message)
+            body = bytearray()
+            for piece in self.pieces():
+                body += piece
+                if len(body) > ANSWER_LIMIT_BYTES:
+                    raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "the answer is over the limit")
+        finally:
+            self.close()
         return WholeAnswer(self.status, self.headers, bytes(body))
 
-    def release(self) -> None:
-        """Give the connection back once the answer was read to its end."""
-        self._response.release_conn()
-
     def close(self) -> None:
-        """Break the connection; nothing more is wanted of it."""
-        self._response.close()
+        """Close the connection."""
+        with suppress(urllib3.exceptions.HTTPError, OSError):
+            self._response.close()
+            self._pool.close()
+
+    def abort(self) -> None:
+        """Wake the thread that waits for the next byte; it finds the answer broken off."""
+        if (sock := self._socket()) is not None:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def _announces_end(self) -> bool:
+        headers = self._response.headers
+        chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+        return chunked or "Content-Length" in headers or self.status in _NO_BODY_STATUSES
+
+    def _socket(self) -> socket.socket | None:
+        return getattr(self._response.connection, "sock", None)
 
 
 class UpstreamClient:
     """Sends requests to one upstream.
 
-    The library's own retries and redirects are off: each would be a second dispatch.
+    The library's own retries and redirects are off: each would be a second dispatch. Every
+    dispatch has a new connection, since nothing tells whether a kept one has gone silent.
     """
 
     def __init__(self, url: str) -> None:
@@ -112,21 +145,71 @@
         :class:`UpstreamUnreachableError` says that no byte left; any other
         :class:`UpstreamError` that the upstream may have run the request.
         """
-        pool = self._new_pool(1) if request.fresh_connection else self._pool
+        return self._send(request, request.method, request.path, request.headers, request.body)
+
+    def resume(self, request: UpstreamRequest, *, last_event_id: str) -> StreamedAnswer:
+        """Ask for the rest of an answer on a new connection; the request is not sent again."""
+        headers = {"Last-Event-ID": last_event_id} if last_event_id else {}
+        path = f"/v1/requests/{request.request_id}/stream"
+        return self._send(request, "GET", path, headers, b"")
+
+    def cancel(self, request_id: str) -> None:
+        """Tell a model engine that nobody waits for a request any more."""
+        # The engine ends the work itself when it finds the connection gone.
+        with suppress(urllib3.exceptions.HTTPError):
+            self._short_call("POST", f"/v1/requests/{request_id}/cancel")
+
+    def load_report(self, now_ms: int) -> LoadReport | None:
+        """Return the upstream's own load report, or None where it gives none."""
+        try:
+            return parse_load_report(self._short_call("GET", "/load"), now_ms)
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def _short_call(self, method: str, path: str) -> bytes:
+        response = self._pool.urlopen(
+            method,
+            path,
+            retries=False,
+            redirect=False,
+            preload_content=False,
+            timeout=urllib3.Timeout(total=_REPORT_TIMEOUT_S),
+        )
+        try:
+            data: bytes = response.read(REPORT_LIMIT_BYTES, decode_content=False)
+        except BaseException:
+            response.close()
+            raise
+        if len(data) < REPORT_LIMIT_BYTES:
+            response.release_conn()
+        else:
+            response.close()
+        return data
+
+    def _send(
+        self,
+        request: UpstreamRequest,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> StreamedAnswer:
+        pool = self._new_pool(1)
         timeout = urllib3.Timeout(
             connect=request.connect_timeout_ms / _MS_PER_S,
             read=request.read_timeout_ms / _MS_PER_S,
         )
         try:
             response = pool.urlopen(
-                request.method,
-                request.path,
-                body=request.body,
-                headers={**request.headers, "X-Request-Id": request.request_id},
+                method,
+                path,
+                body=body,
+                headers={**headers, "X-Request-Id": request.request_id},
                 retries=False,
                 redirect=False,
                 timeout=timeout,
                 preload_content=False,
+                decode_content=False,
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -134,43 +217,9 @@
         ) as error:
             kind = ErrorKind.UPSTREAM_UNREACHABLE
             raise UpstreamUnreachableError(kind, str(error)) from error
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise _after_first_byte(error) from error
-        return self._checked(StreamedAnswer(response), request.request_id)
-
-    def cancel(self, request_id: str) -> None:
-        """Tell a model engine that nobody waits for a request any more."""
-        try:
-            self._pool.urlopen(
-                "POST",
-                f"/v1/requests/{request_id}/cancel",
-                retries=False,
-                redirect=False,
-                timeout=urllib3.Timeout(total=_REPORT_TIMEOUT_S),
-            )
-        except urllib3.exceptions.HTTPError:
-            # The engine ends the work itself when it finds the connection gone.
-            return
-
-    def load_report(self, now_ms: int) -> LoadReport | None:
-        """Return the upstream's own load report, or None where it gives none."""
-        try:
-            response = self._pool.urlopen(
-                "GET",
-                "/load",
-                retries=False,
-                redirect=False,
-                timeout=urllib3.Timeout(total=_REPORT_TIMEOUT_S),
-            )
-            report = json.loads(response.data)
-            return LoadReport(
-                taken_at_ms=now_ms - int(report["age_ms"]),
-                running=int(report["running"]),
-                waiting=int(report["waiting"]),
-                queued_tokens=int(report["queued_tokens"]),
-            )
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
-            return None
+        return self._checked(StreamedAnswer(response, pool), request.request_id)
 
     def _new_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
         assert self._url.host is not None
@@ -191,7 +240,22 @@
         return answer
 
 
-def _after_first_byte(error: urllib3.exceptions.HTTPError) -> UpstreamError:
-    timed_out = isinstance(error, urllib3.exceptions.TimeoutError)
+def parse_load_report(data: bytes, now_ms: int) -> LoadReport | None:
+    """Return the load report in ``data``, or None where it is not one."""
+    report = json_of(data)
+    if not isinstance(report, dict):
+        return None
+    numbers: list[int] = []
+    for name in ("age_ms", "running", "waiting", "queued_tokens"):
+        number = report.get(name)
+        if not isinstance(number, int) or not 0 <= number <= _REPORT_NUMBER_LIMIT:
+            return None
+        numbers.append(number)
+    age_ms, running, waiting, queued_tokens = numbers
+    return LoadReport(now_ms - age_ms, running, waiting, queued_tokens)
+
+
+def _after_first_byte(error: Exception) -> UpstreamError:
+    timed_out = isinstance(error, (urllib3.exceptions.TimeoutError, TimeoutError))
     kind = ErrorKind.UPSTREAM_SILENT if timed_out else ErrorKind.ANSWER_TRUNCATED
     return UpstreamError(kind, str(error), run_state=RunState.UNKNOWN)
--- /dev/null
+++ b/azureturn/upstreams/tests/test_assembly.py
@@ -0,0 +1,98 @@
+"""A streamed answer put together is the answer that would have come whole."""
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.errors import UpstreamError
+from azureturn.upstreams import AnswerAssembler, streamed_body
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from(["index", "choices", "delta", "id", "x"]), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+def assembled(*chunks: Any) -> Any:
+    assembler = AnswerAssembler()
+    for chunk in chunks:
+        assembler.add(b"data: " + json.dumps(chunk).encode() + b"\n\n")
+    return json.loads(assembler.body())
+
+
+def chunk(delta: dict[str, Any], **more: Any) -> dict[str, Any]:
+    return {"id": "a", "choices": [{"index": 0, "delta": delta, **more}]}
+
+
+def call(index: int, **function: str) -> dict[str, Any]:
+    return {"index": index, "id": f"call-{index}", "function": function}
+
+
+MESSAGES = {
+    "text": (
+        [chunk({"role": "assistant"}), chunk({"content": "a"}), chunk({"content": "b"})],
+        {"role": "assistant", "content": "ab"},
+    ),
+    "role told twice": (
+        [chunk({"role": "assistant"}), chunk({"role": "assistant", "content": ""})],
+        {"role": "assistant", "content": ""},
+    ),
+    "null in between": ([chunk({"content": "a"}), chunk({"content": None})], {"content": "a"}),
+    "two calls": (
+        [
+            chunk({"tool_calls": [call(0, name="f", arguments="{")]}),
+            chunk({"tool_calls": [call(1, name="g", arguments="[")]}),
+            chunk({"tool_calls": [call(0, arguments="}")]}),
+        ],
+        {"tool_calls": [call(0, name="f", arguments="{}"), call(1, name="g", arguments="[")]},
+    ),
+}
+
+
+@pytest.mark.parametrize("case", MESSAGES)
+def test_message(case: str) -> None:
+    chunks, message = MESSAGES[case]
+    assert assembled(*chunks)["choices"][0]["message"] == message
+
+
+def test_choices_and_usage() -> None:
+    second = {"id": "a", "choices": [{"index": 1, "delta": {"content": "z"}}]}
+    last = {"id": "a", "choices": [], "usage": {"completion_tokens": 2}}
+    stop = chunk({}, finish_reason="stop")
+    answer = assembled(chunk({"content": "y"}), second, stop, last)
+    assert [one["message"]["content"] for one in answer["choices"]] == ["y", "z"]
+    assert answer["choices"][0]["finish_reason"] == "stop"
+    assert answer["usage"] == {"completion_tokens": 2}
+    assert answer["object"] == "chat.completion"
+
+
+def test_the_request_is_asked_for_as_a_stream() -> None:
+    asked = json.loads(streamed_body({"model": "m", "stream_options": {"x": 1}}))
+    assert asked == {
+        "model": "m",
+        "stream": True,
+        "stream_options": {"x": 1, "include_usage": True},
+    }
+
+
+@given(chunks=st.lists(JSON, max_size=6))
+def test_any_json_raises_only_closed_errors(chunks: list[Any]) -> None:
+    try:
+        assembled(*chunks)
+    except UpstreamError:
+        return
+
+
+@given(data=st.binary(max_size=300))
+def test_any_bytes_raise_only_closed_errors(data: bytes) -> None:
+    assembler = AnswerAssembler()
+    try:
+        assembler.add(b"data: " + data)
+        assembler.body()
+    except UpstreamError:
+        return
--- /dev/null
+++ b/azureturn/upstreams/tests/test_event_streams.py
@@ -0,0 +1,130 @@
+"""Whole events, each once, and an honest end."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.errors import ErrorKind, UpstreamError
+from azureturn.upstreams import EventSplitter, Usage, check_answer_id
+from azureturn.upstreams._events import EVENT_LIMIT_BYTES
+
+OWN = "vm-1-" + "0" * 20
+OTHER = "vm-1-" + "1" * 20
+
+
+def event(number: int | None, *, answer_id: str = f"chatcmpl-{OWN}", **more: object) -> bytes:
+    data = json.dumps({"id": answer_id, "choices": [], **more})
+    head = "" if number is None else f"id: {number}\n"
+    return f"{head}data: {data}\n\n".encode()
+
+
+DONE = b"data: [DONE]\n\n"
+STREAM = event(1) + event(2) + event(3) + event(None, usage={"completion_tokens": 3}) + DONE
+
+
+@given(cuts=st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_any_cuts_give_the_same_bytes(cuts: list[int]) -> None:
+    splitter = EventSplitter(OWN)
+    bounds = [0, *sorted(cuts), len(STREAM)]
+    blocks = [splitter.feed(STREAM[a:b]) for a, b in zip(bounds, bounds[1:], strict=False)]
+    assert b"".join(blocks) == STREAM
+    assert splitter.ended
+    assert splitter.usage == Usage(output_tokens=3)
+
+
+@given(cut=st.integers(0, len(STREAM) - 1), line_end=st.sampled_from([b"\n", b"\r\n"]))
+def test_a_break_anywhere_is_resumed_without_a_byte_twice(cut: int, line_end: bytes) -> None:
+    splitter = EventSplitter(OWN)
+    first = splitter.feed(STREAM.replace(b"\n", line_end)[:cut])
+    if splitter.ended:
+        return
+    assert splitter.resumable
+    splitter.restart()
+    after = int(splitter.last_event_id or "0")
+    rest = b"".join(event(number) for number in range(after + 1, 4))
+    rest += event(None, usage={"completion_tokens": 3}) + DONE
+    assert first + splitter.feed(rest.replace(b"\n", line_end)) == STREAM
+
+
+REFUSED = {
+    "another answer's id at first": ([event(1, answer_id=f"chatcmpl-{OTHER}")], "mismatched"),
+    "another answer's id later": ([event(1), event(2, answer_id="chatcmpl-x")], "mismatched"),
+    "an error in the stream": ([event(1), b'data: {"error": {}}\n\n'], "upstream_failed"),
+    "an event without end": ([b"data: " + b"x" * EVENT_LIMIT_BYTES], "upstream_failed"),
+    "no ids, without end": ([event(1)] + [event(None)] * 30_000, "upstream_failed"),
+}
+
+
+@pytest.mark.parametrize("case", REFUSED)
+def test_refused(case: str) -> None:
+    pieces, kind = REFUSED[case]
+    splitter = EventSplitter(OWN)
+    with pytest.raises(UpstreamError) as caught:
+        for piece in pieces:
+            splitter.feed(piece)
+    assert kind in caught.value.kind.value
+
+
+def test_missing_events_after_a_resume_are_no_whole_answer() -> None:
+    splitter = EventSplitter(OWN)
+    splitter.feed(event(1) + event(2))
+    splitter.restart()
+    with pytest.raises(UpstreamError):
+        splitter.feed(event(4))
+
+
+def test_repeated_events_after_a_resume_are_dropped() -> None:
+    splitter = EventSplitter(OWN)
+    splitter.feed(event(1) + event(2))
+    splitter.restart()
+    assert splitter.feed(event(1) + event(2) + event(3)) == event(3)
+
+
+def test_a_stream_without_ids_is_passed_on_but_not_resumed() -> None:
+    splitter = EventSplitter(OWN)
+    assert splitter.resumable
+    assert splitter.feed(event(None)) == event(None)
+    assert not splitter.resumable
+
+
+def test_what_follows_the_terminator_is_dropped() -> None:
+    assert EventSplitter(OWN).feed(event(1) + DONE + event(2)) == event(1) + DONE
+
+
+def test_an_engine_may_name_its_answers_as_it_likes() -> None:
+    check_answer_id("chatcmpl-17", OWN)
+    check_answer_id(None, OWN)
+    check_answer_id(f"chatcmpl-{OWN}", OWN)
+    with pytest.raises(UpstreamError) as caught:
+        check_answer_id(f"chatcmpl-{OTHER}", OWN)
+    assert caught.value.kind is ErrorKind.ANSWER_MISMATCHED
+
+
+@given(pieces=st.lists(st.binary(max_size=200), max_size=20))
+def test_bytes_that_are_no_stream_raise_only_closed_errors(pieces: list[bytes]) -> None:
+    splitter = EventSplitter(OWN)
+    try:
+        for piece in pieces:
+            splitter.feed(piece)
+    except UpstreamError:
+        return
+    assert splitter.usage.output_tokens <= splitter.events
+
+
+_LINES = st.sampled_from(
+    [b"data: [DONE]", b"data: {}", b"id: 1", b"id: x\xff", b"", b":", b"data:", b'data: {"id": 1}']
+)
+
+
+@given(lines=st.lists(_LINES, max_size=40))
+def test_lines_in_any_order_end_with_the_terminator_or_not_at_all(lines: list[bytes]) -> None:
+    splitter = EventSplitter(OWN)
+    given_back = b""
+    try:
+        for line in lines:
+            given_back += splitter.feed(line + b"\n")
+    except UpstreamError:
+        return
+    assert splitter.ended == (b"data: [DONE]" in given_back.split(b"\n"))
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -35,6 +35,10 @@
     slow_down: float = 1.0
     #: Streams stay open and bring nothing.
     silent: bool = False
+    #: Streams go silent after this many tokens; a resumed stream goes on.
+    silent_after_tokens: int = 0
+    #: Streamed events name another request after this many tokens.
+    crossed_after_tokens: int = 0
     #: Close the stream after this many tokens without a terminator.
     truncate_after_tokens: int = 0
     #: Answer with another request's id.
@@ -219,8 +223,10 @@
                         return response
                     await stream.changed.wait()
                 for number in range(sent + 1, stream.made + 1):
-                    await response.write(_event(stream, number))
-                    if number == self.switches.truncate_after_tokens:
+                    await response.write(self._numbered_event(stream, number))
+                    if number == self.switches.silent_after_tokens and not after:
+                        await asyncio.Event().wait()
+                    if number == self.switches.truncate_after_tokens and not after:
                         assert request.transport is not None
                         request.transport.close()
                         return response
@@ -233,6 +239,10 @@
             raise
         return response
 
+    def _numbered_event(self, stream: _Stream, number: int) -> bytes:
+        crossed = 0 < self.switches.crossed_after_tokens < number
+        return _event(replace(stream, request_id="another-request") if crossed else stream, number)
+
     def _headers(self, stream: _Stream) -> dict[str, str]:
         wrong = self.switches.wrong_request_id
         return {
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -25,6 +25,8 @@
     close_after_read: bool = False
     #: Announce more bytes than are sent.
     truncate: bool = False
+    #: Announce no length: the end of the connection is the end of the answer.
+    unannounced_length: bool = False
 
 
 class PlainService:
@@ -61,6 +63,10 @@
             await response.write(b"short")
             request.transport.close()
             return response
+        if self.switches.unannounced_length:
+            request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nperhaps all, perhaps not")
+            request.transport.close()
+            return web.Response()
         return web.json_response(answer, status=self.switches.status, headers=headers)
 
     async def runs(self, _request: web.Request) -> web.Response:
