--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -25,6 +25,8 @@
     close_after_read: bool = False
     #: Announce more bytes than are sent.
     truncate: bool = False
+    #: Make every answer larger by this much.
+    padding_bytes: int = 0
     #: Announce no length: the end of the connection is the end of the answer.
     unannounced_length: bool = False
 
@@ -54,7 +56,9 @@
         await asyncio.sleep(self.switches.delay_ms / 1_000)
         while self.switches.silent:
             await asyncio.sleep(0.02)
-        answer = {"service": self.name, "path": request.path_qs, "received_bytes": len(body)}
+        answer: dict[str, str | int] = {"service": self.name, "path": request.path_qs, "received_bytes": len(body)}
+        if self.switches.padding_bytes:
+            answer["padding"] = "x" * self.switches.padding_bytes
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
         if self.switches.truncate:
             headers["Content-Length"] = "1000"
--- a/standins/site.py
+++ b/standins/site.py
@@ -116,6 +116,8 @@
     daemon_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the shared settings.
     shared_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto the settings of upstreams, by name.
+    upstream_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     #: Initial switches of the stand-ins, by name.
     switches: dict[str, dict[str, Any]] = field(default_factory=dict)
 
@@ -215,6 +217,12 @@
         """Return JSON that a stand-in tells of itself."""
         return self.http.request("GET", self.processes[name].url + path, timeout=5.0).json()
 
+    def logged(self, vm: str, event: str) -> list[dict[str, Any]]:
+        """Return a daemon's log lines of one event."""
+        lines = self.processes[vm].log_path.read_text().splitlines()
+        rows = [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
+        return [row for row in rows if row["event"] == event]
+
     def runs(self) -> dict[str, int]:
         """Return how often each idempotency key ran, over all plain services."""
         total: dict[str, int] = {}
@@ -266,6 +274,7 @@
                 continue
             zone = self.zone_of(name)
             row = {"name": name, "availability_zone": zone, "url": self.processes[name].url}
+            row.update(self.upstream_settings.get(name, {}))
             if name.startswith("engine-"):
                 rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
             elif name.startswith("bookings-"):
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,156 @@
+"""A planned stop cuts nothing that is in flight, and says so where it had to."""
+
+import json
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import pytest
+import urllib3
+
+from standins.site import LOOPBACK, MODEL, TOKEN, Answer, Site
+
+CHAT = "/v1/chat/completions"
+ENGINE = "engine-1"
+SERVICE = "bookings-1"
+LAG_MS = 1_500
+TOKENS = 150
+WAIT_LIMIT_S = 20.0
+#: More than the sockets between a daemon and its caller hold.
+SLOWLY_READ_BYTES = 12_000_000
+
+
+def new_site(**daemon_settings: Any) -> Site:
+    limits = {"balancer_lag_ms": LAG_MS, **daemon_settings}
+    slots = {ENGINE: {"slots": 2}}
+    return Site(
+        vms=1, zones=1, engines=1, services=1, daemon_settings=limits, upstream_settings=slots
+    )
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    with new_site() as running:
+        yield running
+
+
+def chat(tokens: int) -> dict[str, Any]:
+    messages = [{"role": "user", "content": "wool"}]
+    return {"model": MODEL, "messages": messages, "max_tokens": tokens, "stream": True}
+
+
+def wait_for(condition: Callable[[], bool]) -> None:
+    ends_at_s = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        assert time.monotonic() < ends_at_s, "the condition did not come about"
+        time.sleep(0.02)
+
+
+def in_flight(site: Site, pool: ThreadPoolExecutor, tokens: int = TOKENS) -> "Future[Answer]":
+    answer = pool.submit(site.call, "vm-1", "POST", CHAT, body=chat(tokens))
+    wait_for(lambda: site.read(ENGINE, "/load")["running"] > 0)
+    return answer
+
+
+def exit_code(site: Site) -> int:
+    handle = site.processes["vm-1"].handle
+    assert handle is not None
+    return handle.wait(WAIT_LIMIT_S)
+
+
+def ready(site: Site) -> int:
+    return site.call("vm-1", "GET", "/readyz").status
+
+
+def test_everything_in_flight_ends_whole_and_new_requests_are_served_then_refused(
+    site: Site,
+) -> None:
+    site.control(SERVICE, delay_ms=LAG_MS + 700)
+    headers = {"Idempotency-Key": "stop-deposit"}
+    with ThreadPoolExecutor() as pool:
+        stream = in_flight(site, pool)
+        deposit = pool.submit(
+            site.call, "vm-1", "POST", "/routes/deposit", body={}, headers=headers
+        )
+        wait_for(lambda: site.runs().get("stop-deposit") == 1)
+        assert ready(site) == 200
+        site.processes["vm-1"].send_signal(signal.SIGTERM)
+        wait_for(lambda: ready(site) == 503)
+        during_lag = site.call("vm-1", "POST", CHAT, body=chat(3))
+        assert during_lag.body.endswith(b"data: [DONE]\n\n")
+        wait_for(lambda: site.call("vm-1", "GET", "/v1/models").status == 503)
+        refused = site.call("vm-1", "POST", CHAT, body=chat(3))
+        assert refused.headers["Azureturn-Error-Kind"] == "stopping"
+        assert refused.headers["Azureturn-Run-State"] == "not_run"
+        assert refused.headers["Connection"].lower() == "close"
+        assert stream.result().body.endswith(b"data: [DONE]\n\n")
+        assert deposit.result().status == 200
+    assert exit_code(site) == 0
+    assert site.logged("vm-1", "daemon_stopped")[0]["requests_cut"] == 0
+    assert site.runs()["stop-deposit"] == 1
+
+
+def test_a_second_signal_is_reported_as_a_cut(site: Site) -> None:
+    with ThreadPoolExecutor() as pool:
+        stream = in_flight(site, pool, tokens=100_000)
+        for _ in range(2):
+            site.processes["vm-1"].send_signal(signal.SIGTERM)
+            wait_for(lambda: bool(site.logged("vm-1", "daemon_stopping")))
+        assert exit_code(site) == 3
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            stream.result()
+    assert site.logged("vm-1", "daemon_stopped")[0]["requests_cut"] == 1
+
+
+def test_the_limit_is_reported_as_a_cut() -> None:
+    with new_site(stop_limit_ms=200, balancer_lag_ms=50) as site, ThreadPoolExecutor() as pool:
+        stream = in_flight(site, pool, tokens=100_000)
+        site.processes["vm-1"].send_signal(signal.SIGTERM)
+        assert exit_code(site) == 3
+        assert isinstance(stream.exception(), urllib3.exceptions.HTTPError)
+        assert site.logged("vm-1", "daemon_stopped")[0]["requests_cut"] == 1
+
+
+def test_a_slow_reader_gets_its_whole_answer() -> None:
+    with new_site(balancer_lag_ms=50) as site, socket.socket() as caller:
+        site.control(SERVICE, padding_bytes=SLOWLY_READ_BYTES)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.settimeout(WAIT_LIMIT_S)
+        caller.connect((LOOPBACK, site.processes["vm-1"].port))
+        head = f"GET /routes/job-status/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+        caller.sendall(head.encode() + b"Connection: close\r\n\r\n")
+        read_bytes = len(caller.recv(1_024))
+        site.processes["vm-1"].send_signal(signal.SIGTERM)
+        wait_for(lambda: bool(site.logged("vm-1", "daemon_stopping")))
+        threading.Event().wait(1.5)
+        while piece := caller.recv(1 << 16):
+            read_bytes += len(piece)
+        assert read_bytes > SLOWLY_READ_BYTES
+        assert exit_code(site) == 0
+
+
+def test_a_caller_that_leaves_the_queue_frees_its_place(site: Site) -> None:
+    with ThreadPoolExecutor() as pool:
+        running = [in_flight(site, pool, tokens=400) for _ in range(2)]
+        data = json.dumps(chat(5)).encode()
+        head = (
+            f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
+        connection = socket.create_connection((LOOPBACK, site.processes["vm-1"].port))
+        connection.sendall(head.encode() + data)
+        threading.Event().wait(0.2)
+        connection.close()
+
+        def given_up() -> bool:
+            rows = site.logged("vm-1", "request_ended")
+            return any(row["ended"] == "caller_gone" and not row["upstream"] for row in rows)
+
+        wait_for(given_up)
+        assert not any(one.done() for one in running)
+        assert len(site.read(ENGINE, "/runs")) == 2
+        assert all(one.result().body.endswith(b"data: [DONE]\n\n") for one in running)
