--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from azureturn.core._claims import ClaimHolder
+from azureturn.core.membership import PeerHeartbeat, PeerIdentity
 from azureturn.errors import ErrorKind, RunState
 
 
@@ -55,3 +56,26 @@
     organisation: str
     idempotency_key: str
     body_digest: str
+
+
+@dataclass(frozen=True)
+class SendHeartbeat(Action):
+    """Exchange heartbeats with a peer."""
+
+    peer: PeerIdentity
+    heartbeat: PeerHeartbeat
+
+
+@dataclass(frozen=True)
+class AnswerHeartbeat(Action):
+    """Answer the heartbeat that was just received."""
+
+    heartbeat: PeerHeartbeat
+
+
+@dataclass(frozen=True)
+class FetchConfiguration(Action):
+    """A peer has a higher revision of the configuration: get it there."""
+
+    peer: PeerIdentity
+    revision: int
--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -6,6 +6,7 @@
 from azureturn.core._configuration import Configuration
 from azureturn.core._requests import Request
 from azureturn.core._upstreams import LoadReport
+from azureturn.core.membership import GossipRow, PeerHeartbeat, PeerIdentity
 from azureturn.errors import ErrorKind, RunState
 
 
@@ -133,3 +134,45 @@
 
     upstream: str
     leaving: bool
+
+
+@dataclass(frozen=True)
+class PeerStarted(Event):
+    """This VM's own process has started."""
+
+    identity: PeerIdentity
+
+
+@dataclass(frozen=True)
+class LeavingAnnounced(Event):
+    """This VM is leaving."""
+
+
+@dataclass(frozen=True)
+class PeersListed(Event):
+    """The platform's list of VMs was read: each VM, and whether it is leaving."""
+
+    peers: tuple[tuple[PeerIdentity, bool], ...]
+
+
+@dataclass(frozen=True)
+class HeartbeatReceived(Event):
+    """A peer's heartbeat came, as a call or as the answer to one."""
+
+    heartbeat: PeerHeartbeat
+    #: True for a call.
+    answer_wanted: bool
+
+
+@dataclass(frozen=True)
+class HeartbeatFailed(Event):
+    """A peer did not answer."""
+
+    vm: str
+
+
+@dataclass(frozen=True)
+class RowsReceived(Event):
+    """Peers' rows brought news (posted by the core itself)."""
+
+    rows: tuple[GossipRow, ...]
--- a/azureturn/core/_upstreams.py
+++ b/azureturn/core/_upstreams.py
@@ -15,6 +15,8 @@
     running: int = 0
     waiting: int = 0
     queued_tokens: int = 0
+    #: The upstream says that it is leaving.
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/azureturn/core/controllers/__init__.py
+++ b/azureturn/core/controllers/__init__.py
@@ -3,11 +3,13 @@
 from azureturn.core.controllers._admission import AdmissionController
 from azureturn.core.controllers._configuration import ConfigurationController
 from azureturn.core.controllers._dispatch import DispatchController
+from azureturn.core.controllers._membership import MembershipController
 from azureturn.core.controllers._placement import PlacementController
 
 __all__ = [
     "AdmissionController",
     "ConfigurationController",
     "DispatchController",
+    "MembershipController",
     "PlacementController",
 ]
--- a/azureturn/core/controllers/_configuration.py
+++ b/azureturn/core/controllers/_configuration.py
@@ -6,7 +6,6 @@
     ConfigurationInForce,
     ConfigurationReceived,
     Started,
-    UpstreamLeaving,
 )
 from azureturn.core._upstreams import Upstream, UpstreamTable
 
@@ -25,13 +24,6 @@
     def _on_received(self, event: ConfigurationReceived, context: Context) -> None:
         self._accept(event.configuration, context)
 
-    @on(UpstreamLeaving)
-    def _on_leaving(self, event: UpstreamLeaving, context: Context) -> None:
-        upstreams = self.board.write(UpstreamTable)
-        upstream = upstreams.get(event.upstream)
-        if upstream is not None:
-            upstreams.put(event.upstream, upstream.with_leaving(event.leaving))
-
     def _accept(self, configuration: Configuration, context: Context) -> None:
         if not self.board.write(ConfigurationTable).accept(configuration):
             return
--- /dev/null
+++ b/azureturn/core/membership/__init__.py
@@ -0,0 +1,40 @@
+"""Who the other VMs are and what they last told: tables, rows and heartbeats."""
+
+from azureturn.core.membership._selection import Selection, select_rows
+from azureturn.core.membership._tables import (
+    BudgetTable,
+    ByteBudget,
+    GossipTable,
+    LoggedRow,
+    PeerTable,
+)
+from azureturn.core.membership._types import (
+    HEARTBEAT_FIXED_BYTES,
+    URGENT_TOPICS,
+    ZONE_TOPICS,
+    GossipRow,
+    Peer,
+    PeerHeartbeat,
+    PeerIdentity,
+    RowKey,
+    Topic,
+)
+
+__all__ = [
+    "BudgetTable",
+    "ByteBudget",
+    "GossipRow",
+    "GossipTable",
+    "HEARTBEAT_FIXED_BYTES",
+    "LoggedRow",
+    "Peer",
+    "PeerHeartbeat",
+    "PeerIdentity",
+    "PeerTable",
+    "RowKey",
+    "Selection",
+    "Topic",
+    "URGENT_TOPICS",
+    "ZONE_TOPICS",
+    "select_rows",
+]
--- /dev/null
+++ b/azureturn/core/membership/tests/test_membership.py
@@ -0,0 +1,141 @@
+"""Membership among cores that exchange heartbeats in memory."""
+
+import pytest
+
+from azureturn.core import (
+    Configuration,
+    ConfigurationReceived,
+    ConfigurationTable,
+    UpstreamLeaving,
+    UpstreamTable,
+)
+from azureturn.core.membership import GossipTable, PeerTable, RowKey, Topic
+from benchmarks.gossip_model import GossipModel
+
+#: The brief: a leaving upstream receives no new work after a few seconds.
+LEAVING_BOUND_MS = 3_000
+#: The letter: a node spends at most 8 KB a second on control.
+CONTROL_BYTES_PER_S = 8_000
+
+
+def leaving_at(model: GossipModel, upstream: str) -> set[str]:
+    """Return the VMs that give an upstream no new work."""
+    return {
+        vm.name
+        for vm in model.members.values()
+        if (row := vm.core.board.table(UpstreamTable).get(upstream)) is not None and row.leaving
+    }
+
+
+def tell(model: GossipModel, vm: str, *, leaving: bool) -> None:
+    """Let one VM see that an upstream leaves, or is back."""
+    member = model.members[vm]
+    model.perform(member, member.handle(UpstreamLeaving("engine-1", leaving), model.now_ms))
+
+
+SITES = {
+    "burdekin": (6, 3, 0.0),
+    "kuiseb": (8, 4, 0.0),
+    "kuiseb with loss": (8, 4, 0.3),
+    "one large zone": (32, 1, 0.1),
+}
+
+
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("seed", range(3))
+def test_a_leaving_upstream_is_known_to_all_in_time(site: str, seed: int) -> None:
+    vms, zones, loss = SITES[site]
+    model = GossipModel(vms, zones, seed=seed, loss_share=loss)
+    model.list_peers()
+    model.run(5_000)
+    tell(model, "vm-0", leaving=True)
+    model.run(LEAVING_BOUND_MS)
+    assert leaving_at(model, "engine-1") == set(model.members)
+
+
+def test_an_upstream_that_is_back_gets_work_again() -> None:
+    model = GossipModel(8, 4)
+    model.list_peers()
+    model.run(3_000)
+    tell(model, "vm-0", leaving=True)
+    model.run(LEAVING_BOUND_MS)
+    tell(model, "vm-0", leaving=False)
+    model.run(LEAVING_BOUND_MS)
+    assert leaving_at(model, "engine-1") == set()
+
+
+def test_a_cut_zone_hears_of_it_after_the_cut() -> None:
+    model = GossipModel(8, 4)
+    model.list_peers()
+    model.run(3_000)
+    model.cut_zones = {"zone-1"}
+    model.run(2_000)
+    tell(model, "vm-0", leaving=True)
+    model.run(LEAVING_BOUND_MS)
+    assert leaving_at(model, "engine-1") == {"vm-0", "vm-2", "vm-3", "vm-4", "vm-6", "vm-7"}
+    model.cut_zones = set()
+    # Calls to a peer that failed are tried again after 8 s at most.
+    model.run(8_000 + LEAVING_BOUND_MS)
+    assert leaving_at(model, "engine-1") == set(model.members)
+
+
+def test_a_restarted_vm_is_told_everything_anew() -> None:
+    model = GossipModel(8, 4)
+    model.list_peers()
+    model.run(3_000)
+    tell(model, "vm-0", leaving=True)
+    model.run(LEAVING_BOUND_MS)
+    model.start("vm-3", "zone-3", incarnation=2)
+    model.list_peers()
+    model.run(LEAVING_BOUND_MS)
+    assert "vm-3" in leaving_at(model, "engine-1")
+
+
+def test_what_a_dead_vm_said_of_an_upstream_is_forgotten() -> None:
+    model = GossipModel(4, 1)
+    model.list_peers()
+    model.run(3_000)
+    tell(model, "vm-0", leaving=True)
+    model.run(LEAVING_BOUND_MS)
+    dead = model.members["vm-0"]
+    dead.core.handle = lambda event, now_ms: ()  # type: ignore[method-assign]
+    model.run(15_000)
+    assert leaving_at(model, "engine-1") == {"vm-0"}
+
+
+@pytest.mark.parametrize("vms", [8, 32])
+def test_heartbeats_keep_within_the_budget(vms: int) -> None:
+    model = GossipModel(vms, 1, upstreams=200, seed=2)
+    model.list_peers()
+    for name, vm in model.members.items():
+        own = vm.core.board.table(PeerTable).own
+        assert own is not None
+        gossip = vm.core.board.table(GossipTable)
+        for number in range(200):
+            gossip.change_own(own, Topic.UPSTREAM_WORK, f"engine-{number}", (number, 1), 0)
+        assert RowKey(name, Topic.UPSTREAM_WORK, "engine-0") in gossip
+    duration_s = 30
+    model.run(duration_s * 1_000)
+    for vm in model.members.values():
+        # One second's worth may be saved up and spent on top.
+        assert vm.sent_bytes + vm.received_bytes <= CONTROL_BYTES_PER_S * (duration_s + 1)
+
+
+@pytest.mark.parametrize("vms", [8, 64])
+def test_a_vm_calls_few_peers_whatever_the_size(vms: int) -> None:
+    model = GossipModel(vms, 4)
+    model.list_peers()
+    model.run(10_000)
+    rounds = 10_000 // 500
+    assert all(vm.exchanges_begun <= 3 * (rounds + 1) for vm in model.members.values())
+
+
+def test_a_higher_revision_is_asked_for_where_the_service_is_cut_off() -> None:
+    model = GossipModel(8, 4)
+    model.list_peers()
+    core = model.members["vm-0"].core
+    shared = core.board.table(ConfigurationTable).in_force().shared
+    core.handle(ConfigurationReceived(Configuration(7, shared)), model.now_ms)
+    model.run(5_000)
+    others = [vm for name, vm in model.members.items() if name != "vm-0"]
+    assert any(vm.revision_wanted == 7 for vm in others)
--- /dev/null
+++ b/azureturn/core/tests/test_configuration.py
@@ -0,0 +1,19 @@
+"""A configuration in force never reverts, in whatever order revisions come."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.core import Configuration, ConfigurationReceived, ConfigurationTable
+from benchmarks.gossip_model import GossipModel
+
+
+@given(st.lists(st.integers(min_value=0, max_value=20), min_size=1))
+def test_the_revision_in_force_only_rises(revisions: list[int]) -> None:
+    core = GossipModel(1, 1).members["vm-0"].core
+    table = core.board.table(ConfigurationTable)
+    shared = table.in_force().shared
+    highest = 0
+    for revision in revisions:
+        core.handle(ConfigurationReceived(Configuration(revision, shared)), 0)
+        highest = max(highest, revision)
+        assert table.in_force().revision == highest
--- a/azureturn/daemon/_background.py
+++ b/azureturn/daemon/_background.py
@@ -1,42 +1,42 @@
 """What the daemon does beside serving: load reports, the configuration, the list of VMs."""
 
-import json
 import threading
 from collections.abc import Callable
 
-from azureturn.core import (
-    Configuration,
-    ConfigurationReceived,
-    ConfigurationSource,
-    ConfigurationTable,
-    LoadReported,
-)
+from azureturn.core import ConfigurationSource, ConfigurationTable, LoadReported, UpstreamLeaving
+from azureturn.daemon._gossip import CONFIGURATION_KEY, GossipAdapter, listed_event
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
-from azureturn.errors import AzureturnError, PlatformError
+from azureturn.errors import PlatformError
 from azureturn.observability import LogEvent
-from azureturn.platform import KeyValueEntry, ListedVm
-from azureturn.settings import UpstreamKind, check_shared_settings
+from azureturn.platform import ListedVm
+from azureturn.settings import UpstreamKind
 
-CONFIGURATION_KEY = "configuration"
-#: Pause before a broken watch is begun anew, and between polls of the configuration.
-WATCH_RETRY_MS = 1_000
+#: Pause before a broken watch is begun anew.
+WATCH_RETRY_MS = 500
+#: The configuration is also read this often, for the case that a watch has gone silent.
+POLL_INTERVAL_MS = 3_000
+VM_LIST_INTERVAL_MS = 1_000
 _MS_PER_S = 1_000
 
 
 class BackgroundTasks:
     """Threads that feed the core with what the platform and the upstreams say."""
 
-    def __init__(self, services: Services) -> None:
+    def __init__(self, services: Services, gossip: GossipAdapter) -> None:
         self._services = services
+        self._gossip = gossip
         self._stopped = threading.Event()
 
     def start(self) -> None:
         """Start every thread."""
         self._enter_vm_list(leaving=False)
+        self._read_vm_list()
         interval_ms = self._services.settings.daemon.load_report_interval_ms
         self._every(interval_ms, self._read_load_reports, "load-reports")
         self._every(WATCH_RETRY_MS, self._watch_configuration, "configuration-watch")
+        self._every(POLL_INTERVAL_MS, self._poll_configuration, "configuration-poll")
+        self._every(VM_LIST_INTERVAL_MS, self._read_vm_list, "vm-list")
 
     def stop(self) -> None:
         """End the threads at their next pause."""
@@ -59,7 +59,15 @@
         try:
             self._services.vm_list.enter(row)
         except PlatformError as error:
-            self._services.log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error=error.message)
+            self._services.log.error(LogEvent.VM_LIST_UNAVAILABLE, error=error.message)
+
+    def _read_vm_list(self) -> None:
+        try:
+            listed = self._services.vm_list.read()
+        except PlatformError as error:
+            self._services.log.error(LogEvent.VM_LIST_UNAVAILABLE, error=error.message)
+            return
+        self._services.runtime.submit(listed_event(listed))
 
     def _read_load_reports(self) -> None:
         configuration = self._services.runtime.inspect(
@@ -72,6 +80,17 @@
             report = client.load_report(now_ms())
             if report is not None:
                 self._services.runtime.submit(LoadReported(upstream.name, report))
+                leaving = UpstreamLeaving(upstream.name, report.leaving)
+                self._services.runtime.submit(leaving)
+
+    def _poll_configuration(self) -> None:
+        try:
+            entry = self._services.key_value.read(CONFIGURATION_KEY)
+        except PlatformError:
+            # The watch tells of the outage.
+            return
+        if entry is not None:
+            self._gossip.accept(entry, ConfigurationSource.POLL)
 
     def _watch_configuration(self) -> None:
         key_value = self._services.key_value
@@ -79,22 +98,10 @@
             entry = key_value.read(CONFIGURATION_KEY)
             from_revision = 1
             if entry is not None:
-                self._accept(entry, ConfigurationSource.POLL)
+                self._gossip.accept(entry, ConfigurationSource.POLL)
                 from_revision = entry.revision + 1
             for entries in key_value.watch(CONFIGURATION_KEY, from_revision=from_revision):
                 for changed in entries:
-                    self._accept(changed, ConfigurationSource.WATCH)
+                    self._gossip.accept(changed, ConfigurationSource.WATCH)
         except PlatformError as error:
             self._services.log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error=error.message)
-
-    def _accept(self, entry: KeyValueEntry, source: ConfigurationSource) -> None:
-        try:
-            shared = check_shared_settings(json.loads(entry.value))
-        except (AzureturnError, ValueError) as error:
-            self._services.log.error(LogEvent.INTERNAL_ERROR, error=str(error))
-            return
-        configuration = Configuration(entry.revision, shared, source)
-        self._services.runtime.submit(ConfigurationReceived(configuration))
-        self._services.log.info(
-            LogEvent.CONFIGURATION_IN_FORCE, revision=entry.revision, source=source.value
-        )
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -4,21 +4,28 @@
 import threading
 import time
 
-from azureturn.core import CancelAtUpstream, Configuration, Core, Started, WriteClaim
+from azureturn.core import (
+    CancelAtUpstream,
+    Configuration,
+    Core,
+    FetchConfiguration,
+    LeavingAnnounced,
+    SendHeartbeat,
+    Started,
+    WriteClaim,
+)
 from azureturn.daemon._background import BackgroundTasks
 from azureturn.daemon._caller_server import CallerServer
 from azureturn.daemon._claims import ClaimWriter
 from azureturn.daemon._face import CallerFace
-from azureturn.daemon._outcomes import OutcomeStore, unknown_outcome
+from azureturn.daemon._gossip import GossipAdapter
+from azureturn.daemon._outcomes import OutcomeStore
+from azureturn.daemon._peer_face import PeerFace
 from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.daemon._services import Services
-from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.observability import EventLog, LogEvent, metrics_from_settings
 from azureturn.peers import (
     EnvelopeSigner,
-    Heartbeat,
-    Outcome,
-    OutcomeQuery,
     PeerClient,
     PeerServer,
 )
@@ -30,36 +37,6 @@
 _STOP_POLL_S = 0.02
 
 
-class _PeerFace:
-    """What this VM does for other VMs."""
-
-    def __init__(self, services: Services) -> None:
-        self._services = services
-
-    def find_outcome(self, query: OutcomeQuery) -> Outcome:
-        """Return what this process knows of a call that it holds the claim of."""
-        key = (query.organisation, query.idempotency_key)
-        known_digest = self._services.outcomes.body_digest(key)
-        if query.boot_id != self._services.boot_id or known_digest is None:
-            return unknown_outcome()
-        if known_digest != query.body_digest:
-            raise AzureturnError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
-        return self._services.outcomes.find(key, wait_ms=query.wait_ms)
-
-    def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Return this VM's own heartbeat."""
-        vm = self._services.settings.vm
-        return Heartbeat(
-            vm=vm.name,
-            availability_zone=vm.availability_zone,
-            boot_id=self._services.boot_id,
-            sequence=now_ms(),
-            configuration_revision=0,
-            leaving=False,
-            leaving_upstreams=[],
-        )
-
-
 class Daemon:
     """The entry daemon of one VM.
 
@@ -83,12 +60,15 @@
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
-        peer_face = _PeerFace(services)
+        peer_face = PeerFace(services)
         self._peer_server = PeerServer(settings.vm.host, settings.vm.peer_port, peer_face, signer)
         self._claims = ClaimWriter(
             services.key_value, services.runtime, vm=settings.vm, boot_id=services.boot_id
         )
-        self._background = BackgroundTasks(services)
+        self._gossip = GossipAdapter(services)
+        self._background = BackgroundTasks(services, self._gossip)
+        services.runtime.perform(SendHeartbeat, self._gossip.send)
+        services.runtime.perform(FetchConfiguration, self._gossip.fetch)
         services.runtime.perform(WriteClaim, self._claims.write)
         services.runtime.perform(CancelAtUpstream, self._cancel)
 
@@ -117,6 +97,8 @@
 
     def start(self) -> None:
         """Begin to serve; return once the ports are open."""
+        self._gossip.start()
+        self._gossip.learn_configuration()
         self._services.runtime.start()
         self._claims.start()
         self._peer_server.start()
@@ -134,6 +116,7 @@
         limits = self._services.settings.daemon
         self._ready = False
         self._background.announce_leaving()
+        self._services.runtime.submit(LeavingAnnounced())
         self._services.log.info(LogEvent.DAEMON_STOPPING)
         time.sleep(limits.balancer_lag_ms / _MS_PER_S)
         ends_at_ms = now_ms() + limits.stop_limit_ms
--- /dev/null
+++ b/azureturn/daemon/_gossip.py
@@ -0,0 +1,179 @@
+"""Carries heartbeats between VMs, and brings the configuration from peers and the service."""
+
+import json
+import queue
+import threading
+import time
+
+from azureturn.core import (
+    Action,
+    Configuration,
+    ConfigurationReceived,
+    ConfigurationSource,
+    ConfigurationTable,
+    FetchConfiguration,
+    HeartbeatFailed,
+    HeartbeatReceived,
+    PeersListed,
+    PeerStarted,
+    SendHeartbeat,
+)
+from azureturn.core.membership import PeerIdentity
+from azureturn.daemon._runtime import now_ms
+from azureturn.daemon._services import Services
+from azureturn.errors import AzureturnError, PlatformError
+from azureturn.observability import LogEvent
+from azureturn.peers import (
+    ConfigurationQuery,
+    PeerAddress,
+    heartbeat_from_wire,
+    heartbeat_to_wire,
+)
+from azureturn.platform import KeyValueEntry, ListedVm
+from azureturn.settings import check_shared_settings
+
+CONFIGURATION_KEY = "configuration"
+#: Threads that call peers; a peer that does not answer holds one for a second.
+GOSSIP_THREADS = 4
+#: Calls that may wait for a thread; beyond it the oldest news is simply sent next time.
+WAITING_LIMIT = 64
+_START_RETRY_S = 0.1
+_MS_PER_S = 1_000
+
+
+class GossipAdapter:
+    """Sends what the membership controller asks for, on a few threads of its own."""
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+        self._waiting: queue.Queue[Action] = queue.Queue(WAITING_LIMIT)
+        vm = services.settings.vm
+        self._identity = PeerIdentity(
+            vm.name,
+            vm.availability_zone,
+            vm.host,
+            vm.peer_port,
+            services.boot_id,
+            time.time_ns() // 1_000_000,
+        )
+
+    def start(self) -> None:
+        """Tell the core who this VM is, and start the threads."""
+        self._services.runtime.submit(PeerStarted(self._identity))
+        for number in range(GOSSIP_THREADS):
+            name = f"gossip-{number}"
+            threading.Thread(target=self._serve, name=name, daemon=True).start()
+
+    def send(self, action: SendHeartbeat) -> None:
+        """Take an exchange in."""
+        self._enqueue(action)
+
+    def fetch(self, action: FetchConfiguration) -> None:
+        """Take in that a peer has a higher revision."""
+        self._enqueue(action)
+
+    def accept(self, entry: KeyValueEntry, source: ConfigurationSource) -> None:
+        """Give the core a revision that the service or a peer holds."""
+        try:
+            shared = check_shared_settings(json.loads(entry.value))
+        except (AzureturnError, ValueError) as error:
+            self._services.log.error(LogEvent.CONFIGURATION_REFUSED, error=str(error))
+            return
+        before = self._revision()
+        configuration = Configuration(entry.revision, shared, source)
+        self._services.runtime.submit(ConfigurationReceived(configuration))
+        if self._revision() > before:
+            self._services.log.info(
+                LogEvent.CONFIGURATION_IN_FORCE, revision=entry.revision, source=source.value
+            )
+
+    def learn_configuration(self) -> None:
+        """Before serving, take the service's revision, or else the highest that a peer holds.
+
+        The wait is bounded. A start without either is logged, and serves by the settings files.
+        """
+        ends_at_ms = now_ms() + self._services.settings.daemon.start_wait_ms
+        while True:
+            if self._learn_from_service() or self._learn_from_peers():
+                return
+            if now_ms() >= ends_at_ms:
+                break
+            time.sleep(_START_RETRY_S)
+        self._services.log.error(LogEvent.CONFIGURATION_UNKNOWN_AT_START)
+
+    def _learn_from_service(self) -> bool:
+        try:
+            entry = self._services.key_value.read(CONFIGURATION_KEY)
+        except PlatformError:
+            return False
+        if entry is not None:
+            self.accept(entry, ConfigurationSource.POLL)
+        return True
+
+    def _learn_from_peers(self) -> bool:
+        answers = [self._fetch_from(peer) for peer in self._start_peers()]
+        return any(answers)
+
+    def _start_peers(self) -> list[PeerAddress]:
+        seeds = [
+            PeerAddress(seed.rpartition(":")[0], int(seed.rpartition(":")[2]))
+            for seed in self._services.settings.platform.seed_peers
+        ]
+        try:
+            listed = self._services.vm_list.read()
+        except PlatformError:
+            return seeds
+        own = self._services.settings.vm.name
+        return [PeerAddress(vm.host, vm.peer_port) for vm in listed if vm.name != own] + seeds
+
+    def _enqueue(self, action: Action) -> None:
+        try:
+            self._waiting.put_nowait(action)
+        except queue.Full:
+            if isinstance(action, SendHeartbeat):
+                self._services.runtime.submit(HeartbeatFailed(action.peer.vm))
+
+    def _serve(self) -> None:
+        while True:
+            action = self._waiting.get()
+            if isinstance(action, SendHeartbeat):
+                self._exchange(action)
+            elif isinstance(action, FetchConfiguration) and action.revision > self._revision():
+                self._fetch_from(PeerAddress(action.peer.host, action.peer.peer_port))
+
+    def _exchange(self, action: SendHeartbeat) -> None:
+        address = PeerAddress(action.peer.host, action.peer.peer_port)
+        try:
+            answer = self._services.peers.exchange_heartbeat(
+                address, heartbeat_to_wire(action.heartbeat)
+            )
+        except AzureturnError:
+            self._services.runtime.submit(HeartbeatFailed(action.peer.vm))
+            return
+        received = HeartbeatReceived(heartbeat_from_wire(answer), answer_wanted=False)
+        self._services.runtime.submit(received)
+
+    def _fetch_from(self, address: PeerAddress) -> bool:
+        query = ConfigurationQuery(newer_than_revision=self._revision())
+        try:
+            answer = self._services.peers.fetch_configuration(address, query)
+        except AzureturnError:
+            return False
+        if answer.revision:
+            entry = KeyValueEntry(CONFIGURATION_KEY, answer.document or b"", answer.revision)
+            self.accept(entry, ConfigurationSource.PEER)
+        return True
+
+    def _revision(self) -> int:
+        return self._services.runtime.inspect(
+            lambda core: core.board.table(ConfigurationTable).in_force().revision
+        )
+
+
+def listed_event(listed: tuple[ListedVm, ...]) -> PeersListed:
+    """Return the event that tells the core of the platform's list."""
+    rows = [
+        (PeerIdentity(vm.name, vm.availability_zone, vm.host, vm.peer_port), vm.leaving)
+        for vm in listed
+    ]
+    return PeersListed(tuple(rows))
--- a/azureturn/daemon/_runtime.py
+++ b/azureturn/daemon/_runtime.py
@@ -55,12 +55,13 @@
         """Return how many mailboxes are open."""
         return len(self._mailboxes)
 
-    def submit(self, event: Event) -> None:
-        """Give the core an event and carry out what it asks for."""
+    def submit(self, event: Event) -> tuple[Action, ...]:
+        """Give the core an event, carry out what it asks for, and return those actions."""
         with self._lock:
             actions = self.core.handle(event, now_ms())
         for action in actions:
             self._carry_out(action)
+        return actions
 
     def inspect(self, reader: Callable[[Core], _Value]) -> _Value:
         """Return what ``reader`` reads from the core while nothing changes it."""
--- a/azureturn/observability/_logs.py
+++ b/azureturn/observability/_logs.py
@@ -17,6 +17,9 @@
     DAEMON_STOPPED = "daemon_stopped"
     REQUEST_ENDED = "request_ended"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
+    CONFIGURATION_REFUSED = "configuration_refused"
+    CONFIGURATION_UNKNOWN_AT_START = "configuration_unknown_at_start"
+    VM_LIST_UNAVAILABLE = "vm_list_unavailable"
     KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
     INTERNAL_ERROR = "internal_error"
 
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -2,8 +2,11 @@
 
 from azureturn.peers._authentication import EnvelopeSigner, decode_struct, encode_struct
 from azureturn.peers._client import PeerAddress, PeerClient
+from azureturn.peers._heartbeats import heartbeat_from_wire, heartbeat_to_wire
 from azureturn.peers._server import PeerHandler, PeerServer
 from azureturn.peers.gen.ttypes import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
     Header,
     Heartbeat,
     Outcome,
@@ -13,6 +16,8 @@
 )
 
 __all__ = [
+    "ConfigurationAnswer",
+    "ConfigurationQuery",
     "EnvelopeSigner",
     "Header",
     "Heartbeat",
@@ -26,4 +31,6 @@
     "PeerServer",
     "decode_struct",
     "encode_struct",
+    "heartbeat_from_wire",
+    "heartbeat_to_wire",
 ]
--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -1,5 +1,6 @@
 """Calls from one VM to another."""
 
+import time
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -11,10 +12,21 @@
 from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError
 from azureturn.peers._authentication import EnvelopeSigner
 from azureturn.peers.gen.Peer import Client
-from azureturn.peers.gen.ttypes import Heartbeat, Outcome, OutcomeQuery, PeerRefused
+from azureturn.peers.gen.ttypes import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
+    Heartbeat,
+    Outcome,
+    OutcomeQuery,
+    PeerRefused,
+)
 
 #: Time beyond the wait that a call asks for.
 CALL_TIMEOUT_MS = 1_000
+#: A connection is closed after this, so that one that went silent is not kept for long.
+CONNECTION_LIFETIME_S = 30.0
+#: Idle connections kept over all peers.
+IDLE_LIMIT = 32
 
 _Answer = TypeVar("_Answer")
 
@@ -27,11 +39,39 @@
     peer_port: int
 
 
+class _Connection:
+    """One open connection to a peer."""
+
+    def __init__(self, address: PeerAddress) -> None:
+        self._socket = TSocket(address.host, address.peer_port)
+        self._transport = TBufferedTransport(self._socket)
+        self.client = Client(TCompactProtocol(self._transport))
+        self._opened_at_s = 0.0
+
+    def open(self, timeout_ms: int) -> None:
+        self._socket.setTimeout(timeout_ms)
+        if not self._transport.isOpen():
+            self._transport.open()
+            self._opened_at_s = time.monotonic()
+
+    @property
+    def is_fresh(self) -> bool:
+        return time.monotonic() - self._opened_at_s < CONNECTION_LIFETIME_S
+
+    def close(self) -> None:
+        self._transport.close()
+
+
 class PeerClient:
-    """Calls other VMs, one connection a call, each call sent once."""
+    """Calls other VMs; each call is sent once.
+
+    A connection is kept for the next heartbeat to the same peer, for a bounded time. Calls that
+    may wait long get a connection of their own.
+    """
 
     def __init__(self, signer: EnvelopeSigner) -> None:
         self._signer = signer
+        self._idle: dict[PeerAddress, _Connection] = {}
 
     def find_outcome(self, address: PeerAddress, query: OutcomeQuery) -> Outcome:
         """Return what a VM knows of a call that it holds the claim of."""
@@ -44,6 +84,14 @@
             address, "exchange_heartbeat", heartbeat, Heartbeat, timeout_ms=CALL_TIMEOUT_MS
         )
 
+    def fetch_configuration(
+        self, address: PeerAddress, query: ConfigurationQuery
+    ) -> ConfigurationAnswer:
+        """Return a VM's configuration where it is newer than the revision in the query."""
+        return self._call(
+            address, "fetch_configuration", query, ConfigurationAnswer, timeout_ms=CALL_TIMEOUT_MS
+        )
+
     def _call(
         self,
         address: PeerAddress,
@@ -53,17 +101,31 @@
         *,
         timeout_ms: int,
     ) -> _Answer:
-        socket = TSocket(address.host, address.peer_port)
-        socket.setTimeout(timeout_ms)
-        transport = TBufferedTransport(socket)
-        client = Client(TCompactProtocol(transport))
+        connection = self._idle.pop(address, None) or _Connection(address)
         try:
-            transport.open()
-            envelope = getattr(client, call)(self._signer.seal(call, body))
+            connection.open(timeout_ms)
+            envelope = getattr(connection.client, call)(self._signer.seal(call, body))
         except PeerRefused as refused:
-            raise AzureturnError(ErrorKind(refused.kind), refused.message) from refused
-        except (TException, OSError) as error:
+            connection.close()
+            raise AzureturnError(_kind_of(refused), refused.message or "") from refused
+        except (TException, OSError, EOFError) as error:
+            connection.close()
             raise PeerUnavailableError(ErrorKind.INTERNAL, str(error)) from error
-        finally:
-            transport.close()
+        self._keep(address, connection)
         return self._signer.open(f"{call}.answer", envelope, answer_type)
+
+    def _keep(self, address: PeerAddress, connection: _Connection) -> None:
+        if not connection.is_fresh or len(self._idle) >= IDLE_LIMIT:
+            connection.close()
+            return
+        replaced = self._idle.pop(address, None)
+        if replaced is not None:
+            replaced.close()
+        self._idle[address] = connection
+
+
+def _kind_of(refused: PeerRefused) -> ErrorKind:
+    try:
+        return ErrorKind(refused.kind)
+    except ValueError:
+        return ErrorKind.INTERNAL
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -43,16 +43,41 @@
   7: string run_state,
 }
 
+// One fact that its owner alone changes; the higher (incarnation, version) replaces the other.
+struct GossipRow {
+  1: string owner,
+  2: i64 incarnation,
+  3: i8 topic,
+  4: string key,
+  5: i64 version,
+  6: list<i64> numbers,
+}
+
 struct Heartbeat {
   1: string vm,
   2: string availability_zone,
-  3: string boot_id,
-  4: i64 sequence,
-  5: i64 configuration_revision,
-  6: bool leaving,
-  7: list<string> leaving_upstreams,
-  // The configuration itself, where the receiver is known to have an older one.
-  8: optional binary configuration,
+  3: string host,
+  4: i32 peer_port,
+  5: string boot_id,
+  6: i64 incarnation,
+  7: i64 configuration_revision,
+  8: bool leaving,
+  9: list<GossipRow> rows,
+  // Place in the sender's log up to which the receiver is told with this heartbeat.
+  10: i64 place,
+  // Place in the receiver's log up to which the sender has taken in, and the process meant.
+  11: i64 taken,
+  12: i64 taken_incarnation,
+}
+
+struct ConfigurationQuery {
+  1: i64 newer_than_revision,
+}
+
+// Revision 0 says that the peer has none that is newer.
+struct ConfigurationAnswer {
+  1: i64 revision,
+  2: binary document,
 }
 
 exception PeerRefused {
@@ -64,4 +89,5 @@
   // Bodies are the structs above in thrift's compact form.
   Envelope find_outcome(1: Envelope query) throws (1: PeerRefused refused),
   Envelope exchange_heartbeat(1: Envelope heartbeat) throws (1: PeerRefused refused),
+  Envelope fetch_configuration(1: Envelope query) throws (1: PeerRefused refused),
 }
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -542,41 +542,189 @@
         return not (self == other)
 
 
+class GossipRow(object):
+    """
+    Attributes:
+     - owner
+     - incarnation
+     - topic
+     - key
+     - version
+     - numbers
+
+    """
+
+    __slots__ = (
+        'owner',
+        'incarnation',
+        'topic',
+        'key',
+        'version',
+        'numbers',
+    )
+
+
+    def __init__(self, owner=None, incarnation=None, topic=None, key=None, version=None, numbers=None,):
+        self.owner = owner
+        self.incarnation = incarnation
+        self.topic = topic
+        self.key = key
+        self.version = version
+        self.numbers = numbers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BYTE:
+                    self.topic = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.numbers = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readI64()
+                        self.numbers.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GossipRow')
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 1)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.BYTE, 3)
+            oprot.writeByte(self.topic)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 4)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.numbers is not None:
+            oprot.writeFieldBegin('numbers', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.numbers))
+            for iter13 in self.numbers:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
      - vm
      - availability_zone
+     - host
+     - peer_port
      - boot_id
-     - sequence
+     - incarnation
      - configuration_revision
      - leaving
-     - leaving_upstreams
-     - configuration
+     - rows
+     - place
+     - taken
+     - taken_incarnation
 
     """
 
     __slots__ = (
         'vm',
         'availability_zone',
+        'host',
+        'peer_port',
         'boot_id',
-        'sequence',
+        'incarnation',
         'configuration_revision',
         'leaving',
-        'leaving_upstreams',
-        'configuration',
+        'rows',
+        'place',
+        'taken',
+        'taken_incarnation',
     )
 
 
-    def __init__(self, vm=None, availability_zone=None, boot_id=None, sequence=None, configuration_revision=None, leaving=None, leaving_upstreams=None, configuration=None,):
+    def __init__(self, vm=None, availability_zone=None, host=None, peer_port=None, boot_id=None, incarnation=None, configuration_revision=None, leaving=None, rows=None, place=None, taken=None, taken_incarnation=None,):
         self.vm = vm
         self.availability_zone = availability_zone
+        self.host = host
+        self.peer_port = peer_port
         self.boot_id = boot_id
-        self.sequence = sequence
+        self.incarnation = incarnation
         self.configuration_revision = configuration_revision
         self.leaving = leaving
-        self.leaving_upstreams = leaving_upstreams
-        self.configuration = configuration
+        self.rows = rows
+        self.place = place
+        self.taken = taken
+        self.taken_incarnation = taken_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -599,37 +747,58 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                if ftype == TType.I32:
+                    self.peer_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
                 if ftype == TType.I64:
                     self.configuration_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 8:
                 if ftype == TType.BOOL:
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 9:
                 if ftype == TType.LIST:
-                    self.leaving_upstreams = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving_upstreams.append(_elem12)
+                    self.rows = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = GossipRow()
+                        _elem19.read(iprot)
+                        self.rows.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.STRING:
-                    self.configuration = iprot.readBinary()
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.place = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.taken = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.taken_incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -650,32 +819,196 @@
             oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
             oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
             oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.peer_port is not None:
+            oprot.writeFieldBegin('peer_port', TType.I32, 4)
+            oprot.writeI32(self.peer_port)
+            oprot.writeFieldEnd()
         if self.boot_id is not None:
-            oprot.writeFieldBegin('boot_id', TType.STRING, 3)
+            oprot.writeFieldBegin('boot_id', TType.STRING, 5)
             oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
             oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 4)
-            oprot.writeI64(self.sequence)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 6)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
         if self.configuration_revision is not None:
-            oprot.writeFieldBegin('configuration_revision', TType.I64, 5)
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 7)
             oprot.writeI64(self.configuration_revision)
             oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 8)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
-        if self.leaving_upstreams is not None:
-            oprot.writeFieldBegin('leaving_upstreams', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRING, len(self.leaving_upstreams))
-            for iter13 in self.leaving_upstreams:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter20 in self.rows:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.configuration is not None:
-            oprot.writeFieldBegin('configuration', TType.STRING, 8)
-            oprot.writeBinary(self.configuration)
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.I64, 10)
+            oprot.writeI64(self.place)
+            oprot.writeFieldEnd()
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.I64, 11)
+            oprot.writeI64(self.taken)
+            oprot.writeFieldEnd()
+        if self.taken_incarnation is not None:
+            oprot.writeFieldBegin('taken_incarnation', TType.I64, 12)
+            oprot.writeI64(self.taken_incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationQuery(object):
+    """
+    Attributes:
+     - newer_than_revision
+
+    """
+
+    __slots__ = (
+        'newer_than_revision',
+    )
+
+
+    def __init__(self, newer_than_revision=None,):
+        self.newer_than_revision = newer_than_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.newer_than_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationQuery')
+        if self.newer_than_revision is not None:
+            oprot.writeFieldBegin('newer_than_revision', TType.I64, 1)
+            oprot.writeI64(self.newer_than_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationAnswer(object):
+    """
+    Attributes:
+     - revision
+     - document
+
+    """
+
+    __slots__ = (
+        'revision',
+        'document',
+    )
+
+
+    def __init__(self, revision=None, document=None,):
+        self.revision = revision
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationAnswer')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 2)
+            oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -836,17 +1169,42 @@
     (6, TType.STRING, 'error_kind', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'run_state', 'UTF8', None, ),  # 7
 )
+all_structs.append(GossipRow)
+GossipRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'owner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.BYTE, 'topic', None, None, ),  # 3
+    (4, TType.STRING, 'key', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.LIST, 'numbers', (TType.I64, None, False), None, ),  # 6
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'sequence', None, None, ),  # 4
-    (5, TType.I64, 'configuration_revision', None, None, ),  # 5
-    (6, TType.BOOL, 'leaving', None, None, ),  # 6
-    (7, TType.LIST, 'leaving_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 7
-    (8, TType.STRING, 'configuration', 'BINARY', None, ),  # 8
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'peer_port', None, None, ),  # 4
+    (5, TType.STRING, 'boot_id', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'incarnation', None, None, ),  # 6
+    (7, TType.I64, 'configuration_revision', None, None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.LIST, 'rows', (TType.STRUCT, [GossipRow, None], False), None, ),  # 9
+    (10, TType.I64, 'place', None, None, ),  # 10
+    (11, TType.I64, 'taken', None, None, ),  # 11
+    (12, TType.I64, 'taken_incarnation', None, None, ),  # 12
+)
+all_structs.append(ConfigurationQuery)
+ConfigurationQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'newer_than_revision', None, None, ),  # 1
+)
+all_structs.append(ConfigurationAnswer)
+ConfigurationAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -45,6 +45,8 @@
     vm_list_url: str
     #: Longest wait for one answer of the key-value service.
     key_value_timeout_ms: DurationMs = 1_000
+    #: Peer ports that a start asks where the list of VMs is down, as ``host:port``.
+    seed_peers: tuple[str, ...] = ()
     #: First part of every key that this system writes.
     key_prefix: str = "azureturn/"
 
@@ -70,6 +72,10 @@
     tick_interval_ms: DurationMs = 50
     load_report_interval_ms: DurationMs = 500
     heartbeat_interval_ms: DurationMs = 500
+    #: Bytes a second that heartbeats may take, sent and received together.
+    control_bytes_per_s: ByteCount = 8_000
+    #: How long a start waits for the configuration from the key-value service or a peer.
+    start_wait_ms: DurationMs = 5_000
     #: How long a planned stop waits for the balancer to stop sending.
     balancer_lag_ms: DurationMs = 1_000
     #: How long a planned stop waits for requests in flight before it reports a cut.
--- a/azureturn/upstreams/_client.py
+++ b/azureturn/upstreams/_client.py
@@ -168,6 +168,7 @@
                 running=int(report["running"]),
                 waiting=int(report["waiting"]),
                 queued_tokens=int(report["queued_tokens"]),
+                leaving=report.get("leaving") is True,
             )
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
             return None
--- /dev/null
+++ b/benchmarks/gossip_model.py
@@ -0,0 +1,157 @@
+"""Many cores that exchange heartbeats in memory, for tests of membership and for its slopes."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+from azureturn.core import (
+    AnswerHeartbeat,
+    Configuration,
+    Core,
+    Event,
+    FetchConfiguration,
+    HeartbeatFailed,
+    HeartbeatReceived,
+    PeersListed,
+    PeerStarted,
+    SendHeartbeat,
+    Started,
+    Tick,
+)
+from azureturn.core.membership import PeerIdentity
+from azureturn.settings import (
+    PlatformSettings,
+    Settings,
+    SharedSettings,
+    UpstreamKind,
+    UpstreamSettings,
+    VmSettings,
+)
+
+TICK_MS = 50
+
+
+def model_settings(name: str, zone: str, upstreams: int) -> Settings:
+    """Return settings of one VM before a number of upstreams."""
+    return Settings(
+        vm=VmSettings(name, zone, "127.0.0.1", 1, 2),
+        platform=PlatformSettings("http://127.0.0.1:1", "http://127.0.0.1:2"),
+        shared=SharedSettings(
+            site="model",
+            tiers=(),
+            organisations=(),
+            routes=(),
+            upstreams=tuple(
+                UpstreamSettings(
+                    f"engine-{number}",
+                    UpstreamKind.MODEL_ENGINE,
+                    zone,
+                    "http://127.0.0.1:3",
+                    ("model",),
+                )
+                for number in range(upstreams)
+            ),
+        ),
+    )
+
+
+@dataclass
+class GossipVm:
+    """One core and what its heartbeats took."""
+
+    name: str
+    zone: str
+    core: Core
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    exchanges_begun: int = 0
+    revision_wanted: int = 0
+    processor_s: float = 0.0
+
+    def handle(self, event: Event, now_ms: int) -> tuple[object, ...]:
+        """Give the core an event and count the time that it takes."""
+        began_s = time.perf_counter()
+        actions = self.core.handle(event, now_ms)
+        self.processor_s += time.perf_counter() - began_s
+        return actions
+
+
+@dataclass
+class GossipModel:
+    """Cores by name, the cuts between them, and a clock that is stepped."""
+
+    vms: int
+    zones: int
+    upstreams: int = 4
+    seed: int = 1
+    #: Share of exchanges that are lost, half of them after they were received.
+    loss_share: float = 0.0
+    now_ms: int = 0
+    members: dict[str, GossipVm] = field(default_factory=dict)
+    #: Zones that cannot reach any other.
+    cut_zones: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+        for number in range(self.vms):
+            self.start(f"vm-{number}", f"zone-{number % self.zones}", incarnation=1)
+
+    def start(self, name: str, zone: str, *, incarnation: int) -> None:
+        """Start a VM, or start it anew as another process."""
+        settings = model_settings(name, zone, self.upstreams)
+        core = Core.from_settings(settings, seed=self.random.getrandbits(32))
+        vm = GossipVm(name, zone, core)
+        core.handle(Started(Configuration(0, settings.shared)), self.now_ms)
+        identity = PeerIdentity(name, zone, "127.0.0.1", 2, f"boot-{incarnation}", incarnation)
+        core.handle(PeerStarted(identity), self.now_ms)
+        self.members[name] = vm
+
+    def list_peers(self) -> None:
+        """Tell every core of all VMs, as the platform's list would."""
+        rows = tuple(
+            (PeerIdentity(vm.name, vm.zone, "127.0.0.1", 2), False) for vm in self.members.values()
+        )
+        for vm in self.members.values():
+            vm.core.handle(PeersListed(rows), self.now_ms)
+
+    def run(self, duration_ms: int) -> None:
+        """Step the clock; within a step all cores are ticked in an order drawn by chance."""
+        for _ in range(duration_ms // TICK_MS):
+            self.now_ms += TICK_MS
+            names = list(self.members)
+            self.random.shuffle(names)
+            for name in names:
+                self.perform(self.members[name], self.members[name].handle(Tick(), self.now_ms))
+
+    def perform(self, vm: GossipVm, actions: tuple[object, ...]) -> None:
+        """Carry out what a core asks for."""
+        for action in actions:
+            if isinstance(action, SendHeartbeat):
+                self._exchange(vm, action)
+            elif isinstance(action, FetchConfiguration):
+                vm.revision_wanted = max(vm.revision_wanted, action.revision)
+
+    def _exchange(self, sender: GossipVm, action: SendHeartbeat) -> None:
+        receiver = self.members[action.peer.vm]
+        sender.exchanges_begun += 1
+        sender.sent_bytes += action.heartbeat.size_bytes
+        lost = self.random.random() < self.loss_share
+        if self._is_cut(sender, receiver) or (lost and self.random.random() < 0.5):
+            sender.handle(HeartbeatFailed(receiver.name), self.now_ms)
+            return
+        receiver.received_bytes += action.heartbeat.size_bytes
+        received = HeartbeatReceived(action.heartbeat, answer_wanted=True)
+        answers = receiver.handle(received, self.now_ms)
+        for answer in answers:
+            if isinstance(answer, AnswerHeartbeat):
+                receiver.sent_bytes += answer.heartbeat.size_bytes
+                if lost:
+                    sender.handle(HeartbeatFailed(receiver.name), self.now_ms)
+                    continue
+                sender.received_bytes += answer.heartbeat.size_bytes
+                event = HeartbeatReceived(answer.heartbeat, answer_wanted=False)
+                self.perform(sender, sender.handle(event, self.now_ms))
+        self.perform(receiver, tuple(a for a in answers if not isinstance(a, AnswerHeartbeat)))
+
+    def _is_cut(self, one: GossipVm, other: GossipVm) -> bool:
+        return one.zone != other.zone and bool({one.zone, other.zone} & self.cut_zones)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -42,6 +42,8 @@
     #: Read the request, then close the connection.
     close_after_read: bool = False
     load_report_lag_ms: int = 0
+    #: Says in its load report that it is leaving.
+    leaving: bool = False
     #: Share of cache events that are lost.
     cache_event_gap_share: float = 0.0
     #: False for engines that take orders with an old fencing number.
@@ -269,7 +271,8 @@
             taken_ms, report = older_ms, older
             if older_ms <= now_ms - self.switches.load_report_lag_ms:
                 break
-        return web.json_response({**report, "age_ms": round(now_ms - taken_ms)})
+        age_ms = round(now_ms - taken_ms)
+        return web.json_response({**report, "age_ms": age_ms, "leaving": self.switches.leaving})
 
     async def events(self, request: web.Request) -> web.Response:
         after = int(request.query.get("after", "0"))
