--- /dev/null
+++ b/specification/__init__.py
@@ -0,0 +1,10 @@
+"""Small specifications of the core protocols, for the model checker ``minicheck``."""
+
+from specification._registry import (
+    SPECIFICATIONS,
+    Mutation,
+    Specification,
+    specification,
+)
+
+__all__ = ["SPECIFICATIONS", "Mutation", "Specification", "specification"]
