A registry of candidate filters, and a package for placement

Version moves need to narrow the upstreams that a request may go to without editing the placement controller. A filter is a function registered with candidate_filter together with the tables that it reads; the controller applies all of them, on views that admit only those tables, in one place (PlacementController._candidates).

--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -34,10 +34,17 @@
     Tick,
     UpstreamLeaving,
 )
-from azureturn.core._placement import PLACEMENT_POLICIES, PlacementPolicy, placement_policy
 from azureturn.core._queue import QueueTable, RequestQueue
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.core._upstreams import LoadReport, Upstream, UpstreamTable
+from azureturn.core.placement import (
+    CANDIDATE_FILTERS,
+    PLACEMENT_POLICIES,
+    CandidateFilter,
+    PlacementPolicy,
+    candidate_filter,
+    placement_policy,
+)
 
 __all__ = [
     "Action",
@@ -45,8 +52,10 @@
     "AskClaimant",
     "Blackboard",
     "BlackboardView",
+    "CANDIDATE_FILTERS",
     "CONTROLLERS",
     "CallerLeft",
+    "CandidateFilter",
     "CancelAtUpstream",
     "ClaimDecided",
     "ClaimHolder",
@@ -87,6 +96,7 @@
     "UpstreamLeaving",
     "UpstreamTable",
     "WriteClaim",
+    "candidate_filter",
     "controller",
     "controllers",
     "on",
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -1,5 +1,8 @@
 """Places queued requests on upstreams that have room."""
 
+from collections.abc import Sequence
+
+from azureturn.core._blackboard import Blackboard, BlackboardView
 from azureturn.core._configuration import ConfigurationTable
 from azureturn.core._controllers import Context, Controller, controller, on
 from azureturn.core._events import (
@@ -9,11 +12,12 @@
     RequestEnded,
     RequestFailed,
 )
-from azureturn.core._placement import PLACEMENT_POLICIES
 from azureturn.core._queue import QueueTable
 from azureturn.core._requests import Request, RequestTable
 from azureturn.core._upstreams import Upstream, UpstreamTable
+from azureturn.core.placement import PLACEMENT_POLICIES, CandidateFilters
 from azureturn.errors import ErrorKind
+from azureturn.settings import Settings
 
 #: An upstream that refused a connection gets no new work for this long.
 CLOSED_AFTER_REFUSAL_MS = 500
@@ -31,15 +35,29 @@
     writes = (RequestTable, QueueTable, UpstreamTable)
     after = ("admission",)
 
+    def __init__(
+        self, board: BlackboardView, settings: Settings, filters: CandidateFilters
+    ) -> None:
+        super().__init__(board, settings)
+        self._filters = filters
+
+    @classmethod
+    def from_settings(cls, settings: Settings, board: Blackboard) -> "PlacementController":
+        """Return the controller with every candidate filter that is registered by now."""
+        view = BlackboardView(
+            board, cls.name, reads=frozenset(cls.reads), writes=frozenset(cls.writes)
+        )
+        return cls(view, settings, CandidateFilters.from_board(board))
+
     @on(PlacementDue)
     def _on_due(self, event: PlacementDue, context: Context) -> None:
         queue = self.board.write(QueueTable).of(event.target)
         while len(queue):
-            candidates = self._with_room(event.target, context.now_ms)
+            request = queue.peek()
+            candidates = self._candidates(request, context.now_ms)
             if not candidates:
                 return
-            request = queue.pop()
-            self._place(request, candidates, context)
+            self._place(queue.pop(), candidates, context)
 
     @on(LoadReported)
     def _on_load_reported(self, event: LoadReported, context: Context) -> None:
@@ -69,11 +87,13 @@
             upstreams.put(request.upstream, released)
         context.post(PlacementDue(request.target))
 
-    def _with_room(self, target: str, now_ms: int) -> list[Upstream]:
-        serving = self.board.read(UpstreamTable).serving(target, now_ms)
-        return [one for one in serving if one.outstanding_requests < one.settings.slots]
+    def _candidates(self, request: Request, now_ms: int) -> Sequence[Upstream]:
+        """Return the upstreams with room that the request may be given to."""
+        serving = self.board.read(UpstreamTable).serving(request.target, now_ms)
+        with_room = [one for one in serving if one.outstanding_requests < one.settings.slots]
+        return self._filters.apply(request, with_room)
 
-    def _place(self, request: Request, candidates: list[Upstream], context: Context) -> None:
+    def _place(self, request: Request, candidates: Sequence[Upstream], context: Context) -> None:
         policy = self.board.read(ConfigurationTable).in_force().shared.policy.placement
         upstream = PLACEMENT_POLICIES[policy](request, candidates, context.random)
         name = upstream.settings.name
