--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -43,10 +43,17 @@
     Tick,
     UpstreamLeaving,
 )
-from azureturn.core._placement import PLACEMENT_POLICIES, PlacementPolicy, placement_policy
 from azureturn.core._queue import QueueTable, RequestQueue
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.core._upstreams import LoadReport, Upstream, UpstreamTable
+from azureturn.core.placement import (
+    CANDIDATE_FILTERS,
+    PLACEMENT_POLICIES,
+    CandidateFilter,
+    PlacementPolicy,
+    candidate_filter,
+    placement_policy,
+)
 
 __all__ = [
     "Action",
@@ -55,8 +62,10 @@
     "AskClaimant",
     "Blackboard",
     "BlackboardView",
+    "CANDIDATE_FILTERS",
     "CONTROLLERS",
     "CallerLeft",
+    "CandidateFilter",
     "CancelAtUpstream",
     "ClaimDecided",
     "ClaimHolder",
@@ -105,6 +114,7 @@
     "UpstreamLeaving",
     "UpstreamTable",
     "WriteClaim",
+    "candidate_filter",
     "controller",
     "controllers",
     "on",
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks: each prints what it measured; none has a bound on time that can fail."""
+"""Benchmarks, each run by ``scripts/bench NAME``; none of them is a test."""
