--- a/azureturn/command/__init__.py
+++ b/azureturn/command/__init__.py
@@ -1,5 +1,6 @@
 """The command-line tool."""
 
-from azureturn.command._main import main
+from azureturn.command._exit_codes import EXIT_CODE_MEANINGS, ExitCode
+from azureturn.command._main import main, run
 
-__all__ = ["main"]
+__all__ = ["EXIT_CODE_MEANINGS", "ExitCode", "main", "run"]
--- a/azureturn/command/_main.py
+++ b/azureturn/command/_main.py
@@ -1,44 +1,21 @@
-"""The entry point of ``azureturn``."""
+"""The entry point of ``azureturn``; each subcommand is a module of its own, named here."""
 
 import sys
-from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Annotated
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 import cappa
 
-from azureturn.errors import SettingsError
-from azureturn.settings import load_settings
+from azureturn.command._config import ConfigCommand
+from azureturn.command._errors import report_error
+from azureturn.command._exit_codes import ExitCode
+from azureturn.command._vm import VmCommand
+from azureturn.errors import AzureturnError
 
-EXIT_SETTINGS = 2
+#: How a mistake on the command line is told: in one line, with what to do.
+ERROR_FORMAT = "{prog}: {message} (see '{prog} --help')"
 
-
-@cappa.command(name="check", help="Check settings and list every mistake.")
-@dataclass(frozen=True)
-class ConfigCheck:
-    """``azureturn config check``."""
-
-    config: Annotated[Path, cappa.Arg(long=True, help="The JSON base file.")]
-    overlay: Annotated[list[Path], cappa.Arg(long=True, help="A JSON overlay.")] = field(
-        default_factory=list
-    )
-
-    def __call__(self) -> None:
-        """Exit 0 where the settings can be used, 2 with every mistake where not."""
-        try:
-            settings = load_settings(self.config, self.overlay)
-        except SettingsError as error:
-            sys.stderr.write(error.message + "\n")
-            raise cappa.Exit(code=EXIT_SETTINGS) from error
-        sys.stdout.write(f"{settings.shared.site}: the settings can be used\n")
-
-
-@cappa.command(name="config", help="Check, compare and apply settings.")
-@dataclass(frozen=True)
-class ConfigCommand:
-    """``azureturn config``."""
-
-    command: cappa.Subcommands[ConfigCheck]
+Subcommand = ConfigCommand | VmCommand
 
 
 @cappa.command(name="azureturn", help="Operate azureturn from the terminal.")
@@ -46,9 +23,19 @@
 class AzureturnCommand:
     """``azureturn``."""
 
-    command: cappa.Subcommands[ConfigCommand]
+    command: cappa.Subcommands[Subcommand]
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        output = cappa.Output(error_format=ERROR_FORMAT)
+        code = cappa.invoke(AzureturnCommand, argv=list(arguments), output=output)
+    except AzureturnError as error:
+        return report_error(error)
+    return code if isinstance(code, ExitCode) else ExitCode.OK
 
 
 def main() -> None:
-    """Run one command."""
-    cappa.invoke(AzureturnCommand)
+    """Run the command that the command line names."""
+    sys.exit(int(run(sys.argv[1:])))
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -9,6 +9,7 @@
 from azureturn.daemon._caller_server import CallerServer
 from azureturn.daemon._claims import ClaimWriter
 from azureturn.daemon._face import CallerFace
+from azureturn.daemon._operators import answer_operator
 from azureturn.daemon._outcomes import OutcomeStore, unknown_outcome
 from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.daemon._services import Services
@@ -17,6 +18,8 @@
 from azureturn.peers import (
     EnvelopeSigner,
     Heartbeat,
+    OperatorAnswer,
+    OperatorQuery,
     Outcome,
     OutcomeQuery,
     PeerClient,
@@ -59,6 +62,10 @@
             leaving_upstreams=[],
         )
 
+    def operate(self, query: OperatorQuery) -> OperatorAnswer:
+        """Answer an operator's query."""
+        return answer_operator(self._services, query)
+
 
 class Daemon:
     """The entry daemon of one VM.
--- /dev/null
+++ b/azureturn/daemon/_operators.py
@@ -0,0 +1,106 @@
+"""Answers operators' queries: a registry from the query's name to what answers it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from azureturn._version import __version__
+from azureturn.core import ConfigurationTable, Core, Upstream, UpstreamTable
+from azureturn.daemon._runtime import now_ms
+from azureturn.daemon._services import Services
+from azureturn.errors import AzureturnError, ErrorKind
+from azureturn.peers import (
+    NoArgument,
+    OperatorAnswer,
+    OperatorQuery,
+    UpstreamStatus,
+    UpstreamStatuses,
+    VmStatus,
+    decode_struct,
+    encode_struct,
+)
+
+_Argument = TypeVar("_Argument")
+_Answer = TypeVar("_Answer")
+
+
+@dataclass(frozen=True)
+class OperatorHandler:
+    """What answers one query, and the struct that it takes."""
+
+    argument_type: type[Any]
+    answer: Callable[[Services, Any], Any]
+
+
+OPERATOR_QUERIES: dict[str, OperatorHandler] = {}
+
+
+def operator_query(
+    name: str, argument_type: type[_Argument]
+) -> Callable[[Callable[[Services, _Argument], _Answer]], Callable[[Services, _Argument], _Answer]]:
+    """Register the function that answers an operator's query.
+
+    >>> @operator_query("vm.echo", NoArgument)  # doctest: +SKIP
+    ... def echo(services, argument):
+    ...     return argument
+    """
+
+    def register(
+        answer: Callable[[Services, _Argument], _Answer],
+    ) -> Callable[[Services, _Argument], _Answer]:
+        OPERATOR_QUERIES[name] = OperatorHandler(argument_type, answer)
+        return answer
+
+    return register
+
+
+def answer_operator(services: Services, query: OperatorQuery) -> OperatorAnswer:
+    """Return the answer to a query, or raise with kind ``not_found`` for an unknown one."""
+    handler = OPERATOR_QUERIES.get(query.name or "")
+    if handler is None:
+        raise AzureturnError(ErrorKind.NOT_FOUND, "this VM does not know the operators' query")
+    argument = decode_struct(handler.argument_type, query.argument or b"")
+    return OperatorAnswer(answer=encode_struct(handler.answer(services, argument)))
+
+
+@operator_query("vm.status", NoArgument)
+def _vm_status(services: Services, _argument: NoArgument) -> VmStatus:
+    vm = services.settings.vm
+    configuration = services.runtime.inspect(
+        lambda core: core.board.table(ConfigurationTable).in_force()
+    )
+    return VmStatus(
+        vm=vm.name,
+        availability_zone=vm.availability_zone,
+        boot_id=services.boot_id,
+        version=__version__,
+        started_at_unix_ms=services.started_at_unix_ms,
+        configuration_revision=configuration.revision,
+        configuration_source=configuration.source.value,
+        requests_in_progress=services.runtime.requests_in_progress,
+        leaving=False,
+    )
+
+
+@operator_query("upstream.list", NoArgument)
+def _upstream_list(services: Services, _argument: NoArgument) -> UpstreamStatuses:
+    return UpstreamStatuses(upstreams=services.runtime.inspect(_upstream_statuses))
+
+
+def _upstream_statuses(core: Core) -> list[UpstreamStatus]:
+    at_ms = now_ms()
+    return [_upstream_status(one, at_ms) for one in core.board.table(UpstreamTable).rows()]
+
+
+def _upstream_status(upstream: Upstream, at_ms: int) -> UpstreamStatus:
+    return UpstreamStatus(
+        upstream=upstream.settings.name,
+        kind=upstream.settings.kind.value,
+        availability_zone=upstream.settings.availability_zone,
+        version=upstream.settings.version,
+        draining=upstream.settings.draining,
+        leaving=upstream.leaving,
+        closed=upstream.closed_until_ms > at_ms,
+        outstanding_requests=upstream.outstanding_requests,
+        outstanding_tokens=upstream.outstanding_tokens,
+    )
--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -1,5 +1,6 @@
 """Calls from one VM to another."""
 
+import logging
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -9,15 +10,25 @@
 from thrift.transport.TTransport import TBufferedTransport
 
 from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError
-from azureturn.peers._authentication import EnvelopeSigner
+from azureturn.peers._authentication import EnvelopeSigner, decode_struct, encode_struct
 from azureturn.peers.gen.Peer import Client
-from azureturn.peers.gen.ttypes import Heartbeat, Outcome, OutcomeQuery, PeerRefused
+from azureturn.peers.gen.ttypes import (
+    Heartbeat,
+    OperatorAnswer,
+    OperatorQuery,
+    Outcome,
+    OutcomeQuery,
+    PeerRefused,
+)
 
 #: Time beyond the wait that a call asks for.
 CALL_TIMEOUT_MS = 1_000
 
 _Answer = TypeVar("_Answer")
 
+# The library logs what it also raises; our own log tells it once, in our own form.
+logging.getLogger("thrift").addHandler(logging.NullHandler())
+
 
 @dataclass(frozen=True)
 class PeerAddress:
@@ -44,6 +55,20 @@
             address, "exchange_heartbeat", heartbeat, Heartbeat, timeout_ms=CALL_TIMEOUT_MS
         )
 
+    def operate(
+        self,
+        address: PeerAddress,
+        name: str,
+        argument: Any,
+        answer_type: type[_Answer],
+        *,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> _Answer:
+        """Return a VM's answer to an operator's query."""
+        query = OperatorQuery(name=name, argument=encode_struct(argument))
+        answer = self._call(address, "operate", query, OperatorAnswer, timeout_ms=timeout_ms)
+        return decode_struct(answer_type, answer.answer or b"")
+
     def _call(
         self,
         address: PeerAddress,
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -11,7 +11,15 @@
 from azureturn.errors import AzureturnError
 from azureturn.peers._authentication import EnvelopeSigner
 from azureturn.peers.gen.Peer import Processor
-from azureturn.peers.gen.ttypes import Envelope, Heartbeat, Outcome, OutcomeQuery, PeerRefused
+from azureturn.peers.gen.ttypes import (
+    Envelope,
+    Heartbeat,
+    OperatorAnswer,
+    OperatorQuery,
+    Outcome,
+    OutcomeQuery,
+    PeerRefused,
+)
 
 PEER_THREADS = 32
 #: A peer's connection that brings nothing for this long is closed.
@@ -29,6 +37,9 @@
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
 
+    def operate(self, query: OperatorQuery) -> OperatorAnswer:
+        """Answer an operator's query."""
+
 
 class _SignedHandler:
     """Opens envelopes, calls the handler, and seals its answer."""
@@ -43,6 +54,9 @@
     def exchange_heartbeat(self, heartbeat: Envelope) -> Envelope:
         return self._answer("exchange_heartbeat", heartbeat, Heartbeat)
 
+    def operate(self, query: Envelope) -> Envelope:
+        return self._answer("operate", query, OperatorQuery)
+
     def _answer(self, call: str, envelope: Envelope, body_type: type[Any]) -> Envelope:
         try:
             body = self._signer.open(call, envelope, body_type)
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -55,6 +55,117 @@
   8: optional binary configuration,
 }
 
+// What operators ask. The query names one of the registered queries; argument and answer are the
+// structs that belong to it, in compact form.
+struct OperatorQuery {
+  1: string name,
+  2: binary argument,
+}
+
+struct OperatorAnswer {
+  1: binary answer,
+}
+
+struct NoArgument {
+}
+
+struct VmStatus {
+  1: string vm,
+  2: string availability_zone,
+  3: string boot_id,
+  4: string version,
+  5: i64 started_at_unix_ms,
+  6: i64 configuration_revision,
+  7: string configuration_source,
+  8: i32 requests_in_progress,
+  9: bool leaving,
+}
+
+struct UpstreamStatus {
+  1: string upstream,
+  2: string kind,
+  3: string availability_zone,
+  4: string version,
+  5: bool draining,
+  6: bool leaving,
+  7: bool closed,
+  8: i32 outstanding_requests,
+  9: i64 outstanding_tokens,
+}
+
+struct UpstreamStatuses {
+  1: list<UpstreamStatus> upstreams,
+}
+
+struct RefusalsArgument {
+  1: i32 limit,
+}
+
+struct Refusal {
+  1: i64 refused_at_unix_ms,
+  2: string request_id,
+  3: string organisation,
+  4: string route,
+  5: string tier,
+  6: string upstream,
+  7: string kind,
+  8: string run_state,
+  9: string cause,
+  10: i64 retry_after_ms,
+}
+
+struct Refusals {
+  1: list<Refusal> refusals,
+  // Refusals that were too many to keep.
+  2: i64 forgotten_count,
+}
+
+struct ServiceLevelArgument {
+  1: list<i64> window_ms,
+  2: i64 series_step_ms,
+  3: i64 series_window_ms,
+}
+
+struct ServiceLevelCell {
+  1: string tier,
+  2: string organisation,
+  3: string route,
+  4: string upstream,
+  5: string version,
+  6: string error_kind,
+  7: i64 good_count,
+  8: i64 bad_count,
+}
+
+struct LatencyHistogram {
+  1: string tier,
+  2: list<i32> bin_keys,
+  3: list<i64> bin_counts,
+  4: i64 zero_count,
+  5: double sum_ms,
+  6: double least_ms,
+  7: double greatest_ms,
+}
+
+struct ServiceLevelWindow {
+  1: i64 window_ms,
+  2: list<ServiceLevelCell> cells,
+  3: list<LatencyHistogram> latencies,
+}
+
+struct ServiceLevelPoint {
+  1: i64 began_at_unix_ms,
+  2: string tier,
+  3: i64 good_count,
+  4: i64 bad_count,
+}
+
+struct ServiceLevels {
+  1: i64 observed_since_unix_ms,
+  2: list<ServiceLevelWindow> windows,
+  3: list<ServiceLevelPoint> series,
+}
+
 exception PeerRefused {
   1: string kind,
   2: string message,
@@ -64,4 +175,5 @@
   // Bodies are the structs above in thrift's compact form.
   Envelope find_outcome(1: Envelope query) throws (1: PeerRefused refused),
   Envelope exchange_heartbeat(1: Envelope heartbeat) throws (1: PeerRefused refused),
+  Envelope operate(1: Envelope query) throws (1: PeerRefused refused),
 }
--- a/azureturn/peers/gen/Peer.py
+++ b/azureturn/peers/gen/Peer.py
@@ -35,6 +35,14 @@
         """
         pass
 
+    def operate(self, query):
+        """
+        Parameters:
+         - query
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -111,6 +119,40 @@
             raise result.refused
         raise TApplicationException(TApplicationException.MISSING_RESULT, "exchange_heartbeat failed: unknown result")
 
+    def operate(self, query):
+        """
+        Parameters:
+         - query
+
+        """
+        self.send_operate(query)
+        return self.recv_operate()
+
+    def send_operate(self, query):
+        self._oprot.writeMessageBegin('operate', TMessageType.CALL, self._seqid)
+        args = operate_args()
+        args.query = query
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_operate(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = operate_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refused is not None:
+            raise result.refused
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "operate failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -118,6 +160,7 @@
         self._processMap = {}
         self._processMap["find_outcome"] = Processor.process_find_outcome
         self._processMap["exchange_heartbeat"] = Processor.process_exchange_heartbeat
+        self._processMap["operate"] = Processor.process_operate
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -192,6 +235,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_operate(self, seqid, iprot, oprot):
+        args = operate_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = operate_result()
+        try:
+            result.success = self._handler.operate(args.query)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("operate", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -513,5 +582,165 @@
     (0, TType.STRUCT, 'success', [Envelope, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [PeerRefused, None], None, ),  # 1
 )
+
+
+class operate_args(object):
+    """
+    Attributes:
+     - query
+
+    """
+
+    __slots__ = (
+        'query',
+    )
+
+
+    def __init__(self, query=None,):
+        self.query = query
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.query = Envelope()
+                    self.query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('operate_args')
+        if self.query is not None:
+            oprot.writeFieldBegin('query', TType.STRUCT, 1)
+            self.query.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(operate_args)
+operate_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'query', [Envelope, None], None, ),  # 1
+)
+
+
+class operate_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+
+    """
+
+    __slots__ = (
+        'success',
+        'refused',
+    )
+
+
+    def __init__(self, success=None, refused=None,):
+        self.success = success
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Envelope()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = PeerRefused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('operate_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(operate_result)
+operate_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Envelope, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [PeerRefused, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -702,6 +702,1674 @@
         return not (self == other)
 
 
+class OperatorQuery(object):
+    """
+    Attributes:
+     - name
+     - argument
+
+    """
+
+    __slots__ = (
+        'name',
+        'argument',
+    )
+
+
+    def __init__(self, name=None, argument=None,):
+        self.name = name
+        self.argument = argument
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.argument = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorQuery')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.argument is not None:
+            oprot.writeFieldBegin('argument', TType.STRING, 2)
+            oprot.writeBinary(self.argument)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OperatorAnswer(object):
+    """
+    Attributes:
+     - answer
+
+    """
+
+    __slots__ = (
+        'answer',
+    )
+
+
+    def __init__(self, answer=None,):
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.answer = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorAnswer')
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRING, 1)
+            oprot.writeBinary(self.answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NoArgument(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NoArgument')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VmStatus(object):
+    """
+    Attributes:
+     - vm
+     - availability_zone
+     - boot_id
+     - version
+     - started_at_unix_ms
+     - configuration_revision
+     - configuration_source
+     - requests_in_progress
+     - leaving
+
+    """
+
+    __slots__ = (
+        'vm',
+        'availability_zone',
+        'boot_id',
+        'version',
+        'started_at_unix_ms',
+        'configuration_revision',
+        'configuration_source',
+        'requests_in_progress',
+        'leaving',
+    )
+
+
+    def __init__(self, vm=None, availability_zone=None, boot_id=None, version=None, started_at_unix_ms=None, configuration_revision=None, configuration_source=None, requests_in_progress=None, leaving=None,):
+        self.vm = vm
+        self.availability_zone = availability_zone
+        self.boot_id = boot_id
+        self.version = version
+        self.started_at_unix_ms = started_at_unix_ms
+        self.configuration_revision = configuration_revision
+        self.configuration_source = configuration_source
+        self.requests_in_progress = requests_in_progress
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.started_at_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.configuration_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.configuration_source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.requests_in_progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VmStatus')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.boot_id is not None:
+            oprot.writeFieldBegin('boot_id', TType.STRING, 3)
+            oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.started_at_unix_ms is not None:
+            oprot.writeFieldBegin('started_at_unix_ms', TType.I64, 5)
+            oprot.writeI64(self.started_at_unix_ms)
+            oprot.writeFieldEnd()
+        if self.configuration_revision is not None:
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 6)
+            oprot.writeI64(self.configuration_revision)
+            oprot.writeFieldEnd()
+        if self.configuration_source is not None:
+            oprot.writeFieldBegin('configuration_source', TType.STRING, 7)
+            oprot.writeString(self.configuration_source.encode('utf-8') if sys.version_info[0] == 2 else self.configuration_source)
+            oprot.writeFieldEnd()
+        if self.requests_in_progress is not None:
+            oprot.writeFieldBegin('requests_in_progress', TType.I32, 8)
+            oprot.writeI32(self.requests_in_progress)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 9)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamStatus(object):
+    """
+    Attributes:
+     - upstream
+     - kind
+     - availability_zone
+     - version
+     - draining
+     - leaving
+     - closed
+     - outstanding_requests
+     - outstanding_tokens
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'kind',
+        'availability_zone',
+        'version',
+        'draining',
+        'leaving',
+        'closed',
+        'outstanding_requests',
+        'outstanding_tokens',
+    )
+
+
+    def __init__(self, upstream=None, kind=None, availability_zone=None, version=None, draining=None, leaving=None, closed=None, outstanding_requests=None, outstanding_tokens=None,):
+        self.upstream = upstream
+        self.kind = kind
+        self.availability_zone = availability_zone
+        self.version = version
+        self.draining = draining
+        self.leaving = leaving
+        self.closed = closed
+        self.outstanding_requests = outstanding_requests
+        self.outstanding_tokens = outstanding_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.closed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.outstanding_requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.outstanding_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamStatus')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 3)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 5)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.closed is not None:
+            oprot.writeFieldBegin('closed', TType.BOOL, 7)
+            oprot.writeBool(self.closed)
+            oprot.writeFieldEnd()
+        if self.outstanding_requests is not None:
+            oprot.writeFieldBegin('outstanding_requests', TType.I32, 8)
+            oprot.writeI32(self.outstanding_requests)
+            oprot.writeFieldEnd()
+        if self.outstanding_tokens is not None:
+            oprot.writeFieldBegin('outstanding_tokens', TType.I64, 9)
+            oprot.writeI64(self.outstanding_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamStatuses(object):
+    """
+    Attributes:
+     - upstreams
+
+    """
+
+    __slots__ = (
+        'upstreams',
+    )
+
+
+    def __init__(self, upstreams=None,):
+        self.upstreams = upstreams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = UpstreamStatus()
+                        _elem19.read(iprot)
+                        self.upstreams.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamStatuses')
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter20 in self.upstreams:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RefusalsArgument(object):
+    """
+    Attributes:
+     - limit
+
+    """
+
+    __slots__ = (
+        'limit',
+    )
+
+
+    def __init__(self, limit=None,):
+        self.limit = limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.limit = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RefusalsArgument')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I32, 1)
+            oprot.writeI32(self.limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Refusal(object):
+    """
+    Attributes:
+     - refused_at_unix_ms
+     - request_id
+     - organisation
+     - route
+     - tier
+     - upstream
+     - kind
+     - run_state
+     - cause
+     - retry_after_ms
+
+    """
+
+    __slots__ = (
+        'refused_at_unix_ms',
+        'request_id',
+        'organisation',
+        'route',
+        'tier',
+        'upstream',
+        'kind',
+        'run_state',
+        'cause',
+        'retry_after_ms',
+    )
+
+
+    def __init__(self, refused_at_unix_ms=None, request_id=None, organisation=None, route=None, tier=None, upstream=None, kind=None, run_state=None, cause=None, retry_after_ms=None,):
+        self.refused_at_unix_ms = refused_at_unix_ms
+        self.request_id = request_id
+        self.organisation = organisation
+        self.route = route
+        self.tier = tier
+        self.upstream = upstream
+        self.kind = kind
+        self.run_state = run_state
+        self.cause = cause
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.refused_at_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.run_state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.cause = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Refusal')
+        if self.refused_at_unix_ms is not None:
+            oprot.writeFieldBegin('refused_at_unix_ms', TType.I64, 1)
+            oprot.writeI64(self.refused_at_unix_ms)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 4)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 5)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 6)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 7)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.run_state is not None:
+            oprot.writeFieldBegin('run_state', TType.STRING, 8)
+            oprot.writeString(self.run_state.encode('utf-8') if sys.version_info[0] == 2 else self.run_state)
+            oprot.writeFieldEnd()
+        if self.cause is not None:
+            oprot.writeFieldBegin('cause', TType.STRING, 9)
+            oprot.writeString(self.cause.encode('utf-8') if sys.version_info[0] == 2 else self.cause)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 10)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Refusals(object):
+    """
+    Attributes:
+     - refusals
+     - forgotten_count
+
+    """
+
+    __slots__ = (
+        'refusals',
+        'forgotten_count',
+    )
+
+
+    def __init__(self, refusals=None, forgotten_count=None,):
+        self.refusals = refusals
+        self.forgotten_count = forgotten_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Refusal()
+                        _elem26.read(iprot)
+                        self.refusals.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.forgotten_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Refusals')
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter27 in self.refusals:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.forgotten_count is not None:
+            oprot.writeFieldBegin('forgotten_count', TType.I64, 2)
+            oprot.writeI64(self.forgotten_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelArgument(object):
+    """
+    Attributes:
+     - window_ms
+     - series_step_ms
+     - series_window_ms
+
+    """
+
+    __slots__ = (
+        'window_ms',
+        'series_step_ms',
+        'series_window_ms',
+    )
+
+
+    def __init__(self, window_ms=None, series_step_ms=None, series_window_ms=None,):
+        self.window_ms = window_ms
+        self.series_step_ms = series_step_ms
+        self.series_window_ms = series_window_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.window_ms = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI64()
+                        self.window_ms.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.series_step_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.series_window_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelArgument')
+        if self.window_ms is not None:
+            oprot.writeFieldBegin('window_ms', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.window_ms))
+            for iter34 in self.window_ms:
+                oprot.writeI64(iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.series_step_ms is not None:
+            oprot.writeFieldBegin('series_step_ms', TType.I64, 2)
+            oprot.writeI64(self.series_step_ms)
+            oprot.writeFieldEnd()
+        if self.series_window_ms is not None:
+            oprot.writeFieldBegin('series_window_ms', TType.I64, 3)
+            oprot.writeI64(self.series_window_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelCell(object):
+    """
+    Attributes:
+     - tier
+     - organisation
+     - route
+     - upstream
+     - version
+     - error_kind
+     - good_count
+     - bad_count
+
+    """
+
+    __slots__ = (
+        'tier',
+        'organisation',
+        'route',
+        'upstream',
+        'version',
+        'error_kind',
+        'good_count',
+        'bad_count',
+    )
+
+
+    def __init__(self, tier=None, organisation=None, route=None, upstream=None, version=None, error_kind=None, good_count=None, bad_count=None,):
+        self.tier = tier
+        self.organisation = organisation
+        self.route = route
+        self.upstream = upstream
+        self.version = version
+        self.error_kind = error_kind
+        self.good_count = good_count
+        self.bad_count = bad_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.error_kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.good_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.bad_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelCell')
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 1)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 3)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 4)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 5)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.error_kind is not None:
+            oprot.writeFieldBegin('error_kind', TType.STRING, 6)
+            oprot.writeString(self.error_kind.encode('utf-8') if sys.version_info[0] == 2 else self.error_kind)
+            oprot.writeFieldEnd()
+        if self.good_count is not None:
+            oprot.writeFieldBegin('good_count', TType.I64, 7)
+            oprot.writeI64(self.good_count)
+            oprot.writeFieldEnd()
+        if self.bad_count is not None:
+            oprot.writeFieldBegin('bad_count', TType.I64, 8)
+            oprot.writeI64(self.bad_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LatencyHistogram(object):
+    """
+    Attributes:
+     - tier
+     - bin_keys
+     - bin_counts
+     - zero_count
+     - sum_ms
+     - least_ms
+     - greatest_ms
+
+    """
+
+    __slots__ = (
+        'tier',
+        'bin_keys',
+        'bin_counts',
+        'zero_count',
+        'sum_ms',
+        'least_ms',
+        'greatest_ms',
+    )
+
+
+    def __init__(self, tier=None, bin_keys=None, bin_counts=None, zero_count=None, sum_ms=None, least_ms=None, greatest_ms=None,):
+        self.tier = tier
+        self.bin_keys = bin_keys
+        self.bin_counts = bin_counts
+        self.zero_count = zero_count
+        self.sum_ms = sum_ms
+        self.least_ms = least_ms
+        self.greatest_ms = greatest_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.bin_keys = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI32()
+                        self.bin_keys.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.bin_counts = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readI64()
+                        self.bin_counts.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.zero_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.sum_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.least_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.greatest_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LatencyHistogram')
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 1)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.bin_keys is not None:
+            oprot.writeFieldBegin('bin_keys', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.bin_keys))
+            for iter47 in self.bin_keys:
+                oprot.writeI32(iter47)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bin_counts is not None:
+            oprot.writeFieldBegin('bin_counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.bin_counts))
+            for iter48 in self.bin_counts:
+                oprot.writeI64(iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.zero_count is not None:
+            oprot.writeFieldBegin('zero_count', TType.I64, 4)
+            oprot.writeI64(self.zero_count)
+            oprot.writeFieldEnd()
+        if self.sum_ms is not None:
+            oprot.writeFieldBegin('sum_ms', TType.DOUBLE, 5)
+            oprot.writeDouble(self.sum_ms)
+            oprot.writeFieldEnd()
+        if self.least_ms is not None:
+            oprot.writeFieldBegin('least_ms', TType.DOUBLE, 6)
+            oprot.writeDouble(self.least_ms)
+            oprot.writeFieldEnd()
+        if self.greatest_ms is not None:
+            oprot.writeFieldBegin('greatest_ms', TType.DOUBLE, 7)
+            oprot.writeDouble(self.greatest_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelWindow(object):
+    """
+    Attributes:
+     - window_ms
+     - cells
+     - latencies
+
+    """
+
+    __slots__ = (
+        'window_ms',
+        'cells',
+        'latencies',
+    )
+
+
+    def __init__(self, window_ms=None, cells=None, latencies=None,):
+        self.window_ms = window_ms
+        self.cells = cells
+        self.latencies = latencies
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.cells = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = ServiceLevelCell()
+                        _elem54.read(iprot)
+                        self.cells.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.latencies = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = LatencyHistogram()
+                        _elem60.read(iprot)
+                        self.latencies.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelWindow')
+        if self.window_ms is not None:
+            oprot.writeFieldBegin('window_ms', TType.I64, 1)
+            oprot.writeI64(self.window_ms)
+            oprot.writeFieldEnd()
+        if self.cells is not None:
+            oprot.writeFieldBegin('cells', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.cells))
+            for iter61 in self.cells:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.latencies is not None:
+            oprot.writeFieldBegin('latencies', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.latencies))
+            for iter62 in self.latencies:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelPoint(object):
+    """
+    Attributes:
+     - began_at_unix_ms
+     - tier
+     - good_count
+     - bad_count
+
+    """
+
+    __slots__ = (
+        'began_at_unix_ms',
+        'tier',
+        'good_count',
+        'bad_count',
+    )
+
+
+    def __init__(self, began_at_unix_ms=None, tier=None, good_count=None, bad_count=None,):
+        self.began_at_unix_ms = began_at_unix_ms
+        self.tier = tier
+        self.good_count = good_count
+        self.bad_count = bad_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.began_at_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.good_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.bad_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelPoint')
+        if self.began_at_unix_ms is not None:
+            oprot.writeFieldBegin('began_at_unix_ms', TType.I64, 1)
+            oprot.writeI64(self.began_at_unix_ms)
+            oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 2)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.good_count is not None:
+            oprot.writeFieldBegin('good_count', TType.I64, 3)
+            oprot.writeI64(self.good_count)
+            oprot.writeFieldEnd()
+        if self.bad_count is not None:
+            oprot.writeFieldBegin('bad_count', TType.I64, 4)
+            oprot.writeI64(self.bad_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevels(object):
+    """
+    Attributes:
+     - observed_since_unix_ms
+     - windows
+     - series
+
+    """
+
+    __slots__ = (
+        'observed_since_unix_ms',
+        'windows',
+        'series',
+    )
+
+
+    def __init__(self, observed_since_unix_ms=None, windows=None, series=None,):
+        self.observed_since_unix_ms = observed_since_unix_ms
+        self.windows = windows
+        self.series = series
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.observed_since_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServiceLevelWindow()
+                        _elem68.read(iprot)
+                        self.windows.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.series = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = ServiceLevelPoint()
+                        _elem74.read(iprot)
+                        self.series.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevels')
+        if self.observed_since_unix_ms is not None:
+            oprot.writeFieldBegin('observed_since_unix_ms', TType.I64, 1)
+            oprot.writeI64(self.observed_since_unix_ms)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter75 in self.windows:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.series is not None:
+            oprot.writeFieldBegin('series', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.series))
+            for iter76 in self.series:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerRefused(TException):
     """
     Attributes:
@@ -848,6 +2516,128 @@
     (7, TType.LIST, 'leaving_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.STRING, 'configuration', 'BINARY', None, ),  # 8
 )
+all_structs.append(OperatorQuery)
+OperatorQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'argument', 'BINARY', None, ),  # 2
+)
+all_structs.append(OperatorAnswer)
+OperatorAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'answer', 'BINARY', None, ),  # 1
+)
+all_structs.append(NoArgument)
+NoArgument.thrift_spec = (
+)
+all_structs.append(VmStatus)
+VmStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'started_at_unix_ms', None, None, ),  # 5
+    (6, TType.I64, 'configuration_revision', None, None, ),  # 6
+    (7, TType.STRING, 'configuration_source', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'requests_in_progress', None, None, ),  # 8
+    (9, TType.BOOL, 'leaving', None, None, ),  # 9
+)
+all_structs.append(UpstreamStatus)
+UpstreamStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'draining', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.BOOL, 'closed', None, None, ),  # 7
+    (8, TType.I32, 'outstanding_requests', None, None, ),  # 8
+    (9, TType.I64, 'outstanding_tokens', None, None, ),  # 9
+)
+all_structs.append(UpstreamStatuses)
+UpstreamStatuses.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamStatus, None], False), None, ),  # 1
+)
+all_structs.append(RefusalsArgument)
+RefusalsArgument.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'limit', None, None, ),  # 1
+)
+all_structs.append(Refusal)
+Refusal.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'refused_at_unix_ms', None, None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'route', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'tier', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'upstream', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'kind', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'run_state', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'cause', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'retry_after_ms', None, None, ),  # 10
+)
+all_structs.append(Refusals)
+Refusals.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'refusals', (TType.STRUCT, [Refusal, None], False), None, ),  # 1
+    (2, TType.I64, 'forgotten_count', None, None, ),  # 2
+)
+all_structs.append(ServiceLevelArgument)
+ServiceLevelArgument.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'window_ms', (TType.I64, None, False), None, ),  # 1
+    (2, TType.I64, 'series_step_ms', None, None, ),  # 2
+    (3, TType.I64, 'series_window_ms', None, None, ),  # 3
+)
+all_structs.append(ServiceLevelCell)
+ServiceLevelCell.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tier', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'route', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'upstream', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'version', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'error_kind', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'good_count', None, None, ),  # 7
+    (8, TType.I64, 'bad_count', None, None, ),  # 8
+)
+all_structs.append(LatencyHistogram)
+LatencyHistogram.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tier', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'bin_keys', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'bin_counts', (TType.I64, None, False), None, ),  # 3
+    (4, TType.I64, 'zero_count', None, None, ),  # 4
+    (5, TType.DOUBLE, 'sum_ms', None, None, ),  # 5
+    (6, TType.DOUBLE, 'least_ms', None, None, ),  # 6
+    (7, TType.DOUBLE, 'greatest_ms', None, None, ),  # 7
+)
+all_structs.append(ServiceLevelWindow)
+ServiceLevelWindow.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window_ms', None, None, ),  # 1
+    (2, TType.LIST, 'cells', (TType.STRUCT, [ServiceLevelCell, None], False), None, ),  # 2
+    (3, TType.LIST, 'latencies', (TType.STRUCT, [LatencyHistogram, None], False), None, ),  # 3
+)
+all_structs.append(ServiceLevelPoint)
+ServiceLevelPoint.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'began_at_unix_ms', None, None, ),  # 1
+    (2, TType.STRING, 'tier', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'good_count', None, None, ),  # 3
+    (4, TType.I64, 'bad_count', None, None, ),  # 4
+)
+all_structs.append(ServiceLevels)
+ServiceLevels.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'observed_since_unix_ms', None, None, ),  # 1
+    (2, TType.LIST, 'windows', (TType.STRUCT, [ServiceLevelWindow, None], False), None, ),  # 2
+    (3, TType.LIST, 'series', (TType.STRUCT, [ServiceLevelPoint, None], False), None, ),  # 3
+)
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
     None,  # 0
