Settings: unknown fields are mistakes, and each mistake names what is allowed

Ruled out: strict mode of pydantic (it refuses lists for tuples and text for enumerations when the document is already parsed). Change: every settings class forbids unknown fields; the JSON Schema is walked to the mistake's place to name the range, the values or the fields; references are checked beside mistakes elsewhere; objectives take an organisation; secrets can be masked; a revision carries who wrote it. Conclusion: one mistake, one path, what would be allowed.

--- a/azureturn/settings/__init__.py
+++ b/azureturn/settings/__init__.py
@@ -1,7 +1,6 @@
 """Typed settings, their merge rules and their checks."""
 
 from azureturn.settings._load import (
-    Mistake,
     check_settings,
     check_shared_settings,
     load_settings,
@@ -9,7 +8,12 @@
     read_json,
     read_merged,
 )
+from azureturn.settings._masking import MASK, masked
+from azureturn.settings._mistakes import Mistake
+from azureturn.settings._schema import settings_schema
 from azureturn.settings._types import (
+    EVERY_ORGANISATION,
+    ChangeSettings,
     DaemonSettings,
     ObjectiveSettings,
     OrganisationSettings,
@@ -25,7 +29,10 @@
 )
 
 __all__ = [
+    "ChangeSettings",
     "DaemonSettings",
+    "EVERY_ORGANISATION",
+    "MASK",
     "Mistake",
     "ObjectiveSettings",
     "OrganisationSettings",
@@ -41,7 +48,9 @@
     "check_settings",
     "check_shared_settings",
     "load_settings",
+    "masked",
     "merge",
     "read_json",
     "read_merged",
+    "settings_schema",
 ]
--- a/azureturn/settings/_load.py
+++ b/azureturn/settings/_load.py
@@ -2,13 +2,13 @@
 
 import json
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
 
 from pydantic import TypeAdapter, ValidationError
 
 from azureturn.errors import ErrorKind, SettingsError
+from azureturn.settings._mistakes import Mistake, mistake_of
 from azureturn.settings._references import reference_mistakes
 from azureturn.settings._types import Settings, SharedSettings
 
@@ -19,18 +19,6 @@
 _Checked = TypeVar("_Checked")
 
 
-@dataclass(frozen=True)
-class Mistake:
-    """One thing wrong with the settings."""
-
-    #: JSON path such as ``$.shared.routes[2].tier``.
-    path: str
-    message: str
-
-    def __str__(self) -> str:
-        return f"{self.path}: {self.message}"
-
-
 def merge(base: Json, overlay: Json) -> Json:
     """Return ``base`` changed by ``overlay``.
 
@@ -97,33 +85,40 @@
 
 def check_settings(document: Json) -> Settings:
     """Return the typed settings of a merged document."""
-    return _check(document, TypeAdapter(Settings), prefix="$.shared")
+    settings, mistakes = _typed(document, TypeAdapter(Settings))
+    if settings is None:
+        # The references can still be checked where the shared part is sound by itself.
+        shared_document = document.get("shared") if isinstance(document, dict) else None
+        shared, _ = _typed(shared_document, TypeAdapter(SharedSettings))
+    else:
+        shared = settings.shared
+    mistakes += _reference_mistakes(shared, prefix="$.shared")
+    if settings is None or mistakes:
+        raise _settings_error(mistakes)
+    return settings
 
 
 def check_shared_settings(document: Json) -> SharedSettings:
     """Return the typed shared settings of a document, as held in the key-value service."""
-    return _check(document, TypeAdapter(SharedSettings), prefix="$")
+    shared, mistakes = _typed(document, TypeAdapter(SharedSettings))
+    mistakes += _reference_mistakes(shared, prefix="$")
+    if shared is None or mistakes:
+        raise _settings_error(mistakes)
+    return shared
 
 
-def _check(document: Json, adapter: TypeAdapter[_Checked], *, prefix: str) -> _Checked:
+def _typed(document: Json, adapter: TypeAdapter[_Checked]) -> tuple[_Checked | None, list[Mistake]]:
     try:
-        checked = adapter.validate_python(document)
+        return adapter.validate_python(document), []
     except ValidationError as error:
-        mistakes = [_mistake_of(item) for item in error.errors(include_url=False)]
-        raise _settings_error(mistakes) from error
-    shared = checked.shared if isinstance(checked, Settings) else checked
-    assert isinstance(shared, SharedSettings)
-    mistakes = [Mistake(prefix + path, text) for path, text in reference_mistakes(shared)]
-    if mistakes:
-        raise _settings_error(mistakes)
-    return checked
+        schema = adapter.json_schema()
+        return None, [mistake_of(item, schema) for item in error.errors(include_url=False)]
 
 
-def _mistake_of(item: Any) -> Mistake:
-    path = "$"
-    for part in item["loc"]:
-        path += f"[{part}]" if isinstance(part, int) else f".{part}"
-    return Mistake(path, str(item["msg"]))
+def _reference_mistakes(shared: SharedSettings | None, *, prefix: str) -> list[Mistake]:
+    if shared is None:
+        return []
+    return [Mistake(prefix + path, text) for path, text in reference_mistakes(shared)]
 
 
 def _settings_error(mistakes: list[Mistake]) -> SettingsError:
--- a/azureturn/settings/_references.py
+++ b/azureturn/settings/_references.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
-from azureturn.settings._types import SharedSettings, UpstreamKind
+from azureturn.settings._types import EVERY_ORGANISATION, SharedSettings, UpstreamKind
 
 #: A path below the shared settings, and what is wrong there.
 Finding = tuple[str, str]
@@ -54,6 +54,25 @@
                 yield f".{table}[{index}].tier", message
 
 
+@reference_check
+def _objectives_name_organisations(shared: SharedSettings) -> Iterator[Finding]:
+    names = {organisation.name for organisation in shared.organisations}
+    for index, objective in enumerate(shared.objectives):
+        if objective.organisation not in names | {EVERY_ORGANISATION}:
+            allowed = _allowed(names | {EVERY_ORGANISATION})
+            message = f"no organisation '{objective.organisation}'; allowed: {allowed}"
+            yield f".objectives[{index}].organisation", message
+
+
+@reference_check
+def _objectives_are_unique(shared: SharedSettings) -> Iterator[Finding]:
+    counts = Counter((one.tier, one.organisation) for one in shared.objectives)
+    for index, one in enumerate(shared.objectives):
+        if counts[(one.tier, one.organisation)] > 1:
+            message = f"tier '{one.tier}' has two objectives for organisation '{one.organisation}'"
+            yield f".objectives[{index}]", message
+
+
 @reference_check
 def _targets_are_served(shared: SharedSettings) -> Iterator[Finding]:
     served = {target for upstream in shared.upstreams for target in upstream.targets}
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from pydantic import Field
+from pydantic import ConfigDict, Field
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Port = Annotated[int, Field(ge=1, le=65_535)]
@@ -13,6 +13,18 @@
 ByteCount = Annotated[int, Field(ge=1, le=1 << 30)]
 Secret = Annotated[str, Field(min_length=16, max_length=256)]
 
+#: In an objective: the tier's requests of all organisations together.
+EVERY_ORGANISATION = "*"
+OrganisationOrEvery = Annotated[str, Field(pattern=r"^(\*|[A-Za-z0-9][A-Za-z0-9._-]{0,62})$")]
+#: Service levels are kept for three days, so no objective looks further back.
+ObjectiveWindowMs = Annotated[int, Field(ge=300_000, le=3 * 24 * 3_600_000)]
+
+
+class _Checked:
+    """The base of all settings: a field that nobody reads is a mistake."""
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
 
 class UpstreamKind(StrEnum):
     """What an upstream is, and so how it is spoken to."""
@@ -22,7 +34,7 @@
 
 
 @dataclass(frozen=True)
-class VmSettings:
+class VmSettings(_Checked):
     """Where this daemon stands; each VM's overlay gives its own."""
 
     name: Name
@@ -36,7 +48,7 @@
 
 
 @dataclass(frozen=True)
-class PlatformSettings:
+class PlatformSettings(_Checked):
     """Where the platform's services are."""
 
     #: Base URL of the key-value service.
@@ -50,7 +62,7 @@
 
 
 @dataclass(frozen=True)
-class DaemonSettings:
+class DaemonSettings(_Checked):
     """Limits of one daemon process."""
 
     #: Threads that serve callers, and so the most requests in progress at once.
@@ -83,7 +95,7 @@
 
 
 @dataclass(frozen=True)
-class TierSettings:
+class TierSettings(_Checked):
     """One class of urgency."""
 
     name: Name
@@ -92,7 +104,7 @@
 
 
 @dataclass(frozen=True)
-class OrganisationSettings:
+class OrganisationSettings(_Checked):
     """One organisation and the token that its callers show."""
 
     name: Name
@@ -102,7 +114,7 @@
 
 
 @dataclass(frozen=True)
-class RouteSettings:
+class RouteSettings(_Checked):
     """One kind of request: where it goes and what it is owed."""
 
     name: Name
@@ -124,7 +136,7 @@
 
 
 @dataclass(frozen=True)
-class UpstreamSettings:
+class UpstreamSettings(_Checked):
     """One replica of a model engine or of a plain service."""
 
     name: Name
@@ -146,17 +158,20 @@
 
 
 @dataclass(frozen=True)
-class ObjectiveSettings:
-    """A service level that is owed to a tier."""
+class ObjectiveSettings(_Checked):
+    """A service level that is owed to a tier, to all organisations together or to one."""
 
     tier: Name
     #: Share of requests answered whole and in time.
     target: Annotated[float, Field(gt=0, lt=1)]
-    window_ms: DurationMs = 3_600_000
+    #: One organisation, or ``*`` for the tier's requests of all organisations together.
+    organisation: OrganisationOrEvery = EVERY_ORGANISATION
+    #: The time over which the budget of failures is counted.
+    window_ms: ObjectiveWindowMs = 3_600_000
 
 
 @dataclass(frozen=True)
-class PolicySettings:
+class PolicySettings(_Checked):
     """Which of the registered decisions are in use, and their limits."""
 
     placement: Name = "least_work"
@@ -166,7 +181,16 @@
 
 
 @dataclass(frozen=True)
-class SharedSettings:
+class ChangeSettings(_Checked):
+    """Who wrote a revision; the tool fills it in and finds its own write again by the nonce."""
+
+    author: Annotated[str, Field(max_length=128)] = ""
+    nonce: Annotated[str, Field(max_length=64)] = ""
+    applied_at_unix_ms: Annotated[int, Field(ge=0)] = 0
+
+
+@dataclass(frozen=True)
+class SharedSettings(_Checked):
     """What must be the same on every VM; it lives in the key-value service."""
 
     site: Name
@@ -176,10 +200,11 @@
     upstreams: tuple[UpstreamSettings, ...]
     objectives: tuple[ObjectiveSettings, ...] = ()
     policy: PolicySettings = field(default_factory=PolicySettings)
+    change: ChangeSettings = field(default_factory=ChangeSettings)
 
 
 @dataclass(frozen=True)
-class Settings:
+class Settings(_Checked):
     """Everything that a daemon reads at its start."""
 
     vm: VmSettings
--- a/azureturn/settings/tests/test_load.py
+++ b/azureturn/settings/tests/test_load.py
@@ -1,13 +1,14 @@
 """Settings: merging, and every mistake at once."""
 
 import json
+import re
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from azureturn.errors import SettingsError
-from azureturn.settings import check_settings, load_settings, merge, read_merged
+from azureturn.settings import check_settings, load_settings, masked, merge, read_merged
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 
@@ -51,3 +52,68 @@
     document["shared"]["routes"][0]["tier"] = "none"
     with pytest.raises(SettingsError, match=r"routes\[0\].tier: .*deferrable, interactive, urgent"):
         check_settings(document)
+
+
+WRONG: dict[str, tuple[list[str | int], Any, str]] = {
+    "range": (["vm", "port"], 0, "$.vm.port: .*whole numbers from 1 to 65535"),
+    "enumeration": (
+        ["shared", "upstreams", 0, "kind"],
+        "engine",
+        "$.shared.upstreams[0].kind: .*allowed: model_engine, plain_service",
+    ),
+    "open range": (
+        ["shared", "objectives", 0, "target"],
+        1.5,
+        "$.shared.objectives[0].target: .*numbers above 0 below 1",
+    ),
+    "unknown field": (
+        ["shared", "routes", 0, "time_out_ms"],
+        1,
+        "$.shared.routes[0].time_out_ms: no such field; did you mean 'timeout_ms'?",
+    ),
+    "unknown part": (["observability"], {}, "$.observability: no such field"),
+    "organisation of an objective": (
+        ["shared", "objectives", 0, "organisation"],
+        "nobody",
+        "$.shared.objectives[0].organisation: .*allowed: \\*, call-centre",
+    ),
+    "two objectives": (
+        ["shared", "objectives", 1, "tier"],
+        "urgent",
+        "$.shared.objectives[1]: tier 'urgent' has two objectives",
+    ),
+}
+
+
+@pytest.mark.parametrize("case", WRONG)
+def test_a_mistake_is_told_with_its_path_and_what_is_allowed(case: str) -> None:
+    path, value, message = WRONG[case]
+    document = json.loads(
+        json.dumps(read_merged(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"]))
+    )
+    place = document
+    for part in path[:-1]:
+        place = place[part]
+    place[path[-1]] = value
+    with pytest.raises(SettingsError) as caught:
+        check_settings(document)
+    pattern = re.sub(r"([$\[\]?])", r"\\\1", message)
+    assert re.search(pattern, caught.value.message), caught.value.message
+
+
+def test_references_are_checked_beside_a_mistake_elsewhere() -> None:
+    document = read_merged(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"])
+    document = json.loads(json.dumps(document))
+    document["vm"]["port"] = 0
+    document["shared"]["routes"][0]["tier"] = "none"
+    with pytest.raises(SettingsError) as caught:
+        check_settings(document)
+    assert "$.vm.port" in caught.value.message
+    assert "$.shared.routes[0].tier" in caught.value.message
+
+
+def test_secrets_are_masked() -> None:
+    document = read_merged(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"])
+    shown = json.dumps(masked(document))
+    assert "kuiseb-example-secret" not in shown
+    assert "-token" not in shown
