--- a/azureturn/daemon/_peer_face.py
+++ b/azureturn/daemon/_peer_face.py
@@ -4,6 +4,7 @@
 from dataclasses import asdict
 
 from azureturn.core import AnswerHeartbeat, ConfigurationTable, HeartbeatReceived
+from azureturn.daemon._operators import answer_operator
 from azureturn.daemon._outcomes import unknown_outcome
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind
@@ -11,6 +12,8 @@
     ConfigurationAnswer,
     ConfigurationQuery,
     Heartbeat,
+    OperatorAnswer,
+    OperatorQuery,
     Outcome,
     OutcomeQuery,
     heartbeat_from_wire,
@@ -51,3 +54,7 @@
             return ConfigurationAnswer(revision=0, document=b"")
         document = json.dumps(asdict(configuration.shared)).encode()
         return ConfigurationAnswer(revision=configuration.revision, document=document)
+
+    def operate(self, query: OperatorQuery) -> OperatorAnswer:
+        """Answer an operator's query."""
+        return answer_operator(self._services, query)
--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -1,5 +1,6 @@
 """Calls from one VM to another."""
 
+import logging
 import time
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -10,12 +11,14 @@
 from thrift.transport.TTransport import TBufferedTransport
 
 from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError
-from azureturn.peers._authentication import EnvelopeSigner
+from azureturn.peers._authentication import EnvelopeSigner, decode_struct, encode_struct
 from azureturn.peers.gen.Peer import Client
 from azureturn.peers.gen.ttypes import (
     ConfigurationAnswer,
     ConfigurationQuery,
     Heartbeat,
+    OperatorAnswer,
+    OperatorQuery,
     Outcome,
     OutcomeQuery,
     PeerRefused,
@@ -30,6 +33,9 @@
 
 _Answer = TypeVar("_Answer")
 
+# The library logs what it also raises; our own log tells it once, in our own form.
+logging.getLogger("thrift").addHandler(logging.NullHandler())
+
 
 @dataclass(frozen=True)
 class PeerAddress:
@@ -92,6 +98,20 @@
             address, "fetch_configuration", query, ConfigurationAnswer, timeout_ms=CALL_TIMEOUT_MS
         )
 
+    def operate(
+        self,
+        address: PeerAddress,
+        name: str,
+        argument: Any,
+        answer_type: type[_Answer],
+        *,
+        timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> _Answer:
+        """Return a VM's answer to an operator's query."""
+        query = OperatorQuery(name=name, argument=encode_struct(argument))
+        answer = self._call(address, "operate", query, OperatorAnswer, timeout_ms=timeout_ms)
+        return decode_struct(answer_type, answer.answer or b"")
+
     def _call(
         self,
         address: PeerAddress,
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -16,6 +16,8 @@
     ConfigurationQuery,
     Envelope,
     Heartbeat,
+    OperatorAnswer,
+    OperatorQuery,
     Outcome,
     OutcomeQuery,
     PeerRefused,
@@ -40,6 +42,9 @@
     def fetch_configuration(self, query: ConfigurationQuery) -> ConfigurationAnswer:
         """Return the configuration where it is newer."""
 
+    def operate(self, query: OperatorQuery) -> OperatorAnswer:
+        """Answer an operator's query."""
+
 
 class _SignedHandler:
     """Opens envelopes, calls the handler, and seals its answer."""
@@ -57,6 +62,9 @@
     def fetch_configuration(self, query: Envelope) -> Envelope:
         return self._answer("fetch_configuration", query, ConfigurationQuery)
 
+    def operate(self, query: Envelope) -> Envelope:
+        return self._answer("operate", query, OperatorQuery)
+
     def _answer(self, call: str, envelope: Envelope, body_type: type[Any]) -> Envelope:
         try:
             body = self._signer.open(call, envelope, body_type)
