--- a/azureturn/upstreams/_client.py
+++ b/azureturn/upstreams/_client.py
@@ -252,7 +252,8 @@
             return None
         numbers.append(number)
     age_ms, running, waiting, queued_tokens = numbers
-    return LoadReport(now_ms - age_ms, running, waiting, queued_tokens)
+    leaving = report.get("leaving") is True
+    return LoadReport(now_ms - age_ms, running, waiting, queued_tokens, leaving)
 
 
 def _after_first_byte(error: Exception) -> UpstreamError:
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -56,7 +56,11 @@
         await asyncio.sleep(self.switches.delay_ms / 1_000)
         while self.switches.silent:
             await asyncio.sleep(0.02)
-        answer: dict[str, str | int] = {"service": self.name, "path": request.path_qs, "received_bytes": len(body)}
+        answer: dict[str, str | int] = {
+            "service": self.name,
+            "path": request.path_qs,
+            "received_bytes": len(body),
+        }
         if self.switches.padding_bytes:
             answer["padding"] = "x" * self.switches.padding_bytes
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
