A link stand-in between a VM and what it calls: passes, refuses, drops, freezes

Cause: the failure proofs need a zone cut and connections that go silent while new ones work. Ruled out: packet filters and network namespaces, which are no part of an ordinary machine.

--- a/standins/site.py
+++ b/standins/site.py
@@ -32,6 +32,11 @@
         return int(probe.getsockname()[1])
 
 
+def link_name(vm: str, target: str) -> str:
+    """Return the name of the link between a VM and what it calls."""
+    return f"link-{vm}-{target}"
+
+
 @dataclass
 class Process:
     """One process of the site."""
@@ -118,6 +123,8 @@
     shared_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the settings of upstreams, by name.
     upstream_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    #: Pairs of a VM and what it calls, between which there is a link that can fail.
+    links: tuple[tuple[str, str], ...] = ()
     #: Initial switches of the stand-ins, by name.
     switches: dict[str, dict[str, Any]] = field(default_factory=dict)
 
@@ -133,6 +140,9 @@
             self._standin("engine", f"engine-{number}")
         for number in range(1, self.services + 1):
             self._standin("plain_service", f"bookings-{number}")
+        self._link_ports = {pair: free_port() for pair in self.links}
+        for vm, target in self.links:
+            self._link(vm, target)
         for number in range(1, self.vms + 1):
             self._daemon(number)
 
@@ -239,6 +249,20 @@
         arguments += ["--switches", switches]
         self.processes[name] = Process(name, arguments, port, self.folder / f"{name}.log")
 
+    def _link(self, vm: str, target: str) -> None:
+        name = link_name(vm, target)
+        ports = {
+            "listen_port": self._link_ports[vm, target],
+            "target_port": self.processes[target].port,
+        }
+        self.switches[name] = {**ports, **self.switches.get(name, {})}
+        self._standin("link", name)
+
+    def _url_from(self, vm: str, target: str) -> str:
+        """Return the URL by which a VM reaches a stand-in."""
+        port = self._link_ports.get((vm, target), self.processes[target].port)
+        return f"http://{LOOPBACK}:{port}"
+
     def _daemon(self, number: int) -> None:
         name = f"vm-{number}"
         port = free_port()
@@ -258,14 +282,14 @@
                 "peer_port": free_port(),
             },
             "platform": {
-                "key_value_url": self.processes["key-value"].url,
-                "vm_list_url": self.processes["vm-list"].url,
+                "key_value_url": self._url_from(name, "key-value"),
+                "vm_list_url": self._url_from(name, "vm-list"),
             },
             "daemon": daemon,
-            "shared": {**self.shared_settings, "upstreams": self._upstreams()},
+            "shared": {**self.shared_settings, "upstreams": self._upstreams(name)},
         }
 
-    def _upstreams(self) -> list[dict[str, Any]]:
+    def _upstreams(self, vm: str) -> list[dict[str, Any]]:
         """Return this site's upstreams, and the removal of the example's."""
         example = json.loads((EXAMPLES / "kuiseb.json").read_text())["shared"]["upstreams"]
         rows = [{"name": row["name"], "$remove": True} for row in example]
@@ -273,7 +297,8 @@
             if not name[-1].isdigit():
                 continue
             zone = self.zone_of(name)
-            row = {"name": name, "availability_zone": zone, "url": self.processes[name].url}
+            url = self._url_from(vm, name)
+            row = {"name": name, "availability_zone": zone, "url": url}
             row.update(self.upstream_settings.get(name, {}))
             if name.startswith("engine-"):
                 rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
