--- a/standins/engine.py
+++ b/standins/engine.py
@@ -42,6 +42,8 @@
     #: Read the request, then close the connection.
     close_after_read: bool = False
     load_report_lag_ms: int = 0
+    #: Each event tells when it was sent, by the machine's monotonic clock.
+    stamps_events: bool = False
     #: Says in its load report that it is leaving.
     leaving: bool = False
     #: Share of cache events that are lost.
@@ -70,6 +72,7 @@
     made: int = 0
     finished: bool = False
     cancelled: bool = False
+    stamped: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def wake(self) -> None:
@@ -170,6 +173,7 @@
         prompt_tokens = max(1, len(text.split()))
         output_tokens = int(body.get("max_tokens") or DEFAULT_OUTPUT_TOKENS)
         stream = _Stream(request_id, output_tokens, body["model"], version, prompt_tokens)
+        stream.stamped = self.switches.stamps_events
         self.streams[request_id] = stream
         while len(self.streams) > KEPT_STREAMS:
             self.streams.popitem(last=False)
@@ -340,7 +344,8 @@
 
 def _event(stream: _Stream, number: int) -> bytes:
     delta = {"content": _word(number)}
-    chunk = _chunk(stream, [{"index": 0, "delta": delta, "finish_reason": None}])
+    more = {"sent_ns": time.monotonic_ns()} if stream.stamped else {}
+    chunk = _chunk(stream, [{"index": 0, "delta": delta, "finish_reason": None}], **more)
     return f"id: {number}\n".encode() + chunk
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -116,6 +116,8 @@
     daemon_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the shared settings.
     shared_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto each engine's row of the shared settings.
+    engine_settings: dict[str, Any] = field(default_factory=dict)
     #: Initial switches of the stand-ins, by name.
     switches: dict[str, dict[str, Any]] = field(default_factory=dict)
 
@@ -267,7 +269,8 @@
             zone = self.zone_of(name)
             row = {"name": name, "availability_zone": zone, "url": self.processes[name].url}
             if name.startswith("engine-"):
-                rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
+                engine = {"kind": "model_engine", "targets": [MODEL], **self.engine_settings}
+                rows.append({**row, **engine})
             elif name.startswith("bookings-"):
                 rows.append({**row, "kind": "plain_service", "targets": ["bookings"], "slots": 64})
         return rows
