Heartbeats: urgent news is never kept back by the byte budget; slopes of control

The renewals of 32 liveness rows used up the budget, and urgent rows were held to the same limit; a failed exchange also left the cursor ahead of what the peer had confirmed. The budget counted 45 bytes a row where 48 were sent (test of the wire, first failing at 20 rows). Change: urgent rows have a limit and a bounded overdraft of their own; one peer of the zone each interval and one remote every second one, three and two at urgent news; liveness renewed every 2 s; a failed exchange goes back to the confirmed place; 48 bytes a row counted.

--- a/azureturn/core/controllers/_membership.py
+++ b/azureturn/core/controllers/_membership.py
@@ -32,10 +32,15 @@
     select_rows,
 )
 
-#: Peers of its own availability zone that a VM calls in each interval.
-ZONE_DEGREE = 2
-#: Peers of other zones that a VM calls in each interval.
+#: Peers of its own availability zone that a VM calls in each interval, and at urgent news.
+ZONE_DEGREE = 1
+URGENT_ZONE_DEGREE = 3
+#: Peers of other zones that a VM calls in every second interval, and at urgent news.
 REMOTE_DEGREE = 1
+URGENT_REMOTE_DEGREE = 2
+REMOTE_ROUNDS = 2
+#: Urgent news may overdraw the budget by this many seconds' worth.
+URGENT_DEBT_S = 0.5
 #: A peer that did not answer is called again after this, doubled for each further failure.
 FIRST_RETRY_MS = 500
 RETRY_LIMIT_MS = 8_000
@@ -44,7 +49,7 @@
 #: Rows in one heartbeat take at most this share of one second's budget.
 HEARTBEAT_SHARE = 0.25
 #: How often the row that says that this VM lives is renewed.
-ALIVE_INTERVAL_MS = 1_000
+ALIVE_INTERVAL_MS = 2_000
 
 
 @controller("membership")
@@ -60,6 +65,7 @@
         self._next_round_ms = 0
         self._next_alive_ms = 0
         self._urgent = False
+        self._round = 0
 
     @on(PeerStarted)
     def _on_started(self, event: PeerStarted, context: Context) -> None:
@@ -107,11 +113,17 @@
             self._next_alive_ms = context.now_ms + ALIVE_INTERVAL_MS
             self.board.write(GossipTable).renew_own(own, Topic.ALIVE, context.now_ms)
             self._forget_the_gone(context.now_ms)
-        if self._urgent or context.now_ms >= self._next_round_ms:
-            self._next_round_ms = context.now_ms + self.settings.daemon.heartbeat_interval_ms
-            if self._urgent or self._budget_left_bytes(context.now_ms) > 0:
-                self._send_round(own, context)
+        left_bytes = self._budget_left_bytes(context.now_ms)
+        debt_bytes = self.settings.daemon.control_bytes_per_s * URGENT_DEBT_S
+        if self._urgent and left_bytes > -debt_bytes:
             self._urgent = False
+            self._send_round(own, URGENT_ZONE_DEGREE, URGENT_REMOTE_DEGREE, context)
+        elif context.now_ms >= self._next_round_ms:
+            self._next_round_ms = context.now_ms + self.settings.daemon.heartbeat_interval_ms
+            self._round += 1
+            remote = REMOTE_DEGREE if self._round % REMOTE_ROUNDS == 0 else 0
+            if left_bytes > 0:
+                self._send_round(own, ZONE_DEGREE, remote, context)
 
     @on(HeartbeatReceived)
     def _on_received(self, event: HeartbeatReceived, context: Context) -> None:
@@ -132,13 +144,15 @@
             wait_ms = min(RETRY_LIMIT_MS, FIRST_RETRY_MS << min(peer.failures, 10))
             peers.put(event.vm, peer.with_failure(context.now_ms + wait_ms))
 
-    def _send_round(self, own: PeerIdentity, context: Context) -> None:
+    def _send_round(
+        self, own: PeerIdentity, zone_degree: int, remote_degree: int, context: Context
+    ) -> None:
         peers = self.board.read(PeerTable)
         reachable = peers.reachable(context.now_ms)
         near = [p for p in reachable if p.identity.availability_zone == own.availability_zone]
         far = [p for p in reachable if p.identity.availability_zone != own.availability_zone]
-        chosen = context.random.sample(near, min(ZONE_DEGREE, len(near)))
-        chosen += context.random.sample(far, min(REMOTE_DEGREE, len(far)))
+        chosen = context.random.sample(near, min(zone_degree, len(near)))
+        chosen += context.random.sample(far, min(remote_degree, len(far)))
         for peer in chosen:
             heartbeat = self._heartbeat_for(own, peer, context.now_ms)
             context.act(SendHeartbeat(peer.identity, heartbeat))
@@ -153,6 +167,7 @@
             peer,
             own_zone=own.availability_zone,
             limit_bytes=max(0, int(limit_bytes)),
+            urgent_limit_bytes=int(share_bytes),
             end=gossip.last_place,
         )
         heartbeat = PeerHeartbeat(
--- a/azureturn/core/membership/_selection.py
+++ b/azureturn/core/membership/_selection.py
@@ -17,18 +17,25 @@
 
 
 def select_rows(
-    changes: Iterable[LoggedRow], peer: Peer, *, own_zone: str, limit_bytes: int, end: int
+    changes: Iterable[LoggedRow],
+    peer: Peer,
+    *,
+    own_zone: str,
+    limit_bytes: int,
+    urgent_limit_bytes: int,
+    end: int,
 ) -> Selection:
     """Return what a peer is to be told within a number of bytes.
 
-    Urgent rows go first, wherever they stand in the log. The rest goes in the order of the log
-    and stops at the first row that does not fit, which is where the next heartbeat begins.
+    Urgent rows go first, wherever they stand in the log, and have a limit of their own. The rest
+    goes in the order of the log and stops at the first row that does not fit, which is where the
+    next heartbeat begins.
     """
     relevant = [one for one in changes if _concerns(one, peer, own_zone)]
     rows: list[GossipRow] = []
     size_bytes = 0
     for one in relevant:
-        if one.row.row_key.topic in URGENT_TOPICS and size_bytes < limit_bytes:
+        if one.row.row_key.topic in URGENT_TOPICS and size_bytes < urgent_limit_bytes:
             rows.append(one.row)
             size_bytes += one.row.size_bytes
     for one in relevant:
--- a/azureturn/core/membership/_types.py
+++ b/azureturn/core/membership/_types.py
@@ -4,7 +4,7 @@
 from enum import IntEnum
 
 #: Bytes of a row's fixed part and of one of its numbers, as thrift's compact form has them.
-_ROW_FIXED_BYTES = 14
+_ROW_FIXED_BYTES = 20
 _NUMBER_BYTES = 3
 #: Bytes of a heartbeat without rows, its signature and the call around it.
 HEARTBEAT_FIXED_BYTES = 260
@@ -107,6 +107,8 @@
     leaving: bool = False
     #: Place in this VM's log up to which the peer has been told.
     cursor: int = 0
+    #: Place up to which the peer has said that it has taken in.
+    confirmed: int = 0
     #: Place in the peer's log up to which this VM has taken in.
     taken: int = 0
     configuration_revision: int = 0
@@ -127,13 +129,19 @@
             retry_at_ms=0,
             leaving=heartbeat.leaving,
             cursor=heartbeat.taken if knows_us else 0,
+            confirmed=heartbeat.taken if knows_us else 0,
             taken=heartbeat.place if restarted else max(self.taken, heartbeat.place),
             configuration_revision=heartbeat.configuration_revision,
         )
 
     def with_failure(self, retry_at_ms: int) -> "Peer":
-        """Return a copy that did not answer."""
-        return replace(self, failures=self.failures + 1, retry_at_ms=retry_at_ms)
+        """Return a copy that did not answer; what it has not confirmed it is told again."""
+        return replace(
+            self,
+            failures=self.failures + 1,
+            retry_at_ms=retry_at_ms,
+            cursor=self.confirmed,
+        )
 
     def with_cursor(self, cursor: int) -> "Peer":
         """Return a copy that was told the changes up to a place in the log."""
--- /dev/null
+++ b/azureturn/peers/tests/test_heartbeats.py
@@ -0,0 +1,48 @@
+"""Heartbeats on the wire."""
+
+import time
+
+from azureturn.core.membership import GossipRow, PeerHeartbeat, PeerIdentity, RowKey, Topic
+from azureturn.peers import EnvelopeSigner, heartbeat_from_wire, heartbeat_to_wire
+from azureturn.peers._authentication import encode_struct
+from azureturn.peers.gen.ttypes import Heartbeat
+
+#: What thrift's call adds around an envelope, and TCP and IP around a call and its answer.
+CALL_BYTES = 60
+
+
+def heartbeat(rows: int) -> PeerHeartbeat:
+    identity = PeerIdentity("burdekin-vm-17", "zone-a", "10.1.2.3", 8_081, "0123456789abcdef", 9)
+    return PeerHeartbeat(
+        identity,
+        123_456,
+        rows=tuple(
+            GossipRow(
+                RowKey("burdekin-vm-17", Topic.UPSTREAM_WORK, f"drafting-{number}"),
+                1_790_000_000_000,
+                1_000 + number,
+                (40_000 + number, 7),
+            )
+            for number in range(rows)
+        ),
+        place=1_000_000,
+        taken=1_000_000,
+        taken_incarnation=1_790_000_000_000,
+    )
+
+
+def test_a_heartbeat_survives_the_wire() -> None:
+    sent = heartbeat(3)
+    assert heartbeat_from_wire(heartbeat_to_wire(sent)) == sent
+
+
+def test_the_budget_counts_no_fewer_bytes_than_are_sent() -> None:
+    signer = EnvelopeSigner("a-secret-of-enough-length", "burdekin-vm-17", clock_s=time.monotonic)
+    for rows in (0, 1, 20, 100):
+        sent = heartbeat(rows)
+        sealed = signer.seal("exchange_heartbeat", heartbeat_to_wire(sent))
+        assert len(encode_struct(sealed)) + CALL_BYTES <= sent.size_bytes
+
+
+def test_an_empty_heartbeat_is_read_as_one() -> None:
+    assert heartbeat_from_wire(Heartbeat()).rows == ()
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -85,7 +85,7 @@
     load_report_interval_ms: DurationMs = 500
     heartbeat_interval_ms: DurationMs = 500
     #: Bytes a second that heartbeats may take, sent and received together.
-    control_bytes_per_s: ByteCount = 8_000
+    control_bytes_per_s: ByteCount = 7_000
     #: How long a start waits for the configuration from the key-value service or a peer.
     start_wait_ms: DurationMs = 5_000
     #: How long a planned stop waits for the balancer to stop sending.
