Logs, metrics and service levels: one table each, one place that feeds them

Cause: events and metrics were named where they were sent, so no page could be held to them; an unforeseen error was logged by its repr, which for a decoding error holds the caller's bytes; a flood of errors wrote a line each. Ruled out: tags by a statsd dialect (the library has none: tags stand in the name); sketches with private state sent as they are (the public store's bins are sent, and merge exactly). Change: tables of log events and metrics, held to the code by a walk over its syntax; a token bucket for each event; accounting in one module, fed by a hook in the request flow and one in the face; windows of good and bad in three rings, cells bounded; queries 'requests.refused' and 'slo.windows'.

--- /dev/null
+++ b/azureturn/daemon/_accounting.py
@@ -0,0 +1,175 @@
+"""The one place where a request's end is logged, counted, and kept for operators' reports."""
+
+import threading
+from collections import OrderedDict
+
+from azureturn._time_of_day import unix_now_ms
+from azureturn.core import Configuration, ConfigurationTable, Request, UpstreamTable
+from azureturn.daemon._runtime import CoreRuntime, now_ms
+from azureturn.errors import AzureturnError, ErrorKind, RunState
+from azureturn.observability import (
+    NO_ERROR,
+    EventLog,
+    LevelKey,
+    LogEvent,
+    Metric,
+    Metrics,
+    ServiceLevels,
+)
+from azureturn.peers import Refusal
+from azureturn.settings import EVERY_ORGANISATION
+
+ANSWERED = "answered"
+#: Service levels count an answer after its deadline under this name.
+LATE = "late"
+#: A plain service's answers from this status on are failures of the upstream.
+FAILED_STATUS = 500
+#: Refusals kept for operators; the oldest go first.
+REFUSAL_LIMIT = 1_000
+CAUSE_LIMIT_CHARACTERS = 200
+
+
+class RecentRefusals:
+    """The latest refusals by request id; the first word on a request stands."""
+
+    def __init__(self) -> None:
+        self._refusals: OrderedDict[str, Refusal] = OrderedDict()
+        self._forgotten_count = 0
+        self._lock = threading.Lock()
+
+    def note(self, refusal: Refusal) -> bool:
+        """Keep a refusal, and return whether it is the first of its request."""
+        with self._lock:
+            if refusal.request_id in self._refusals:
+                return False
+            self._refusals[refusal.request_id] = refusal
+            if len(self._refusals) > REFUSAL_LIMIT:
+                self._refusals.popitem(last=False)
+                self._forgotten_count += 1
+        return True
+
+    def latest(self, limit: int) -> list[Refusal]:
+        """Return the latest refusals, newest first."""
+        with self._lock:
+            refusals = list(self._refusals.values())
+        return refusals[::-1][: max(0, limit)]
+
+    @property
+    def forgotten_count(self) -> int:
+        """Return how many refusals were too old to keep."""
+        return self._forgotten_count
+
+
+class Accounting:
+    """Takes in each request's end."""
+
+    def __init__(
+        self, *, runtime: CoreRuntime, log: EventLog, metrics: Metrics, started_at_unix_ms: int
+    ) -> None:
+        self._runtime = runtime
+        self._log = log
+        self._metrics = metrics
+        self._objectives_revision = -1
+        self.refusals = RecentRefusals()
+        self.service_levels = ServiceLevels(started_at_unix_ms=started_at_unix_ms)
+
+    def request_ended(
+        self,
+        request: Request,
+        *,
+        upstream: str,
+        error: AzureturnError | None = None,
+        status: int = 200,
+    ) -> None:
+        """Account for a request that was admitted, whatever became of it."""
+        ended = ANSWERED if error is None else error.kind.value
+        run_state = RunState.RAN if error is None else error.run_state
+        took_ms = now_ms() - request.arrived_at_ms
+        configuration, version = self._state(upstream)
+        tier = _tier_name(configuration, request.tier_rank)
+        self._metrics.count(Metric.REQUESTS_ENDED, route=request.route, ended=ended)
+        self._metrics.time(Metric.REQUEST_TIME, took_ms, route=request.route)
+        self._metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
+        self._log.info(
+            LogEvent.REQUEST_ENDED,
+            request_id=request.request_id,
+            organisation=request.organisation,
+            route=request.route,
+            tier=tier,
+            upstream=upstream,
+            ended=ended,
+            run_state=run_state.value,
+            took_ms=took_ms,
+        )
+        key = LevelKey(
+            tier=tier,
+            organisation=request.organisation,
+            route=request.route,
+            upstream=upstream,
+            version=version,
+            error_kind=_error_kind(error, status, late=now_ms() > request.deadline_ms),
+        )
+        self.service_levels.record(key, latency_ms=took_ms, now_unix_ms=unix_now_ms())
+        if error is not None:
+            self._note(request.request_id, error, request=request, tier=tier, upstream=upstream)
+
+    def refused(self, request_id: str, error: AzureturnError) -> None:
+        """Account for a refusal as it goes to the caller, unless the request's end was told."""
+        if self._note(request_id, error):
+            self._log.info(
+                LogEvent.REQUEST_REFUSED,
+                request_id=request_id,
+                kind=error.kind.value,
+                run_state=error.run_state.value,
+            )
+
+    def _note(
+        self,
+        request_id: str,
+        error: AzureturnError,
+        *,
+        request: Request | None = None,
+        tier: str = "",
+        upstream: str = "",
+    ) -> bool:
+        refusal = Refusal(
+            refused_at_unix_ms=unix_now_ms(),
+            request_id=request_id,
+            organisation="" if request is None else request.organisation,
+            route="" if request is None else request.route,
+            tier=tier,
+            upstream=upstream,
+            kind=error.kind.value,
+            run_state=error.run_state.value,
+            cause=error.message[:CAUSE_LIMIT_CHARACTERS],
+            retry_after_ms=error.retry_after_ms or 0,
+        )
+        first = self.refusals.note(refusal)
+        if first:
+            self._metrics.count(Metric.REQUESTS_REFUSED, kind=error.kind.value)
+        return first
+
+    def _state(self, upstream_name: str) -> tuple[Configuration, str]:
+        configuration, upstream = self._runtime.inspect(
+            lambda core: (
+                core.board.table(ConfigurationTable).in_force(),
+                core.board.table(UpstreamTable).get(upstream_name),
+            )
+        )
+        if configuration.revision != self._objectives_revision:
+            self._objectives_revision = configuration.revision
+            named = {one.organisation for one in configuration.shared.objectives}
+            self.service_levels.keep_apart(frozenset(named - {EVERY_ORGANISATION}))
+        return configuration, "" if upstream is None else upstream.settings.version
+
+
+def _tier_name(configuration: Configuration, rank: int) -> str:
+    return next((tier.name for tier in configuration.shared.tiers if tier.rank == rank), str(rank))
+
+
+def _error_kind(error: AzureturnError | None, status: int, *, late: bool) -> str:
+    if error is not None:
+        return error.kind.value
+    if status >= FAILED_STATUS:
+        return ErrorKind.UPSTREAM_FAILED.value
+    return LATE if late else NO_ERROR
--- a/azureturn/daemon/_background.py
+++ b/azureturn/daemon/_background.py
@@ -14,7 +14,7 @@
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, PlatformError
-from azureturn.observability import LogEvent
+from azureturn.observability import LogEvent, describe_error
 from azureturn.platform import KeyValueEntry, ListedVm
 from azureturn.settings import UpstreamKind, check_shared_settings
 
@@ -91,7 +91,7 @@
         try:
             shared = check_shared_settings(json.loads(entry.value))
         except (AzureturnError, ValueError) as error:
-            self._services.log.error(LogEvent.INTERNAL_ERROR, error=str(error))
+            self._services.log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
             return
         configuration = Configuration(entry.revision, shared, source)
         self._services.runtime.submit(ConfigurationReceived(configuration))
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -1,10 +1,13 @@
 """One daemon, put together from its settings."""
 
 import secrets
+import sys
 import threading
 import time
 
+from azureturn._time_of_day import unix_now_ms
 from azureturn.core import CancelAtUpstream, Configuration, Core, Started, WriteClaim
+from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._background import BackgroundTasks
 from azureturn.daemon._caller_server import CallerServer
 from azureturn.daemon._claims import ClaimWriter
@@ -14,7 +17,7 @@
 from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind
-from azureturn.observability import EventLog, LogEvent, metrics_from_settings
+from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
 from azureturn.peers import (
     EnvelopeSigner,
     Heartbeat,
@@ -85,7 +88,9 @@
             settings,
             face.application(),
             new_request_id=services.new_request_id,
-            report_error=lambda text: services.log.error(LogEvent.INTERNAL_ERROR, error=text),
+            report_error=lambda _text: services.log.error(
+                LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
+            ),
         )
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
@@ -109,6 +114,8 @@
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
+        log = EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name)
+        metrics = Metrics.from_settings(settings.daemon)
         services = Services(
             settings=settings,
             boot_id=secrets.token_hex(_BOOT_ID_BYTES),
@@ -117,8 +124,14 @@
             vm_list=VmListClient(settings.platform.vm_list_url),
             peers=PeerClient(signer),
             outcomes=OutcomeStore(),
-            log=EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name),
-            metrics=metrics_from_settings(settings.daemon),
+            log=log,
+            metrics=metrics,
+            accounting=Accounting(
+                runtime=runtime,
+                log=log,
+                metrics=metrics,
+                started_at_unix_ms=unix_now_ms(),
+            ),
         )
         return cls(services)
 
@@ -152,6 +165,7 @@
         self._peer_server.stop()
         self._services.runtime.stop()
         self._services.log.info(LogEvent.DAEMON_STOPPED, requests_cut=cut)
+        self._services.log.close()
         return cut == 0
 
     def _cancel(self, action: CancelAtUpstream) -> None:
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -20,7 +20,7 @@
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind
-from azureturn.observability import LogEvent
+from azureturn.observability import LogEvent, describe_error
 from azureturn.settings import UpstreamKind
 
 _READ_BYTES = 65_536
@@ -61,7 +61,7 @@
             return self._send(self._refusal(error, request_id))
         except Exception as error:  # noqa: BLE001
             self._services.log.error(
-                LogEvent.INTERNAL_ERROR, request_id=request_id, error=repr(error)
+                LogEvent.INTERNAL_ERROR, request_id=request_id, error=describe_error(error)
             )
             failure = AzureturnError(ErrorKind.INTERNAL)
             return self._send(self._refusal(failure, request_id))
@@ -181,6 +181,7 @@
         return bytes(body)
 
     def _refusal(self, error: AzureturnError, request_id: str) -> CallerAnswer:
+        self._services.accounting.refused(request_id, error)
         headers = error_headers(error, request_id=request_id, vm=self._services.settings.vm.name)
         body = json.dumps(error_body(error, request_id)).encode()
         return CallerAnswer(ANSWERS[error.kind].status, headers, body)
--- a/azureturn/daemon/_operators.py
+++ b/azureturn/daemon/_operators.py
@@ -74,7 +74,7 @@
         availability_zone=vm.availability_zone,
         boot_id=services.boot_id,
         version=__version__,
-        started_at_unix_ms=services.started_at_unix_ms,
+        started_at_unix_ms=services.accounting.service_levels.started_at_unix_ms,
         configuration_revision=configuration.revision,
         configuration_source=configuration.source.value,
         requests_in_progress=services.runtime.requests_in_progress,
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -29,7 +29,6 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
-from azureturn.observability import LogEvent
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import (
     EventRelay,
@@ -81,11 +80,11 @@
             answer = self._follow(mailbox)
         except AzureturnError as error:
             self._services.runtime.close_mailbox(request_id)
-            self._account(error.kind.value)
+            self._account(error)
             raise
         if isinstance(answer.body, bytes):
             self._services.runtime.close_mailbox(request_id)
-            self._account("answered")
+            self._account(None, status=answer.status)
         return answer
 
     def _follow(self, mailbox: "queue.SimpleQueue[RequestAction]") -> CallerAnswer:
@@ -164,7 +163,7 @@
     def _relay(self, answer: StreamedAnswer) -> Iterator[bytes]:
         request_id = self._request.request_id
         relay = EventRelay()
-        ended = "answered"
+        ended: AzureturnError | None = None
         try:
             yield from relay.relay(answer.pieces())
             answer.release()
@@ -175,12 +174,12 @@
             self._services.runtime.submit(answered)
         except UpstreamError as error:
             answer.close()
-            ended = error.kind.value
+            ended = error
             self._failed(error)
             yield error_event(error, request_id)
         except GeneratorExit:
             answer.close()
-            ended = ErrorKind.CALLER_GONE.value
+            ended = AzureturnError(ErrorKind.CALLER_GONE)
             self._services.runtime.submit(CallerLeft(request_id))
             raise
         finally:
@@ -211,16 +210,7 @@
         )
         return {**headers, **identity}
 
-    def _account(self, ended: str) -> None:
-        took_ms = now_ms() - self._request.arrived_at_ms
-        self._services.metrics.incr(f"requests.{self._request.route}.{ended}")
-        self._services.metrics.timing(f"requests.{self._request.route}.time_ms", took_ms)
-        self._services.log.info(
-            LogEvent.REQUEST_ENDED,
-            request_id=self._request.request_id,
-            organisation=self._request.organisation,
-            route=self._request.route,
-            upstream=self._upstream,
-            ended=ended,
-            took_ms=took_ms,
+    def _account(self, error: AzureturnError | None, *, status: int = 200) -> None:
+        self._services.accounting.request_ended(
+            self._request, upstream=self._upstream, error=error, status=status
         )
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -1,10 +1,10 @@
 """What the parts of one daemon share."""
 
 import secrets
-import time
 from dataclasses import dataclass, field
 
 from azureturn.core import ConfigurationTable
+from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._outcomes import OutcomeStore
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.errors import ErrorKind, RefusedError
@@ -17,11 +17,6 @@
 _REQUEST_ID_BYTES = 10
 
 
-def unix_now_ms() -> int:
-    """Return the time of day, which serves people and reports and decides nothing."""
-    return time.time_ns() // 1_000_000
-
-
 class UpstreamClients:
     """One client for each upstream, made when first needed and anew when its URL changes."""
 
@@ -49,8 +44,8 @@
     outcomes: OutcomeStore
     log: EventLog
     metrics: Metrics
+    accounting: Accounting
     upstreams: UpstreamClients = field(default_factory=UpstreamClients)
-    started_at_unix_ms: int = field(default_factory=unix_now_ms)
 
     def new_request_id(self) -> str:
         """Return an id that no other request of any VM has."""
--- a/azureturn/observability/__init__.py
+++ b/azureturn/observability/__init__.py
@@ -1,13 +1,45 @@
-"""Logs and metrics."""
+"""Logs, metrics and service levels."""
 
-from azureturn.observability._logs import EventLog, JsonLinesHandler, LogEvent
-from azureturn.observability._metrics import Metrics, NoMetrics, metrics_from_settings
+from azureturn.observability._latency import LatencySketch, merged_sketch
+from azureturn.observability._log_events import LOG_EVENTS, LOG_FIELDS, LogEvent, LogEventRow
+from azureturn.observability._logs import EventLog, JsonLinesHandler, describe_error
+from azureturn.observability._metrics import METRICS, Metric, MetricKind, MetricRow, Metrics
+from azureturn.observability._service_levels import (
+    HOUR_MS,
+    LONGEST_WINDOW_MS,
+    MINUTE_MS,
+    NO_ERROR,
+    NOT_COUNTED,
+    OTHER_NAMES,
+    LevelCounts,
+    LevelKey,
+    LevelWindow,
+    ServiceLevels,
+)
 
 __all__ = [
     "EventLog",
+    "HOUR_MS",
     "JsonLinesHandler",
+    "LOG_EVENTS",
+    "LOG_FIELDS",
+    "LONGEST_WINDOW_MS",
+    "LatencySketch",
+    "LevelCounts",
+    "LevelKey",
+    "LevelWindow",
     "LogEvent",
+    "LogEventRow",
+    "METRICS",
+    "MINUTE_MS",
+    "Metric",
+    "MetricKind",
+    "MetricRow",
     "Metrics",
-    "NoMetrics",
-    "metrics_from_settings",
+    "NOT_COUNTED",
+    "NO_ERROR",
+    "OTHER_NAMES",
+    "ServiceLevels",
+    "describe_error",
+    "merged_sketch",
 ]
--- /dev/null
+++ b/azureturn/observability/_log_events.py
@@ -0,0 +1,110 @@
+"""The one list of what is logged: every event, its fields, and how often it may be written."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from types import MappingProxyType
+
+#: Lines of one event that may come at once, and then per second.
+ORDINARY_BURST = 2_000
+ORDINARY_RATE_PER_S = 500.0
+ERROR_BURST = 50
+ERROR_RATE_PER_S = 5.0
+
+
+class LogEvent(StrEnum):
+    """Every event that is logged."""
+
+    DAEMON_STARTED = "daemon_started"
+    DAEMON_STOPPING = "daemon_stopping"
+    DAEMON_STOPPED = "daemon_stopped"
+    REQUEST_ENDED = "request_ended"
+    REQUEST_REFUSED = "request_refused"
+    CONFIGURATION_IN_FORCE = "configuration_in_force"
+    KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
+    INTERNAL_ERROR = "internal_error"
+    LINES_LEFT_OUT = "lines_left_out"
+
+
+@dataclass(frozen=True)
+class LogEventRow:
+    """What one event tells."""
+
+    summary: str
+    fields: tuple[str, ...]
+    burst_lines: int = ORDINARY_BURST
+    rate_per_s: float = ORDINARY_RATE_PER_S
+
+
+def _error_row(summary: str, *fields: str) -> LogEventRow:
+    return LogEventRow(summary, fields, ERROR_BURST, ERROR_RATE_PER_S)
+
+
+LOG_EVENTS: Mapping[LogEvent, LogEventRow] = MappingProxyType(
+    {
+        LogEvent.DAEMON_STARTED: LogEventRow("The daemon serves.", ("host", "port", "peer_port")),
+        LogEvent.DAEMON_STOPPING: LogEventRow("A planned stop has begun.", ()),
+        LogEvent.DAEMON_STOPPED: LogEventRow("The daemon has stopped.", ("requests_cut",)),
+        LogEvent.REQUEST_ENDED: LogEventRow(
+            "A request has its final answer, or its caller is gone.",
+            (
+                "request_id",
+                "organisation",
+                "route",
+                "tier",
+                "upstream",
+                "ended",
+                "run_state",
+                "took_ms",
+            ),
+        ),
+        LogEvent.REQUEST_REFUSED: LogEventRow(
+            "A request was refused before it was known what it asks for.",
+            ("request_id", "kind", "run_state"),
+            ERROR_BURST,
+            ERROR_RATE_PER_S,
+        ),
+        LogEvent.CONFIGURATION_IN_FORCE: LogEventRow(
+            "A revision of the shared settings is in force.", ("revision", "source")
+        ),
+        LogEvent.KEY_VALUE_UNAVAILABLE: _error_row(
+            "The platform's key-value service or list of VMs gave no answer.", "error"
+        ),
+        LogEvent.INTERNAL_ERROR: _error_row(
+            "azureturn itself failed; the type and the place of the failure are told.",
+            "request_id",
+            "error",
+        ),
+        LogEvent.LINES_LEFT_OUT: LogEventRow(
+            "Lines of an event were too many and were left out.", ("of_event", "line_count")
+        ),
+    }
+)
+
+#: What each field holds; units are in the names.
+LOG_FIELDS: Mapping[str, str] = MappingProxyType(
+    {
+        "time": "When, in UTC, by ISO 8601.",
+        "level": "`info` or `error`.",
+        "event": "The event's name.",
+        "vm": "The VM that wrote the line.",
+        "request_id": "The request's id; the same on every VM that has to do with it.",
+        "organisation": "Name of the calling organisation.",
+        "route": "Name of the route.",
+        "tier": "Name of the tier that the request was served in.",
+        "upstream": "Name of the upstream that it was dispatched to, empty if to none.",
+        "ended": "`answered`, or the error kind.",
+        "kind": "The error kind; see ERRORS.md.",
+        "run_state": "`not_run`, `ran` or `unknown`.",
+        "took_ms": "Time from arrival to the end.",
+        "revision": "The key-value service's own revision.",
+        "source": "Where the revision was learned: `file`, `watch`, `poll` or `peer`.",
+        "error": "Type and place of a failure, or our own sentence; never a caller's text.",
+        "host": "IP number that the daemon listens at.",
+        "port": "Port for callers.",
+        "peer_port": "Port for VMs and operators.",
+        "requests_cut": "Requests in flight that the stop cut; 0 in a graceful one.",
+        "of_event": "The event whose lines were left out.",
+        "line_count": "How many lines were left out since the last such line.",
+    }
+)
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -141,10 +141,6 @@
   1: string tier,
   2: list<i32> bin_keys,
   3: list<i64> bin_counts,
-  4: i64 zero_count,
-  5: double sum_ms,
-  6: double least_ms,
-  7: double greatest_ms,
 }
 
 struct ServiceLevelWindow {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -1896,10 +1896,6 @@
      - tier
      - bin_keys
      - bin_counts
-     - zero_count
-     - sum_ms
-     - least_ms
-     - greatest_ms
 
     """
 
@@ -1907,21 +1903,13 @@
         'tier',
         'bin_keys',
         'bin_counts',
-        'zero_count',
-        'sum_ms',
-        'least_ms',
-        'greatest_ms',
     )
 
 
-    def __init__(self, tier=None, bin_keys=None, bin_counts=None, zero_count=None, sum_ms=None, least_ms=None, greatest_ms=None,):
+    def __init__(self, tier=None, bin_keys=None, bin_counts=None,):
         self.tier = tier
         self.bin_keys = bin_keys
         self.bin_counts = bin_counts
-        self.zero_count = zero_count
-        self.sum_ms = sum_ms
-        self.least_ms = least_ms
-        self.greatest_ms = greatest_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1957,26 +1945,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.zero_count = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.DOUBLE:
-                    self.sum_ms = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.least_ms = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.DOUBLE:
-                    self.greatest_ms = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2005,22 +1973,6 @@
                 oprot.writeI64(iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.zero_count is not None:
-            oprot.writeFieldBegin('zero_count', TType.I64, 4)
-            oprot.writeI64(self.zero_count)
-            oprot.writeFieldEnd()
-        if self.sum_ms is not None:
-            oprot.writeFieldBegin('sum_ms', TType.DOUBLE, 5)
-            oprot.writeDouble(self.sum_ms)
-            oprot.writeFieldEnd()
-        if self.least_ms is not None:
-            oprot.writeFieldBegin('least_ms', TType.DOUBLE, 6)
-            oprot.writeDouble(self.least_ms)
-            oprot.writeFieldEnd()
-        if self.greatest_ms is not None:
-            oprot.writeFieldBegin('greatest_ms', TType.DOUBLE, 7)
-            oprot.writeDouble(self.greatest_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2611,10 +2563,6 @@
     (1, TType.STRING, 'tier', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'bin_keys', (TType.I32, None, False), None, ),  # 2
     (3, TType.LIST, 'bin_counts', (TType.I64, None, False), None, ),  # 3
-    (4, TType.I64, 'zero_count', None, None, ),  # 4
-    (5, TType.DOUBLE, 'sum_ms', None, None, ),  # 5
-    (6, TType.DOUBLE, 'least_ms', None, None, ),  # 6
-    (7, TType.DOUBLE, 'greatest_ms', None, None, ),  # 7
 )
 all_structs.append(ServiceLevelWindow)
 ServiceLevelWindow.thrift_spec = (
