--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -21,6 +21,9 @@
     REQUEST_ENDED = "request_ended"
     REQUEST_REFUSED = "request_refused"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
+    CONFIGURATION_REFUSED = "configuration_refused"
+    CONFIGURATION_UNKNOWN_AT_START = "configuration_unknown_at_start"
+    VM_LIST_UNAVAILABLE = "vm_list_unavailable"
     KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
     INTERNAL_ERROR = "internal_error"
     LINES_LEFT_OUT = "lines_left_out"
@@ -67,8 +70,18 @@
         LogEvent.CONFIGURATION_IN_FORCE: LogEventRow(
             "A revision of the shared settings is in force.", ("revision", "source")
         ),
+        LogEvent.CONFIGURATION_REFUSED: _error_row(
+            "A revision has mistakes and was not put in force; the one before stays.", "error"
+        ),
+        LogEvent.CONFIGURATION_UNKNOWN_AT_START: _error_row(
+            "Neither the key-value service nor a peer told the revision in force in time; "
+            "the daemon serves by its settings files until one does."
+        ),
+        LogEvent.VM_LIST_UNAVAILABLE: _error_row(
+            "The platform's list of VMs gave no answer.", "error"
+        ),
         LogEvent.KEY_VALUE_UNAVAILABLE: _error_row(
-            "The platform's key-value service or list of VMs gave no answer.", "error"
+            "The platform's key-value service gave no answer.", "error"
         ),
         LogEvent.INTERNAL_ERROR: _error_row(
             "azureturn itself failed; the type and the place of the failure are told.",
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -12,6 +12,8 @@
 from azureturn.peers._authentication import EnvelopeSigner
 from azureturn.peers.gen.Peer import Processor
 from azureturn.peers.gen.ttypes import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
     Envelope,
     Heartbeat,
     OperatorAnswer,
@@ -40,6 +42,9 @@
     def operate(self, query: OperatorQuery) -> OperatorAnswer:
         """Answer an operator's query."""
 
+    def fetch_configuration(self, query: ConfigurationQuery) -> ConfigurationAnswer:
+        """Return the configuration where it is newer."""
+
 
 class _SignedHandler:
     """Opens envelopes, calls the handler, and seals its answer."""
@@ -57,6 +62,9 @@
     def operate(self, query: Envelope) -> Envelope:
         return self._answer("operate", query, OperatorQuery)
 
+    def fetch_configuration(self, query: Envelope) -> Envelope:
+        return self._answer("fetch_configuration", query, ConfigurationQuery)
+
     def _answer(self, call: str, envelope: Envelope, body_type: type[Any]) -> Envelope:
         try:
             body = self._signer.open(call, envelope, body_type)
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -542,41 +542,189 @@
         return not (self == other)
 
 
+class GossipRow(object):
+    """
+    Attributes:
+     - owner
+     - incarnation
+     - topic
+     - key
+     - version
+     - numbers
+
+    """
+
+    __slots__ = (
+        'owner',
+        'incarnation',
+        'topic',
+        'key',
+        'version',
+        'numbers',
+    )
+
+
+    def __init__(self, owner=None, incarnation=None, topic=None, key=None, version=None, numbers=None,):
+        self.owner = owner
+        self.incarnation = incarnation
+        self.topic = topic
+        self.key = key
+        self.version = version
+        self.numbers = numbers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BYTE:
+                    self.topic = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.numbers = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readI64()
+                        self.numbers.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GossipRow')
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 1)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.BYTE, 3)
+            oprot.writeByte(self.topic)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 4)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.numbers is not None:
+            oprot.writeFieldBegin('numbers', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.numbers))
+            for iter13 in self.numbers:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
      - vm
      - availability_zone
+     - host
+     - peer_port
      - boot_id
-     - sequence
+     - incarnation
      - configuration_revision
      - leaving
-     - leaving_upstreams
-     - configuration
+     - rows
+     - place
+     - taken
+     - taken_incarnation
 
     """
 
     __slots__ = (
         'vm',
         'availability_zone',
+        'host',
+        'peer_port',
         'boot_id',
-        'sequence',
+        'incarnation',
         'configuration_revision',
         'leaving',
-        'leaving_upstreams',
-        'configuration',
+        'rows',
+        'place',
+        'taken',
+        'taken_incarnation',
     )
 
 
-    def __init__(self, vm=None, availability_zone=None, boot_id=None, sequence=None, configuration_revision=None, leaving=None, leaving_upstreams=None, configuration=None,):
+    def __init__(self, vm=None, availability_zone=None, host=None, peer_port=None, boot_id=None, incarnation=None, configuration_revision=None, leaving=None, rows=None, place=None, taken=None, taken_incarnation=None,):
         self.vm = vm
         self.availability_zone = availability_zone
+        self.host = host
+        self.peer_port = peer_port
         self.boot_id = boot_id
-        self.sequence = sequence
+        self.incarnation = incarnation
         self.configuration_revision = configuration_revision
         self.leaving = leaving
-        self.leaving_upstreams = leaving_upstreams
-        self.configuration = configuration
+        self.rows = rows
+        self.place = place
+        self.taken = taken
+        self.taken_incarnation = taken_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -599,37 +747,58 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                if ftype == TType.I32:
+                    self.peer_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
                 if ftype == TType.I64:
                     self.configuration_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 8:
                 if ftype == TType.BOOL:
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 9:
                 if ftype == TType.LIST:
-                    self.leaving_upstreams = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving_upstreams.append(_elem12)
+                    self.rows = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = GossipRow()
+                        _elem19.read(iprot)
+                        self.rows.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.STRING:
-                    self.configuration = iprot.readBinary()
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.place = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.taken = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.taken_incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -650,32 +819,196 @@
             oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
             oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
             oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.peer_port is not None:
+            oprot.writeFieldBegin('peer_port', TType.I32, 4)
+            oprot.writeI32(self.peer_port)
+            oprot.writeFieldEnd()
         if self.boot_id is not None:
-            oprot.writeFieldBegin('boot_id', TType.STRING, 3)
+            oprot.writeFieldBegin('boot_id', TType.STRING, 5)
             oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
             oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 4)
-            oprot.writeI64(self.sequence)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 6)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
         if self.configuration_revision is not None:
-            oprot.writeFieldBegin('configuration_revision', TType.I64, 5)
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 7)
             oprot.writeI64(self.configuration_revision)
             oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 8)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
-        if self.leaving_upstreams is not None:
-            oprot.writeFieldBegin('leaving_upstreams', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRING, len(self.leaving_upstreams))
-            for iter13 in self.leaving_upstreams:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter20 in self.rows:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.configuration is not None:
-            oprot.writeFieldBegin('configuration', TType.STRING, 8)
-            oprot.writeBinary(self.configuration)
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.I64, 10)
+            oprot.writeI64(self.place)
+            oprot.writeFieldEnd()
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.I64, 11)
+            oprot.writeI64(self.taken)
+            oprot.writeFieldEnd()
+        if self.taken_incarnation is not None:
+            oprot.writeFieldBegin('taken_incarnation', TType.I64, 12)
+            oprot.writeI64(self.taken_incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationQuery(object):
+    """
+    Attributes:
+     - newer_than_revision
+
+    """
+
+    __slots__ = (
+        'newer_than_revision',
+    )
+
+
+    def __init__(self, newer_than_revision=None,):
+        self.newer_than_revision = newer_than_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.newer_than_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationQuery')
+        if self.newer_than_revision is not None:
+            oprot.writeFieldBegin('newer_than_revision', TType.I64, 1)
+            oprot.writeI64(self.newer_than_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationAnswer(object):
+    """
+    Attributes:
+     - revision
+     - document
+
+    """
+
+    __slots__ = (
+        'revision',
+        'document',
+    )
+
+
+    def __init__(self, revision=None, document=None,):
+        self.revision = revision
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationAnswer')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 2)
+            oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1255,11 +1588,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = UpstreamStatus()
-                        _elem19.read(iprot)
-                        self.upstreams.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = UpstreamStatus()
+                        _elem26.read(iprot)
+                        self.upstreams.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1276,8 +1609,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter20 in self.upstreams:
-                iter20.write(oprot)
+            for iter27 in self.upstreams:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1579,11 +1912,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Refusal()
-                        _elem26.read(iprot)
-                        self.refusals.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Refusal()
+                        _elem33.read(iprot)
+                        self.refusals.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1605,8 +1938,8 @@
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter27 in self.refusals:
-                iter27.write(oprot)
+            for iter34 in self.refusals:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten_count is not None:
@@ -1671,10 +2004,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.window_ms = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readI64()
-                        self.window_ms.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI64()
+                        self.window_ms.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1701,8 +2034,8 @@
         if self.window_ms is not None:
             oprot.writeFieldBegin('window_ms', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.window_ms))
-            for iter34 in self.window_ms:
-                oprot.writeI64(iter34)
+            for iter41 in self.window_ms:
+                oprot.writeI64(iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.series_step_ms is not None:
@@ -1928,20 +2261,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.bin_keys = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readI32()
-                        self.bin_keys.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI32()
+                        self.bin_keys.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.bin_counts = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readI64()
-                        self.bin_counts.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI64()
+                        self.bin_counts.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1962,15 +2295,15 @@
         if self.bin_keys is not None:
             oprot.writeFieldBegin('bin_keys', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.bin_keys))
-            for iter47 in self.bin_keys:
-                oprot.writeI32(iter47)
+            for iter54 in self.bin_keys:
+                oprot.writeI32(iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bin_counts is not None:
             oprot.writeFieldBegin('bin_counts', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.bin_counts))
-            for iter48 in self.bin_counts:
-                oprot.writeI64(iter48)
+            for iter55 in self.bin_counts:
+                oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2036,22 +2369,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = ServiceLevelCell()
-                        _elem54.read(iprot)
-                        self.cells.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = ServiceLevelCell()
+                        _elem61.read(iprot)
+                        self.cells.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.latencies = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = LatencyHistogram()
-                        _elem60.read(iprot)
-                        self.latencies.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = LatencyHistogram()
+                        _elem67.read(iprot)
+                        self.latencies.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2072,15 +2405,15 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter61 in self.cells:
-                iter61.write(oprot)
+            for iter68 in self.cells:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.latencies))
-            for iter62 in self.latencies:
-                iter62.write(oprot)
+            for iter69 in self.latencies:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2250,22 +2583,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ServiceLevelWindow()
-                        _elem68.read(iprot)
-                        self.windows.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = ServiceLevelWindow()
+                        _elem75.read(iprot)
+                        self.windows.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.series = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = ServiceLevelPoint()
-                        _elem74.read(iprot)
-                        self.series.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = ServiceLevelPoint()
+                        _elem81.read(iprot)
+                        self.series.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2286,15 +2619,15 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter75 in self.windows:
-                iter75.write(oprot)
+            for iter82 in self.windows:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.series is not None:
             oprot.writeFieldBegin('series', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.series))
-            for iter76 in self.series:
-                iter76.write(oprot)
+            for iter83 in self.series:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2456,17 +2789,42 @@
     (6, TType.STRING, 'error_kind', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'run_state', 'UTF8', None, ),  # 7
 )
+all_structs.append(GossipRow)
+GossipRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'owner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.BYTE, 'topic', None, None, ),  # 3
+    (4, TType.STRING, 'key', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.LIST, 'numbers', (TType.I64, None, False), None, ),  # 6
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'sequence', None, None, ),  # 4
-    (5, TType.I64, 'configuration_revision', None, None, ),  # 5
-    (6, TType.BOOL, 'leaving', None, None, ),  # 6
-    (7, TType.LIST, 'leaving_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 7
-    (8, TType.STRING, 'configuration', 'BINARY', None, ),  # 8
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'peer_port', None, None, ),  # 4
+    (5, TType.STRING, 'boot_id', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'incarnation', None, None, ),  # 6
+    (7, TType.I64, 'configuration_revision', None, None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.LIST, 'rows', (TType.STRUCT, [GossipRow, None], False), None, ),  # 9
+    (10, TType.I64, 'place', None, None, ),  # 10
+    (11, TType.I64, 'taken', None, None, ),  # 11
+    (12, TType.I64, 'taken_incarnation', None, None, ),  # 12
+)
+all_structs.append(ConfigurationQuery)
+ConfigurationQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'newer_than_revision', None, None, ),  # 1
+)
+all_structs.append(ConfigurationAnswer)
+ConfigurationAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
 )
 all_structs.append(OperatorQuery)
 OperatorQuery.thrift_spec = (
