--- /dev/null
+++ b/azureturn/command/_burn.py
@@ -0,0 +1,175 @@
+"""Service-level burn: how fast each objective's budget of failures is being used up.
+
+The burn rate is the share of bad requests divided by the share that the objective allows. It is
+looked at over pairs of a long and a short window, and acted on only where both exceed the
+pair's threshold, as in "The Site Reliability Workbook" (B. Beyer et al., O'Reilly 2018),
+chapter 5, "Alerting on SLOs": the long window keeps a blip from alerting, and the short one
+lets an alert end soon after the cause. The thresholds are that chapter's, for a 30-day budget.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from azureturn.observability import HOUR_MS, MINUTE_MS, LevelCounts, LevelKey, LevelWindow
+from azureturn.settings import EVERY_ORGANISATION, ObjectiveSettings
+
+CONTRIBUTOR_LIMIT = 5
+_QUANTILES = (0.5, 0.95, 0.99)
+
+
+@dataclass(frozen=True)
+class WindowPair:
+    """A long and a short window, and the burn rate that both must exceed."""
+
+    long_ms: int
+    short_ms: int
+    threshold: float
+    verdict: str
+
+
+WINDOW_PAIRS = (
+    WindowPair(HOUR_MS, 5 * MINUTE_MS, 14.4, "page"),
+    WindowPair(6 * HOUR_MS, 30 * MINUTE_MS, 6.0, "page"),
+    WindowPair(72 * HOUR_MS, 6 * HOUR_MS, 1.0, "ticket"),
+)
+VERDICT_OK = "ok"
+
+
+@dataclass(frozen=True)
+class Burn:
+    """The burn rate over one pair of windows."""
+
+    long_ms: int
+    short_ms: int
+    long_rate: float
+    short_rate: float
+    threshold: float
+    exceeded: bool
+
+
+@dataclass(frozen=True)
+class Contributor:
+    """Where bad requests came from, and their share of all bad ones of the objective."""
+
+    route: str
+    upstream: str
+    version: str
+    error_kind: str
+    bad_count: int
+    bad_share: float
+
+
+@dataclass(frozen=True)
+class Latency:
+    """Quantiles of the tier's good requests over the objective's window, in milliseconds."""
+
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+
+
+@dataclass(frozen=True)
+class ObjectiveReport:
+    """One objective's state."""
+
+    tier: str
+    organisation: str
+    target: float
+    window_ms: int
+    good_count: int
+    bad_count: int
+    #: Share of the budget that is left; below 0 once it is overspent.
+    budget_left: float
+    verdict: str
+    burns: tuple[Burn, ...]
+    latency: Latency
+    contributors: tuple[Contributor, ...]
+
+
+def windows_needed(objectives: tuple[ObjectiveSettings, ...]) -> list[int]:
+    """Return every window that a report on these objectives needs."""
+    pairs = {window for pair in WINDOW_PAIRS for window in (pair.long_ms, pair.short_ms)}
+    return sorted(pairs | {objective.window_ms for objective in objectives})
+
+
+def report_objective(
+    objective: ObjectiveSettings, windows: dict[int, LevelWindow]
+) -> ObjectiveReport:
+    """Return an objective's state from the merged windows of all VMs, by their length."""
+    wanted = _wanted_keys(objective)
+    own_window = windows.get(objective.window_ms, LevelWindow())
+    counts = own_window.total(wanted)
+    burns = tuple(_burn(pair, objective, windows) for pair in WINDOW_PAIRS)
+    return ObjectiveReport(
+        tier=objective.tier,
+        organisation=objective.organisation,
+        target=objective.target,
+        window_ms=objective.window_ms,
+        good_count=counts.good_count,
+        bad_count=counts.bad_count,
+        budget_left=1.0 - burn_rate(counts, objective.target),
+        verdict=_verdict(burns),
+        burns=burns,
+        latency=_latency(own_window, objective.tier),
+        contributors=_contributors(own_window, wanted),
+    )
+
+
+def burn_rate(counts: LevelCounts, target: float) -> float:
+    """Return the burn rate: 1 uses up the budget exactly over the objective's window.
+
+    >>> round(burn_rate(LevelCounts(good_count=98, bad_count=2), target=0.99), 6)
+    2.0
+    """
+    return counts.bad_share / (1.0 - target)
+
+
+def _wanted_keys(objective: ObjectiveSettings) -> Callable[[LevelKey], bool]:
+    def wanted(key: LevelKey) -> bool:
+        every = objective.organisation == EVERY_ORGANISATION
+        return key.tier == objective.tier and (every or key.organisation == objective.organisation)
+
+    return wanted
+
+
+def _burn(pair: WindowPair, objective: ObjectiveSettings, windows: dict[int, LevelWindow]) -> Burn:
+    wanted = _wanted_keys(objective)
+    long_rate, short_rate = (
+        burn_rate(windows.get(window_ms, LevelWindow()).total(wanted), objective.target)
+        for window_ms in (pair.long_ms, pair.short_ms)
+    )
+    return Burn(
+        long_ms=pair.long_ms,
+        short_ms=pair.short_ms,
+        long_rate=long_rate,
+        short_rate=short_rate,
+        threshold=pair.threshold,
+        exceeded=long_rate > pair.threshold and short_rate > pair.threshold,
+    )
+
+
+def _verdict(burns: tuple[Burn, ...]) -> str:
+    for pair, burn in zip(WINDOW_PAIRS, burns, strict=True):
+        if burn.exceeded:
+            return pair.verdict
+    return VERDICT_OK
+
+
+def _latency(window: LevelWindow, tier: str) -> Latency:
+    sketch = window.latencies.get(tier)
+    if sketch is None:
+        return Latency(0.0, 0.0, 0.0)
+    return Latency(*(round(sketch.quantile_ms(quantile), 1) for quantile in _QUANTILES))
+
+
+def _contributors(
+    window: LevelWindow, wanted: Callable[[LevelKey], bool]
+) -> tuple[Contributor, ...]:
+    bad_counts: dict[tuple[str, str, str, str], int] = {}
+    for key, counts in window.cells.items():
+        if wanted(key) and counts.bad_count:
+            place = (key.route, key.upstream, key.version, key.error_kind)
+            bad_counts[place] = bad_counts.get(place, 0) + counts.bad_count
+    total = sum(bad_counts.values())
+    worst = sorted(bad_counts.items(), key=lambda item: (-item[1], item[0]))[:CONTRIBUTOR_LIMIT]
+    return tuple(Contributor(*place, count, count / total) for place, count in worst)
--- a/azureturn/command/_config.py
+++ b/azureturn/command/_config.py
@@ -1,13 +1,33 @@
-"""``azureturn config``."""
+"""``azureturn config``: check, compare, apply and see the settings."""
 
-from dataclasses import dataclass
+import json
+from dataclasses import asdict, dataclass
+from typing import Annotated, Any
 
 import cappa
 
+from azureturn.command._configuration_store import (
+    ConfigurationStore,
+    Document,
+    StoredConfiguration,
+)
+from azureturn.command._errors import CommandError
 from azureturn.command._exit_codes import ExitCode
-from azureturn.command._options import SiteOptions
-from azureturn.command._output import Output
-from azureturn.settings import load_settings
+from azureturn.command._options import SiteOptions, WaitOptions
+from azureturn.command._output import Output, table
+from azureturn.command._revisions import Revisions
+from azureturn.command._site import OperatorSite, require_answers
+from azureturn.command._waiting import wait_until_done
+from azureturn.errors import ErrorKind, PlatformError
+from azureturn.settings import (
+    Change,
+    differences,
+    load_settings,
+    masked,
+    read_json,
+    read_merged,
+    settings_schema,
+)
 
 
 @cappa.command(name="check", help="Check settings and list every mistake.")
@@ -27,9 +47,217 @@
         return ExitCode.OK
 
 
-@cappa.command(name="config", help="Check, compare and apply settings.")
+@cappa.command(name="diff", help="Show what the overlays change, and what applying would change.")
+@dataclass(frozen=True)
+class ConfigDiff:
+    """``azureturn config diff``."""
+
+    options: cappa.Destructured[SiteOptions]
+
+    def __call__(self) -> ExitCode:
+        """Compare the base with the overlays, and the service with the files."""
+        site = OperatorSite.from_options(self.options)
+        by_overlay = differences(read_json(self.options.config), site.document)
+        try:
+            stored = ConfigurationStore(site.key_value).read()
+        except PlatformError as error:
+            raise CommandError(
+                ErrorKind.KEY_VALUE_UNAVAILABLE,
+                f"the key-value service gave no answer ({error.message})",
+                advice="'azureturn config check' works without it",
+            ) from error
+        by_apply = differences(stored.settings, candidate_of(site, stored))
+        document = {
+            "revision": stored.revision,
+            "overlay": [change.to_document() for change in by_overlay],
+            "apply": [change.to_document() for change in by_apply],
+        }
+        text = _changes_text("the overlays change", by_overlay)
+        text += _changes_text(f"applying would change, over revision {stored.revision}", by_apply)
+        Output.to_stdout(as_json=self.options.json).write(document, text)
+        return ExitCode.OK
+
+
+@cappa.command(
+    name="apply",
+    help="Put the files' shared settings in force on every VM, if no other change came first.",
+)
+@dataclass(frozen=True)
+class ConfigApply:
+    """``azureturn config apply``."""
+
+    options: cappa.Destructured[SiteOptions]
+    waiting: cappa.Destructured[WaitOptions]
+    expect_revision: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            show_default=False,
+            help="Refuse unless this revision, as shown by diff, is still the newest.",
+        ),
+    ] = None
+
+    def __call__(self) -> ExitCode:
+        """Replace the revision that was read, by compare-and-swap."""
+        site = OperatorSite.from_options(self.options)
+        store = ConfigurationStore(site.key_value)
+        stored = store.read()
+        if self.expect_revision not in (None, stored.revision):
+            raise CommandError(
+                ErrorKind.CONFLICT,
+                f"revision {stored.revision} by {stored.author} is the newest, "
+                f"not {self.expect_revision}",
+                advice="see it with 'azureturn config diff', then apply again",
+            )
+        candidate = candidate_of(site, stored)
+        changes = differences(stored.settings, candidate)
+        output = Output.to_stdout(as_json=self.options.json)
+        if changes:
+            stored = store.replace(candidate, expected_revision=stored.revision)
+        document = {
+            "revision": stored.revision,
+            "changed": bool(changes),
+            "changes": [change.to_document() for change in changes],
+        }
+        output.write(document, _applied_text(stored, changes))
+        if not self.waiting.wait:
+            return ExitCode.OK
+        revision = stored.revision
+        return wait_until_done(
+            lambda: Revisions.from_site(site).progress(revision), self.waiting, output
+        )
+
+
+@cappa.command(name="show", help="Show the shared settings; secrets are masked.")
+@dataclass(frozen=True)
+class ConfigShow:
+    """``azureturn config show``."""
+
+    options: cappa.Destructured[SiteOptions]
+    files: Annotated[
+        bool,
+        cappa.Arg(
+            long=True, show_default=False, help="Show the merged files, not what is in force."
+        ),
+    ] = False
+
+    def __call__(self) -> ExitCode:
+        """Write the settings of the service, or those of the files."""
+        output = Output.to_stdout(as_json=self.options.json)
+        if self.files:
+            load_settings(self.options.config, self.options.overlay)
+            merged = masked(read_merged(self.options.config, self.options.overlay))
+            output.write(merged, json.dumps(merged, indent=2))
+            return ExitCode.OK
+        site = OperatorSite.from_options(self.options)
+        stored = ConfigurationStore(site.key_value).read()
+        if not stored.revision:
+            raise CommandError(
+                ErrorKind.NOT_FOUND,
+                "the key-value service holds no settings yet: each VM follows its own files",
+                advice="run 'azureturn config apply', or see the files with --files",
+            )
+        document = {"revision": stored.revision, "settings": masked(stored.document)}
+        heading = f"revision {stored.revision} by {stored.author}\n"
+        output.write(document, heading + json.dumps(masked(stored.settings), indent=2))
+        return ExitCode.OK
+
+
+@cappa.command(name="status", help="Show each VM's revision in force and where it came from.")
+@dataclass(frozen=True)
+class ConfigStatus:
+    """``azureturn config status``."""
+
+    options: cappa.Destructured[SiteOptions]
+    waiting: cappa.Destructured[WaitOptions]
+
+    def __call__(self) -> ExitCode:
+        """Ask every VM, and compare with the service where it answers."""
+        site = OperatorSite.from_options(self.options)
+        output = Output.to_stdout(as_json=self.options.json)
+        newest = _newest_revision(site)
+        if self.waiting.wait and newest is not None:
+            code = wait_until_done(
+                lambda: Revisions.from_site(site).progress(newest), self.waiting, output
+            )
+            if code is not ExitCode.OK:
+                return code
+        revisions = Revisions.from_site(site)
+        require_answers(revisions.answers)
+        document = {
+            "service_revision": newest,
+            "vms": [asdict(row) for row in revisions.rows],
+            "silent": revisions.answers.silent_documents(),
+        }
+        output.write(document, _status_text(revisions, newest))
+        return revisions.answers.exit_code
+
+
+@cappa.command(name="schema", help="Print the JSON Schema of the settings.")
+@dataclass(frozen=True)
+class ConfigSchema:
+    """``azureturn config schema``."""
+
+    def __call__(self) -> ExitCode:
+        """Write the schema; it needs no site."""
+        Output.to_stdout(as_json=True).write(settings_schema(), "")
+        return ExitCode.OK
+
+
+@cappa.command(name="config", help="Check, compare, apply and see the settings.")
 @dataclass(frozen=True)
 class ConfigCommand:
     """``azureturn config``."""
 
-    command: cappa.Subcommands[ConfigCheck]
+    command: cappa.Subcommands[
+        ConfigCheck | ConfigDiff | ConfigApply | ConfigShow | ConfigStatus | ConfigSchema
+    ]
+
+
+def candidate_of(site: OperatorSite, stored: StoredConfiguration) -> Document:
+    """Return what applying the files would store.
+
+    An upstream that was drained by command stays drained, unless the files themselves say
+    whether it is draining: files know nothing of what operators do by hand.
+    """
+    shared: Document = json.loads(json.dumps(site.document["shared"]))
+    shared.pop("change", None)
+    drained = {
+        upstream["name"]
+        for upstream in stored.document.get("upstreams", [])
+        if upstream.get("draining")
+    }
+    for upstream in shared["upstreams"]:
+        if upstream["name"] in drained:
+            upstream.setdefault("draining", True)
+    return shared
+
+
+def _newest_revision(site: OperatorSite) -> int | None:
+    try:
+        return ConfigurationStore(site.key_value).read().revision
+    except PlatformError:
+        return None
+
+
+def _changes_text(heading: str, changes: list[Change]) -> str:
+    if not changes:
+        return f"{heading}: nothing\n"
+    return f"{heading}:\n" + "".join(f"  {change}\n" for change in changes)
+
+
+def _applied_text(stored: StoredConfiguration, changes: list[Change]) -> str:
+    if not changes:
+        return f"nothing to change: revision {stored.revision} holds the same settings"
+    count = f"{len(changes)} change" + ("" if len(changes) == 1 else "s")
+    return f"revision {stored.revision} accepted, {count}"
+
+
+def _status_text(revisions: Revisions, newest: int | None) -> str:
+    rows: list[list[Any]] = [list(asdict(row).values()) for row in revisions.rows]
+    held = "no answer from the key-value service" if newest is None else f"revision {newest}"
+    return (
+        f"the key-value service holds: {held}\n"
+        + table(["vm", "zone", "revision", "source"], rows)
+        + f"\n{revisions.answers.silent_text()}"
+    )
--- a/azureturn/command/_main.py
+++ b/azureturn/command/_main.py
@@ -9,13 +9,16 @@
 from azureturn.command._config import ConfigCommand
 from azureturn.command._errors import report_error
 from azureturn.command._exit_codes import ExitCode
+from azureturn.command._requests import RequestsCommand
+from azureturn.command._slo import SloCommand
+from azureturn.command._upstream import UpstreamCommand
 from azureturn.command._vm import VmCommand
 from azureturn.errors import AzureturnError
 
 #: How a mistake on the command line is told: in one line, with what to do.
 ERROR_FORMAT = "{prog}: {message} (see '{prog} --help')"
 
-Subcommand = ConfigCommand | VmCommand
+Subcommand = ConfigCommand | UpstreamCommand | VmCommand | RequestsCommand | SloCommand
 
 
 @cappa.command(name="azureturn", help="Operate azureturn from the terminal.")
--- a/azureturn/daemon/_operators.py
+++ b/azureturn/daemon/_operators.py
@@ -6,6 +6,7 @@
 
 from azureturn._version import __version__
 from azureturn.core import ConfigurationTable, Core, Upstream, UpstreamTable
+from azureturn.core.membership import PeerTable
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind
@@ -78,7 +79,7 @@
         configuration_revision=configuration.revision,
         configuration_source=configuration.source.value,
         requests_in_progress=services.runtime.requests_in_progress,
-        leaving=False,
+        leaving=services.runtime.inspect(lambda core: core.board.table(PeerTable).own_leaving),
     )
 
 
--- a/azureturn/observability/__init__.py
+++ b/azureturn/observability/__init__.py
@@ -3,7 +3,14 @@
 from azureturn.observability._latency import LatencySketch, merged_sketch
 from azureturn.observability._log_events import LOG_EVENTS, LOG_FIELDS, LogEvent, LogEventRow
 from azureturn.observability._logs import EventLog, JsonLinesHandler, describe_error
-from azureturn.observability._metrics import METRICS, Metric, MetricKind, MetricRow, Metrics
+from azureturn.observability._metrics import (
+    METRIC_PREFIX,
+    METRICS,
+    Metric,
+    MetricKind,
+    MetricRow,
+    Metrics,
+)
 from azureturn.observability._service_levels import (
     HOUR_MS,
     LONGEST_WINDOW_MS,
@@ -31,6 +38,7 @@
     "LogEvent",
     "LogEventRow",
     "METRICS",
+    "METRIC_PREFIX",
     "MINUTE_MS",
     "Metric",
     "MetricKind",
--- a/azureturn/settings/__init__.py
+++ b/azureturn/settings/__init__.py
@@ -1,5 +1,6 @@
 """Typed settings, their merge rules and their checks."""
 
+from azureturn.settings._difference import Change, differences
 from azureturn.settings._load import (
     check_settings,
     check_shared_settings,
@@ -29,6 +30,7 @@
 )
 
 __all__ = [
+    "Change",
     "ChangeSettings",
     "DaemonSettings",
     "EVERY_ORGANISATION",
@@ -47,6 +49,7 @@
     "VmSettings",
     "check_settings",
     "check_shared_settings",
+    "differences",
     "load_settings",
     "masked",
     "merge",
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -193,6 +193,8 @@
     author: Annotated[str, Field(max_length=128)] = ""
     nonce: Annotated[str, Field(max_length=64)] = ""
     applied_at_unix_ms: Annotated[int, Field(ge=0)] = 0
+    #: The revision that this one replaced; -1 where the writer did not say.
+    replaces_revision: Annotated[int, Field(ge=-1)] = -1
 
 
 @dataclass(frozen=True)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -76,6 +76,7 @@
         for row in shared["routes"]
         if row.get("path")
     ]
+    lines.append(" ".join(["tool", "azureturn", *site.tool_options]))
     return "\n".join(lines) + "\n"
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -151,6 +151,13 @@
         """Return the names of the stand-ins."""
         return [name for name in self.processes if name not in self.vm_names]
 
+    @property
+    def tool_options(self) -> list[str]:
+        """Return the options by which the operators' tool finds this site."""
+        files = [EXAMPLES / "kuiseb.json", self.folder / f"{self.vm_names[0]}.json"]
+        overlays = [part for file in files for part in ("--overlay", str(file))]
+        return ["--config", str(EXAMPLES / "base.json"), *overlays]
+
     def zone_of(self, name: str) -> str:
         """Return the availability zone of a numbered process."""
         number = int(name.rpartition("-")[2])
