--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -90,6 +90,14 @@
             address, "exchange_heartbeat", heartbeat, Heartbeat, timeout_ms=CALL_TIMEOUT_MS
         )
 
+    def fetch_configuration(
+        self, address: PeerAddress, query: ConfigurationQuery
+    ) -> ConfigurationAnswer:
+        """Return a VM's configuration where it is newer than the revision in the query."""
+        return self._call(
+            address, "fetch_configuration", query, ConfigurationAnswer, timeout_ms=CALL_TIMEOUT_MS
+        )
+
     def operate(
         self,
         address: PeerAddress,
@@ -104,14 +112,6 @@
         answer = self._call(address, "operate", query, OperatorAnswer, timeout_ms=timeout_ms)
         return decode_struct(answer_type, answer.answer or b"")
 
-    def fetch_configuration(
-        self, address: PeerAddress, query: ConfigurationQuery
-    ) -> ConfigurationAnswer:
-        """Return a VM's configuration where it is newer than the revision in the query."""
-        return self._call(
-            address, "fetch_configuration", query, ConfigurationAnswer, timeout_ms=CALL_TIMEOUT_MS
-        )
-
     def _call(
         self,
         address: PeerAddress,
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -39,12 +39,12 @@
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
 
-    def operate(self, query: OperatorQuery) -> OperatorAnswer:
-        """Answer an operator's query."""
-
     def fetch_configuration(self, query: ConfigurationQuery) -> ConfigurationAnswer:
         """Return the configuration where it is newer."""
 
+    def operate(self, query: OperatorQuery) -> OperatorAnswer:
+        """Answer an operator's query."""
+
 
 class _SignedHandler:
     """Opens envelopes, calls the handler, and seals its answer."""
@@ -59,12 +59,12 @@
     def exchange_heartbeat(self, heartbeat: Envelope) -> Envelope:
         return self._answer("exchange_heartbeat", heartbeat, Heartbeat)
 
-    def operate(self, query: Envelope) -> Envelope:
-        return self._answer("operate", query, OperatorQuery)
-
     def fetch_configuration(self, query: Envelope) -> Envelope:
         return self._answer("fetch_configuration", query, ConfigurationQuery)
 
+    def operate(self, query: Envelope) -> Envelope:
+        return self._answer("operate", query, OperatorQuery)
+
     def _answer(self, call: str, envelope: Envelope, body_type: type[Any]) -> Envelope:
         try:
             body = self._signer.open(call, envelope, body_type)
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -196,6 +196,6 @@
   // Bodies are the structs above in thrift's compact form.
   Envelope find_outcome(1: Envelope query) throws (1: PeerRefused refused),
   Envelope exchange_heartbeat(1: Envelope heartbeat) throws (1: PeerRefused refused),
-  Envelope operate(1: Envelope query) throws (1: PeerRefused refused),
   Envelope fetch_configuration(1: Envelope query) throws (1: PeerRefused refused),
+  Envelope operate(1: Envelope query) throws (1: PeerRefused refused),
 }
--- a/azureturn/peers/gen/Peer.py
+++ b/azureturn/peers/gen/Peer.py
@@ -35,7 +35,7 @@
         """
         pass
 
-    def operate(self, query):
+    def fetch_configuration(self, query):
         """
         Parameters:
          - query
@@ -43,7 +43,7 @@
         """
         pass
 
-    def fetch_configuration(self, query):
+    def operate(self, query):
         """
         Parameters:
          - query
@@ -127,24 +127,24 @@
             raise result.refused
         raise TApplicationException(TApplicationException.MISSING_RESULT, "exchange_heartbeat failed: unknown result")
 
-    def operate(self, query):
+    def fetch_configuration(self, query):
         """
         Parameters:
          - query
 
         """
-        self.send_operate(query)
-        return self.recv_operate()
+        self.send_fetch_configuration(query)
+        return self.recv_fetch_configuration()
 
-    def send_operate(self, query):
-        self._oprot.writeMessageBegin('operate', TMessageType.CALL, self._seqid)
-        args = operate_args()
+    def send_fetch_configuration(self, query):
+        self._oprot.writeMessageBegin('fetch_configuration', TMessageType.CALL, self._seqid)
+        args = fetch_configuration_args()
         args.query = query
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
 
-    def recv_operate(self):
+    def recv_fetch_configuration(self):
         iprot = self._iprot
         (fname, mtype, rseqid) = iprot.readMessageBegin()
         if mtype == TMessageType.EXCEPTION:
@@ -152,33 +152,33 @@
             x.read(iprot)
             iprot.readMessageEnd()
             raise x
-        result = operate_result()
+        result = fetch_configuration_result()
         result.read(iprot)
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
         if result.refused is not None:
             raise result.refused
-        raise TApplicationException(TApplicationException.MISSING_RESULT, "operate failed: unknown result")
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "fetch_configuration failed: unknown result")
 
-    def fetch_configuration(self, query):
+    def operate(self, query):
         """
         Parameters:
          - query
 
         """
-        self.send_fetch_configuration(query)
-        return self.recv_fetch_configuration()
+        self.send_operate(query)
+        return self.recv_operate()
 
-    def send_fetch_configuration(self, query):
-        self._oprot.writeMessageBegin('fetch_configuration', TMessageType.CALL, self._seqid)
-        args = fetch_configuration_args()
+    def send_operate(self, query):
+        self._oprot.writeMessageBegin('operate', TMessageType.CALL, self._seqid)
+        args = operate_args()
         args.query = query
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
 
-    def recv_fetch_configuration(self):
+    def recv_operate(self):
         iprot = self._iprot
         (fname, mtype, rseqid) = iprot.readMessageBegin()
         if mtype == TMessageType.EXCEPTION:
@@ -186,14 +186,14 @@
             x.read(iprot)
             iprot.readMessageEnd()
             raise x
-        result = fetch_configuration_result()
+        result = operate_result()
         result.read(iprot)
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
         if result.refused is not None:
             raise result.refused
-        raise TApplicationException(TApplicationException.MISSING_RESULT, "fetch_configuration failed: unknown result")
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "operate failed: unknown result")
 
 
 class Processor(Iface, TProcessor):
@@ -202,8 +202,8 @@
         self._processMap = {}
         self._processMap["find_outcome"] = Processor.process_find_outcome
         self._processMap["exchange_heartbeat"] = Processor.process_exchange_heartbeat
-        self._processMap["operate"] = Processor.process_operate
         self._processMap["fetch_configuration"] = Processor.process_fetch_configuration
+        self._processMap["operate"] = Processor.process_operate
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -278,13 +278,13 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_operate(self, seqid, iprot, oprot):
-        args = operate_args()
+    def process_fetch_configuration(self, seqid, iprot, oprot):
+        args = fetch_configuration_args()
         args.read(iprot)
         iprot.readMessageEnd()
-        result = operate_result()
+        result = fetch_configuration_result()
         try:
-            result.success = self._handler.operate(args.query)
+            result.success = self._handler.fetch_configuration(args.query)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -299,18 +299,18 @@
             logging.exception('Unexpected exception in handler')
             msg_type = TMessageType.EXCEPTION
             result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("operate", msg_type, seqid)
+        oprot.writeMessageBegin("fetch_configuration", msg_type, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_fetch_configuration(self, seqid, iprot, oprot):
-        args = fetch_configuration_args()
+    def process_operate(self, seqid, iprot, oprot):
+        args = operate_args()
         args.read(iprot)
         iprot.readMessageEnd()
-        result = fetch_configuration_result()
+        result = operate_result()
         try:
-            result.success = self._handler.fetch_configuration(args.query)
+            result.success = self._handler.operate(args.query)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -325,7 +325,7 @@
             logging.exception('Unexpected exception in handler')
             msg_type = TMessageType.EXCEPTION
             result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("fetch_configuration", msg_type, seqid)
+        oprot.writeMessageBegin("operate", msg_type, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -653,7 +653,7 @@
 )
 
 
-class operate_args(object):
+class fetch_configuration_args(object):
     """
     Attributes:
      - query
@@ -692,7 +692,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('operate_args')
+        oprot.writeStructBegin('fetch_configuration_args')
         if self.query is not None:
             oprot.writeFieldBegin('query', TType.STRUCT, 1)
             self.query.write(oprot)
@@ -720,14 +720,14 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(operate_args)
-operate_args.thrift_spec = (
+all_structs.append(fetch_configuration_args)
+fetch_configuration_args.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'query', [Envelope, None], None, ),  # 1
 )
 
 
-class operate_result(object):
+class fetch_configuration_result(object):
     """
     Attributes:
      - success
@@ -774,7 +774,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('operate_result')
+        oprot.writeStructBegin('fetch_configuration_result')
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
@@ -806,14 +806,14 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(operate_result)
-operate_result.thrift_spec = (
+all_structs.append(fetch_configuration_result)
+fetch_configuration_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Envelope, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [PeerRefused, None], None, ),  # 1
 )
 
 
-class fetch_configuration_args(object):
+class operate_args(object):
     """
     Attributes:
      - query
@@ -852,7 +852,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('fetch_configuration_args')
+        oprot.writeStructBegin('operate_args')
         if self.query is not None:
             oprot.writeFieldBegin('query', TType.STRUCT, 1)
             self.query.write(oprot)
@@ -880,14 +880,14 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(fetch_configuration_args)
-fetch_configuration_args.thrift_spec = (
+all_structs.append(operate_args)
+operate_args.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'query', [Envelope, None], None, ),  # 1
 )
 
 
-class fetch_configuration_result(object):
+class operate_result(object):
     """
     Attributes:
      - success
@@ -934,7 +934,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('fetch_configuration_result')
+        oprot.writeStructBegin('operate_result')
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
@@ -966,8 +966,8 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(fetch_configuration_result)
-fetch_configuration_result.thrift_spec = (
+all_structs.append(operate_result)
+operate_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Envelope, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [PeerRefused, None], None, ),  # 1
 )
