--- a/azureturn/command/_burn.py
+++ b/azureturn/command/_burn.py
@@ -15,6 +15,7 @@
 
 CONTRIBUTOR_LIMIT = 5
 _QUANTILES = (0.5, 0.95, 0.99)
+_DECIMALS = 4
 
 
 @dataclass(frozen=True)
@@ -107,7 +108,7 @@
         window_ms=objective.window_ms,
         good_count=counts.good_count,
         bad_count=counts.bad_count,
-        budget_left=1.0 - burn_rate(counts, objective.target),
+        budget_left=round(1.0 - burn_rate(counts, objective.target), _DECIMALS),
         verdict=_verdict(burns),
         burns=burns,
         latency=_latency(own_window, objective.tier),
@@ -135,7 +136,10 @@
 def _burn(pair: WindowPair, objective: ObjectiveSettings, windows: dict[int, LevelWindow]) -> Burn:
     wanted = _wanted_keys(objective)
     long_rate, short_rate = (
-        burn_rate(windows.get(window_ms, LevelWindow()).total(wanted), objective.target)
+        round(
+            burn_rate(windows.get(window_ms, LevelWindow()).total(wanted), objective.target),
+            _DECIMALS,
+        )
         for window_ms in (pair.long_ms, pair.short_ms)
     )
     return Burn(
--- /dev/null
+++ b/azureturn/command/tests/test_help.py
@@ -0,0 +1,43 @@
+"""The help of every command, as snapshots."""
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from azureturn.command import run
+
+COMMANDS = [
+    "",
+    "config",
+    "config check",
+    "config diff",
+    "config apply",
+    "config show",
+    "config status",
+    "config schema",
+    "upstream",
+    "upstream list",
+    "upstream drain",
+    "upstream return",
+    "vm",
+    "vm list",
+    "requests",
+    "requests refused",
+    "slo",
+    "slo report",
+]
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_help(
+    command: str,
+    snapshot: SnapshotAssertion,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv("COLUMNS", "100")
+    with pytest.raises(SystemExit) as caught:
+        run([*command.split(), "--help"])
+    assert caught.value.code == 0
+    shown = "\n".join(line.rstrip() for line in capsys.readouterr().out.splitlines())
+    assert "\x1b" not in shown
+    assert shown == snapshot
--- /dev/null
+++ b/azureturn/settings/tests/test_difference.py
@@ -0,0 +1,41 @@
+"""Differences between settings: a line each, by name, without secrets."""
+
+from typing import Any
+
+import pytest
+
+from azureturn.settings import differences
+
+CASES: dict[str, tuple[Any, Any, list[str]]] = {
+    "same": ({"a": [1]}, {"a": [1]}, []),
+    "value": ({"a": {"b": 1}}, {"a": {"b": 2}}, ["~ $.a.b: 1 -> 2"]),
+    "added": ({}, {"a": None}, ["+ $.a: null"]),
+    "removed": ({"a": 1}, {}, ["- $.a: 1"]),
+    "by name, whatever the order": (
+        {"a": [{"name": "x", "v": 1}, {"name": "y"}]},
+        {"a": [{"name": "y"}, {"name": "x", "v": 2}]},
+        ["~ $.a[x].v: 1 -> 2"],
+    ),
+    "named item added to none": (
+        {"a": []},
+        {"a": [{"name": "x"}]},
+        ['+ $.a[x]: {"name": "x"}'],
+    ),
+    "plain lists are one value": ({"a": [1]}, {"a": [1, 2]}, ["~ $.a: [1] -> [1, 2]"]),
+    "a secret is told to differ": (
+        {"o": [{"name": "x", "token": "old"}]},
+        {"o": [{"name": "x", "token": "new"}]},
+        ['~ $.o[x].token: "********" -> "********"'],
+    ),
+    "secrets within an added item": (
+        {"o": []},
+        {"o": [{"name": "x", "token": "new"}]},
+        ['+ $.o[x]: {"name": "x", "token": "********"}'],
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_differences(case: str) -> None:
+    before, after, lines = CASES[case]
+    assert [str(change) for change in differences(before, after)] == lines
