--- a/azureturn/daemon/_gossip.py
+++ b/azureturn/daemon/_gossip.py
@@ -22,7 +22,7 @@
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, PlatformError
-from azureturn.observability import LogEvent
+from azureturn.observability import LogEvent, describe_error
 from azureturn.peers import (
     ConfigurationQuery,
     PeerAddress,
@@ -77,7 +77,7 @@
         try:
             shared = check_shared_settings(json.loads(entry.value))
         except (AzureturnError, ValueError) as error:
-            self._services.log.error(LogEvent.CONFIGURATION_REFUSED, error=str(error))
+            self._services.log.error(LogEvent.CONFIGURATION_REFUSED, error=describe_error(error))
             return
         before = self._revision()
         configuration = Configuration(entry.revision, shared, source)
