Version moves in the core: records, pooled evidence, a sequential test, the mover

Weighed: a test against a fixed failure rate (wrong in a storm, when both versions slow down); labels of concurrent troubles under a hash-randomised share need no model of load. Change: records changed by compare-and-swap, grow-only evidence per epoch, e-values over ratios, beginnings and troubles, a ramp planned backwards, a mover with a lease in the record's own revision. Requests carry a version to the upstream.

--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -22,6 +22,8 @@
     """Send the request to this upstream, once."""
 
     upstream: str
+    #: Version of the model that is to answer; empty where the upstream chooses.
+    version: str = ""
 
 
 @dataclass(frozen=True)
--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -18,6 +18,7 @@
     """The daemon starts with this configuration."""
 
     configuration: Configuration
+    boot_id: str = ""
 
 
 @dataclass(frozen=True)
--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -40,6 +40,8 @@
     stage: RequestStage = RequestStage.QUEUED
     #: Name of the upstream, once one is chosen.
     upstream: str = ""
+    #: Version of the model that is to answer; empty where the upstream chooses.
+    version: str = ""
     dispatched_at_ms: int = 0
     output_tokens: int = 0
 
@@ -51,6 +53,10 @@
         """Return a copy that is bound to an upstream."""
         return replace(self, upstream=upstream, dispatched_at_ms=now_ms)
 
+    def with_version(self, version: str) -> "Request":
+        """Return a copy that a certain version of the model is to answer."""
+        return replace(self, version=version)
+
 
 class RequestTable(Table[str, Request]):
     """Requests in progress on this VM, by request id."""
--- a/azureturn/core/controllers/__init__.py
+++ b/azureturn/core/controllers/__init__.py
@@ -3,11 +3,15 @@
 from azureturn.core.controllers._admission import AdmissionController
 from azureturn.core.controllers._configuration import ConfigurationController
 from azureturn.core.controllers._dispatch import DispatchController
+from azureturn.core.controllers._mover import MoverController
+from azureturn.core.controllers._moves import MovesController
 from azureturn.core.controllers._placement import PlacementController
 
 __all__ = [
     "AdmissionController",
     "ConfigurationController",
     "DispatchController",
+    "MoverController",
+    "MovesController",
     "PlacementController",
 ]
--- a/azureturn/core/controllers/_dispatch.py
+++ b/azureturn/core/controllers/_dispatch.py
@@ -20,7 +20,7 @@
     """Sends each request at most once, and a call that is not idempotent only under a claim."""
 
     writes = (RequestTable,)
-    after = ("placement",)
+    after = ("placement", "moves")
 
     @on(Placed)
     def _on_placed(self, event: Placed, context: Context) -> None:
@@ -75,7 +75,7 @@
 
     def _dispatch(self, request: Request, context: Context) -> None:
         self._set_stage(request, RequestStage.DISPATCHED)
-        context.act(Dispatch(request.request_id, request.upstream))
+        context.act(Dispatch(request.request_id, request.upstream, request.version))
 
     def _request(self, request_id: str) -> Request:
         request = self.board.read(RequestTable).get(request_id)
--- /dev/null
+++ b/azureturn/core/controllers/_mover.py
@@ -0,0 +1,370 @@
+"""The mover: one VM at a time changes a move's record and orders engines to load versions.
+
+The record's own revision is the lease: whoever sees a revision unchanged for ``lease_ms`` of its
+own clock takes the record over by compare-and-swap, under the next fencing number. A holder
+counts its lease from before it sent its last write, so by every clock it ends before another's
+wait does. Records rest on compare-and-swap alone; the lease only keeps two VMs from ordering.
+
+A holder that is paused between the look at its lease and the last byte of an order can still
+deliver that order, however late. An engine that checks fencing numbers refuses it. One that
+ignores them carries it out, and nothing at our end can prevent that. What is done about it: a
+new holder waits out the old lease and ``order_limit_ms`` before its first order; while a move
+goes on, orders only add versions; a version is unloaded only after the record is final; and what
+engines have is read back every :data:`OBSERVE_INTERVAL_MS` and repaired. So a late ``load``
+costs memory until it is found and unloaded, and a late ``unload`` can hit a version that a newer
+move has loaded again: that engine is listed as missing and gets no request of the version from
+the time it is observed until it is loaded anew.
+"""
+
+from dataclasses import replace
+
+from azureturn.core._configuration import ConfigurationTable
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import Started, Tick
+from azureturn.core._upstreams import UpstreamTable
+from azureturn.core.moves._evidence import EvidenceLedger
+from azureturn.core.moves._judging import Verdict
+from azureturn.core.moves._messages import (
+    MovesRead,
+    MoveWritten,
+    ObserveVersions,
+    OrderEnded,
+    OrderKind,
+    SendOrder,
+    VersionsObserved,
+    WriteMove,
+    WriteResult,
+)
+from azureturn.core.moves._planning import LoadingWork, stages_needed_ms
+from azureturn.core.moves._policies import RAMP_POLICIES, Advance, RampView, TakeBack
+from azureturn.core.moves._tables import (
+    EvidenceTable,
+    Holding,
+    HoldingTable,
+    Judged,
+    LatencyTable,
+    Move,
+    MoveTable,
+    ObservedUpstream,
+)
+from azureturn.core.moves._types import MoveReason, MoveRecord, MoveState
+from azureturn.settings import MoveSettings, UpstreamKind
+
+#: How often a VM looks at what it could do for each move.
+DECIDE_INTERVAL_MS = 200
+OBSERVE_INTERVAL_MS = 2_000
+#: An unanswered write no longer keeps the next one waiting after this long.
+WRITE_LIMIT_MS = 3_000
+#: Chance that a VM tries to take over at one look, so that not all try at once.
+TAKE_OVER_CHANCE = 0.2
+#: Loads that are under way at once.
+PARALLEL_ORDERS = 2
+#: Answers of the old version that tell what is slow.
+THRESHOLD_SAMPLES = 20
+#: Rates are trusted after this long, or after a tenth of the time to the deadline.
+RATE_WARM_UP_MS = 30_000
+_MS_PER_S = 1_000
+
+
+@controller("mover")
+class MoverController(Controller):
+    """Holds moves: loads versions, lets shares grow, and ends moves."""
+
+    reads = (ConfigurationTable, UpstreamTable, EvidenceTable, LatencyTable)
+    writes = (MoveTable, HoldingTable)
+    after = ("moves",)
+    _boot_id = ""
+    _decided_at_ms: int | None = None
+
+    @on(Started)
+    def _on_started(self, event: Started, context: Context) -> None:
+        self._boot_id = event.boot_id
+
+    @on(MovesRead)
+    def _on_read(self, event: MovesRead, context: Context) -> None:
+        for stored in event.moves:
+            holding = self._holding(stored.record.model)
+            if holding.pending == stored.record:
+                self._keep(stored.record, holding, context.now_ms)
+
+    @on(MoveWritten)
+    def _on_written(self, event: MoveWritten, context: Context) -> None:
+        holding = self._holding(event.record.model)
+        if holding.pending != event.record:
+            return
+        if event.result is WriteResult.WRITTEN:
+            self._keep(event.record, holding, context.now_ms)
+        elif event.result is WriteResult.CONFLICT:
+            self._put(event.record.model, replace(holding, pending=None))
+
+    @on(OrderEnded)
+    def _on_order_ended(self, event: OrderEnded, context: Context) -> None:
+        table = self.board.write(HoldingTable)
+        observed = table.observed.get(event.upstream, ObservedUpstream())
+        table.observed[event.upstream] = replace(observed, ordered_at_ms=0, asked_at_ms=0)
+        if event.done and event.kind is OrderKind.LOAD:
+            table.load_took_ms = max(table.load_took_ms, event.took_ms)
+
+    @on(VersionsObserved)
+    def _on_observed(self, event: VersionsObserved, context: Context) -> None:
+        table = self.board.write(HoldingTable)
+        observed = table.observed.get(event.upstream, ObservedUpstream())
+        table.observed[event.upstream] = replace(
+            observed, versions=event.versions, observed_at_ms=context.now_ms
+        )
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        last_ms = self._decided_at_ms
+        if last_ms is not None and context.now_ms - last_ms < DECIDE_INTERVAL_MS:
+            return
+        self._decided_at_ms = context.now_ms
+        moves = self.board.read(MoveTable)
+        if not moves.is_fresh(context.now_ms):
+            return
+        for move in moves.rows():
+            if not move.record.settled:
+                self._decide(move, context)
+
+    def _decide(self, move: Move, context: Context) -> None:
+        record = move.record
+        holding = self._holding(record.model)
+        writing = holding.pending is not None
+        if writing and context.now_ms - holding.writing_since_ms < WRITE_LIMIT_MS:
+            return
+        verdict = self.board.read(MoveTable).condemned.get(record.move_id)
+        if verdict is not None and not record.ended:
+            self._write(move, self._taken_back(record, verdict, context), context)
+        elif self._is_holder(record) and context.now_ms < holding.lease_ends_ms:
+            self._hold(move, holding, context)
+        elif self._may_take_over(move, context):
+            vm = self.settings.vm.name
+            self._write(move, record.with_holder(vm, self._boot_id), context)
+
+    def _may_take_over(self, move: Move, context: Context) -> bool:
+        silent_ms = context.now_ms - move.revision_seen_at_ms
+        lapsed = not move.record.holder_vm or silent_ms >= self._limits().lease_ms
+        return lapsed and context.random.random() < TAKE_OVER_CHANCE
+
+    def _hold(self, move: Move, holding: Holding, context: Context) -> None:
+        """Do what is next for a move that this VM holds; one write at a time."""
+        record = move.record
+        engines = self._engines(record.model)
+        self._observe(engines, context)
+        if context.now_ms >= holding.orders_from_ms:
+            self._order(record, engines, context)
+        changed = self._changed(record, engines, context)
+        if changed is not None:
+            self._write(move, changed, context)
+        elif holding.lease_ends_ms - context.now_ms < self._limits().lease_ms * 2 // 3:
+            self._write(move, record.with_renewal(), context)
+
+    def _changed(
+        self, record: MoveRecord, engines: tuple[str, ...], context: Context
+    ) -> MoveRecord | None:
+        """Return the record as it should be next, or None where it is as it should be."""
+        unix_ms = self._unix_ms(context)
+        if record.ended:
+            return record.with_settled() if self._is_settled(record, engines, context) else None
+        if record.state is MoveState.BAKING:
+            if unix_ms >= record.moved_unix_ms + record.baking_ms:
+                return record.with_end(MoveState.COMPLETED, unix_ms=unix_ms)
+        else:
+            moved = self._ramped(record, engines, context)
+            if moved is not None:
+                return moved
+        missing = self._missing(record, engines)
+        return record.with_missing(missing) if missing != record.missing else None
+
+    def _ramped(
+        self, record: MoveRecord, engines: tuple[str, ...], context: Context
+    ) -> MoveRecord | None:
+        unix_ms = self._unix_ms(context)
+        view = self._view(record, unix_ms)
+        policy = RAMP_POLICIES[self._policy()]
+        if record.state is MoveState.LOADING:
+            return self._loaded(view, engines, judges=policy.judges)
+        decision = policy.decide(view)
+        if isinstance(decision, TakeBack):
+            return _taken_back(record, decision, unix_ms)
+        if isinstance(decision, Advance):
+            return record.with_stage(record.stage + 1, unix_ms=unix_ms)
+        return None
+
+    def _loaded(
+        self, view: RampView, engines: tuple[str, ...], *, judges: bool
+    ) -> MoveRecord | None:
+        """Return the record at its first stage once all engines are ready for it."""
+        record, unix_ms = view.record, view.unix_ms
+        late = self._too_late_to_load(view, engines)
+        if late is not None and judges:
+            return _taken_back(record, late, unix_ms)
+        missing = self._missing(record, engines)
+        unreachable = [one for one in missing if self._observed(one).versions is None]
+        known = any(self._observed(one).versions is not None for one in engines)
+        if not known or len(missing) > len(unreachable):
+            return None
+        sketches = self.board.read(LatencyTable).get(record.move_id)
+        samples = 0 if sketches is None else sketches.samples
+        quarter_ms = (record.deadline_unix_ms - record.started_unix_ms) // 4
+        waited = unix_ms - record.started_unix_ms >= quarter_ms
+        if samples < THRESHOLD_SAMPLES and not waited and judges:
+            return None
+        if sketches is not None:
+            record = record.with_thresholds(sketches.thresholds())
+        return record.with_missing(missing).with_stage(0, unix_ms=unix_ms)
+
+    def _too_late_to_load(self, view: RampView, engines: tuple[str, ...]) -> TakeBack | None:
+        record = view.record
+        left_ms = record.deadline_unix_ms - view.unix_ms
+        if left_ms <= 0:
+            return TakeBack(MoveReason.DEADLINE_PASSED, "the version was not loaded in time")
+        whole_ms = record.deadline_unix_ms - record.started_unix_ms
+        if view.unix_ms - record.started_unix_ms < min(RATE_WARM_UP_MS, whole_ms // 10):
+            return None
+        replicas = len(self._missing(record, engines))
+        loading_ms = self._loading_ms(replicas)
+        needed_ms = loading_ms + stages_needed_ms(record, view.rates_per_s)
+        if needed_ms <= left_ms:
+            return None
+        detail = (
+            f"{replicas} loads and the stages need {needed_ms // _MS_PER_S} s, "
+            f"{left_ms // _MS_PER_S} s are left"
+        )
+        return TakeBack(MoveReason.DEADLINE_UNREACHABLE, detail)
+
+    def _loading_ms(self, replicas: int) -> int:
+        took_ms = self.board.read(HoldingTable).load_took_ms
+        if took_ms:
+            return took_ms * -(-replicas // PARALLEL_ORDERS)
+        return LoadingWork.from_settings(self._limits(), replicas=replicas).needed_ms()
+
+    def _order(self, record: MoveRecord, engines: tuple[str, ...], context: Context) -> None:
+        """Send the orders that are due: loads while the move goes on, one unload after its end."""
+        kind, version = OrderKind.LOAD, record.to_version
+        if record.ended:
+            kind, version = OrderKind.UNLOAD, _lost_version(record)
+            waits_until_ms = record.ended_unix_ms + self._limits().unload_after_ms
+            if self._unix_ms(context) < waits_until_ms:
+                return
+        table = self.board.write(HoldingTable)
+        under_way = sum(1 for one in engines if self._observed(one).ordered_at_ms)
+        for name in engines:
+            observed = self._observed(name)
+            if observed.versions is None or observed.ordered_at_ms:
+                continue
+            done = (version in observed.versions) is (kind is OrderKind.LOAD)
+            if done or under_way >= PARALLEL_ORDERS:
+                continue
+            under_way += 1
+            table.observed[name] = replace(observed, ordered_at_ms=max(1, context.now_ms))
+            context.act(SendOrder(name, kind, version, record.fence))
+
+    def _observe(self, engines: tuple[str, ...], context: Context) -> None:
+        table = self.board.write(HoldingTable)
+        for name in engines:
+            observed = self._observed(name)
+            if observed.ordered_at_ms:
+                stuck_ms = context.now_ms - observed.ordered_at_ms
+                if stuck_ms > 2 * self._limits().order_limit_ms:
+                    table.observed[name] = replace(observed, ordered_at_ms=0)
+                continue
+            due_ms = observed.asked_at_ms + OBSERVE_INTERVAL_MS
+            if observed.asked_at_ms == 0 or context.now_ms >= due_ms:
+                table.observed[name] = replace(observed, asked_at_ms=max(1, context.now_ms))
+                context.act(ObserveVersions(name))
+
+    def _is_settled(self, record: MoveRecord, engines: tuple[str, ...], context: Context) -> bool:
+        lost = _lost_version(record)
+        waits_until_ms = record.ended_unix_ms + self._limits().unload_after_ms
+        known = [self._observed(one) for one in engines]
+        recent = all(one.observed_at_ms > 0 and not one.ordered_at_ms for one in known)
+        gone = all(one.versions is None or lost not in one.versions for one in known)
+        return recent and gone and self._unix_ms(context) >= waits_until_ms
+
+    def _write(self, move: Move, record: MoveRecord, context: Context) -> None:
+        model = record.model
+        holding = self._holding(model)
+        self._put(model, replace(holding, pending=record, writing_since_ms=context.now_ms))
+        context.act(WriteMove(record, move.revision))
+
+    def _keep(self, record: MoveRecord, holding: Holding, now_ms: int) -> None:
+        """A write has taken effect: the lease runs from when it was sent."""
+        held = replace(holding, pending=None)
+        if self._is_holder(record):
+            lease_ends_ms = holding.writing_since_ms + self._limits().lease_ms
+            held = replace(held, lease_ends_ms=lease_ends_ms)
+            if record.fence > holding.fence:
+                wait_ms = self._limits().order_limit_ms if record.fence > 1 else 0
+                held = replace(held, fence=record.fence, orders_from_ms=now_ms + wait_ms)
+        self._put(record.model, held)
+
+    def _taken_back(self, record: MoveRecord, verdict: Verdict, context: Context) -> MoveRecord:
+        decision = TakeBack(verdict.reason, verdict.detail)
+        return _taken_back(record, decision, self._unix_ms(context))
+
+    def _view(self, record: MoveRecord, unix_ms: int) -> RampView:
+        evidence = self.board.read(EvidenceTable)
+        ledger = evidence.get(record.move_id) or EvidenceLedger(record.move_id)
+        judged = evidence.verdicts.get(record.move_id) or Judged()
+        rates = _rates_per_s(ledger, record, unix_ms)
+        return RampView(record, ledger, judged.verdict, unix_ms, rates)
+
+    def _missing(self, record: MoveRecord, engines: tuple[str, ...]) -> tuple[str, ...]:
+        return tuple(
+            one
+            for one in engines
+            if record.to_version not in (self._observed(one).versions or frozenset())
+        )
+
+    def _engines(self, model: str) -> tuple[str, ...]:
+        return tuple(
+            upstream.settings.name
+            for upstream in self.board.read(UpstreamTable).rows()
+            if model in upstream.settings.targets
+            and upstream.settings.kind is UpstreamKind.MODEL_ENGINE
+            and not upstream.leaving
+            and not upstream.settings.draining
+        )
+
+    def _observed(self, name: str) -> ObservedUpstream:
+        return self.board.read(HoldingTable).observed.get(name) or ObservedUpstream()
+
+    def _holding(self, model: str) -> Holding:
+        return self.board.read(HoldingTable).get(model) or Holding()
+
+    def _put(self, model: str, holding: Holding) -> None:
+        self.board.write(HoldingTable).put(model, holding)
+
+    def _is_holder(self, record: MoveRecord) -> bool:
+        holder = (record.holder_vm, record.holder_boot_id)
+        return holder == (self.settings.vm.name, self._boot_id)
+
+    def _unix_ms(self, context: Context) -> int:
+        return context.now_ms + self.board.read(MoveTable).unix_offset_ms
+
+    def _limits(self) -> MoveSettings:
+        return self.board.read(ConfigurationTable).in_force().shared.policy.moves
+
+    def _policy(self) -> str:
+        return self.board.read(ConfigurationTable).in_force().shared.policy.ramp
+
+
+def _lost_version(record: MoveRecord) -> str:
+    completed = record.state is MoveState.COMPLETED
+    return record.from_version if completed else record.to_version
+
+
+def _taken_back(record: MoveRecord, decision: TakeBack, unix_ms: int) -> MoveRecord:
+    return record.with_end(MoveState.TAKEN_BACK, decision.reason, decision.detail, unix_ms=unix_ms)
+
+
+def _rates_per_s(ledger: EvidenceLedger, record: MoveRecord, unix_ms: int) -> dict[str, float]:
+    elapsed_s = max(1.0, (unix_ms - record.started_unix_ms) / _MS_PER_S)
+    stages = range(-1, len(record.stages))
+    rates: dict[str, float] = {}
+    for route in ledger.routes():
+        old = ledger.total(is_new=False, stages=stages, route=route)
+        new = ledger.total(is_new=True, stages=stages, route=route)
+        rates[route] = (old.requests + new.requests) / elapsed_s
+    return rates
--- /dev/null
+++ b/azureturn/core/controllers/_moves.py
@@ -0,0 +1,295 @@
+"""Gives requests their version, gathers evidence on versions, and stops bad ones."""
+
+from dataclasses import replace
+
+from azureturn.core._configuration import ConfigurationTable
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import (
+    AnswerProgressed,
+    Placed,
+    RequestAnswered,
+    RequestEnded,
+    RequestFailed,
+    Started,
+    Tick,
+)
+from azureturn.core._requests import RequestTable
+from azureturn.core.moves._evidence import (
+    EPOCH_MS,
+    OPEN_EPOCHS,
+    VERY_SLOW_FACTOR,
+    Counts,
+    EvidenceKey,
+    EvidenceSource,
+    Trouble,
+)
+from azureturn.core.moves._judging import Judge, Verdict
+from azureturn.core.moves._messages import (
+    EvidenceReceived,
+    MovesRead,
+    MoveWritten,
+    ReportMove,
+    StoredMove,
+    WriteResult,
+)
+from azureturn.core.moves._policies import RAMP_POLICIES
+from azureturn.core.moves._tables import (
+    EvidenceTable,
+    Judged,
+    LatencySketches,
+    LatencyTable,
+    ModelLoad,
+    ModelLoadTable,
+    Move,
+    MoveTable,
+    TrackedRequest,
+    TrackedRequestTable,
+)
+from azureturn.core.moves._types import MoveRecord, MoveState
+from azureturn.errors import ErrorKind
+
+#: Shortest time between two judgements of one version.
+JUDGE_INTERVAL_MS = 100
+#: Failures that say nothing of the version.
+_NOT_THE_VERSION = frozenset({ErrorKind.UPSTREAM_UNREACHABLE, ErrorKind.CALLER_GONE})
+
+
+@controller("moves")
+class MovesController(Controller):
+    """Applies shares and judges, on every VM and without the service.
+
+    A version that this VM's pooled evidence condemns gets nothing more from this VM, at once and
+    for good; the knowledge travels to peers. Only the mover's controller writes records.
+    """
+
+    reads = (ConfigurationTable,)
+    writes = (
+        MoveTable,
+        EvidenceTable,
+        LatencyTable,
+        ModelLoadTable,
+        TrackedRequestTable,
+        RequestTable,
+    )
+    after = ("placement",)
+    _boot_id = ""
+
+    @on(Started)
+    def _on_started(self, event: Started, context: Context) -> None:
+        self._boot_id = event.boot_id
+
+    @on(MovesRead)
+    def _on_read(self, event: MovesRead, context: Context) -> None:
+        moves = self.board.write(MoveTable)
+        moves.heard_at_ms = context.now_ms
+        moves.unix_offset_ms = event.unix_ms - context.now_ms
+        for stored in event.moves:
+            self._accept(stored, context)
+        self._report_all(context)
+
+    @on(MoveWritten)
+    def _on_written(self, event: MoveWritten, context: Context) -> None:
+        if event.result is WriteResult.WRITTEN:
+            self.board.write(MoveTable).heard_at_ms = context.now_ms
+            self._accept(StoredMove(event.record, event.revision), context)
+            self._report_all(context)
+
+    @on(Placed)
+    def _on_placed(self, event: Placed, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        move = None if request is None else self.board.read(MoveTable).get(request.target)
+        if request is None or move is None:
+            return
+        moves = self.board.read(MoveTable)
+        version = moves.version_of(request.target, request.request_id)
+        self.board.write(RequestTable).put(request.request_id, request.with_version(version))
+        if move.record.ended:
+            return
+        loads = self.board.write(ModelLoadTable)
+        load = (loads.get(request.target) or ModelLoad()).with_dispatch()
+        loads.put(request.target, load)
+        tracked = TrackedRequest(
+            move.record.move_id,
+            EvidenceKey(
+                self._epoch(move.record, context.now_ms),
+                move.record.stage,
+                request.route,
+                version == move.record.to_version,
+            ),
+            context.now_ms,
+            load.busy,
+        )
+        self.board.write(TrackedRequestTable).put(request.request_id, tracked)
+
+    @on(AnswerProgressed)
+    def _on_progressed(self, event: AnswerProgressed, context: Context) -> None:
+        table = self.board.write(TrackedRequestTable)
+        tracked = table.get(event.request_id)
+        if tracked is not None and tracked.first_token_ms is None:
+            took_ms = context.now_ms - tracked.dispatched_at_ms
+            table.put(event.request_id, tracked.with_first_token(took_ms))
+
+    @on(RequestAnswered)
+    def _on_answered(self, event: RequestAnswered, context: Context) -> None:
+        tracked = self.board.write(TrackedRequestTable).remove(event.request_id)
+        if tracked is None:
+            return
+        took_ms = context.now_ms - tracked.dispatched_at_ms
+        per_token_ms = took_ms / event.output_tokens if event.output_tokens else None
+        self._count_answer(tracked, per_token_ms, context)
+
+    @on(RequestFailed)
+    def _on_failed(self, event: RequestFailed, context: Context) -> None:
+        tracked = self.board.write(TrackedRequestTable).remove(event.request_id)
+        if tracked is not None and event.kind not in _NOT_THE_VERSION:
+            troubles = [0] * len(Trouble)
+            troubles[Trouble.FAILED] = 1
+            self._count(tracked, tuple(troubles), context)
+
+    @on(RequestEnded)
+    def _on_ended(self, event: RequestEnded, context: Context) -> None:
+        self.board.write(TrackedRequestTable).remove(event.request.request_id)
+        loads = self.board.write(ModelLoadTable)
+        load = loads.get(event.request.target)
+        if load is not None and event.request.version:
+            loads.put(event.request.target, load.with_end())
+
+    @on(EvidenceReceived)
+    def _on_evidence(self, event: EvidenceReceived, context: Context) -> None:
+        moves = self.board.write(MoveTable)
+        present = {move.record.move_id: move.record for move in moves.rows()}
+        for row in event.rows:
+            record = present.get(row.move_id)
+            if record is not None and -1 <= row.key.stage < len(record.stages):
+                self.board.write(EvidenceTable).of(row.move_id).merge(row)
+        for known in event.condemned:
+            if known.move_id in present:
+                verdict = Verdict(0.0, True, known.reason, known.detail)
+                moves.condemned.setdefault(known.move_id, verdict)
+        moves.completed.update(one for one in event.completed if one in present)
+        self._judge_all(context)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        self._judge_all(context)
+        self._close_epochs(context.now_ms)
+        self._report_all(context)
+
+    def _accept(self, stored: StoredMove, context: Context) -> None:
+        moves = self.board.write(MoveTable)
+        record = stored.record
+        known = moves.get(record.model)
+        if known is not None and stored.revision <= known.revision:
+            return
+        if known is not None and known.record.move_id != record.move_id:
+            self._forget(known.record.move_id)
+        moves.put(record.model, Move(record, stored.revision, context.now_ms))
+        if record.state is MoveState.COMPLETED:
+            moves.completed.add(record.move_id)
+        elif record.ended:
+            verdict = Verdict(0.0, True, record.reason, record.detail)
+            moves.condemned.setdefault(record.move_id, verdict)
+
+    def _forget(self, move_id: str) -> None:
+        moves, evidence = self.board.write(MoveTable), self.board.write(EvidenceTable)
+        moves.condemned.pop(move_id, None)
+        moves.completed.discard(move_id)
+        evidence.remove(move_id)
+        evidence.judges.pop(move_id, None)
+        evidence.verdicts.pop(move_id, None)
+        self.board.write(LatencyTable).remove(move_id)
+
+    def _epoch(self, record: MoveRecord, now_ms: int) -> int:
+        unix_ms = now_ms + self.board.read(MoveTable).unix_offset_ms
+        return max(0, unix_ms - record.started_unix_ms) // EPOCH_MS
+
+    def _count_answer(
+        self, tracked: TrackedRequest, per_token_ms: float | None, context: Context
+    ) -> None:
+        if tracked.key.stage < 0:
+            latencies = self.board.write(LatencyTable)
+            sketches = latencies.get(tracked.move_id) or LatencySketches()
+            sketches.add(tracked.key.route, tracked.first_token_ms, per_token_ms)
+            latencies.put(tracked.move_id, sketches)
+        record = self._record(tracked.move_id)
+        if record is None:
+            return
+        troubles = [0] * len(Trouble)
+        for threshold in record.thresholds:
+            if threshold.route == tracked.key.route:
+                first_ms = tracked.first_token_ms
+                _count_slow(troubles, Trouble.SLOW_FIRST_TOKEN, first_ms, threshold.first_token_ms)
+                _count_slow(troubles, Trouble.SLOW_TOKENS, per_token_ms, threshold.per_token_ms)
+        self._count(tracked, tuple(troubles), context)
+
+    def _count(self, tracked: TrackedRequest, troubles: tuple[int, ...], context: Context) -> None:
+        record = self._record(tracked.move_id)
+        if record is None:
+            return
+        source = EvidenceSource(self.settings.vm.name, self._boot_id)
+        counts = Counts(1, int(tracked.busy), troubles)
+        self.board.write(EvidenceTable).of(tracked.move_id).add(source, tracked.key, counts)
+        self._judge(record, context)
+
+    def _record(self, move_id: str) -> MoveRecord | None:
+        records = (move.record for move in self.board.read(MoveTable).rows())
+        return next((one for one in records if one.move_id == move_id), None)
+
+    def _judge_all(self, context: Context) -> None:
+        for move in self.board.read(MoveTable).rows():
+            self._judge(move.record, context)
+
+    def _judge(self, record: MoveRecord, context: Context) -> None:
+        """Judge the version anew if it has shown a trouble since the last judgement."""
+        moves, evidence = self.board.write(MoveTable), self.board.write(EvidenceTable)
+        ledger = evidence.get(record.move_id)
+        if ledger is None or record.ended or record.move_id in moves.condemned:
+            return
+        last = evidence.verdicts.get(record.move_id) or Judged()
+        early = context.now_ms - last.judged_at_ms < JUDGE_INTERVAL_MS
+        if ledger.bad_news == last.bad_news or early:
+            return
+        verdict = self._judge_of(record).verdict(ledger)
+        judged = Judged(verdict, ledger.bad_news, context.now_ms)
+        evidence.verdicts[record.move_id] = judged
+        policy = self.board.read(ConfigurationTable).in_force().shared.policy.ramp
+        if verdict.condemned and RAMP_POLICIES[policy].judges:
+            moves.condemned[record.move_id] = verdict
+            self._report_all(context)
+
+    def _judge_of(self, record: MoveRecord) -> Judge:
+        judges = self.board.write(EvidenceTable).judges
+        if record.move_id not in judges:
+            judges[record.move_id] = Judge(record)
+        return judges[record.move_id]
+
+    def _close_epochs(self, now_ms: int) -> None:
+        evidence = self.board.write(EvidenceTable)
+        for move in self.board.read(MoveTable).rows():
+            ledger = evidence.get(move.record.move_id)
+            before = self._epoch(move.record, now_ms) - OPEN_EPOCHS
+            if ledger is not None and before > ledger.open_from:
+                self._judge_of(move.record).close_before(before, ledger)
+                ledger.close_before(before)
+
+    def _report_all(self, context: Context) -> None:
+        moves = self.board.write(MoveTable)
+        for model, move in moves.items():
+            shown = moves.shown(move, context.now_ms)
+            share = moves.share(move.record)
+            report = ReportMove(model, move.record.move_id, *shown, move.record.detail, share)
+            verdict = moves.condemned.get(move.record.move_id)
+            if verdict is not None:
+                report = replace(report, detail=verdict.detail)
+            if moves.reported.get(model) != report:
+                moves.reported[model] = report
+                context.act(report)
+
+
+def _count_slow(
+    troubles: list[int], slow: Trouble, took_ms: float | None, threshold_ms: float
+) -> None:
+    """Count an answer as slow, and as very slow, which is the trouble after it."""
+    if took_ms is not None and threshold_ms > 0:
+        troubles[slow] += took_ms > threshold_ms
+        troubles[slow + 1] += took_ms > threshold_ms * VERY_SLOW_FACTOR
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -13,6 +13,7 @@
 from azureturn.core._queue import QueueTable
 from azureturn.core._requests import Request, RequestTable
 from azureturn.core._upstreams import Upstream, UpstreamTable
+from azureturn.core.moves import MoveTable
 from azureturn.errors import ErrorKind
 
 #: An upstream that refused a connection gets no new work for this long.
@@ -27,15 +28,18 @@
 class PlacementController(Controller):
     """Takes the most urgent request for which some upstream has room, and chooses the upstream."""
 
-    reads = (ConfigurationTable,)
+    reads = (ConfigurationTable, MoveTable)
     writes = (RequestTable, QueueTable, UpstreamTable)
     after = ("admission",)
 
     @on(PlacementDue)
     def _on_due(self, event: PlacementDue, context: Context) -> None:
         queue = self.board.write(QueueTable).of(event.target)
+        moves = self.board.read(MoveTable)
         while len(queue):
+            version = moves.version_of(event.target, queue.peek().request_id)
             candidates = self._with_room(event.target, context.now_ms)
+            candidates = moves.with_version(candidates, event.target, version)
             if not candidates:
                 return
             request = queue.pop()
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -42,8 +42,10 @@
 
 #: How long after a request's deadline the core may still speak before that is an error.
 DEADLINE_GRACE_MS = 2_000
+#: Selects the version of a model at an engine, and says which one answered.
+VERSION_HEADER = "X-Model-Version"
 #: Headers of an upstream's answer that are passed on.
-_PASSED_HEADERS = ("Content-Type", "X-Model-Version")
+_PASSED_HEADERS = ("Content-Type", VERSION_HEADER)
 
 
 @dataclass(frozen=True)
@@ -106,7 +108,7 @@
         if not self._request.idempotent:
             self._services.outcomes.begin(key, self._request.body_digest)
         try:
-            answer = self._send(action.upstream)
+            answer = self._send(action)
             if self._outgoing.streamed and answer.status == 200:
                 return self._streamed_answer(answer)
             whole = answer.read_whole()
@@ -117,7 +119,7 @@
             raise
         return self._whole_answer(whole)
 
-    def _send(self, upstream: str) -> StreamedAnswer:
+    def _send(self, action: Dispatch) -> StreamedAnswer:
         request = self._request
         self._services.runtime.submit(FirstByteSent(request.request_id))
         limits = self._services.settings.daemon
@@ -126,14 +128,19 @@
         sent = UpstreamRequest(
             method=self._outgoing.method,
             path=self._outgoing.path,
-            headers=self._outgoing.headers,
+            headers=self._sent_headers(action),
             body=self._outgoing.body,
             request_id=request.request_id,
             connect_timeout_ms=limits.connect_timeout_ms,
             read_timeout_ms=min(left_ms, silence_ms),
             fresh_connection=not request.idempotent,
         )
-        return self._services.upstream_client(upstream).send(sent)
+        return self._services.upstream_client(action.upstream).send(sent)
+
+    def _sent_headers(self, action: Dispatch) -> dict[str, str]:
+        if not action.version:
+            return self._outgoing.headers
+        return {**self._outgoing.headers, VERSION_HEADER: action.version}
 
     def _whole_answer(self, whole: WholeAnswer) -> CallerAnswer:
         request = self._request
--- a/azureturn/settings/__init__.py
+++ b/azureturn/settings/__init__.py
@@ -11,6 +11,7 @@
 )
 from azureturn.settings._types import (
     DaemonSettings,
+    MoveSettings,
     ObjectiveSettings,
     OrganisationSettings,
     PlatformSettings,
@@ -27,6 +28,7 @@
 __all__ = [
     "DaemonSettings",
     "Mistake",
+    "MoveSettings",
     "ObjectiveSettings",
     "OrganisationSettings",
     "PlatformSettings",
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -155,11 +155,31 @@
     window_ms: DurationMs = 3_600_000
 
 
+@dataclass(frozen=True)
+class MoveSettings:
+    """What is assumed of loading a version until the first loads were timed."""
+
+    weight_bytes: Annotated[int, Field(ge=1)] = 2_000_000
+    #: What the weight store gives to all its readers together.
+    weight_store_bytes_per_s: Annotated[float, Field(gt=0)] = 10_000_000.0
+    #: Time to load a version once its weights are at the engine.
+    load_time_ms: DurationMs = 1_000
+    #: Longest wait for the end of one order; a new holder waits it out before it orders.
+    order_limit_ms: DurationMs = 30_000
+    #: How long after a move's end the version that lost stays loaded.
+    unload_after_ms: DurationMs = 30_000
+    #: A record that its holder has not renewed for this long may be taken over.
+    lease_ms: DurationMs = 10_000
+
+
 @dataclass(frozen=True)
 class PolicySettings:
     """Which of the registered decisions are in use, and their limits."""
 
     placement: Name = "least_work"
+    #: How the share of a new version grows.
+    ramp: Name = "judged"
+    moves: MoveSettings = field(default_factory=MoveSettings)
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
     claim_retention_ms: DurationMs = 24 * 3_600_000
