--- a/azureturn/core/controllers/__init__.py
+++ b/azureturn/core/controllers/__init__.py
@@ -3,6 +3,8 @@
 from azureturn.core.controllers._admission import AdmissionController
 from azureturn.core.controllers._configuration import ConfigurationController
 from azureturn.core.controllers._dispatch import DispatchController
+from azureturn.core.controllers._membership import MembershipController
+from azureturn.core.controllers._move_gossip import MoveGossipController
 from azureturn.core.controllers._mover import MoverController
 from azureturn.core.controllers._moves import MovesController
 from azureturn.core.controllers._placement import PlacementController
@@ -11,6 +13,8 @@
     "AdmissionController",
     "ConfigurationController",
     "DispatchController",
+    "MembershipController",
+    "MoveGossipController",
     "MoverController",
     "MovesController",
     "PlacementController",
--- a/azureturn/core/moves/__init__.py
+++ b/azureturn/core/moves/__init__.py
@@ -14,13 +14,14 @@
     VERY_SLOW_FACTOR,
     CondemnedMove,
     Counts,
-    EvidenceDelta,
     EvidenceKey,
     EvidenceLedger,
     EvidenceRow,
     EvidenceSource,
     Trouble,
 )
+from azureturn.core.moves._filter import version_is_loaded
+from azureturn.core.moves._gossip import evidence_from_row, evidence_to_rows
 from azureturn.core.moves._judging import ERROR_RATE, SUSPICION, Judge, Verdict
 from azureturn.core.moves._messages import (
     EvidenceReceived,
@@ -57,7 +58,6 @@
     MoveTable,
     ObservedUpstream,
     TrackedRequestTable,
-    evidence_delta,
 )
 from azureturn.core.moves._types import (
     ENDED_STATES,
@@ -75,7 +75,6 @@
     "ENDED_STATES",
     "EPOCH_MS",
     "ERROR_RATE",
-    "EvidenceDelta",
     "EvidenceKey",
     "EvidenceLedger",
     "EvidenceReceived",
@@ -123,10 +122,12 @@
     "check_record",
     "decode_record",
     "encode_record",
-    "evidence_delta",
+    "evidence_from_row",
+    "evidence_to_rows",
     "judged_routes",
     "move_key",
     "ramp_policy",
     "stages_needed_ms",
     "takes_new_version",
+    "version_is_loaded",
 ]
--- a/azureturn/core/moves/_codec.py
+++ b/azureturn/core/moves/_codec.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import re
 
 from pydantic import TypeAdapter, ValidationError
 
@@ -15,6 +16,7 @@
 #: Longest list of stages.
 STAGES_LIMIT = 20
 
+_MOVE_ID = re.compile(r"^[0-9a-f]{12}$")
 _ADAPTER = TypeAdapter(MoveRecord)
 
 
@@ -51,6 +53,8 @@
     """Raise :class:`MoveRecordError` where the parts of a record contradict each other."""
     stages = record.stages
     rising = all(earlier < later for earlier, later in zip(stages, stages[1:], strict=False))
+    if not _MOVE_ID.match(record.move_id):
+        raise MoveRecordError("a move's id is 12 hexadecimal digits")
     if not stages or len(stages) > STAGES_LIMIT or not rising:
         raise MoveRecordError("stages must be rising shares")
     if stages[0] <= 0 or stages[-1] != 1.0:
--- a/azureturn/core/moves/_evidence.py
+++ b/azureturn/core/moves/_evidence.py
@@ -1,9 +1,7 @@
 """Evidence on versions: counters that only grow, so that VMs can pool them in any order."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
-from itertools import count
 
 from azureturn.core.moves._types import MoveReason
 
@@ -88,17 +86,6 @@
     detail: str
 
 
-@dataclass(frozen=True)
-class EvidenceDelta:
-    """What a VM tells a peer: rows that changed, and moves whose new version is known as bad."""
-
-    rows: tuple[EvidenceRow, ...]
-    condemned: tuple[CondemnedMove, ...]
-    completed: tuple[str, ...]
-    #: To be given back to get what changes after this.
-    sequence: int
-
-
 @dataclass
 class EvidenceLedger:
     """All that is known of one move's two versions.
@@ -116,14 +103,18 @@
     open_from: int = 0
     #: Grows whenever the new version shows a trouble.
     bad_news: int = 0
+    #: The boot id under which this process counts.
+    own_boot_id: str = ""
+    #: Grows whenever this process sees the new version fail.
+    own_failures: int = 0
     _rows: dict[tuple[EvidenceSource, EvidenceKey], Counts] = field(default_factory=dict)
-    _changed: dict[tuple[EvidenceSource, EvidenceKey], int] = field(default_factory=dict)
-    #: Numbers the changes; shared by the ledgers of one VM.
-    next_sequence: Callable[[], int] = field(default_factory=lambda: count(1).__next__)
 
     def add(self, source: EvidenceSource, key: EvidenceKey, counts: Counts) -> None:
         """Count answers of this process."""
         known = self._rows.get((source, key))
+        self.own_boot_id = source.boot_id
+        if key.is_new:
+            self.own_failures += counts.troubles[Trouble.FAILED]
         self._replace(source, key, known, counts if known is None else known.with_added(counts))
 
     def merge(self, row: EvidenceRow) -> None:
@@ -135,13 +126,9 @@
         if merged != known:
             self._replace(row.source, row.key, known, merged)
 
-    def changed_since(self, sequence: int) -> list[tuple[int, EvidenceRow]]:
-        """Return the rows that changed after ``sequence``, each with its change's number."""
-        return [
-            (changed, EvidenceRow(place[0], self.move_id, place[1], self._rows[place]))
-            for place, changed in self._changed.items()
-            if changed > sequence
-        ]
+    def rows_of(self, source: EvidenceSource) -> list[tuple[EvidenceKey, Counts]]:
+        """Return one source's rows of the open epochs."""
+        return [(key, counts) for (owner, key), counts in self._rows.items() if owner == source]
 
     def close_before(self, epoch: int) -> None:
         """Forget the rows of epochs before ``epoch``; the totals keep them."""
@@ -150,7 +137,6 @@
             del self.pooled[key]
         for place in [one for one in self._rows if one[1].epoch < self.open_from]:
             del self._rows[place]
-            self._changed.pop(place, None)
 
     def total(self, *, is_new: bool, stages: range, route: str = "") -> Counts:
         """Return the counts of one version over some stages, on one route or on all."""
@@ -175,7 +161,6 @@
             return
         change = counts if known is None else counts.with_added(known, -1)
         self._rows[(source, key)] = counts
-        self._changed[(source, key)] = self.next_sequence()
         self.pooled[key] = self.pooled.get(key, Counts()).with_added(change)
         place = (key.stage, key.route, key.is_new)
         self.totals[place] = self.totals.get(place, Counts()).with_added(change)
--- a/azureturn/core/moves/_messages.py
+++ b/azureturn/core/moves/_messages.py
@@ -71,10 +71,8 @@
 
 @dataclass(frozen=True)
 class EvidenceReceived(Event):
-    """A peer told what it knows; rows may count the answers of other VMs too."""
+    """Peers told what they know (posted by the core itself)."""
 
-    vm: str
-    boot_id: str
     rows: tuple[EvidenceRow, ...]
     condemned: tuple[CondemnedMove, ...] = ()
     completed: tuple[str, ...] = ()
--- a/azureturn/core/moves/_tables.py
+++ b/azureturn/core/moves/_tables.py
@@ -1,14 +1,13 @@
 """What a VM knows of moves: its rows on the blackboard."""
 
-from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from itertools import count
 
 from ddsketch import DDSketch
 
 from azureturn.core._blackboard import Table
 from azureturn.core._upstreams import Upstream
-from azureturn.core.moves._evidence import CondemnedMove, EvidenceDelta, EvidenceKey, EvidenceLedger
+from azureturn.core.moves._evidence import EvidenceKey, EvidenceLedger
 from azureturn.core.moves._judging import Judge, Verdict
 from azureturn.core.moves._messages import ReportMove
 from azureturn.core.moves._sharing import takes_new_version
@@ -58,16 +57,6 @@
             return 1.0
         return 0.0 if record.move_id in self.condemned else record.share
 
-    def condemned_present(self) -> tuple[CondemnedMove, ...]:
-        """Return what is known as bad among the models' present moves."""
-        found = []
-        for move in self.rows():
-            verdict = self.condemned.get(move.record.move_id)
-            if verdict is not None:
-                known = CondemnedMove(move.record.move_id, verdict.reason, verdict.detail)
-                found.append(known)
-        return tuple(found)
-
     def version_of(self, model: str, request_id: str) -> str:
         """Return the version that is to answer a request; empty where no move is known."""
         move = self.get(model)
@@ -78,7 +67,9 @@
             return record.to_version
         return record.from_version
 
-    def with_version(self, upstreams: list[Upstream], model: str, version: str) -> list[Upstream]:
+    def with_version(
+        self, upstreams: Sequence[Upstream], model: str, version: str
+    ) -> Sequence[Upstream]:
         """Return those of ``upstreams`` that are known to have a version."""
         move = self.get(model)
         if move is None or version != move.record.to_version:
@@ -124,13 +115,12 @@
         self.judges: dict[str, Judge] = {}
         #: The latest verdicts, by the move's id.
         self.verdicts: dict[str, Judged] = {}
-        self._next_sequence: Callable[[], int] = count(1).__next__
 
     def of(self, move_id: str) -> EvidenceLedger:
         """Return a move's ledger, made when first asked for."""
         ledger = self.get(move_id)
         if ledger is None:
-            ledger = EvidenceLedger(move_id, next_sequence=self._next_sequence)
+            ledger = EvidenceLedger(move_id)
             self.put(move_id, ledger)
         return ledger
 
@@ -258,23 +248,3 @@
 
 class ModelLoadTable(Table[str, ModelLoad]):
     """Outstanding work by model."""
-
-
-def evidence_delta(
-    evidence: EvidenceTable, moves: MoveTable, *, since: int, limit_rows: int = 1_000
-) -> EvidenceDelta:
-    """Return what changed after ``since``: 0 at first, then each delta's own ``sequence``.
-
-    Where more rows changed than the limit, the earliest changes go first and the rest follow
-    with the next delta.
-    """
-    changed = [pair for ledger in evidence.rows() for pair in ledger.changed_since(since)]
-    changed.sort(key=lambda pair: pair[0])
-    sent = changed[:limit_rows]
-    sequence = sent[-1][0] if sent else since
-    return EvidenceDelta(
-        tuple(row for _, row in sent),
-        moves.condemned_present(),
-        tuple(sorted(moves.completed & {move.record.move_id for move in moves.rows()})),
-        sequence,
-    )
