--- a/azureturn/core/controllers/_membership.py
+++ b/azureturn/core/controllers/_membership.py
@@ -12,6 +12,7 @@
     HeartbeatFailed,
     HeartbeatReceived,
     LeavingAnnounced,
+    NewsIsUrgent,
     PeersListed,
     PeerStarted,
     RowsReceived,
@@ -21,6 +22,7 @@
 from azureturn.core._upstreams import UpstreamTable
 from azureturn.core.membership import (
     HEARTBEAT_FIXED_BYTES,
+    URGENT_TOPICS,
     BudgetTable,
     GossipTable,
     Peer,
@@ -125,6 +127,10 @@
             if left_bytes > 0:
                 self._send_round(own, ZONE_DEGREE, remote, context)
 
+    @on(NewsIsUrgent)
+    def _on_urgent(self, event: NewsIsUrgent, context: Context) -> None:
+        self._urgent = True
+
     @on(HeartbeatReceived)
     def _on_received(self, event: HeartbeatReceived, context: Context) -> None:
         heartbeat = event.heartbeat
@@ -222,8 +228,9 @@
             owner = peers.get(row.row_key.owner)
             if owner is not None and row.row_key.topic is Topic.ALIVE:
                 peers.put(row.row_key.owner, owner.with_heard_of(context.now_ms))
-            if row.row_key.topic is Topic.UPSTREAM_LEAVING:
+            if row.row_key.topic in URGENT_TOPICS:
                 self._urgent = True
+            if row.row_key.topic is Topic.UPSTREAM_LEAVING:
                 self._apply_leaving(row.row_key.key)
         if news:
             context.post(RowsReceived(tuple(news)))
--- a/azureturn/core/membership/_types.py
+++ b/azureturn/core/membership/_types.py
@@ -17,18 +17,20 @@
     UPSTREAM_LEAVING = 1
     #: Key: empty. Numbers: none; the rising version alone says that the VM lives.
     ALIVE = 2
-    #: Key: a version of a model on a route. Numbers: as the version moves define.
+    #: Key: a model, a route, a version and an epoch. Numbers: as the version moves define.
     EVIDENCE = 3
     #: Key: empty. Numbers: queued requests by tier, the most urgent first.
     QUEUE = 4
     #: Key: upstream. Numbers: outstanding tokens, outstanding requests.
     UPSTREAM_WORK = 5
+    #: Key: a model. Numbers: its move, and how the move is known to have ended.
+    MOVE_ENDED = 6
 
 
 #: Topics whose rows stay among the VMs of one availability zone.
 ZONE_TOPICS = frozenset({Topic.ALIVE, Topic.QUEUE})
 #: Topics that do not wait for the next heartbeat.
-URGENT_TOPICS = frozenset({Topic.UPSTREAM_LEAVING})
+URGENT_TOPICS = frozenset({Topic.UPSTREAM_LEAVING, Topic.MOVE_ENDED})
 
 
 @dataclass(frozen=True)
