Policy bench, baselines, and placement by estimate, work limits and fair shares

Cause: the thin path placed by assumed speed, limited by a VM's own slots and kept one sorted queue, so several VMs filled the engines' own queues, which know no tiers. Change: benchmarks/policy drives the shipped core against the stand-ins' engine model; round robin, random, least outstanding, first come and prefix hash are registered; the core learns speeds and lengths, corrects old reports, hears peers' sent work, places by cost with prefix records, limits by batch and prefill backlog, queues by tier with start-time fair queueing, refuses early and asks peers of the zone before it sheds.

--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from azureturn.core._claims import ClaimHolder
+from azureturn.core._requests import Request
 from azureturn.errors import ErrorKind, RunState
 
 
@@ -55,3 +56,32 @@
     organisation: str
     idempotency_key: str
     body_digest: str
+
+
+@dataclass(frozen=True)
+class AskPeersToTake(Action):
+    """Ask these VMs, in turn, to take a request before it is shed here.
+
+    The answer comes back as a ``PeersDecided`` event; without one in time the request is
+    refused.
+    """
+
+    request_id: str
+    request: Request
+    vms: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ForwardToPeer(RequestAction):
+    """A peer takes the request, which has left every queue here: relay its answer."""
+
+    vm: str
+
+
+@dataclass(frozen=True)
+class AnswerOffer(Action):
+    """Tell the peer that offered a request whether this VM takes it."""
+
+    request_id: str
+    to_vm: str
+    accepted: bool
--- a/azureturn/core/_configuration.py
+++ b/azureturn/core/_configuration.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cached_property
 
 from azureturn.core._blackboard import Table
 from azureturn.settings import RouteSettings, SharedSettings
@@ -27,12 +28,24 @@
 
     def route(self, name: str) -> RouteSettings | None:
         """Return the route of this name."""
-        return next((route for route in self.shared.routes if route.name == name), None)
+        return self._routes.get(name)
+
+    def weight(self, organisation: str) -> float:
+        """Return an organisation's weight; one that is not configured has the usual weight."""
+        return self._weights.get(organisation, 1.0)
 
     def tier_rank(self, name: str) -> int:
         """Return a tier's rank; 0 is the most urgent."""
         return next(tier.rank for tier in self.shared.tiers if tier.name == name)
 
+    @cached_property
+    def _routes(self) -> dict[str, RouteSettings]:
+        return {route.name: route for route in self.shared.routes}
+
+    @cached_property
+    def _weights(self) -> dict[str, float]:
+        return {one.name: one.weight for one in self.shared.organisations}
+
 
 class ConfigurationTable(Table[str, Configuration]):
     """Holds the one revision in force."""
--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -51,6 +51,8 @@
     """A queue or an upstream changed, so something may be placed (posted by the core itself)."""
 
     target: str
+    #: Name of an upstream that has just become free, or an empty string.
+    freed: str = ""
 
 
 @dataclass(frozen=True)
@@ -94,6 +96,8 @@
     output_tokens: int = 0
     #: HTTP status, which a plain service may use to say that it failed.
     status: int = 200
+    #: Time from the dispatch to the first token; 0 where it was not seen.
+    first_token_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -133,3 +137,54 @@
 
     upstream: str
     leaving: bool
+
+
+@dataclass(frozen=True)
+class PeerWorkReported(Event):
+    """A peer said what it has outstanding at an upstream."""
+
+    vm: str
+    upstream: str
+    #: When the peer took the figures, by this VM's clock.
+    taken_at_ms: int
+    outstanding_requests: int
+    outstanding_tokens: int
+
+
+@dataclass(frozen=True)
+class PeerQueueReported(Event):
+    """A peer of this availability zone said what waits in its queue for a target."""
+
+    vm: str
+    target: str
+    #: When the peer took the figures, by this VM's clock.
+    taken_at_ms: int
+    #: Requests that wait, by tier rank.
+    queued_by_rank: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class PeersDecided(Event):
+    """The peers that were asked have said whether one of them takes a request."""
+
+    request_id: str
+    #: Name of the VM that takes it; empty where none does.
+    taken_by: str = ""
+
+
+@dataclass(frozen=True)
+class RequestOffered(Event):
+    """A peer asks this VM to take a request that it would have to shed."""
+
+    request: Request
+    from_vm: str
+
+
+@dataclass(frozen=True)
+class RequestGivenUp(Event):
+    """A request that was not dispatched has no place here any more (posted by the core itself)."""
+
+    request: Request
+    kind: ErrorKind
+    #: When the same request, come again, would be served in time.
+    retry_after_ms: int
--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -6,11 +6,16 @@
 from azureturn.core._blackboard import Table
 from azureturn.settings import UpstreamKind
 
+#: Prompt tokens to one block of ``Request.prefix_digests``.
+PREFIX_BLOCK_TOKENS = 204
+
 
 class RequestStage(StrEnum):
     """How far a request has come."""
 
     QUEUED = "queued"
+    #: Out of the queue, while peers are asked to take it.
+    OFFERED = "offered"
     #: An upstream is chosen and the right to run is being sought.
     CLAIMING = "claiming"
     DISPATCHED = "dispatched"
@@ -42,15 +47,65 @@
     upstream: str = ""
     dispatched_at_ms: int = 0
     output_tokens: int = 0
+    #: When the first token and the latest progress came; 0 before that.
+    first_token_at_ms: int = 0
+    progressed_at_ms: int = 0
+    #: Prompt tokens that the upstream was expected to hold when it was chosen.
+    expected_cached_tokens: int = 0
+    #: Whether peers were asked to take it, which is done at most once.
+    offered: bool = False
+    offered_at_ms: int = 0
 
     def with_stage(self, stage: RequestStage) -> "Request":
         """Return a copy at another stage."""
         return replace(self, stage=stage)
 
-    def with_placement(self, upstream: str, *, now_ms: int) -> "Request":
+    def with_placement(
+        self, upstream: str, *, now_ms: int, expected_cached_tokens: int = 0
+    ) -> "Request":
         """Return a copy that is bound to an upstream."""
-        return replace(self, upstream=upstream, dispatched_at_ms=now_ms)
+        return replace(
+            self,
+            upstream=upstream,
+            dispatched_at_ms=now_ms,
+            expected_cached_tokens=expected_cached_tokens,
+        )
+
+    def with_progress(self, output_tokens: int, *, now_ms: int) -> "Request":
+        """Return a copy whose stream has brought this many tokens."""
+        return replace(
+            self,
+            output_tokens=output_tokens,
+            first_token_at_ms=self.first_token_at_ms or now_ms,
+            progressed_at_ms=now_ms,
+        )
+
+    def with_expected_output(self, tokens: int) -> "Request":
+        """Return a copy whose answer is expected to be this long."""
+        return replace(self, expected_output_tokens=tokens)
+
+    def with_offer(self, *, now_ms: int) -> "Request":
+        """Return a copy that peers are being asked to take."""
+        return replace(self, stage=RequestStage.OFFERED, offered=True, offered_at_ms=now_ms)
 
 
 class RequestTable(Table[str, Request]):
     """Requests in progress on this VM, by request id."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        #: Those of the rows that peers are being asked to take.
+        self.offered: dict[str, Request] = {}
+
+    def put(self, key: str, row: Request) -> None:
+        """Insert or replace a request."""
+        super().put(key, row)
+        if row.stage is RequestStage.OFFERED:
+            self.offered[key] = row
+        else:
+            self.offered.pop(key, None)
+
+    def remove(self, key: str) -> Request | None:
+        """Take a request out."""
+        self.offered.pop(key, None)
+        return super().remove(key)
--- /dev/null
+++ b/azureturn/core/controllers/_learning.py
@@ -0,0 +1,170 @@
+"""Learns from answers, load reports and peers what placement estimates with."""
+
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import (
+    AnswerProgressed,
+    LoadReported,
+    PeerQueueReported,
+    PeerWorkReported,
+    RequestAnswered,
+    RequestFailed,
+    Tick,
+)
+from azureturn.core._peers import PeerQueue, PeerQueueTable, PeerWork, PeerWorkTable
+from azureturn.core._requests import Request, RequestTable
+from azureturn.core._upstreams import UpstreamTable
+from azureturn.core.placement import LearnedSpeed, OutputLengthTable, PrefixTable, SpeedTable
+from azureturn.errors import ErrorKind
+
+#: An upstream that refused a connection gets no new work for this long, doubled each time.
+CLOSED_AFTER_REFUSAL_MS = 500
+_CLOSED_LIMIT_MS = 16_000
+#: A prefix was forgotten if less than this share of what was expected was held.
+_FORGOTTEN_SHARE = 0.5
+
+
+@controller("learning")
+class LearningController(Controller):
+    """Turns what is heard of upstreams into the tables that estimates are made from."""
+
+    writes = (
+        RequestTable,
+        UpstreamTable,
+        SpeedTable,
+        OutputLengthTable,
+        PrefixTable,
+        PeerWorkTable,
+        PeerQueueTable,
+    )
+    after = ("configuration",)
+
+    @on(AnswerProgressed)
+    def _on_progressed(self, event: AnswerProgressed, context: Context) -> None:
+        requests = self.board.write(RequestTable)
+        request = requests.get(event.request_id)
+        if request is None or not request.upstream:
+            return
+        self._heard(request.upstream, context.now_ms)
+        if request.first_token_at_ms:
+            tokens = event.output_tokens - request.output_tokens
+            self._learn_pace(request, context.now_ms - request.progressed_at_ms, tokens, context)
+        progressed = request.with_progress(event.output_tokens, now_ms=context.now_ms)
+        requests.put(request.request_id, progressed)
+
+    @on(RequestAnswered)
+    def _on_answered(self, event: RequestAnswered, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is None or not request.upstream:
+            return
+        self._heard(request.upstream, context.now_ms)
+        if event.output_tokens <= 0:
+            return
+        key = (request.route, request.organisation)
+        self.board.write(OutputLengthTable).learn(key, event.output_tokens)
+        self._learn_prefill(request, event, context)
+        self._learn_last_pace(request, event, context)
+        expected = request.expected_cached_tokens
+        if event.prompt_tokens and event.cached_tokens < _FORGOTTEN_SHARE * expected:
+            self.board.write(PrefixTable).of(request.upstream).note_forgotten()
+
+    @on(RequestFailed)
+    def _on_failed(self, event: RequestFailed, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is None or event.kind is not ErrorKind.UPSTREAM_UNREACHABLE:
+            return
+        upstreams = self.board.write(UpstreamTable)
+        upstream = upstreams.get(request.upstream)
+        if upstream is not None and upstream.closed_until_ms <= context.now_ms:
+            pause_ms = min(_CLOSED_LIMIT_MS, CLOSED_AFTER_REFUSAL_MS << upstream.refusals)
+            closed = upstream.with_closed_until(context.now_ms + pause_ms)
+            upstreams.put(request.upstream, closed)
+
+    @on(LoadReported)
+    def _on_load_reported(self, event: LoadReported, context: Context) -> None:
+        upstreams = self.board.write(UpstreamTable)
+        upstream = upstreams.get(event.upstream)
+        if upstream is not None:
+            reported = upstream.with_report(event.report, now_ms=context.now_ms)
+            upstreams.put(event.upstream, reported)
+
+    @on(PeerWorkReported)
+    def _on_peer_work(self, event: PeerWorkReported, context: Context) -> None:
+        table = self.board.write(PeerWorkTable)
+        table.note_heard(event.vm, context.now_ms)
+        key = (event.vm, event.upstream)
+        before = table.get(key)
+        if before is not None and before.taken_at_ms > event.taken_at_ms:
+            return
+        work = PeerWork(
+            event.vm,
+            event.upstream,
+            event.taken_at_ms,
+            event.outstanding_requests,
+            event.outstanding_tokens,
+        )
+        table.put(key, work)
+        self._add_peer_work(work, 1)
+        if before is not None:
+            self._add_peer_work(before, -1)
+
+    @on(PeerQueueReported)
+    def _on_peer_queue(self, event: PeerQueueReported, context: Context) -> None:
+        row = PeerQueue(event.vm, event.target, event.taken_at_ms, event.queued_by_rank)
+        self.board.write(PeerQueueTable).put((event.vm, event.target), row)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        table = self.board.write(PeerWorkTable)
+        for vm in table.silent(context.now_ms):
+            for work in table.forget(vm):
+                self._add_peer_work(work, -1)
+
+    def _add_peer_work(self, work: PeerWork, sign: int) -> None:
+        upstreams = self.board.write(UpstreamTable)
+        upstream = upstreams.get(work.upstream)
+        if upstream is not None:
+            added = upstream.with_peer_work(
+                requests=sign * work.requests, tokens=sign * work.tokens
+            )
+            upstreams.put(work.upstream, added)
+
+    def _heard(self, name: str, now_ms: int) -> None:
+        upstreams = self.board.write(UpstreamTable)
+        upstream = upstreams.get(name)
+        if upstream is not None and (upstream.heard_at_ms != now_ms or upstream.refusals):
+            upstreams.put(name, upstream.with_heard(now_ms))
+
+    def _speed(self, name: str) -> LearnedSpeed | None:
+        upstream = self.board.read(UpstreamTable).get(name)
+        return None if upstream is None else self.board.read(SpeedTable).of(upstream)
+
+    def _learn_pace(self, request: Request, passed_ms: int, tokens: int, context: Context) -> None:
+        speed = self._speed(request.upstream)
+        if speed is None or tokens <= 0 or passed_ms <= 0:
+            return
+        learned = speed.with_pace(passed_ms / tokens, now_ms=context.now_ms)
+        self.board.write(SpeedTable).put(request.upstream, learned)
+
+    def _learn_last_pace(self, request: Request, event: RequestAnswered, context: Context) -> None:
+        if request.progressed_at_ms:
+            tokens = event.output_tokens - request.output_tokens
+            self._learn_pace(request, context.now_ms - request.progressed_at_ms, tokens, context)
+            return
+        speed = self._speed(request.upstream)
+        if speed is None or event.output_tokens < 2:
+            return
+        first_ms = event.first_token_ms or int(
+            (event.prompt_tokens - event.cached_tokens) * speed.prefill_ms_per_token
+        )
+        decode_ms = context.now_ms - request.dispatched_at_ms - first_ms
+        self._learn_pace(request, decode_ms, event.output_tokens - 1, context)
+
+    def _learn_prefill(self, request: Request, event: RequestAnswered, context: Context) -> None:
+        speed = self._speed(request.upstream)
+        first_ms = event.first_token_ms
+        if request.first_token_at_ms:
+            first_ms = request.first_token_at_ms - request.dispatched_at_ms
+        if speed is None or first_ms <= 0:
+            return
+        learned = speed.with_first_token(first_ms, event.prompt_tokens - event.cached_tokens)
+        self.board.write(SpeedTable).put(request.upstream, learned)
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -1,45 +1,74 @@
 """Places queued requests on upstreams that have room."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
 
 from azureturn.core._blackboard import Blackboard, BlackboardView
 from azureturn.core._configuration import ConfigurationTable
 from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import (
-    LoadReported,
-    Placed,
-    PlacementDue,
-    RequestEnded,
-    RequestFailed,
-)
-from azureturn.core._queue import QueueTable
-from azureturn.core._requests import Request, RequestTable
+from azureturn.core._drain import DrainTable
+from azureturn.core._events import Placed, PlacementDue, RequestEnded
+from azureturn.core._peers import PeerWorkTable
+from azureturn.core._queue import QueueTable, RequestQueue
+from azureturn.core._requests import PREFIX_BLOCK_TOKENS, Request, RequestTable
 from azureturn.core._upstreams import Upstream, UpstreamTable
-from azureturn.core.placement import PLACEMENT_POLICIES, CandidateFilters
-from azureturn.errors import ErrorKind
-from azureturn.settings import Settings
+from azureturn.core.placement import (
+    AFFINITY_BLOCKS,
+    LIMITS,
+    PLACEMENT_POLICIES,
+    Candidate,
+    CandidateFilters,
+    Estimator,
+    LimitInputs,
+    PlacementChoice,
+    PrefixReuseTable,
+    PrefixTable,
+    SpeedTable,
+    affinity_key,
+    prefill_ms,
+    work_tokens,
+)
+from azureturn.settings import PolicySettings, Settings
 
-#: An upstream that refused a connection gets no new work for this long.
-CLOSED_AFTER_REFUSAL_MS = 500
+#: Upstreams that are looked at: this many around the prompt's hash, and this many by chance.
+_SAMPLE_EACH = 16
+#: Requests of a tier that are looked at before its queue is taken to wait for room.
+_HEADS = 8
 
 
-def _work_tokens(request: Request) -> int:
-    return request.prompt_tokens + request.expected_output_tokens
+@dataclass(frozen=True)
+class _Options:
+    """What one request could be given to."""
+
+    #: Every upstream that may serve it, with room or without.
+    all: Sequence[Candidate]
+    open: Sequence[Candidate]
 
 
 @controller("placement")
 class PlacementController(Controller):
     """Takes the most urgent request for which some upstream has room, and chooses the upstream."""
 
-    reads = (ConfigurationTable,)
-    writes = (RequestTable, QueueTable, UpstreamTable)
-    after = ("admission",)
+    reads = (ConfigurationTable, SpeedTable, PeerWorkTable)
+    writes = (
+        RequestTable,
+        QueueTable,
+        UpstreamTable,
+        PrefixTable,
+        PrefixReuseTable,
+        DrainTable,
+    )
+    after = ("admission", "learning")
 
     def __init__(
         self, board: BlackboardView, settings: Settings, filters: CandidateFilters
     ) -> None:
         super().__init__(board, settings)
         self._filters = filters
+        self._estimator = Estimator(board.read(SpeedTable), board.read(PrefixTable))
+        self._placed = 0
 
     @classmethod
     def from_settings(cls, settings: Settings, board: Blackboard) -> "PlacementController":
@@ -52,30 +81,8 @@
     @on(PlacementDue)
     def _on_due(self, event: PlacementDue, context: Context) -> None:
         queue = self.board.write(QueueTable).of(event.target)
-        while len(queue):
-            request = queue.peek()
-            candidates = self._candidates(request, context.now_ms)
-            if not candidates:
-                return
-            self._place(queue.pop(), candidates, context)
-
-    @on(LoadReported)
-    def _on_load_reported(self, event: LoadReported, context: Context) -> None:
-        upstreams = self.board.write(UpstreamTable)
-        upstream = upstreams.get(event.upstream)
-        if upstream is not None:
-            upstreams.put(event.upstream, upstream.with_report(event.report))
-
-    @on(RequestFailed)
-    def _on_failed(self, event: RequestFailed, context: Context) -> None:
-        request = self.board.read(RequestTable).get(event.request_id)
-        if request is None or event.kind is not ErrorKind.UPSTREAM_UNREACHABLE:
-            return
-        upstreams = self.board.write(UpstreamTable)
-        upstream = upstreams.get(request.upstream)
-        if upstream is not None:
-            until_ms = context.now_ms + CLOSED_AFTER_REFUSAL_MS
-            upstreams.put(request.upstream, upstream.with_closed_until(until_ms))
+        while len(queue) and self._place_next(queue, event.freed, context):
+            pass
 
     @on(RequestEnded)
     def _on_ended(self, event: RequestEnded, context: Context) -> None:
@@ -83,22 +90,102 @@
         upstreams = self.board.write(UpstreamTable)
         upstream = upstreams.get(request.upstream)
         if upstream is not None:
-            released = upstream.with_outstanding(requests=-1, tokens=-_work_tokens(request))
+            released = upstream.with_outstanding(
+                requests=-1, tokens=-work_tokens(request), now_ms=context.now_ms
+            )
             upstreams.put(request.upstream, released)
-        context.post(PlacementDue(request.target))
-
-    def _candidates(self, request: Request, now_ms: int) -> Sequence[Upstream]:
-        """Return the upstreams with room that the request may be given to."""
-        serving = self.board.read(UpstreamTable).serving(request.target, now_ms)
-        with_room = [one for one in serving if one.outstanding_requests < one.settings.slots]
-        return self._filters.apply(request, with_room)
-
-    def _place(self, request: Request, candidates: Sequence[Upstream], context: Context) -> None:
-        policy = self.board.read(ConfigurationTable).in_force().shared.policy.placement
-        upstream = PLACEMENT_POLICIES[policy](request, candidates, context.random)
-        name = upstream.settings.name
-        taken = upstream.with_outstanding(requests=1, tokens=_work_tokens(request))
-        self.board.write(UpstreamTable).put(name, taken)
-        placed = request.with_placement(name, now_ms=context.now_ms)
+        context.post(PlacementDue(request.target, freed=request.upstream))
+
+    def _place_next(self, queue: RequestQueue, freed: str, context: Context) -> bool:
+        """Place one request and return whether one was placed.
+
+        A tier whose first requests wait for room holds back the tiers below it. Requests that
+        no upstream serves at present hold back nothing.
+        """
+        for rank in queue.waiting_ranks():
+            for request in queue.heads(rank, _HEADS):
+                options = self._options(request, freed, context)
+                if options.open:
+                    self._place(queue, request, options, context)
+                    return True
+                if options.all:
+                    return False
+        return False
+
+    def _options(self, request: Request, freed: str, context: Context) -> _Options:
+        serving = self._candidates(request, freed, context)
+        found = self._estimator.candidates(request, serving, context.now_ms)
+        allows = LIMITS[self._policy().limits]
+        vms = self.board.read(PeerWorkTable).vms()
+        with_room = [
+            one
+            for one in found
+            if allows(
+                LimitInputs(one.upstream, one.requests, request.tier_rank, vms, context.now_ms)
+            )
+        ]
+        return _Options(found, with_room)
+
+    def _candidates(self, request: Request, freed: str, context: Context) -> Sequence[Upstream]:
+        """Return the upstreams that the request may be given to, with room or without."""
+        upstreams = self.board.read(UpstreamTable)
+        key = affinity_key(request) or request.request_id
+        sampled = upstreams.sample(
+            request.target,
+            context.random,
+            around=xxhash.xxh3_64_intdigest(key.encode()),
+            each=_SAMPLE_EACH,
+        )
+        last = upstreams.get(freed) if freed else None
+        if last is not None and request.target in last.settings.targets and last not in sampled:
+            sampled.append(last)
+        serving = [one for one in sampled if one.takes_work(context.now_ms)]
+        return self._filters.apply(request, _without_silent(serving, context.now_ms))
+
+    def _place(
+        self, queue: RequestQueue, request: Request, options: _Options, context: Context
+    ) -> None:
+        reuse = self.board.write(PrefixReuseTable)
+        choice = PlacementChoice(
+            request=request,
+            open=options.open,
+            all=options.all,
+            random=context.random,
+            placed=self._placed,
+            prefix_reuse=reuse.of(request),
+        )
+        chosen = PLACEMENT_POLICIES[self._policy().placement](choice)
+        self._placed += 1
+        reuse.learn(request, seen=_was_seen(request, options))
+        queue.take(request)
+        drain = self.board.read(DrainTable).of(request.target)
+        self.board.write(DrainTable).put(request.target, drain.with_placed(work_tokens(request)))
+        self._note_sent(request, chosen, context.now_ms)
+        placed = request.with_placement(
+            chosen.name, now_ms=context.now_ms, expected_cached_tokens=chosen.held_tokens
+        )
         self.board.write(RequestTable).put(request.request_id, placed)
         context.post(Placed(request.request_id))
+
+    def _note_sent(self, request: Request, chosen: Candidate, now_ms: int) -> None:
+        speed = self.board.read(SpeedTable).of(chosen.upstream)
+        taken = chosen.upstream.with_outstanding(
+            requests=1, tokens=work_tokens(request), now_ms=now_ms
+        ).with_prefill(prefill_ms(request, chosen.held_tokens, speed), now_ms=now_ms)
+        self.board.write(UpstreamTable).put(chosen.name, taken)
+        if request.prefix_digests:
+            self.board.write(PrefixTable).of(chosen.name).note(request.prefix_digests)
+
+    def _policy(self) -> PolicySettings:
+        return self.board.read(ConfigurationTable).in_force().shared.policy
+
+
+def _was_seen(request: Request, options: _Options) -> bool:
+    wanted = min(AFFINITY_BLOCKS, len(request.prefix_digests)) * PREFIX_BLOCK_TOKENS
+    return any(one.held_tokens >= wanted > 0 for one in options.all)
+
+
+def _without_silent(upstreams: list[Upstream], now_ms: int) -> list[Upstream]:
+    """Leave out what has fallen silent, unless nothing would be left."""
+    heard = [one for one in upstreams if not one.is_silent(now_ms)]
+    return heard or upstreams
--- /dev/null
+++ b/azureturn/core/controllers/_refusals.py
@@ -0,0 +1,95 @@
+"""Ends what was given up: at a peer that has less urgent work, or with a refusal at once."""
+
+from azureturn.core._actions import AnswerOffer, AskPeersToTake, ForwardToPeer, Refuse
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import (
+    CallerLeft,
+    PeersDecided,
+    RequestEnded,
+    RequestGivenUp,
+    RequestOffered,
+    Tick,
+)
+from azureturn.core._peers import PeerQueueTable
+from azureturn.core._queue import QueueTable
+from azureturn.core._requests import Request, RequestTable
+from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
+
+#: Peers that are asked, at most, before a request is refused.
+_PEERS_ASKED = 3
+#: Peers that have not answered by then are not waited for.
+OFFER_TIMEOUT_MS = 200
+#: Refusals that a peer with less urgent work can spare the caller.
+_OFFERED_KINDS = frozenset({ErrorKind.SHED, ErrorKind.OVERLOADED, ErrorKind.DEADLINE_UNREACHABLE})
+
+
+@controller("refusals")
+class RefusalController(Controller):
+    """Before a request is shed here, peers of the zone with less urgent work are asked once."""
+
+    reads = (QueueTable, PeerQueueTable)
+    writes = (RequestTable,)
+    after = ("admission",)
+
+    @on(RequestGivenUp)
+    def _on_given_up(self, event: RequestGivenUp, context: Context) -> None:
+        request = event.request
+        peers = self._peers_for(event, context.now_ms)
+        if not peers:
+            self._refuse(request, event.kind, event.retry_after_ms, context)
+            return
+        offered = request.with_offer(now_ms=context.now_ms)
+        self.board.write(RequestTable).put(request.request_id, offered)
+        context.act(AskPeersToTake(request.request_id, offered, peers))
+
+    @on(PeersDecided)
+    def _on_peers_decided(self, event: PeersDecided, context: Context) -> None:
+        request = self._offered(event.request_id)
+        if request is None:
+            return
+        if not event.taken_by:
+            self._refuse(request, ErrorKind.OVERLOADED, DEFAULT_RETRY_AFTER_MS, context)
+            return
+        self.board.write(RequestTable).remove(request.request_id)
+        context.act(ForwardToPeer(request.request_id, event.taken_by))
+        context.post(RequestEnded(request))
+
+    @on(RequestOffered)
+    def _on_offered(self, event: RequestOffered, context: Context) -> None:
+        queue = self.board.read(QueueTable).get(event.request.target)
+        accepted = queue is not None and queue.has_below(event.request.tier_rank)
+        context.act(AnswerOffer(event.request.request_id, event.from_vm, accepted))
+
+    @on(CallerLeft)
+    def _on_caller_left(self, event: CallerLeft, context: Context) -> None:
+        request = self._offered(event.request_id)
+        if request is not None:
+            self._refuse(request, ErrorKind.CALLER_GONE, DEFAULT_RETRY_AFTER_MS, context)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        offered = self.board.read(RequestTable).offered
+        late = [one for one in offered.values() if self._waited_enough(one, context.now_ms)]
+        for request in late:
+            self._refuse(request, ErrorKind.OVERLOADED, DEFAULT_RETRY_AFTER_MS, context)
+
+    @staticmethod
+    def _waited_enough(request: Request, now_ms: int) -> bool:
+        return now_ms - request.offered_at_ms >= OFFER_TIMEOUT_MS
+
+    def _peers_for(self, event: RequestGivenUp, now_ms: int) -> tuple[str, ...]:
+        request = event.request
+        if request.offered or event.kind not in _OFFERED_KINDS or not request.idempotent:
+            return ()
+        peers = self.board.read(PeerQueueTable)
+        return peers.with_work_below(request.target, request.tier_rank, now_ms)[:_PEERS_ASKED]
+
+    def _offered(self, request_id: str) -> Request | None:
+        return self.board.read(RequestTable).offered.get(request_id)
+
+    def _refuse(
+        self, request: Request, kind: ErrorKind, retry_after_ms: int, context: Context
+    ) -> None:
+        self.board.write(RequestTable).remove(request.request_id)
+        context.act(Refuse(request.request_id, kind, retry_after_ms))
+        context.post(RequestEnded(request))
--- a/azureturn/core/placement/__init__.py
+++ b/azureturn/core/placement/__init__.py
@@ -6,18 +6,46 @@
     CandidateFilters,
     candidate_filter,
 )
+from azureturn.core.placement._estimates import Candidate, Estimator, prefill_ms, work_tokens
+from azureturn.core.placement._limits import LIMITS, Limit, LimitInputs, limit
 from azureturn.core.placement._policies import (
     PLACEMENT_POLICIES,
+    PlacementChoice,
     PlacementPolicy,
     placement_policy,
 )
+from azureturn.core.placement._prefixes import (
+    AFFINITY_BLOCKS,
+    PrefixRecord,
+    PrefixReuseTable,
+    PrefixTable,
+    affinity_key,
+)
+from azureturn.core.placement._speeds import LearnedSpeed, OutputLengthTable, SpeedTable
 
 __all__ = [
+    "AFFINITY_BLOCKS",
     "CANDIDATE_FILTERS",
+    "Candidate",
     "CandidateFilter",
     "CandidateFilters",
+    "Estimator",
+    "LIMITS",
+    "LearnedSpeed",
+    "Limit",
+    "LimitInputs",
+    "OutputLengthTable",
     "PLACEMENT_POLICIES",
+    "PlacementChoice",
     "PlacementPolicy",
+    "PrefixRecord",
+    "PrefixReuseTable",
+    "PrefixTable",
+    "SpeedTable",
+    "affinity_key",
     "candidate_filter",
+    "limit",
     "placement_policy",
+    "prefill_ms",
+    "work_tokens",
 ]
--- /dev/null
+++ b/azureturn/core/placement/_speeds.py
@@ -0,0 +1,73 @@
+"""What was learned of upstreams' speeds and of answers' lengths."""
+
+from dataclasses import dataclass, replace
+
+from azureturn.core._blackboard import Table
+from azureturn.core._upstreams import Upstream
+from azureturn.settings import UpstreamSettings
+
+_MS_PER_S = 1_000.0
+#: Weight of a new sample against what was learned before.
+_PACE_WEIGHT = 0.15
+_PREFILL_WEIGHT = 0.1
+_LENGTH_WEIGHT = 0.05
+#: Prompts shorter than this tell too little of the prefill speed.
+_PREFILL_SAMPLE_TOKENS = 200
+#: A pace that no sample has confirmed for this long is trusted less.
+PACE_FRESH_MS = 5_000
+
+
+@dataclass(frozen=True)
+class LearnedSpeed:
+    """How fast an upstream has lately been under the load that it had."""
+
+    #: Time from one token of an answer to the next.
+    decode_ms_per_token: float
+    prefill_ms_per_token: float
+    samples: int = 0
+    sampled_at_ms: int = 0
+
+    @classmethod
+    def from_settings(cls, settings: UpstreamSettings) -> "LearnedSpeed":
+        """Return the speeds that are assumed until measured."""
+        return cls(
+            decode_ms_per_token=_MS_PER_S / settings.decode_tokens_per_s,
+            prefill_ms_per_token=_MS_PER_S / settings.prefill_tokens_per_s,
+        )
+
+    def with_pace(self, ms_per_token: float, *, now_ms: int) -> "LearnedSpeed":
+        """Return a copy that has seen one more interval between tokens."""
+        weight = max(_PACE_WEIGHT, 1.0 / (1 + self.samples))
+        pace = self.decode_ms_per_token + weight * (ms_per_token - self.decode_ms_per_token)
+        return replace(
+            self, decode_ms_per_token=pace, samples=self.samples + 1, sampled_at_ms=now_ms
+        )
+
+    def with_first_token(self, waited_ms: float, computed_tokens: int) -> "LearnedSpeed":
+        """Return a copy that has seen how long a prompt took; short ones say nothing."""
+        if computed_tokens < _PREFILL_SAMPLE_TOKENS:
+            return self
+        sample = waited_ms / computed_tokens
+        change = _PREFILL_WEIGHT * (sample - self.prefill_ms_per_token)
+        return replace(self, prefill_ms_per_token=self.prefill_ms_per_token + change)
+
+
+class SpeedTable(Table[str, LearnedSpeed]):
+    """Learned speeds by upstream."""
+
+    def of(self, upstream: Upstream) -> LearnedSpeed:
+        """Return what was learned of an upstream, or what its settings assume."""
+        learned = self.get(upstream.settings.name)
+        return LearnedSpeed.from_settings(upstream.settings) if learned is None else learned
+
+
+class OutputLengthTable(Table[tuple[str, str], float]):
+    """Mean length of answers in tokens, by route and organisation."""
+
+    def learn(self, key: tuple[str, str], output_tokens: int) -> None:
+        """Take one answer's length into the mean."""
+        mean = self.get(key)
+        if mean is None:
+            self.put(key, float(output_tokens))
+        else:
+            self.put(key, mean + _LENGTH_WEIGHT * (output_tokens - mean))
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -159,7 +159,13 @@
 class PolicySettings:
     """Which of the registered decisions are in use, and their limits."""
 
-    placement: Name = "least_work"
+    placement: Name = "earliest_finish"
+    #: What bounds the work outstanding at an upstream: ``work`` or ``slots``.
+    limits: Name = "work"
+    #: ``tiers``, or ``first_come`` for arrival order without tiers.
+    queue_order: Name = "tiers"
+    #: Whether a request is refused on arrival when the queue says that it would be late.
+    early_refusal: bool = True
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
     claim_retention_ms: DurationMs = 24 * 3_600_000
--- /dev/null
+++ b/benchmarks/policy/_scenarios.py
@@ -0,0 +1,93 @@
+"""The scenarios: what is offered, and what goes wrong."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+
+@dataclass(frozen=True)
+class Phase:
+    """A stretch of time with one offered load."""
+
+    ends_at_ms: int
+    #: Offered work as a share of the site's capacity.
+    load: float
+    #: Share of the offered work that each tier makes up, the most urgent first.
+    tier_shares: tuple[float, ...] = (0.35, 0.25, 0.40)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """What one run is put through."""
+
+    name: str
+    phases: tuple[Phase, ...] = (Phase(60_000, 0.7),)
+    #: Speeds of the engines in turn, as multiples of the usual.
+    speed_factors: tuple[float, ...] = (1.0,)
+    report_lag_ms: int = 200
+    #: Spread of answer lengths: standard deviation of their logarithm.
+    length_sigma: float = 0.5
+    straggler_at_ms: int = 0
+    straggler_slow_down: float = 5.0
+    zone_cut_at_ms: int = 0
+    zone_mended_at_ms: int = 0
+    engines_lost_at_ms: int = 0
+    #: One organisation of the lowest tier's route sends all of that tier's work this much over.
+    flood_factor: float = 1.0
+
+
+SCENARIOS: dict[str, Scenario] = {}
+_Maker = Callable[[Scenario], Scenario]
+
+
+def _scenario(name: str) -> Callable[[_Maker], _Maker]:
+    def register(make: _Maker) -> _Maker:
+        SCENARIOS[name] = make(Scenario(name))
+        return make
+
+    return register
+
+
+@_scenario("steady")
+def _steady(base: Scenario) -> Scenario:
+    return base
+
+
+@_scenario("burst")
+def _burst(base: Scenario) -> Scenario:
+    peak = Phase(40_000, 3.0, tier_shares=(0.2, 0.3, 0.5))
+    return replace(base, phases=(Phase(10_000, 0.7), peak, Phase(60_000, 0.7)))
+
+
+@_scenario("unlike_engines")
+def _unlike_engines(base: Scenario) -> Scenario:
+    return replace(base, speed_factors=(2.0, 1.0, 0.5))
+
+
+@_scenario("stale_reports")
+def _stale_reports(base: Scenario) -> Scenario:
+    return replace(base, report_lag_ms=5_000)
+
+
+@_scenario("straggler")
+def _straggler(base: Scenario) -> Scenario:
+    return replace(base, straggler_at_ms=20_000)
+
+
+@_scenario("zone_cut")
+def _zone_cut(base: Scenario) -> Scenario:
+    return replace(base, zone_cut_at_ms=20_000, zone_mended_at_ms=40_000)
+
+
+@_scenario("half_lost")
+def _half_lost(base: Scenario) -> Scenario:
+    return replace(base, engines_lost_at_ms=20_000)
+
+
+@_scenario("flood")
+def _flood(base: Scenario) -> Scenario:
+    return replace(base, flood_factor=5.0)
+
+
+@_scenario("lengths")
+def _lengths(base: Scenario) -> Scenario:
+    return replace(base, length_sigma=1.2)
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -2,6 +2,10 @@
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field, replace
+from typing import NamedTuple
+
+#: Admissions kept for a reader.
+KEPT_ADMISSIONS = 1_000
 
 
 @dataclass(frozen=True)
@@ -33,8 +37,7 @@
     blocks: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True)
-class Progress:
+class Progress(NamedTuple):
     """What one step did for one sequence."""
 
     request_id: str
@@ -43,6 +46,14 @@
     finished: bool
 
 
+class Admission(NamedTuple):
+    """A sequence's entry into the batch."""
+
+    job: Job
+    #: Prompt tokens that the cache held.
+    cached_tokens: int
+
+
 @dataclass
 class _Running:
     job: Job
@@ -69,6 +80,8 @@
     counters: EngineCounters = field(default_factory=EngineCounters)
     #: When the step in progress ends; None when idle.
     step_ends_ms: float | None = None
+    #: The latest entries into the batch, for a reader to take out.
+    admissions: deque[Admission] = field(default_factory=lambda: deque(maxlen=KEPT_ADMISSIONS))
     _waiting: deque[Job] = field(default_factory=deque)
     _running: dict[str, _Running] = field(default_factory=dict)
     _cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -97,6 +110,20 @@
         """Return the digests in the prefix cache, the least used first."""
         return tuple(self._cache)
 
+    def held_tokens(self, job: Job) -> int:
+        """Return how many of a prompt's leading tokens are in the prefix cache."""
+        found = 0
+        for digest in job.blocks:
+            if digest not in self._cache:
+                break
+            found += 1
+        return found * self.speed.block_tokens
+
+    def prefill_left(self, request_id: str) -> int:
+        """Return the prompt tokens that a sequence in the batch still has to work on."""
+        one = self._running.get(request_id)
+        return 0 if one is None else one.prefill_left
+
     def set_slow_down(self, factor: float) -> None:
         """Make every step from the next on take ``factor`` times as long."""
         self.speed = replace(self.speed, slow_down=factor)
@@ -157,16 +184,14 @@
             cached = min(self._cached_tokens(job), job.prompt_tokens - 1)
             cached = max(0, cached)
             self.counters.prefill_cached_tokens += cached
+            self.admissions.append(Admission(job, cached))
             self._running[job.request_id] = _Running(job, max(1, job.prompt_tokens - cached))
 
     def _cached_tokens(self, job: Job) -> int:
-        found = 0
-        for digest in job.blocks:
-            if digest not in self._cache:
-                break
+        found = self.held_tokens(job)
+        for digest in job.blocks[: found // self.speed.block_tokens]:
             self._cache.move_to_end(digest)
-            found += 1
-        return found * self.speed.block_tokens
+        return found
 
     def _finish_step(self) -> list[Progress]:
         made: list[Progress] = []
