--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -197,10 +197,16 @@
 class PolicySettings(_Checked):
     """Which of the registered decisions are in use, and their limits."""
 
-    placement: Name = "least_work"
+    placement: Name = "earliest_finish"
     #: How the share of a new version grows.
     ramp: Name = "judged"
     moves: MoveSettings = field(default_factory=MoveSettings)
+    #: What bounds the work outstanding at an upstream: ``work`` or ``slots``.
+    limits: Name = "work"
+    #: ``tiers``, or ``first_come`` for arrival order without tiers.
+    queue_order: Name = "tiers"
+    #: Whether a request is refused on arrival when the queue says that it would be late.
+    early_refusal: bool = True
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
     claim_retention_ms: DurationMs = 24 * 3_600_000
