--- a/azureturn/core/controllers/__init__.py
+++ b/azureturn/core/controllers/__init__.py
@@ -3,13 +3,25 @@
 from azureturn.core.controllers._admission import AdmissionController
 from azureturn.core.controllers._configuration import ConfigurationController
 from azureturn.core.controllers._dispatch import DispatchController
+from azureturn.core.controllers._learning import LearningController
 from azureturn.core.controllers._membership import MembershipController
+from azureturn.core.controllers._move_gossip import MoveGossipController
+from azureturn.core.controllers._mover import MoverController
+from azureturn.core.controllers._moves import MovesController
 from azureturn.core.controllers._placement import PlacementController
+from azureturn.core.controllers._refusals import RefusalController
+from azureturn.core.controllers._stragglers import StragglerController
 
 __all__ = [
     "AdmissionController",
     "ConfigurationController",
     "DispatchController",
     "MembershipController",
+    "MoveGossipController",
+    "MoverController",
+    "MovesController",
+    "LearningController",
     "PlacementController",
+    "RefusalController",
+    "StragglerController",
 ]
--- /dev/null
+++ b/azureturn/core/controllers/_move_gossip.py
@@ -0,0 +1,95 @@
+"""Tells peers what this VM knows of versions, and takes in what they tell."""
+
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import NewsIsUrgent, RowsReceived, Tick
+from azureturn.core.membership import GossipTable, PeerIdentity, PeerTable, Topic
+from azureturn.core.moves._evidence import CondemnedMove, EvidenceRow, EvidenceSource
+from azureturn.core.moves._gossip import (
+    evidence_from_row,
+    evidence_to_rows,
+    move_id_of,
+    move_number,
+)
+from azureturn.core.moves._messages import EvidenceReceived
+from azureturn.core.moves._tables import EvidenceTable, Move, MoveTable
+from azureturn.core.moves._types import MoveReason
+
+#: Evidence is told this often; both versions' together, so that no VM sees half a picture.
+PUBLISH_INTERVAL_MS = 2_000
+#: The same while the new version fails here.
+URGENT_INTERVAL_MS = 250
+_CONDEMNED, _COMPLETED = 1, 2
+_REASONS = tuple(MoveReason)
+
+
+@controller("move_gossip")
+class MoveGossipController(Controller):
+    """Spreads evidence, and that a move has ended, by the rows of the membership's gossip."""
+
+    reads = (PeerTable, EvidenceTable, MoveTable)
+    writes = (GossipTable,)
+    after = ("membership", "moves", "mover")
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self._published_at_ms: dict[str, int] = {}
+        self._published_failures: dict[str, int] = {}
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        own = self.board.read(PeerTable).own
+        if own is None:
+            return
+        for model, move in self.board.read(MoveTable).items():
+            self._publish_evidence(own, move, context)
+            self._publish_end(own, model, move, context)
+
+    @on(RowsReceived)
+    def _on_rows(self, event: RowsReceived, context: Context) -> None:
+        evidence: list[EvidenceRow] = []
+        condemned: list[CondemnedMove] = []
+        completed: list[str] = []
+        for row in event.rows:
+            if row.row_key.topic is Topic.EVIDENCE:
+                evidence.extend(evidence_from_row(row))
+            elif row.row_key.topic is Topic.MOVE_ENDED and len(row.numbers) == 3:
+                number, end, reason = row.numbers
+                if end == _COMPLETED:
+                    completed.append(move_id_of(number))
+                elif end == _CONDEMNED and 0 <= reason < len(_REASONS):
+                    detail = f"told by {row.row_key.owner}"
+                    condemned.append(CondemnedMove(move_id_of(number), _REASONS[reason], detail))
+        if evidence or condemned or completed:
+            context.post(EvidenceReceived(tuple(evidence), tuple(condemned), tuple(completed)))
+
+    def _publish_evidence(self, own: PeerIdentity, move: Move, context: Context) -> None:
+        record = move.record
+        ledger = self.board.read(EvidenceTable).get(record.move_id)
+        if ledger is None or record.ended:
+            return
+        failing = ledger.own_failures != self._published_failures.get(record.move_id, 0)
+        interval_ms = URGENT_INTERVAL_MS if failing else PUBLISH_INTERVAL_MS
+        if context.now_ms - self._published_at_ms.get(record.move_id, 0) < interval_ms:
+            return
+        self._published_at_ms[record.move_id] = context.now_ms
+        self._published_failures[record.move_id] = ledger.own_failures
+        gossip = self.board.write(GossipTable)
+        rows = ledger.rows_of(EvidenceSource(own.vm, ledger.own_boot_id))
+        for key, numbers in evidence_to_rows(record.model, record.move_id, rows):
+            gossip.change_own(own, Topic.EVIDENCE, key, numbers, context.now_ms)
+        if failing:
+            context.post(NewsIsUrgent())
+
+    def _publish_end(self, own: PeerIdentity, model: str, move: Move, context: Context) -> None:
+        moves = self.board.read(MoveTable)
+        move_id = move.record.move_id
+        verdict = moves.condemned.get(move_id)
+        if move_id in moves.completed:
+            numbers = (move_number(move_id), _COMPLETED, 0)
+        elif verdict is not None:
+            numbers = (move_number(move_id), _CONDEMNED, _REASONS.index(verdict.reason))
+        else:
+            return
+        gossip = self.board.write(GossipTable)
+        if gossip.change_own(own, Topic.MOVE_ENDED, model, numbers, context.now_ms):
+            context.post(NewsIsUrgent())
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -30,7 +30,6 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
-from azureturn.observability import LogEvent
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import (
     AnswerAssembler,
@@ -45,8 +44,10 @@
 
 #: How long after a request's deadline the core may still speak before that is an error.
 DEADLINE_GRACE_MS = 2_000
+#: Selects the version of a model at an engine, and says which one answered.
+VERSION_HEADER = "X-Model-Version"
 #: Headers of an upstream's answer that are passed on, and the most that is passed of each.
-_PASSED_HEADERS = ("Content-Type", "Content-Encoding", "X-Model-Version")
+_PASSED_HEADERS = ("Content-Type", "Content-Encoding", VERSION_HEADER)
 _PASSED_HEADER_LIMIT = 256
 
 
@@ -87,13 +88,13 @@
             self._services.runtime.submit(RequestArrived(self._request))
             answer = self._follow(mailbox)
         except AzureturnError as error:
-            self._end(error.kind.value)
+            self._end(error)
             raise
         except Exception:
-            self._end(ErrorKind.INTERNAL.value)
+            self._end(AzureturnError(ErrorKind.INTERNAL))
             raise
         if isinstance(answer.body, bytes):
-            self._end("answered")
+            self._end(None, status=answer.status)
         return answer
 
     def _follow(self, mailbox: "queue.SimpleQueue[RequestAction]") -> CallerAnswer:
@@ -115,8 +116,8 @@
             self._services.outcomes.begin(key, self._request.body_digest)
         try:
             if self._request.kind is UpstreamKind.MODEL_ENGINE:
-                return self._ask_engine()
-            return self._ask_service()
+                return self._ask_engine(action)
+            return self._ask_service(action)
         except UpstreamError as error:
             self._fail(error)
             if not self._request.idempotent:
@@ -128,10 +129,10 @@
             self._fail(UpstreamError(ErrorKind.INTERNAL))
             raise
 
-    def _ask_engine(self) -> CallerAnswer:
+    def _ask_engine(self, action: Dispatch) -> CallerAnswer:
         silence_ms = self._services.settings.daemon.silence_timeout_ms
         client = self._services.upstream_client(self._upstream)
-        sent = self._upstream_request(read_timeout_ms=min(self._left_ms(), silence_ms))
+        sent = self._upstream_request(action, read_timeout_ms=min(self._left_ms(), silence_ms))
         stream = ResumingStream(client, sent, left_ms=self._left_ms)
         self._stream = stream
         if self._caller_is_gone:
@@ -165,23 +166,28 @@
         headers = {**headers, "Content-Type": "application/json"}
         return self._whole_answer(WholeAnswer(200, headers, assembler.body()), stream.usage)
 
-    def _ask_service(self) -> CallerAnswer:
+    def _ask_service(self, action: Dispatch) -> CallerAnswer:
         client = self._services.upstream_client(self._upstream)
-        answer = client.send(self._upstream_request(read_timeout_ms=self._left_ms()))
+        answer = client.send(self._upstream_request(action, read_timeout_ms=self._left_ms()))
         return self._whole_answer(answer.read_whole(), Usage())
 
-    def _upstream_request(self, *, read_timeout_ms: int) -> UpstreamRequest:
+    def _upstream_request(self, action: Dispatch, *, read_timeout_ms: int) -> UpstreamRequest:
         self._services.runtime.submit(FirstByteSent(self._request.request_id))
         return UpstreamRequest(
             method=self._outgoing.method,
             path=self._outgoing.path,
-            headers=self._outgoing.headers,
+            headers=self._sent_headers(action),
             body=self._outgoing.body,
             request_id=self._request.request_id,
             connect_timeout_ms=self._services.settings.daemon.connect_timeout_ms,
             read_timeout_ms=max(1, read_timeout_ms),
         )
 
+    def _sent_headers(self, action: Dispatch) -> dict[str, str]:
+        if not action.version:
+            return self._outgoing.headers
+        return {**self._outgoing.headers, VERSION_HEADER: action.version}
+
     def _left_ms(self) -> int:
         return self._request.deadline_ms - now_ms()
 
@@ -216,7 +222,7 @@
             self._services.runtime.submit(CallerLeft(self._request.request_id))
         else:
             self._fail(error)
-        self._end("answered" if error is None else error.kind.value)
+        self._end(error)
 
     def _on_caller_gone(self) -> None:
         """Give up what nobody waits for; a call that is not idempotent runs to its end."""
@@ -257,18 +263,9 @@
         )
         return {**headers, **identity}
 
-    def _end(self, ended: str) -> None:
+    def _end(self, error: AzureturnError | None, *, status: int = 200) -> None:
         self._services.caller_watch.unwatch(self._watched)
         self._services.runtime.close_mailbox(self._request.request_id)
-        took_ms = now_ms() - self._request.arrived_at_ms
-        self._services.metrics.incr(f"requests.{self._request.route}.{ended}")
-        self._services.metrics.timing(f"requests.{self._request.route}.time_ms", took_ms)
-        self._services.log.info(
-            LogEvent.REQUEST_ENDED,
-            request_id=self._request.request_id,
-            organisation=self._request.organisation,
-            route=self._request.route,
-            upstream=self._upstream,
-            ended=ended,
-            took_ms=took_ms,
+        self._services.accounting.request_ended(
+            self._request, upstream=self._upstream, error=error, status=status
         )
--- a/azureturn/settings/__init__.py
+++ b/azureturn/settings/__init__.py
@@ -1,5 +1,6 @@
 """Typed settings, their merge rules and their checks."""
 
+from azureturn.settings._difference import Change, differences
 from azureturn.settings._load import (
     check_settings,
     check_shared_settings,
@@ -15,6 +16,7 @@
     EVERY_ORGANISATION,
     ChangeSettings,
     DaemonSettings,
+    MoveSettings,
     ObjectiveSettings,
     OrganisationSettings,
     PlatformSettings,
@@ -29,11 +31,13 @@
 )
 
 __all__ = [
+    "Change",
     "ChangeSettings",
     "DaemonSettings",
     "EVERY_ORGANISATION",
     "MASK",
     "Mistake",
+    "MoveSettings",
     "ObjectiveSettings",
     "OrganisationSettings",
     "PlatformSettings",
@@ -47,6 +51,7 @@
     "VmSettings",
     "check_settings",
     "check_shared_settings",
+    "differences",
     "load_settings",
     "masked",
     "merge",
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -85,7 +85,7 @@
     load_report_interval_ms: DurationMs = 500
     heartbeat_interval_ms: DurationMs = 500
     #: Bytes a second that heartbeats may take, sent and received together.
-    control_bytes_per_s: ByteCount = 8_000
+    control_bytes_per_s: ByteCount = 7_000
     #: How long a start waits for the configuration from the key-value service or a peer.
     start_wait_ms: DurationMs = 5_000
     #: How long a planned stop waits for the balancer to stop sending.
@@ -176,11 +176,37 @@
     window_ms: ObjectiveWindowMs = 3_600_000
 
 
+@dataclass(frozen=True)
+class MoveSettings(_Checked):
+    """What is assumed of loading a version until the first loads were timed."""
+
+    weight_bytes: Annotated[int, Field(ge=1)] = 2_000_000
+    #: What the weight store gives to all its readers together.
+    weight_store_bytes_per_s: Annotated[float, Field(gt=0)] = 10_000_000.0
+    #: Time to load a version once its weights are at the engine.
+    load_time_ms: DurationMs = 1_000
+    #: Longest wait for the end of one order; a new holder waits it out before it orders.
+    order_limit_ms: DurationMs = 30_000
+    #: How long after a move's end the version that lost stays loaded.
+    unload_after_ms: DurationMs = 30_000
+    #: A record that its holder has not renewed for this long may be taken over.
+    lease_ms: DurationMs = 10_000
+
+
 @dataclass(frozen=True)
 class PolicySettings(_Checked):
     """Which of the registered decisions are in use, and their limits."""
 
-    placement: Name = "least_work"
+    placement: Name = "earliest_finish"
+    #: How the share of a new version grows.
+    ramp: Name = "judged"
+    moves: MoveSettings = field(default_factory=MoveSettings)
+    #: What bounds the work outstanding at an upstream: ``work`` or ``slots``.
+    limits: Name = "work"
+    #: ``tiers``, or ``first_come`` for arrival order without tiers.
+    queue_order: Name = "tiers"
+    #: Whether a request is refused on arrival when the queue says that it would be late.
+    early_refusal: bool = True
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
     claim_retention_ms: DurationMs = 24 * 3_600_000
@@ -193,6 +219,8 @@
     author: Annotated[str, Field(max_length=128)] = ""
     nonce: Annotated[str, Field(max_length=64)] = ""
     applied_at_unix_ms: Annotated[int, Field(ge=0)] = 0
+    #: The revision that this one replaced; -1 where the writer did not say.
+    replaces_revision: Annotated[int, Field(ge=-1)] = -1
 
 
 @dataclass(frozen=True)
--- a/standins/site.py
+++ b/standins/site.py
@@ -125,6 +125,8 @@
     upstream_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     #: Pairs of a VM and what it calls, between which there is a link that can fail.
     links: tuple[tuple[str, str], ...] = ()
+    #: Changes merged onto each engine's row of the shared settings.
+    engine_settings: dict[str, Any] = field(default_factory=dict)
     #: Initial switches of the stand-ins, by name.
     switches: dict[str, dict[str, Any]] = field(default_factory=dict)
 
@@ -163,6 +165,13 @@
         """Return the names of the stand-ins."""
         return [name for name in self.processes if name not in self.vm_names]
 
+    @property
+    def tool_options(self) -> list[str]:
+        """Return the options by which the operators' tool finds this site."""
+        files = [EXAMPLES / "kuiseb.json", self.folder / f"{self.vm_names[0]}.json"]
+        overlays = [part for file in files for part in ("--overlay", str(file))]
+        return ["--config", str(EXAMPLES / "base.json"), *overlays]
+
     def zone_of(self, name: str) -> str:
         """Return the availability zone of a numbered process."""
         number = int(name.rpartition("-")[2])
@@ -301,7 +310,8 @@
             row = {"name": name, "availability_zone": zone, "url": url}
             row.update(self.upstream_settings.get(name, {}))
             if name.startswith("engine-"):
-                rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
+                engine = {"kind": "model_engine", "targets": [MODEL], **self.engine_settings}
+                rows.append({**row, **engine})
             elif name.startswith("bookings-"):
                 rows.append({**row, "kind": "plain_service", "targets": ["bookings"], "slots": 64})
         return rows
