Failure proofs on real processes: kills, pauses, cuts, silent connections, outages

Change: tests/test_failures.py keeps an account of every deposit: a key runs at most once, each caller has one whole answer or one honest refusal, and no request that ran was called not run (the stand-in service counts runs by key and by request id). Steps are held by the stand-ins' own delays and by links; the product has no test hooks. Found on the way: two sites that start at once could be handed the same port; each process now takes its ports from a range of its own, below those the kernel hands out. Ruled out: 'not run' told of one attempt while a later attempt of the same key ran; it is true of the attempt.

--- a/standins/link.py
+++ b/standins/link.py
@@ -58,6 +58,9 @@
         await self._apply()
         return web.json_response({})
 
+    async def state(self, _request: web.Request) -> web.Response:
+        return web.json_response({"open": len(self.open)})
+
     async def _apply(self) -> None:
         mode = LinkMode(self.switches.mode)
         if mode is LinkMode.REFUSE:
@@ -117,5 +120,5 @@
     link = Link(replace(Switches(), **json.loads(arguments.switches)))
     application = web.Application()
     application.cleanup_ctx.append(link.run)
-    application.add_routes([web.post("/control", link.control)])
+    application.add_routes([web.post("/control", link.control), web.get("/state", link.state)])
     return application
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -38,6 +38,8 @@
         self.name = name
         self.switches = switches
         self.run_counts: dict[str, int] = {}
+        #: Runs by the id of the request that brought them.
+        self.request_runs: dict[str, int] = {}
         self.attempts = 0
 
     async def call(self, request: web.Request) -> web.StreamResponse:
@@ -50,6 +52,8 @@
         if request.method != "GET":
             key = request.headers.get("Idempotency-Key", "")
             self.run_counts[key] = self.run_counts.get(key, 0) + 1
+            request_id = request.headers.get("X-Request-Id", "")
+            self.request_runs[request_id] = self.request_runs.get(request_id, 0) + 1
         if self.switches.close_after_run:
             request.transport.close()
             return web.Response()
@@ -80,6 +84,9 @@
     async def runs(self, _request: web.Request) -> web.Response:
         return web.json_response(self.run_counts)
 
+    async def runs_by_request(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.request_runs)
+
     async def attempt_count(self, _request: web.Request) -> web.Response:
         return web.json_response({"attempts": self.attempts})
 
@@ -97,6 +104,7 @@
     application.add_routes(
         [
             web.get("/runs", service.runs),
+            web.get("/request-runs", service.runs_by_request),
             web.get("/attempts", service.attempt_count),
             web.post("/control", service.control),
             web.route("*", "/{path:.*}", service.call),
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,12 +1,16 @@
 """Starts a small site of processes on loopback: stand-ins, and daemons in several zones."""
 
+import itertools
 import json
+import os
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -19,17 +23,33 @@
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 15.0
 _POLL_S = 0.02
+_FIRST_PORT = 10_000
+_PORT_RANGES = 180
+_PORTS_IN_RANGE = 120
 
 ORGANISATION = "call-centre"
 TOKEN = "kuiseb-call-centre-token"
 MODEL = "fibre-large"
 
 
+def _ports() -> Iterator[int]:
+    """Yield ports below those that the kernel hands out, a range of its own for each process."""
+    first = _FIRST_PORT + os.getpid() % _PORT_RANGES * _PORTS_IN_RANGE
+    offset = time.monotonic_ns() % _PORTS_IN_RANGE
+    for number in itertools.count():
+        yield first + (offset + number) % _PORTS_IN_RANGE
+
+
+_PORTS = _ports()
+
+
 def free_port() -> int:
     """Return a port of the loopback address that nothing uses."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    for port in _PORTS:
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return port
+    raise AssertionError("the ports never end")
 
 
 def link_name(vm: str, target: str) -> str:
@@ -119,6 +139,8 @@
     services: int = 2
     #: Changes merged onto each daemon's settings.
     daemon_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto each daemon's settings of the platform.
+    platform_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the shared settings.
     shared_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the settings of upstreams, by name.
@@ -244,10 +266,17 @@
 
     def runs(self) -> dict[str, int]:
         """Return how often each idempotency key ran, over all plain services."""
+        return self._over_services("/runs")
+
+    def request_runs(self) -> dict[str, int]:
+        """Return how often each request id ran, over all plain services."""
+        return self._over_services("/request-runs")
+
+    def _over_services(self, path: str) -> dict[str, int]:
         total: dict[str, int] = {}
         for name in self.service_names:
             if name.startswith("bookings-"):
-                for key, count in self.read(name, "/runs").items():
+                for key, count in self.read(name, path).items():
                     total[key] = total.get(key, 0) + count
         return total
 
@@ -293,6 +322,7 @@
             "platform": {
                 "key_value_url": self._url_from(name, "key-value"),
                 "vm_list_url": self._url_from(name, "vm-list"),
+                **self.platform_settings,
             },
             "daemon": daemon,
             "shared": {**self.shared_settings, "upstreams": self._upstreams(name)},
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,321 @@
+"""Processes die, freeze and lose each other while requests are under way.
+
+After each failure: every key ran at most once; each caller has one whole answer or one honest
+refusal; what ran was not called ``not_run``.
+"""
+
+import signal
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+import urllib3
+
+from standins.site import MODEL, Answer, Site, link_name
+
+CHAT = "/v1/chat/completions"
+DEPOSIT = "/routes/deposit"
+KEY_VALUE = "key-value"
+SERVICE = "bookings-1"
+ENGINE = "engine-1"
+WAIT_LIMIT_S = 20.0
+KEY_VALUE_TIMEOUT_MS = 400
+
+LINKS = tuple(
+    (vm, target)
+    for vm in ("vm-1", "vm-2")
+    for target in (KEY_VALUE, "vm-list", SERVICE, ENGINE)
+    if (vm, target) != ("vm-2", SERVICE)
+)
+
+
+def wait_for(condition: Callable[[], bool]) -> None:
+    ends_at_s = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        assert time.monotonic() < ends_at_s, "the condition did not come about"
+        time.sleep(0.02)
+
+
+@dataclass
+class Account:
+    """What callers were told, held against what ran."""
+
+    site: Site
+    answers: dict[str, list[Answer]] = field(default_factory=dict)
+
+    def deposit(self, key: str, vm: str, *, timeout_ms: int = 4_000) -> Answer | None:
+        """Send a deposit and keep its answer; None where the VM died before it answered."""
+        headers = {"Idempotency-Key": key, "Azureturn-Timeout-Ms": str(timeout_ms)}
+        try:
+            answer = self.site.call(vm, "POST", DEPOSIT, body={"key": key}, headers=headers)
+        except urllib3.exceptions.HTTPError:
+            return None
+        self.answers.setdefault(key, []).append(answer)
+        return answer
+
+    def check(self) -> None:
+        """Hold every answer against the runs that the services counted."""
+        runs = self.site.runs()
+        request_runs = self.site.request_runs()
+        for key, answers in self.answers.items():
+            assert runs.get(key, 0) <= 1, f"{key} ran {runs[key]} times"
+            for answer in answers:
+                self._check_answer(key, answer, runs.get(key, 0), request_runs)
+            whole = {answer.body for answer in answers if answer.status == 200}
+            assert len(whole) <= 1, f"{key} has two different answers"
+
+    @staticmethod
+    def _check_answer(key: str, answer: Answer, runs: int, request_runs: dict[str, int]) -> None:
+        if answer.status == 200:
+            assert answer.json()["path"] == "/deposits"
+            assert runs == 1, f"{key} was answered and never ran"
+            return
+        state = answer.json()["error"]["run_state"]
+        assert state == answer.headers["Azureturn-Run-State"]
+        ran = request_runs.get(answer.headers["X-Request-Id"], 0)
+        assert not (state == "not_run" and ran), f"{key} ran and was called not run"
+
+
+@pytest.fixture
+def site() -> Iterator[Site]:
+    limits = {"silence_timeout_ms": 300, "connect_timeout_ms": 300}
+    with Site(
+        vms=2,
+        zones=2,
+        engines=1,
+        services=1,
+        daemon_settings=limits,
+        platform_settings={"key_value_timeout_ms": KEY_VALUE_TIMEOUT_MS},
+        links=LINKS,
+    ) as running:
+        yield running
+
+
+@pytest.fixture
+def account(site: Site) -> Iterator[Account]:
+    account = Account(site)
+    yield account
+    account.check()
+
+
+def calls(site: Site, path: str) -> int:
+    return int(site.read(KEY_VALUE, "/calls").get(path, 0))
+
+
+def test_the_claimant_is_killed_before_its_claim(site: Site, account: Account) -> None:
+    site.control(KEY_VALUE, outage=True)
+    with ThreadPoolExecutor() as pool:
+        before = calls(site, "/v3/kv/txn")
+        first = pool.submit(account.deposit, "k", "vm-1")
+        wait_for(lambda: calls(site, "/v3/kv/txn") > before)
+        site.processes["vm-1"].kill()
+        assert first.result() is None
+    site.control(KEY_VALUE, outage=False)
+    wait_for(lambda: (account.deposit("k", "vm-2") or no_answer()).status == 200)
+    assert site.runs()["k"] == 1
+
+
+def no_answer() -> Answer:
+    raise AssertionError("a VM that was not killed gave no answer")
+
+
+def test_the_claimant_is_killed_after_its_claim(site: Site, account: Account) -> None:
+    site.control(link_name("vm-1", SERVICE), mode="drop")
+    with ThreadPoolExecutor() as pool:
+        first = pool.submit(account.deposit, "k", "vm-1")
+        # Nothing is dispatched before its claim, so a connection to the service tells of it.
+        link = link_name("vm-1", SERVICE)
+        wait_for(lambda: site.read(link, "/state")["open"] > 0)
+        site.processes["vm-1"].kill()
+        assert first.result() is None
+    for _ in range(2):
+        answer = account.deposit("k", "vm-2")
+        assert answer is not None and answer.headers["Azureturn-Run-State"] == "unknown"
+    assert site.runs().get("k", 0) == 0
+
+
+def test_the_claimant_is_killed_after_the_first_byte(site: Site, account: Account) -> None:
+    site.control(SERVICE, delay_ms=60_000)
+    with ThreadPoolExecutor() as pool:
+        first = pool.submit(account.deposit, "k", "vm-1")
+        wait_for(lambda: site.runs().get("k") == 1)
+        site.processes["vm-1"].kill()
+        assert first.result() is None
+    for _ in range(2):
+        answer = account.deposit("k", "vm-2")
+        assert answer is not None and answer.headers["Azureturn-Run-State"] == "unknown"
+
+
+def test_the_claimant_is_killed_before_the_outcome_is_written(site: Site, account: Account) -> None:
+    site.control(SERVICE, delay_ms=300)
+    with ThreadPoolExecutor() as pool:
+        first = pool.submit(account.deposit, "k", "vm-1")
+        wait_for(lambda: site.runs().get("k") == 1)
+        site.control(link_name("vm-1", KEY_VALUE), mode="drop")
+        answer = first.result()
+        assert answer is not None and answer.status == 200
+    site.processes["vm-1"].kill()
+    again = account.deposit("k", "vm-2")
+    assert again is not None and again.headers["Azureturn-Run-State"] == "unknown"
+
+
+@pytest.mark.parametrize("times", [1, 2])
+def test_a_claimant_that_is_paused_past_its_timeouts(
+    site: Site, account: Account, times: int
+) -> None:
+    for number in range(times):
+        key = f"k{number}"
+        site.control(SERVICE, delay_ms=500)
+        with ThreadPoolExecutor() as pool:
+            first = pool.submit(account.deposit, key, "vm-1")
+            wait_for(lambda key=key: site.runs().get(key) == 1)  # type: ignore[misc]
+            with paused(site, "vm-1"):
+                other = account.deposit(key, "vm-2", timeout_ms=1_000)
+                assert other is not None and other.headers["Azureturn-Run-State"] == "unknown"
+            answer = first.result()
+            assert answer is not None and answer.status == 200
+        shared = account.deposit(key, "vm-2")
+        assert shared is not None and shared.status == 200
+
+
+@contextmanager
+def paused(site: Site, name: str) -> Iterator[None]:
+    site.processes[name].send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        site.processes[name].send_signal(signal.SIGCONT)
+
+
+KEY_VALUE_FAULTS: dict[str, dict[str, Any]] = {
+    "down": {"outage": True},
+    "slow": {"slow_ms": 2 * KEY_VALUE_TIMEOUT_MS},
+    "slow, but within the time limit": {"slow_ms": KEY_VALUE_TIMEOUT_MS // 4},
+    "loses answers": {"lose_write_answers": 3},
+    "delays writes": {"delay_writes": 2, "delay_write_ms": 900},
+    "delays and loses": {"delay_writes": 1, "delay_write_ms": 900, "lose_write_answers": 2},
+}
+
+
+@pytest.mark.parametrize("case", KEY_VALUE_FAULTS)
+def test_faults_of_the_key_value_service(site: Site, account: Account, case: str) -> None:
+    site.control(KEY_VALUE, **KEY_VALUE_FAULTS[case])
+    with ThreadPoolExecutor() as pool:
+        sent = [
+            pool.submit(account.deposit, f"k{number}", vm, timeout_ms=2_000)
+            for number in range(3)
+            for vm in ("vm-1", "vm-2")
+        ]
+        assert all(one.result() is not None for one in sent)
+    site.control(KEY_VALUE, outage=False, slow_ms=0, lose_write_answers=0, delay_writes=0)
+    for number in range(3):
+        answer = account.deposit(f"k{number}", "vm-2")
+        assert answer is not None
+        assert answer.status == 200 or answer.headers["Azureturn-Run-State"] == "unknown"
+
+
+@pytest.mark.parametrize("mode", ["refuse", "drop", "freeze"])
+def test_a_vm_is_cut_from_the_key_value_service(site: Site, account: Account, mode: str) -> None:
+    assert chat(site, "vm-1").status == 200
+    account.deposit("before", "vm-1")
+    site.control(link_name("vm-1", KEY_VALUE), mode=mode)
+    assert chat(site, "vm-1").status == 200
+    cut = account.deposit("k", "vm-1", timeout_ms=2_000)
+    other = account.deposit("k", "vm-2")
+    site.control(link_name("vm-1", KEY_VALUE), mode="pass")
+    after = account.deposit("k", "vm-1")
+    for answer in (cut, other, after):
+        assert answer is not None
+    assert site.runs().get("k", 0) == 1
+    if mode == "freeze":
+        assert cut is not None and cut.status == 200
+
+
+def chat(site: Site, vm: str, *, tokens: int = 30) -> Answer:
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": "wool"}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    return site.call(vm, "POST", CHAT, body=body)
+
+
+def is_whole(answer: Answer, tokens: int) -> bool:
+    words = [f"word{number} ".encode() for number in range(1, tokens + 1)]
+    ends = answer.body.endswith(b"data: [DONE]\n\n")
+    return ends and all(answer.body.count(word) == 1 for word in words)
+
+
+def stream_under_way(site: Site, pool: ThreadPoolExecutor, tokens: int) -> "Future[Answer]":
+    before = site.read(ENGINE, "/counters")["output_tokens"]
+    stream = pool.submit(chat, site, "vm-1", tokens=tokens)
+    wait_for(lambda: site.read(ENGINE, "/counters")["output_tokens"] > before + 3)
+    return stream
+
+
+def test_streams_survive_connections_that_go_silent_twice(site: Site) -> None:
+    with ThreadPoolExecutor() as pool:
+        stream = stream_under_way(site, pool, 100)
+        for _ in range(2):
+            site.control(link_name("vm-1", ENGINE), mode="freeze")
+            made = site.read(ENGINE, "/counters")["output_tokens"]
+            wait_for(lambda made=made: site.read(ENGINE, "/counters")["output_tokens"] > made + 30)  # type: ignore[misc]
+        assert is_whole(stream.result(), 100)
+    assert list(site.read(ENGINE, "/runs").values()) == [1]
+
+
+def test_a_stream_survives_a_short_cut_from_its_engine(site: Site) -> None:
+    with ThreadPoolExecutor() as pool:
+        stream = stream_under_way(site, pool, 60)
+        site.control(link_name("vm-1", ENGINE), mode="refuse")
+        made = site.read(ENGINE, "/counters")["output_tokens"]
+        wait_for(lambda: site.read(ENGINE, "/counters")["output_tokens"] > made + 20)
+        site.control(link_name("vm-1", ENGINE), mode="pass")
+        assert is_whole(stream.result(), 60)
+    assert list(site.read(ENGINE, "/runs").values()) == [1]
+
+
+@pytest.mark.parametrize("times", [1, 2])
+def test_a_call_over_a_connection_that_went_silent(
+    site: Site, account: Account, times: int
+) -> None:
+    for number in range(times):
+        site.control(SERVICE, delay_ms=400)
+        with ThreadPoolExecutor() as pool:
+            key = f"k{number}"
+            first = pool.submit(account.deposit, key, "vm-1", timeout_ms=1_500)
+            wait_for(lambda key=key: site.runs().get(key) == 1)  # type: ignore[misc]
+            site.control(link_name("vm-1", SERVICE), mode="freeze")
+            silent = first.result()
+            assert silent is not None and silent.headers["Azureturn-Run-State"] == "unknown"
+        again = account.deposit(key, "vm-1")
+        assert again is not None and again.headers["Azureturn-Run-State"] == "unknown"
+        new = account.deposit(f"new{number}", "vm-1")
+        assert new is not None and new.status == 200
+
+
+@pytest.mark.parametrize("times", [1, 2])
+def test_vm_and_upstream_fail_together(site: Site, account: Account, times: int) -> None:
+    for number in range(times):
+        key = f"k{number}"
+        site.control(SERVICE, delay_ms=60_000)
+        with ThreadPoolExecutor() as pool:
+            first = pool.submit(account.deposit, key, "vm-1")
+            wait_for(lambda key=key: site.runs().get(key) == 1)  # type: ignore[misc]
+            with paused(site, SERVICE):
+                site.processes["vm-1"].kill()
+                assert first.result() is None
+                other = account.deposit(key, "vm-2", timeout_ms=1_000)
+                assert other is not None and other.headers["Azureturn-Run-State"] == "unknown"
+        site.control(SERVICE, delay_ms=2)
+        site.processes["vm-1"].start()
+        site.processes["vm-1"].wait_until_listening()
+        after = account.deposit(key, "vm-1")
+        assert after is not None and after.headers["Azureturn-Run-State"] == "unknown"
+        new = account.deposit(f"new{number}", "vm-2")
+        assert new is not None and new.status == 200
