--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -122,12 +122,13 @@
 
 
 def test_silence_past_the_deadline_is_told_and_cancelled(site: Site) -> None:
-    site.control(ENGINE, silent=True)
-    answer = ask(site, stream=False, tokens=2_000, timeout_ms=600)
-    assert answer.headers["Azureturn-Error-Kind"] == ErrorKind.UPSTREAM_SILENT
+    site.control(ENGINE, silent=True, step_base_ms=500.0)
+    before = site.read(ENGINE, "/counters")["cancelled"]
+    answer = ask(site, stream=False, tokens=20, timeout_ms=1_500)
+    assert answer.headers["Azureturn-Error-Kind"] == ErrorKind.UPSTREAM_SILENT, answer.body
     assert answer.headers["Azureturn-Run-State"] == "unknown"
     assert dispatched(site, answer) == 1
-    wait_for(lambda: site.read(ENGINE, "/load")["running"] == 0)
+    wait_for(lambda: site.read(ENGINE, "/counters")["cancelled"] - before == 1)
 
 
 SERVICE_FAILURES: dict[str, tuple[dict[str, Any], int]] = {
