--- a/azureturn/core/controllers/_move_gossip.py
+++ b/azureturn/core/controllers/_move_gossip.py
@@ -1,5 +1,6 @@
 """Tells peers what this VM knows of versions, and takes in what they tell."""
 
+from azureturn.core._configuration import ConfigurationTable
 from azureturn.core._controllers import Context, Controller, controller, on
 from azureturn.core._events import NewsIsUrgent, RowsReceived, Tick
 from azureturn.core.membership import GossipTable, PeerIdentity, PeerTable, Topic
@@ -7,12 +8,11 @@
 from azureturn.core.moves._gossip import (
     evidence_from_row,
     evidence_to_rows,
-    move_id_of,
     move_number,
 )
 from azureturn.core.moves._messages import EvidenceReceived
 from azureturn.core.moves._tables import EvidenceTable, Move, MoveTable
-from azureturn.core.moves._types import MoveReason
+from azureturn.core.moves._types import MoveReason, MoveRecord
 
 #: Evidence is told this often; both versions' together, so that no VM sees half a picture.
 PUBLISH_INTERVAL_MS = 2_000
@@ -26,7 +26,7 @@
 class MoveGossipController(Controller):
     """Spreads evidence, and that a move has ended, by the rows of the membership's gossip."""
 
-    reads = (PeerTable, EvidenceTable, MoveTable)
+    reads = (ConfigurationTable, PeerTable, EvidenceTable, MoveTable)
     writes = (GossipTable,)
     after = ("membership", "moves", "mover")
 
@@ -49,16 +49,20 @@
         evidence: list[EvidenceRow] = []
         condemned: list[CondemnedMove] = []
         completed: list[str] = []
+        records = [move.record for move in self.board.read(MoveTable).rows()]
+        configuration = self.board.read(ConfigurationTable).in_force()
+        routes = [route.name for route in configuration.shared.routes]
         for row in event.rows:
             if row.row_key.topic is Topic.EVIDENCE:
-                evidence.extend(evidence_from_row(row))
+                evidence.extend(evidence_from_row(row, records, routes))
             elif row.row_key.topic is Topic.MOVE_ENDED and len(row.numbers) == 3:
                 number, end, reason = row.numbers
+                move_id = _move_id(records, row.row_key.key, number)
                 if end == _COMPLETED:
-                    completed.append(move_id_of(number))
+                    completed.append(move_id)
                 elif end == _CONDEMNED and 0 <= reason < len(_REASONS):
                     detail = f"told by {row.row_key.owner}"
-                    condemned.append(CondemnedMove(move_id_of(number), _REASONS[reason], detail))
+                    condemned.append(CondemnedMove(move_id, _REASONS[reason], detail))
         if evidence or condemned or completed:
             context.post(EvidenceReceived(tuple(evidence), tuple(condemned), tuple(completed)))
 
@@ -75,7 +79,7 @@
         self._published_failures[record.move_id] = ledger.own_failures
         gossip = self.board.write(GossipTable)
         rows = ledger.rows_of(EvidenceSource(own.vm, ledger.own_boot_id))
-        for key, numbers in evidence_to_rows(record.model, record.move_id, rows):
+        for key, numbers in evidence_to_rows(record, rows):
             gossip.change_own(own, Topic.EVIDENCE, key, numbers, context.now_ms)
         if failing:
             context.post(NewsIsUrgent())
@@ -93,3 +97,11 @@
         gossip = self.board.write(GossipTable)
         if gossip.change_own(own, Topic.MOVE_ENDED, model, numbers, context.now_ms):
             context.post(NewsIsUrgent())
+
+
+def _move_id(records: list[MoveRecord], model: str, number: int) -> str:
+    """Return the id of a model's present move if this is its number; else an empty string."""
+    for record in records:
+        if record.model == model and move_number(record.move_id) == number:
+            return record.move_id
+    return ""
--- a/azureturn/core/controllers/_mover.py
+++ b/azureturn/core/controllers/_mover.py
@@ -62,7 +62,9 @@
 #: Answers of the old version that tell what is slow.
 THRESHOLD_SAMPLES = 20
 #: Rates are trusted after this long, or after a tenth of the time to the deadline.
-RATE_WARM_UP_MS = 30_000
+RATE_WARM_UP_MS = 60_000
+#: Answers that still run are not counted, so the first part of the time is left out.
+RATE_LAG_MS = 20_000
 _MS_PER_S = 1_000
 
 
@@ -360,7 +362,8 @@
 
 
 def _rates_per_s(ledger: EvidenceLedger, record: MoveRecord, unix_ms: int) -> dict[str, float]:
-    elapsed_s = max(1.0, (unix_ms - record.started_unix_ms) / _MS_PER_S)
+    elapsed_ms = unix_ms - record.started_unix_ms
+    elapsed_s = max(1.0, (elapsed_ms - min(RATE_LAG_MS, elapsed_ms // 2)) / _MS_PER_S)
     stages = range(-1, len(record.stages))
     rates: dict[str, float] = {}
     for route in ledger.routes():
--- a/azureturn/core/controllers/_moves.py
+++ b/azureturn/core/controllers/_moves.py
@@ -17,11 +17,11 @@
 from azureturn.core.moves._evidence import (
     EPOCH_MS,
     OPEN_EPOCHS,
-    VERY_SLOW_FACTOR,
     Counts,
     EvidenceKey,
     EvidenceSource,
     Trouble,
+    troubles_of,
 )
 from azureturn.core.moves._judging import Judge, Verdict
 from azureturn.core.moves._messages import (
@@ -50,6 +50,8 @@
 
 #: Shortest time between two judgements of one version.
 JUDGE_INTERVAL_MS = 100
+#: What is shown also changes with the time, so it is looked at this often.
+REPORT_INTERVAL_MS = 250
 #: Failures that say nothing of the version.
 _NOT_THE_VERSION = frozenset({ErrorKind.UPSTREAM_UNREACHABLE, ErrorKind.CALLER_GONE})
 
@@ -73,6 +75,7 @@
     )
     after = ("placement",)
     _boot_id = ""
+    _reported_at_ms = 0
 
     @on(Started)
     def _on_started(self, event: Started, context: Context) -> None:
@@ -110,12 +113,9 @@
         loads.put(request.target, load)
         tracked = TrackedRequest(
             move.record.move_id,
-            EvidenceKey(
-                self._epoch(move.record, context.now_ms),
-                move.record.stage,
-                request.route,
-                version == move.record.to_version,
-            ),
+            move.record.stage,
+            request.route,
+            version == move.record.to_version,
             context.now_ms,
             load.busy,
         )
@@ -172,8 +172,9 @@
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         self._judge_all(context)
-        self._close_epochs(context.now_ms)
-        self._report_all(context)
+        if context.now_ms - self._reported_at_ms >= REPORT_INTERVAL_MS:
+            self._close_epochs(context.now_ms)
+            self._report_all(context)
 
     def _accept(self, stored: StoredMove, context: Context) -> None:
         moves = self.board.write(MoveTable)
@@ -206,29 +207,26 @@
     def _count_answer(
         self, tracked: TrackedRequest, per_token_ms: float | None, context: Context
     ) -> None:
-        if tracked.key.stage < 0:
+        if tracked.stage < 0:
             latencies = self.board.write(LatencyTable)
             sketches = latencies.get(tracked.move_id) or LatencySketches()
-            sketches.add(tracked.key.route, tracked.first_token_ms, per_token_ms)
+            sketches.add(tracked.route, tracked.first_token_ms, per_token_ms)
             latencies.put(tracked.move_id, sketches)
         record = self._record(tracked.move_id)
         if record is None:
             return
-        troubles = [0] * len(Trouble)
-        for threshold in record.thresholds:
-            if threshold.route == tracked.key.route:
-                first_ms = tracked.first_token_ms
-                _count_slow(troubles, Trouble.SLOW_FIRST_TOKEN, first_ms, threshold.first_token_ms)
-                _count_slow(troubles, Trouble.SLOW_TOKENS, per_token_ms, threshold.per_token_ms)
-        self._count(tracked, tuple(troubles), context)
+        troubles = troubles_of(record, tracked.route, tracked.first_token_ms, per_token_ms)
+        self._count(tracked, troubles, context)
 
     def _count(self, tracked: TrackedRequest, troubles: tuple[int, ...], context: Context) -> None:
         record = self._record(tracked.move_id)
         if record is None:
             return
         source = EvidenceSource(self.settings.vm.name, self._boot_id)
+        epoch = self._epoch(record, context.now_ms)
+        key = EvidenceKey(epoch, tracked.stage, tracked.route, tracked.is_new)
         counts = Counts(1, int(tracked.busy), troubles)
-        self.board.write(EvidenceTable).of(tracked.move_id).add(source, tracked.key, counts)
+        self.board.write(EvidenceTable).of(tracked.move_id).add(source, key, counts)
         self._judge(record, context)
 
     def _record(self, move_id: str) -> MoveRecord | None:
@@ -273,6 +271,7 @@
                 ledger.close_before(before)
 
     def _report_all(self, context: Context) -> None:
+        self._reported_at_ms = context.now_ms
         moves = self.board.write(MoveTable)
         for model, move in moves.items():
             shown = moves.shown(move, context.now_ms)
@@ -284,12 +283,3 @@
             if moves.reported.get(model) != report:
                 moves.reported[model] = report
                 context.act(report)
-
-
-def _count_slow(
-    troubles: list[int], slow: Trouble, took_ms: float | None, threshold_ms: float
-) -> None:
-    """Count an answer as slow, and as very slow, which is the trouble after it."""
-    if took_ms is not None and threshold_ms > 0:
-        troubles[slow] += took_ms > threshold_ms
-        troubles[slow + 1] += took_ms > threshold_ms * VERY_SLOW_FACTOR
--- a/azureturn/core/membership/_types.py
+++ b/azureturn/core/membership/_types.py
@@ -17,7 +17,7 @@
     UPSTREAM_LEAVING = 1
     #: Key: empty. Numbers: none; the rising version alone says that the VM lives.
     ALIVE = 2
-    #: Key: a model, a route, a version and an epoch. Numbers: as the version moves define.
+    #: Key: digest of a model's route, and an epoch. Numbers: as the version moves define.
     EVIDENCE = 3
     #: Key: empty. Numbers: queued requests by tier, the most urgent first.
     QUEUE = 4
--- a/azureturn/core/moves/__init__.py
+++ b/azureturn/core/moves/__init__.py
@@ -19,6 +19,7 @@
     EvidenceRow,
     EvidenceSource,
     Trouble,
+    troubles_of,
 )
 from azureturn.core.moves._filter import version_is_loaded
 from azureturn.core.moves._gossip import evidence_from_row, evidence_to_rows
@@ -129,5 +130,6 @@
     "ramp_policy",
     "stages_needed_ms",
     "takes_new_version",
+    "troubles_of",
     "version_is_loaded",
 ]
--- a/azureturn/core/moves/_evidence.py
+++ b/azureturn/core/moves/_evidence.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from azureturn.core.moves._types import MoveReason
+from azureturn.core.moves._types import MoveReason, MoveRecord
 
-#: Evidence is grouped by the time of dispatch, so that a late change is not diluted.
+#: Evidence is grouped by the time of the outcome, so that a late change is not diluted.
 EPOCH_MS = 10_000
 #: Epochs for which late counts are still taken; older ones are closed.
 OPEN_EPOCHS = 6
@@ -166,3 +166,24 @@
         self.totals[place] = self.totals.get(place, Counts()).with_added(change)
         if key.is_new and any(change.troubles):
             self.bad_news += 1
+
+
+def troubles_of(
+    record: MoveRecord, route: str, first_token_ms: float | None, per_token_ms: float | None
+) -> tuple[int, ...]:
+    """Return what was wrong with an answer that came whole; all is 0 where nothing was."""
+    troubles = [0] * len(Trouble)
+    for threshold in record.thresholds:
+        if threshold.route == route:
+            _mark_slow(troubles, Trouble.SLOW_FIRST_TOKEN, first_token_ms, threshold.first_token_ms)
+            _mark_slow(troubles, Trouble.SLOW_TOKENS, per_token_ms, threshold.per_token_ms)
+    return tuple(troubles)
+
+
+def _mark_slow(
+    troubles: list[int], slow: Trouble, took_ms: float | None, threshold_ms: float
+) -> None:
+    """Mark an answer as slow, and as very slow, which is the trouble after it."""
+    if took_ms is not None and threshold_ms > 0:
+        troubles[slow] = int(took_ms > threshold_ms)
+        troubles[slow + 1] = int(took_ms > threshold_ms * VERY_SLOW_FACTOR)
--- a/azureturn/core/moves/_judging.py
+++ b/azureturn/core/moves/_judging.py
@@ -16,12 +16,15 @@
 that is within the tolerated ratios is at most ``error_rate``, however often one looks.
 
 While the new version has all requests there is no old one beside it. Its rate is then compared
-with what the old version had during the move, widened by :data:`REFERENCE_RATIO`; this holds
-only as far as the load and the requests are like those of the move.
+with what the old version had during the move, widened by :data:`REFERENCE_RATIO`. This holds
+only as far as the requests are like those of the move, so answers then count as slow only when
+they are very slow, and only in epochs with no more requests than the move had.
 """
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import cache
 
 from azureturn.core.moves._evidence import EPOCH_MS, Counts, EvidenceLedger, Trouble
 from azureturn.core.moves._types import MoveReason, MoveRecord
@@ -49,6 +52,12 @@
 _HIGHEST_REFERENCE = 0.6
 _LARGEST_EXPONENT = 600.0
 
+#: An epoch with this many times the requests of the move's fullest says nothing of slowness.
+USUAL_LOAD = 1.2
+#: What is judged without the old version beside the new: not what a busier hour brings about.
+_JUDGED_ALONE = (Trouble.FAILED, Trouble.VERY_SLOW_FIRST_TOKEN, Trouble.VERY_SLOW_TOKENS)
+_JUDGED_IN_BURST = (Trouble.FAILED,)
+
 ALL_ROUTES = ""
 _GRID = range(len(ALTERNATIVES))
 #: Logarithms of likelihood ratios by route and trouble, one for each alternative.
@@ -80,6 +89,8 @@
     _closed: _Ratios = field(default_factory=dict)
     _closed_to: int = 0
     _first_epoch: int | None = None
+    #: Most requests in a closed epoch while both versions served.
+    _usual_requests: int = 0
 
     def verdict(self, ledger: EvidenceLedger) -> Verdict:
         """Return what the ledger's evidence says now."""
@@ -96,6 +107,9 @@
     def close_before(self, epoch: int, ledger: EvidenceLedger) -> None:
         """Keep what epochs before ``epoch`` say, since the ledger is about to forget them."""
         by_epoch = self._ratios_by_epoch(ledger)
+        for one, requests in _requests_by_epoch(ledger, shared_only=self.record).items():
+            if one < epoch:
+                self._usual_requests = max(self._usual_requests, requests)
         if self._begun(by_epoch):
             for early in sorted(one for one in by_epoch if one < epoch):
                 self._extend(self._closed, by_epoch[early], early)
@@ -141,17 +155,19 @@
     def _ratios_by_epoch(self, ledger: EvidenceLedger) -> dict[int, _Ratios]:
         found: dict[int, _Ratios] = {}
         reference: dict[str, Counts] = {}
+        requests = _requests_by_epoch(ledger)
         for key, counts in ledger.pooled.items():
             if key.stage < 0 or key.epoch < self._closed_to:
                 continue
             ratios = found.setdefault(key.epoch, {})
             share = self.record.stages[key.stage]
-            if share >= 1.0:
-                if key.is_new:
-                    old = _reference(ledger, self.record, key.route, reference)
-                    _add_against_reference(ratios, key.route, counts, old)
-            else:
+            if share < 1.0:
                 _add_against_other(ratios, key.route, counts, key.is_new, share)
+            elif key.is_new:
+                old = _reference(ledger, self.record, key.route, reference)
+                usual = requests[key.epoch] <= self._usual_requests * USUAL_LOAD
+                judged = _JUDGED_ALONE if usual else _JUDGED_IN_BURST
+                _add_against_reference(ratios, key.route, counts, old, judged)
         return found
 
     def _decide(self, sums: _Ratios, latest: int, ledger: EvidenceLedger) -> Verdict:
@@ -204,6 +220,17 @@
     return new, old
 
 
+def _requests_by_epoch(
+    ledger: EvidenceLedger, *, shared_only: MoveRecord | None = None
+) -> dict[int, int]:
+    """Return the requests in each open epoch; of a move, only while both versions served."""
+    found: dict[int, int] = {}
+    for key, counts in ledger.pooled.items():
+        if shared_only is None or key.stage < 0 or shared_only.stages[key.stage] < 1.0:
+            found[key.epoch] = found.get(key.epoch, 0) + counts.requests
+    return found
+
+
 def _reference(
     ledger: EvidenceLedger, record: MoveRecord, route: str, known: dict[str, Counts]
 ) -> Counts:
@@ -213,31 +240,36 @@
     return known[route]
 
 
-def _add(ratios: _Ratios, route: str, trouble: Trouble, logs: list[float]) -> None:
+def _add(
+    ratios: _Ratios, route: str, trouble: Trouble, logs: Sequence[float], count: int = 1
+) -> None:
     for place in ((route, trouble), (ALL_ROUTES, trouble)):
         present = ratios.get(place)
         if present is None:
-            ratios[place] = list(logs)
+            ratios[place] = [count * one for one in logs]
             continue
-        for index in _GRID:
-            present[index] += logs[index]
+        for index, one in enumerate(logs):
+            present[index] += count * one
 
 
 def _add_against_other(
     ratios: _Ratios, route: str, counts: Counts, is_new: bool, share: float
 ) -> None:
     """Add what troubles say of the version that had them, both versions serving side by side."""
-    for trouble in Trouble:
-        count = counts.troubles[trouble]
+    for trouble, count in zip(Trouble, counts.troubles, strict=True):
         if count:
-            tolerated = TOLERATED_RATIO[trouble]
-            null = _share_of_troubles(share, tolerated)
-            logs = []
-            for multiple in ALTERNATIVES:
-                other = _share_of_troubles(share, tolerated * multiple)
-                ratio = other / null if is_new else (1 - other) / (1 - null)
-                logs.append(count * math.log(ratio))
-            _add(ratios, route, trouble, logs)
+            logs = _logs_of_one_trouble(share, TOLERATED_RATIO[trouble], is_new)
+            _add(ratios, route, trouble, logs, count)
+
+
+@cache
+def _logs_of_one_trouble(share: float, tolerated: float, is_new: bool) -> tuple[float, ...]:
+    """Return for each alternative what a single trouble of one version adds."""
+    null = _share_of_troubles(share, tolerated)
+    others = [_share_of_troubles(share, tolerated * multiple) for multiple in ALTERNATIVES]
+    if is_new:
+        return tuple(math.log(other / null) for other in others)
+    return tuple(math.log((1 - other) / (1 - null)) for other in others)
 
 
 def _share_of_troubles(share: float, ratio: float) -> float:
@@ -245,9 +277,11 @@
     return share * ratio / (share * ratio + 1 - share)
 
 
-def _add_against_reference(ratios: _Ratios, route: str, counts: Counts, old: Counts) -> None:
+def _add_against_reference(
+    ratios: _Ratios, route: str, counts: Counts, old: Counts, judged: Sequence[Trouble]
+) -> None:
     """Add what answers of the new version say against the old version's earlier rate."""
-    for trouble in Trouble:
+    for trouble in judged:
         usual = max(REFERENCE_FLOOR[trouble], (old.troubles[trouble] + 1) / (old.requests + 2))
         null = min(_HIGHEST_REFERENCE, usual * REFERENCE_RATIO[trouble])
         bad = counts.troubles[trouble]
--- a/azureturn/core/moves/_tables.py
+++ b/azureturn/core/moves/_tables.py
@@ -7,7 +7,7 @@
 
 from azureturn.core._blackboard import Table
 from azureturn.core._upstreams import Upstream
-from azureturn.core.moves._evidence import EvidenceKey, EvidenceLedger
+from azureturn.core.moves._evidence import EvidenceLedger
 from azureturn.core.moves._judging import Judge, Verdict
 from azureturn.core.moves._messages import ReportMove
 from azureturn.core.moves._sharing import takes_new_version
@@ -130,7 +130,10 @@
     """A request of a model that is being moved, while it runs."""
 
     move_id: str
-    key: EvidenceKey
+    #: The stage at dispatch; -1 before the first.
+    stage: int
+    route: str
+    is_new: bool
     dispatched_at_ms: int
     busy: bool = False
     first_token_ms: int | None = None
