The operators' tool proved on real processes; the README's commands run by a test

Cause: unit tests can't show a race of operators, a drain under traffic, or a silent VM. The first run found one: a VM that the platform's lagging list did not show yet was left out without a word. Ruled out: asking every VM for its peers each time (one call more for each VM, for what the list tells in a fifth of a second); the test now waits for the list, and where the list is down the VMs are asked which peers they know. Conclusion: race, lost answer, delayed write, outage, drain, silent VM and README are covered.

--- a/azureturn/command/_site.py
+++ b/azureturn/command/_site.py
@@ -10,7 +10,7 @@
 from azureturn.command._exit_codes import ExitCode
 from azureturn.command._options import SiteOptions
 from azureturn.errors import AzureturnError, ErrorKind, PlatformError
-from azureturn.peers import EnvelopeSigner, PeerAddress, PeerClient
+from azureturn.peers import EnvelopeSigner, NoArgument, PeerAddress, PeerClient, VmAddresses
 from azureturn.platform import KeyValueClient, ListedVm, VmListClient
 from azureturn.settings import Settings, check_settings, read_merged
 
@@ -79,17 +79,21 @@
         document = read_merged(options.config, options.overlay)
         return cls(check_settings(document), document)
 
-    def listed_vms(self) -> list[ListedVm]:
-        """Return the VMs of the platform's list, or the settings' own VM without the list."""
+    def known_vms(self) -> list[ListedVm]:
+        """Return the VMs of the platform's list, by name.
+
+        Where the list does not answer, the VM of the settings and the seed peers are asked
+        which VMs they know.
+        """
         try:
             vms = list(self._vm_list.read())
         except PlatformError:
             vms = []
-        return sorted(vms or [self._own_vm()], key=lambda vm: vm.name)
+        return sorted(vms or self._vms_known_by_peers(), key=lambda vm: vm.name)
 
     def ask_all(self, query: str, argument: Any, answer_type: type[_Answer]) -> VmAnswers[_Answer]:
-        """Ask every listed VM a registered operators' query, all at the same time."""
-        vms = self.listed_vms()
+        """Ask every known VM a registered operators' query, all at the same time."""
+        vms = self.known_vms()
         with ThreadPoolExecutor(max_workers=ASK_THREADS) as pool:
             results = list(pool.map(lambda vm: self._ask(vm, query, argument, answer_type), vms))
         answered = tuple(one for one in results if isinstance(one, VmAnswer))
@@ -108,6 +112,33 @@
             return SilentVm(vm.name, error.message)
         return VmAnswer(vm, answer)
 
+    def _vms_known_by_peers(self) -> list[ListedVm]:
+        found = {self.settings.vm.name: self._own_vm()}
+        for address in self._seeds():
+            try:
+                answer = self._peers.operate(address, "vm.peers", NoArgument(), VmAddresses)
+            except AzureturnError:
+                continue
+            for one in answer.vms:
+                vm = ListedVm(
+                    one.vm,
+                    one.availability_zone,
+                    one.host,
+                    one.port,
+                    one.peer_port,
+                    one.leaving,
+                )
+                found.setdefault(vm.name, vm)
+        return list(found.values())
+
+    def _seeds(self) -> list[PeerAddress]:
+        vm = self.settings.vm
+        seeds = [PeerAddress(vm.host, vm.peer_port)]
+        for seed in self.settings.platform.seed_peers:
+            host, _, port = seed.rpartition(":")
+            seeds.append(PeerAddress(host, int(port)))
+        return seeds
+
     def _own_vm(self) -> ListedVm:
         vm = self.settings.vm
         return ListedVm(vm.name, vm.availability_zone, vm.host, vm.port, vm.peer_port, False)
--- a/azureturn/daemon/_operators.py
+++ b/azureturn/daemon/_operators.py
@@ -16,6 +16,8 @@
     OperatorQuery,
     UpstreamStatus,
     UpstreamStatuses,
+    VmAddress,
+    VmAddresses,
     VmStatus,
     decode_struct,
     encode_struct,
@@ -83,6 +85,26 @@
     )
 
 
+@operator_query("vm.peers", NoArgument)
+def _vm_peers(services: Services, _argument: NoArgument) -> VmAddresses:
+    """Return the other VMs that this one knows, for an operator without the platform's list."""
+    peers = services.runtime.inspect(lambda core: list(core.board.table(PeerTable).rows()))
+    return VmAddresses(
+        vms=[
+            VmAddress(
+                vm=peer.identity.vm,
+                availability_zone=peer.identity.availability_zone,
+                host=peer.identity.host,
+                # Heartbeats do not carry the callers' port.
+                port=0,
+                peer_port=peer.identity.peer_port,
+                leaving=peer.leaving,
+            )
+            for peer in peers
+        ]
+    )
+
+
 @operator_query("upstream.list", NoArgument)
 def _upstream_list(services: Services, _argument: NoArgument) -> UpstreamStatuses:
     return UpstreamStatuses(upstreams=services.runtime.inspect(_upstream_statuses))
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -27,6 +27,8 @@
     ServiceLevelWindow,
     UpstreamStatus,
     UpstreamStatuses,
+    VmAddress,
+    VmAddresses,
     VmStatus,
 )
 
@@ -58,6 +60,8 @@
     "ServiceLevels",
     "UpstreamStatus",
     "UpstreamStatuses",
+    "VmAddress",
+    "VmAddresses",
     "VmStatus",
     "decode_struct",
     "encode_struct",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -106,6 +106,19 @@
   9: bool leaving,
 }
 
+struct VmAddress {
+  1: string vm,
+  2: string availability_zone,
+  3: string host,
+  4: i32 port,
+  5: i32 peer_port,
+  6: bool leaving,
+}
+
+struct VmAddresses {
+  1: list<VmAddress> vms,
+}
+
 struct UpstreamStatus {
   1: string upstream,
   2: string kind,
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -1397,6 +1397,211 @@
         return not (self == other)
 
 
+class VmAddress(object):
+    """
+    Attributes:
+     - vm
+     - availability_zone
+     - host
+     - port
+     - peer_port
+     - leaving
+
+    """
+
+    __slots__ = (
+        'vm',
+        'availability_zone',
+        'host',
+        'port',
+        'peer_port',
+        'leaving',
+    )
+
+
+    def __init__(self, vm=None, availability_zone=None, host=None, port=None, peer_port=None, leaving=None,):
+        self.vm = vm
+        self.availability_zone = availability_zone
+        self.host = host
+        self.port = port
+        self.peer_port = peer_port
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.peer_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VmAddress')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.peer_port is not None:
+            oprot.writeFieldBegin('peer_port', TType.I32, 5)
+            oprot.writeI32(self.peer_port)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VmAddresses(object):
+    """
+    Attributes:
+     - vms
+
+    """
+
+    __slots__ = (
+        'vms',
+    )
+
+
+    def __init__(self, vms=None,):
+        self.vms = vms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.vms = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = VmAddress()
+                        _elem26.read(iprot)
+                        self.vms.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VmAddresses')
+        if self.vms is not None:
+            oprot.writeFieldBegin('vms', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.vms))
+            for iter27 in self.vms:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamStatus(object):
     """
     Attributes:
@@ -1588,11 +1793,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = UpstreamStatus()
-                        _elem26.read(iprot)
-                        self.upstreams.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = UpstreamStatus()
+                        _elem33.read(iprot)
+                        self.upstreams.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1609,8 +1814,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter27 in self.upstreams:
-                iter27.write(oprot)
+            for iter34 in self.upstreams:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1912,11 +2117,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Refusal()
-                        _elem33.read(iprot)
-                        self.refusals.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Refusal()
+                        _elem40.read(iprot)
+                        self.refusals.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1938,8 +2143,8 @@
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter34 in self.refusals:
-                iter34.write(oprot)
+            for iter41 in self.refusals:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.forgotten_count is not None:
@@ -2004,10 +2209,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.window_ms = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readI64()
-                        self.window_ms.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.window_ms.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2034,8 +2239,8 @@
         if self.window_ms is not None:
             oprot.writeFieldBegin('window_ms', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.window_ms))
-            for iter41 in self.window_ms:
-                oprot.writeI64(iter41)
+            for iter48 in self.window_ms:
+                oprot.writeI64(iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.series_step_ms is not None:
@@ -2261,20 +2466,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.bin_keys = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI32()
-                        self.bin_keys.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI32()
+                        self.bin_keys.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.bin_counts = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readI64()
-                        self.bin_counts.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readI64()
+                        self.bin_counts.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2295,15 +2500,15 @@
         if self.bin_keys is not None:
             oprot.writeFieldBegin('bin_keys', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.bin_keys))
-            for iter54 in self.bin_keys:
-                oprot.writeI32(iter54)
+            for iter61 in self.bin_keys:
+                oprot.writeI32(iter61)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bin_counts is not None:
             oprot.writeFieldBegin('bin_counts', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.bin_counts))
-            for iter55 in self.bin_counts:
-                oprot.writeI64(iter55)
+            for iter62 in self.bin_counts:
+                oprot.writeI64(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2369,22 +2574,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cells = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = ServiceLevelCell()
-                        _elem61.read(iprot)
-                        self.cells.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServiceLevelCell()
+                        _elem68.read(iprot)
+                        self.cells.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.latencies = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = LatencyHistogram()
-                        _elem67.read(iprot)
-                        self.latencies.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = LatencyHistogram()
+                        _elem74.read(iprot)
+                        self.latencies.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2405,15 +2610,15 @@
         if self.cells is not None:
             oprot.writeFieldBegin('cells', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.cells))
-            for iter68 in self.cells:
-                iter68.write(oprot)
+            for iter75 in self.cells:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.latencies))
-            for iter69 in self.latencies:
-                iter69.write(oprot)
+            for iter76 in self.latencies:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2583,22 +2788,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.windows = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = ServiceLevelWindow()
-                        _elem75.read(iprot)
-                        self.windows.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ServiceLevelWindow()
+                        _elem82.read(iprot)
+                        self.windows.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.series = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = ServiceLevelPoint()
-                        _elem81.read(iprot)
-                        self.series.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = ServiceLevelPoint()
+                        _elem88.read(iprot)
+                        self.series.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2619,15 +2824,15 @@
         if self.windows is not None:
             oprot.writeFieldBegin('windows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.windows))
-            for iter82 in self.windows:
-                iter82.write(oprot)
+            for iter89 in self.windows:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.series is not None:
             oprot.writeFieldBegin('series', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.series))
-            for iter83 in self.series:
-                iter83.write(oprot)
+            for iter90 in self.series:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2853,6 +3058,21 @@
     (8, TType.I32, 'requests_in_progress', None, None, ),  # 8
     (9, TType.BOOL, 'leaving', None, None, ),  # 9
 )
+all_structs.append(VmAddress)
+VmAddress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.I32, 'peer_port', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+)
+all_structs.append(VmAddresses)
+VmAddresses.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'vms', (TType.STRUCT, [VmAddress, None], False), None, ),  # 1
+)
 all_structs.append(UpstreamStatus)
 UpstreamStatus.thrift_spec = (
     None,  # 0
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -13,6 +13,9 @@
 ByteCount = Annotated[int, Field(ge=1, le=1 << 30)]
 Secret = Annotated[str, Field(min_length=16, max_length=256)]
 
+#: A peer port as ``host:port``.
+PeerPort = Annotated[str, Field(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
+
 #: In an objective: the tier's requests of all organisations together.
 EVERY_ORGANISATION = "*"
 OrganisationOrEvery = Annotated[str, Field(pattern=r"^(\*|[A-Za-z0-9][A-Za-z0-9._-]{0,62})$")]
@@ -58,7 +61,7 @@
     #: Longest wait for one answer of the key-value service.
     key_value_timeout_ms: DurationMs = 1_000
     #: Peer ports that a start asks where the list of VMs is down, as ``host:port``.
-    seed_peers: tuple[str, ...] = ()
+    seed_peers: tuple[PeerPort, ...] = ()
     #: First part of every key that this system writes.
     key_prefix: str = "azureturn/"
 
--- /dev/null
+++ b/tests/test_command.py
@@ -0,0 +1,218 @@
+"""The operators' tool against real processes: what it changes, and what it says under failure."""
+
+import json
+import os
+import re
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from azureturn.command import ExitCode, run
+from standins.site import MODEL, Site
+
+ROOT = Path(__file__).parents[1]
+CHAT = "/v1/chat/completions"
+TIERS = [{"name": "urgent", "rank": 0}]
+
+
+def wait_until_listed(site: Site) -> None:
+    """The platform's list lags; what it does not show yet, nobody can ask."""
+    ends_at_s = time.monotonic() + 20.0
+    while {vm["name"] for vm in site.read("vm-list", "/vms")["vms"]} != set(site.vm_names):
+        assert time.monotonic() < ends_at_s
+        time.sleep(0.05)
+
+
+@pytest.fixture(scope="module")
+def site() -> Iterator[Site]:
+    with Site(vms=3, zones=3, engines=2, services=1) as running:
+        wait_until_listed(running)
+        yield running
+
+
+class Tool:
+    """Runs the tool in this process and keeps what it wrote."""
+
+    def __init__(self, site: Site, capsys: pytest.CaptureFixture[str]) -> None:
+        self._site = site
+        self._capsys = capsys
+        self.err = ""
+
+    def __call__(self, command: str, *, expect: ExitCode = ExitCode.OK) -> str:
+        code = run([*command.split(), *self._site.tool_options])
+        written = self._capsys.readouterr()
+        self.err = written.err
+        assert code == expect, written
+        return written.out
+
+    def json(self, command: str, *, expect: ExitCode = ExitCode.OK) -> Any:
+        return json.loads(self(f"{command} --json", expect=expect))
+
+
+@pytest.fixture
+def tool(site: Site, capsys: pytest.CaptureFixture[str]) -> Tool:
+    return Tool(site, capsys)
+
+
+def chat(site: Site, vm: str, **headers: str) -> Any:
+    body = {"model": MODEL, "messages": [{"role": "user", "content": "wool"}], "max_tokens": 3}
+    return site.call(vm, "POST", CHAT, body=body, headers=headers)
+
+
+def overlay(folder: Path, shared: dict[str, Any]) -> str:
+    path = folder / "change.json"
+    path.write_text(json.dumps({"shared": shared}))
+    return f"--overlay {path}"
+
+
+def test_apply_puts_a_change_in_force_on_every_vm(site: Site, tool: Tool, tmp_path: Path) -> None:
+    change = overlay(tmp_path, {"objectives": [{"tier": "urgent", "target": 0.97}]})
+    accepted = tool(f"config apply --wait {change}")
+    assert "in force on 3 of 3 VMs" in accepted
+    status = tool.json("config status")
+    assert {row["revision"] for row in status["vms"]} == {status["service_revision"]}
+    shown = tool("config show")
+    assert '"target": 0.97' in shown
+    assert "-token" not in shown
+    assert "nothing to change" in tool(f"config apply {change}")
+
+
+def test_a_change_over_an_old_revision_is_a_conflict(
+    site: Site, tool: Tool, tmp_path: Path
+) -> None:
+    change = overlay(tmp_path, {"policy": {"queue_limit": 77}})
+    tool(f"config apply {change} --expect-revision 999", expect=ExitCode.CONFLICT)
+    assert "config diff" in tool.err
+
+
+def test_of_two_operators_at_once_one_wins_and_none_is_lost_in_silence(
+    site: Site, tool: Tool, tmp_path: Path
+) -> None:
+    base = tool.json("config apply")["revision"]
+    racers = []
+    for limit in (201, 202, 203, 204):
+        folder = tmp_path / str(limit)
+        folder.mkdir()
+        change = overlay(folder, {"policy": {"queue_limit": limit}}).split()
+        arguments = ["config", "apply", "--expect-revision", str(base), *change]
+        racers.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "azureturn.command", *arguments, *site.tool_options],
+                stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+        )
+    results = [(racer.communicate(timeout=60), racer.returncode) for racer in racers]
+    codes = sorted(code for _, code in results)
+    assert codes == [ExitCode.OK] + [ExitCode.CONFLICT] * 3, results
+    assert all("config diff" in err for (_, err), code in results if code == ExitCode.CONFLICT)
+    assert tool.json("config show")["revision"] == base + 1
+
+
+@pytest.mark.parametrize("fault", ["lose_write_answers", "delay_writes"])
+def test_a_lost_answer_is_resolved(site: Site, tool: Tool, tmp_path: Path, fault: str) -> None:
+    limit = 301 if fault == "delay_writes" else 302
+    change = overlay(tmp_path, {"policy": {"queue_limit": limit}})
+    before = tool.json("config status")["service_revision"]
+    site.control("key-value", **{fault: 1})
+    accepted = tool.json(f"config apply {change}")
+    assert accepted["revision"] == before + 1
+    assert tool.json("config show")["settings"]["policy"]["queue_limit"] == limit
+
+
+def test_a_drained_upstream_gets_no_new_work_until_it_is_returned(site: Site, tool: Tool) -> None:
+    assert "0 requests outstanding" in tool("upstream drain engine-1 --wait")
+    answered = {chat(site, vm).headers["Azureturn-Upstream"] for vm in site.vm_names * 3}
+    assert answered == {"engine-2"}
+    states = {row["upstream"]: row["state"] for row in tool.json("upstream list")["upstreams"]}
+    assert (states["engine-1"], states["engine-2"]) == ("draining", "serving")
+    tool("config apply")
+    assert "draining" in tool("upstream list"), "an apply must not take a drain back"
+    tool("upstream return engine-1 --wait")
+    answered = {chat(site, vm).headers["Azureturn-Upstream"] for vm in site.vm_names * 6}
+    assert answered == {"engine-1", "engine-2"}
+
+
+def test_an_unknown_upstream_is_named(site: Site, tool: Tool) -> None:
+    tool("upstream drain none", expect=ExitCode.NOT_FOUND)
+    assert "'none'" in tool.err
+
+
+def test_refusals_are_told_with_kind_and_cause(site: Site, tool: Tool) -> None:
+    refused = site.call("vm-2", "POST", "/routes/none", body={})
+    rows = tool.json("requests refused --kind unknown_route")["refusals"]
+    row = next(one for one in rows if one["request_id"] == refused.headers["X-Request-Id"])
+    assert (row["vm"], row["run_state"]) == ("vm-2", "not_run")
+    assert row["cause"] == "No route has this name."
+
+
+def test_the_report_adds_up_all_vms(site: Site, tool: Tool) -> None:
+    def good_count() -> int:
+        objectives = tool.json("slo report")["objectives"]
+        return sum(one["good_count"] for one in objectives)
+
+    before = good_count()
+    assert {chat(site, vm).status for vm in site.vm_names} == {200}
+    assert good_count() == before + 3
+
+
+def test_an_outage_of_the_service_is_told_and_the_rest_still_answers(
+    site: Site, tool: Tool, tmp_path: Path
+) -> None:
+    site.control("key-value", outage=True)
+    try:
+        change = overlay(tmp_path, {"policy": {"queue_limit": 400}})
+        tool(f"config apply {change}", expect=ExitCode.UNAVAILABLE)
+        assert tool.err.count("\n") == 1
+        assert tool.json("config status")["service_revision"] is None
+        assert len(tool.json("vm list")["vms"]) == 3
+        assert tool.json("slo report")["silent"] == []
+    finally:
+        site.control("key-value", outage=False)
+
+
+def test_without_the_platforms_list_the_vms_are_found_by_their_peers(
+    site: Site, tool: Tool
+) -> None:
+    site.control("vm-list", outage=True)
+    try:
+        assert [row["vm"] for row in tool.json("vm list")["vms"]] == site.vm_names
+    finally:
+        site.control("vm-list", outage=False)
+
+
+def test_a_silent_vm_is_named_and_the_others_are_shown(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    with Site(vms=2, zones=2, engines=1, services=1) as site:
+        wait_until_listed(site)
+        tool = Tool(site, capsys)
+        site.processes["vm-2"].kill()
+        for command in ("vm list", "config status", "slo report", "upstream list"):
+            shown = tool.json(command, expect=ExitCode.PARTIAL)
+            assert [one["vm"] for one in shown["silent"]] == ["vm-2"]
+        tool("config apply --wait --wait-s 1", expect=ExitCode.TIMEOUT)
+
+
+def test_the_commands_of_the_readme_run(site: Site, tmp_path: Path) -> None:
+    readme = (ROOT / "README.md").read_text(encoding="utf-8")
+    blocks = re.findall(r"<!-- run by tests/test_command.py -->\n+```sh\n(.*?)```", readme, re.S)
+    assert blocks
+    environment = {**os.environ, "SITE": " ".join(site.tool_options)}
+    environment["PATH"] = f"{ROOT / 'scripts'}:{environment['PATH']}"
+    for block in blocks:
+        done = subprocess.run(
+            ["bash", "-euo", "pipefail", "-c", block],
+            cwd=tmp_path,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
+        assert done.returncode == 0, done.stdout + done.stderr
