--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -19,6 +19,7 @@
     """The daemon starts with this configuration."""
 
     configuration: Configuration
+    boot_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -171,6 +172,11 @@
     vm: str
 
 
+@dataclass(frozen=True)
+class NewsIsUrgent(Event):
+    """A row of this VM's own should not wait for the next heartbeat (posted by the core)."""
+
+
 @dataclass(frozen=True)
 class RowsReceived(Event):
     """Peers' rows brought news (posted by the core itself)."""
--- a/azureturn/core/controllers/__init__.py
+++ b/azureturn/core/controllers/__init__.py
@@ -4,6 +4,9 @@
 from azureturn.core.controllers._configuration import ConfigurationController
 from azureturn.core.controllers._dispatch import DispatchController
 from azureturn.core.controllers._membership import MembershipController
+from azureturn.core.controllers._move_gossip import MoveGossipController
+from azureturn.core.controllers._mover import MoverController
+from azureturn.core.controllers._moves import MovesController
 from azureturn.core.controllers._placement import PlacementController
 
 __all__ = [
@@ -11,5 +14,8 @@
     "ConfigurationController",
     "DispatchController",
     "MembershipController",
+    "MoveGossipController",
+    "MoverController",
+    "MovesController",
     "PlacementController",
 ]
--- /dev/null
+++ b/azureturn/core/moves/_filter.py
@@ -0,0 +1,19 @@
+"""Which upstreams may get a request of a model that is being moved."""
+
+from collections.abc import Sequence
+
+from azureturn.core._blackboard import BlackboardView
+from azureturn.core._requests import Request
+from azureturn.core._upstreams import Upstream
+from azureturn.core.moves._tables import MoveTable
+from azureturn.core.placement import candidate_filter
+
+
+@candidate_filter("version_is_loaded", reads=(MoveTable,))
+def version_is_loaded(
+    request: Request, candidates: Sequence[Upstream], board: BlackboardView
+) -> Sequence[Upstream]:
+    """Return the upstreams that have the version that the request is to be answered by."""
+    moves = board.read(MoveTable)
+    version = moves.version_of(request.target, request.request_id)
+    return moves.with_version(candidates, request.target, version)
