--- /dev/null
+++ b/tests/test_randomised.py
@@ -0,0 +1,16 @@
+"""A short randomised run; ``scripts/check --long`` gives it more, a command the full length."""
+
+import os
+
+import pytest
+
+from tests.randomised import run
+
+RUNS = [(1, 2_000, 100)] if os.environ.get("AZURETURN_LONG") else [(1, 150, 14)]
+
+
+@pytest.mark.parametrize(("seed", "requests", "faults"), RUNS)
+def test_nothing_is_violated(seed: int, requests: int, faults: int) -> None:
+    figures = run(requests=requests, faults=faults, seed=seed)
+    assert figures["faults"] == faults
+    assert figures["first_violations"] == []
