Every decoder of outside input: fuzzed, and bounded in size

Cause: an answer of the key-value service that was none (no revision, not an object) raised errors outside the closed list, and '{}' passed for a failed compare, that is for 'not written'. Answers of the service, of the VM list and of load reports had no size limit. A prompt with half a surrogate pair and a header with other than ASCII raised inside the daemon; the latter told a call that was never sent as outcome_unknown. Change: platform/_key_value_answers.py decodes (anything else is 'no answer'); answers are read up to a limit; headers passed on must be printable ASCII; prompts are hashed whatever they hold. Proof: Hypothesis tests beside each decoder; tests/test_hostile_input.py throws 400 random pieces at both ports of a running daemon, which stays up, serves, and grows by less than 96 MB.

--- a/azureturn/daemon/_caller_requests.py
+++ b/azureturn/daemon/_caller_requests.py
@@ -155,16 +155,23 @@
     blocks = min(len(text) // PREFIX_BLOCK_CHARACTERS, PREFIX_BLOCK_LIMIT)
     for number in range(blocks):
         start = number * PREFIX_BLOCK_CHARACTERS
-        running.update(text[start : start + PREFIX_BLOCK_CHARACTERS].encode())
+        block = text[start : start + PREFIX_BLOCK_CHARACTERS]
+        # JSON may hold half of a surrogate pair, which has no plain encoding.
+        running.update(block.encode(errors="surrogatepass"))
         digests.append(running.hexdigest())
     return tuple(digests)
 
 
+def check_header(name: str, value: str, *, limit: int) -> None:
+    """Raise with kind ``bad_header`` for a value that may not be passed on to an upstream."""
+    if len(value) > limit or not value.isascii() or not value.isprintable():
+        message = f"{name} must be printable ASCII, {limit} characters at most"
+        raise CallerError(ErrorKind.BAD_HEADER, message)
+
+
 def _idempotency_key(headers: Mapping[str, str], route: RouteSettings) -> str:
     key = headers.get(IDEMPOTENCY_HEADER, "")
-    if len(key) > IDEMPOTENCY_KEY_LIMIT or not key.isprintable():
-        message = f"{IDEMPOTENCY_HEADER} must be printable, {IDEMPOTENCY_KEY_LIMIT} at most"
-        raise CallerError(ErrorKind.BAD_HEADER, message)
+    check_header(IDEMPOTENCY_HEADER, key, limit=IDEMPOTENCY_KEY_LIMIT)
     if not route.idempotent and not key:
         raise CallerError(ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
     return key
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -12,6 +12,7 @@
 from azureturn.daemon._caller_requests import (
     IDEMPOTENCY_HEADER,
     chat_route,
+    check_header,
     new_request,
     organisation_of,
     parse_chat_body,
@@ -26,6 +27,7 @@
 from azureturn.upstreams import streamed_body
 
 _READ_BYTES = 65_536
+CONTENT_TYPE_LIMIT = 255
 #: Most digits of an announced length.
 _LENGTH_DIGITS = 15
 _CHAT_PATH = "/v1/chat/completions"
@@ -149,7 +151,9 @@
             body=body,
             arrived_at_ms=arrived_at_ms,
         )
-        sent_headers = {"Content-Type": headers.get("Content-Type", "application/octet-stream")}
+        content_type = headers.get("Content-Type", "application/octet-stream")
+        check_header("Content-Type", content_type, limit=CONTENT_TYPE_LIMIT)
+        sent_headers = {"Content-Type": content_type}
         if request.idempotency_key:
             sent_headers[IDEMPOTENCY_HEADER] = request.idempotency_key
         outgoing = OutgoingRequest(request, route.method, path, sent_headers, body, False)
--- a/azureturn/platform/_key_value.py
+++ b/azureturn/platform/_key_value.py
@@ -3,27 +3,25 @@
 import base64
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Any
 
 import urllib3
 
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
+from azureturn.platform._key_value_answers import (
+    KeyValueEntry,
+    decode_entries,
+    decode_transaction,
+    decode_watch_line,
+)
 from azureturn.settings import PlatformSettings
 
 #: A watch is asked anew after this long without a line.
 WATCH_SILENCE_MS = 30_000
 _MS_PER_S = 1_000
 _POOL_CONNECTIONS = 8
-
-
-@dataclass(frozen=True)
-class KeyValueEntry:
-    """One key's value and the revision that wrote it."""
-
-    key: str
-    value: bytes
-    revision: int
+#: Largest answer, and largest line of a watch; values have at most 1 MB before their coding.
+ANSWER_LIMIT_BYTES = 16 << 20
 
 
 class KeyValueClient:
@@ -54,14 +52,14 @@
 
     def read(self, key: str) -> KeyValueEntry | None:
         """Return the entry at ``key``, or None where there is none."""
-        answer = self._call("/v3/kv/range", {"key": self._encode_key(key)})
-        pairs = answer.get("kvs", [])
-        return self._entry(pairs[0]) if pairs else None
+        data = self._call("/v3/kv/range", {"key": self._encode_key(key)})
+        entries = decode_entries(data, key_prefix=self._prefix)
+        return entries[0] if entries else None
 
     def read_prefix(self, prefix: str) -> list[KeyValueEntry]:
         """Return every entry whose key starts with ``prefix``, in order of key."""
-        answer = self._call("/v3/kv/range", self._range_of(prefix))
-        return [self._entry(pair) for pair in answer.get("kvs", [])]
+        data = self._call("/v3/kv/range", self._range_of(prefix))
+        return decode_entries(data, key_prefix=self._prefix)
 
     def compare_and_swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
         """Write ``value`` if the key is at ``expected_revision`` (0: absent).
@@ -83,10 +81,10 @@
                 {"request_put": {"key": encoded, "value": base64.b64encode(value).decode()}}
             ],
         }
-        answer = self._call("/v3/kv/txn", body)
-        if not answer.get("succeeded"):
+        revision = decode_transaction(self._call("/v3/kv/txn", body))
+        if revision is None:
             raise CompareFailedError(ErrorKind.CONFLICT, f"{key} is at another revision")
-        return int(answer["header"]["revision"])
+        return revision
 
     def watch(self, prefix: str, *, from_revision: int) -> Iterator[list[KeyValueEntry]]:
         """Yield changed entries below ``prefix`` as they come, until the connection breaks."""
@@ -104,19 +102,28 @@
 
     def _watch_lines(self, response: Any) -> Iterator[list[KeyValueEntry]]:
         pending = b""
-        for piece in response.stream(65_536):
+        for piece in response.stream(65_536, decode_content=False):
             pending += piece
             *lines, pending = pending.split(b"\n")
+            if len(pending) > ANSWER_LIMIT_BYTES:
+                message = "a line of the watch is over the limit"
+                raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, message)
             for line in lines:
-                events = json.loads(line)["result"].get("events", [])
-                yield [self._entry(one["kv"]) for one in events if one["type"] == "PUT"]
+                yield decode_watch_line(line, key_prefix=self._prefix)
 
-    def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    def _call(self, path: str, body: dict[str, Any]) -> bytes:
+        response = self._post(path, body, preload_content=False)
         try:
-            answer: dict[str, Any] = json.loads(self._post(path, body).data)
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            data: bytes = response.read(ANSWER_LIMIT_BYTES + 1, decode_content=False)
+            if len(data) > ANSWER_LIMIT_BYTES:
+                response.close()
+                message = "the answer of the key-value service is over the limit"
+                raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, message)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            response.close()
             raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
-        return answer
+        response.release_conn()
+        return data
 
     def _post(self, path: str, body: dict[str, Any], **options: Any) -> Any:
         try:
@@ -131,6 +138,7 @@
         except urllib3.exceptions.HTTPError as error:
             raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
         if response.status != 200:
+            response.close()
             message = f"status {response.status} from the key-value service"
             raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, message)
         return response
@@ -145,8 +153,3 @@
             "key": base64.b64encode(full).decode(),
             "range_end": base64.b64encode(end).decode(),
         }
-
-    def _entry(self, pair: dict[str, str]) -> KeyValueEntry:
-        key = base64.b64decode(pair["key"]).decode().removeprefix(self._prefix)
-        value = base64.b64decode(pair["value"])
-        return KeyValueEntry(key, value, int(pair["mod_revision"]))
--- a/azureturn/platform/_vm_list.py
+++ b/azureturn/platform/_vm_list.py
@@ -8,6 +8,8 @@
 from azureturn.errors import ErrorKind, PlatformError
 
 _TIMEOUT_S = 1.0
+#: Largest list that is read.
+LIST_LIMIT_BYTES = 4 << 20
 
 
 @dataclass(frozen=True)
@@ -32,11 +34,14 @@
     def read(self) -> tuple[ListedVm, ...]:
         """Return the listed VMs, or raise :class:`PlatformError`."""
         try:
-            response = self._pool.request("GET", self._base_url + "/vms", redirect=False)
-            rows = json.loads(response.data)["vms"]
-            return tuple(_listed_vm(row) for row in rows)
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as error:
+            response = self._pool.request(
+                "GET", self._base_url + "/vms", redirect=False, preload_content=False
+            )
+            data = response.read(LIST_LIMIT_BYTES, decode_content=False)
+            response.release_conn() if len(data) < LIST_LIMIT_BYTES else response.close()
+        except urllib3.exceptions.HTTPError as error:
             raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
+        return decode_vm_list(data)
 
     def enter(self, vm: ListedVm) -> None:
         """Put a VM's own row in the list, or raise :class:`PlatformError`."""
@@ -48,6 +53,14 @@
             raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
 
 
+def decode_vm_list(data: bytes) -> tuple[ListedVm, ...]:
+    """Return the VMs in the list's answer, or raise :class:`PlatformError`."""
+    try:
+        return tuple(_listed_vm(row) for row in json.loads(data)["vms"])
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, "not a list of VMs") from error
+
+
 def _listed_vm(row: dict[str, object]) -> ListedVm:
     return ListedVm(
         name=str(row["name"]),
