Deadlines hold byte by byte, and kept connections are dropped after a silence

Cause: a plain service that sends a byte now and then could hold its answer past the deadline, since the read limit began anew with each byte; kept connections to the key-value service and for load reports that went silent together each cost a time limit of their own. Change: the wait shrinks with the time left; a time limit passed on one kept connection drops all that are idle; keep-alive and user timeout on the key-value service's connections too.

--- /dev/null
+++ b/azureturn/_socket_options.py
@@ -0,0 +1,18 @@
+"""Socket options by which a connection that has gone silent is found."""
+
+import socket
+
+_KEEP_ALIVE_IDLE_S = 5
+_KEEP_ALIVE_INTERVAL_S = 2
+_KEEP_ALIVE_PROBES = 3
+#: Sent data that is not acknowledged for this long breaks the connection.
+_USER_TIMEOUT_MS = 10_000
+
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+)
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -32,6 +32,7 @@
 )
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import (
+    NOT_WHOLE_IN_TIME,
     AnswerAssembler,
     ResumingStream,
     UpstreamRequest,
@@ -142,7 +143,7 @@
             answer.close()
             raise UpstreamError(ErrorKind.UPSTREAM_FAILED, f"status {answer.status}")
         if not answer.is_event_stream:
-            return self._engine_answer(answer.read_whole())
+            return self._engine_answer(answer.read_whole(left_ms=self._left_ms))
         headers = self._passed_headers(answer.headers)
         if self._outgoing.streamed:
             body = RelayedStream(stream, self._request.request_id, on_end=self._on_stream_end)
@@ -160,16 +161,19 @@
         assembler = AnswerAssembler()
         for block in stream.blocks():
             assembler.add(block)
-            if self._left_ms() <= 0:
+            left_ms = self._left_ms()
+            if left_ms <= 0:
                 stream.close()
-                raise UpstreamError(ErrorKind.UPSTREAM_SILENT, "no whole answer by the deadline")
+                raise UpstreamError(ErrorKind.UPSTREAM_SILENT, NOT_WHOLE_IN_TIME)
+            if left_ms < self._services.settings.daemon.silence_timeout_ms:
+                stream.limit_wait(left_ms)
         headers = {**headers, "Content-Type": "application/json"}
         return self._whole_answer(WholeAnswer(200, headers, assembler.body()), stream.usage)
 
     def _ask_service(self, action: Dispatch) -> CallerAnswer:
         client = self._services.upstream_client(self._upstream)
         answer = client.send(self._upstream_request(action, read_timeout_ms=self._left_ms()))
-        return self._whole_answer(answer.read_whole(), Usage())
+        return self._whole_answer(answer.read_whole(left_ms=self._left_ms), Usage())
 
     def _upstream_request(self, action: Dispatch, *, read_timeout_ms: int) -> UpstreamRequest:
         self._services.runtime.submit(FirstByteSent(self._request.request_id))
--- a/azureturn/platform/_key_value.py
+++ b/azureturn/platform/_key_value.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
 from azureturn.platform._key_value_answers import (
     KeyValueEntry,
@@ -39,6 +40,7 @@
             maxsize=_POOL_CONNECTIONS,
             retries=False,
             timeout=urllib3.Timeout(total=timeout_ms / _MS_PER_S),
+            socket_options=list(SOCKET_OPTIONS),
         )
 
     @classmethod
@@ -136,6 +138,8 @@
                 **options,
             )
         except urllib3.exceptions.HTTPError as error:
+            # Where one kept connection has gone silent the others may have too.
+            self._pool.clear()
             raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
         if response.status != 200:
             response.close()
--- a/azureturn/upstreams/__init__.py
+++ b/azureturn/upstreams/__init__.py
@@ -2,7 +2,7 @@
 
 from azureturn.upstreams._assembly import AnswerAssembler, streamed_body
 from azureturn.upstreams._client import (
-    SOCKET_OPTIONS,
+    NOT_WHOLE_IN_TIME,
     StreamedAnswer,
     UpstreamClient,
     UpstreamRequest,
@@ -22,8 +22,8 @@
 __all__ = [
     "AnswerAssembler",
     "EventSplitter",
+    "NOT_WHOLE_IN_TIME",
     "ResumingStream",
-    "SOCKET_OPTIONS",
     "StreamedAnswer",
     "UpstreamClient",
     "UpstreamRequest",
--- a/azureturn/upstreams/_client.py
+++ b/azureturn/upstreams/_client.py
@@ -1,13 +1,14 @@
 """Dispatches: each is one attempt at one upstream, never repeated by the library."""
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
 import urllib3
 
+from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.core import LoadReport
 from azureturn.errors import ErrorKind, RunState, UpstreamError, UpstreamUnreachableError
 from azureturn.upstreams._events import json_of
@@ -24,21 +25,7 @@
 _REPORT_NUMBER_LIMIT = 1 << 40
 _REPORT_TIMEOUT_S = 1.0
 
-_KEEP_ALIVE_IDLE_S = 5
-_KEEP_ALIVE_INTERVAL_S = 2
-_KEEP_ALIVE_PROBES = 3
-#: Sent data that is not acknowledged for this long breaks the connection.
-_USER_TIMEOUT_MS = 10_000
-
-SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-)
-
+NOT_WHOLE_IN_TIME = "the answer was not whole by the deadline"
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -92,8 +79,8 @@
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise _after_first_byte(error) from error
 
-    def read_whole(self) -> WholeAnswer:
-        """Return the rest as one answer; it must be as long as was announced."""
+    def read_whole(self, *, left_ms: Callable[[], int]) -> WholeAnswer:
+        """Return the rest as one answer; it must be as long as was announced, and in time."""
         try:
             if not self._announces_end():
                 message = "the answer announces neither its length nor chunks"
@@ -103,6 +90,9 @@
                 body += piece
                 if len(body) > ANSWER_LIMIT_BYTES:
                     raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "the answer is over the limit")
+                if left_ms() <= 0:
+                    raise UpstreamError(ErrorKind.UPSTREAM_SILENT, NOT_WHOLE_IN_TIME)
+                self.limit_wait(left_ms())
         finally:
             self.close()
         return WholeAnswer(self.status, self.headers, bytes(body))
@@ -167,17 +157,22 @@
             return None
 
     def _short_call(self, method: str, path: str) -> bytes:
-        response = self._pool.urlopen(
-            method,
-            path,
-            retries=False,
-            redirect=False,
-            preload_content=False,
-            timeout=urllib3.Timeout(total=_REPORT_TIMEOUT_S),
-        )
+        try:
+            response = self._pool.urlopen(
+                method,
+                path,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                timeout=urllib3.Timeout(total=_REPORT_TIMEOUT_S),
+            )
+        except urllib3.exceptions.TimeoutError:
+            # Where one kept connection has gone silent the others may have too.
+            self._pool = self._new_pool(_POOL_CONNECTIONS)
+            raise
         try:
             data: bytes = response.read(REPORT_LIMIT_BYTES, decode_content=False)
-        except BaseException:
+        except urllib3.exceptions.HTTPError:
             response.close()
             raise
         if len(data) < REPORT_LIMIT_BYTES:
--- a/azureturn/upstreams/_resuming.py
+++ b/azureturn/upstreams/_resuming.py
@@ -100,6 +100,11 @@
         finally:
             self.close()
 
+    def limit_wait(self, timeout_ms: int) -> None:
+        """Change the longest wait for the next byte of the present connection."""
+        if self._answer is not None:
+            self._answer.limit_wait(timeout_ms)
+
     def abort(self) -> None:
         """End the answer from another thread: nobody wants it any more."""
         self._aborted = True
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -25,6 +25,8 @@
     close_after_read: bool = False
     #: Announce more bytes than are sent.
     truncate: bool = False
+    #: Pause before each byte of the answer.
+    drip_ms: int = 0
     #: Make every answer larger by this much.
     padding_bytes: int = 0
     #: Announce no length: the end of the connection is the end of the answer.
@@ -75,12 +77,22 @@
             await response.write(b"short")
             request.transport.close()
             return response
+        if self.switches.drip_ms:
+            return await self._drip(request, json.dumps(answer).encode())
         if self.switches.unannounced_length:
             request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nperhaps all, perhaps not")
             request.transport.close()
             return web.Response()
         return web.json_response(answer, status=self.switches.status, headers=headers)
 
+    async def _drip(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+        await response.prepare(request)
+        for number in range(len(body)):
+            await asyncio.sleep(self.switches.drip_ms / 1_000)
+            await response.write(body[number : number + 1])
+        return response
+
     async def runs(self, _request: web.Request) -> web.Response:
         return web.json_response(self.run_counts)
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -33,7 +33,7 @@
     running.control(ENGINE, wrong_request_id=False, fail_share=0.0, silent_after_tokens=0)
     running.control(ENGINE, step_base_ms=12.0, crossed_after_tokens=0)
     running.control(SERVICE, silent=False, close_after_run=False, truncate=False, delay_ms=2)
-    running.control(SERVICE, close_after_read=False, unannounced_length=False)
+    running.control(SERVICE, close_after_read=False, unannounced_length=False, drip_ms=0)
 
 
 def ask(site: Site, *, stream: bool, tokens: int = 8, timeout_ms: int = 10_000) -> Answer:
@@ -137,6 +137,7 @@
     "shorter than announced": ({"truncate": True}, 1),
     "no length announced": ({"unannounced_length": True}, 1),
     "silent past the deadline": ({"silent": True}, 1),
+    "a byte at a time past the deadline": ({"drip_ms": 150}, 1),
 }
 
 
