--- a/azureturn/core/controllers/_admission.py
+++ b/azureturn/core/controllers/_admission.py
@@ -18,15 +18,22 @@
 from azureturn.core._queue import QueuedRequest, QueueTable, RequestQueue
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.core._upstreams import UpstreamTable
-from azureturn.core.placement import OutputLengthTable, SpeedTable, prefill_ms, work_tokens
+from azureturn.core.placement import (
+    AnswerTimeTable,
+    OutputLengthTable,
+    SpeedTable,
+    prefill_ms,
+    work_tokens,
+)
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.settings import UpstreamKind
 
 FIRST_COME = "first_come"
 #: Upstreams that are looked at for the time that an answer takes.
 _SPEED_SAMPLE = 8
-#: A request is given up when less than this many times the estimated time is left.
-_GIVE_UP_MARGIN = 1.2
+#: A request is given up when less is left than such answers take, with this many deviations;
+#: the most urgent tier is tried as long as the work alone may be done in time.
+_GIVE_UP_DEVIATIONS = 1.5
 _RETRY_LIMIT_MS = 60_000
 _RETRY_LEAST_MS = 200
 
@@ -35,7 +42,7 @@
 class AdmissionController(Controller):
     """Keeps the queue within its bound; the lowest tier always leaves first."""
 
-    reads = (ConfigurationTable, UpstreamTable, SpeedTable, OutputLengthTable)
+    reads = (ConfigurationTable, UpstreamTable, SpeedTable, OutputLengthTable, AnswerTimeTable)
     writes = (RequestTable, QueueTable, DrainTable)
     after = ("configuration", "learning", "stragglers")
 
@@ -104,7 +111,10 @@
         return request.with_expected_output(tokens)
 
     def _entry(self, request: Request, configuration: Configuration) -> QueuedRequest:
-        least_ms = _GIVE_UP_MARGIN * self._service_ms(request)
+        least_ms = self._service_ms(request)
+        usual = self.board.read(AnswerTimeTable).get((request.route, request.organisation))
+        if usual is not None and request.tier_rank > 0:
+            least_ms = max(least_ms, usual.usual_ms(_GIVE_UP_DEVIATIONS))
         return QueuedRequest(
             request,
             cost_tokens=work_tokens(request),
--- a/azureturn/core/controllers/_learning.py
+++ b/azureturn/core/controllers/_learning.py
@@ -13,7 +13,13 @@
 from azureturn.core._peers import PeerQueue, PeerQueueTable, PeerWork, PeerWorkTable
 from azureturn.core._requests import Request, RequestTable
 from azureturn.core._upstreams import UpstreamTable
-from azureturn.core.placement import LearnedSpeed, OutputLengthTable, PrefixTable, SpeedTable
+from azureturn.core.placement import (
+    AnswerTimeTable,
+    LearnedSpeed,
+    OutputLengthTable,
+    PrefixTable,
+    SpeedTable,
+)
 from azureturn.errors import ErrorKind
 
 #: An upstream that refused a connection gets no new work for this long, doubled each time.
@@ -32,6 +38,7 @@
         UpstreamTable,
         SpeedTable,
         OutputLengthTable,
+        AnswerTimeTable,
         PrefixTable,
         PeerWorkTable,
         PeerQueueTable,
@@ -61,6 +68,7 @@
             return
         key = (request.route, request.organisation)
         self.board.write(OutputLengthTable).learn(key, event.output_tokens)
+        self._learn_answer(request, context)
         self._learn_prefill(request, event, context)
         self._learn_last_pace(request, event, context)
         expected = request.expected_cached_tokens
@@ -156,6 +164,15 @@
         decode_ms = context.now_ms - request.dispatched_at_ms - first_ms
         self._learn_pace(request, decode_ms, event.output_tokens - 1, context)
 
+    def _learn_answer(self, request: Request, context: Context) -> None:
+        took_ms = context.now_ms - request.dispatched_at_ms
+        key = (request.route, request.organisation)
+        self.board.write(AnswerTimeTable).learn(key, took_ms)
+        speed = self._speed(request.upstream)
+        if speed is not None:
+            learned = speed.with_answer(took_ms)
+            self.board.write(SpeedTable).put(request.upstream, learned)
+
     def _learn_prefill(self, request: Request, event: RequestAnswered, context: Context) -> None:
         speed = self._speed(request.upstream)
         first_ms = event.first_token_ms
--- a/azureturn/core/placement/__init__.py
+++ b/azureturn/core/placement/__init__.py
@@ -21,10 +21,16 @@
     PrefixTable,
     affinity_key,
 )
-from azureturn.core.placement._speeds import LearnedSpeed, OutputLengthTable, SpeedTable
+from azureturn.core.placement._speeds import (
+    AnswerTimeTable,
+    LearnedSpeed,
+    OutputLengthTable,
+    SpeedTable,
+)
 
 __all__ = [
     "AFFINITY_BLOCKS",
+    "AnswerTimeTable",
     "CANDIDATE_FILTERS",
     "Candidate",
     "CandidateFilter",
--- a/azureturn/core/placement/_limits.py
+++ b/azureturn/core/placement/_limits.py
@@ -7,10 +7,13 @@
 from azureturn.core._upstreams import Upstream
 from azureturn.settings import UpstreamKind
 
-#: Requests beyond the batch, so that a free place is filled at the engine's next step.
+#: Requests beyond the batch, as a share of it, so that a free place is filled at once.
 _EXTRA_SHARE = 0.125
-#: The same for the most urgent tier, which finds room where the others find none.
-_URGENT_EXTRA_SHARE = 0.25
+#: What the most urgent tier may add to that, so that it finds room where others find none.
+_URGENT_EXTRA_SHARE = 0.125
+#: How old the figures of other VMs' work are, which answers may have ended since.
+_FIGURES_AGE_MS = 300.0
+_EXTRA_LIMIT_SHARE = 0.5
 #: Prompts that may wait to be worked off, in milliseconds of one VM's prefill, by tier.
 _PREFILL_BACKLOG_MS = (4_000.0, 2_000.0, 1_000.0)
 
@@ -27,6 +30,8 @@
     #: VMs that share the upstreams.
     vms: int
     now_ms: int
+    #: Mean time of an answer there; 0 where it is not known.
+    answer_ms: float = 0.0
 
 
 Limit = Callable[[LimitInputs], bool]
@@ -57,9 +62,9 @@
 
     A VM's own share of the batch is open to it while the batch as a whole is not full. More
     than its share it takes only where room is left for what the others may be sending at this
-    moment. A few requests beyond the batch keep it full from step to step; the most urgent tier
-    has room for some more. Prompts that wait to be worked off are limited by time, less for
-    lower tiers.
+    moment. A few requests beyond the batch keep it full, the more the faster answers end; the
+    most urgent tier has room for some more. Prompts that wait to be worked off are limited by
+    time, less for lower tiers.
     """
     upstream = inputs.upstream
     if upstream.settings.kind is UpstreamKind.PLAIN_SERVICE:
@@ -69,12 +74,13 @@
 
 def _batch_has_room(inputs: LimitInputs) -> bool:
     slots = inputs.upstream.settings.slots
-    share = math.ceil(slots / inputs.vms)
-    own = inputs.upstream.outstanding_requests
+    extra_share = _EXTRA_SHARE
+    if inputs.answer_ms > 0:
+        extra_share += min(_EXTRA_LIMIT_SHARE, _FIGURES_AGE_MS / inputs.answer_ms)
     if inputs.tier_rank == 0:
-        return inputs.requests < slots + slots * _URGENT_EXTRA_SHARE
-    ceiling = slots + slots * _EXTRA_SHARE
-    if own < share:
+        return inputs.requests < slots * (1 + extra_share + _URGENT_EXTRA_SHARE)
+    ceiling = slots * (1 + extra_share)
+    if inputs.upstream.outstanding_requests < math.ceil(slots / inputs.vms):
         return inputs.requests < ceiling
     return inputs.requests + inputs.vms / 2 < ceiling
 
--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -13,6 +13,7 @@
 _PREFILL_DOWN_WEIGHT = 0.2
 _PREFILL_UP_WEIGHT = 0.02
 _LENGTH_WEIGHT = 0.05
+_ANSWER_WEIGHT = 0.05
 #: Prompts shorter than this tell too little of the prefill speed.
 _PREFILL_SAMPLE_TOKENS = 200
 #: A pace that no sample has confirmed for this long is trusted less.
@@ -26,6 +27,8 @@
     #: Time from one token of an answer to the next.
     decode_ms_per_token: float
     prefill_ms_per_token: float
+    #: Mean time from the dispatch of a request to the end of its answer; 0 until measured.
+    answer_ms: float = 0.0
     samples: int = 0
     sampled_at_ms: int = 0
 
@@ -45,6 +48,13 @@
             self, decode_ms_per_token=pace, samples=self.samples + 1, sampled_at_ms=now_ms
         )
 
+    def with_answer(self, took_ms: float) -> "LearnedSpeed":
+        """Return a copy that has seen how long one more answer took."""
+        if not self.answer_ms:
+            return changed(self, answer_ms=took_ms)
+        mean_ms = self.answer_ms + _ANSWER_WEIGHT * (took_ms - self.answer_ms)
+        return changed(self, answer_ms=mean_ms)
+
     def with_first_token(self, waited_ms: float, computed_tokens: int) -> "LearnedSpeed":
         """Return a copy that has seen how long a prompt took; short ones say nothing.
 
@@ -78,3 +88,37 @@
             self.put(key, float(output_tokens))
         else:
             self.put(key, mean + _LENGTH_WEIGHT * (output_tokens - mean))
+
+
+@dataclass(frozen=True)
+class AnswerTime:
+    """How long answers take from their dispatch, and how much that varies.
+
+    Mean and mean deviation are followed as in V. Jacobson, "Congestion Avoidance and Control",
+    SIGCOMM 1988.
+    """
+
+    mean_ms: float
+    deviation_ms: float
+
+    def with_sample(self, took_ms: float) -> "AnswerTime":
+        """Return a copy that has seen one more answer."""
+        error_ms = took_ms - self.mean_ms
+        return AnswerTime(
+            self.mean_ms + _ANSWER_WEIGHT * error_ms,
+            self.deviation_ms + _ANSWER_WEIGHT * (abs(error_ms) - self.deviation_ms),
+        )
+
+    def usual_ms(self, deviations: float) -> float:
+        """Return the mean and so many deviations."""
+        return self.mean_ms + deviations * self.deviation_ms
+
+
+class AnswerTimeTable(Table[tuple[str, str], AnswerTime]):
+    """Answer times by route and organisation."""
+
+    def learn(self, key: tuple[str, str], took_ms: float) -> None:
+        """Take one answer's time in."""
+        known = self.get(key)
+        row = AnswerTime(took_ms, took_ms / 2) if known is None else known.with_sample(took_ms)
+        self.put(key, row)
--- a/benchmarks/policy/_policies.py
+++ b/benchmarks/policy/_policies.py
@@ -21,14 +21,19 @@
     for one in (
         Contender(
             "round_robin",
-            PolicySettings(placement="round_robin", limits="slots", early_refusal=False),
+            PolicySettings(
+                placement="round_robin", limits="slots", early_refusal=False, lend_share=0.0
+            ),
         ),
         Contender(
-            "random", PolicySettings(placement="random", limits="slots", early_refusal=False)
+            "random",
+            PolicySettings(placement="random", limits="slots", early_refusal=False, lend_share=0.0),
         ),
         Contender(
             "least_outstanding",
-            PolicySettings(placement="least_outstanding", limits="slots", early_refusal=False),
+            PolicySettings(
+                placement="least_outstanding", limits="slots", early_refusal=False, lend_share=0.0
+            ),
         ),
         Contender(
             "first_come",
@@ -36,14 +41,20 @@
                 placement="least_work",
                 limits="slots",
                 early_refusal=False,
+                lend_share=0.0,
                 queue_order="first_come",
             ),
         ),
         Contender(
             "prefix_hash",
-            PolicySettings(placement="prefix_hash", limits="slots", early_refusal=False),
+            PolicySettings(
+                placement="prefix_hash", limits="slots", early_refusal=False, lend_share=0.0
+            ),
             knows_prefixes=True,
         ),
+        Contender(
+            "strict_order", PolicySettings(lend_share=0.0), knows_prefixes=True, baseline=False
+        ),
         Contender("azureturn", PolicySettings(), knows_prefixes=True, baseline=False),
     )
 }
