--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -4,6 +4,7 @@
 
 from azureturn.core._claims import ClaimHolder
 from azureturn.core._requests import Request
+from azureturn.core.membership import PeerHeartbeat, PeerIdentity
 from azureturn.errors import ErrorKind, RunState
 
 
@@ -23,6 +24,8 @@
     """Send the request to this upstream, once."""
 
     upstream: str
+    #: Version of the model that is to answer; empty where the upstream chooses.
+    version: str = ""
 
 
 @dataclass(frozen=True)
@@ -58,6 +61,29 @@
     body_digest: str
 
 
+@dataclass(frozen=True)
+class SendHeartbeat(Action):
+    """Exchange heartbeats with a peer."""
+
+    peer: PeerIdentity
+    heartbeat: PeerHeartbeat
+
+
+@dataclass(frozen=True)
+class AnswerHeartbeat(Action):
+    """Answer the heartbeat that was just received."""
+
+    heartbeat: PeerHeartbeat
+
+
+@dataclass(frozen=True)
+class FetchConfiguration(Action):
+    """A peer has a higher revision of the configuration: get it there."""
+
+    peer: PeerIdentity
+    revision: int
+
+
 @dataclass(frozen=True)
 class AskPeersToTake(Action):
     """Ask these VMs, in turn, to take a request before it is shed here.
--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -46,6 +46,8 @@
     stage: RequestStage = RequestStage.QUEUED
     #: Name of the upstream, once one is chosen.
     upstream: str = ""
+    #: Version of the model that is to answer; empty where the upstream chooses.
+    version: str = ""
     dispatched_at_ms: int = 0
     output_tokens: int = 0
     #: When the first token and the latest progress came; 0 before that.
@@ -95,6 +97,10 @@
         """Return a copy that peers are being asked to take."""
         return changed(self, stage=RequestStage.OFFERED, offered=True, offered_at_ms=now_ms)
 
+    def with_version(self, version: str) -> "Request":
+        """Return a copy that a certain version of the model is to answer."""
+        return changed(self, version=version)
+
 
 class RequestTable(Table[str, Request]):
     """Requests in progress on this VM, by request id."""
--- a/azureturn/settings/__init__.py
+++ b/azureturn/settings/__init__.py
@@ -1,7 +1,7 @@
 """Typed settings, their merge rules and their checks."""
 
+from azureturn.settings._difference import Change, differences
 from azureturn.settings._load import (
-    Mistake,
     check_settings,
     check_shared_settings,
     load_settings,
@@ -9,8 +9,14 @@
     read_json,
     read_merged,
 )
+from azureturn.settings._masking import MASK, masked
+from azureturn.settings._mistakes import Mistake
+from azureturn.settings._schema import settings_schema
 from azureturn.settings._types import (
+    EVERY_ORGANISATION,
+    ChangeSettings,
     DaemonSettings,
+    MoveSettings,
     ObjectiveSettings,
     OrganisationSettings,
     PlatformSettings,
@@ -25,8 +31,13 @@
 )
 
 __all__ = [
+    "Change",
+    "ChangeSettings",
     "DaemonSettings",
+    "EVERY_ORGANISATION",
+    "MASK",
     "Mistake",
+    "MoveSettings",
     "ObjectiveSettings",
     "OrganisationSettings",
     "PlatformSettings",
@@ -40,8 +51,11 @@
     "VmSettings",
     "check_settings",
     "check_shared_settings",
+    "differences",
     "load_settings",
+    "masked",
     "merge",
     "read_json",
     "read_merged",
+    "settings_schema",
 ]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -35,6 +35,10 @@
     slow_down: float = 1.0
     #: Streams stay open and bring nothing.
     silent: bool = False
+    #: Streams go silent after this many tokens; a resumed stream goes on.
+    silent_after_tokens: int = 0
+    #: Streamed events name another request after this many tokens.
+    crossed_after_tokens: int = 0
     #: Close the stream after this many tokens without a terminator.
     truncate_after_tokens: int = 0
     #: Answer with another request's id.
@@ -42,6 +46,10 @@
     #: Read the request, then close the connection.
     close_after_read: bool = False
     load_report_lag_ms: int = 0
+    #: Each event tells when it was sent, by the machine's monotonic clock.
+    stamps_events: bool = False
+    #: Says in its load report that it is leaving.
+    leaving: bool = False
     #: Share of cache events that are lost.
     cache_event_gap_share: float = 0.0
     #: False for engines that take orders with an old fencing number.
@@ -68,6 +76,7 @@
     made: int = 0
     finished: bool = False
     cancelled: bool = False
+    stamped: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def wake(self) -> None:
@@ -168,6 +177,7 @@
         prompt_tokens = max(1, len(text.split()))
         output_tokens = int(body.get("max_tokens") or DEFAULT_OUTPUT_TOKENS)
         stream = _Stream(request_id, output_tokens, body["model"], version, prompt_tokens)
+        stream.stamped = self.switches.stamps_events
         self.streams[request_id] = stream
         while len(self.streams) > KEPT_STREAMS:
             self.streams.popitem(last=False)
@@ -219,8 +229,10 @@
                         return response
                     await stream.changed.wait()
                 for number in range(sent + 1, stream.made + 1):
-                    await response.write(_event(stream, number))
-                    if number == self.switches.truncate_after_tokens:
+                    await response.write(self._numbered_event(stream, number))
+                    if number == self.switches.silent_after_tokens and not after:
+                        await asyncio.Event().wait()
+                    if number == self.switches.truncate_after_tokens and not after:
                         assert request.transport is not None
                         request.transport.close()
                         return response
@@ -233,6 +245,10 @@
             raise
         return response
 
+    def _numbered_event(self, stream: _Stream, number: int) -> bytes:
+        crossed = 0 < self.switches.crossed_after_tokens < number
+        return _event(replace(stream, request_id="another-request") if crossed else stream, number)
+
     def _headers(self, stream: _Stream) -> dict[str, str]:
         wrong = self.switches.wrong_request_id
         return {
@@ -269,7 +285,8 @@
             taken_ms, report = older_ms, older
             if older_ms <= now_ms - self.switches.load_report_lag_ms:
                 break
-        return web.json_response({**report, "age_ms": round(now_ms - taken_ms)})
+        age_ms = round(now_ms - taken_ms)
+        return web.json_response({**report, "age_ms": age_ms, "leaving": self.switches.leaving})
 
     async def events(self, request: web.Request) -> web.Response:
         after = int(request.query.get("after", "0"))
@@ -337,7 +354,8 @@
 
 def _event(stream: _Stream, number: int) -> bytes:
     delta = {"content": _word(number)}
-    chunk = _chunk(stream, [{"index": 0, "delta": delta, "finish_reason": None}])
+    more = {"sent_ns": time.monotonic_ns()} if stream.stamped else {}
+    chunk = _chunk(stream, [{"index": 0, "delta": delta, "finish_reason": None}], **more)
     return f"id: {number}\n".encode() + chunk
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -32,6 +32,11 @@
         return int(probe.getsockname()[1])
 
 
+def link_name(vm: str, target: str) -> str:
+    """Return the name of the link between a VM and what it calls."""
+    return f"link-{vm}-{target}"
+
+
 @dataclass
 class Process:
     """One process of the site."""
@@ -116,6 +121,12 @@
     daemon_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the shared settings.
     shared_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto the settings of upstreams, by name.
+    upstream_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    #: Pairs of a VM and what it calls, between which there is a link that can fail.
+    links: tuple[tuple[str, str], ...] = ()
+    #: Changes merged onto each engine's row of the shared settings.
+    engine_settings: dict[str, Any] = field(default_factory=dict)
     #: Initial switches of the stand-ins, by name.
     switches: dict[str, dict[str, Any]] = field(default_factory=dict)
 
@@ -131,6 +142,9 @@
             self._standin("engine", f"engine-{number}")
         for number in range(1, self.services + 1):
             self._standin("plain_service", f"bookings-{number}")
+        self._link_ports = {pair: free_port() for pair in self.links}
+        for vm, target in self.links:
+            self._link(vm, target)
         for number in range(1, self.vms + 1):
             self._daemon(number)
 
@@ -151,6 +165,13 @@
         """Return the names of the stand-ins."""
         return [name for name in self.processes if name not in self.vm_names]
 
+    @property
+    def tool_options(self) -> list[str]:
+        """Return the options by which the operators' tool finds this site."""
+        files = [EXAMPLES / "kuiseb.json", self.folder / f"{self.vm_names[0]}.json"]
+        overlays = [part for file in files for part in ("--overlay", str(file))]
+        return ["--config", str(EXAMPLES / "base.json"), *overlays]
+
     def zone_of(self, name: str) -> str:
         """Return the availability zone of a numbered process."""
         number = int(name.rpartition("-")[2])
@@ -215,6 +236,12 @@
         """Return JSON that a stand-in tells of itself."""
         return self.http.request("GET", self.processes[name].url + path, timeout=5.0).json()
 
+    def logged(self, vm: str, event: str) -> list[dict[str, Any]]:
+        """Return a daemon's log lines of one event."""
+        lines = self.processes[vm].log_path.read_text().splitlines()
+        rows = [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
+        return [row for row in rows if row["event"] == event]
+
     def runs(self) -> dict[str, int]:
         """Return how often each idempotency key ran, over all plain services."""
         total: dict[str, int] = {}
@@ -231,6 +258,20 @@
         arguments += ["--switches", switches]
         self.processes[name] = Process(name, arguments, port, self.folder / f"{name}.log")
 
+    def _link(self, vm: str, target: str) -> None:
+        name = link_name(vm, target)
+        ports = {
+            "listen_port": self._link_ports[vm, target],
+            "target_port": self.processes[target].port,
+        }
+        self.switches[name] = {**ports, **self.switches.get(name, {})}
+        self._standin("link", name)
+
+    def _url_from(self, vm: str, target: str) -> str:
+        """Return the URL by which a VM reaches a stand-in."""
+        port = self._link_ports.get((vm, target), self.processes[target].port)
+        return f"http://{LOOPBACK}:{port}"
+
     def _daemon(self, number: int) -> None:
         name = f"vm-{number}"
         port = free_port()
@@ -250,14 +291,14 @@
                 "peer_port": free_port(),
             },
             "platform": {
-                "key_value_url": self.processes["key-value"].url,
-                "vm_list_url": self.processes["vm-list"].url,
+                "key_value_url": self._url_from(name, "key-value"),
+                "vm_list_url": self._url_from(name, "vm-list"),
             },
             "daemon": daemon,
-            "shared": {**self.shared_settings, "upstreams": self._upstreams()},
+            "shared": {**self.shared_settings, "upstreams": self._upstreams(name)},
         }
 
-    def _upstreams(self) -> list[dict[str, Any]]:
+    def _upstreams(self, vm: str) -> list[dict[str, Any]]:
         """Return this site's upstreams, and the removal of the example's."""
         example = json.loads((EXAMPLES / "kuiseb.json").read_text())["shared"]["upstreams"]
         rows = [{"name": row["name"], "$remove": True} for row in example]
@@ -265,9 +306,12 @@
             if not name[-1].isdigit():
                 continue
             zone = self.zone_of(name)
-            row = {"name": name, "availability_zone": zone, "url": self.processes[name].url}
+            url = self._url_from(vm, name)
+            row = {"name": name, "availability_zone": zone, "url": url}
+            row.update(self.upstream_settings.get(name, {}))
             if name.startswith("engine-"):
-                rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
+                engine = {"kind": "model_engine", "targets": [MODEL], **self.engine_settings}
+                rows.append({**row, **engine})
             elif name.startswith("bookings-"):
                 rows.append({**row, "kind": "plain_service", "targets": ["bookings"], "slots": 64})
         return rows
