Lending of slack taken back: strict tiers stay

Tried: urgent requests with time to spare let the next tier's late ones go first, for 0.15, 0.25, 0.3 and 0.35 of their time. The table now also shows token goodput.

--- a/azureturn/core/_queue.py
+++ b/azureturn/core/_queue.py
@@ -72,10 +72,6 @@
             return []
         return [self._entries[request_id].request for request_id in tier.heads(limit)]
 
-    def give_up_at_ms(self, request: Request) -> int:
-        """Return from when on a queued request cannot be answered in time."""
-        return self._entries[request.request_id].give_up_at_ms
-
     def waiting_ranks(self) -> list[int]:
         """Return the tiers that have requests, the most urgent first."""
         return [rank for rank in self._ranks if len(self._tiers[rank])]
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -18,7 +18,6 @@
     AFFINITY_BLOCKS,
     LIMITS,
     PLACEMENT_POLICIES,
-    AnswerTimeTable,
     Candidate,
     CandidateFilters,
     Estimator,
@@ -39,10 +38,6 @@
 _HEADS = 8
 #: Share of a request's time in which it may wait for an upstream that holds its prefix.
 _PATIENCE_SHARE = 0.1
-#: A request this close to being given up may go before a more urgent one that has time.
-_PRESSING_MS = 1_000
-#: Deviations of its answer time that a request must have to spare before it lets others go first.
-_LENDER_DEVIATIONS = 4.0
 
 
 @dataclass(frozen=True)
@@ -60,7 +55,7 @@
 class PlacementController(Controller):
     """Takes the most urgent request for which some upstream has room, and chooses the upstream."""
 
-    reads = (ConfigurationTable, SpeedTable, AnswerTimeTable, PeerWorkTable)
+    reads = (ConfigurationTable, SpeedTable, PeerWorkTable)
     writes = (
         RequestTable,
         QueueTable,
@@ -111,7 +106,7 @@
         A tier whose first requests wait for room holds back the tiers below it. Requests that
         no upstream serves at present, or that wait for a certain upstream, hold back nothing.
         """
-        for rank in self._ranks_in_turn(queue, context.now_ms):
+        for rank in queue.waiting_ranks():
             for request in queue.heads(rank, _HEADS):
                 options = self._options(request, freed, context)
                 if options.has_upstream and not options.open:
@@ -122,34 +117,6 @@
                     return True
         return False
 
-    def _ranks_in_turn(self, queue: RequestQueue, now_ms: int) -> list[int]:
-        """Return the tiers in the order in which they are served now.
-
-        The most urgent tier comes first, except that the next one goes before it with requests
-        that would be late otherwise, while everything in the first has time to spare. Source of
-        the idea: J. P. Lehoczky and S. Ramos-Thuel, "An Optimal Algorithm for Scheduling
-        Soft-Aperiodic Tasks in Fixed-Priority Preemptive Systems" (slack stealing), RTSS 1992.
-        """
-        ranks = queue.waiting_ranks()
-        if len(ranks) < 2 or queue.first_come or self._policy().lend_share <= 0:
-            return ranks
-        lender = queue.heads(ranks[0], _HEADS)
-        borrower = queue.heads(ranks[1], 1)[0]
-        pressing = queue.give_up_at_ms(borrower) - now_ms < _PRESSING_MS
-        if pressing and all(self._can_lend(one, now_ms) for one in lender):
-            ranks[0], ranks[1] = ranks[1], ranks[0]
-        return ranks
-
-    def _can_lend(self, request: Request, now_ms: int) -> bool:
-        """Return whether a request has waited little, and would be in time with much to spare."""
-        timeout_ms = request.deadline_ms - request.arrived_at_ms
-        if now_ms - request.arrived_at_ms > self._policy().lend_share * timeout_ms:
-            return False
-        usual = self.board.read(AnswerTimeTable).get((request.route, request.organisation))
-        if usual is None:
-            return False
-        return now_ms + usual.usual_ms(_LENDER_DEVIATIONS) < request.deadline_ms
-
     def _options(self, request: Request, freed: str, context: Context) -> _Options:
         serving = self._candidates(request, freed, context)
         with_room = self._with_room(request, serving, context.now_ms)
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -210,9 +210,6 @@
     queue_order: Name = "tiers"
     #: Whether a request is refused on arrival when the queue says that it would be late.
     early_refusal: bool = True
-    #: Share of its time that a request of the most urgent tier may wait for less urgent ones
-    #: which would be late otherwise; 0 for none.
-    lend_share: Annotated[float, Field(ge=0, le=0.5)] = 0.15
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
     claim_retention_ms: DurationMs = 24 * 3_600_000
--- a/benchmarks/policy/_outcomes.py
+++ b/benchmarks/policy/_outcomes.py
@@ -76,7 +76,10 @@
 
     def as_row(self) -> dict[str, float]:
         """Return every measure by name."""
-        row = {"goodput": self._goodput(self._outcomes)}
+        row = {
+            "goodput": self._goodput(self._outcomes),
+            "goodput_tokens": self._token_goodput(),
+        }
         for rank in range(3):
             of_tier = [one for one in self._outcomes if one.arrival.request.tier_rank == rank]
             row[f"goodput_{rank}"] = self._goodput(of_tier)
@@ -96,6 +99,11 @@
             return 1.0
         return sum(1 for one in outcomes if one.in_time) / len(outcomes)
 
+    def _token_goodput(self) -> float:
+        offered = sum(one.arrival.job.output_tokens for one in self._outcomes)
+        served = sum(one.arrival.job.output_tokens for one in self._outcomes if one.in_time)
+        return served / max(1, offered)
+
     def _first_token_p95_ms(self, outcomes: list[Outcome]) -> float:
         waits = [
             one.first_token_at_ms - one.arrival.at_ms for one in outcomes if one.first_token_at_ms
--- a/benchmarks/policy/_policies.py
+++ b/benchmarks/policy/_policies.py
@@ -21,19 +21,15 @@
     for one in (
         Contender(
             "round_robin",
-            PolicySettings(
-                placement="round_robin", limits="slots", early_refusal=False, lend_share=0.0
-            ),
+            PolicySettings(placement="round_robin", limits="slots", early_refusal=False),
         ),
         Contender(
             "random",
-            PolicySettings(placement="random", limits="slots", early_refusal=False, lend_share=0.0),
+            PolicySettings(placement="random", limits="slots", early_refusal=False),
         ),
         Contender(
             "least_outstanding",
-            PolicySettings(
-                placement="least_outstanding", limits="slots", early_refusal=False, lend_share=0.0
-            ),
+            PolicySettings(placement="least_outstanding", limits="slots", early_refusal=False),
         ),
         Contender(
             "first_come",
@@ -41,20 +37,14 @@
                 placement="least_work",
                 limits="slots",
                 early_refusal=False,
-                lend_share=0.0,
                 queue_order="first_come",
             ),
         ),
         Contender(
             "prefix_hash",
-            PolicySettings(
-                placement="prefix_hash", limits="slots", early_refusal=False, lend_share=0.0
-            ),
+            PolicySettings(placement="prefix_hash", limits="slots", early_refusal=False),
             knows_prefixes=True,
         ),
-        Contender(
-            "strict_order", PolicySettings(lend_share=0.0), knows_prefixes=True, baseline=False
-        ),
         Contender("azureturn", PolicySettings(), knows_prefixes=True, baseline=False),
     )
 }
--- a/benchmarks/policy/_report.py
+++ b/benchmarks/policy/_report.py
@@ -16,6 +16,7 @@
     ("goodput_1", "mid %", 100.0),
     ("goodput_2", "low %", 100.0),
     ("goodput", "all %", 100.0),
+    ("goodput_tokens", "tokens %", 100.0),
     ("goodput_others", "others %", 100.0),
     ("refused_0", "refused 0", 1.0),
     ("refused_1", "refused 1", 1.0),
