--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -138,6 +138,7 @@
     ) -> frozenset[str]:
         allows = LIMITS[self._policy().limits]
         vms = self.board.read(PeerWorkTable).vms()
+        speeds = self.board.read(SpeedTable)
         return frozenset(
             one.settings.name
             for one in serving
@@ -148,6 +149,7 @@
                     tier_rank=request.tier_rank,
                     vms=vms,
                     now_ms=now_ms,
+                    answer_ms=speeds.of(one).answer_ms,
                 )
             )
         )
