--- a/azureturn/core/controllers/_admission.py
+++ b/azureturn/core/controllers/_admission.py
@@ -13,20 +13,28 @@
     RequestArrived,
     RequestEnded,
     RequestGivenUp,
+    RequestReturned,
     Tick,
 )
 from azureturn.core._queue import QueuedRequest, QueueTable, RequestQueue
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.core._upstreams import UpstreamTable
-from azureturn.core.placement import OutputLengthTable, SpeedTable, prefill_ms, work_tokens
+from azureturn.core.placement import (
+    AnswerTimeTable,
+    OutputLengthTable,
+    SpeedTable,
+    prefill_ms,
+    work_tokens,
+)
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.settings import UpstreamKind
 
 FIRST_COME = "first_come"
 #: Upstreams that are looked at for the time that an answer takes.
 _SPEED_SAMPLE = 8
-#: A request is given up when less than this many times the estimated time is left.
-_GIVE_UP_MARGIN = 1.2
+#: A request is given up when less is left than such answers take, with this many deviations;
+#: the most urgent tier is tried as long as the work alone may be done in time.
+_GIVE_UP_DEVIATIONS = 1.5
 _RETRY_LIMIT_MS = 60_000
 _RETRY_LEAST_MS = 200
 
@@ -35,7 +43,7 @@
 class AdmissionController(Controller):
     """Keeps the queue within its bound; the lowest tier always leaves first."""
 
-    reads = (ConfigurationTable, UpstreamTable, SpeedTable, OutputLengthTable)
+    reads = (ConfigurationTable, UpstreamTable, SpeedTable, OutputLengthTable, AnswerTimeTable)
     writes = (RequestTable, QueueTable, DrainTable)
     after = ("configuration", "learning", "stragglers")
 
@@ -55,6 +63,19 @@
         if self._comes_too_late(request, queue, configuration, context.now_ms):
             self._give_up(request, ErrorKind.DEADLINE_UNREACHABLE, context)
             return
+        self._enqueue(request, queue, configuration, context)
+
+    @on(RequestReturned)
+    def _on_returned(self, event: RequestReturned, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request.request_id)
+        if request is not None:
+            queue = self.board.write(QueueTable).of(request.target)
+            configuration = self.board.read(ConfigurationTable).in_force()
+            self._enqueue(request, queue, configuration, context)
+
+    def _enqueue(
+        self, request: Request, queue: RequestQueue, configuration: Configuration, context: Context
+    ) -> None:
         queue.push(self._entry(request, configuration))
         while len(queue) > configuration.shared.policy.queue_limit:
             last = queue.pop_least_urgent()
@@ -104,7 +125,10 @@
         return request.with_expected_output(tokens)
 
     def _entry(self, request: Request, configuration: Configuration) -> QueuedRequest:
-        least_ms = _GIVE_UP_MARGIN * self._service_ms(request)
+        least_ms = self._service_ms(request)
+        usual = self.board.read(AnswerTimeTable).get((request.route, request.organisation))
+        if usual is not None and request.tier_rank > 0:
+            least_ms = max(least_ms, usual.usual_ms(_GIVE_UP_DEVIATIONS))
         return QueuedRequest(
             request,
             cost_tokens=work_tokens(request),
