--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -5,20 +5,25 @@
     Action,
     AskClaimant,
     CancelAtUpstream,
+    ClaimAbandoned,
     Dispatch,
+    ReadSegment,
     Refuse,
     RequestAction,
-    WriteClaim,
+    SwapSegment,
 )
 from azureturn.core._blackboard import Blackboard, BlackboardView, Table, UndeclaredTableError
-from azureturn.core._claims import ClaimHolder, ClaimResult
+from azureturn.core._claim_segments import ClaimSegment, call_digest, segment_key, segment_of
+from azureturn.core._claims import Claim, ClaimHolder, ClaimOutcome, ClaimResult, ClaimState
 from azureturn.core._configuration import Configuration, ConfigurationSource, ConfigurationTable
 from azureturn.core._controllers import CONTROLLERS, Context, Controller, controller, on
 from azureturn.core._core import Core
 from azureturn.core._events import (
     AnswerProgressed,
     CallerLeft,
+    CallSettled,
     ClaimDecided,
+    ClaimSought,
     ConfigurationInForce,
     ConfigurationReceived,
     Event,
@@ -30,13 +35,18 @@
     RequestArrived,
     RequestEnded,
     RequestFailed,
+    SegmentCallLost,
+    SegmentChanged,
+    SegmentRead,
+    SegmentSwapped,
     Started,
     Tick,
     UpstreamLeaving,
 )
+from azureturn.core._held_calls import HeldCall, HeldCallTable, HeldState
 from azureturn.core._placement import PLACEMENT_POLICIES, PlacementPolicy, placement_policy
 from azureturn.core._queue import QueueTable, RequestQueue
-from azureturn.core._requests import Request, RequestStage, RequestTable
+from azureturn.core._requests import Request, RequestStage, RequestTable, digest_of
 from azureturn.core._upstreams import LoadReport, Upstream, UpstreamTable
 
 __all__ = [
@@ -46,11 +56,18 @@
     "Blackboard",
     "BlackboardView",
     "CONTROLLERS",
+    "CallSettled",
     "CallerLeft",
     "CancelAtUpstream",
+    "Claim",
+    "ClaimAbandoned",
     "ClaimDecided",
     "ClaimHolder",
+    "ClaimOutcome",
     "ClaimResult",
+    "ClaimSegment",
+    "ClaimSought",
+    "ClaimState",
     "Configuration",
     "ConfigurationInForce",
     "ConfigurationReceived",
@@ -62,6 +79,9 @@
     "Dispatch",
     "Event",
     "FirstByteSent",
+    "HeldCall",
+    "HeldCallTable",
+    "HeldState",
     "LoadReport",
     "LoadReported",
     "PLACEMENT_POLICIES",
@@ -69,6 +89,7 @@
     "PlacementDue",
     "PlacementPolicy",
     "QueueTable",
+    "ReadSegment",
     "Refuse",
     "Request",
     "RequestAction",
@@ -79,16 +100,24 @@
     "RequestQueue",
     "RequestStage",
     "RequestTable",
+    "SegmentCallLost",
+    "SegmentChanged",
+    "SegmentRead",
+    "SegmentSwapped",
     "Started",
+    "SwapSegment",
     "Table",
     "Tick",
     "UndeclaredTableError",
     "Upstream",
     "UpstreamLeaving",
     "UpstreamTable",
-    "WriteClaim",
+    "call_digest",
     "controller",
     "controllers",
+    "digest_of",
     "on",
     "placement_policy",
+    "segment_key",
+    "segment_of",
 ]
--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from azureturn.core._claims import ClaimHolder
+from azureturn.core._claim_segments import ClaimSegment
+from azureturn.core._claims import Claim
 from azureturn.errors import ErrorKind, RunState
 
 
@@ -22,6 +23,8 @@
     """Send the request to this upstream, once."""
 
     upstream: str
+    #: Nonce of the claim or ticket that it is sent under; empty for idempotent requests.
+    claim_nonce: str = ""
 
 
 @dataclass(frozen=True)
@@ -35,9 +38,9 @@
 
 @dataclass(frozen=True)
 class AskClaimant(RequestAction):
-    """Another VM holds the claim: ask it for the answer."""
+    """An earlier request holds the claim: its answer is to be shared."""
 
-    holder: ClaimHolder
+    claim: Claim
 
 
 @dataclass(frozen=True)
@@ -48,10 +51,25 @@
 
 
 @dataclass(frozen=True)
-class WriteClaim(Action):
-    """Seek the right to run a call by compare-and-swap."""
+class ReadSegment(Action):
+    """Read a segment of claims."""
 
-    request_id: str
-    organisation: str
-    idempotency_key: str
-    body_digest: str
+    segment: int
+    operation_id: int
+
+
+@dataclass(frozen=True)
+class SwapSegment(Action):
+    """Write a segment of claims if it is still at a revision; 0 means that it is absent."""
+
+    segment: int
+    operation_id: int
+    expected_revision: int
+    content: ClaimSegment
+
+
+@dataclass(frozen=True)
+class ClaimAbandoned(Action):
+    """This process will never send the call under this nonce: tell those who wait for it."""
+
+    claim_nonce: str
--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from azureturn.core._claims import ClaimHolder, ClaimResult
+from azureturn.core._claim_segments import ClaimSegment
+from azureturn.core._claims import Claim, ClaimOutcome, ClaimResult
 from azureturn.core._configuration import Configuration
 from azureturn.core._requests import Request
 from azureturn.core._upstreams import LoadReport
@@ -18,6 +19,8 @@
     """The daemon starts with this configuration."""
 
     configuration: Configuration
+    #: Unlike that of any other process, earlier ones of this VM included.
+    boot_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -60,13 +63,64 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class ClaimSought(Event):
+    """A placed call needs the right to run (posted by the core itself)."""
+
+    request_id: str
+
+
 @dataclass(frozen=True)
 class ClaimDecided(Event):
-    """The key-value service has decided who may run a call."""
+    """It is decided who may run a call (posted by the core itself)."""
 
     request_id: str
     result: ClaimResult
-    holder: ClaimHolder | None = None
+    #: Where the claim is another's: that claim.
+    claim: Claim | None = None
+
+
+@dataclass(frozen=True)
+class SegmentRead(Event):
+    """A read of a segment was answered; an absent one has revision 0 and no claims."""
+
+    segment: int
+    operation_id: int
+    revision: int
+    content: ClaimSegment
+
+
+@dataclass(frozen=True)
+class SegmentSwapped(Event):
+    """A compare-and-swap took effect."""
+
+    segment: int
+    operation_id: int
+    revision: int
+
+
+@dataclass(frozen=True)
+class SegmentChanged(Event):
+    """A compare-and-swap found another revision than the one it compared with."""
+
+    segment: int
+    operation_id: int
+
+
+@dataclass(frozen=True)
+class SegmentCallLost(Event):
+    """A read or a compare-and-swap had no answer; a swap may have taken effect, or still may."""
+
+    segment: int
+    operation_id: int
+
+
+@dataclass(frozen=True)
+class CallSettled(Event):
+    """A call that was sent under a claim or a ticket has ended."""
+
+    claim_nonce: str
+    outcome: ClaimOutcome
 
 
 @dataclass(frozen=True)
--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from azureturn.core._blackboard import Table
+from azureturn.core._claim_segments import call_digest
 from azureturn.settings import UpstreamKind
 
 
@@ -37,6 +38,18 @@
     #: Digests of the prompt's leading blocks, shortest prefix first.
     prefix_digests: tuple[str, ...] = ()
     upstream_deduplicates: bool = False
+    #: When the request arrived, in ms since 1970.
+    arrived_unix_ms: int = 0
+    #: When the caller made its key, in ms since 1970; 0 where it did not say.
+    key_issued_at_ms: int = 0
+    #: Nonce of this process's own ticket that the request comes with.
+    ticket_nonce: str = ""
+    #: Until when this process honours that ticket, by its own clock.
+    ticket_expires_at_ms: int = 0
+    #: Nonce of a claim on the key whose holder said that it will never run.
+    released_nonce: str = ""
+    #: Nonce under which this process seeks or has the right to run the call.
+    claim_nonce: str = ""
     stage: RequestStage = RequestStage.QUEUED
     #: Name of the upstream, once one is chosen.
     upstream: str = ""
@@ -47,6 +60,15 @@
         """Return a copy at another stage."""
         return replace(self, stage=stage)
 
+    def with_claim_nonce(self, nonce: str) -> "Request":
+        """Return a copy that is to run under a claim."""
+        return replace(self, claim_nonce=nonce)
+
+    def with_released_nonce(self, nonce: str) -> "Request":
+        """Return a copy, as it arrived, that may replace a claim given up by its holder."""
+        stage = RequestStage.QUEUED
+        return replace(self, released_nonce=nonce, claim_nonce="", stage=stage, upstream="")
+
     def with_placement(self, upstream: str, *, now_ms: int) -> "Request":
         """Return a copy that is bound to an upstream."""
         return replace(self, upstream=upstream, dispatched_at_ms=now_ms)
@@ -54,3 +76,10 @@
 
 class RequestTable(Table[str, Request]):
     """Requests in progress on this VM, by request id."""
+
+
+def digest_of(request: Request) -> str:
+    """Return the name under which a request's call is claimed."""
+    if request.ticket_nonce:
+        return call_digest(request.organisation, "ticket", request.ticket_nonce)
+    return call_digest(request.organisation, "key", request.idempotency_key)
--- /dev/null
+++ b/azureturn/core/controllers/_claim_segments.py
@@ -0,0 +1,211 @@
+"""Reads and writes segments of claims, and decides claims by what the service holds."""
+
+from azureturn.core._actions import ClaimAbandoned, ReadSegment, SwapSegment
+from azureturn.core._claim_progress import (
+    ClaimIntent,
+    Operation,
+    SegmentProgress,
+    SegmentProgressTable,
+)
+from azureturn.core._claim_segments import BODIES_LIMIT_BYTES, ClaimSegment
+from azureturn.core._claim_service import PROBE_INTERVAL_MS, ClaimServiceTable
+from azureturn.core._claims import Claim, ClaimResult, ClaimState
+from azureturn.core._configuration import ConfigurationTable
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import (
+    CallSettled,
+    ClaimDecided,
+    ClaimSought,
+    SegmentCallLost,
+    SegmentChanged,
+    SegmentRead,
+    SegmentSwapped,
+    Tick,
+)
+from azureturn.core._held_calls import HeldCallTable, HeldState
+
+_PROBED_SEGMENT = 0
+
+
+@controller("claim_segments")
+class ClaimSegmentsController(Controller):
+    """Keeps at most one call to the service under way for each segment.
+
+    All claims that gather while a call is under way share the next write.
+    """
+
+    reads = (ConfigurationTable,)
+    writes = (SegmentProgressTable, HeldCallTable, ClaimServiceTable)
+    after = ("claims",)
+
+    @on(ClaimSought)
+    def _on_sought(self, event: ClaimSought, context: Context) -> None:
+        self._advance_all(context)
+
+    @on(CallSettled)
+    def _on_settled(self, event: CallSettled, context: Context) -> None:
+        self._advance_all(context)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        self._advance_all(context)
+        service = self.board.read(ClaimServiceTable).only()
+        due = context.now_ms - service.probed_at_ms >= PROBE_INTERVAL_MS
+        if due and service.is_down(context.now_ms) and service.in_flight == 0:
+            progress = self.board.write(SegmentProgressTable).of(_PROBED_SEGMENT)
+            self._read(_PROBED_SEGMENT, progress, context)
+
+    @on(SegmentRead)
+    def _on_read(self, event: SegmentRead, context: Context) -> None:
+        progress = self._answered(event.segment, event.operation_id)
+        if progress is None:
+            return
+        progress.note_content(event.content, event.revision, now_ms=context.now_ms)
+        self._decide(progress, context)
+        self._advance_all(context)
+
+    @on(SegmentSwapped)
+    def _on_swapped(self, event: SegmentSwapped, context: Context) -> None:
+        progress = self._answered(event.segment, event.operation_id)
+        if progress is None:
+            return
+        assert progress.operation is not None
+        content = progress.operation.content
+        progress.note_content(content, event.revision, now_ms=context.now_ms)
+        self._decide(progress, context)
+        self._advance_all(context)
+
+    @on(SegmentChanged)
+    def _on_changed(self, event: SegmentChanged, context: Context) -> None:
+        # Even then an earlier write of the same claims may have taken effect: read first.
+        progress = self._answered(event.segment, event.operation_id)
+        if progress is not None:
+            progress.note_changed()
+            self._advance_all(context)
+
+    @on(SegmentCallLost)
+    def _on_lost(self, event: SegmentCallLost, context: Context) -> None:
+        progress = self.board.write(SegmentProgressTable).of(event.segment)
+        if progress.operation is None or progress.operation.operation_id != event.operation_id:
+            return
+        begun_at_ms = progress.operation.begun_at_ms
+        self.board.write(ClaimServiceTable).only().note_lost(begun_at_ms=begun_at_ms)
+        progress.note_lost(now_ms=context.now_ms)
+
+    def _answered(self, segment: int, operation_id: int) -> SegmentProgress | None:
+        progress = self.board.write(SegmentProgressTable).of(segment)
+        if progress.operation is None or progress.operation.operation_id != operation_id:
+            return None
+        self.board.write(ClaimServiceTable).only().note_answer()
+        return progress
+
+    def _decide(self, progress: SegmentProgress, context: Context) -> None:
+        for intent in list(progress.intents.values()):
+            present = progress.content.claims.get(intent.digest)
+            result = self._result(intent, present, progress.content.floor_ms)
+            if result is None:
+                continue
+            progress.take_intent(intent.claim.nonce)
+            if result is not ClaimResult.OURS:
+                progress.compared_revisions.pop(intent.claim.nonce, None)
+            self._settle_intent(intent, result, context)
+            claim = present if result is ClaimResult.FOREIGN else None
+            context.post(ClaimDecided(intent.request_id, result, claim))
+        calls = self.board.write(HeldCallTable)
+        for nonce in progress.drop_needless_write_backs():
+            held = calls.get(nonce)
+            if held is not None:
+                calls.put(nonce, held.with_written_back(now_ms=context.now_ms))
+
+    def _result(
+        self, intent: ClaimIntent, present: Claim | None, floor_ms: int
+    ) -> ClaimResult | None:
+        """Return how a claim ended, or None while it is still to be written."""
+        if present is None:
+            return ClaimResult.EXPIRED if intent.claim.issued_at_ms <= floor_ms else None
+        if present.nonce == intent.claim.nonce:
+            return ClaimResult.OURS
+        if self._is_given_up(intent, present):
+            return None
+        if present.body_digest != intent.claim.body_digest:
+            return ClaimResult.REUSED
+        return ClaimResult.FOREIGN
+
+    def _is_given_up(self, intent: ClaimIntent, present: Claim) -> bool:
+        """Return whether the holder gave its word never to run the call."""
+        if present.outcome.state is ClaimState.RELEASED:
+            return True
+        if present.nonce == intent.released_nonce:
+            return True
+        return self.board.read(HeldCallTable).abandoned(present.nonce)
+
+    def _settle_intent(self, intent: ClaimIntent, result: ClaimResult, context: Context) -> None:
+        calls = self.board.write(HeldCallTable)
+        held = calls.get(intent.claim.nonce)
+        assert held is not None and held.state is HeldState.SEEKING
+        if result is ClaimResult.OURS:
+            calls.put(held.nonce, held.with_state(HeldState.SENT))
+            return
+        dead = held.with_state(HeldState.ABANDONED).with_written_back(now_ms=context.now_ms)
+        calls.put(held.nonce, dead)
+        context.act(ClaimAbandoned(held.nonce))
+
+    def _advance_all(self, context: Context) -> None:
+        segments = self.board.write(SegmentProgressTable)
+        waiting = [
+            (progress.written_at_ms, number, progress)
+            for number, progress in segments.items()
+            if progress.operation is None
+            and progress.retry_at_ms <= context.now_ms
+            and progress.has_work(context.now_ms)
+        ]
+        waiting.sort(key=lambda one: one[:2])
+        for _, number, progress in waiting:
+            self._advance(number, progress, context)
+
+    def _advance(self, number: int, progress: SegmentProgress, context: Context) -> None:
+        service = self.board.write(ClaimServiceTable).only()
+        if not service.may_call(context.now_ms):
+            return
+        if not progress.is_fresh(context.now_ms):
+            self._read(number, progress, context)
+            return
+        self._decide(progress, context)
+        if progress.has_work(context.now_ms) and service.take_write(context.now_ms):
+            self._swap(number, progress, context)
+
+    def _read(self, number: int, progress: SegmentProgress, context: Context) -> None:
+        service = self.board.write(ClaimServiceTable).only()
+        service.probed_at_ms = context.now_ms
+        operation_id = service.begin_operation()
+        progress.operation = Operation(operation_id, context.now_ms)
+        context.act(ReadSegment(number, operation_id))
+
+    def _swap(self, number: int, progress: SegmentProgress, context: Context) -> None:
+        content = self._next_content(progress)
+        if not content.within_limit():
+            self._refuse_intents(progress, context)
+            content = self._next_content(progress)
+        operation_id = self.board.write(ClaimServiceTable).only().begin_operation()
+        progress.operation = Operation(operation_id, context.now_ms, content)
+        progress.written_at_ms = context.now_ms
+        for nonce in progress.intents:
+            progress.compared_revisions[nonce] = progress.revision
+        context.act(SwapSegment(number, operation_id, progress.revision, content))
+
+    def _next_content(self, progress: SegmentProgress) -> ClaimSegment:
+        configuration = self.board.read(ConfigurationTable).in_force()
+        retention_ms = configuration.shared.policy.claim_retention_ms
+        content = progress.content
+        arrivals = [one.claim.claimed_at_ms for one in progress.intents.values()]
+        if arrivals:
+            content = content.without_expired(max(arrivals) - retention_ms)
+        content = content.with_claims(progress.changed_claims())
+        if content.size_bytes > BODIES_LIMIT_BYTES:
+            content = content.without_bodies()
+        return content
+
+    def _refuse_intents(self, progress: SegmentProgress, context: Context) -> None:
+        for intent in list(progress.intents.values()):
+            progress.take_intent(intent.claim.nonce)
+            context.post(ClaimDecided(intent.request_id, ClaimResult.FULL))
--- /dev/null
+++ b/azureturn/core/controllers/_claims.py
@@ -0,0 +1,177 @@
+"""Decides who may run a call that is not idempotent."""
+
+from azureturn.core._actions import ClaimAbandoned
+from azureturn.core._claim_progress import (
+    NEVER_WRITTEN,
+    WRITE_BACK_DELAY_MS,
+    ClaimIntent,
+    SegmentProgressTable,
+    WriteBack,
+)
+from azureturn.core._claim_segments import kept_outcome, segment_of
+from azureturn.core._claim_service import ClaimServiceTable
+from azureturn.core._claims import Claim, ClaimHolder, ClaimOutcome, ClaimResult, ClaimState
+from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._events import (
+    CallSettled,
+    ClaimDecided,
+    ClaimSought,
+    RequestFailed,
+    Started,
+    Tick,
+)
+from azureturn.core._held_calls import HELD_CALL_LIMIT, HeldCall, HeldCallTable, HeldState
+from azureturn.core._requests import Request, RequestTable, digest_of
+from azureturn.errors import RunState
+
+#: A call waits this long for the service's word before it is given up.
+CLAIM_PATIENCE_MS = 2_000
+#: Results after which this process never sends the call under the claim that it sought.
+_GIVEN_UP = (ClaimResult.UNAVAILABLE, ClaimResult.FULL, ClaimResult.WAIVED)
+
+
+@controller("claims")
+class ClaimsController(Controller):
+    """Takes calls in, keeps this process's word about each, and gives up what takes too long."""
+
+    writes = (RequestTable, SegmentProgressTable, HeldCallTable, ClaimServiceTable)
+    after = ("placement",)
+
+    @on(Started)
+    def _on_started(self, event: Started, context: Context) -> None:
+        vm = self.settings.vm
+        identity = ClaimHolder(vm.name, event.boot_id, vm.host, vm.peer_port)
+        self.board.write(ClaimServiceTable).start(identity)
+
+    @on(ClaimSought)
+    def _on_sought(self, event: ClaimSought, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is None:
+            return
+        digest = digest_of(request)
+        held = self.board.read(HeldCallTable).live(digest)
+        if held is not None:
+            self._share_own(request, held, context)
+        elif len(self.board.read(HeldCallTable)) >= HELD_CALL_LIMIT:
+            context.post(ClaimDecided(request.request_id, ClaimResult.FULL))
+        elif request.ticket_nonce:
+            self._hold_ticketed(request, digest, context)
+        else:
+            self._seek(request, digest, context)
+
+    @on(ClaimDecided)
+    def _on_decided(self, event: ClaimDecided, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is not None and event.result in _GIVEN_UP and request.claim_nonce:
+            self._abandon(request.claim_nonce, context)
+
+    @on(CallSettled)
+    def _on_settled(self, event: CallSettled, context: Context) -> None:
+        self._end(event.claim_nonce, HeldState.SETTLED, event.outcome, context)
+
+    @on(RequestFailed)
+    def _on_failed(self, event: RequestFailed, context: Context) -> None:
+        request = self.board.read(RequestTable).get(event.request_id)
+        if request is None or event.run_state is not RunState.NOT_RUN:
+            return
+        if request.claim_nonce:
+            self._abandon(request.claim_nonce, context)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        for _, progress in self.board.read(SegmentProgressTable).items():
+            late = [one for one in progress.intents.values() if one.decide_by_ms <= context.now_ms]
+            for intent in late:
+                progress.take_intent(intent.claim.nonce)
+                self._give_up(intent.request_id, intent.upstream_deduplicates, context)
+        self.board.write(HeldCallTable).trim(context.now_ms)
+
+    def _share_own(self, request: Request, held: HeldCall, context: Context) -> None:
+        if held.body_digest != request.body_digest:
+            context.post(ClaimDecided(request.request_id, ClaimResult.REUSED))
+            return
+        identity = self.board.read(ClaimServiceTable).only().identity
+        claim = Claim(identity, held.nonce, held.body_digest, 0, 0)
+        context.post(ClaimDecided(request.request_id, ClaimResult.FOREIGN, claim))
+
+    def _hold_ticketed(self, request: Request, digest: str, context: Context) -> None:
+        nonce = self._hold(request, digest, HeldState.SENT)
+        held = self.board.read(HeldCallTable).get(nonce)
+        assert held is not None
+        self._bind(request, nonce)
+        context.post(ClaimDecided(request.request_id, ClaimResult.OURS))
+
+    def _seek(self, request: Request, digest: str, context: Context) -> None:
+        service = self.board.write(ClaimServiceTable).only()
+        if service.is_down(context.now_ms):
+            self._give_up(request.request_id, request.upstream_deduplicates, context)
+            return
+        nonce = self._hold(request, digest, HeldState.SEEKING)
+        self._bind(request, nonce)
+        claim = Claim(
+            holder=service.identity,
+            nonce=nonce,
+            body_digest=request.body_digest,
+            claimed_at_ms=request.arrived_unix_ms,
+            issued_at_ms=request.key_issued_at_ms or request.arrived_unix_ms,
+        )
+        intent = ClaimIntent(
+            digest=digest,
+            request_id=request.request_id,
+            claim=claim,
+            decide_by_ms=min(request.deadline_ms, context.now_ms + CLAIM_PATIENCE_MS),
+            released_nonce=request.released_nonce,
+            upstream_deduplicates=request.upstream_deduplicates,
+        )
+        progress = self.board.write(SegmentProgressTable).of(segment_of(digest))
+        progress.intents[nonce] = intent
+
+    def _hold(self, request: Request, digest: str, state: HeldState) -> str:
+        nonce = self.board.write(ClaimServiceTable).only().next_nonce()
+        held = HeldCall(
+            nonce=nonce,
+            digest=digest,
+            body_digest=request.body_digest,
+            request_id=request.request_id,
+            state=state,
+            ticketed=bool(request.ticket_nonce),
+            kept_until_ms=request.ticket_expires_at_ms,
+        )
+        self.board.write(HeldCallTable).put(nonce, held)
+        return nonce
+
+    def _bind(self, request: Request, nonce: str) -> None:
+        bound = request.with_claim_nonce(nonce)
+        self.board.write(RequestTable).put(request.request_id, bound)
+
+    def _give_up(self, request_id: str, deduplicated: bool, context: Context) -> None:
+        result = ClaimResult.WAIVED if deduplicated else ClaimResult.UNAVAILABLE
+        context.post(ClaimDecided(request_id, result))
+
+    def _abandon(self, nonce: str, context: Context) -> None:
+        held = self.board.read(HeldCallTable).get(nonce)
+        if held is None or held.state not in (HeldState.SEEKING, HeldState.SENT):
+            return
+        self.board.write(SegmentProgressTable).of(segment_of(held.digest)).take_intent(nonce)
+        self._end(nonce, HeldState.ABANDONED, ClaimOutcome(ClaimState.RELEASED), context)
+        context.act(ClaimAbandoned(nonce))
+
+    def _end(self, nonce: str, state: HeldState, outcome: ClaimOutcome, context: Context) -> None:
+        calls = self.board.write(HeldCallTable)
+        held = calls.get(nonce)
+        if held is None or held.state in (HeldState.SETTLED, HeldState.ABANDONED):
+            return
+        ended = held.with_state(state)
+        progress = self.board.write(SegmentProgressTable).of(segment_of(held.digest))
+        compared_revision = progress.compared_revisions.get(nonce, NEVER_WRITTEN)
+        if held.ticketed or compared_revision == NEVER_WRITTEN:
+            ended = ended.with_written_back(now_ms=context.now_ms)
+        else:
+            progress.write_backs[nonce] = WriteBack(
+                held.digest,
+                nonce,
+                kept_outcome(outcome),
+                due_at_ms=context.now_ms + WRITE_BACK_DELAY_MS,
+                compared_revision=compared_revision,
+            )
+        calls.put(nonce, ended)
--- a/azureturn/core/controllers/_dispatch.py
+++ b/azureturn/core/controllers/_dispatch.py
@@ -1,11 +1,13 @@
 """Turns a placement into one dispatch, once the right to run is ours."""
 
-from azureturn.core._actions import AskClaimant, CancelAtUpstream, Dispatch, Refuse, WriteClaim
+from azureturn.core._actions import AskClaimant, CancelAtUpstream, Dispatch, Refuse
+from azureturn.core._claim_service import OUTAGE_RETRY_AFTER_MS
 from azureturn.core._claims import ClaimResult
 from azureturn.core._controllers import Context, Controller, controller, on
 from azureturn.core._events import (
     CallerLeft,
     ClaimDecided,
+    ClaimSought,
     Placed,
     RequestAnswered,
     RequestEnded,
@@ -14,13 +16,27 @@
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind, RunState
 
+_REFUSALS = {
+    ClaimResult.REUSED: (ErrorKind.IDEMPOTENCY_KEY_REUSED, RunState.NOT_RUN),
+    ClaimResult.EXPIRED: (ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+    ClaimResult.UNAVAILABLE: (ErrorKind.KEY_VALUE_UNAVAILABLE, RunState.NOT_RUN),
+    ClaimResult.FULL: (ErrorKind.OVERLOADED, RunState.NOT_RUN),
+}
+
+
+def _refusal(request_id: str, result: ClaimResult) -> Refuse:
+    kind, run_state = _REFUSALS[result]
+    unavailable = result is ClaimResult.UNAVAILABLE
+    retry_after_ms = OUTAGE_RETRY_AFTER_MS if unavailable else DEFAULT_RETRY_AFTER_MS
+    return Refuse(request_id, kind, retry_after_ms, run_state)
+
 
 @controller("dispatch")
 class DispatchController(Controller):
     """Sends each request at most once, and a call that is not idempotent only under a claim."""
 
     writes = (RequestTable,)
-    after = ("placement",)
+    after = ("placement", "claims", "claim_segments")
 
     @on(Placed)
     def _on_placed(self, event: Placed, context: Context) -> None:
@@ -29,32 +45,31 @@
             self._dispatch(request, context)
             return
         self._set_stage(request, RequestStage.CLAIMING)
-        context.act(
-            WriteClaim(
-                request.request_id,
-                request.organisation,
-                request.idempotency_key,
-                request.body_digest,
-            )
-        )
+        context.post(ClaimSought(request.request_id))
 
     @on(ClaimDecided)
     def _on_claim_decided(self, event: ClaimDecided, context: Context) -> None:
         request = self.board.read(RequestTable).get(event.request_id)
         if request is None:
             return
-        if event.result is ClaimResult.OURS:
-            self._dispatch(request, context)
+        if event.result in (ClaimResult.OURS, ClaimResult.WAIVED):
+            self._dispatch_or_give_up(request, event.result, context)
             return
         self._end(request, context)
-        if event.result is ClaimResult.FOREIGN:
-            assert event.holder is not None
-            context.act(AskClaimant(request.request_id, event.holder))
+        if event.claim is not None:
+            context.act(AskClaimant(request.request_id, event.claim))
+            return
+        context.act(_refusal(request.request_id, event.result))
+
+    def _dispatch_or_give_up(self, request: Request, result: ClaimResult, context: Context) -> None:
+        if context.now_ms < request.deadline_ms:
+            nonce = request.claim_nonce if result is ClaimResult.OURS else ""
+            self._dispatch(request, context, claim_nonce=nonce)
             return
-        undecided = event.result is ClaimResult.UNDECIDED
-        kind = ErrorKind.OUTCOME_UNKNOWN if undecided else ErrorKind.KEY_VALUE_UNAVAILABLE
-        run_state = RunState.UNKNOWN if undecided else RunState.NOT_RUN
-        context.act(Refuse(request.request_id, kind, DEFAULT_RETRY_AFTER_MS, run_state))
+        # The claims controller hears of the failure and gives the claim up.
+        kind = ErrorKind.DEADLINE_PASSED
+        context.act(Refuse(request.request_id, kind, DEFAULT_RETRY_AFTER_MS))
+        context.post(RequestFailed(request.request_id, kind, RunState.NOT_RUN))
 
     @on(RequestAnswered)
     def _on_answered(self, event: RequestAnswered, context: Context) -> None:
@@ -73,9 +88,9 @@
             context.act(CancelAtUpstream(request.request_id, request.upstream))
             self._end(request, context)
 
-    def _dispatch(self, request: Request, context: Context) -> None:
+    def _dispatch(self, request: Request, context: Context, *, claim_nonce: str = "") -> None:
         self._set_stage(request, RequestStage.DISPATCHED)
-        context.act(Dispatch(request.request_id, request.upstream))
+        context.act(Dispatch(request.request_id, request.upstream, claim_nonce))
 
     def _request(self, request_id: str) -> Request:
         request = self.board.read(RequestTable).get(request_id)
--- /dev/null
+++ b/azureturn/core/tests/claim_site.py
@@ -0,0 +1,323 @@
+"""Several cores, a fake key-value service that can fail, and an upstream that counts runs."""
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from azureturn.core import (
+    Action,
+    AskClaimant,
+    CallSettled,
+    ClaimAbandoned,
+    ClaimOutcome,
+    ClaimSegment,
+    ClaimState,
+    Configuration,
+    Core,
+    Dispatch,
+    Event,
+    HeldCallTable,
+    HeldState,
+    ReadSegment,
+    Refuse,
+    Request,
+    RequestAnswered,
+    RequestArrived,
+    RequestFailed,
+    SegmentCallLost,
+    SegmentChanged,
+    SegmentRead,
+    SegmentSwapped,
+    Started,
+    SwapSegment,
+    Tick,
+)
+from azureturn.errors import ErrorKind, RunState
+from azureturn.settings import (
+    OrganisationSettings,
+    PlatformSettings,
+    PolicySettings,
+    RouteSettings,
+    Settings,
+    SharedSettings,
+    TierSettings,
+    UpstreamKind,
+    UpstreamSettings,
+    VmSettings,
+)
+
+ORGANISATION = "call-centre"
+RETENTION_MS = 60_000
+UNIX_START_MS = 1_000_000
+_URL = "http://127.0.0.1:1"
+
+ServiceCall = ReadSegment | SwapSegment
+
+
+def settings_of(vm: str) -> Settings:
+    shared = SharedSettings(
+        site="test",
+        tiers=(TierSettings("top", 0),),
+        organisations=(OrganisationSettings(ORGANISATION, "a-token-of-the-call-centre"),),
+        routes=(RouteSettings("deposit", "top", 5_000, "bookings", idempotent=False, path="/d"),),
+        upstreams=(
+            UpstreamSettings(
+                "bookings-1", UpstreamKind.PLAIN_SERVICE, "zone-a", _URL, ("bookings",), slots=9_999
+            ),
+        ),
+        policy=PolicySettings(claim_retention_ms=RETENTION_MS),
+    )
+    return Settings(
+        VmSettings(vm, "zone-a", "127.0.0.1", 1, 2), PlatformSettings(_URL, _URL), shared
+    )
+
+
+class FakeService:
+    """The key-value service; it only does what compare-and-swap allows."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.values: dict[int, tuple[int, bytes]] = {}
+        self.writes = 0
+
+    def read(self, action: ReadSegment) -> SegmentRead:
+        revision, value = self.values.get(action.segment, (0, ClaimSegment().to_bytes()))
+        content = ClaimSegment.from_bytes(value)
+        return SegmentRead(action.segment, action.operation_id, revision, content)
+
+    def swap(self, action: SwapSegment) -> SegmentSwapped | SegmentChanged:
+        self.writes += 1
+        present = self.values.get(action.segment, (0, b""))[0]
+        if present != action.expected_revision:
+            return SegmentChanged(action.segment, action.operation_id)
+        self.revision += 1
+        self.values[action.segment] = (self.revision, action.content.to_bytes())
+        return SegmentSwapped(action.segment, action.operation_id, self.revision)
+
+    def apply(self, action: ServiceCall) -> Event:
+        return self.read(action) if isinstance(action, ReadSegment) else self.swap(action)
+
+
+@dataclass
+class Vm:
+    """One process: its core, and what the core asked for and did not get yet."""
+
+    name: str
+    boot: int
+    core: Core
+    calls: deque[ServiceCall] = field(default_factory=deque)
+    to_send: deque[Dispatch] = field(default_factory=deque)
+    to_ask: deque[AskClaimant] = field(default_factory=deque)
+    abandoned: set[str] = field(default_factory=set)
+    paused: bool = False
+
+    @property
+    def boot_id(self) -> str:
+        return f"{self.name}.{self.boot}"
+
+
+@dataclass(frozen=True)
+class Told:
+    """What a caller was told."""
+
+    kind: str
+    run_state: RunState
+
+
+ANSWERED = "answered"
+
+
+class ClaimSite:
+    """Runs cores step by step and keeps the account of what ran and what callers were told."""
+
+    def __init__(self, *vms: str) -> None:
+        self.now_ms = 0
+        self.service = FakeService()
+        self.delayed: list[SwapSegment] = []
+        self.runs: Counter[str] = Counter()
+        self.sent_requests: set[str] = set()
+        self.told: dict[str, list[Told]] = {}
+        self.requests: dict[str, Request] = {}
+        self.lost_callers: set[str] = set()
+        self.vms = {name: self._boot(name, 1) for name in vms}
+
+    def _boot(self, name: str, boot: int) -> Vm:
+        settings = settings_of(name)
+        vm = Vm(name, boot, Core.from_settings(settings, seed=1))
+        started = Started(Configuration(0, settings.shared), vm.boot_id)
+        vm.core.handle(started, self.now_ms)
+        return vm
+
+    def submit(self, vm: Vm, event: Event) -> None:
+        for action in vm.core.handle(event, self.now_ms):
+            self._take(vm, action)
+
+    def _take(self, vm: Vm, action: Action) -> None:
+        match action:
+            case ReadSegment() | SwapSegment():
+                vm.calls.append(action)
+            case Dispatch():
+                vm.to_send.append(action)
+            case AskClaimant():
+                vm.to_ask.append(action)
+            case ClaimAbandoned(claim_nonce):
+                vm.abandoned.add(claim_nonce)
+            case Refuse(request_id, kind, _, run_state):
+                self.tell(request_id, Told(kind.value, run_state))
+
+    def tell(self, request_id: str, told: Told) -> None:
+        self.told.setdefault(request_id, []).append(told)
+
+    def arrive(
+        self,
+        name: str,
+        request_id: str,
+        key: str = "k",
+        *,
+        body: str = "b",
+        issued_at_ms: int = 0,
+        ticket_nonce: str = "",
+        deduplicated: bool = False,
+        timeout_ms: int = 5_000,
+    ) -> None:
+        vm = self.vms[name]
+        request = Request(
+            request_id=request_id,
+            organisation=ORGANISATION,
+            route="deposit",
+            tier_rank=0,
+            target="bookings",
+            kind=UpstreamKind.PLAIN_SERVICE,
+            arrived_at_ms=self.now_ms,
+            deadline_ms=self.now_ms + timeout_ms,
+            idempotent=False,
+            idempotency_key="" if ticket_nonce else key,
+            body_digest=body,
+            upstream_deduplicates=deduplicated,
+            arrived_unix_ms=UNIX_START_MS + self.now_ms,
+            key_issued_at_ms=issued_at_ms,
+            ticket_nonce=ticket_nonce,
+            ticket_expires_at_ms=self.now_ms + 3_600_000 if ticket_nonce else 0,
+        )
+        self.requests[request_id] = request
+        self.submit(vm, RequestArrived(request))
+
+    def serve(self, name: str) -> bool:
+        """Let the service carry out the VM's oldest call and answer it."""
+        vm = self.vms[name]
+        if not vm.calls:
+            return False
+        self.submit(vm, self.service.apply(vm.calls.popleft()))
+        return True
+
+    def lose(self, name: str, *, applied: bool, delayed: bool = False) -> bool:
+        """Lose the answer of the oldest call, which took effect, did not, or will later."""
+        vm = self.vms[name]
+        if not vm.calls:
+            return False
+        call = vm.calls.popleft()
+        if applied:
+            self.service.apply(call)
+        elif delayed and isinstance(call, SwapSegment):
+            self.delayed.append(call)
+        self.submit(vm, SegmentCallLost(call.segment, call.operation_id))
+        return True
+
+    def land(self) -> None:
+        """Let the oldest delayed write come to the service."""
+        if self.delayed:
+            self.service.swap(self.delayed.pop(0))
+
+    def send(self, name: str, ending: str = ANSWERED) -> bool:
+        """Send the oldest dispatch; ``ending`` is answered, unknown or unreachable."""
+        vm = self.vms[name]
+        if not vm.to_send:
+            return False
+        dispatch = vm.to_send.popleft()
+        request = self.requests[dispatch.request_id]
+        if ending == "unreachable":
+            kind = ErrorKind.UPSTREAM_UNREACHABLE
+            self.submit(vm, RequestFailed(dispatch.request_id, kind, RunState.NOT_RUN))
+            self.tell(dispatch.request_id, Told(kind.value, RunState.NOT_RUN))
+            return True
+        self._run(request)
+        answered = ending == ANSWERED
+        state = ClaimState.RAN if answered else ClaimState.UNKNOWN
+        if answered:
+            self.submit(vm, RequestAnswered(dispatch.request_id))
+        else:
+            kind = ErrorKind.UPSTREAM_SILENT
+            self.submit(vm, RequestFailed(dispatch.request_id, kind, RunState.UNKNOWN))
+        body = request.request_id.encode()
+        outcome = ClaimOutcome(state, 200, "", "bookings-1", body, answered)
+        if dispatch.claim_nonce:
+            self.submit(vm, CallSettled(dispatch.claim_nonce, outcome))
+        told = Told(ANSWERED, RunState.RAN) if answered else Told("unknown", RunState.UNKNOWN)
+        self.tell(dispatch.request_id, told)
+        return True
+
+    def _run(self, request: Request) -> None:
+        call = request.idempotency_key or request.ticket_nonce
+        # An upstream that deduplicates runs a key once, however often it comes.
+        self.runs[call] = 1 if request.upstream_deduplicates else self.runs[call] + 1
+        self.sent_requests.add(request.request_id)
+
+    def ask(self, name: str) -> bool:
+        """Carry out the oldest question to a holder as the daemon does."""
+        vm = self.vms[name]
+        if not vm.to_ask:
+            return False
+        action = vm.to_ask.popleft()
+        word = self._word_of_holder(action)
+        if word is None:
+            vm.to_ask.append(action)
+        elif word is HeldState.ABANDONED:
+            released = self.requests[action.request_id].with_released_nonce(action.claim.nonce)
+            self.submit(vm, RequestArrived(released))
+        else:
+            shared = action.claim.outcome.state is ClaimState.RAN or word is HeldState.SETTLED
+            told = Told(ANSWERED, RunState.RAN) if shared else Told("unknown", RunState.UNKNOWN)
+            self.tell(action.request_id, told)
+        return True
+
+    def _word_of_holder(self, action: AskClaimant) -> HeldState | None:
+        """Return the holder's word; SENT for a holder that is gone, None while it is pending."""
+        if action.claim.outcome.state in (ClaimState.RAN, ClaimState.UNKNOWN):
+            return HeldState.SENT
+        late = self.requests[action.request_id].deadline_ms <= self.now_ms
+        holder = self.vms[action.claim.holder.vm]
+        if holder.paused:
+            return HeldState.SENT if late else None
+        held = holder.core.board.table(HeldCallTable).get(action.claim.nonce)
+        if holder.boot_id != action.claim.holder.boot_id or held is None:
+            return HeldState.SENT
+        if held.state in (HeldState.ABANDONED, HeldState.SETTLED):
+            return held.state
+        return HeldState.SENT if late else None
+
+    def tick(self, elapsed_ms: int) -> None:
+        self.now_ms += elapsed_ms
+        for vm in self.vms.values():
+            if not vm.paused:
+                self.submit(vm, Tick())
+
+    def crash(self, name: str) -> None:
+        """End a process, whose callers then get no word from it, and start a new one."""
+        old = self.vms[name]
+        self.lost_callers |= self.waiting(name)
+        self.delayed += [call for call in old.calls if isinstance(call, SwapSegment)]
+        self.vms[name] = self._boot(name, old.boot + 1)
+
+    def waiting(self, name: str) -> set[str]:
+        mine = {key for key in self.requests if key.startswith(f"{name}/")}
+        return mine - set(self.told) - self.lost_callers
+
+    def run_until_quiet(self, limit_steps: int = 2_000) -> None:
+        """Let everything end well: no more faults, time goes on."""
+        for vm in self.vms.values():
+            vm.paused = False
+        for _ in range(limit_steps):
+            busy = [step(name) for name in self.vms for step in (self.serve, self.send, self.ask)]
+            self.tick(50)
+            if not any(busy) and not any(self.waiting(name) for name in self.vms):
+                return
+        raise AssertionError(f"still waiting: {[self.waiting(name) for name in self.vms]}")
--- a/azureturn/daemon/_caller_requests.py
+++ b/azureturn/daemon/_caller_requests.py
@@ -1,6 +1,7 @@
 """From HTTP to a checked request: who asks, for what, by when."""
 
 import json
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -19,9 +20,13 @@
 TIER_HEADER = "Azureturn-Tier"
 TIMEOUT_HEADER = "Azureturn-Timeout-Ms"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+#: When the caller made its key, ms since 1970; it stays the same with each repetition.
+KEY_ISSUED_HEADER = "Azureturn-Key-Issued-Ms"
 
 IDEMPOTENCY_KEY_LIMIT = 255
 TIMEOUT_LIMIT_MS = 24 * 3_600_000
+#: A caller's clock may be ahead by this much.
+CLOCK_SKEW_LIMIT_MS = 60_000
 OUTPUT_TOKENS_LIMIT = 1_000_000
 #: Characters to a token, for estimates before the engine has counted.
 CHARACTERS_PER_TOKEN = 5
@@ -117,11 +122,13 @@
     kind: UpstreamKind,
     body: bytes,
     arrived_at_ms: int,
+    path: str = "",
     chat: ChatBody | None = None,
 ) -> Request:
     """Return the request as the core sees it."""
     key = _idempotency_key(headers, route)
     timeout_ms = _timeout_ms(headers, route)
+    arrived_unix_ms = time.time_ns() // 1_000_000
     text = "" if chat is None else chat.text
     wanted = route.expected_output_tokens
     if chat is not None and chat.max_tokens is not None:
@@ -137,14 +144,20 @@
         deadline_ms=arrived_at_ms + timeout_ms,
         idempotent=route.idempotent,
         idempotency_key=key,
-        body_digest=xxhash.xxh3_128_hexdigest(route.name.encode() + b"\0" + body),
+        body_digest=_body_digest(route, path, body),
         prompt_tokens=1 + len(text) // CHARACTERS_PER_TOKEN,
         expected_output_tokens=wanted,
         prefix_digests=prefix_digests(text),
         upstream_deduplicates=route.upstream_deduplicates,
+        arrived_unix_ms=arrived_unix_ms,
+        key_issued_at_ms=_key_issued_at_ms(headers, arrived_unix_ms),
     )
 
 
+def _body_digest(route: RouteSettings, path: str, body: bytes) -> str:
+    return xxhash.xxh3_128_hexdigest(b"\0".join((route.name.encode(), path.encode(), body)))
+
+
 def prefix_digests(text: str) -> tuple[str, ...]:
     """Return a digest for each leading full block of a prompt, each covering all before it."""
     running = xxhash.xxh3_64()
@@ -167,6 +180,18 @@
     return key
 
 
+def _key_issued_at_ms(headers: Mapping[str, str], arrived_unix_ms: int) -> int:
+    value = headers.get(KEY_ISSUED_HEADER)
+    if value is None:
+        return 0
+    if not value.isascii() or not value.isdecimal() or not 1 <= len(value) <= 15:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{KEY_ISSUED_HEADER} must be ms since 1970")
+    issued_at_ms = int(value)
+    if not 1 <= issued_at_ms <= arrived_unix_ms + CLOCK_SKEW_LIMIT_MS:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{KEY_ISSUED_HEADER} lies in the future")
+    return issued_at_ms
+
+
 def _timeout_ms(headers: Mapping[str, str], route: RouteSettings) -> int:
     value = headers.get(TIMEOUT_HEADER)
     if value is None:
--- a/azureturn/daemon/_claims.py
+++ b/azureturn/daemon/_claims.py
@@ -1,61 +1,35 @@
-"""Carries out claims: compare-and-swap at the key-value service, lost answers read back."""
+"""Carries out what the core asks of the key-value service for claims."""
 
-import json
 import queue
-import secrets
 import threading
-from dataclasses import asdict, dataclass
-
-import xxhash
-
-from azureturn.core import ClaimDecided, ClaimHolder, ClaimResult, WriteClaim
-from azureturn.daemon._runtime import CoreRuntime
-from azureturn.errors import CompareFailedError, KeyValueUnavailableError
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from azureturn.core import (
+    Action,
+    ClaimSegment,
+    Event,
+    ReadSegment,
+    SegmentCallLost,
+    SegmentChanged,
+    SegmentRead,
+    SegmentSwapped,
+    SwapSegment,
+    segment_key,
+)
+from azureturn.errors import AzureturnError, CompareFailedError
 from azureturn.platform import KeyValueClient
-from azureturn.settings import VmSettings
 
 CLAIM_THREADS = 8
-_NONCE_BYTES = 12
-
-
-@dataclass(frozen=True)
-class Claim:
-    """Who has the right to run a call; compare-and-swap makes it one VM's alone."""
-
-    vm: str
-    boot_id: str
-    host: str
-    peer_port: int
-    nonce: str
-    body_digest: str
-
-    @classmethod
-    def from_bytes(cls, value: bytes) -> "Claim":
-        """Return the claim that a value holds."""
-        return cls(**json.loads(value))
 
-    def to_bytes(self) -> bytes:
-        """Return the value that holds this claim."""
-        return json.dumps(asdict(self)).encode()
 
+class ClaimCaller:
+    """Reads and writes segments on threads of its own, each call once and each with one event."""
 
-def claim_key(organisation: str, idempotency_key: str) -> str:
-    """Return the key under which a call is claimed."""
-    digest = xxhash.xxh3_128_hexdigest(f"{organisation}\0{idempotency_key}".encode())
-    return f"claims/{digest}"
-
-
-class ClaimWriter:
-    """Decides claims on threads of its own, so that the core never waits."""
-
-    def __init__(
-        self, key_value: KeyValueClient, runtime: CoreRuntime, *, vm: VmSettings, boot_id: str
-    ) -> None:
+    def __init__(self, key_value: KeyValueClient, submit: Callable[[Event], None]) -> None:
         self._key_value = key_value
-        self._runtime = runtime
-        self._vm = vm
-        self._boot_id = boot_id
-        self._waiting: queue.SimpleQueue[WriteClaim] = queue.SimpleQueue()
+        self._submit = submit
+        self._waiting: queue.SimpleQueue[ReadSegment | SwapSegment] = queue.SimpleQueue()
 
     def start(self) -> None:
         """Start the threads."""
@@ -63,46 +37,40 @@
             name = f"claims-{number}"
             threading.Thread(target=self._serve, name=name, daemon=True).start()
 
-    def write(self, action: WriteClaim) -> None:
-        """Take an action in; the decision comes to the core as an event."""
+    def take(self, action: ReadSegment | SwapSegment) -> None:
+        """Take an action in; its result comes to the core as an event."""
         self._waiting.put(action)
 
     def _serve(self) -> None:
         while True:
             action = self._waiting.get()
-            self._runtime.submit(self._decide(action))
+            self._submit(self._result_of(action))
 
-    def _decide(self, action: WriteClaim) -> ClaimDecided:
-        key = claim_key(action.organisation, action.idempotency_key)
-        nonce = secrets.token_hex(_NONCE_BYTES)
-        ours = Claim(
-            vm=self._vm.name,
-            boot_id=self._boot_id,
-            host=self._vm.host,
-            peer_port=self._vm.peer_port,
-            nonce=nonce,
-            body_digest=action.body_digest,
-        )
+    def _result_of(self, action: ReadSegment | SwapSegment) -> Event:
         try:
-            self._key_value.compare_and_swap(key, ours.to_bytes(), expected_revision=0)
+            return self._call(action)
         except CompareFailedError:
-            return self._read_holder(action, key, ours)
-        except KeyValueUnavailableError:
-            return self._read_holder(action, key, ours)
-        return ClaimDecided(action.request_id, ClaimResult.OURS)
+            return SegmentChanged(action.segment, action.operation_id)
+        except AzureturnError:
+            return SegmentCallLost(action.segment, action.operation_id)
 
-    def _read_holder(self, action: WriteClaim, key: str, ours: Claim) -> ClaimDecided:
-        try:
-            entry = self._key_value.read(key)
-        except KeyValueUnavailableError:
-            return ClaimDecided(action.request_id, ClaimResult.UNAVAILABLE)
+    @singledispatchmethod
+    def _call(self, action: Action) -> Event:
+        raise TypeError(f"{action} is not for the key-value service")
+
+    @_call.register
+    def _read(self, action: ReadSegment) -> Event:
+        entry = self._key_value.read(segment_key(action.segment))
         if entry is None:
-            return ClaimDecided(action.request_id, ClaimResult.UNAVAILABLE)
-        holder = Claim.from_bytes(entry.value)
-        if holder.nonce == ours.nonce:
-            return ClaimDecided(action.request_id, ClaimResult.OURS)
-        return ClaimDecided(
-            action.request_id,
-            ClaimResult.FOREIGN,
-            holder=ClaimHolder(holder.vm, holder.boot_id, holder.host, holder.peer_port),
+            return SegmentRead(action.segment, action.operation_id, 0, ClaimSegment())
+        content = ClaimSegment.from_bytes(entry.value)
+        return SegmentRead(action.segment, action.operation_id, entry.revision, content)
+
+    @_call.register
+    def _swap(self, action: SwapSegment) -> Event:
+        revision = self._key_value.compare_and_swap(
+            segment_key(action.segment),
+            action.content.to_bytes(),
+            expected_revision=action.expected_revision,
         )
+        return SegmentSwapped(action.segment, action.operation_id, revision)
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -4,15 +4,23 @@
 import threading
 import time
 
-from azureturn.core import CancelAtUpstream, Configuration, Core, Started, WriteClaim
+from azureturn.core import (
+    CancelAtUpstream,
+    ClaimAbandoned,
+    Configuration,
+    Core,
+    ReadSegment,
+    Started,
+    SwapSegment,
+)
 from azureturn.daemon._background import BackgroundTasks
 from azureturn.daemon._caller_server import CallerServer
-from azureturn.daemon._claims import ClaimWriter
+from azureturn.daemon._claimants import answer_query, release_waiting
+from azureturn.daemon._claims import ClaimCaller
 from azureturn.daemon._face import CallerFace
-from azureturn.daemon._outcomes import OutcomeStore, unknown_outcome
+from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.daemon._services import Services
-from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.observability import EventLog, LogEvent, metrics_from_settings
 from azureturn.peers import (
     EnvelopeSigner,
@@ -38,13 +46,7 @@
 
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Return what this process knows of a call that it holds the claim of."""
-        key = (query.organisation, query.idempotency_key)
-        known_digest = self._services.outcomes.body_digest(key)
-        if query.boot_id != self._services.boot_id or known_digest is None:
-            return unknown_outcome()
-        if known_digest != query.body_digest:
-            raise AzureturnError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
-        return self._services.outcomes.find(key, wait_ms=query.wait_ms)
+        return answer_query(self._services, query)
 
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Return this VM's own heartbeat."""
@@ -85,11 +87,11 @@
         )
         peer_face = _PeerFace(services)
         self._peer_server = PeerServer(settings.vm.host, settings.vm.peer_port, peer_face, signer)
-        self._claims = ClaimWriter(
-            services.key_value, services.runtime, vm=settings.vm, boot_id=services.boot_id
-        )
+        self._claims = ClaimCaller(services.key_value, services.runtime.submit)
         self._background = BackgroundTasks(services)
-        services.runtime.perform(WriteClaim, self._claims.write)
+        services.runtime.perform(ReadSegment, self._claims.take)
+        services.runtime.perform(SwapSegment, self._claims.take)
+        services.runtime.perform(ClaimAbandoned, lambda action: release_waiting(services, action))
         services.runtime.perform(CancelAtUpstream, self._cancel)
 
     @classmethod
@@ -98,18 +100,19 @@
         seed = settings.daemon.random_seed
         core = Core.from_settings(settings, seed=secrets.randbits(64) if seed is None else seed)
         runtime = CoreRuntime(core, tick_interval_ms=settings.daemon.tick_interval_ms)
-        runtime.submit(Started(Configuration(0, settings.shared)))
+        boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        runtime.submit(Started(Configuration(0, settings.shared), boot_id))
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
         services = Services(
             settings=settings,
-            boot_id=secrets.token_hex(_BOOT_ID_BYTES),
+            boot_id=boot_id,
             runtime=runtime,
             key_value=KeyValueClient.from_settings(settings.platform),
             vm_list=VmListClient(settings.platform.vm_list_url),
             peers=PeerClient(signer),
-            outcomes=OutcomeStore(),
+            outcomes=CallOutcomes(),
             log=EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name),
             metrics=metrics_from_settings(settings.daemon),
         )
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -131,6 +131,7 @@
             kind=UpstreamKind.PLAIN_SERVICE,
             body=body,
             arrived_at_ms=arrived_at_ms,
+            path=path,
         )
         sent_headers = {"Content-Type": headers.get("Content-Type", "application/octet-stream")}
         if request.idempotency_key:
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -17,7 +17,7 @@
     RequestFailed,
 )
 from azureturn.daemon._answers import CallerAnswer, identity_headers
-from azureturn.daemon._claimants import ask_claimant
+from azureturn.daemon._claimants import ask_claimant, settle_call
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
 from azureturn.daemon._runtime import next_action, now_ms
 from azureturn.daemon._services import Services
@@ -27,7 +27,6 @@
     RefusedError,
     RunState,
     UpstreamError,
-    UpstreamUnreachableError,
 )
 from azureturn.observability import LogEvent
 from azureturn.settings import UpstreamKind
@@ -66,6 +65,7 @@
         self._outgoing = outgoing
         self._request = outgoing.request
         self._upstream = ""
+        self._claim_nonce = ""
 
     @property
     def upstream(self) -> str:
@@ -91,10 +91,16 @@
     def _follow(self, mailbox: "queue.SimpleQueue[RequestAction]") -> CallerAnswer:
         wait_ms = self._request.deadline_ms - now_ms() + DEADLINE_GRACE_MS
         action = next_action(mailbox, self._request.request_id, wait_ms=wait_ms)
+        while isinstance(action, AskClaimant):
+            answer = ask_claimant(self._services, self._request, action)
+            if answer is not None:
+                return answer
+            # The holder gave its word never to run the call: the claim may be replaced.
+            self._request = self._request.with_released_nonce(action.claim.nonce)
+            self._services.runtime.submit(RequestArrived(self._request))
+            action = next_action(mailbox, self._request.request_id, wait_ms=wait_ms)
         if isinstance(action, Dispatch):
             return self._dispatch(action)
-        if isinstance(action, AskClaimant):
-            return ask_claimant(self._services, self._request, action)
         assert isinstance(action, Refuse)
         raise RefusedError(
             action.kind, run_state=action.run_state, retry_after_ms=action.retry_after_ms
@@ -102,9 +108,7 @@
 
     def _dispatch(self, action: Dispatch) -> CallerAnswer:
         self._upstream = action.upstream
-        key = (self._request.organisation, self._request.idempotency_key)
-        if not self._request.idempotent:
-            self._services.outcomes.begin(key, self._request.body_digest)
+        self._claim_nonce = action.claim_nonce
         try:
             answer = self._send(action.upstream)
             if self._outgoing.streamed and answer.status == 200:
@@ -113,7 +117,7 @@
         except UpstreamError as error:
             self._failed(error)
             if not self._request.idempotent:
-                self._settle_failed(key, error)
+                self._settle_failed(error)
             raise
         return self._whole_answer(whole)
 
@@ -153,8 +157,7 @@
         headers = self._passed_headers(whole.headers)
         if not request.idempotent:
             outcome = answered_outcome(whole.status, headers, whole.body, upstream=self._upstream)
-            key = (request.organisation, request.idempotency_key)
-            self._services.outcomes.settle(key, outcome)
+            settle_call(self._services, self._claim_nonce, outcome)
         return CallerAnswer(whole.status, self._with_identity(headers), whole.body)
 
     def _streamed_answer(self, answer: StreamedAnswer) -> CallerAnswer:
@@ -191,12 +194,10 @@
         failed = RequestFailed(self._request.request_id, error.kind, error.run_state)
         self._services.runtime.submit(failed)
 
-    def _settle_failed(self, key: tuple[str, str], error: UpstreamError) -> None:
-        outcome = unknown_outcome()
-        outcome.error_kind = error.kind.value
-        outcome.run_state = error.run_state.value
-        self._services.outcomes.settle(key, outcome)
-        if not isinstance(error, UpstreamUnreachableError):
+    def _settle_failed(self, error: UpstreamError) -> None:
+        # Where nothing was sent, the core has given the claim up already.
+        if error.run_state is not RunState.NOT_RUN:
+            settle_call(self._services, self._claim_nonce, unknown_outcome())
             error.kind = ErrorKind.OUTCOME_UNKNOWN
             error.run_state = RunState.UNKNOWN
 
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from azureturn.core import ConfigurationTable
-from azureturn.daemon._outcomes import OutcomeStore
+from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
@@ -40,7 +40,7 @@
     key_value: KeyValueClient
     vm_list: VmListClient
     peers: PeerClient
-    outcomes: OutcomeStore
+    outcomes: CallOutcomes
     log: EventLog
     metrics: Metrics
     upstreams: UpstreamClients = field(default_factory=UpstreamClients)
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -20,12 +20,12 @@
   NEVER_RAN = 4,
 }
 
+// Asks the holder of a claim or a ticket what became of the call.
 struct OutcomeQuery {
-  1: string organisation,
-  2: string idempotency_key,
+  1: string call_digest,
+  2: string claim_nonce,
   3: string boot_id,
   4: i32 wait_ms,
-  5: string body_digest,
 }
 
 struct Header {
@@ -43,6 +43,18 @@
   7: string run_state,
 }
 
+// A call under a ticket, passed on to the process that minted the ticket.
+struct TicketedCall {
+  1: string ticket,
+  2: string organisation,
+  3: string route,
+  4: string path,
+  5: string content_type,
+  6: binary body,
+  7: i32 timeout_ms,
+  8: string request_id,
+}
+
 struct Heartbeat {
   1: string vm,
   2: string availability_zone,
@@ -63,5 +75,6 @@
 service Peer {
   // Bodies are the structs above in thrift's compact form.
   Envelope find_outcome(1: Envelope query) throws (1: PeerRefused refused),
+  Envelope run_ticketed_call(1: Envelope call) throws (1: PeerRefused refused),
   Envelope exchange_heartbeat(1: Envelope heartbeat) throws (1: PeerRefused refused),
 }
--- a/azureturn/peers/gen/Peer.py
+++ b/azureturn/peers/gen/Peer.py
@@ -27,6 +27,14 @@
         """
         pass
 
+    def run_ticketed_call(self, call):
+        """
+        Parameters:
+         - call
+
+        """
+        pass
+
     def exchange_heartbeat(self, heartbeat):
         """
         Parameters:
@@ -77,6 +85,40 @@
             raise result.refused
         raise TApplicationException(TApplicationException.MISSING_RESULT, "find_outcome failed: unknown result")
 
+    def run_ticketed_call(self, call):
+        """
+        Parameters:
+         - call
+
+        """
+        self.send_run_ticketed_call(call)
+        return self.recv_run_ticketed_call()
+
+    def send_run_ticketed_call(self, call):
+        self._oprot.writeMessageBegin('run_ticketed_call', TMessageType.CALL, self._seqid)
+        args = run_ticketed_call_args()
+        args.call = call
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_run_ticketed_call(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = run_ticketed_call_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refused is not None:
+            raise result.refused
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "run_ticketed_call failed: unknown result")
+
     def exchange_heartbeat(self, heartbeat):
         """
         Parameters:
@@ -117,6 +159,7 @@
         self._handler = handler
         self._processMap = {}
         self._processMap["find_outcome"] = Processor.process_find_outcome
+        self._processMap["run_ticketed_call"] = Processor.process_run_ticketed_call
         self._processMap["exchange_heartbeat"] = Processor.process_exchange_heartbeat
         self._on_message_begin = None
 
@@ -166,6 +209,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_run_ticketed_call(self, seqid, iprot, oprot):
+        args = run_ticketed_call_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = run_ticketed_call_result()
+        try:
+            result.success = self._handler.run_ticketed_call(args.call)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefused as refused:
+            msg_type = TMessageType.REPLY
+            result.refused = refused
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("run_ticketed_call", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_exchange_heartbeat(self, seqid, iprot, oprot):
         args = exchange_heartbeat_args()
         args.read(iprot)
@@ -355,6 +424,166 @@
 )
 
 
+class run_ticketed_call_args(object):
+    """
+    Attributes:
+     - call
+
+    """
+
+    __slots__ = (
+        'call',
+    )
+
+
+    def __init__(self, call=None,):
+        self.call = call
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.call = Envelope()
+                    self.call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('run_ticketed_call_args')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.STRUCT, 1)
+            self.call.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(run_ticketed_call_args)
+run_ticketed_call_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'call', [Envelope, None], None, ),  # 1
+)
+
+
+class run_ticketed_call_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+
+    """
+
+    __slots__ = (
+        'success',
+        'refused',
+    )
+
+
+    def __init__(self, success=None, refused=None,):
+        self.success = success
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Envelope()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = PeerRefused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('run_ticketed_call_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(run_ticketed_call_result)
+run_ticketed_call_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Envelope, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [PeerRefused, None], None, ),  # 1
+)
+
+
 class exchange_heartbeat_args(object):
     """
     Attributes:
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -200,29 +200,26 @@
 class OutcomeQuery(object):
     """
     Attributes:
-     - organisation
-     - idempotency_key
+     - call_digest
+     - claim_nonce
      - boot_id
      - wait_ms
-     - body_digest
 
     """
 
     __slots__ = (
-        'organisation',
-        'idempotency_key',
+        'call_digest',
+        'claim_nonce',
         'boot_id',
         'wait_ms',
-        'body_digest',
     )
 
 
-    def __init__(self, organisation=None, idempotency_key=None, boot_id=None, wait_ms=None, body_digest=None,):
-        self.organisation = organisation
-        self.idempotency_key = idempotency_key
+    def __init__(self, call_digest=None, claim_nonce=None, boot_id=None, wait_ms=None,):
+        self.call_digest = call_digest
+        self.claim_nonce = claim_nonce
         self.boot_id = boot_id
         self.wait_ms = wait_ms
-        self.body_digest = body_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -235,12 +232,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.call_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.idempotency_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.claim_nonce = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -253,11 +250,6 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.body_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -268,13 +260,13 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('OutcomeQuery')
-        if self.organisation is not None:
-            oprot.writeFieldBegin('organisation', TType.STRING, 1)
-            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+        if self.call_digest is not None:
+            oprot.writeFieldBegin('call_digest', TType.STRING, 1)
+            oprot.writeString(self.call_digest.encode('utf-8') if sys.version_info[0] == 2 else self.call_digest)
             oprot.writeFieldEnd()
-        if self.idempotency_key is not None:
-            oprot.writeFieldBegin('idempotency_key', TType.STRING, 2)
-            oprot.writeString(self.idempotency_key.encode('utf-8') if sys.version_info[0] == 2 else self.idempotency_key)
+        if self.claim_nonce is not None:
+            oprot.writeFieldBegin('claim_nonce', TType.STRING, 2)
+            oprot.writeString(self.claim_nonce.encode('utf-8') if sys.version_info[0] == 2 else self.claim_nonce)
             oprot.writeFieldEnd()
         if self.boot_id is not None:
             oprot.writeFieldBegin('boot_id', TType.STRING, 3)
@@ -284,10 +276,6 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 4)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
-        if self.body_digest is not None:
-            oprot.writeFieldBegin('body_digest', TType.STRING, 5)
-            oprot.writeString(self.body_digest.encode('utf-8') if sys.version_info[0] == 2 else self.body_digest)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -542,6 +530,158 @@
         return not (self == other)
 
 
+class TicketedCall(object):
+    """
+    Attributes:
+     - ticket
+     - organisation
+     - route
+     - path
+     - content_type
+     - body
+     - timeout_ms
+     - request_id
+
+    """
+
+    __slots__ = (
+        'ticket',
+        'organisation',
+        'route',
+        'path',
+        'content_type',
+        'body',
+        'timeout_ms',
+        'request_id',
+    )
+
+
+    def __init__(self, ticket=None, organisation=None, route=None, path=None, content_type=None, body=None, timeout_ms=None, request_id=None,):
+        self.ticket = ticket
+        self.organisation = organisation
+        self.route = route
+        self.path = path
+        self.content_type = content_type
+        self.body = body
+        self.timeout_ms = timeout_ms
+        self.request_id = request_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.ticket = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.content_type = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TicketedCall')
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.STRING, 1)
+            oprot.writeString(self.ticket.encode('utf-8') if sys.version_info[0] == 2 else self.ticket)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 3)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.path is not None:
+            oprot.writeFieldBegin('path', TType.STRING, 4)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
+            oprot.writeFieldEnd()
+        if self.content_type is not None:
+            oprot.writeFieldBegin('content_type', TType.STRING, 5)
+            oprot.writeString(self.content_type.encode('utf-8') if sys.version_info[0] == 2 else self.content_type)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I32, 7)
+            oprot.writeI32(self.timeout_ms)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 8)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -813,11 +953,10 @@
 all_structs.append(OutcomeQuery)
 OutcomeQuery.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 2
+    (1, TType.STRING, 'call_digest', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'claim_nonce', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
-    (5, TType.STRING, 'body_digest', 'UTF8', None, ),  # 5
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -836,6 +975,18 @@
     (6, TType.STRING, 'error_kind', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'run_state', 'UTF8', None, ),  # 7
 )
+all_structs.append(TicketedCall)
+TicketedCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'ticket', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'route', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'path', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'content_type', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.I32, 'timeout_ms', None, None, ),  # 7
+    (8, TType.STRING, 'request_id', 'UTF8', None, ),  # 8
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
