--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -4,6 +4,8 @@
 
 from azureturn.core._claim_segments import ClaimSegment
 from azureturn.core._claims import Claim
+from azureturn.core._requests import Request
+from azureturn.core.membership import PeerHeartbeat, PeerIdentity
 from azureturn.errors import ErrorKind, RunState
 
 
@@ -23,6 +25,8 @@
     """Send the request to this upstream, once."""
 
     upstream: str
+    #: Version of the model that is to answer; empty where the upstream chooses.
+    version: str = ""
     #: Nonce of the claim or ticket that it is sent under; empty for idempotent requests.
     claim_nonce: str = ""
 
@@ -73,3 +77,55 @@
     """This process will never send the call under this nonce: tell those who wait for it."""
 
     claim_nonce: str
+
+
+@dataclass(frozen=True)
+class SendHeartbeat(Action):
+    """Exchange heartbeats with a peer."""
+
+    peer: PeerIdentity
+    heartbeat: PeerHeartbeat
+
+
+@dataclass(frozen=True)
+class AnswerHeartbeat(Action):
+    """Answer the heartbeat that was just received."""
+
+    heartbeat: PeerHeartbeat
+
+
+@dataclass(frozen=True)
+class FetchConfiguration(Action):
+    """A peer has a higher revision of the configuration: get it there."""
+
+    peer: PeerIdentity
+    revision: int
+
+
+@dataclass(frozen=True)
+class AskPeersToTake(Action):
+    """Ask these VMs, in turn, to take a request before it is shed here.
+
+    The answer comes back as a ``PeersDecided`` event; without one in time the request is
+    refused.
+    """
+
+    request_id: str
+    request: Request
+    vms: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ForwardToPeer(RequestAction):
+    """A peer takes the request, which has left every queue here: relay its answer."""
+
+    vm: str
+
+
+@dataclass(frozen=True)
+class AnswerOffer(Action):
+    """Tell the peer that offered a request whether this VM takes it."""
+
+    request_id: str
+    to_vm: str
+    accepted: bool
--- a/azureturn/core/controllers/_dispatch.py
+++ b/azureturn/core/controllers/_dispatch.py
@@ -36,7 +36,7 @@
     """Sends each request at most once, and a call that is not idempotent only under a claim."""
 
     writes = (RequestTable,)
-    after = ("placement", "claims", "claim_segments")
+    after = ("placement", "moves", "claims", "claim_segments")
 
     @on(Placed)
     def _on_placed(self, event: Placed, context: Context) -> None:
@@ -90,7 +90,9 @@
 
     def _dispatch(self, request: Request, context: Context, *, claim_nonce: str = "") -> None:
         self._set_stage(request, RequestStage.DISPATCHED)
-        context.act(Dispatch(request.request_id, request.upstream, claim_nonce))
+        context.act(
+            Dispatch(request.request_id, request.upstream, request.version, claim_nonce=claim_nonce)
+        )
 
     def _request(self, request_id: str) -> Request:
         request = self.board.read(RequestTable).get(request_id)
--- a/azureturn/daemon/_claims.py
+++ b/azureturn/daemon/_claims.py
@@ -26,7 +26,7 @@
 class ClaimCaller:
     """Reads and writes segments on threads of its own, each call once and each with one event."""
 
-    def __init__(self, key_value: KeyValueClient, submit: Callable[[Event], None]) -> None:
+    def __init__(self, key_value: KeyValueClient, submit: Callable[[Event], object]) -> None:
         self._key_value = key_value
         self._submit = submit
         self._waiting: queue.SimpleQueue[ReadSegment | SwapSegment] = queue.SimpleQueue()
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -1,65 +1,45 @@
 """One daemon, put together from its settings."""
 
 import secrets
+import sys
 import threading
 import time
 
+from azureturn._time_of_day import unix_now_ms
 from azureturn.core import (
     CancelAtUpstream,
     ClaimAbandoned,
     Configuration,
     Core,
+    FetchConfiguration,
+    LeavingAnnounced,
     ReadSegment,
+    SendHeartbeat,
     Started,
     SwapSegment,
 )
+from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._background import BackgroundTasks
 from azureturn.daemon._caller_server import CallerServer
-from azureturn.daemon._claimants import answer_query, release_waiting
+from azureturn.daemon._claimants import release_waiting
 from azureturn.daemon._claims import ClaimCaller
 from azureturn.daemon._face import CallerFace
+from azureturn.daemon._gossip import GossipAdapter
 from azureturn.daemon._outcomes import CallOutcomes
-from azureturn.daemon._runtime import CoreRuntime, now_ms
+from azureturn.daemon._peer_face import PeerFace
+from azureturn.daemon._runtime import CoreRuntime
 from azureturn.daemon._services import Services
-from azureturn.observability import EventLog, LogEvent, metrics_from_settings
+from azureturn.daemon._stop import PlannedStop, StopLimits, StopStage
+from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
 from azureturn.peers import (
     EnvelopeSigner,
-    Heartbeat,
-    Outcome,
-    OutcomeQuery,
     PeerClient,
     PeerServer,
 )
 from azureturn.platform import KeyValueClient, VmListClient
 from azureturn.settings import Settings
 
-_MS_PER_S = 1_000
 _BOOT_ID_BYTES = 8
-_STOP_POLL_S = 0.02
-
-
-class _PeerFace:
-    """What this VM does for other VMs."""
-
-    def __init__(self, services: Services) -> None:
-        self._services = services
-
-    def find_outcome(self, query: OutcomeQuery) -> Outcome:
-        """Return what this process knows of a call that it holds the claim of."""
-        return answer_query(self._services, query)
-
-    def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Return this VM's own heartbeat."""
-        vm = self._services.settings.vm
-        return Heartbeat(
-            vm=vm.name,
-            availability_zone=vm.availability_zone,
-            boot_id=self._services.boot_id,
-            sequence=now_ms(),
-            configuration_revision=0,
-            leaving=False,
-            leaving_upstreams=[],
-        )
 
 
 class Daemon:
@@ -73,22 +53,31 @@
 
     def __init__(self, services: Services) -> None:
         self._services = services
-        self._ready = False
+        self._started = False
         settings = services.settings
-        face = CallerFace(services, is_ready=lambda: self._ready)
+        limits = settings.daemon
+        self._stop = PlannedStop(
+            StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms), unfinished=self._unfinished
+        )
+        face = CallerFace(services, is_ready=self._is_ready, is_finishing=self._is_finishing)
         self._caller_server = CallerServer(
             settings,
             face.application(),
             new_request_id=services.new_request_id,
-            report_error=lambda text: services.log.error(LogEvent.INTERNAL_ERROR, error=text),
+            report_error=lambda _text: services.log.error(
+                LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
+            ),
         )
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
-        peer_face = _PeerFace(services)
+        peer_face = PeerFace(services)
         self._peer_server = PeerServer(settings.vm.host, settings.vm.peer_port, peer_face, signer)
         self._claims = ClaimCaller(services.key_value, services.runtime.submit)
-        self._background = BackgroundTasks(services)
+        self._gossip = GossipAdapter(services)
+        self._background = BackgroundTasks(services, self._gossip)
+        services.runtime.perform(SendHeartbeat, self._gossip.send)
+        services.runtime.perform(FetchConfiguration, self._gossip.fetch)
         services.runtime.perform(ReadSegment, self._claims.take)
         services.runtime.perform(SwapSegment, self._claims.take)
         services.runtime.perform(ClaimAbandoned, lambda action: release_waiting(services, action))
@@ -105,6 +94,8 @@
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
+        log = EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name)
+        metrics = Metrics.from_settings(settings.daemon)
         services = Services(
             settings=settings,
             boot_id=boot_id,
@@ -113,45 +104,63 @@
             vm_list=VmListClient(settings.platform.vm_list_url),
             peers=PeerClient(signer),
             outcomes=CallOutcomes(),
-            log=EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name),
-            metrics=metrics_from_settings(settings.daemon),
+            log=log,
+            metrics=metrics,
+            accounting=Accounting(
+                runtime=runtime,
+                log=log,
+                metrics=metrics,
+                started_at_unix_ms=unix_now_ms(),
+            ),
         )
         return cls(services)
 
     def start(self) -> None:
         """Begin to serve; return once the ports are open."""
+        self._gossip.start()
+        self._gossip.learn_configuration()
         self._services.runtime.start()
         self._claims.start()
         self._peer_server.start()
         self._caller_server.prepare()
         threading.Thread(target=self._caller_server.serve, name="caller-server").start()
         self._background.start()
-        self._ready = True
+        self._started = True
         vm = self._services.settings.vm
         self._services.log.info(
             LogEvent.DAEMON_STARTED, host=vm.host, port=vm.port, peer_port=vm.peer_port
         )
 
     def stop(self) -> bool:
-        """Stop in an orderly way and return whether no request in flight was cut."""
-        limits = self._services.settings.daemon
-        self._ready = False
-        self._background.announce_leaving()
+        """Stop in an orderly way and return whether nothing in flight was cut."""
         self._services.log.info(LogEvent.DAEMON_STOPPING)
-        time.sleep(limits.balancer_lag_ms / _MS_PER_S)
-        ends_at_ms = now_ms() + limits.stop_limit_ms
-        while self._services.runtime.requests_in_progress and now_ms() < ends_at_ms:
-            time.sleep(_STOP_POLL_S)
-        cut = self._services.runtime.requests_in_progress
+        cut = self._stop.run(announce=self._announce_leaving)
         self._background.stop()
-        self._caller_server.stop()
-        self._peer_server.stop()
+        if not cut:
+            self._caller_server.stop()
+            self._peer_server.stop()
         self._services.runtime.stop()
         self._services.log.info(LogEvent.DAEMON_STOPPED, requests_cut=cut)
+        self._services.log.close()
         return cut == 0
 
+    def cut(self) -> None:
+        """Let a planned stop wait no longer."""
+        self._stop.cut()
+
+    def _announce_leaving(self) -> None:
+        self._services.runtime.submit(LeavingAnnounced())
+        self._background.announce_leaving()
+
+    def _unfinished(self) -> int:
+        in_flight = self._caller_server.requests_in_flight
+        return max(in_flight, self._services.runtime.requests_in_progress)
+
+    def _is_ready(self) -> bool:
+        return self._started and self._stop.stage is StopStage.SERVING
+
+    def _is_finishing(self) -> bool:
+        return self._stop.stage >= StopStage.FINISHING
+
     def _cancel(self, action: CancelAtUpstream) -> None:
-        client = self._services.upstream_client(action.upstream)
-        threading.Thread(
-            target=client.cancel, args=(action.request_id,), name="cancel", daemon=True
-        ).start()
+        self._services.cancel_at_engine(action.upstream, action.request_id)
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -682,41 +682,1815 @@
         return not (self == other)
 
 
+class GossipRow(object):
+    """
+    Attributes:
+     - owner
+     - incarnation
+     - topic
+     - key
+     - version
+     - numbers
+
+    """
+
+    __slots__ = (
+        'owner',
+        'incarnation',
+        'topic',
+        'key',
+        'version',
+        'numbers',
+    )
+
+
+    def __init__(self, owner=None, incarnation=None, topic=None, key=None, version=None, numbers=None,):
+        self.owner = owner
+        self.incarnation = incarnation
+        self.topic = topic
+        self.key = key
+        self.version = version
+        self.numbers = numbers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BYTE:
+                    self.topic = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.numbers = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readI64()
+                        self.numbers.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GossipRow')
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 1)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.BYTE, 3)
+            oprot.writeByte(self.topic)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 4)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.numbers is not None:
+            oprot.writeFieldBegin('numbers', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.numbers))
+            for iter13 in self.numbers:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
-     - vm
-     - availability_zone
-     - boot_id
-     - sequence
-     - configuration_revision
-     - leaving
-     - leaving_upstreams
-     - configuration
+     - vm
+     - availability_zone
+     - host
+     - peer_port
+     - boot_id
+     - incarnation
+     - configuration_revision
+     - leaving
+     - rows
+     - place
+     - taken
+     - taken_incarnation
+
+    """
+
+    __slots__ = (
+        'vm',
+        'availability_zone',
+        'host',
+        'peer_port',
+        'boot_id',
+        'incarnation',
+        'configuration_revision',
+        'leaving',
+        'rows',
+        'place',
+        'taken',
+        'taken_incarnation',
+    )
+
+
+    def __init__(self, vm=None, availability_zone=None, host=None, peer_port=None, boot_id=None, incarnation=None, configuration_revision=None, leaving=None, rows=None, place=None, taken=None, taken_incarnation=None,):
+        self.vm = vm
+        self.availability_zone = availability_zone
+        self.host = host
+        self.peer_port = peer_port
+        self.boot_id = boot_id
+        self.incarnation = incarnation
+        self.configuration_revision = configuration_revision
+        self.leaving = leaving
+        self.rows = rows
+        self.place = place
+        self.taken = taken
+        self.taken_incarnation = taken_incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.peer_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.configuration_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = GossipRow()
+                        _elem19.read(iprot)
+                        self.rows.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.place = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.taken = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.taken_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Heartbeat')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.peer_port is not None:
+            oprot.writeFieldBegin('peer_port', TType.I32, 4)
+            oprot.writeI32(self.peer_port)
+            oprot.writeFieldEnd()
+        if self.boot_id is not None:
+            oprot.writeFieldBegin('boot_id', TType.STRING, 5)
+            oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 6)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.configuration_revision is not None:
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 7)
+            oprot.writeI64(self.configuration_revision)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 8)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter20 in self.rows:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.I64, 10)
+            oprot.writeI64(self.place)
+            oprot.writeFieldEnd()
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.I64, 11)
+            oprot.writeI64(self.taken)
+            oprot.writeFieldEnd()
+        if self.taken_incarnation is not None:
+            oprot.writeFieldBegin('taken_incarnation', TType.I64, 12)
+            oprot.writeI64(self.taken_incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationQuery(object):
+    """
+    Attributes:
+     - newer_than_revision
+
+    """
+
+    __slots__ = (
+        'newer_than_revision',
+    )
+
+
+    def __init__(self, newer_than_revision=None,):
+        self.newer_than_revision = newer_than_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.newer_than_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationQuery')
+        if self.newer_than_revision is not None:
+            oprot.writeFieldBegin('newer_than_revision', TType.I64, 1)
+            oprot.writeI64(self.newer_than_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationAnswer(object):
+    """
+    Attributes:
+     - revision
+     - document
+
+    """
+
+    __slots__ = (
+        'revision',
+        'document',
+    )
+
+
+    def __init__(self, revision=None, document=None,):
+        self.revision = revision
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationAnswer')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 2)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OperatorQuery(object):
+    """
+    Attributes:
+     - name
+     - argument
+
+    """
+
+    __slots__ = (
+        'name',
+        'argument',
+    )
+
+
+    def __init__(self, name=None, argument=None,):
+        self.name = name
+        self.argument = argument
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.argument = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorQuery')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.argument is not None:
+            oprot.writeFieldBegin('argument', TType.STRING, 2)
+            oprot.writeBinary(self.argument)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OperatorAnswer(object):
+    """
+    Attributes:
+     - answer
+
+    """
+
+    __slots__ = (
+        'answer',
+    )
+
+
+    def __init__(self, answer=None,):
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.answer = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OperatorAnswer')
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRING, 1)
+            oprot.writeBinary(self.answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NoArgument(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NoArgument')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VmStatus(object):
+    """
+    Attributes:
+     - vm
+     - availability_zone
+     - boot_id
+     - version
+     - started_at_unix_ms
+     - configuration_revision
+     - configuration_source
+     - requests_in_progress
+     - leaving
+
+    """
+
+    __slots__ = (
+        'vm',
+        'availability_zone',
+        'boot_id',
+        'version',
+        'started_at_unix_ms',
+        'configuration_revision',
+        'configuration_source',
+        'requests_in_progress',
+        'leaving',
+    )
+
+
+    def __init__(self, vm=None, availability_zone=None, boot_id=None, version=None, started_at_unix_ms=None, configuration_revision=None, configuration_source=None, requests_in_progress=None, leaving=None,):
+        self.vm = vm
+        self.availability_zone = availability_zone
+        self.boot_id = boot_id
+        self.version = version
+        self.started_at_unix_ms = started_at_unix_ms
+        self.configuration_revision = configuration_revision
+        self.configuration_source = configuration_source
+        self.requests_in_progress = requests_in_progress
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.started_at_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.configuration_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.configuration_source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.requests_in_progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VmStatus')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.boot_id is not None:
+            oprot.writeFieldBegin('boot_id', TType.STRING, 3)
+            oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.started_at_unix_ms is not None:
+            oprot.writeFieldBegin('started_at_unix_ms', TType.I64, 5)
+            oprot.writeI64(self.started_at_unix_ms)
+            oprot.writeFieldEnd()
+        if self.configuration_revision is not None:
+            oprot.writeFieldBegin('configuration_revision', TType.I64, 6)
+            oprot.writeI64(self.configuration_revision)
+            oprot.writeFieldEnd()
+        if self.configuration_source is not None:
+            oprot.writeFieldBegin('configuration_source', TType.STRING, 7)
+            oprot.writeString(self.configuration_source.encode('utf-8') if sys.version_info[0] == 2 else self.configuration_source)
+            oprot.writeFieldEnd()
+        if self.requests_in_progress is not None:
+            oprot.writeFieldBegin('requests_in_progress', TType.I32, 8)
+            oprot.writeI32(self.requests_in_progress)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 9)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamStatus(object):
+    """
+    Attributes:
+     - upstream
+     - kind
+     - availability_zone
+     - version
+     - draining
+     - leaving
+     - closed
+     - outstanding_requests
+     - outstanding_tokens
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'kind',
+        'availability_zone',
+        'version',
+        'draining',
+        'leaving',
+        'closed',
+        'outstanding_requests',
+        'outstanding_tokens',
+    )
+
+
+    def __init__(self, upstream=None, kind=None, availability_zone=None, version=None, draining=None, leaving=None, closed=None, outstanding_requests=None, outstanding_tokens=None,):
+        self.upstream = upstream
+        self.kind = kind
+        self.availability_zone = availability_zone
+        self.version = version
+        self.draining = draining
+        self.leaving = leaving
+        self.closed = closed
+        self.outstanding_requests = outstanding_requests
+        self.outstanding_tokens = outstanding_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.closed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.outstanding_requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.outstanding_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamStatus')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 3)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 5)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.closed is not None:
+            oprot.writeFieldBegin('closed', TType.BOOL, 7)
+            oprot.writeBool(self.closed)
+            oprot.writeFieldEnd()
+        if self.outstanding_requests is not None:
+            oprot.writeFieldBegin('outstanding_requests', TType.I32, 8)
+            oprot.writeI32(self.outstanding_requests)
+            oprot.writeFieldEnd()
+        if self.outstanding_tokens is not None:
+            oprot.writeFieldBegin('outstanding_tokens', TType.I64, 9)
+            oprot.writeI64(self.outstanding_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamStatuses(object):
+    """
+    Attributes:
+     - upstreams
+
+    """
+
+    __slots__ = (
+        'upstreams',
+    )
+
+
+    def __init__(self, upstreams=None,):
+        self.upstreams = upstreams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = UpstreamStatus()
+                        _elem26.read(iprot)
+                        self.upstreams.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamStatuses')
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter27 in self.upstreams:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RefusalsArgument(object):
+    """
+    Attributes:
+     - limit
+
+    """
+
+    __slots__ = (
+        'limit',
+    )
+
+
+    def __init__(self, limit=None,):
+        self.limit = limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.limit = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RefusalsArgument')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I32, 1)
+            oprot.writeI32(self.limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Refusal(object):
+    """
+    Attributes:
+     - refused_at_unix_ms
+     - request_id
+     - organisation
+     - route
+     - tier
+     - upstream
+     - kind
+     - run_state
+     - cause
+     - retry_after_ms
+
+    """
+
+    __slots__ = (
+        'refused_at_unix_ms',
+        'request_id',
+        'organisation',
+        'route',
+        'tier',
+        'upstream',
+        'kind',
+        'run_state',
+        'cause',
+        'retry_after_ms',
+    )
+
+
+    def __init__(self, refused_at_unix_ms=None, request_id=None, organisation=None, route=None, tier=None, upstream=None, kind=None, run_state=None, cause=None, retry_after_ms=None,):
+        self.refused_at_unix_ms = refused_at_unix_ms
+        self.request_id = request_id
+        self.organisation = organisation
+        self.route = route
+        self.tier = tier
+        self.upstream = upstream
+        self.kind = kind
+        self.run_state = run_state
+        self.cause = cause
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.refused_at_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.run_state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.cause = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Refusal')
+        if self.refused_at_unix_ms is not None:
+            oprot.writeFieldBegin('refused_at_unix_ms', TType.I64, 1)
+            oprot.writeI64(self.refused_at_unix_ms)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 4)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 5)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 6)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 7)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.run_state is not None:
+            oprot.writeFieldBegin('run_state', TType.STRING, 8)
+            oprot.writeString(self.run_state.encode('utf-8') if sys.version_info[0] == 2 else self.run_state)
+            oprot.writeFieldEnd()
+        if self.cause is not None:
+            oprot.writeFieldBegin('cause', TType.STRING, 9)
+            oprot.writeString(self.cause.encode('utf-8') if sys.version_info[0] == 2 else self.cause)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 10)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Refusals(object):
+    """
+    Attributes:
+     - refusals
+     - forgotten_count
+
+    """
+
+    __slots__ = (
+        'refusals',
+        'forgotten_count',
+    )
+
+
+    def __init__(self, refusals=None, forgotten_count=None,):
+        self.refusals = refusals
+        self.forgotten_count = forgotten_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Refusal()
+                        _elem33.read(iprot)
+                        self.refusals.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.forgotten_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Refusals')
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter34 in self.refusals:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.forgotten_count is not None:
+            oprot.writeFieldBegin('forgotten_count', TType.I64, 2)
+            oprot.writeI64(self.forgotten_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelArgument(object):
+    """
+    Attributes:
+     - window_ms
+     - series_step_ms
+     - series_window_ms
+
+    """
+
+    __slots__ = (
+        'window_ms',
+        'series_step_ms',
+        'series_window_ms',
+    )
+
+
+    def __init__(self, window_ms=None, series_step_ms=None, series_window_ms=None,):
+        self.window_ms = window_ms
+        self.series_step_ms = series_step_ms
+        self.series_window_ms = series_window_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.window_ms = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI64()
+                        self.window_ms.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.series_step_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.series_window_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelArgument')
+        if self.window_ms is not None:
+            oprot.writeFieldBegin('window_ms', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.window_ms))
+            for iter41 in self.window_ms:
+                oprot.writeI64(iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.series_step_ms is not None:
+            oprot.writeFieldBegin('series_step_ms', TType.I64, 2)
+            oprot.writeI64(self.series_step_ms)
+            oprot.writeFieldEnd()
+        if self.series_window_ms is not None:
+            oprot.writeFieldBegin('series_window_ms', TType.I64, 3)
+            oprot.writeI64(self.series_window_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelCell(object):
+    """
+    Attributes:
+     - tier
+     - organisation
+     - route
+     - upstream
+     - version
+     - error_kind
+     - good_count
+     - bad_count
+
+    """
+
+    __slots__ = (
+        'tier',
+        'organisation',
+        'route',
+        'upstream',
+        'version',
+        'error_kind',
+        'good_count',
+        'bad_count',
+    )
+
+
+    def __init__(self, tier=None, organisation=None, route=None, upstream=None, version=None, error_kind=None, good_count=None, bad_count=None,):
+        self.tier = tier
+        self.organisation = organisation
+        self.route = route
+        self.upstream = upstream
+        self.version = version
+        self.error_kind = error_kind
+        self.good_count = good_count
+        self.bad_count = bad_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.error_kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.good_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.bad_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelCell')
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 1)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 3)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 4)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 5)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.error_kind is not None:
+            oprot.writeFieldBegin('error_kind', TType.STRING, 6)
+            oprot.writeString(self.error_kind.encode('utf-8') if sys.version_info[0] == 2 else self.error_kind)
+            oprot.writeFieldEnd()
+        if self.good_count is not None:
+            oprot.writeFieldBegin('good_count', TType.I64, 7)
+            oprot.writeI64(self.good_count)
+            oprot.writeFieldEnd()
+        if self.bad_count is not None:
+            oprot.writeFieldBegin('bad_count', TType.I64, 8)
+            oprot.writeI64(self.bad_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LatencyHistogram(object):
+    """
+    Attributes:
+     - tier
+     - bin_keys
+     - bin_counts
+
+    """
+
+    __slots__ = (
+        'tier',
+        'bin_keys',
+        'bin_counts',
+    )
+
+
+    def __init__(self, tier=None, bin_keys=None, bin_counts=None,):
+        self.tier = tier
+        self.bin_keys = bin_keys
+        self.bin_counts = bin_counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.bin_keys = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI32()
+                        self.bin_keys.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.bin_counts = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI64()
+                        self.bin_counts.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LatencyHistogram')
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 1)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.bin_keys is not None:
+            oprot.writeFieldBegin('bin_keys', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.bin_keys))
+            for iter54 in self.bin_keys:
+                oprot.writeI32(iter54)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bin_counts is not None:
+            oprot.writeFieldBegin('bin_counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.bin_counts))
+            for iter55 in self.bin_counts:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelWindow(object):
+    """
+    Attributes:
+     - window_ms
+     - cells
+     - latencies
 
     """
 
     __slots__ = (
-        'vm',
-        'availability_zone',
-        'boot_id',
-        'sequence',
-        'configuration_revision',
-        'leaving',
-        'leaving_upstreams',
-        'configuration',
+        'window_ms',
+        'cells',
+        'latencies',
     )
 
 
-    def __init__(self, vm=None, availability_zone=None, boot_id=None, sequence=None, configuration_revision=None, leaving=None, leaving_upstreams=None, configuration=None,):
-        self.vm = vm
-        self.availability_zone = availability_zone
-        self.boot_id = boot_id
-        self.sequence = sequence
-        self.configuration_revision = configuration_revision
-        self.leaving = leaving
-        self.leaving_upstreams = leaving_upstreams
-        self.configuration = configuration
+    def __init__(self, window_ms=None, cells=None, latencies=None,):
+        self.window_ms = window_ms
+        self.cells = cells
+        self.latencies = latencies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -728,48 +2502,244 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.window_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.cells = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = ServiceLevelCell()
+                        _elem61.read(iprot)
+                        self.cells.append(_elem61)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.LIST:
+                    self.latencies = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = LatencyHistogram()
+                        _elem67.read(iprot)
+                        self.latencies.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelWindow')
+        if self.window_ms is not None:
+            oprot.writeFieldBegin('window_ms', TType.I64, 1)
+            oprot.writeI64(self.window_ms)
+            oprot.writeFieldEnd()
+        if self.cells is not None:
+            oprot.writeFieldBegin('cells', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.cells))
+            for iter68 in self.cells:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.latencies is not None:
+            oprot.writeFieldBegin('latencies', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.latencies))
+            for iter69 in self.latencies:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevelPoint(object):
+    """
+    Attributes:
+     - began_at_unix_ms
+     - tier
+     - good_count
+     - bad_count
+
+    """
+
+    __slots__ = (
+        'began_at_unix_ms',
+        'tier',
+        'good_count',
+        'bad_count',
+    )
+
+
+    def __init__(self, began_at_unix_ms=None, tier=None, good_count=None, bad_count=None,):
+        self.began_at_unix_ms = began_at_unix_ms
+        self.tier = tier
+        self.good_count = good_count
+        self.bad_count = bad_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.began_at_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.STRING:
-                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.tier = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                    self.good_count = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 4:
                 if ftype == TType.I64:
-                    self.configuration_revision = iprot.readI64()
+                    self.bad_count = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLevelPoint')
+        if self.began_at_unix_ms is not None:
+            oprot.writeFieldBegin('began_at_unix_ms', TType.I64, 1)
+            oprot.writeI64(self.began_at_unix_ms)
+            oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.STRING, 2)
+            oprot.writeString(self.tier.encode('utf-8') if sys.version_info[0] == 2 else self.tier)
+            oprot.writeFieldEnd()
+        if self.good_count is not None:
+            oprot.writeFieldBegin('good_count', TType.I64, 3)
+            oprot.writeI64(self.good_count)
+            oprot.writeFieldEnd()
+        if self.bad_count is not None:
+            oprot.writeFieldBegin('bad_count', TType.I64, 4)
+            oprot.writeI64(self.bad_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLevels(object):
+    """
+    Attributes:
+     - observed_since_unix_ms
+     - windows
+     - series
+
+    """
+
+    __slots__ = (
+        'observed_since_unix_ms',
+        'windows',
+        'series',
+    )
+
+
+    def __init__(self, observed_since_unix_ms=None, windows=None, series=None,):
+        self.observed_since_unix_ms = observed_since_unix_ms
+        self.windows = windows
+        self.series = series
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.observed_since_unix_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 2:
                 if ftype == TType.LIST:
-                    self.leaving_upstreams = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving_upstreams.append(_elem12)
+                    self.windows = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = ServiceLevelWindow()
+                        _elem75.read(iprot)
+                        self.windows.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.STRING:
-                    self.configuration = iprot.readBinary()
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.series = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = ServiceLevelPoint()
+                        _elem81.read(iprot)
+                        self.series.append(_elem81)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -781,41 +2751,24 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Heartbeat')
-        if self.vm is not None:
-            oprot.writeFieldBegin('vm', TType.STRING, 1)
-            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
-            oprot.writeFieldEnd()
-        if self.availability_zone is not None:
-            oprot.writeFieldBegin('availability_zone', TType.STRING, 2)
-            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
-            oprot.writeFieldEnd()
-        if self.boot_id is not None:
-            oprot.writeFieldBegin('boot_id', TType.STRING, 3)
-            oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
-            oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 4)
-            oprot.writeI64(self.sequence)
-            oprot.writeFieldEnd()
-        if self.configuration_revision is not None:
-            oprot.writeFieldBegin('configuration_revision', TType.I64, 5)
-            oprot.writeI64(self.configuration_revision)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
-            oprot.writeBool(self.leaving)
+        oprot.writeStructBegin('ServiceLevels')
+        if self.observed_since_unix_ms is not None:
+            oprot.writeFieldBegin('observed_since_unix_ms', TType.I64, 1)
+            oprot.writeI64(self.observed_since_unix_ms)
             oprot.writeFieldEnd()
-        if self.leaving_upstreams is not None:
-            oprot.writeFieldBegin('leaving_upstreams', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRING, len(self.leaving_upstreams))
-            for iter13 in self.leaving_upstreams:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter82 in self.windows:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.configuration is not None:
-            oprot.writeFieldBegin('configuration', TType.STRING, 8)
-            oprot.writeBinary(self.configuration)
+        if self.series is not None:
+            oprot.writeFieldBegin('series', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.series))
+            for iter83 in self.series:
+                iter83.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -987,17 +2940,160 @@
     (7, TType.I32, 'timeout_ms', None, None, ),  # 7
     (8, TType.STRING, 'request_id', 'UTF8', None, ),  # 8
 )
+all_structs.append(GossipRow)
+GossipRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'owner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.BYTE, 'topic', None, None, ),  # 3
+    (4, TType.STRING, 'key', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.LIST, 'numbers', (TType.I64, None, False), None, ),  # 6
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'peer_port', None, None, ),  # 4
+    (5, TType.STRING, 'boot_id', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'incarnation', None, None, ),  # 6
+    (7, TType.I64, 'configuration_revision', None, None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.LIST, 'rows', (TType.STRUCT, [GossipRow, None], False), None, ),  # 9
+    (10, TType.I64, 'place', None, None, ),  # 10
+    (11, TType.I64, 'taken', None, None, ),  # 11
+    (12, TType.I64, 'taken_incarnation', None, None, ),  # 12
+)
+all_structs.append(ConfigurationQuery)
+ConfigurationQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'newer_than_revision', None, None, ),  # 1
+)
+all_structs.append(ConfigurationAnswer)
+ConfigurationAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
+)
+all_structs.append(OperatorQuery)
+OperatorQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'argument', 'BINARY', None, ),  # 2
+)
+all_structs.append(OperatorAnswer)
+OperatorAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'answer', 'BINARY', None, ),  # 1
+)
+all_structs.append(NoArgument)
+NoArgument.thrift_spec = (
+)
+all_structs.append(VmStatus)
+VmStatus.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'sequence', None, None, ),  # 4
-    (5, TType.I64, 'configuration_revision', None, None, ),  # 5
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'started_at_unix_ms', None, None, ),  # 5
+    (6, TType.I64, 'configuration_revision', None, None, ),  # 6
+    (7, TType.STRING, 'configuration_source', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'requests_in_progress', None, None, ),  # 8
+    (9, TType.BOOL, 'leaving', None, None, ),  # 9
+)
+all_structs.append(UpstreamStatus)
+UpstreamStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'draining', None, None, ),  # 5
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
-    (7, TType.LIST, 'leaving_upstreams', (TType.STRING, 'UTF8', False), None, ),  # 7
-    (8, TType.STRING, 'configuration', 'BINARY', None, ),  # 8
+    (7, TType.BOOL, 'closed', None, None, ),  # 7
+    (8, TType.I32, 'outstanding_requests', None, None, ),  # 8
+    (9, TType.I64, 'outstanding_tokens', None, None, ),  # 9
+)
+all_structs.append(UpstreamStatuses)
+UpstreamStatuses.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamStatus, None], False), None, ),  # 1
+)
+all_structs.append(RefusalsArgument)
+RefusalsArgument.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'limit', None, None, ),  # 1
+)
+all_structs.append(Refusal)
+Refusal.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'refused_at_unix_ms', None, None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'route', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'tier', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'upstream', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'kind', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'run_state', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'cause', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'retry_after_ms', None, None, ),  # 10
+)
+all_structs.append(Refusals)
+Refusals.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'refusals', (TType.STRUCT, [Refusal, None], False), None, ),  # 1
+    (2, TType.I64, 'forgotten_count', None, None, ),  # 2
+)
+all_structs.append(ServiceLevelArgument)
+ServiceLevelArgument.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'window_ms', (TType.I64, None, False), None, ),  # 1
+    (2, TType.I64, 'series_step_ms', None, None, ),  # 2
+    (3, TType.I64, 'series_window_ms', None, None, ),  # 3
+)
+all_structs.append(ServiceLevelCell)
+ServiceLevelCell.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tier', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'route', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'upstream', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'version', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'error_kind', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'good_count', None, None, ),  # 7
+    (8, TType.I64, 'bad_count', None, None, ),  # 8
+)
+all_structs.append(LatencyHistogram)
+LatencyHistogram.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tier', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'bin_keys', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'bin_counts', (TType.I64, None, False), None, ),  # 3
+)
+all_structs.append(ServiceLevelWindow)
+ServiceLevelWindow.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window_ms', None, None, ),  # 1
+    (2, TType.LIST, 'cells', (TType.STRUCT, [ServiceLevelCell, None], False), None, ),  # 2
+    (3, TType.LIST, 'latencies', (TType.STRUCT, [LatencyHistogram, None], False), None, ),  # 3
+)
+all_structs.append(ServiceLevelPoint)
+ServiceLevelPoint.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'began_at_unix_ms', None, None, ),  # 1
+    (2, TType.STRING, 'tier', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'good_count', None, None, ),  # 3
+    (4, TType.I64, 'bad_count', None, None, ),  # 4
+)
+all_structs.append(ServiceLevels)
+ServiceLevels.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'observed_since_unix_ms', None, None, ),  # 1
+    (2, TType.LIST, 'windows', (TType.STRUCT, [ServiceLevelWindow, None], False), None, ),  # 2
+    (3, TType.LIST, 'series', (TType.STRUCT, [ServiceLevelPoint, None], False), None, ),  # 3
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from pydantic import Field
+from pydantic import ConfigDict, Field
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Port = Annotated[int, Field(ge=1, le=65_535)]
@@ -13,6 +13,18 @@
 ByteCount = Annotated[int, Field(ge=1, le=1 << 30)]
 Secret = Annotated[str, Field(min_length=16, max_length=256)]
 
+#: In an objective: the tier's requests of all organisations together.
+EVERY_ORGANISATION = "*"
+OrganisationOrEvery = Annotated[str, Field(pattern=r"^(\*|[A-Za-z0-9][A-Za-z0-9._-]{0,62})$")]
+#: Service levels are kept for three days, so no objective looks further back.
+ObjectiveWindowMs = Annotated[int, Field(ge=300_000, le=3 * 24 * 3_600_000)]
+
+
+class _Checked:
+    """The base of all settings: a field that nobody reads is a mistake."""
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
 
 class UpstreamKind(StrEnum):
     """What an upstream is, and so how it is spoken to."""
@@ -22,7 +34,7 @@
 
 
 @dataclass(frozen=True)
-class VmSettings:
+class VmSettings(_Checked):
     """Where this daemon stands; each VM's overlay gives its own."""
 
     name: Name
@@ -36,7 +48,7 @@
 
 
 @dataclass(frozen=True)
-class PlatformSettings:
+class PlatformSettings(_Checked):
     """Where the platform's services are."""
 
     #: Base URL of the key-value service.
@@ -45,12 +57,14 @@
     vm_list_url: str
     #: Longest wait for one answer of the key-value service.
     key_value_timeout_ms: DurationMs = 1_000
+    #: Peer ports that a start asks where the list of VMs is down, as ``host:port``.
+    seed_peers: tuple[str, ...] = ()
     #: First part of every key that this system writes.
     key_prefix: str = "azureturn/"
 
 
 @dataclass(frozen=True)
-class DaemonSettings:
+class DaemonSettings(_Checked):
     """Limits of one daemon process."""
 
     #: Threads that serve callers, and so the most requests in progress at once.
@@ -70,6 +84,10 @@
     tick_interval_ms: DurationMs = 50
     load_report_interval_ms: DurationMs = 500
     heartbeat_interval_ms: DurationMs = 500
+    #: Bytes a second that heartbeats may take, sent and received together.
+    control_bytes_per_s: ByteCount = 7_000
+    #: How long a start waits for the configuration from the key-value service or a peer.
+    start_wait_ms: DurationMs = 5_000
     #: How long a planned stop waits for the balancer to stop sending.
     balancer_lag_ms: DurationMs = 1_000
     #: How long a planned stop waits for requests in flight before it reports a cut.
@@ -83,7 +101,7 @@
 
 
 @dataclass(frozen=True)
-class TierSettings:
+class TierSettings(_Checked):
     """One class of urgency."""
 
     name: Name
@@ -92,7 +110,7 @@
 
 
 @dataclass(frozen=True)
-class OrganisationSettings:
+class OrganisationSettings(_Checked):
     """One organisation and the token that its callers show."""
 
     name: Name
@@ -102,7 +120,7 @@
 
 
 @dataclass(frozen=True)
-class RouteSettings:
+class RouteSettings(_Checked):
     """One kind of request: where it goes and what it is owed."""
 
     name: Name
@@ -124,7 +142,7 @@
 
 
 @dataclass(frozen=True)
-class UpstreamSettings:
+class UpstreamSettings(_Checked):
     """One replica of a model engine or of a plain service."""
 
     name: Name
@@ -146,27 +164,67 @@
 
 
 @dataclass(frozen=True)
-class ObjectiveSettings:
-    """A service level that is owed to a tier."""
+class ObjectiveSettings(_Checked):
+    """A service level that is owed to a tier, to all organisations together or to one."""
 
     tier: Name
     #: Share of requests answered whole and in time.
     target: Annotated[float, Field(gt=0, lt=1)]
-    window_ms: DurationMs = 3_600_000
+    #: One organisation, or ``*`` for the tier's requests of all organisations together.
+    organisation: OrganisationOrEvery = EVERY_ORGANISATION
+    #: The time over which the budget of failures is counted.
+    window_ms: ObjectiveWindowMs = 3_600_000
 
 
 @dataclass(frozen=True)
-class PolicySettings:
+class MoveSettings(_Checked):
+    """What is assumed of loading a version until the first loads were timed."""
+
+    weight_bytes: Annotated[int, Field(ge=1)] = 2_000_000
+    #: What the weight store gives to all its readers together.
+    weight_store_bytes_per_s: Annotated[float, Field(gt=0)] = 10_000_000.0
+    #: Time to load a version once its weights are at the engine.
+    load_time_ms: DurationMs = 1_000
+    #: Longest wait for the end of one order; a new holder waits it out before it orders.
+    order_limit_ms: DurationMs = 30_000
+    #: How long after a move's end the version that lost stays loaded.
+    unload_after_ms: DurationMs = 30_000
+    #: A record that its holder has not renewed for this long may be taken over.
+    lease_ms: DurationMs = 10_000
+
+
+@dataclass(frozen=True)
+class PolicySettings(_Checked):
     """Which of the registered decisions are in use, and their limits."""
 
-    placement: Name = "least_work"
+    placement: Name = "earliest_finish"
+    #: How the share of a new version grows.
+    ramp: Name = "judged"
+    moves: MoveSettings = field(default_factory=MoveSettings)
+    #: What bounds the work outstanding at an upstream: ``work`` or ``slots``.
+    limits: Name = "work"
+    #: ``tiers``, or ``first_come`` for arrival order without tiers.
+    queue_order: Name = "tiers"
+    #: Whether a request is refused on arrival when the queue says that it would be late.
+    early_refusal: bool = True
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
     claim_retention_ms: DurationMs = 24 * 3_600_000
 
 
 @dataclass(frozen=True)
-class SharedSettings:
+class ChangeSettings(_Checked):
+    """Who wrote a revision; the tool fills it in and finds its own write again by the nonce."""
+
+    author: Annotated[str, Field(max_length=128)] = ""
+    nonce: Annotated[str, Field(max_length=64)] = ""
+    applied_at_unix_ms: Annotated[int, Field(ge=0)] = 0
+    #: The revision that this one replaced; -1 where the writer did not say.
+    replaces_revision: Annotated[int, Field(ge=-1)] = -1
+
+
+@dataclass(frozen=True)
+class SharedSettings(_Checked):
     """What must be the same on every VM; it lives in the key-value service."""
 
     site: Name
@@ -176,10 +234,11 @@
     upstreams: tuple[UpstreamSettings, ...]
     objectives: tuple[ObjectiveSettings, ...] = ()
     policy: PolicySettings = field(default_factory=PolicySettings)
+    change: ChangeSettings = field(default_factory=ChangeSettings)
 
 
 @dataclass(frozen=True)
-class Settings:
+class Settings(_Checked):
     """Everything that a daemon reads at its start."""
 
     vm: VmSettings
--- a/standins/site.py
+++ b/standins/site.py
@@ -116,6 +116,10 @@
     daemon_settings: dict[str, Any] = field(default_factory=dict)
     #: Changes merged onto the shared settings.
     shared_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto each engine's row of the shared settings.
+    engine_settings: dict[str, Any] = field(default_factory=dict)
+    #: Changes merged onto the settings of upstreams, by name.
+    upstream_settings: dict[str, dict[str, Any]] = field(default_factory=dict)
     #: Initial switches of the stand-ins, by name.
     switches: dict[str, dict[str, Any]] = field(default_factory=dict)
 
@@ -151,6 +155,13 @@
         """Return the names of the stand-ins."""
         return [name for name in self.processes if name not in self.vm_names]
 
+    @property
+    def tool_options(self) -> list[str]:
+        """Return the options by which the operators' tool finds this site."""
+        files = [EXAMPLES / "kuiseb.json", self.folder / f"{self.vm_names[0]}.json"]
+        overlays = [part for file in files for part in ("--overlay", str(file))]
+        return ["--config", str(EXAMPLES / "base.json"), *overlays]
+
     def zone_of(self, name: str) -> str:
         """Return the availability zone of a numbered process."""
         number = int(name.rpartition("-")[2])
@@ -215,6 +226,12 @@
         """Return JSON that a stand-in tells of itself."""
         return self.http.request("GET", self.processes[name].url + path, timeout=5.0).json()
 
+    def logged(self, vm: str, event: str) -> list[dict[str, Any]]:
+        """Return a daemon's log lines of one event."""
+        lines = self.processes[vm].log_path.read_text().splitlines()
+        rows = [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
+        return [row for row in rows if row["event"] == event]
+
     def runs(self) -> dict[str, int]:
         """Return how often each idempotency key ran, over all plain services."""
         total: dict[str, int] = {}
@@ -266,8 +283,10 @@
                 continue
             zone = self.zone_of(name)
             row = {"name": name, "availability_zone": zone, "url": self.processes[name].url}
+            row.update(self.upstream_settings.get(name, {}))
             if name.startswith("engine-"):
-                rows.append({**row, "kind": "model_engine", "targets": [MODEL]})
+                engine = {"kind": "model_engine", "targets": [MODEL], **self.engine_settings}
+                rows.append({**row, **engine})
             elif name.startswith("bookings-"):
                 rows.append({**row, "kind": "plain_service", "targets": ["bookings"], "slots": 64})
         return rows
