Tickets: calls that may not be repeated go on while the key-value service is down

Cause: without the service no claim can be written, so deposits and dispatches stopped for as long as an outage lasted. Ruled out: claims agreed among peers (a store of our own); letting the forwarder run the call when the minter is gone (it may have run). Change: POST /tickets mints from memory, signed with the peers' secret (itsdangerous); only the minting boot runs a ticket, which it remembers until the ticket expires by its own clock; other VMs pass the call on over thrift, and say not_run for an unreachable minter only to a declared first attempt. Conclusion: at most one run of a ticket rests on memory of one boot alone.

--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -72,6 +72,7 @@
     RequestTable,
     digest_of,
 )
+from azureturn.core._tickets import TICKET_LIFETIME_MS, Ticket, TicketPlace, ticket_place
 from azureturn.core._upstreams import LoadReport, Upstream, UpstreamTable
 from azureturn.core.placement import (
     CANDIDATE_FILTERS,
@@ -187,7 +188,10 @@
     "Started",
     "SwapSegment",
     "Table",
+    "TICKET_LIFETIME_MS",
     "Tick",
+    "Ticket",
+    "TicketPlace",
     "UndeclaredTableError",
     "Upstream",
     "UpstreamLeaving",
@@ -200,6 +204,7 @@
     "limit",
     "on",
     "placement_policy",
+    "ticket_place",
     "segment_key",
     "segment_of",
 ]
--- a/azureturn/daemon/_caller_requests.py
+++ b/azureturn/daemon/_caller_requests.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from azureturn.core import Configuration, Request
+from azureturn.core import Configuration, Request, Ticket
 from azureturn.errors import CallerError, ErrorKind
 from azureturn.settings import (
     OrganisationSettings,
@@ -115,6 +115,14 @@
     raise CallerError(ErrorKind.UNKNOWN_MODEL if name is None else ErrorKind.UNKNOWN_ROUTE)
 
 
+def route_of_ticket(body: bytes) -> str:
+    """Return the name of the route that a ticket is asked for."""
+    name = _json_object(body).get("route")
+    if not isinstance(name, str):
+        raise CallerError(ErrorKind.MALFORMED_JSON, "the body needs 'route'")
+    return name
+
+
 def new_request(
     headers: Mapping[str, str],
     *,
@@ -127,10 +135,11 @@
     arrived_at_ms: int,
     path: str = "",
     chat: ChatBody | None = None,
+    ticket: Ticket | None = None,
 ) -> Request:
     """Return the request as the core sees it."""
-    key = _idempotency_key(headers, route)
-    timeout_ms = _timeout_ms(headers, route)
+    key = _idempotency_key(headers, route, ticket)
+    timeout_ms = timeout_ms_of(headers, route)
     arrived_unix_ms = time.time_ns() // 1_000_000
     text = "" if chat is None else chat.text
     wanted = route.expected_output_tokens
@@ -154,6 +163,8 @@
         upstream_deduplicates=route.upstream_deduplicates,
         arrived_unix_ms=arrived_unix_ms,
         key_issued_at_ms=_key_issued_at_ms(headers, arrived_unix_ms),
+        ticket_nonce="" if ticket is None else ticket.nonce,
+        ticket_expires_at_ms=0 if ticket is None else ticket.expires_at_ms,
     )
 
 
@@ -173,12 +184,16 @@
     return tuple(digests)
 
 
-def _idempotency_key(headers: Mapping[str, str], route: RouteSettings) -> str:
+def _idempotency_key(
+    headers: Mapping[str, str], route: RouteSettings, ticket: Ticket | None
+) -> str:
     key = headers.get(IDEMPOTENCY_HEADER, "")
     if len(key) > IDEMPOTENCY_KEY_LIMIT or not key.isprintable():
         message = f"{IDEMPOTENCY_HEADER} must be printable, {IDEMPOTENCY_KEY_LIMIT} at most"
         raise CallerError(ErrorKind.BAD_HEADER, message)
-    if not route.idempotent and not key:
+    if ticket is not None and (key or route.idempotent):
+        raise CallerError(ErrorKind.BAD_HEADER, "a ticket is only for a call that has no other key")
+    if not route.idempotent and not key and ticket is None:
         raise CallerError(ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
     return key
 
@@ -195,7 +210,8 @@
     return issued_at_ms
 
 
-def _timeout_ms(headers: Mapping[str, str], route: RouteSettings) -> int:
+def timeout_ms_of(headers: Mapping[str, str], route: RouteSettings) -> int:
+    """Return how long after its arrival a request must be answered."""
     value = headers.get(TIMEOUT_HEADER)
     if value is None:
         return route.timeout_ms
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -30,6 +30,8 @@
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.daemon._services import Services
 from azureturn.daemon._stop import PlannedStop, StopLimits, StopStage
+from azureturn.daemon._ticketed_calls import TicketedCalls
+from azureturn.daemon._tickets import TicketOffice
 from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
 from azureturn.peers import (
     EnvelopeSigner,
@@ -59,7 +61,15 @@
         self._stop = PlannedStop(
             StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms), unfinished=self._unfinished
         )
-        face = CallerFace(services, is_ready=self._is_ready, is_finishing=self._is_finishing)
+        tickets = TicketOffice(settings, boot_id=services.boot_id)
+        ticketed_calls = TicketedCalls(services, tickets)
+        face = CallerFace(
+            services,
+            tickets=tickets,
+            ticketed_calls=ticketed_calls,
+            is_ready=self._is_ready,
+            is_finishing=self._is_finishing,
+        )
         self._caller_server = CallerServer(
             settings,
             face.application(),
@@ -71,7 +81,7 @@
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
-        peer_face = PeerFace(services)
+        peer_face = PeerFace(services, ticketed_calls)
         self._peer_server = PeerServer(settings.vm.host, settings.vm.peer_port, peer_face, signer)
         self._claims = ClaimCaller(services.key_value, services.runtime.submit)
         self._gossip = GossipAdapter(services)
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -7,7 +7,7 @@
 
 import cherrypy
 
-from azureturn.core import Configuration, ConfigurationTable
+from azureturn.core import TICKET_LIFETIME_MS, Configuration, ConfigurationTable, Ticket
 from azureturn.daemon._answers import CallerAnswer, error_body, error_headers, identity_headers
 from azureturn.daemon._caller_requests import (
     IDEMPOTENCY_HEADER,
@@ -15,14 +15,18 @@
     new_request,
     organisation_of,
     parse_chat_body,
+    route_of_ticket,
+    timeout_ms_of,
 )
 from azureturn.daemon._caller_server import CALLER_SOCKET_NAME
 from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
+from azureturn.daemon._ticketed_calls import TicketedCalls, TicketedRequest
+from azureturn.daemon._tickets import TICKET_HEADER, TicketOffice, is_first_attempt
 from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind, RefusedError
 from azureturn.observability import LogEvent, describe_error
-from azureturn.settings import UpstreamKind
+from azureturn.settings import RouteSettings, UpstreamKind
 from azureturn.upstreams import streamed_body
 
 _READ_BYTES = 65_536
@@ -48,10 +52,14 @@
         self,
         services: Services,
         *,
+        tickets: TicketOffice,
+        ticketed_calls: TicketedCalls,
         is_ready: Callable[[], bool],
         is_finishing: Callable[[], bool],
     ) -> None:
         self._services = services
+        self._tickets = tickets
+        self._ticketed_calls = ticketed_calls
         self._is_ready = is_ready
         #: A planned stop has come so far that new requests are refused.
         self._is_finishing = is_finishing
@@ -93,6 +101,10 @@
             if method != "POST":
                 raise CallerError(ErrorKind.METHOD_NOT_ALLOWED)
             return self._chat(request_id)
+        if path == ("tickets",):
+            if method != "POST":
+                raise CallerError(ErrorKind.METHOD_NOT_ALLOWED)
+            return self._mint_ticket(request_id)
         if len(path) >= 2 and path[0] == "routes":
             return self._plain_service(request_id, path[1], path[2:])
         raise CallerError(ErrorKind.NOT_FOUND)
@@ -139,6 +151,9 @@
         if cherrypy.request.query_string:
             path += "?" + cherrypy.request.query_string
         body = self._read_body()
+        ticket = self._tickets.ticket_of(headers, organisation, route)
+        if ticket is not None:
+            return self._ticketed(request_id, ticket, route, path, body)
         request = new_request(
             headers,
             request_id=request_id,
@@ -156,6 +171,43 @@
         outgoing = OutgoingRequest(request, route.method, path, sent_headers, body, False)
         return self._serve_request(outgoing)
 
+    def _ticketed(
+        self, request_id: str, ticket: Ticket, route: RouteSettings, path: str, body: bytes
+    ) -> CallerAnswer:
+        headers = cherrypy.request.headers
+        if IDEMPOTENCY_HEADER in headers:
+            raise CallerError(ErrorKind.BAD_HEADER, "a ticket stands in place of a key")
+        call = TicketedRequest(
+            ticket=ticket,
+            token=headers[TICKET_HEADER],
+            path=path,
+            content_type=headers.get("Content-Type", "application/octet-stream"),
+            body=body,
+            timeout_ms=timeout_ms_of(headers, route),
+            request_id=request_id,
+            first_attempt=is_first_attempt(headers),
+        )
+        return self._ticketed_calls.serve(call)
+
+    def _mint_ticket(self, request_id: str) -> CallerAnswer:
+        """Answer with a ticket for one call, and with the address at which it is run."""
+        configuration = self._configuration()
+        organisation = organisation_of(cherrypy.request.headers, configuration)
+        route = configuration.route(route_of_ticket(self._read_body()))
+        if route is None or not route.path:
+            raise CallerError(ErrorKind.UNKNOWN_ROUTE)
+        if route.idempotent:
+            raise CallerError(ErrorKind.MALFORMED_REQUEST, "the route is idempotent: no ticket")
+        vm = self._services.settings.vm
+        token = self._tickets.mint(organisation.name, route.name)
+        document = {
+            "ticket": token,
+            "header": TICKET_HEADER,
+            "url": f"http://{vm.host}:{vm.port}/routes/{route.name}",
+            "expires_in_ms": TICKET_LIFETIME_MS,
+        }
+        return self._plain(request_id, 201, document)
+
     def _serve_request(self, outgoing: OutgoingRequest) -> CallerAnswer:
         caller = cherrypy.request.wsgi_environ[CALLER_SOCKET_NAME]
         return RequestFlow(self._services, outgoing, caller).serve()
--- a/azureturn/daemon/_peer_face.py
+++ b/azureturn/daemon/_peer_face.py
@@ -7,6 +7,7 @@
 from azureturn.daemon._claimants import answer_query
 from azureturn.daemon._operators import answer_operator
 from azureturn.daemon._services import Services
+from azureturn.daemon._ticketed_calls import TicketedCalls
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.peers import (
     ConfigurationAnswer,
@@ -16,6 +17,7 @@
     OperatorQuery,
     Outcome,
     OutcomeQuery,
+    TicketedCall,
     heartbeat_from_wire,
     heartbeat_to_wire,
 )
@@ -24,13 +26,18 @@
 class PeerFace:
     """Answers the calls of other VMs from the core and the outcomes."""
 
-    def __init__(self, services: Services) -> None:
+    def __init__(self, services: Services, ticketed_calls: TicketedCalls) -> None:
         self._services = services
+        self._ticketed_calls = ticketed_calls
 
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Return what this process knows of a call that it holds the claim of."""
         return answer_query(self._services, query)
 
+    def run_ticketed_call(self, call: TicketedCall) -> Outcome:
+        """Run a call whose ticket this process minted."""
+        return self._ticketed_calls.run_for_peer(call)
+
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
         received = HeartbeatReceived(heartbeat_from_wire(heartbeat), answer_wanted=True)
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -67,7 +67,7 @@
     """Serves one request on the caller's thread."""
 
     def __init__(
-        self, services: Services, outgoing: OutgoingRequest, caller: socket.socket
+        self, services: Services, outgoing: OutgoingRequest, caller: socket.socket | None
     ) -> None:
         self._services = services
         self._outgoing = outgoing
@@ -84,7 +84,8 @@
         """Return the answer, or raise the error that the caller is to be told."""
         request_id = self._request.request_id
         mailbox = self._services.runtime.open_mailbox(request_id)
-        self._watched = self._services.caller_watch.watch(self._caller, self._on_caller_gone)
+        if self._caller is not None:
+            self._watched = self._services.caller_watch.watch(self._caller, self._on_caller_gone)
         try:
             self._services.runtime.submit(RequestArrived(self._request))
             answer = self._follow(mailbox)
@@ -274,7 +275,8 @@
         return {**headers, **identity}
 
     def _end(self, error: AzureturnError | None, *, status: int = 200) -> None:
-        self._services.caller_watch.unwatch(self._watched)
+        if self._caller is not None:
+            self._services.caller_watch.unwatch(self._watched)
         self._services.runtime.close_mailbox(self._request.request_id)
         self._services.accounting.request_ended(
             self._request, upstream=self._upstream, error=error, status=status
--- a/azureturn/errors/_exceptions.py
+++ b/azureturn/errors/_exceptions.py
@@ -65,5 +65,9 @@
     """Another VM gave no answer."""
 
 
+class PeerUnreachableError(PeerUnavailableError):
+    """No connection to another VM could be made, so nothing was sent."""
+
+
 class SettingsError(AzureturnError):
     """The settings cannot be used; the message lists every mistake."""
--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -10,7 +10,7 @@
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TBufferedTransport
 
-from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError
+from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError, PeerUnreachableError
 from azureturn.peers._authentication import EnvelopeSigner, decode_struct, encode_struct
 from azureturn.peers.gen.Peer import Client
 from azureturn.peers.gen.ttypes import (
@@ -22,6 +22,7 @@
     Outcome,
     OutcomeQuery,
     PeerRefused,
+    TicketedCall,
 )
 
 #: Time beyond the wait that a call asks for.
@@ -84,6 +85,22 @@
         timeout_ms = query.wait_ms + CALL_TIMEOUT_MS
         return self._call(address, "find_outcome", query, Outcome, timeout_ms=timeout_ms)
 
+    def run_ticketed_call(self, address: PeerAddress, call: TicketedCall) -> Outcome:
+        """Return the outcome of a ticketed call at the VM that minted the ticket.
+
+        :class:`PeerUnreachableError` says that nothing of the call was sent.
+        """
+        connection = _Connection(address)
+        try:
+            connection.open(CALL_TIMEOUT_MS)
+        except (TException, OSError) as error:
+            connection.close()
+            raise PeerUnreachableError(ErrorKind.INTERNAL, str(error)) from error
+        timeout_ms = call.timeout_ms + CALL_TIMEOUT_MS
+        return self._call_on(
+            connection, address, "run_ticketed_call", call, Outcome, timeout_ms=timeout_ms
+        )
+
     def exchange_heartbeat(self, address: PeerAddress, heartbeat: Heartbeat) -> Heartbeat:
         """Give a VM this VM's heartbeat and return its own."""
         return self._call(
@@ -122,6 +139,18 @@
         timeout_ms: int,
     ) -> _Answer:
         connection = self._idle.pop(address, None) or _Connection(address)
+        return self._call_on(connection, address, call, body, answer_type, timeout_ms=timeout_ms)
+
+    def _call_on(
+        self,
+        connection: _Connection,
+        address: PeerAddress,
+        call: str,
+        body: Any,
+        answer_type: type[_Answer],
+        *,
+        timeout_ms: int,
+    ) -> _Answer:
         try:
             connection.open(timeout_ms)
             envelope = getattr(connection.client, call)(self._signer.seal(call, body))
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -21,6 +21,7 @@
     Outcome,
     OutcomeQuery,
     PeerRefused,
+    TicketedCall,
 )
 
 PEER_THREADS = 32
@@ -36,6 +37,9 @@
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Return what is known of a call."""
 
+    def run_ticketed_call(self, call: TicketedCall) -> Outcome:
+        """Run a call whose ticket this process minted."""
+
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
 
@@ -56,6 +60,9 @@
     def find_outcome(self, query: Envelope) -> Envelope:
         return self._answer("find_outcome", query, OutcomeQuery)
 
+    def run_ticketed_call(self, call: Envelope) -> Envelope:
+        return self._answer("run_ticketed_call", call, TicketedCall)
+
     def exchange_heartbeat(self, heartbeat: Envelope) -> Envelope:
         return self._answer("exchange_heartbeat", heartbeat, Heartbeat)
 
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -46,13 +46,11 @@
 // A call under a ticket, passed on to the process that minted the ticket.
 struct TicketedCall {
   1: string ticket,
-  2: string organisation,
-  3: string route,
-  4: string path,
-  5: string content_type,
-  6: binary body,
-  7: i32 timeout_ms,
-  8: string request_id,
+  2: string path,
+  3: string content_type,
+  4: binary body,
+  5: i32 timeout_ms,
+  6: string request_id,
 }
 
 // One fact that its owner alone changes; the higher (incarnation, version) replaces the other.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -534,8 +534,6 @@
     """
     Attributes:
      - ticket
-     - organisation
-     - route
      - path
      - content_type
      - body
@@ -546,8 +544,6 @@
 
     __slots__ = (
         'ticket',
-        'organisation',
-        'route',
         'path',
         'content_type',
         'body',
@@ -556,10 +552,8 @@
     )
 
 
-    def __init__(self, ticket=None, organisation=None, route=None, path=None, content_type=None, body=None, timeout_ms=None, request_id=None,):
+    def __init__(self, ticket=None, path=None, content_type=None, body=None, timeout_ms=None, request_id=None,):
         self.ticket = ticket
-        self.organisation = organisation
-        self.route = route
         self.path = path
         self.content_type = content_type
         self.body = body
@@ -581,36 +575,26 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.STRING:
                     self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 3:
                 if ftype == TType.STRING:
                     self.content_type = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 4:
                 if ftype == TType.STRING:
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.timeout_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 6:
                 if ftype == TType.STRING:
                     self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -629,32 +613,24 @@
             oprot.writeFieldBegin('ticket', TType.STRING, 1)
             oprot.writeString(self.ticket.encode('utf-8') if sys.version_info[0] == 2 else self.ticket)
             oprot.writeFieldEnd()
-        if self.organisation is not None:
-            oprot.writeFieldBegin('organisation', TType.STRING, 2)
-            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
-            oprot.writeFieldEnd()
-        if self.route is not None:
-            oprot.writeFieldBegin('route', TType.STRING, 3)
-            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
-            oprot.writeFieldEnd()
         if self.path is not None:
-            oprot.writeFieldBegin('path', TType.STRING, 4)
+            oprot.writeFieldBegin('path', TType.STRING, 2)
             oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
             oprot.writeFieldEnd()
         if self.content_type is not None:
-            oprot.writeFieldBegin('content_type', TType.STRING, 5)
+            oprot.writeFieldBegin('content_type', TType.STRING, 3)
             oprot.writeString(self.content_type.encode('utf-8') if sys.version_info[0] == 2 else self.content_type)
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeFieldBegin('body', TType.STRING, 4)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.timeout_ms is not None:
-            oprot.writeFieldBegin('timeout_ms', TType.I32, 7)
+            oprot.writeFieldBegin('timeout_ms', TType.I32, 5)
             oprot.writeI32(self.timeout_ms)
             oprot.writeFieldEnd()
         if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.STRING, 8)
+            oprot.writeFieldBegin('request_id', TType.STRING, 6)
             oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2932,13 +2908,11 @@
 TicketedCall.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'ticket', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'route', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'path', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'content_type', 'UTF8', None, ),  # 5
-    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
-    (7, TType.I32, 'timeout_ms', None, None, ),  # 7
-    (8, TType.STRING, 'request_id', 'UTF8', None, ),  # 8
+    (2, TType.STRING, 'path', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'content_type', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
+    (5, TType.I32, 'timeout_ms', None, None, ),  # 5
+    (6, TType.STRING, 'request_id', 'UTF8', None, ),  # 6
 )
 all_structs.append(GossipRow)
 GossipRow.thrift_spec = (
