--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -75,7 +75,6 @@
         self._caller = caller
         self._watched = -1
         self._upstream = ""
-        self._version = ""
         self._claim_nonce = ""
         self._stream: ResumingStream | None = None
         self._caller_is_gone = False
@@ -119,12 +118,11 @@
 
     def _dispatch(self, action: Dispatch) -> CallerAnswer:
         self._upstream = action.upstream
-        self._version = action.version
         self._claim_nonce = action.claim_nonce
         try:
             if self._request.kind is UpstreamKind.MODEL_ENGINE:
-                return self._ask_engine()
-            return self._ask_service()
+                return self._ask_engine(action)
+            return self._ask_service(action)
         except UpstreamError as error:
             self._fail(error)
             if not self._request.idempotent:
@@ -141,10 +139,10 @@
                 settle_call(self._services, self._claim_nonce, unknown_outcome())
             raise
 
-    def _ask_engine(self) -> CallerAnswer:
+    def _ask_engine(self, action: Dispatch) -> CallerAnswer:
         silence_ms = self._services.settings.daemon.silence_timeout_ms
         client = self._services.upstream_client(self._upstream)
-        sent = self._upstream_request(read_timeout_ms=min(self._left_ms(), silence_ms))
+        sent = self._upstream_request(action, read_timeout_ms=min(self._left_ms(), silence_ms))
         stream = ResumingStream(client, sent, left_ms=self._left_ms)
         self._stream = stream
         if self._caller_is_gone:
@@ -178,27 +176,27 @@
         headers = {**headers, "Content-Type": "application/json"}
         return self._whole_answer(WholeAnswer(200, headers, assembler.body()), stream.usage)
 
-    def _ask_service(self) -> CallerAnswer:
+    def _ask_service(self, action: Dispatch) -> CallerAnswer:
         client = self._services.upstream_client(self._upstream)
-        answer = client.send(self._upstream_request(read_timeout_ms=self._left_ms()))
+        answer = client.send(self._upstream_request(action, read_timeout_ms=self._left_ms()))
         return self._whole_answer(answer.read_whole(), Usage())
 
-    def _upstream_request(self, *, read_timeout_ms: int) -> UpstreamRequest:
+    def _upstream_request(self, action: Dispatch, *, read_timeout_ms: int) -> UpstreamRequest:
         self._services.runtime.submit(FirstByteSent(self._request.request_id))
         return UpstreamRequest(
             method=self._outgoing.method,
             path=self._outgoing.path,
-            headers=self._sent_headers(),
+            headers=self._sent_headers(action),
             body=self._outgoing.body,
             request_id=self._request.request_id,
             connect_timeout_ms=self._services.settings.daemon.connect_timeout_ms,
             read_timeout_ms=max(1, read_timeout_ms),
         )
 
-    def _sent_headers(self) -> dict[str, str]:
-        if not self._version:
+    def _sent_headers(self, action: Dispatch) -> dict[str, str]:
+        if not action.version:
             return self._outgoing.headers
-        return {**self._outgoing.headers, VERSION_HEADER: self._version}
+        return {**self._outgoing.headers, VERSION_HEADER: action.version}
 
     def _left_ms(self) -> int:
         return self._request.deadline_ms - now_ms()
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -28,6 +28,8 @@
     TicketedCall,
     UpstreamStatus,
     UpstreamStatuses,
+    VmAddress,
+    VmAddresses,
     VmStatus,
 )
 
@@ -60,6 +62,8 @@
     "TicketedCall",
     "UpstreamStatus",
     "UpstreamStatuses",
+    "VmAddress",
+    "VmAddresses",
     "VmStatus",
     "decode_struct",
     "encode_struct",
