--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -20,7 +20,7 @@
     RequestFailed,
 )
 from azureturn.daemon._answers import CallerAnswer, identity_headers
-from azureturn.daemon._claimants import ask_claimant
+from azureturn.daemon._claimants import ask_claimant, settle_call
 from azureturn.daemon._offers import CallerMessage, OfferAdapter
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
 from azureturn.daemon._relay import ForwardedStream, RelayedStream, forwarded_headers
@@ -67,7 +67,7 @@
     #: Whether the caller wants its answer as a stream.
     streamed: bool
     #: The caller's own message, where another VM may be asked to take it.
-    message: CallerMessage
+    message: CallerMessage | None = None
 
 
 class RequestFlow:
@@ -76,9 +76,10 @@
     def __init__(
         self,
         services: Services,
-        offers: OfferAdapter,
         outgoing: OutgoingRequest,
-        caller: socket.socket,
+        caller: socket.socket | None,
+        *,
+        offers: OfferAdapter | None = None,
     ) -> None:
         self._services = services
         self._offers = offers
@@ -87,6 +88,7 @@
         self._caller = caller
         self._watched = -1
         self._upstream = ""
+        self._claim_nonce = ""
         self._stream: ResumingStream | None = None
         self._caller_is_gone = False
         #: Whether the core places the request anew after a refused connection.
@@ -96,7 +98,8 @@
         """Return the answer, or raise the error that the caller is to be told."""
         request_id = self._request.request_id
         mailbox = self._services.runtime.open_mailbox(request_id)
-        self._watched = self._services.caller_watch.watch(self._caller, self._on_caller_gone)
+        if self._caller is not None:
+            self._watched = self._services.caller_watch.watch(self._caller, self._on_caller_gone)
         try:
             self._services.runtime.submit(RequestArrived(self._request))
             answer = self._follow(mailbox)
@@ -122,10 +125,16 @@
         self._waits_again = False
         wait_ms = self._request.deadline_ms - now_ms() + DEADLINE_GRACE_MS
         action = next_action(mailbox, self._request.request_id, wait_ms=wait_ms)
+        while isinstance(action, AskClaimant):
+            answer = ask_claimant(self._services, self._request, action)
+            if answer is not None:
+                return answer
+            # The holder gave its word never to run the call: the claim may be replaced.
+            self._request = self._request.with_released_nonce(action.claim.nonce)
+            self._services.runtime.submit(RequestArrived(self._request))
+            action = next_action(mailbox, self._request.request_id, wait_ms=wait_ms)
         if isinstance(action, Dispatch):
             return self._dispatch(action)
-        if isinstance(action, AskClaimant):
-            return ask_claimant(self._services, self._request, action)
         if isinstance(action, ForwardToPeer):
             return self._forward(action)
         assert isinstance(action, Refuse)
@@ -135,9 +144,7 @@
 
     def _dispatch(self, action: Dispatch) -> CallerAnswer:
         self._upstream = action.upstream
-        key = (self._request.organisation, self._request.idempotency_key)
-        if not self._request.idempotent:
-            self._services.outcomes.begin(key, self._request.body_digest)
+        self._claim_nonce = action.claim_nonce
         try:
             if self._request.kind is UpstreamKind.MODEL_ENGINE:
                 return self._ask_engine(action)
@@ -145,16 +152,22 @@
         except UpstreamError as error:
             self._fail(error)
             if not self._request.idempotent:
-                self._settle_failed(key, error)
+                self._settle_failed(error)
             elif self._caller_is_gone:
                 raise AzureturnError(ErrorKind.CALLER_GONE) from error
             raise
-        except Exception:
-            self._fail(UpstreamError(ErrorKind.INTERNAL))
+        except Exception as error:
+            failure = (
+                error if isinstance(error, AzureturnError) else AzureturnError(ErrorKind.INTERNAL)
+            )
+            self._fail(failure)
+            if failure.run_state is not RunState.NOT_RUN:
+                settle_call(self._services, self._claim_nonce, unknown_outcome())
             raise
 
     def _forward(self, action: ForwardToPeer) -> CallerAnswer:
         """Relay the answer of the VM that has taken the request."""
+        assert self._offers is not None and self._outgoing.message is not None
         silence_ms = self._services.settings.daemon.silence_timeout_ms
         timeout_ms = silence_ms if self._outgoing.streamed else self._left_ms()
         answer = self._offers.forward(
@@ -239,8 +252,7 @@
         headers = self._passed_headers(whole.headers)
         if not request.idempotent:
             outcome = answered_outcome(whole.status, headers, whole.body, upstream=self._upstream)
-            key = (request.organisation, request.idempotency_key)
-            self._services.outcomes.settle(key, outcome)
+            settle_call(self._services, self._claim_nonce, outcome)
         return CallerAnswer(whole.status, self._with_identity(headers), whole.body)
 
     def _tell_answered(self, usage: Usage, *, status: int = 200) -> None:
@@ -264,6 +276,8 @@
             self._services.runtime.submit(CallerLeft(self._request.request_id))
         else:
             self._fail(error)
+        # A stream is not kept, so a duplicate of a claimed one has no answer to share.
+        settle_call(self._services, self._claim_nonce, unknown_outcome())
         self._end(error)
 
     def _on_caller_gone(self) -> None:
@@ -281,12 +295,10 @@
         if error.run_state is RunState.UNKNOWN:
             self._services.cancel_at_engine(self._upstream, self._request.request_id)
 
-    def _settle_failed(self, key: tuple[str, str], error: UpstreamError) -> None:
-        outcome = unknown_outcome()
-        outcome.error_kind = error.kind.value
-        outcome.run_state = error.run_state.value
-        self._services.outcomes.settle(key, outcome)
-        if not isinstance(error, UpstreamUnreachableError):
+    def _settle_failed(self, error: UpstreamError) -> None:
+        # Where nothing was sent, the core has given the claim up already.
+        if error.run_state is not RunState.NOT_RUN:
+            settle_call(self._services, self._claim_nonce, unknown_outcome())
             error.kind = ErrorKind.OUTCOME_UNKNOWN
             error.run_state = RunState.UNKNOWN
 
@@ -307,7 +319,8 @@
         return {**headers, **identity}
 
     def _end(self, error: AzureturnError | None, *, status: int = 200) -> None:
-        self._services.caller_watch.unwatch(self._watched)
+        if self._caller is not None:
+            self._services.caller_watch.unwatch(self._watched)
         self._services.runtime.close_mailbox(self._request.request_id)
         self._services.accounting.request_ended(
             self._request, upstream=self._upstream, error=error, status=status
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -20,12 +20,12 @@
   NEVER_RAN = 4,
 }
 
+// Asks the holder of a claim or a ticket what became of the call.
 struct OutcomeQuery {
-  1: string organisation,
-  2: string idempotency_key,
+  1: string call_digest,
+  2: string claim_nonce,
   3: string boot_id,
   4: i32 wait_ms,
-  5: string body_digest,
 }
 
 struct Header {
@@ -43,6 +43,16 @@
   7: string run_state,
 }
 
+// A call under a ticket, passed on to the process that minted the ticket.
+struct TicketedCall {
+  1: string ticket,
+  2: string path,
+  3: string content_type,
+  4: binary body,
+  5: i32 timeout_ms,
+  6: string request_id,
+}
+
 // One fact that its owner alone changes; the higher (incarnation, version) replaces the other.
 struct GossipRow {
   1: string owner,
@@ -223,6 +233,7 @@
 service Peer {
   // Bodies are the structs above in thrift's compact form.
   Envelope find_outcome(1: Envelope query) throws (1: PeerRefused refused),
+  Envelope run_ticketed_call(1: Envelope call) throws (1: PeerRefused refused),
   Envelope exchange_heartbeat(1: Envelope heartbeat) throws (1: PeerRefused refused),
   Envelope offer_request(1: Envelope offer) throws (1: PeerRefused refused),
   Envelope fetch_configuration(1: Envelope query) throws (1: PeerRefused refused),
