Service levels stay small: compact windows, a short lock, refusals of the HTTP server

Cause: a window over 72 buckets of 400 cells had 16,187 cells, which with seven windows is beyond the 4 MB of a peer's message, and it was added up under the lock that requests take; refusals of the HTTP server itself (a full accept queue) were in no count; a mistake in an organisation's name listed all 12,000 allowed ones (a 100 kB line, seen in a failing test). Ruled out: fewer buckets (the short windows need them). Change: windows are compacted to about 1,000 cells, totals exact; only the two latest buckets are copied under the lock; the HTTP server reports its refusals; 12 allowed names and a count.

--- a/azureturn/command/_main.py
+++ b/azureturn/command/_main.py
@@ -6,6 +6,7 @@
 
 import cappa
 
+from azureturn._version import __version__
 from azureturn.command._config import ConfigCommand
 from azureturn.command._errors import report_error
 from azureturn.command._exit_codes import ExitCode
@@ -33,7 +34,9 @@
     """Run one command and return its exit code."""
     try:
         output = cappa.Output(error_format=ERROR_FORMAT)
-        code = cappa.invoke(AzureturnCommand, argv=list(arguments), output=output)
+        code = cappa.invoke(
+            AzureturnCommand, argv=list(arguments), output=output, version=__version__
+        )
     except AzureturnError as error:
         return report_error(error)
     return code if isinstance(code, ExitCode) else ExitCode.OK
--- a/azureturn/command/_slo.py
+++ b/azureturn/command/_slo.py
@@ -23,6 +23,7 @@
 from azureturn.observability import (
     HOUR_MS,
     MINUTE_MS,
+    UNKNOWN_TIER,
     LatencySketch,
     LevelCounts,
     LevelKey,
@@ -53,6 +54,8 @@
 
     objectives: tuple[ObjectiveReport, ...]
     coverage: tuple[VmCoverage, ...]
+    #: Requests of the last hour that were refused before their tier was known, by error kind.
+    refused_before_tier_known: dict[str, int]
     #: Bad requests in 100 by minute, oldest first, the last being the present minute.
     bad_percent_by_minute: tuple[float, ...]
 
@@ -76,6 +79,7 @@
                 )
                 for one in answers.answered
             ),
+            refused_before_tier_known=_refused_before_tier_known(windows),
             bad_percent_by_minute=_bad_percent_by_minute(
                 [one.answer for one in answers.answered], now_unix_ms
             ),
@@ -122,7 +126,7 @@
     parts += [_contributors_text(one) for one in report.objectives if one.contributors]
     if any(report.bad_percent_by_minute):
         parts.append(_plot(report.bad_percent_by_minute))
-    parts.append(_coverage_text(report))
+    parts.append(_refused_text(report) + _coverage_text(report))
     return "\n".join(parts)
 
 
@@ -158,6 +162,14 @@
     return window
 
 
+def _refused_before_tier_known(windows: dict[int, LevelWindow]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for key, told in windows.get(HOUR_MS, LevelWindow()).cells.items():
+        if key.tier == UNKNOWN_TIER:
+            counts[key.error_kind] = counts.get(key.error_kind, 0) + told.bad_count
+    return dict(sorted(counts.items()))
+
+
 def _bad_percent_by_minute(answers: Sequence[ServiceLevels], now_unix_ms: int) -> tuple[float, ...]:
     present = now_unix_ms - now_unix_ms % MINUTE_MS
     totals: dict[int, LevelCounts] = {}
@@ -230,6 +242,13 @@
     return "\n".join(line.rstrip() for line in drawn.splitlines()) + "\n"
 
 
+def _refused_text(report: SloReport) -> str:
+    return "".join(
+        f"refused in the last hour before the tier was known: {count} with {kind}\n"
+        for kind, count in report.refused_before_tier_known.items()
+    )
+
+
 def _coverage_text(report: SloReport) -> str:
     longest_ms = max((one.window_ms for one in report.objectives), default=0)
     young = [one for one in report.coverage if one.counted_ms < longest_ms]
--- a/azureturn/command/tests/test_configuration_store.py
+++ b/azureturn/command/tests/test_configuration_store.py
@@ -115,6 +115,8 @@
     rows = [{"name": f"o-{number}", "token": f"{number:060d}"} for number in range(12_000)]
     key_value = FakeKeyValue()
     with pytest.raises(CommandError, match="bytes") as caught:
-        store_on(key_value).replace({**SETTINGS, "organisations": rows}, expected_revision=0)
+        store_on(key_value).replace(
+            {**SETTINGS, "objectives": [], "organisations": rows}, expected_revision=0
+        )
     assert caught.value.exit_code is ExitCode.MISTAKE
     assert key_value.swaps == 0
--- a/azureturn/daemon/_accounting.py
+++ b/azureturn/daemon/_accounting.py
@@ -9,6 +9,7 @@
 from azureturn.errors import AzureturnError, ErrorKind, RunState
 from azureturn.observability import (
     NO_ERROR,
+    UNKNOWN_TIER,
     EventLog,
     LevelKey,
     LogEvent,
@@ -116,6 +117,8 @@
     def refused(self, request_id: str, error: AzureturnError) -> None:
         """Account for a refusal as it goes to the caller, unless the request's end was told."""
         if self._note(request_id, error):
+            key = LevelKey(UNKNOWN_TIER, "", "", error_kind=error.kind.value)
+            self.service_levels.record(key, latency_ms=0, now_unix_ms=unix_now_ms())
             self._log.info(
                 LogEvent.REQUEST_REFUSED,
                 request_id=request_id,
--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -101,6 +101,7 @@
             kind = ErrorKind.HEADERS_TOO_LARGE
         error = AzureturnError(kind)
         request_id = self.server.new_request_id()
+        self.server.report_refusal(request_id, error)
         headers = error_headers(error, request_id=request_id, vm=self.server.vm_name)
         body = json.dumps(error_body(error, request_id)).encode()
         lines = [f"HTTP/1.1 {ANSWERS[kind].status} {kind.value}"]
@@ -160,6 +161,7 @@
         *,
         new_request_id: Callable[[], str],
         report_error: Callable[[str], None],
+        report_refusal: Callable[[str, AzureturnError], None],
     ) -> None:
         limits = settings.daemon
         super().__init__(
@@ -180,6 +182,7 @@
         self.body_timeout_ms = limits.body_timeout_ms
         self.vm_name = settings.vm.name
         self.new_request_id = new_request_id
+        self.report_refusal = report_refusal
         self._report_error = report_error
 
     def _serve_unservicable(self) -> None:
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -61,6 +61,7 @@
             report_error=lambda _text: services.log.error(
                 LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
             ),
+            report_refusal=services.accounting.refused,
         )
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
--- a/azureturn/observability/__init__.py
+++ b/azureturn/observability/__init__.py
@@ -18,6 +18,7 @@
     NO_ERROR,
     NOT_COUNTED,
     OTHER_NAMES,
+    UNKNOWN_TIER,
     LevelCounts,
     LevelKey,
     LevelWindow,
@@ -48,6 +49,7 @@
     "NO_ERROR",
     "OTHER_NAMES",
     "ServiceLevels",
+    "UNKNOWN_TIER",
     "describe_error",
     "merged_sketch",
 ]
--- a/azureturn/observability/_service_levels.py
+++ b/azureturn/observability/_service_levels.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from azureturn.errors import ErrorKind
@@ -16,10 +16,14 @@
 
 #: The error kind of a good request.
 NO_ERROR = ""
+#: The tier of requests that were refused before it was known, as by a full accept queue.
+UNKNOWN_TIER = "(unknown)"
 #: Stands for names that were too many to keep apart.
 OTHER_NAMES = "(other)"
 #: Cells of one bucket that are kept apart; beyond it names are folded into ``OTHER_NAMES``.
 CELL_LIMIT = 400
+#: Cells of a window that are kept apart, so that an answer to an operator stays small.
+WINDOW_CELL_LIMIT = 1_000
 
 #: Kinds that are the caller's own doing and count neither as good nor as bad.
 NOT_COUNTED = frozenset(
@@ -99,7 +103,16 @@
 
     def add_latency(self, tier: str, latency_ms: float) -> None:
         """Count a good request's latency."""
-        self.latencies.setdefault(tier, LatencySketch()).add(latency_ms)
+        sketch = self.latencies.get(tier)
+        if sketch is None:
+            sketch = self.latencies[tier] = LatencySketch()
+        sketch.add(latency_ms)
+
+    def copy(self) -> "LevelWindow":
+        """Return a window that later changes of this one leave as it is."""
+        copied = LevelWindow()
+        copied.merge(self)
+        return copied
 
     def merge(self, other: "LevelWindow") -> None:
         """Add all that another window holds."""
@@ -108,6 +121,29 @@
         for tier, sketch in other.latencies.items():
             self.latencies.setdefault(tier, LatencySketch()).merge(sketch)
 
+    def compacted(self, kept_organisations: frozenset[str], *, cell_limit: int) -> "LevelWindow":
+        """Return a window small enough to send, with every total of tiers as it is.
+
+        Organisations without an objective of their own are folded together; of the cells that
+        are left, those with the most bad requests stay, and the others lose their upstream.
+        """
+        folded = LevelWindow(latencies=self.latencies)
+        for key, counts in self.cells.items():
+            if key.organisation not in kept_organisations:
+                key = replace(key, organisation=OTHER_NAMES)
+            folded.add(key, counts)
+        if len(folded.cells) <= cell_limit:
+            return folded
+        compact = LevelWindow(latencies=self.latencies)
+        by_badness = sorted(
+            folded.cells.items(), key=lambda cell: (-cell[1].bad_count, -cell[1].good_count)
+        )
+        for place, (key, counts) in enumerate(by_badness):
+            if place >= cell_limit:
+                key = replace(key, upstream=OTHER_NAMES, version=OTHER_NAMES)
+            compact.add(key, counts)
+        return compact
+
     def total(self, wanted: Callable[[LevelKey], bool]) -> LevelCounts:
         """Return the sum of the cells whose key is wanted."""
         chosen = (counts for key, counts in self.cells.items() if wanted(key))
@@ -127,6 +163,9 @@
         return self.step_ms * self.bucket_count
 
 
+#: The latest buckets of a ring, to which a thread may still add.
+CHANGING_BUCKETS = 2
+
 #: Finest first: one hour by minutes, six hours by ten minutes, three days by hours.
 RING_SIZES = (
     RingSize(MINUTE_MS, 60),
@@ -152,11 +191,16 @@
             self._drop_old(now_unix_ms)
         return bucket
 
-    def since(self, from_unix_ms: int) -> Iterator[tuple[int, LevelWindow]]:
-        """Yield the buckets that began at or after a moment, oldest first."""
-        for began_at in sorted(self._buckets):
-            if began_at >= from_unix_ms:
-                yield began_at, self._buckets[began_at]
+    def since(self, from_unix_ms: int) -> list[tuple[int, LevelWindow]]:
+        """Return the buckets that began at or after a moment, oldest first.
+
+        Those that may still change are copied, the others are final.
+        """
+        begun = [began_at for began_at in sorted(self._buckets) if began_at >= from_unix_ms]
+        changing = begun[-CHANGING_BUCKETS:]
+        return [
+            (at, self._buckets[at].copy() if at in changing else self._buckets[at]) for at in begun
+        ]
 
     def _drop_old(self, now_unix_ms: int) -> None:
         oldest = now_unix_ms - self.size.span_ms
@@ -202,11 +246,13 @@
         fitting = [ring for ring in self._rings if ring.size.span_ms >= window_ms]
         ring = fitting[0] if fitting else self._rings[-1]
         from_unix_ms = _first_bucket(now_unix_ms, window_ms, ring.size.step_ms)
-        total = LevelWindow()
         with self._lock:
-            for _, bucket in ring.since(from_unix_ms):
-                total.merge(bucket)
-        return total
+            buckets = ring.since(from_unix_ms)
+        # Adding up takes long enough that requests must not wait for it at the lock.
+        total = LevelWindow()
+        for _, bucket in buckets:
+            total.merge(bucket)
+        return total.compacted(self._kept_organisations, cell_limit=WINDOW_CELL_LIMIT)
 
     def series(
         self, step_ms: int, window_ms: int, *, now_unix_ms: int
@@ -215,11 +261,13 @@
         rings = [ring for ring in self._rings if ring.size.step_ms == step_ms]
         ring = rings[0] if rings else self._rings[0]
         from_unix_ms = _first_bucket(now_unix_ms, window_ms, ring.size.step_ms)
-        points: list[tuple[int, str, LevelCounts]] = []
         with self._lock:
-            for began_at, bucket in ring.since(from_unix_ms):
-                points += [(began_at, tier, counts) for tier, counts in _by_tier(bucket).items()]
-        return points
+            buckets = ring.since(from_unix_ms)
+        return [
+            (began_at, tier, counts)
+            for began_at, bucket in buckets
+            for tier, counts in _by_tier(bucket).items()
+        ]
 
     def _bounded(self, key: LevelKey, bucket: LevelWindow) -> LevelKey:
         if key in bucket.cells or len(bucket.cells) < CELL_LIMIT:
--- a/azureturn/observability/tests/test_service_levels.py
+++ b/azureturn/observability/tests/test_service_levels.py
@@ -1,6 +1,7 @@
 """Service levels: exact sums over VMs, honest windows, bounded memory."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -24,7 +25,9 @@
 
 
 def levels() -> ServiceLevels:
-    return ServiceLevels(started_at_unix_ms=0)
+    made = ServiceLevels(started_at_unix_ms=0)
+    made.keep_apart(frozenset({"desk"}))
+    return made
 
 
 def test_windows_count_what_falls_in_them() -> None:
@@ -81,6 +84,21 @@
     assert 970 <= again.quantile_ms(0.99) <= 1_010
 
 
+def test_a_window_of_many_buckets_stays_small_and_shows_the_worst() -> None:
+    one = levels()
+    worst = replace(BAD, upstream="engine-worst")
+    for minute in range(60):
+        now_ms = NOW_MS + minute * MINUTE_MS
+        for number in range(100):
+            engine = f"engine-{minute}-{number}"
+            one.record(replace(GOOD, upstream=engine), latency_ms=5, now_unix_ms=now_ms)
+        one.record(worst, latency_ms=5, now_unix_ms=now_ms)
+    window = one.window(HOUR_MS, now_unix_ms=now_ms)
+    assert len(window.cells) <= 1_010
+    assert window.cells[worst].bad_count == 60
+    assert window.total(lambda key: key.tier == "urgent") == LevelCounts(6_000, 60)
+
+
 def test_many_organisations_take_bounded_memory_and_lose_no_count() -> None:
     one = levels()
     one.keep_apart(frozenset({"organisation-9999"}))
--- a/azureturn/settings/_references.py
+++ b/azureturn/settings/_references.py
@@ -9,6 +9,9 @@
 Finding = tuple[str, str]
 ReferenceCheck = Callable[[SharedSettings], Iterable[Finding]]
 
+#: Allowed names that a mistake lists; a site may have thousands.
+NAMES_SHOWN = 12
+
 _CHECKS: list[ReferenceCheck] = []
 
 
@@ -24,7 +27,10 @@
 
 
 def _allowed(names: Iterable[str]) -> str:
-    return ", ".join(sorted(names)) or "none are defined"
+    known = sorted(names)
+    if len(known) > NAMES_SHOWN:
+        return f"{', '.join(known[:NAMES_SHOWN])} and {len(known) - NAMES_SHOWN} more"
+    return ", ".join(known) or "none are defined"
 
 
 @reference_check
--- a/azureturn/settings/tests/test_load.py
+++ b/azureturn/settings/tests/test_load.py
@@ -78,9 +78,9 @@
         "$.shared.objectives[0].organisation: .*allowed: \\*, call-centre",
     ),
     "two objectives": (
-        ["shared", "objectives", 1, "tier"],
+        ["shared", "objectives", 2, "tier"],
         "urgent",
-        "$.shared.objectives[1]: tier 'urgent' has two objectives",
+        "$.shared.objectives[2]: tier 'urgent' has two objectives",
     ),
 }
 
@@ -101,6 +101,16 @@
     assert re.search(pattern, caught.value.message), caught.value.message
 
 
+def test_of_thousands_of_allowed_names_a_few_are_listed() -> None:
+    document = read_merged(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"])
+    document = json.loads(json.dumps(document))
+    names = [f"organisation-{number}" for number in range(5_000)]
+    document["shared"]["organisations"] = [{"name": one, "token": f"{one:>32}"} for one in names]
+    with pytest.raises(SettingsError, match="and 4989 more") as caught:
+        check_settings(document)
+    assert len(caught.value.message) < 2_000
+
+
 def test_references_are_checked_beside_a_mistake_elsewhere() -> None:
     document = read_merged(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"])
     document = json.loads(json.dumps(document))
