--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -44,7 +44,9 @@
         self.err = ""
 
     def __call__(self, command: str, *, expect: ExitCode = ExitCode.OK) -> str:
-        code = run([*command.split(), *self._site.tool_options])
+        # The site's overlays go before the command's own, which is to have the last word.
+        words = command.split()
+        code = run([*words[:2], *self._site.tool_options, *words[2:]])
         written = self._capsys.readouterr()
         self.err = written.err
         assert code == expect, written
@@ -99,10 +101,11 @@
         folder = tmp_path / str(limit)
         folder.mkdir()
         change = overlay(folder, {"policy": {"queue_limit": limit}}).split()
-        arguments = ["config", "apply", "--expect-revision", str(base), *change]
+        arguments = ["config", "apply", *site.tool_options]
+        arguments += ["--expect-revision", str(base), *change]
         racers.append(
             subprocess.Popen(
-                [sys.executable, "-m", "azureturn.command", *arguments, *site.tool_options],
+                [sys.executable, "-m", "azureturn.command", *arguments],
                 stdout=subprocess.PIPE,
                 stderr=subprocess.PIPE,
                 text=True,
