--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -82,6 +82,7 @@
             report_error=lambda _text: services.log.error(
                 LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
             ),
+            report_refusal=services.accounting.refused,
         )
         self._peer_server = PeerServer(
             settings.vm.host,
