--- a/azureturn/core/controllers/_learning.py
+++ b/azureturn/core/controllers/_learning.py
@@ -143,12 +143,17 @@
         upstream = self.board.read(UpstreamTable).get(name)
         return None if upstream is None else self.board.read(SpeedTable).of(upstream)
 
+    def _keep_speed(self, name: str, speed: LearnedSpeed) -> None:
+        upstream = self.board.read(UpstreamTable).get(name)
+        if upstream is not None:
+            self.board.write(SpeedTable).learn(upstream, speed)
+
     def _learn_pace(self, request: Request, passed_ms: int, tokens: int, context: Context) -> None:
         speed = self._speed(request.upstream)
         if speed is None or tokens <= 0 or passed_ms <= 0:
             return
         learned = speed.with_pace(passed_ms / tokens, now_ms=context.now_ms)
-        self.board.write(SpeedTable).put(request.upstream, learned)
+        self._keep_speed(request.upstream, learned)
 
     def _learn_last_pace(self, request: Request, event: RequestAnswered, context: Context) -> None:
         if request.progressed_at_ms:
@@ -171,7 +176,7 @@
         speed = self._speed(request.upstream)
         if speed is not None:
             learned = speed.with_answer(took_ms)
-            self.board.write(SpeedTable).put(request.upstream, learned)
+            self._keep_speed(request.upstream, learned)
 
     def _learn_prefill(self, request: Request, event: RequestAnswered, context: Context) -> None:
         speed = self._speed(request.upstream)
@@ -181,4 +186,4 @@
         if speed is None or first_ms <= 0:
             return
         learned = speed.with_first_token(first_ms, event.prompt_tokens - event.cached_tokens)
-        self.board.write(SpeedTable).put(request.upstream, learned)
+        self._keep_speed(request.upstream, learned)
--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -72,10 +72,29 @@
 class SpeedTable(Table[str, LearnedSpeed]):
     """Learned speeds by upstream."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        #: The speed last learned of any upstream of a hardware.
+        self._by_hardware: dict[str, LearnedSpeed] = {}
+
+    def learn(self, upstream: Upstream, speed: LearnedSpeed) -> None:
+        """Replace the speed of an upstream."""
+        self.put(upstream.settings.name, speed)
+        self._by_hardware[upstream.settings.hardware] = speed
+
     def of(self, upstream: Upstream) -> LearnedSpeed:
-        """Return what was learned of an upstream, or what its settings assume."""
+        """Return what was learned of an upstream, of its hardware, or what its settings assume.
+
+        Without the hardware's, an upstream of which nothing is known would seem slower or
+        faster than its equals for no reason but the settings, and might never be chosen.
+        """
         learned = self.get(upstream.settings.name)
-        return LearnedSpeed.from_settings(upstream.settings) if learned is None else learned
+        if learned is not None:
+            return learned
+        of_hardware = self._by_hardware.get(upstream.settings.hardware)
+        if of_hardware is not None:
+            return changed(of_hardware, samples=0, sampled_at_ms=0)
+        return LearnedSpeed.from_settings(upstream.settings)
 
 
 class OutputLengthTable(Table[tuple[str, str], float]):
