--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from azureturn.core._claims import ClaimHolder
+from azureturn.core._claim_segments import ClaimSegment
+from azureturn.core._claims import Claim
 from azureturn.core._requests import Request
 from azureturn.core.membership import PeerHeartbeat, PeerIdentity
 from azureturn.errors import ErrorKind, RunState
@@ -26,6 +27,8 @@
     upstream: str
     #: Version of the model that is to answer; empty where the upstream chooses.
     version: str = ""
+    #: Nonce of the claim or ticket that it is sent under; empty for idempotent requests.
+    claim_nonce: str = ""
 
 
 @dataclass(frozen=True)
@@ -44,9 +47,9 @@
 
 @dataclass(frozen=True)
 class AskClaimant(RequestAction):
-    """Another VM holds the claim: ask it for the answer."""
+    """An earlier request holds the claim: its answer is to be shared."""
 
-    holder: ClaimHolder
+    claim: Claim
 
 
 @dataclass(frozen=True)
@@ -57,13 +60,28 @@
 
 
 @dataclass(frozen=True)
-class WriteClaim(Action):
-    """Seek the right to run a call by compare-and-swap."""
+class ReadSegment(Action):
+    """Read a segment of claims."""
 
-    request_id: str
-    organisation: str
-    idempotency_key: str
-    body_digest: str
+    segment: int
+    operation_id: int
+
+
+@dataclass(frozen=True)
+class SwapSegment(Action):
+    """Write a segment of claims if it is still at a revision; 0 means that it is absent."""
+
+    segment: int
+    operation_id: int
+    expected_revision: int
+    content: ClaimSegment
+
+
+@dataclass(frozen=True)
+class ClaimAbandoned(Action):
+    """This process will never send the call under this nonce: tell those who wait for it."""
+
+    claim_nonce: str
 
 
 @dataclass(frozen=True)
--- a/azureturn/core/controllers/__init__.py
+++ b/azureturn/core/controllers/__init__.py
@@ -1,6 +1,8 @@
 """The controllers; importing this package registers them."""
 
 from azureturn.core.controllers._admission import AdmissionController
+from azureturn.core.controllers._claim_segments import ClaimSegmentsController
+from azureturn.core.controllers._claims import ClaimsController
 from azureturn.core.controllers._configuration import ConfigurationController
 from azureturn.core.controllers._dispatch import DispatchController
 from azureturn.core.controllers._learning import LearningController
@@ -15,6 +17,8 @@
 
 __all__ = [
     "AdmissionController",
+    "ClaimSegmentsController",
+    "ClaimsController",
     "ConfigurationController",
     "DispatchController",
     "MembershipController",
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -10,26 +10,31 @@
     AskPeersToTake,
     AwaitPlacement,
     CancelAtUpstream,
+    ClaimAbandoned,
     Configuration,
     Core,
     FetchConfiguration,
     LeavingAnnounced,
+    ReadSegment,
     SendHeartbeat,
     Started,
-    WriteClaim,
+    SwapSegment,
 )
 from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._background import BackgroundTasks
 from azureturn.daemon._caller_server import CallerServer
-from azureturn.daemon._claims import ClaimWriter
+from azureturn.daemon._claimants import release_waiting
+from azureturn.daemon._claims import ClaimCaller
 from azureturn.daemon._face import CallerFace
 from azureturn.daemon._gossip import GossipAdapter
 from azureturn.daemon._offers import OfferAdapter
-from azureturn.daemon._outcomes import OutcomeStore
+from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._peer_face import PeerFace
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.daemon._services import Services
 from azureturn.daemon._stop import PlannedStop, StopLimits, StopStage
+from azureturn.daemon._ticketed_calls import TicketedCalls
+from azureturn.daemon._tickets import TicketOffice
 from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
 from azureturn.peers import (
     EnvelopeSigner,
@@ -60,8 +65,15 @@
             StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms), unfinished=self._unfinished
         )
         self._offers = OfferAdapter(services)
+        tickets = TicketOffice(settings, boot_id=services.boot_id)
+        ticketed_calls = TicketedCalls(services, tickets)
         face = CallerFace(
-            services, self._offers, is_ready=self._is_ready, is_finishing=self._is_finishing
+            services,
+            self._offers,
+            tickets=tickets,
+            ticketed_calls=ticketed_calls,
+            is_ready=self._is_ready,
+            is_finishing=self._is_finishing,
         )
         self._caller_server = CallerServer(
             settings,
@@ -70,20 +82,24 @@
             report_error=lambda _text: services.log.error(
                 LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
             ),
+            report_refusal=services.accounting.refused,
         )
         self._peer_server = PeerServer(
-            settings.vm.host, settings.vm.peer_port, PeerFace(services), services.signer
-        )
-        self._claims = ClaimWriter(
-            services.key_value, services.runtime, vm=settings.vm, boot_id=services.boot_id
+            settings.vm.host,
+            settings.vm.peer_port,
+            PeerFace(services, ticketed_calls),
+            services.signer,
         )
+        self._claims = ClaimCaller(services.key_value, services.runtime.submit)
         self._gossip = GossipAdapter(services)
         self._background = BackgroundTasks(services, self._gossip)
         services.runtime.perform(SendHeartbeat, self._gossip.send)
         services.runtime.perform(FetchConfiguration, self._gossip.fetch)
         services.runtime.perform(AskPeersToTake, self._offers.ask)
         services.runtime.perform(AwaitPlacement, lambda action: None)
-        services.runtime.perform(WriteClaim, self._claims.write)
+        services.runtime.perform(ReadSegment, self._claims.take)
+        services.runtime.perform(SwapSegment, self._claims.take)
+        services.runtime.perform(ClaimAbandoned, lambda action: release_waiting(services, action))
         services.runtime.perform(CancelAtUpstream, self._cancel)
 
     @classmethod
@@ -92,7 +108,8 @@
         seed = settings.daemon.random_seed
         core = Core.from_settings(settings, seed=secrets.randbits(64) if seed is None else seed)
         runtime = CoreRuntime(core, tick_interval_ms=settings.daemon.tick_interval_ms)
-        runtime.submit(Started(Configuration(0, settings.shared)))
+        boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        runtime.submit(Started(Configuration(0, settings.shared), boot_id))
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
@@ -100,13 +117,13 @@
         metrics = Metrics.from_settings(settings.daemon)
         services = Services(
             settings=settings,
-            boot_id=secrets.token_hex(_BOOT_ID_BYTES),
+            boot_id=boot_id,
             runtime=runtime,
             key_value=KeyValueClient.from_settings(settings.platform),
             vm_list=VmListClient(settings.platform.vm_list_url),
             peers=PeerClient(signer),
             signer=signer,
-            outcomes=OutcomeStore(),
+            outcomes=CallOutcomes(),
             log=log,
             metrics=metrics,
             accounting=Accounting(
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -23,6 +23,7 @@
     Outcome,
     OutcomeQuery,
     PeerRefused,
+    TicketedCall,
 )
 
 PEER_THREADS = 32
@@ -38,6 +39,9 @@
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Return what is known of a call."""
 
+    def run_ticketed_call(self, call: TicketedCall) -> Outcome:
+        """Run a call whose ticket this process minted."""
+
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
 
@@ -61,6 +65,9 @@
     def find_outcome(self, query: Envelope) -> Envelope:
         return self._answer("find_outcome", query, OutcomeQuery)
 
+    def run_ticketed_call(self, call: Envelope) -> Envelope:
+        return self._answer("run_ticketed_call", call, TicketedCall)
+
     def exchange_heartbeat(self, heartbeat: Envelope) -> Envelope:
         return self._answer("exchange_heartbeat", heartbeat, Heartbeat)
 
