--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -19,6 +19,7 @@
     SwapSegment,
 )
 from azureturn.core._blackboard import Blackboard, BlackboardView, Table, UndeclaredTableError
+from azureturn.core._claim_progress import SegmentProgressTable
 from azureturn.core._claim_segments import ClaimSegment, call_digest, segment_key, segment_of
 from azureturn.core._claims import Claim, ClaimHolder, ClaimOutcome, ClaimResult, ClaimState
 from azureturn.core._configuration import Configuration, ConfigurationSource, ConfigurationTable
@@ -181,6 +182,7 @@
     "RowsReceived",
     "SegmentCallLost",
     "SegmentChanged",
+    "SegmentProgressTable",
     "SegmentRead",
     "SegmentSwapped",
     "SendHeartbeat",
--- a/specification/_check.py
+++ b/specification/_check.py
@@ -13,10 +13,15 @@
 
 
 class _DepthMeter:
-    """Passes transitions through and notes how deep the breadth-first search has come."""
+    """Passes transitions through and notes how deep the breadth-first search has come.
 
-    def __init__(self, protocol: Protocol) -> None:
+    With the name of an invariant, nothing is explored beyond its first violation.
+    """
+
+    def __init__(self, protocol: Protocol, *, stops_at: str | None = None) -> None:
         self._protocol = protocol
+        self._stopper = protocol.invariants.get(stops_at)
+        self._stopped = False
         self._depths: dict[State, int] = {protocol.initial: 0}
         self.depth = 0
 
@@ -25,14 +30,20 @@
         return replace(self._protocol, transitions=self._transitions)
 
     def _transitions(self, state: State) -> list[tuple[str, State]]:
+        if self._stopped:
+            return []
         steps: list[tuple[str, State]] = self._protocol.transitions(state)
         next_depth = self._depths[state] + 1
         for _, following in steps:
             if following not in self._depths:
                 self._depths[following] = next_depth
                 self.depth = next_depth
+                self._stopped = self._stopped or self._violates(following)
         return steps
 
+    def _violates(self, state: State) -> bool:
+        return self._stopper is not None and not self._stopper(self._protocol.d(state))
+
 
 @dataclass(frozen=True)
 class Finding:
@@ -69,7 +80,7 @@
         elif properties[mutation.breaks]["holds"] is not False:
             yield f"the mutation does not break '{mutation.breaks}'"
 
-    return _explore(name, mutation.protocol, max_states, uncaught)
+    return _explore(name, mutation.protocol, max_states, uncaught, stops_at=mutation.breaks)
 
 
 def _unexpected(properties: dict[str, Any]) -> Iterator[str]:
@@ -81,8 +92,10 @@
             yield f"'{name}' is violated by {steps}"
 
 
-def _explore(name: str, protocol: Protocol, max_states: int, judge: Any) -> Finding:
-    meter = _DepthMeter(protocol)
+def _explore(
+    name: str, protocol: Protocol, max_states: int, judge: Any, *, stops_at: str | None = None
+) -> Finding:
+    meter = _DepthMeter(protocol, stops_at=stops_at)
     started_s = time.perf_counter()
     result = check_safety(meter.protocol(), max_states=max_states)
     took_s = time.perf_counter() - started_s
