--- a/azureturn/daemon/_ticketed_calls.py
+++ b/azureturn/daemon/_ticketed_calls.py
@@ -83,6 +83,7 @@
             body=call.body or b"",
             timeout_ms=call.timeout_ms,
             request_id=call.request_id,
+            first_attempt=bool(call.first_attempt),
         )
         if self._place_of(request.ticket) is not TicketPlace.HERE:
             raise AzureturnError(ErrorKind.TICKET_INVALID, "this process did not mint the ticket")
@@ -115,7 +116,7 @@
         try:
             return RequestFlow(self._services, outgoing, None).serve()
         except AzureturnError as error:
-            raise self._honest(request, error) from error
+            raise self._honest(call, request, error) from error
 
     def _request_of(self, call: TicketedRequest) -> tuple[Request, RouteSettings]:
         configuration = self._services.runtime.inspect(
@@ -139,20 +140,26 @@
         )
         return request, route
 
-    def _honest(self, request: Request, error: AzureturnError) -> AzureturnError:
-        """Return the error, ``not_run`` only if no attempt at the call ever ran.
+    def _honest(
+        self, call: TicketedRequest, request: Request, error: AzureturnError
+    ) -> AzureturnError:
+        """Return the error, ``not_run`` only to a first attempt that nothing overtook.
 
-        Only this process may run the ticket, so it knows of every earlier attempt.
+        Another attempt may wait in a queue here, or be on its way from another VM.
         """
+        if error.run_state is not RunState.NOT_RUN:
+            return error
+        if error.kind is ErrorKind.IDEMPOTENCY_KEY_REUSED:
+            return error
         digest = digest_of(request)
         held = self._services.runtime.inspect(
             lambda core: core.board.table(HeldCallTable).live(digest)
         )
-        if error.run_state is not RunState.NOT_RUN or held is None:
+        if call.first_attempt and held is None:
             return error
-        if error.kind is ErrorKind.IDEMPOTENCY_KEY_REUSED:
-            return error
-        return AzureturnError(ErrorKind.OUTCOME_UNKNOWN, run_state=RunState.UNKNOWN)
+        return AzureturnError(
+            error.kind, run_state=RunState.UNKNOWN, retry_after_ms=error.retry_after_ms
+        )
 
     def _pass_on(self, call: TicketedRequest) -> CallerAnswer:
         ticket = call.ticket
@@ -163,6 +170,7 @@
             body=call.body,
             timeout_ms=call.timeout_ms,
             request_id=call.request_id,
+            first_attempt=call.first_attempt,
         )
         try:
             address = PeerAddress(ticket.host, ticket.peer_port)
--- /dev/null
+++ b/azureturn/daemon/tests/test_tickets.py
@@ -0,0 +1,57 @@
+"""Tickets are read back only as they were minted."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.core import TicketPlace, ticket_place
+from azureturn.core.tests.claim_site import settings_of
+from azureturn.daemon._tickets import TicketOffice, is_first_attempt
+from azureturn.errors import CallerError, ErrorKind
+
+OFFICE = TicketOffice(settings_of("vm-1"), boot_id="boot-1")
+TOKEN = OFFICE.mint("call-centre", "deposit")
+TICKET = OFFICE.read(TOKEN)
+
+
+def test_a_ticket_names_its_process_and_its_call() -> None:
+    assert (TICKET.vm, TICKET.boot_id) == ("vm-1", "boot-1")
+    assert (TICKET.organisation, TICKET.route) == ("call-centre", "deposit")
+    assert OFFICE.read(OFFICE.mint("call-centre", "deposit")).nonce != TICKET.nonce
+
+
+@given(st.text(max_size=2_000))
+def test_what_is_no_ticket_is_refused(token: str) -> None:
+    with pytest.raises(CallerError) as raised:
+        OFFICE.read(token)
+    assert raised.value.kind is ErrorKind.TICKET_INVALID
+
+
+@given(st.integers(0, len(TOKEN) - 1), st.text(max_size=3))
+def test_a_changed_ticket_is_refused_or_reads_the_same(place: int, change: str) -> None:
+    # Base64 skips characters outside its alphabet, which changes nothing that is signed.
+    try:
+        assert OFFICE.read(TOKEN[:place] + change + TOKEN[place:]) == TICKET
+    except CallerError as error:
+        assert error.kind is ErrorKind.TICKET_INVALID
+
+
+PLACES = {
+    "its own process": ("vm-1", "boot-1", 0, TicketPlace.HERE),
+    "too late": ("vm-1", "boot-1", TICKET.expires_at_ms, TicketPlace.EXPIRED),
+    "the VM started anew": ("vm-1", "boot-2", 0, TicketPlace.GONE),
+    "another VM": ("vm-2", "boot-3", 0, TicketPlace.ELSEWHERE),
+}
+
+
+@pytest.mark.parametrize("case", PLACES)
+def test_only_its_own_process_runs_a_ticket(case: str) -> None:
+    vm, boot_id, now_ms, place = PLACES[case]
+    assert ticket_place(TICKET, vm=vm, boot_id=boot_id, now_ms=now_ms) is place
+
+
+@pytest.mark.parametrize(
+    ("headers", "first"), [({}, False), ({"Azureturn-First-Attempt": "true"}, True)]
+)
+def test_a_first_attempt_is_declared(headers: dict[str, str], first: bool) -> None:
+    assert is_first_attempt(headers) is first
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -51,6 +51,8 @@
   4: binary body,
   5: i32 timeout_ms,
   6: string request_id,
+  // Whether the caller says that it never sent this call before.
+  7: bool first_attempt,
 }
 
 // One fact that its owner alone changes; the higher (incarnation, version) replaces the other.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -539,6 +539,7 @@
      - body
      - timeout_ms
      - request_id
+     - first_attempt
 
     """
 
@@ -549,16 +550,18 @@
         'body',
         'timeout_ms',
         'request_id',
+        'first_attempt',
     )
 
 
-    def __init__(self, ticket=None, path=None, content_type=None, body=None, timeout_ms=None, request_id=None,):
+    def __init__(self, ticket=None, path=None, content_type=None, body=None, timeout_ms=None, request_id=None, first_attempt=None,):
         self.ticket = ticket
         self.path = path
         self.content_type = content_type
         self.body = body
         self.timeout_ms = timeout_ms
         self.request_id = request_id
+        self.first_attempt = first_attempt
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -599,6 +602,11 @@
                     self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.first_attempt = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -633,6 +641,10 @@
             oprot.writeFieldBegin('request_id', TType.STRING, 6)
             oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
+        if self.first_attempt is not None:
+            oprot.writeFieldBegin('first_attempt', TType.BOOL, 7)
+            oprot.writeBool(self.first_attempt)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3118,6 +3130,7 @@
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
     (5, TType.I32, 'timeout_ms', None, None, ),  # 5
     (6, TType.STRING, 'request_id', 'UTF8', None, ),  # 6
+    (7, TType.BOOL, 'first_attempt', None, None, ),  # 7
 )
 all_structs.append(GossipRow)
 GossipRow.thrift_spec = (
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -145,3 +145,14 @@
         "vm-2", "POST", DEPOSIT, body={"cents": 1}, headers=headers, token=OTHER_TOKEN
     )
     assert told(stolen) == ("ticket_invalid", "not_run")
+
+
+@pytest.mark.parametrize(("headers", "run_state"), [(FIRST, "not_run"), ({}, "unknown")])
+def test_only_a_first_attempt_is_told_that_a_ticket_did_not_run(
+    site: Site, headers: dict[str, str], run_state: str
+) -> None:
+    ticket = take_ticket(site, "vm-1")
+    site.processes["bookings-1"].kill()
+    for vm in ("vm-1", "vm-2"):
+        answer = use(site, vm, ticket, **{"Azureturn-Timeout-Ms": "1500"}, **headers)
+        assert told(answer)[1] == run_state
