--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -7,6 +7,8 @@
 
 from azureturn._time_of_day import unix_now_ms
 from azureturn.core import (
+    AskPeersToTake,
+    AwaitPlacement,
     CancelAtUpstream,
     ClaimAbandoned,
     Configuration,
@@ -25,6 +27,7 @@
 from azureturn.daemon._claims import ClaimCaller
 from azureturn.daemon._face import CallerFace
 from azureturn.daemon._gossip import GossipAdapter
+from azureturn.daemon._offers import OfferAdapter
 from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._peer_face import PeerFace
 from azureturn.daemon._runtime import CoreRuntime
@@ -61,10 +64,12 @@
         self._stop = PlannedStop(
             StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms), unfinished=self._unfinished
         )
+        self._offers = OfferAdapter(services)
         tickets = TicketOffice(settings, boot_id=services.boot_id)
         ticketed_calls = TicketedCalls(services, tickets)
         face = CallerFace(
             services,
+            self._offers,
             tickets=tickets,
             ticketed_calls=ticketed_calls,
             is_ready=self._is_ready,
@@ -77,17 +82,21 @@
             report_error=lambda _text: services.log.error(
                 LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
             ),
+            report_refusal=services.accounting.refused,
         )
-        signer = EnvelopeSigner(
-            settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
+        self._peer_server = PeerServer(
+            settings.vm.host,
+            settings.vm.peer_port,
+            PeerFace(services, ticketed_calls),
+            services.signer,
         )
-        peer_face = PeerFace(services, ticketed_calls)
-        self._peer_server = PeerServer(settings.vm.host, settings.vm.peer_port, peer_face, signer)
         self._claims = ClaimCaller(services.key_value, services.runtime.submit)
         self._gossip = GossipAdapter(services)
         self._background = BackgroundTasks(services, self._gossip)
         services.runtime.perform(SendHeartbeat, self._gossip.send)
         services.runtime.perform(FetchConfiguration, self._gossip.fetch)
+        services.runtime.perform(AskPeersToTake, self._offers.ask)
+        services.runtime.perform(AwaitPlacement, lambda action: None)
         services.runtime.perform(ReadSegment, self._claims.take)
         services.runtime.perform(SwapSegment, self._claims.take)
         services.runtime.perform(ClaimAbandoned, lambda action: release_waiting(services, action))
@@ -113,6 +122,7 @@
             key_value=KeyValueClient.from_settings(settings.platform),
             vm_list=VmListClient(settings.platform.vm_list_url),
             peers=PeerClient(signer),
+            signer=signer,
             outcomes=CallOutcomes(),
             log=log,
             metrics=metrics,
@@ -131,6 +141,7 @@
         self._gossip.learn_configuration()
         self._services.runtime.start()
         self._claims.start()
+        self._offers.start()
         self._peer_server.start()
         self._caller_server.prepare()
         threading.Thread(target=self._caller_server.serve, name="caller-server").start()
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -3,6 +3,7 @@
 import json
 import re
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import cherrypy
@@ -12,6 +13,7 @@
 from azureturn.daemon._caller_requests import (
     IDEMPOTENCY_HEADER,
     chat_route,
+    check_header,
     new_request,
     organisation_of,
     parse_chat_body,
@@ -19,6 +21,12 @@
     timeout_ms_of,
 )
 from azureturn.daemon._caller_server import CALLER_SOCKET_NAME
+from azureturn.daemon._offers import (
+    FORWARD_CALL,
+    FORWARDED_HEADER,
+    CallerMessage,
+    OfferAdapter,
+)
 from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
@@ -30,6 +38,7 @@
 from azureturn.upstreams import streamed_body
 
 _READ_BYTES = 65_536
+CONTENT_TYPE_LIMIT = 255
 #: Most digits of an announced length.
 _LENGTH_DIGITS = 15
 _CHAT_PATH = "/v1/chat/completions"
@@ -51,6 +60,7 @@
     def __init__(
         self,
         services: Services,
+        offers: OfferAdapter,
         *,
         tickets: TicketOffice,
         ticketed_calls: TicketedCalls,
@@ -58,6 +68,7 @@
         is_finishing: Callable[[], bool],
     ) -> None:
         self._services = services
+        self._offers = offers
         self._tickets = tickets
         self._ticketed_calls = ticketed_calls
         self._is_ready = is_ready
@@ -76,6 +87,7 @@
         """Serve every path; CherryPy calls this one method for all of them."""
         request_id = self._services.new_request_id()
         try:
+            request_id = self._forwarded_id() or request_id
             return self._send(self._serve(request_id, path))
         except AzureturnError as error:
             return self._send(self._refusal(error, request_id))
@@ -86,6 +98,11 @@
             failure = AzureturnError(ErrorKind.INTERNAL)
             return self._send(self._refusal(failure, request_id))
 
+    def _forwarded_id(self) -> str:
+        """Return the id of a request that another VM forwards, or an empty string."""
+        signed = cherrypy.request.headers.get(FORWARDED_HEADER)
+        return "" if signed is None else self._services.signer.open_text(FORWARD_CALL, signed)
+
     def _serve(self, request_id: str, path: tuple[str, ...]) -> CallerAnswer:
         method = cherrypy.request.method
         if path == ("healthz",):
@@ -131,7 +148,7 @@
         sent_headers = {"Content-Type": "application/json"}
         sent_body = body if chat.stream else streamed_body(chat.document)
         outgoing = OutgoingRequest(
-            request, "POST", _CHAT_PATH, sent_headers, sent_body, chat.stream
+            request, "POST", _CHAT_PATH, sent_headers, sent_body, chat.stream, self._message(body)
         )
         return self._serve_request(outgoing)
 
@@ -165,10 +182,14 @@
             arrived_at_ms=arrived_at_ms,
             path=path,
         )
-        sent_headers = {"Content-Type": headers.get("Content-Type", "application/octet-stream")}
+        content_type = headers.get("Content-Type", "application/octet-stream")
+        check_header("Content-Type", content_type, limit=CONTENT_TYPE_LIMIT)
+        sent_headers = {"Content-Type": content_type}
         if request.idempotency_key:
             sent_headers[IDEMPOTENCY_HEADER] = request.idempotency_key
-        outgoing = OutgoingRequest(request, route.method, path, sent_headers, body, False)
+        outgoing = OutgoingRequest(
+            request, route.method, path, sent_headers, body, False, self._message(body)
+        )
         return self._serve_request(outgoing)
 
     def _ticketed(
@@ -210,7 +231,18 @@
 
     def _serve_request(self, outgoing: OutgoingRequest) -> CallerAnswer:
         caller = cherrypy.request.wsgi_environ[CALLER_SOCKET_NAME]
-        return RequestFlow(self._services, outgoing, caller).serve()
+        if FORWARDED_HEADER in cherrypy.request.headers:
+            # A VM that was asked does not ask others in its turn.
+            outgoing = replace(outgoing, request=replace(outgoing.request, offered=True))
+        return RequestFlow(self._services, outgoing, caller, offers=self._offers).serve()
+
+    @staticmethod
+    def _message(body: bytes) -> CallerMessage:
+        request = cherrypy.request
+        path = request.path_info
+        if request.query_string:
+            path += "?" + request.query_string
+        return CallerMessage.from_request(request.method, path, dict(request.headers), body)
 
     def _models(self, request_id: str) -> CallerAnswer:
         configuration = self._configuration()
