--- a/azureturn/command/_main.py
+++ b/azureturn/command/_main.py
@@ -9,6 +9,7 @@
 from azureturn.command._config import ConfigCommand
 from azureturn.command._errors import report_error
 from azureturn.command._exit_codes import ExitCode
+from azureturn.command._move import MoveCommand
 from azureturn.command._requests import RequestsCommand
 from azureturn.command._slo import SloCommand
 from azureturn.command._upstream import UpstreamCommand
@@ -18,7 +19,9 @@
 #: How a mistake on the command line is told: in one line, with what to do.
 ERROR_FORMAT = "{prog}: {message} (see '{prog} --help')"
 
-Subcommand = ConfigCommand | UpstreamCommand | VmCommand | RequestsCommand | SloCommand
+Subcommand = (
+    ConfigCommand | MoveCommand | UpstreamCommand | VmCommand | RequestsCommand | SloCommand
+)
 
 
 @cappa.command(name="azureturn", help="Operate azureturn from the terminal.")
--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -99,7 +99,7 @@
 
     def with_version(self, version: str) -> "Request":
         """Return a copy that a certain version of the model is to answer."""
-        return replace(self, version=version)
+        return changed(self, version=version)
 
 
 class RequestTable(Table[str, Request]):
--- a/azureturn/core/controllers/_move_gossip.py
+++ b/azureturn/core/controllers/_move_gossip.py
@@ -16,7 +16,7 @@
 
 #: Evidence is told this often; both versions' together, so that no VM sees half a picture.
 PUBLISH_INTERVAL_MS = 2_000
-#: The same while the new version fails here.
+#: The same while the new version fails here, or is suspected and shows any trouble anywhere.
 URGENT_INTERVAL_MS = 250
 _CONDEMNED, _COMPLETED = 1, 2
 _REASONS = tuple(MoveReason)
@@ -33,7 +33,7 @@
     def __init__(self, *arguments: object) -> None:
         super().__init__(*arguments)  # type: ignore[arg-type]
         self._published_at_ms: dict[str, int] = {}
-        self._published_failures: dict[str, int] = {}
+        self._published_news: dict[str, int] = {}
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
@@ -71,12 +71,15 @@
         ledger = self.board.read(EvidenceTable).get(record.move_id)
         if ledger is None or record.ended:
             return
-        failing = ledger.own_failures != self._published_failures.get(record.move_id, 0)
+        judged = self.board.read(EvidenceTable).verdicts.get(record.move_id)
+        suspected = judged is not None and judged.verdict.suspicious
+        news = ledger.bad_news if suspected else ledger.own_failures
+        failing = news != self._published_news.get(record.move_id, 0)
         interval_ms = URGENT_INTERVAL_MS if failing else PUBLISH_INTERVAL_MS
         if context.now_ms - self._published_at_ms.get(record.move_id, 0) < interval_ms:
             return
         self._published_at_ms[record.move_id] = context.now_ms
-        self._published_failures[record.move_id] = ledger.own_failures
+        self._published_news[record.move_id] = news
         gossip = self.board.write(GossipTable)
         rows = ledger.rows_of(EvidenceSource(own.vm, ledger.own_boot_id))
         for key, numbers in evidence_to_rows(record, rows):
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -22,6 +22,7 @@
 from azureturn.daemon._claims import ClaimWriter
 from azureturn.daemon._face import CallerFace
 from azureturn.daemon._gossip import GossipAdapter
+from azureturn.daemon._moves import MoveAdapter
 from azureturn.daemon._outcomes import OutcomeStore
 from azureturn.daemon._peer_face import PeerFace
 from azureturn.daemon._runtime import CoreRuntime
@@ -75,6 +76,7 @@
         )
         self._gossip = GossipAdapter(services)
         self._background = BackgroundTasks(services, self._gossip)
+        self._moves = MoveAdapter(services)
         services.runtime.perform(SendHeartbeat, self._gossip.send)
         services.runtime.perform(FetchConfiguration, self._gossip.fetch)
         services.runtime.perform(WriteClaim, self._claims.write)
@@ -86,7 +88,8 @@
         seed = settings.daemon.random_seed
         core = Core.from_settings(settings, seed=secrets.randbits(64) if seed is None else seed)
         runtime = CoreRuntime(core, tick_interval_ms=settings.daemon.tick_interval_ms)
-        runtime.submit(Started(Configuration(0, settings.shared)))
+        boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        runtime.submit(Started(Configuration(0, settings.shared), boot_id))
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
@@ -94,7 +97,7 @@
         metrics = Metrics.from_settings(settings.daemon)
         services = Services(
             settings=settings,
-            boot_id=secrets.token_hex(_BOOT_ID_BYTES),
+            boot_id=boot_id,
             runtime=runtime,
             key_value=KeyValueClient.from_settings(settings.platform),
             vm_list=VmListClient(settings.platform.vm_list_url),
@@ -121,6 +124,7 @@
         self._caller_server.prepare()
         threading.Thread(target=self._caller_server.serve, name="caller-server").start()
         self._background.start()
+        self._moves.start()
         self._started = True
         vm = self._services.settings.vm
         self._services.log.info(
@@ -132,6 +136,7 @@
         self._services.log.info(LogEvent.DAEMON_STOPPING)
         cut = self._stop.run(announce=self._announce_leaving)
         self._background.stop()
+        self._moves.stop()
         if not cut:
             self._caller_server.stop()
             self._peer_server.stop()
--- /dev/null
+++ b/azureturn/daemon/_moves.py
@@ -0,0 +1,175 @@
+"""Version moves towards the outside: records at the service, orders to engines, reports."""
+
+import queue
+import threading
+
+from azureturn._time_of_day import unix_now_ms
+from azureturn.core import ConfigurationTable
+from azureturn.core.moves import (
+    MOVES_PREFIX,
+    MoveRecordError,
+    MovesRead,
+    MoveTable,
+    MoveWritten,
+    ObserveVersions,
+    OrderEnded,
+    ReportMove,
+    SendOrder,
+    StoredMove,
+    VersionsObserved,
+    WriteMove,
+    WriteResult,
+    decode_record,
+    encode_record,
+    move_key,
+)
+from azureturn.daemon._runtime import now_ms
+from azureturn.daemon._services import Services
+from azureturn.errors import CompareFailedError, KeyValueUnavailableError, PlatformError
+from azureturn.observability import LogEvent
+from azureturn.platform import KeyValueEntry
+from azureturn.settings import UpstreamKind
+from azureturn.upstreams import EngineOrder, OrderClient
+
+#: How often the records are read while a move goes on, and while none does.
+ACTIVE_READ_INTERVAL_MS = 1_000
+IDLE_READ_INTERVAL_MS = 2_000
+#: Threads that talk to engines; a load holds one until it has ended.
+ENGINE_THREADS = 6
+#: Calls to engines that may wait for a thread.
+WAITING_LIMIT = 1_000
+_MS_PER_S = 1_000
+
+_EngineAction = SendOrder | ObserveVersions
+
+
+class MoveAdapter:
+    """Reads and writes records, and carries orders to engines, on threads of its own.
+
+    Records are read by polling: a watch can go silent unnoticed, and counts as a call for as
+    long as it waits.
+    """
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+        self._stopped = threading.Event()
+        self._writes: queue.SimpleQueue[WriteMove] = queue.SimpleQueue()
+        self._engine_calls: queue.Queue[_EngineAction] = queue.Queue(WAITING_LIMIT)
+        services.runtime.perform(WriteMove, self._writes.put)
+        services.runtime.perform(SendOrder, self._call_engine)
+        services.runtime.perform(ObserveVersions, self._call_engine)
+        services.runtime.perform(ReportMove, self._report)
+
+    def start(self) -> None:
+        """Start the threads."""
+        self._run(self._read_forever, "moves-read")
+        self._run(self._write_forever, "moves-write")
+        for number in range(ENGINE_THREADS):
+            self._run(self._serve_engines, f"moves-engines-{number}")
+
+    def stop(self) -> None:
+        """Read no more records, so that another VM takes this one's moves over."""
+        self._stopped.set()
+
+    @staticmethod
+    def _run(target: object, name: str) -> None:
+        threading.Thread(target=target, name=name, daemon=True).start()  # type: ignore[arg-type]
+
+    def _read_forever(self) -> None:
+        while True:
+            self._read()
+            active = self._services.runtime.inspect(
+                lambda core: any(
+                    not move.record.settled for move in core.board.table(MoveTable).rows()
+                )
+            )
+            interval_ms = ACTIVE_READ_INTERVAL_MS if active else IDLE_READ_INTERVAL_MS
+            if self._stopped.wait(interval_ms / _MS_PER_S):
+                return
+
+    def _read(self) -> None:
+        try:
+            entries = self._services.key_value.read_prefix(MOVES_PREFIX)
+        except PlatformError:
+            # That the word is old shows in the core; the configuration's watch logs the outage.
+            return
+        stored = [one for one in map(self._stored_move, entries) if one is not None]
+        self._services.runtime.submit(MovesRead(tuple(stored), unix_now_ms()))
+
+    def _stored_move(self, entry: KeyValueEntry) -> StoredMove | None:
+        try:
+            return StoredMove(decode_record(entry.value), entry.revision)
+        except MoveRecordError as error:
+            self._services.log.error(LogEvent.MOVE_RECORD_REFUSED, error=error.message)
+            return None
+
+    def _write_forever(self) -> None:
+        while True:
+            action = self._writes.get()
+            if not self._stopped.is_set():
+                self._services.runtime.submit(self._write(action))
+
+    def _write(self, action: WriteMove) -> MoveWritten:
+        record = action.record
+        try:
+            revision = self._services.key_value.compare_and_swap(
+                move_key(record.model),
+                encode_record(record),
+                expected_revision=action.expected_revision,
+            )
+        except CompareFailedError:
+            return MoveWritten(record, WriteResult.CONFLICT)
+        except KeyValueUnavailableError:
+            return MoveWritten(record, WriteResult.UNKNOWN)
+        return MoveWritten(record, WriteResult.WRITTEN, revision)
+
+    def _call_engine(self, action: _EngineAction) -> None:
+        try:
+            self._engine_calls.put_nowait(action)
+        except queue.Full:
+            # The core asks again: an observation by its interval, an order once it is overdue.
+            return
+
+    def _serve_engines(self) -> None:
+        while True:
+            action = self._engine_calls.get()
+            client = self._client(action.upstream)
+            if client is None or self._stopped.is_set():
+                continue
+            if isinstance(action, ObserveVersions):
+                observed = VersionsObserved(action.upstream, client.versions())
+                self._services.runtime.submit(observed)
+            else:
+                self._send(client, action)
+
+    def _send(self, client: OrderClient, action: SendOrder) -> None:
+        began_ms = now_ms()
+        limit_ms = self._services.runtime.inspect(
+            lambda core: core.board.table(ConfigurationTable)
+            .in_force()
+            .shared.policy.moves.order_limit_ms
+        )
+        order = EngineOrder(action.kind.value, action.version, action.fence)
+        done = client.send(order, timeout_ms=limit_ms)
+        ended = OrderEnded(action.upstream, action.kind, done, now_ms() - began_ms)
+        self._services.runtime.submit(ended)
+
+    def _client(self, name: str) -> OrderClient | None:
+        configuration = self._services.runtime.inspect(
+            lambda core: core.board.table(ConfigurationTable).in_force()
+        )
+        for upstream in configuration.shared.upstreams:
+            if upstream.name == name and upstream.kind is UpstreamKind.MODEL_ENGINE:
+                return OrderClient(upstream.url)
+        return None
+
+    def _report(self, action: ReportMove) -> None:
+        self._services.log.info(
+            LogEvent.MOVE_SHOWN,
+            model=action.model,
+            move=action.move_id,
+            state=action.state.value,
+            reason=action.reason.value,
+            detail=action.detail,
+            share=action.share,
+        )
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from azureturn.core import (
+    AnswerProgressed,
     AskClaimant,
     CallerLeft,
     Dispatch,
@@ -145,7 +146,12 @@
             return self._engine_answer(answer.read_whole())
         headers = self._passed_headers(answer.headers)
         if self._outgoing.streamed:
-            body = RelayedStream(stream, self._request.request_id, on_end=self._on_stream_end)
+            body = RelayedStream(
+                stream,
+                self._request.request_id,
+                on_begin=self._tell_first_token,
+                on_end=self._on_stream_end,
+            )
             return CallerAnswer(200, self._with_identity(headers), body)
         return self._assembled_answer(stream, headers)
 
@@ -158,7 +164,9 @@
 
     def _assembled_answer(self, stream: ResumingStream, headers: dict[str, str]) -> CallerAnswer:
         assembler = AnswerAssembler()
-        for block in stream.blocks():
+        for number, block in enumerate(stream.blocks()):
+            if number == 0:
+                self._tell_first_token()
             assembler.add(block)
             if self._left_ms() <= 0:
                 stream.close()
@@ -201,6 +209,9 @@
             self._services.outcomes.settle(key, outcome)
         return CallerAnswer(whole.status, self._with_identity(headers), whole.body)
 
+    def _tell_first_token(self) -> None:
+        self._services.runtime.submit(AnswerProgressed(self._request.request_id, 1))
+
     def _tell_answered(self, usage: Usage, *, status: int = 200) -> None:
         answered = RequestAnswered(
             self._request.request_id,
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -23,6 +23,8 @@
     CONFIGURATION_IN_FORCE = "configuration_in_force"
     CONFIGURATION_REFUSED = "configuration_refused"
     CONFIGURATION_UNKNOWN_AT_START = "configuration_unknown_at_start"
+    MOVE_SHOWN = "move_shown"
+    MOVE_RECORD_REFUSED = "move_record_refused"
     VM_LIST_UNAVAILABLE = "vm_list_unavailable"
     KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
     INTERNAL_ERROR = "internal_error"
@@ -77,6 +79,15 @@
             "Neither the key-value service nor a peer told the revision in force in time; "
             "the daemon serves by its settings files until one does."
         ),
+        LogEvent.MOVE_SHOWN: LogEventRow(
+            "What this VM shows of a version move has changed.",
+            ("model", "move", "state", "reason", "detail", "share"),
+            ERROR_BURST,
+            ERROR_RATE_PER_S,
+        ),
+        LogEvent.MOVE_RECORD_REFUSED: _error_row(
+            "A value in the key-value service is not a move's record and was left out.", "error"
+        ),
         LogEvent.VM_LIST_UNAVAILABLE: _error_row(
             "The platform's list of VMs gave no answer.", "error"
         ),
@@ -112,6 +123,12 @@
         "took_ms": "Time from arrival to the end.",
         "revision": "The key-value service's own revision.",
         "source": "Where the revision was learned: `file`, `watch`, `poll` or `peer`.",
+        "model": "Name of a model.",
+        "move": "Id of a version move.",
+        "state": "The move's state; see OPERATIONS.md.",
+        "reason": "Why the move is in its state.",
+        "detail": "The reason in a sentence, with counts.",
+        "share": "Share of the requests that this VM gives to the new version, 0 to 1.",
         "error": "Type and place of a failure, or our own sentence; never a caller's text.",
         "host": "IP number that the daemon listens at.",
         "port": "Port for callers.",
--- a/azureturn/upstreams/__init__.py
+++ b/azureturn/upstreams/__init__.py
@@ -17,11 +17,14 @@
     json_of,
     usage_of_whole,
 )
+from azureturn.upstreams._orders import EngineOrder, OrderClient
 from azureturn.upstreams._resuming import ResumingStream
 
 __all__ = [
     "AnswerAssembler",
+    "EngineOrder",
     "EventSplitter",
+    "OrderClient",
     "ResumingStream",
     "SOCKET_OPTIONS",
     "StreamedAnswer",
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from standins._server import changed_switches, standin
 from standins.engine_model import EngineModel, EngineSpeed, Job
@@ -58,6 +58,8 @@
     prefill_tokens_per_s: float = 8_000.0
     step_base_ms: float = 12.0
     step_per_sequence_ms: float = 0.3
+    #: Where weights are fetched before a load; empty: they are here already.
+    weight_store_url: str = ""
     #: Time to load a version once its weights are here.
     load_time_ms: int = 200
     #: Share of failures for single versions, and how many times slower they are.
@@ -300,12 +302,19 @@
             return web.json_response({"error": "old fence"}, status=409)
         self.highest_fence = max(fence, self.highest_fence)
         if body["kind"] == "load":
+            await self._fetch_weights(body["version"])
             await asyncio.sleep(self.switches.load_time_ms / 1_000)
             self.loaded[body["version"]] = fence
         elif body["kind"] == "unload":
             self.loaded.pop(body["version"], None)
         return web.json_response({"versions": sorted(self.loaded), "fence": self.highest_fence})
 
+    async def _fetch_weights(self, version: str) -> None:
+        if self.switches.weight_store_url:
+            url = f"{self.switches.weight_store_url}/weights/{version}"
+            async with ClientSession() as session, session.get(url) as response:
+                await response.read()
+
     async def versions(self, _request: web.Request) -> web.Response:
         body = {"versions": sorted(self.loaded), "fence": self.highest_fence}
         return web.json_response(body)
