--- a/benchmarks/policy/_policies.py
+++ b/benchmarks/policy/_policies.py
@@ -24,7 +24,8 @@
             PolicySettings(placement="round_robin", limits="slots", early_refusal=False),
         ),
         Contender(
-            "random", PolicySettings(placement="random", limits="slots", early_refusal=False)
+            "random",
+            PolicySettings(placement="random", limits="slots", early_refusal=False),
         ),
         Contender(
             "least_outstanding",
