Tests of moves in the core; a new holder takes nothing back out of ignorance

Cause: a VM that has just read a move knows no rates, took them for 0, and took the move back as unreachable. Ruled out: rates since the move's start, which a VM that started later underestimates. Change: rates count from when the VM first saw the move, and are trusted after a warm-up.

--- a/azureturn/core/controllers/_mover.py
+++ b/azureturn/core/controllers/_mover.py
@@ -61,8 +61,6 @@
 PARALLEL_ORDERS = 2
 #: Answers of the old version that tell what is slow.
 THRESHOLD_SAMPLES = 20
-#: Rates are trusted after this long, or after a tenth of the time to the deadline.
-RATE_WARM_UP_MS = 60_000
 #: Answers that still run are not counted, so the first part of the time is left out.
 RATE_LAG_MS = 20_000
 _MS_PER_S = 1_000
@@ -155,16 +153,15 @@
         self._observe(engines, context)
         if context.now_ms >= holding.orders_from_ms:
             self._order(record, engines, context)
-        changed = self._changed(record, engines, context)
+        changed = self._changed(move, engines, context)
         if changed is not None:
             self._write(move, changed, context)
         elif holding.lease_ends_ms - context.now_ms < self._limits().lease_ms * 2 // 3:
             self._write(move, record.with_renewal(), context)
 
-    def _changed(
-        self, record: MoveRecord, engines: tuple[str, ...], context: Context
-    ) -> MoveRecord | None:
+    def _changed(self, move: Move, engines: tuple[str, ...], context: Context) -> MoveRecord | None:
         """Return the record as it should be next, or None where it is as it should be."""
+        record = move.record
         unix_ms = self._unix_ms(context)
         if record.ended:
             return record.with_settled() if self._is_settled(record, engines, context) else None
@@ -172,17 +169,15 @@
             if unix_ms >= record.moved_unix_ms + record.baking_ms:
                 return record.with_end(MoveState.COMPLETED, unix_ms=unix_ms)
         else:
-            moved = self._ramped(record, engines, context)
+            moved = self._ramped(move, engines, context)
             if moved is not None:
                 return moved
         missing = self._missing(record, engines)
         return record.with_missing(missing) if missing != record.missing else None
 
-    def _ramped(
-        self, record: MoveRecord, engines: tuple[str, ...], context: Context
-    ) -> MoveRecord | None:
-        unix_ms = self._unix_ms(context)
-        view = self._view(record, unix_ms)
+    def _ramped(self, move: Move, engines: tuple[str, ...], context: Context) -> MoveRecord | None:
+        record, unix_ms = move.record, self._unix_ms(context)
+        view = self._view(record, unix_ms, known_for_ms=context.now_ms - move.seen_at_ms)
         policy = RAMP_POLICIES[self._policy()]
         if record.state is MoveState.LOADING:
             return self._loaded(view, engines, judges=policy.judges)
@@ -221,8 +216,7 @@
         left_ms = record.deadline_unix_ms - view.unix_ms
         if left_ms <= 0:
             return TakeBack(MoveReason.DEADLINE_PASSED, "the version was not loaded in time")
-        whole_ms = record.deadline_unix_ms - record.started_unix_ms
-        if view.unix_ms - record.started_unix_ms < min(RATE_WARM_UP_MS, whole_ms // 10):
+        if not view.rates_are_known:
             return None
         replicas = len(self._missing(record, engines))
         loading_ms = self._loading_ms(replicas)
@@ -305,12 +299,12 @@
         decision = TakeBack(verdict.reason, verdict.detail)
         return _taken_back(record, decision, self._unix_ms(context))
 
-    def _view(self, record: MoveRecord, unix_ms: int) -> RampView:
+    def _view(self, record: MoveRecord, unix_ms: int, *, known_for_ms: int) -> RampView:
         evidence = self.board.read(EvidenceTable)
         ledger = evidence.get(record.move_id) or EvidenceLedger(record.move_id)
         judged = evidence.verdicts.get(record.move_id) or Judged()
-        rates = _rates_per_s(ledger, record, unix_ms)
-        return RampView(record, ledger, judged.verdict, unix_ms, rates)
+        rates = _rates_per_s(ledger, record, known_for_ms)
+        return RampView(record, ledger, judged.verdict, unix_ms, rates, known_for_ms)
 
     def _missing(self, record: MoveRecord, engines: tuple[str, ...]) -> tuple[str, ...]:
         return tuple(
@@ -361,9 +355,9 @@
     return record.with_end(MoveState.TAKEN_BACK, decision.reason, decision.detail, unix_ms=unix_ms)
 
 
-def _rates_per_s(ledger: EvidenceLedger, record: MoveRecord, unix_ms: int) -> dict[str, float]:
-    elapsed_ms = unix_ms - record.started_unix_ms
-    elapsed_s = max(1.0, (elapsed_ms - min(RATE_LAG_MS, elapsed_ms // 2)) / _MS_PER_S)
+def _rates_per_s(ledger: EvidenceLedger, record: MoveRecord, known_for_ms: int) -> dict[str, float]:
+    counted_ms = known_for_ms - min(RATE_LAG_MS, known_for_ms // 2)
+    elapsed_s = max(1.0, counted_ms / _MS_PER_S)
     stages = range(-1, len(record.stages))
     rates: dict[str, float] = {}
     for route in ledger.routes():
--- a/azureturn/core/controllers/_moves.py
+++ b/azureturn/core/controllers/_moves.py
@@ -190,9 +190,12 @@
         known = moves.get(record.model)
         if known is not None and stored.revision <= known.revision:
             return
-        if known is not None and known.record.move_id != record.move_id:
+        seen_at_ms = context.now_ms
+        if known is not None and known.record.move_id == record.move_id:
+            seen_at_ms = known.seen_at_ms
+        elif known is not None:
             self._forget(known.record.move_id)
-        moves.put(record.model, Move(record, stored.revision, context.now_ms))
+        moves.put(record.model, Move(record, stored.revision, context.now_ms, seen_at_ms))
         if record.state is MoveState.COMPLETED:
             moves.completed.add(record.move_id)
         elif record.ended:
--- a/azureturn/core/moves/_policies.py
+++ b/azureturn/core/moves/_policies.py
@@ -11,6 +11,8 @@
 _MS_PER_S = 1_000
 #: One in this many of a stage's samples must have been taken at load.
 BUSY_PART = 6
+#: Rates are trusted after this long, or after a tenth of the time to the deadline.
+RATE_WARM_UP_MS = 60_000
 
 
 @dataclass(frozen=True)
@@ -23,6 +25,14 @@
     unix_ms: int
     #: Requests a second on each route, both versions together.
     rates_per_s: Mapping[str, float] = field(default_factory=dict)
+    #: How long this VM has known of the move, and so how far its rates can be trusted.
+    known_for_ms: int = 0
+
+    @property
+    def rates_are_known(self) -> bool:
+        """Return whether this VM has seen enough to say what can't be done in time."""
+        whole_ms = self.record.deadline_unix_ms - self.record.started_unix_ms
+        return self.known_for_ms >= min(RATE_WARM_UP_MS, whole_ms // 10)
 
 
 @dataclass(frozen=True)
@@ -85,7 +95,7 @@
         route_samples=by_route,
         in_stage_ms=in_stage_ms,
     )
-    if needed_ms > left_ms:
+    if needed_ms > left_ms and view.rates_are_known:
         detail = f"the stages need {needed_ms // _MS_PER_S} s, {left_ms // _MS_PER_S} s are left"
         return TakeBack(MoveReason.DEADLINE_UNREACHABLE, detail)
     enough = new.requests >= record.samples_per_stage
--- a/azureturn/core/moves/_tables.py
+++ b/azureturn/core/moves/_tables.py
@@ -26,6 +26,8 @@
     revision: int
     #: When this VM first saw this revision.
     revision_seen_at_ms: int
+    #: When this VM first saw the move.
+    seen_at_ms: int = 0
 
 
 class MoveTable(Table[str, Move]):
--- /dev/null
+++ b/azureturn/core/moves/tests/test_evidence.py
@@ -0,0 +1,146 @@
+"""Evidence pools in any order, travels as gossip rows, and is judged within its error rates."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.core.membership import GossipRow, RowKey, Topic
+from azureturn.core.moves import (
+    Counts,
+    EvidenceKey,
+    EvidenceLedger,
+    EvidenceRow,
+    EvidenceSource,
+    Judge,
+    MoveReason,
+    MoveRecord,
+    SlowThresholds,
+    Trouble,
+    evidence_from_row,
+    evidence_to_rows,
+    troubles_of,
+)
+
+RECORD = MoveRecord(
+    "0123456789ab",
+    "model",
+    "v1",
+    "v2",
+    0,
+    600_000,
+    thresholds=(SlowThresholds("route", 100.0, 20.0),),
+)
+SOURCE = EvidenceSource("vm-1", "1")
+ROUTES = ("route", "other")
+
+counts = st.builds(
+    Counts,
+    st.integers(0, 50),
+    st.integers(0, 50),
+    st.tuples(*[st.integers(0, 50)] * len(Trouble)),
+)
+keys = st.builds(
+    EvidenceKey, st.integers(0, 3), st.integers(-1, 4), st.sampled_from(ROUTES), st.booleans()
+)
+rows = st.lists(
+    st.builds(
+        EvidenceRow,
+        st.sampled_from([SOURCE, EvidenceSource("vm-2", "1"), EvidenceSource("vm-2", "2")]),
+        st.just(RECORD.move_id),
+        keys,
+        counts,
+    ),
+    max_size=20,
+)
+
+
+@given(rows, st.randoms(use_true_random=False))
+def test_pooling_depends_on_no_order_and_counts_nothing_twice(
+    told: list[EvidenceRow], generator: random.Random
+) -> None:
+    one, other = EvidenceLedger(RECORD.move_id), EvidenceLedger(RECORD.move_id)
+    for row in told:
+        one.merge(row)
+    again = [*told, *told]
+    generator.shuffle(again)
+    for row in again:
+        other.merge(row)
+    assert {k: v for k, v in one.pooled.items() if v != Counts()} == {
+        k: v for k, v in other.pooled.items() if v != Counts()
+    }
+
+
+@given(st.dictionaries(keys, counts, max_size=12))
+def test_rows_survive_the_gossip(held: dict[EvidenceKey, Counts]) -> None:
+    found = {}
+    for name, numbers in evidence_to_rows(RECORD, held.items()):
+        row = GossipRow(RowKey("vm-1", Topic.EVIDENCE, name), 1, 1, numbers)
+        for evidence in evidence_from_row(row, [RECORD], ROUTES):
+            assert evidence.source == SOURCE
+            found[evidence.key] = evidence.counts
+    assert found == {key: value for key, value in held.items() if value != Counts()}
+
+
+@given(st.text(max_size=12), st.lists(st.integers(-(1 << 63), 1 << 63), max_size=40))
+def test_a_row_of_anything_else_gives_no_evidence(name: str, numbers: list[int]) -> None:
+    row = GossipRow(RowKey("vm-1", Topic.EVIDENCE, name), 1, 1, tuple(numbers))
+    assert not list(evidence_from_row(row, [RECORD], ROUTES))
+
+
+def test_an_answer_is_slow_by_its_routes_thresholds() -> None:
+    assert troubles_of(RECORD, "route", 101.0, 60.0) == (0, 1, 0, 1, 1)
+    assert troubles_of(RECORD, "other", 101.0, 60.0) == (0, 0, 0, 0, 0)
+
+
+def judge_all(
+    *, new_failures: float, old_failures: float, stages: tuple[int, ...], seed: int, closed: bool
+) -> tuple[bool, MoveReason, int]:
+    """Judge 40 answers a second for 60 s in each stage; return the verdict and the samples."""
+    generator = random.Random(seed)
+    ledger, judge = EvidenceLedger(RECORD.move_id), Judge(RECORD)
+    samples = 0
+    for second in range(60 * len(stages)):
+        stage, epoch = stages[second // 60], second // 10
+        if closed:
+            judge.close_before(epoch - 2, ledger)
+            ledger.close_before(epoch - 2)
+        for _ in range(40):
+            is_new = generator.random() < RECORD.stages[stage]
+            fails = generator.random() < (new_failures if is_new else old_failures)
+            samples += is_new
+            key = EvidenceKey(epoch, stage, "route", is_new)
+            ledger.add(SOURCE, key, Counts(1, 0, (int(fails), 0, 0, 0, 0)))
+        verdict = judge.verdict(ledger)
+        if verdict.condemned:
+            return True, verdict.reason, samples
+    return False, MoveReason.NONE, samples
+
+
+CASES = {
+    "good": (0.01, 0.01, (0, 1, 2, 3, 4), False),
+    "good among many failures": (0.3, 0.3, (0, 1, 2, 3, 4), False),
+    "bad at once": (0.4, 0.01, (0,), True),
+    "bad with all requests": (0.2, 0.01, (3, 4), True),
+}
+
+
+@pytest.mark.parametrize("closed", [False, True])
+@pytest.mark.parametrize("case", CASES)
+def test_a_version_is_judged_as_it_is(case: str, closed: bool) -> None:
+    new, old, stages, bad = CASES[case]
+    for seed in range(5):
+        condemned, reason, _ = judge_all(
+            new_failures=new, old_failures=old, stages=stages, seed=seed, closed=closed
+        )
+        assert condemned is bad
+        assert reason is (MoveReason.FAILURES if bad else MoveReason.NONE)
+
+
+def test_a_version_that_fails_half_its_requests_is_condemned_after_few() -> None:
+    samples = [
+        judge_all(new_failures=0.5, old_failures=0.005, stages=(0,), seed=seed, closed=True)[2]
+        for seed in range(10)
+    ]
+    assert max(samples) <= 30
