--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -27,6 +27,7 @@
 from azureturn.daemon._claims import ClaimCaller
 from azureturn.daemon._face import CallerFace
 from azureturn.daemon._gossip import GossipAdapter
+from azureturn.daemon._moves import MoveAdapter
 from azureturn.daemon._offers import OfferAdapter
 from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._peer_face import PeerFace
@@ -93,6 +94,7 @@
         self._claims = ClaimCaller(services.key_value, services.runtime.submit)
         self._gossip = GossipAdapter(services)
         self._background = BackgroundTasks(services, self._gossip)
+        self._moves = MoveAdapter(services)
         services.runtime.perform(SendHeartbeat, self._gossip.send)
         services.runtime.perform(FetchConfiguration, self._gossip.fetch)
         services.runtime.perform(AskPeersToTake, self._offers.ask)
@@ -146,6 +148,7 @@
         self._caller_server.prepare()
         threading.Thread(target=self._caller_server.serve, name="caller-server").start()
         self._background.start()
+        self._moves.start()
         self._started = True
         vm = self._services.settings.vm
         self._services.log.info(
@@ -157,6 +160,7 @@
         self._services.log.info(LogEvent.DAEMON_STOPPING)
         cut = self._stop.run(announce=self._announce_leaving)
         self._background.stop()
+        self._moves.stop()
         if not cut:
             self._caller_server.stop()
             self._peer_server.stop()
