Properties of the decisions, tested; the cost of a decision, measured

One Hypothesis test drives a core by arrivals, answers, failures, leaving callers, reports and peers in any order and holds four promises: no higher tier refused for room while a lower one is queued, counts that add up, a bounded queue, one end for each request. Found by the straggler test: an upstream once found slow was never tried again, since no new sample came; a pace that is not confirmed for 5 s now gives way to the assumed one.

--- a/azureturn/core/placement/_estimates.py
+++ b/azureturn/core/placement/_estimates.py
@@ -52,7 +52,7 @@
         speed = self._speeds.of(upstream)
         requests = upstream.estimated_requests(now_ms)
         held_tokens = self._held_tokens(request, upstream)
-        pace_ms = speed.decode_ms_per_token
+        pace_ms = speed.pace_ms(upstream.settings, now_ms)
         own_prefill_ms = prefill_ms(request, held_tokens, speed)
         finish_ms = (
             max(0.0, upstream.prefill_until_ms - now_ms)
--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -16,8 +16,8 @@
 _ANSWER_WEIGHT = 0.05
 #: Prompts shorter than this tell too little of the prefill speed.
 _PREFILL_SAMPLE_TOKENS = 200
-#: A pace that no sample has confirmed for this long is trusted less.
-PACE_FRESH_MS = 5_000
+#: A pace that no sample has confirmed for this long gives way to the assumed one.
+_PACE_FRESH_MS = 5_000
 
 
 @dataclass(frozen=True)
@@ -40,6 +40,15 @@
             prefill_ms_per_token=_MS_PER_S / settings.prefill_tokens_per_s,
         )
 
+    def pace_ms(self, settings: UpstreamSettings, now_ms: int) -> float:
+        """Return the time for each token, by what was seen lately.
+
+        An upstream that was slow and has got no work since is tried again after a while.
+        """
+        if not self.samples or now_ms - self.sampled_at_ms <= _PACE_FRESH_MS:
+            return self.decode_ms_per_token
+        return min(self.decode_ms_per_token, _MS_PER_S / settings.decode_tokens_per_s)
+
     def with_pace(self, ms_per_token: float, *, now_ms: int) -> "LearnedSpeed":
         """Return a copy that has seen one more interval between tokens."""
         weight = max(_PACE_WEIGHT, 1.0 / (1 + self.samples))
--- /dev/null
+++ b/azureturn/core/tests/test_decision_properties.py
@@ -0,0 +1,145 @@
+"""Whatever happens in whatever order, the decisions keep their promises."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.core import (
+    Action,
+    AskPeersToTake,
+    CallerLeft,
+    CancelAtUpstream,
+    Core,
+    Dispatch,
+    Event,
+    ForwardToPeer,
+    LoadReport,
+    LoadReported,
+    PeerQueueReported,
+    PeersDecided,
+    PeerWorkReported,
+    QueueTable,
+    Refuse,
+    RequestAnswered,
+    RequestArrived,
+    RequestFailed,
+    Tick,
+    UpstreamTable,
+)
+from azureturn.core.tests.decision_site import MODEL, request_of, site_settings, started_core
+from azureturn.errors import ErrorKind, RunState
+
+QUEUE_LIMIT = 4
+_FOR_ROOM = {ErrorKind.SHED, ErrorKind.OVERLOADED, ErrorKind.DEADLINE_UNREACHABLE}
+_LONGER_THAN_ANY_MS = 60_000
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["arrive"] * 6 + ["tick", "answer", "fail", "leave", "report", "peer", "decide"]
+        ),
+        st.integers(0, 2),
+        st.integers(0, 40),
+    ),
+    max_size=60,
+)
+
+
+@dataclass
+class _Account:
+    """What the core was told and what it asked for."""
+
+    core: Core
+    now_ms: int = 0
+    tiers: dict[str, int] = field(default_factory=dict)
+    ends: Counter[str] = field(default_factory=Counter)
+    running: list[str] = field(default_factory=list)
+    asked: list[str] = field(default_factory=list)
+
+    def tell(self, event: Event) -> None:
+        for action in self.core.handle(event, self.now_ms):
+            self._note(action)
+
+    def _note(self, action: Action) -> None:
+        if isinstance(action, Dispatch):
+            self.running.append(action.request_id)
+        if isinstance(action, CancelAtUpstream):
+            self.running.remove(action.request_id)
+        if isinstance(action, AskPeersToTake):
+            self.asked.append(action.request_id)
+        if isinstance(action, (Dispatch, Refuse, ForwardToPeer)):
+            self.ends[action.request_id] += 1
+        if isinstance(action, Refuse) and action.kind in _FOR_ROOM:
+            queue = self.core.board.table(QueueTable).of(MODEL)
+            assert not queue.has_below(self.tiers[action.request_id])
+            assert action.retry_after_ms > 0
+
+    def step(self, name: str, rank: int, number: int) -> None:
+        self.now_ms += number
+        if name == "arrive":
+            request_id = f"r{len(self.tiers)}"
+            self.tiers[request_id] = rank
+            organisation = "large" if number % 2 else "small"
+            request = request_of(
+                request_id,
+                rank=rank,
+                organisation=organisation,
+                now_ms=self.now_ms,
+                timeout_ms=200 + 100 * number,
+                prefix_digests=(f"p{number % 3}",),
+            )
+            self.tell(RequestArrived(request))
+        elif name in ("answer", "fail", "leave"):
+            self._end(name, number)
+        elif name == "tick":
+            self.tell(Tick())
+        else:
+            self._hear(name, rank, number)
+
+    def _end(self, name: str, number: int) -> None:
+        if name == "leave":
+            if self.tiers:
+                self.tell(CallerLeft(f"r{number % len(self.tiers)}"))
+            return
+        if not self.running:
+            return
+        request_id = self.running.pop(number % len(self.running))
+        if name == "answer":
+            self.tell(RequestAnswered(request_id, 100, 0, 1 + number))
+        else:
+            kind = ErrorKind.UPSTREAM_UNREACHABLE
+            self.tell(RequestFailed(request_id, kind, RunState.NOT_RUN))
+
+    def _hear(self, name: str, rank: int, number: int) -> None:
+        if name == "report":
+            report = LoadReport(max(0, self.now_ms - 100), number % 4, rank, 0)
+            self.tell(LoadReported(f"engine-{rank % 2}", report))
+        elif name == "peer":
+            work = PeerWorkReported("vm-2", f"engine-{rank % 2}", self.now_ms, number % 3, 10)
+            self.tell(work)
+            self.tell(PeerQueueReported("vm-2", MODEL, self.now_ms, (0, 0, number)))
+        elif name == "decide" and self.asked:
+            taken_by = "vm-2" if number % 2 else ""
+            self.tell(PeersDecided(self.asked.pop(), taken_by))
+
+    def check(self) -> None:
+        rows = list(self.core.board.table(UpstreamTable).rows())
+        assert sum(row.outstanding_requests for row in rows) == len(self.running)
+        if not self.running:
+            assert sum(row.outstanding_tokens for row in rows) == 0
+        assert len(self.core.board.table(QueueTable).of(MODEL)) <= QUEUE_LIMIT
+
+
+@given(STEPS)
+def test_tiers_counts_bounds_and_one_end_for_each_request(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    account = _Account(started_core(site_settings(queue_limit=QUEUE_LIMIT)))
+    for name, rank, number in steps:
+        account.step(name, rank, number)
+        account.check()
+    account.now_ms += _LONGER_THAN_ANY_MS
+    account.tell(Tick())
+    assert account.ends == Counter(dict.fromkeys(account.tiers, 1))
--- /dev/null
+++ b/azureturn/core/tests/test_decisions.py
@@ -0,0 +1,159 @@
+"""Single decisions of admission and placement."""
+
+import pytest
+
+from azureturn.core import (
+    AnswerOffer,
+    AnswerProgressed,
+    AskPeersToTake,
+    Core,
+    Dispatch,
+    ForwardToPeer,
+    LoadReport,
+    LoadReported,
+    PeerQueueReported,
+    PeersDecided,
+    PeerStarted,
+    PeerWorkReported,
+    Refuse,
+    RequestAnswered,
+    RequestArrived,
+    RequestOffered,
+    Tick,
+    UpstreamLeaving,
+    UpstreamTable,
+)
+from azureturn.core.membership import PeerIdentity
+from azureturn.core.placement import PLACEMENT_POLICIES
+from azureturn.core.tests.decision_site import (
+    MODEL,
+    handled,
+    request_of,
+    site_settings,
+    started_core,
+)
+from azureturn.errors import ErrorKind
+
+#: Requests that fill both engines of the test site, with their excess, for every tier.
+_FILL = 10
+
+
+@pytest.mark.parametrize("policy", PLACEMENT_POLICIES)
+def test_every_policy_places(policy: str) -> None:
+    core = started_core(site_settings(placement=policy))
+    arrival = RequestArrived(request_of("one", prefix_digests=("a", "b")))
+    assert [type(one) for one in core.handle(arrival, 0)] == [Dispatch]
+
+
+@pytest.mark.parametrize("late_rank", [0, 1])
+def test_the_lowest_tier_leaves_first_also_when_a_higher_one_comes_last(late_rank: int) -> None:
+    core = started_core(site_settings(engines=1, slots=1, queue_limit=1))
+    low = [RequestArrived(request_of(f"low-{n}", rank=2)) for n in range(3)]
+    handled(core, low, 0)
+    late = [RequestArrived(request_of(f"late-{n}", rank=late_rank)) for n in range(2)]
+    refused = [one for one in handled(core, late, 1) if isinstance(one, Refuse)]
+    assert refused[0].request_id.startswith("low-")
+    assert refused[0].kind is ErrorKind.SHED
+
+
+def test_urgent_work_finds_room_where_other_work_finds_none() -> None:
+    core = started_core(site_settings(engines=1, slots=8, queue_limit=50))
+    low = [RequestArrived(request_of(f"low-{n}", rank=1)) for n in range(20)]
+    assert any(isinstance(one, Dispatch) for one in handled(core, low, 0))
+    urgent = core.handle(RequestArrived(request_of("urgent")), 0)
+    assert [type(one) for one in urgent] == [Dispatch]
+
+
+def test_a_leaving_upstream_gets_no_new_work() -> None:
+    core = started_core(site_settings())
+    core.handle(PeerStarted(PeerIdentity("vm-1", "zone-a", "127.0.0.1", 1)), 0)
+    core.handle(UpstreamLeaving("engine-0", True), 0)
+    arrivals = [RequestArrived(request_of(f"r{n}")) for n in range(_FILL)]
+    dispatched = [one for one in handled(core, arrivals, 0) if isinstance(one, Dispatch)]
+    assert {one.upstream for one in dispatched} == {"engine-1"}
+
+
+def test_no_upstream_in_service_is_refused_at_once() -> None:
+    core = started_core(site_settings(engines=1))
+    core.handle(PeerStarted(PeerIdentity("vm-1", "zone-a", "127.0.0.1", 1)), 0)
+    core.handle(UpstreamLeaving("engine-0", True), 0)
+    (action,) = core.handle(RequestArrived(request_of("one")), 0)
+    assert isinstance(action, Refuse) and action.kind is ErrorKind.NO_UPSTREAM
+
+
+def test_a_prefix_goes_where_it_was_sent_before() -> None:
+    core = started_core(site_settings(engines=4, slots=16))
+    digests = tuple(f"d{n}" for n in range(8))
+    actions = []
+    for number in range(4):
+        arrival = RequestArrived(request_of(f"r{number}", prefix_digests=digests))
+        actions += core.handle(arrival, number)
+    assert len({one.upstream for one in actions if isinstance(one, Dispatch)}) == 1
+
+
+def test_an_old_report_is_corrected_by_what_this_vm_sent_since() -> None:
+    core = started_core(site_settings(engines=1, slots=16))
+    for number in range(3):
+        core.handle(RequestArrived(request_of(f"r{number}")), 100 + number)
+    core.handle(LoadReported("engine-0", LoadReport(taken_at_ms=101, running=4)), 200)
+    upstream = core.board.table(UpstreamTable).get("engine-0")
+    assert upstream is not None
+    assert upstream.others_reported == 2
+    assert 3 < upstream.estimated_requests(200) <= 5
+
+
+def test_silent_peers_count_no_more() -> None:
+    core = started_core(site_settings(engines=1))
+    core.handle(PeerWorkReported("vm-2", "engine-0", 0, 5, 100), 0)
+    table = core.board.table(UpstreamTable)
+    assert [row.peer_requests for row in table.rows()] == [5]
+    core.handle(Tick(), 60_000)
+    assert [row.peer_requests for row in table.rows()] == [0]
+
+
+@pytest.mark.parametrize(("taken_by", "end"), [("vm-2", ForwardToPeer), ("", Refuse)])
+def test_peers_with_lower_work_are_asked_once_before_shedding(taken_by: str, end: type) -> None:
+    core = started_core(site_settings(engines=1, slots=1, queue_limit=1))
+    core.handle(PeerQueueReported("vm-2", MODEL, 0, (0, 0, 7)), 0)
+    arrivals = [RequestArrived(request_of(f"r{n}")) for n in range(5)]
+    asked = [one for one in handled(core, arrivals, 1) if isinstance(one, AskPeersToTake)]
+    assert asked and asked[0].vms == ("vm-2",)
+    (action,) = core.handle(PeersDecided(asked[0].request_id, taken_by), 2)
+    assert isinstance(action, end)
+
+
+@pytest.mark.parametrize(("queued_rank", "accepted"), [(2, True), (0, False)])
+def test_an_offer_is_taken_while_less_urgent_work_waits(queued_rank: int, accepted: bool) -> None:
+    core = started_core(site_settings(engines=1, slots=1, queue_limit=50))
+    arrivals = [RequestArrived(request_of(f"r{n}", rank=queued_rank)) for n in range(5)]
+    handled(core, arrivals, 0)
+    (answer,) = core.handle(RequestOffered(request_of("offered", rank=1), "vm-2"), 1)
+    assert answer == AnswerOffer("offered", "vm-2", accepted)
+
+
+def test_a_straggler_is_taken_out_probed_and_returned() -> None:
+    core = started_core(site_settings(engines=4, slots=16))
+    paces_ms = {f"engine-{n}": 20 for n in range(4)} | {"engine-0": 200}
+    slow = _after_answers(core, paces_ms, starts_at_ms=0)
+    assert slow == {"engine-0"}
+    paces_ms["engine-0"] = 20
+    assert _after_answers(core, paces_ms, starts_at_ms=600_000) == set()
+
+
+def _after_answers(core: Core, paces_ms: dict[str, int], *, starts_at_ms: int) -> set[str]:
+    """Return what is out of service after some answers at these paces."""
+    now_ms = starts_at_ms
+    for number in range(120):
+        request_id = f"{starts_at_ms}-{number}"
+        now_ms += 300
+        request = request_of(request_id, rank=1, now_ms=now_ms, timeout_ms=60_000)
+        actions = core.handle(RequestArrived(request), now_ms)
+        (upstream,) = [one.upstream for one in actions if isinstance(one, Dispatch)]
+        now_ms += 10
+        core.handle(AnswerProgressed(request_id, 1), now_ms)
+        for tokens in range(2, 12):
+            now_ms += paces_ms[upstream]
+            core.handle(AnswerProgressed(request_id, tokens), now_ms)
+        core.handle(RequestAnswered(request_id, 100, 0, 12), now_ms)
+        core.handle(Tick(), now_ms)
+    return {row.settings.name for row in core.board.table(UpstreamTable).rows() if row.straggling}
--- /dev/null
+++ b/azureturn/core/tests/test_fair_share.py
@@ -0,0 +1,42 @@
+"""Shares of one tier's queue."""
+
+import pytest
+
+from azureturn.core._fair_share import FairShareQueue
+
+SHARES: dict[str, tuple[dict[str, float], dict[str, int], int, dict[str, int]]] = {
+    "equal weights": ({"a": 1.0, "b": 1.0}, {"a": 50, "b": 50}, 20, {"a": 10, "b": 10}),
+    "by weight": ({"a": 3.0, "b": 1.0}, {"a": 50, "b": 50}, 20, {"a": 15, "b": 5}),
+    "a flood takes no more": ({"a": 1.0, "b": 1.0}, {"a": 90, "b": 5}, 10, {"a": 5, "b": 5}),
+}
+
+
+@pytest.mark.parametrize("case", SHARES)
+def test_service_follows_weights(case: str) -> None:
+    weights, lengths, served, expected = SHARES[case]
+    queue = FairShareQueue()
+    for name, length in lengths.items():
+        for number in range(length):
+            queue.push(name, number, f"{name}{number:03}", cost=10.0, weight=weights[name])
+    counts = dict.fromkeys(weights, 0)
+    for _ in range(served):
+        entry = queue.heads(1)[0]
+        queue.serve(entry[0], int(entry[1:]), entry)
+        counts[entry[0]] += 1
+    assert counts == expected
+
+
+def test_who_was_idle_has_saved_up_nothing() -> None:
+    queue = FairShareQueue()
+    for number in range(20):
+        queue.push("a", number, f"a{number:03}", cost=10.0, weight=1.0)
+    for number in range(10):
+        queue.serve("a", number, f"a{number:03}")
+    for number in range(10):
+        queue.push("b", number, f"b{number:03}", cost=10.0, weight=1.0)
+    order = []
+    for _ in range(6):
+        entry = queue.heads(1)[0]
+        queue.serve(entry[0], int(entry[1:]), entry)
+        order.append(entry[0])
+    assert order.count("b") == 3
--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,154 @@
+"""Cost of one decision as replicas and VMs grow: ``scripts/bench decisions``.
+
+One core is given arrivals and answers for one model among many replicas, with peers' reports of
+their work. Each JSON line has the mean time for one request from its arrival to its answer,
+which is one admission, one placement and one release, and the time to take in one peer's report.
+"""
+
+import argparse
+import json
+import math
+import time
+from dataclasses import asdict, dataclass
+
+from azureturn.core import (
+    Configuration,
+    Core,
+    Dispatch,
+    PeerWorkReported,
+    Request,
+    RequestAnswered,
+    RequestArrived,
+    Started,
+    Tick,
+)
+from azureturn.settings import (
+    OrganisationSettings,
+    PlatformSettings,
+    RouteSettings,
+    Settings,
+    SharedSettings,
+    TierSettings,
+    UpstreamKind,
+    UpstreamSettings,
+    VmSettings,
+)
+
+#: Replicas, VMs and organisations: from a site of today to the target.
+_SIZES = ((9, 8, 5), (100, 16, 100), (600, 60, 1_000), (2_000, 180, 6_000), (6_100, 550, 22_000))
+_MODELS = 8
+_PEERS_HEARD_LIMIT = 16
+_IN_PROGRESS = 60
+_US_PER_S = 1_000_000.0
+_URL = "http://127.0.0.1:1"
+
+
+@dataclass(frozen=True)
+class Cost:
+    """What was measured at one size."""
+
+    replicas: int
+    vms: int
+    organisations: int
+    request_us: float
+    peer_report_us: float
+    tick_us: float
+
+
+def _settings(replicas: int, organisations: int) -> Settings:
+    models = [f"model-{number}" for number in range(min(_MODELS, max(1, replicas // 9)))]
+    shared = SharedSettings(
+        site="size",
+        tiers=(TierSettings("urgent", 0), TierSettings("deferrable", 1)),
+        organisations=tuple(
+            OrganisationSettings(f"organisation-{number}", f"organisation-token-{number}")
+            for number in range(organisations)
+        ),
+        routes=tuple(RouteSettings(f"route-{model}", "urgent", 60_000, model) for model in models),
+        upstreams=tuple(
+            UpstreamSettings(
+                name=f"engine-{number}",
+                kind=UpstreamKind.MODEL_ENGINE,
+                availability_zone="zone-a",
+                url=_URL,
+                targets=(models[number % len(models)],),
+            )
+            for number in range(replicas)
+        ),
+    )
+    vm = VmSettings("vm-0", "zone-a", "127.0.0.1", 1, 1)
+    return Settings(vm=vm, platform=PlatformSettings(_URL, _URL), shared=shared)
+
+
+def _request(number: int, organisations: int) -> Request:
+    digests = [f"{number % 50}:{block}" for block in range(16)] + [f"own-{number}"]
+    return Request(
+        request_id=f"r{number}",
+        organisation=f"organisation-{number % organisations}",
+        route="route-model-0",
+        tier_rank=0,
+        target="model-0",
+        kind=UpstreamKind.MODEL_ENGINE,
+        arrived_at_ms=number,
+        deadline_ms=number + 60_000,
+        prompt_tokens=3_500,
+        expected_output_tokens=200,
+        prefix_digests=tuple(digests),
+    )
+
+
+def measure(replicas: int, vms: int, organisations: int, *, requests: int) -> Cost:
+    """Return the cost of decisions at one size."""
+    settings = _settings(replicas, organisations)
+    core = Core.from_settings(settings, seed=1)
+    core.handle(Started(Configuration(0, settings.shared)), 0)
+    arrivals = [_request(number, organisations) for number in range(requests)]
+    running: list[str] = []
+    started_s = time.perf_counter()
+    for number, request in enumerate(arrivals):
+        actions = core.handle(RequestArrived(request), number)
+        running += [one.request_id for one in actions if isinstance(one, Dispatch)]
+        if len(running) > _IN_PROGRESS:
+            core.handle(RequestAnswered(running.pop(0), 3_500, 3_200, 200), number)
+    request_us = (time.perf_counter() - started_s) * _US_PER_S / requests
+    peer_us = _peer_report_us(core, replicas, vms, requests)
+    return Cost(replicas, vms, organisations, request_us, peer_us, _tick_us(core, requests))
+
+
+def _peer_report_us(core: Core, replicas: int, vms: int, now_ms: int) -> float:
+    peers = min(vms - 1, _PEERS_HEARD_LIMIT)
+    reports = [
+        PeerWorkReported(f"vm-{1 + number % peers}", f"engine-{number % replicas}", now_ms, 3, 500)
+        for number in range(2_000)
+    ]
+    started_s = time.perf_counter()
+    for report in reports:
+        core.handle(report, now_ms)
+    return (time.perf_counter() - started_s) * _US_PER_S / len(reports)
+
+
+def _tick_us(core: Core, now_ms: int) -> float:
+    ticks = 200
+    started_s = time.perf_counter()
+    for number in range(ticks):
+        core.handle(Tick(), now_ms + 50 * number)
+    return (time.perf_counter() - started_s) * _US_PER_S / ticks
+
+
+def main() -> None:
+    """Measure every size, and print the slope of cost over replicas on logarithmic scales."""
+    parser = argparse.ArgumentParser(prog="scripts/bench decisions", description=__doc__)
+    parser.add_argument("--requests", type=int, default=4_000)
+    arguments = parser.parse_args()
+    costs = [measure(*size, requests=arguments.requests) for size in _SIZES]
+    for cost in costs:
+        print(json.dumps(asdict(cost)))
+    first, last = costs[0], costs[-1]
+    span = math.log(last.replicas / first.replicas)
+    slope = math.log(last.request_us / first.request_us) / span
+    tick_slope = math.log(last.tick_us / first.tick_us) / span
+    print(json.dumps({"request_exponent": slope, "tick_exponent": tick_slope}))
+
+
+if __name__ == "__main__":
+    main()
