Peers are told which prefixes were sent where; decisions cost less

Change: a VM keeps the leading blocks of prompts that were new to an upstream for its heartbeats (PrefixTable.take_untold), and takes in what peers tell (PeerPrefixSent). Assumed speeds are kept, idle flows are looked through less often, 16 upstreams are sampled in place of 32; the decisions bench scales its arrivals with the replicas.

--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -200,6 +200,15 @@
     outstanding_tokens: int
 
 
+@dataclass(frozen=True)
+class PeerPrefixSent(Event):
+    """A peer sent a prompt with these leading blocks to an upstream that was new to them."""
+
+    vm: str
+    upstream: str
+    digests: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class PeerQueueReported(Event):
     """A peer of this availability zone said what waits in its queue for a target."""
--- a/azureturn/core/_fair_share.py
+++ b/azureturn/core/_fair_share.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 #: Idle flows that are remembered before those that owe nothing are forgotten.
-_IDLE_FLOWS_LIMIT = 1_024
+_FIRST_IDLE_LIMIT = 1_024
 
 
 @dataclass
@@ -36,6 +36,7 @@
         self._idle_starts: dict[str, float] = {}
         self._by_start: list[tuple[float, str]] = []
         self._costs: dict[str, float] = {}
+        self._idle_limit = _FIRST_IDLE_LIMIT
         self._virtual = 0.0
         self._active_weight = 0.0
         #: Queued work of all flows.
@@ -116,7 +117,8 @@
         self._active_weight = max(0.0, self._active_weight - flow.weight)
         if flow.start > self._virtual:
             self._idle_starts[flow.name] = flow.start
-        if len(self._idle_starts) > _IDLE_FLOWS_LIMIT:
+        if len(self._idle_starts) > self._idle_limit:
             self._idle_starts = {
                 name: start for name, start in self._idle_starts.items() if start > self._virtual
             }
+            self._idle_limit = max(_FIRST_IDLE_LIMIT, 2 * len(self._idle_starts))
--- a/azureturn/core/controllers/_learning.py
+++ b/azureturn/core/controllers/_learning.py
@@ -4,6 +4,7 @@
 from azureturn.core._events import (
     AnswerProgressed,
     LoadReported,
+    PeerPrefixSent,
     PeerQueueReported,
     PeerWorkReported,
     RequestAnswered,
@@ -115,6 +116,11 @@
         added_tokens = work.tokens - (0 if before is None else before.tokens)
         self._add_peer_work(work.upstream, requests=added_requests, tokens=added_tokens)
 
+    @on(PeerPrefixSent)
+    def _on_peer_prefix(self, event: PeerPrefixSent, context: Context) -> None:
+        if event.upstream in self.board.read(UpstreamTable):
+            self.board.write(PrefixTable).of(event.upstream).note(event.digests)
+
     @on(PeerQueueReported)
     def _on_peer_queue(self, event: PeerQueueReported, context: Context) -> None:
         row = PeerQueue(event.vm, event.target, event.taken_at_ms, event.queued_by_rank)
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -33,7 +33,7 @@
 from azureturn.settings import PolicySettings, Settings
 
 #: Upstreams that are looked at: this many around the prompt's hash, and this many by chance.
-_SAMPLE_EACH = 16
+_SAMPLE_EACH = 8
 #: Requests of a tier that are looked at before its queue is taken to wait for room.
 _HEADS = 8
 #: Share of a request's time in which it may wait for an upstream that holds its prefix.
@@ -211,7 +211,7 @@
         ).with_prefill(prefill_ms(request, chosen.held_tokens, speed), now_ms=now_ms)
         self.board.write(UpstreamTable).put(chosen.name, taken)
         if request.prefix_digests:
-            self.board.write(PrefixTable).of(chosen.name).note(request.prefix_digests)
+            self.board.write(PrefixTable).note_sent(chosen.name, request.prefix_digests)
 
     def _policy(self) -> PolicySettings:
         return self.board.read(ConfigurationTable).in_force().shared.policy
--- a/azureturn/core/placement/__init__.py
+++ b/azureturn/core/placement/__init__.py
@@ -19,6 +19,7 @@
     PrefixRecord,
     PrefixReuseTable,
     PrefixTable,
+    SentPrefix,
     affinity_key,
 )
 from azureturn.core.placement._speeds import (
@@ -47,6 +48,7 @@
     "PrefixRecord",
     "PrefixReuseTable",
     "PrefixTable",
+    "SentPrefix",
     "SpeedTable",
     "affinity_key",
     "candidate_filter",
--- a/azureturn/core/placement/_prefixes.py
+++ b/azureturn/core/placement/_prefixes.py
@@ -1,7 +1,8 @@
 """Which prompts' prefixes an upstream is likely to hold, from what was sent to it."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import xxhash
 
@@ -15,6 +16,10 @@
 _CAPACITY_CUT = 0.95
 #: Leading blocks that decide where a prompt goes which was not seen before.
 AFFINITY_BLOCKS = 4
+#: Leading blocks of a sent prompt that peers are told, so that they know how much is held.
+_TOLD_BLOCKS = 24
+#: Sent prefixes that are kept for peers; older ones are dropped.
+_UNTOLD_LIMIT = 256
 #: Weight of a new prompt in a route's share of those that came before.
 _REUSE_WEIGHT = 0.05
 #: The share that is assumed until measured.
@@ -57,8 +62,21 @@
         self._capacity_blocks = max(least, int(self._capacity_blocks * _CAPACITY_CUT))
 
 
+@dataclass(frozen=True)
+class SentPrefix:
+    """The leading blocks of a prompt that was new to an upstream, for peers to know."""
+
+    upstream: str
+    #: Digests of at most ``_TOLD_BLOCKS`` blocks.
+    digests: tuple[str, ...]
+
+
 class PrefixTable(Table[str, PrefixRecord]):
-    """Records by upstream."""
+    """Records by upstream, and what of them peers have not been told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._untold: deque[SentPrefix] = deque(maxlen=_UNTOLD_LIMIT)
 
     def of(self, upstream: str) -> PrefixRecord:
         """Return the record of an upstream, made when first asked for."""
@@ -68,6 +86,19 @@
             self.put(upstream, record)
         return record
 
+    def note_sent(self, upstream: str, digests: Sequence[str]) -> None:
+        """Remember a prompt that this VM sent, and keep it for peers if it was new there."""
+        record = self.of(upstream)
+        leading = tuple(digests[:AFFINITY_BLOCKS])
+        if record.held_tokens(leading) < len(leading) * PREFIX_BLOCK_TOKENS:
+            self._untold.append(SentPrefix(upstream, tuple(digests[:_TOLD_BLOCKS])))
+        record.note(digests)
+
+    def take_untold(self, limit: int) -> list[SentPrefix]:
+        """Take out what peers are to be told next, the latest first."""
+        count = min(limit, len(self._untold))
+        return [self._untold.pop() for _ in range(count)]
+
 
 class PrefixReuseTable(Table[tuple[str, str], float]):
     """Share of prompts whose leading blocks had been sent before, by route and organisation."""
--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -81,10 +81,21 @@
 class SpeedTable(Table[str, LearnedSpeed]):
     """Learned speeds by upstream."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._assumed: dict[tuple[float, float], LearnedSpeed] = {}
+
     def of(self, upstream: Upstream) -> LearnedSpeed:
         """Return what was learned of an upstream, or what its settings assume."""
         learned = self.get(upstream.settings.name)
-        return LearnedSpeed.from_settings(upstream.settings) if learned is None else learned
+        return self._assume(upstream.settings) if learned is None else learned
+
+    def _assume(self, settings: UpstreamSettings) -> LearnedSpeed:
+        key = (settings.decode_tokens_per_s, settings.prefill_tokens_per_s)
+        assumed = self._assumed.get(key)
+        if assumed is None:
+            assumed = self._assumed[key] = LearnedSpeed.from_settings(settings)
+        return assumed
 
 
 class OutputLengthTable(Table[tuple[str, str], float]):
--- a/azureturn/core/tests/test_decisions.py
+++ b/azureturn/core/tests/test_decisions.py
@@ -11,10 +11,12 @@
     ForwardToPeer,
     LoadReport,
     LoadReported,
+    PeerPrefixSent,
     PeerQueueReported,
     PeersDecided,
     PeerStarted,
     PeerWorkReported,
+    PrefixTable,
     Refuse,
     RequestAnswered,
     RequestArrived,
@@ -91,6 +93,24 @@
     assert len({one.upstream for one in actions if isinstance(one, Dispatch)}) == 1
 
 
+def test_a_prefix_goes_where_a_peer_sent_it() -> None:
+    digests = tuple(f"d{n}" for n in range(8))
+    for number in range(4):
+        core = started_core(site_settings(engines=4, slots=16))
+        core.handle(PeerPrefixSent("vm-2", f"engine-{number}", digests), 0)
+        arrival = RequestArrived(request_of("one", prefix_digests=digests))
+        (action,) = core.handle(arrival, 1)
+        assert isinstance(action, Dispatch) and action.upstream == f"engine-{number}"
+
+
+def test_peers_are_told_once_of_each_prefix_sent() -> None:
+    core = started_core(site_settings(engines=1, slots=16))
+    for number in range(3):
+        core.handle(RequestArrived(request_of(f"r{number}", prefix_digests=("a", "b"))), number)
+    told = core.board.table(PrefixTable).take_untold(10)
+    assert [(one.upstream, one.digests) for one in told] == [("engine-0", ("a", "b"))]
+
+
 def test_an_old_report_is_corrected_by_what_this_vm_sent_since() -> None:
     core = started_core(site_settings(engines=1, slots=16))
     for number in range(3):
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -39,6 +39,8 @@
 _MODELS = 8
 _PEERS_HEARD_LIMIT = 16
 _IN_PROGRESS = 60
+#: Time between requests for one replica's share of the load.
+_ENGINE_INTERVAL_MS = 900
 _US_PER_S = 1_000_000.0
 _URL = "http://127.0.0.1:1"
 
@@ -80,7 +82,7 @@
     return Settings(vm=vm, platform=PlatformSettings(_URL, _URL), shared=shared)
 
 
-def _request(number: int, organisations: int) -> Request:
+def _request(number: int, organisations: int, at_ms: int) -> Request:
     digests = [f"{number % 50}:{block}" for block in range(16)] + [f"own-{number}"]
     return Request(
         request_id=f"r{number}",
@@ -89,8 +91,8 @@
         tier_rank=0,
         target="model-0",
         kind=UpstreamKind.MODEL_ENGINE,
-        arrived_at_ms=number,
-        deadline_ms=number + 60_000,
+        arrived_at_ms=at_ms,
+        deadline_ms=at_ms + 60_000,
         prompt_tokens=3_500,
         expected_output_tokens=200,
         prefix_digests=tuple(digests),
@@ -102,17 +104,19 @@
     settings = _settings(replicas, organisations)
     core = Core.from_settings(settings, seed=1)
     core.handle(Started(Configuration(0, settings.shared)), 0)
-    arrivals = [_request(number, organisations) for number in range(requests)]
+    interval_ms = max(1, _ENGINE_INTERVAL_MS // replicas)
+    arrivals = [_request(number, organisations, number * interval_ms) for number in range(requests)]
     running: list[str] = []
-    started_s = time.perf_counter()
-    for number, request in enumerate(arrivals):
-        actions = core.handle(RequestArrived(request), number)
+    started_s = time.process_time()
+    for request in arrivals:
+        now_ms = request.arrived_at_ms
+        actions = core.handle(RequestArrived(request), now_ms)
         running += [one.request_id for one in actions if isinstance(one, Dispatch)]
         if len(running) > _IN_PROGRESS:
-            core.handle(RequestAnswered(running.pop(0), 3_500, 3_200, 200), number)
-    request_us = (time.perf_counter() - started_s) * _US_PER_S / requests
-    peer_us = _peer_report_us(core, replicas, vms, requests)
-    return Cost(replicas, vms, organisations, request_us, peer_us, _tick_us(core, requests))
+            core.handle(RequestAnswered(running.pop(0), 3_500, 3_200, 200), now_ms)
+    request_us = (time.process_time() - started_s) * _US_PER_S / requests
+    peer_us = _peer_report_us(core, replicas, vms, now_ms)
+    return Cost(replicas, vms, organisations, request_us, peer_us, _tick_us(core, now_ms))
 
 
 def _peer_report_us(core: Core, replicas: int, vms: int, now_ms: int) -> float:
@@ -121,18 +125,18 @@
         PeerWorkReported(f"vm-{1 + number % peers}", f"engine-{number % replicas}", now_ms, 3, 500)
         for number in range(2_000)
     ]
-    started_s = time.perf_counter()
+    started_s = time.process_time()
     for report in reports:
         core.handle(report, now_ms)
-    return (time.perf_counter() - started_s) * _US_PER_S / len(reports)
+    return (time.process_time() - started_s) * _US_PER_S / len(reports)
 
 
 def _tick_us(core: Core, now_ms: int) -> float:
     ticks = 200
-    started_s = time.perf_counter()
+    started_s = time.process_time()
     for number in range(ticks):
         core.handle(Tick(), now_ms + 50 * number)
-    return (time.perf_counter() - started_s) * _US_PER_S / ticks
+    return (time.process_time() - started_s) * _US_PER_S / ticks
 
 
 def main() -> None:
--- a/benchmarks/policy/_simulation.py
+++ b/benchmarks/policy/_simulation.py
@@ -19,9 +19,11 @@
     Event,
     LoadReport,
     LoadReported,
+    PeerPrefixSent,
     PeerQueueReported,
     PeersDecided,
     PeerWorkReported,
+    PrefixTable,
     QueueTable,
     Refuse,
     RequestAnswered,
@@ -49,6 +51,8 @@
 CONNECT_TIMEOUT_MS = 1_000
 _WIRE_MS = 0.5
 _TIERS = 3
+#: Prefixes that one heartbeat tells of.
+_PREFIXES_TOLD = 16
 
 _Work = Callable[[], None]
 
@@ -339,6 +343,7 @@
             for vm in range(self._site.vms):
                 if vm != sender and zone == zone_of(vm, self._site.zones):
                     self._tell(vm, waiting)
+            self._share_prefixes(sender, zone)
             for name, upstream in list(core.board.table(UpstreamTable).items()):
                 work = PeerWorkReported(
                     vm=f"vm-{sender}",
@@ -352,6 +357,14 @@
                         self._tell(vm, work)
         self._again(HEARTBEAT_INTERVAL_MS, self._heartbeat)
 
+    def _share_prefixes(self, sender: int, zone: str) -> None:
+        prefixes = self._cores[sender].board.table(PrefixTable)
+        for sent in prefixes.take_untold(_PREFIXES_TOLD):
+            event = PeerPrefixSent(f"vm-{sender}", sent.upstream, sent.digests)
+            for vm in range(self._site.vms):
+                if vm != sender and self._joined(zone, zone_of(vm, self._site.zones)):
+                    self._tell(vm, event)
+
     def _joined(self, one: str, other: str) -> bool:
         cut = self._scenario.zone_cut_at_ms <= self._now_ms < self._scenario.zone_mended_at_ms
         if not self._scenario.zone_cut_at_ms or not cut:
