--- a/azureturn/daemon/_operator_reports.py
+++ b/azureturn/daemon/_operator_reports.py
@@ -33,7 +33,7 @@
     levels = services.accounting.service_levels
     at_ms = unix_now_ms()
     windows = [
-        _window_struct(window_ms, levels.window(window_ms, now_unix_ms=at_ms))
+        window_struct(window_ms, levels.window(window_ms, now_unix_ms=at_ms))
         for window_ms in (argument.window_ms or [])[:WINDOW_LIMIT]
         if 0 < window_ms <= LONGEST_WINDOW_MS
     ]
@@ -54,7 +54,8 @@
     )
 
 
-def _window_struct(window_ms: int, window: LevelWindow) -> ServiceLevelWindow:
+def window_struct(window_ms: int, window: LevelWindow) -> ServiceLevelWindow:
+    """Return a window as it is sent to operators."""
     cells = [
         ServiceLevelCell(
             tier=key.tier,
