--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from azureturn.core._blackboard import Table
+from azureturn.core._claim_segments import call_digest
 from azureturn.core._rows import changed
 from azureturn.settings import UpstreamKind
 
@@ -43,6 +44,18 @@
     #: Digests of the prompt's leading blocks, shortest prefix first.
     prefix_digests: tuple[str, ...] = ()
     upstream_deduplicates: bool = False
+    #: When the request arrived, in ms since 1970.
+    arrived_unix_ms: int = 0
+    #: When the caller made its key, in ms since 1970; 0 where it did not say.
+    key_issued_at_ms: int = 0
+    #: Nonce of this process's own ticket that the request comes with.
+    ticket_nonce: str = ""
+    #: Until when this process honours that ticket, by its own clock.
+    ticket_expires_at_ms: int = 0
+    #: Nonce of a claim on the key whose holder said that it will never run.
+    released_nonce: str = ""
+    #: Nonce under which this process seeks or has the right to run the call.
+    claim_nonce: str = ""
     stage: RequestStage = RequestStage.QUEUED
     #: Name of the upstream, once one is chosen.
     upstream: str = ""
@@ -59,12 +72,23 @@
     passed_over_at_ms: int = 0
     #: Whether peers were asked to take it, which is done at most once.
     offered: bool = False
+    #: How often it came back because an upstream could not be connected to.
+    returns: int = 0
     offered_at_ms: int = 0
 
     def with_stage(self, stage: RequestStage) -> "Request":
         """Return a copy at another stage."""
         return changed(self, stage=stage)
 
+    def with_claim_nonce(self, nonce: str) -> "Request":
+        """Return a copy that is to run under a claim."""
+        return changed(self, claim_nonce=nonce)
+
+    def with_released_nonce(self, nonce: str) -> "Request":
+        """Return a copy, as it arrived, that may replace a claim given up by its holder."""
+        stage = RequestStage.QUEUED
+        return changed(self, released_nonce=nonce, claim_nonce="", stage=stage, upstream="")
+
     def with_placement(
         self, upstream: str, *, now_ms: int, expected_cached_tokens: int = 0
     ) -> "Request":
@@ -93,6 +117,17 @@
         """Return a copy that was left in the queue to wait for a certain upstream."""
         return changed(self, passed_over_at_ms=now_ms)
 
+    def with_return(self) -> "Request":
+        """Return a copy that waits again: no byte of it has left."""
+        return changed(
+            self,
+            stage=RequestStage.QUEUED,
+            upstream="",
+            version="",
+            dispatched_at_ms=0,
+            returns=self.returns + 1,
+        )
+
     def with_offer(self, *, now_ms: int) -> "Request":
         """Return a copy that peers are being asked to take."""
         return changed(self, stage=RequestStage.OFFERED, offered=True, offered_at_ms=now_ms)
@@ -122,3 +157,10 @@
         """Take a request out."""
         self.offered.pop(key, None)
         return super().remove(key)
+
+
+def digest_of(request: Request) -> str:
+    """Return the name under which a request's call is claimed."""
+    if request.ticket_nonce:
+        return call_digest(request.organisation, "ticket", request.ticket_nonce)
+    return call_digest(request.organisation, "key", request.idempotency_key)
--- a/azureturn/daemon/_caller_requests.py
+++ b/azureturn/daemon/_caller_requests.py
@@ -1,13 +1,14 @@
 """From HTTP to a checked request: who asks, for what, by when."""
 
 import json
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 import xxhash
 
-from azureturn.core import Configuration, Request
+from azureturn.core import Configuration, Request, Ticket
 from azureturn.errors import CallerError, ErrorKind
 from azureturn.settings import (
     OrganisationSettings,
@@ -19,9 +20,13 @@
 TIER_HEADER = "Azureturn-Tier"
 TIMEOUT_HEADER = "Azureturn-Timeout-Ms"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+#: When the caller made its key, ms since 1970; it stays the same with each repetition.
+KEY_ISSUED_HEADER = "Azureturn-Key-Issued-Ms"
 
 IDEMPOTENCY_KEY_LIMIT = 255
 TIMEOUT_LIMIT_MS = 24 * 3_600_000
+#: A caller's clock may be ahead by this much.
+CLOCK_SKEW_LIMIT_MS = 60_000
 OUTPUT_TOKENS_LIMIT = 1_000_000
 #: Characters to a token, for estimates before the engine has counted.
 CHARACTERS_PER_TOKEN = 5
@@ -110,6 +115,14 @@
     raise CallerError(ErrorKind.UNKNOWN_MODEL if name is None else ErrorKind.UNKNOWN_ROUTE)
 
 
+def route_of_ticket(body: bytes) -> str:
+    """Return the name of the route that a ticket is asked for."""
+    name = _json_object(body).get("route")
+    if not isinstance(name, str):
+        raise CallerError(ErrorKind.MALFORMED_JSON, "the body needs 'route'")
+    return name
+
+
 def new_request(
     headers: Mapping[str, str],
     *,
@@ -120,11 +133,14 @@
     kind: UpstreamKind,
     body: bytes,
     arrived_at_ms: int,
+    path: str = "",
     chat: ChatBody | None = None,
+    ticket: Ticket | None = None,
 ) -> Request:
     """Return the request as the core sees it."""
-    key = _idempotency_key(headers, route)
-    timeout_ms = _timeout_ms(headers, route)
+    key = _idempotency_key(headers, route, ticket)
+    timeout_ms = timeout_ms_of(headers, route)
+    arrived_unix_ms = time.time_ns() // 1_000_000
     text = "" if chat is None else chat.text
     wanted = route.expected_output_tokens
     if chat is not None and chat.max_tokens is not None:
@@ -140,14 +156,22 @@
         deadline_ms=arrived_at_ms + timeout_ms,
         idempotent=route.idempotent,
         idempotency_key=key,
-        body_digest=xxhash.xxh3_128_hexdigest(route.name.encode() + b"\0" + body),
+        body_digest=_body_digest(route, path, body),
         prompt_tokens=1 + len(text) // CHARACTERS_PER_TOKEN,
         expected_output_tokens=wanted,
         prefix_digests=prefix_digests(text),
         upstream_deduplicates=route.upstream_deduplicates,
+        arrived_unix_ms=arrived_unix_ms,
+        key_issued_at_ms=_key_issued_at_ms(headers, arrived_unix_ms),
+        ticket_nonce="" if ticket is None else ticket.nonce,
+        ticket_expires_at_ms=0 if ticket is None else ticket.expires_at_ms,
     )
 
 
+def _body_digest(route: RouteSettings, path: str, body: bytes) -> str:
+    return xxhash.xxh3_128_hexdigest(b"\0".join((route.name.encode(), path.encode(), body)))
+
+
 def prefix_digests(text: str) -> tuple[str, ...]:
     """Return a digest for each leading full block of a prompt, each covering all before it."""
     running = xxhash.xxh3_64()
@@ -155,22 +179,46 @@
     blocks = min(len(text) // PREFIX_BLOCK_CHARACTERS, PREFIX_BLOCK_LIMIT)
     for number in range(blocks):
         start = number * PREFIX_BLOCK_CHARACTERS
-        running.update(text[start : start + PREFIX_BLOCK_CHARACTERS].encode())
+        block = text[start : start + PREFIX_BLOCK_CHARACTERS]
+        # JSON may hold half of a surrogate pair, which has no plain encoding.
+        running.update(block.encode(errors="surrogatepass"))
         digests.append(running.hexdigest())
     return tuple(digests)
 
 
-def _idempotency_key(headers: Mapping[str, str], route: RouteSettings) -> str:
-    key = headers.get(IDEMPOTENCY_HEADER, "")
-    if len(key) > IDEMPOTENCY_KEY_LIMIT or not key.isprintable():
-        message = f"{IDEMPOTENCY_HEADER} must be printable, {IDEMPOTENCY_KEY_LIMIT} at most"
+def check_header(name: str, value: str, *, limit: int) -> None:
+    """Raise with kind ``bad_header`` for a value that may not be passed on to an upstream."""
+    if len(value) > limit or not value.isascii() or not value.isprintable():
+        message = f"{name} must be printable ASCII, {limit} characters at most"
         raise CallerError(ErrorKind.BAD_HEADER, message)
-    if not route.idempotent and not key:
+
+
+def _idempotency_key(
+    headers: Mapping[str, str], route: RouteSettings, ticket: Ticket | None
+) -> str:
+    key = headers.get(IDEMPOTENCY_HEADER, "")
+    check_header(IDEMPOTENCY_HEADER, key, limit=IDEMPOTENCY_KEY_LIMIT)
+    if ticket is not None and (key or route.idempotent):
+        raise CallerError(ErrorKind.BAD_HEADER, "a ticket is only for a call that has no other key")
+    if not route.idempotent and not key and ticket is None:
         raise CallerError(ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
     return key
 
 
-def _timeout_ms(headers: Mapping[str, str], route: RouteSettings) -> int:
+def _key_issued_at_ms(headers: Mapping[str, str], arrived_unix_ms: int) -> int:
+    value = headers.get(KEY_ISSUED_HEADER)
+    if value is None:
+        return 0
+    if not value.isascii() or not value.isdecimal() or not 1 <= len(value) <= 15:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{KEY_ISSUED_HEADER} must be ms since 1970")
+    issued_at_ms = int(value)
+    if not 1 <= issued_at_ms <= arrived_unix_ms + CLOCK_SKEW_LIMIT_MS:
+        raise CallerError(ErrorKind.BAD_HEADER, f"{KEY_ISSUED_HEADER} lies in the future")
+    return issued_at_ms
+
+
+def timeout_ms_of(headers: Mapping[str, str], route: RouteSettings) -> int:
+    """Return how long after its arrival a request must be answered."""
     value = headers.get(TIMEOUT_HEADER)
     if value is None:
         return route.timeout_ms
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -7,26 +7,34 @@
 
 from azureturn._time_of_day import unix_now_ms
 from azureturn.core import (
+    AskPeersToTake,
+    AwaitPlacement,
     CancelAtUpstream,
+    ClaimAbandoned,
     Configuration,
     Core,
     FetchConfiguration,
     LeavingAnnounced,
+    ReadSegment,
     SendHeartbeat,
     Started,
-    WriteClaim,
+    SwapSegment,
 )
 from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._background import BackgroundTasks
 from azureturn.daemon._caller_server import CallerServer
-from azureturn.daemon._claims import ClaimWriter
+from azureturn.daemon._claimants import release_waiting
+from azureturn.daemon._claims import ClaimCaller
 from azureturn.daemon._face import CallerFace
 from azureturn.daemon._gossip import GossipAdapter
-from azureturn.daemon._outcomes import OutcomeStore
+from azureturn.daemon._offers import OfferAdapter
+from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._peer_face import PeerFace
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.daemon._services import Services
 from azureturn.daemon._stop import PlannedStop, StopLimits, StopStage
+from azureturn.daemon._ticketed_calls import TicketedCalls
+from azureturn.daemon._tickets import TicketOffice
 from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
 from azureturn.peers import (
     EnvelopeSigner,
@@ -56,7 +64,17 @@
         self._stop = PlannedStop(
             StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms), unfinished=self._unfinished
         )
-        face = CallerFace(services, is_ready=self._is_ready, is_finishing=self._is_finishing)
+        self._offers = OfferAdapter(services)
+        tickets = TicketOffice(settings, boot_id=services.boot_id)
+        ticketed_calls = TicketedCalls(services, tickets)
+        face = CallerFace(
+            services,
+            self._offers,
+            tickets=tickets,
+            ticketed_calls=ticketed_calls,
+            is_ready=self._is_ready,
+            is_finishing=self._is_finishing,
+        )
         self._caller_server = CallerServer(
             settings,
             face.application(),
@@ -66,19 +84,22 @@
             ),
             report_refusal=services.accounting.refused,
         )
-        signer = EnvelopeSigner(
-            settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
-        )
-        peer_face = PeerFace(services)
-        self._peer_server = PeerServer(settings.vm.host, settings.vm.peer_port, peer_face, signer)
-        self._claims = ClaimWriter(
-            services.key_value, services.runtime, vm=settings.vm, boot_id=services.boot_id
+        self._peer_server = PeerServer(
+            settings.vm.host,
+            settings.vm.peer_port,
+            PeerFace(services, ticketed_calls),
+            services.signer,
         )
+        self._claims = ClaimCaller(services.key_value, services.runtime.submit)
         self._gossip = GossipAdapter(services)
         self._background = BackgroundTasks(services, self._gossip)
         services.runtime.perform(SendHeartbeat, self._gossip.send)
         services.runtime.perform(FetchConfiguration, self._gossip.fetch)
-        services.runtime.perform(WriteClaim, self._claims.write)
+        services.runtime.perform(AskPeersToTake, self._offers.ask)
+        services.runtime.perform(AwaitPlacement, lambda action: None)
+        services.runtime.perform(ReadSegment, self._claims.take)
+        services.runtime.perform(SwapSegment, self._claims.take)
+        services.runtime.perform(ClaimAbandoned, lambda action: release_waiting(services, action))
         services.runtime.perform(CancelAtUpstream, self._cancel)
 
     @classmethod
@@ -87,7 +108,8 @@
         seed = settings.daemon.random_seed
         core = Core.from_settings(settings, seed=secrets.randbits(64) if seed is None else seed)
         runtime = CoreRuntime(core, tick_interval_ms=settings.daemon.tick_interval_ms)
-        runtime.submit(Started(Configuration(0, settings.shared)))
+        boot_id = secrets.token_hex(_BOOT_ID_BYTES)
+        runtime.submit(Started(Configuration(0, settings.shared), boot_id))
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
@@ -95,12 +117,13 @@
         metrics = Metrics.from_settings(settings.daemon)
         services = Services(
             settings=settings,
-            boot_id=secrets.token_hex(_BOOT_ID_BYTES),
+            boot_id=boot_id,
             runtime=runtime,
             key_value=KeyValueClient.from_settings(settings.platform),
             vm_list=VmListClient(settings.platform.vm_list_url),
             peers=PeerClient(signer),
-            outcomes=OutcomeStore(),
+            signer=signer,
+            outcomes=CallOutcomes(),
             log=log,
             metrics=metrics,
             accounting=Accounting(
@@ -118,6 +141,7 @@
         self._gossip.learn_configuration()
         self._services.runtime.start()
         self._claims.start()
+        self._offers.start()
         self._peer_server.start()
         self._caller_server.prepare()
         threading.Thread(target=self._caller_server.serve, name="caller-server").start()
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -3,29 +3,42 @@
 import json
 import re
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import cherrypy
 
-from azureturn.core import Configuration, ConfigurationTable
+from azureturn.core import TICKET_LIFETIME_MS, Configuration, ConfigurationTable, Ticket
 from azureturn.daemon._answers import CallerAnswer, error_body, error_headers, identity_headers
 from azureturn.daemon._caller_requests import (
     IDEMPOTENCY_HEADER,
     chat_route,
+    check_header,
     new_request,
     organisation_of,
     parse_chat_body,
+    route_of_ticket,
+    timeout_ms_of,
 )
 from azureturn.daemon._caller_server import CALLER_SOCKET_NAME
+from azureturn.daemon._offers import (
+    FORWARD_CALL,
+    FORWARDED_HEADER,
+    CallerMessage,
+    OfferAdapter,
+)
 from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
+from azureturn.daemon._ticketed_calls import TicketedCalls, TicketedRequest
+from azureturn.daemon._tickets import TICKET_HEADER, TicketOffice, is_first_attempt
 from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind, RefusedError
 from azureturn.observability import LogEvent, describe_error
-from azureturn.settings import UpstreamKind
+from azureturn.settings import RouteSettings, UpstreamKind
 from azureturn.upstreams import streamed_body
 
 _READ_BYTES = 65_536
+CONTENT_TYPE_LIMIT = 255
 #: Most digits of an announced length.
 _LENGTH_DIGITS = 15
 _CHAT_PATH = "/v1/chat/completions"
@@ -47,11 +60,17 @@
     def __init__(
         self,
         services: Services,
+        offers: OfferAdapter,
         *,
+        tickets: TicketOffice,
+        ticketed_calls: TicketedCalls,
         is_ready: Callable[[], bool],
         is_finishing: Callable[[], bool],
     ) -> None:
         self._services = services
+        self._offers = offers
+        self._tickets = tickets
+        self._ticketed_calls = ticketed_calls
         self._is_ready = is_ready
         #: A planned stop has come so far that new requests are refused.
         self._is_finishing = is_finishing
@@ -68,6 +87,7 @@
         """Serve every path; CherryPy calls this one method for all of them."""
         request_id = self._services.new_request_id()
         try:
+            request_id = self._forwarded_id() or request_id
             return self._send(self._serve(request_id, path))
         except AzureturnError as error:
             return self._send(self._refusal(error, request_id))
@@ -78,6 +98,11 @@
             failure = AzureturnError(ErrorKind.INTERNAL)
             return self._send(self._refusal(failure, request_id))
 
+    def _forwarded_id(self) -> str:
+        """Return the id of a request that another VM forwards, or an empty string."""
+        signed = cherrypy.request.headers.get(FORWARDED_HEADER)
+        return "" if signed is None else self._services.signer.open_text(FORWARD_CALL, signed)
+
     def _serve(self, request_id: str, path: tuple[str, ...]) -> CallerAnswer:
         method = cherrypy.request.method
         if path == ("healthz",):
@@ -93,6 +118,10 @@
             if method != "POST":
                 raise CallerError(ErrorKind.METHOD_NOT_ALLOWED)
             return self._chat(request_id)
+        if path == ("tickets",):
+            if method != "POST":
+                raise CallerError(ErrorKind.METHOD_NOT_ALLOWED)
+            return self._mint_ticket(request_id)
         if len(path) >= 2 and path[0] == "routes":
             return self._plain_service(request_id, path[1], path[2:])
         raise CallerError(ErrorKind.NOT_FOUND)
@@ -119,7 +148,7 @@
         sent_headers = {"Content-Type": "application/json"}
         sent_body = body if chat.stream else streamed_body(chat.document)
         outgoing = OutgoingRequest(
-            request, "POST", _CHAT_PATH, sent_headers, sent_body, chat.stream
+            request, "POST", _CHAT_PATH, sent_headers, sent_body, chat.stream, self._message(body)
         )
         return self._serve_request(outgoing)
 
@@ -139,6 +168,9 @@
         if cherrypy.request.query_string:
             path += "?" + cherrypy.request.query_string
         body = self._read_body()
+        ticket = self._tickets.ticket_of(headers, organisation, route)
+        if ticket is not None:
+            return self._ticketed(request_id, ticket, route, path, body)
         request = new_request(
             headers,
             request_id=request_id,
@@ -148,16 +180,69 @@
             kind=UpstreamKind.PLAIN_SERVICE,
             body=body,
             arrived_at_ms=arrived_at_ms,
+            path=path,
         )
-        sent_headers = {"Content-Type": headers.get("Content-Type", "application/octet-stream")}
+        content_type = headers.get("Content-Type", "application/octet-stream")
+        check_header("Content-Type", content_type, limit=CONTENT_TYPE_LIMIT)
+        sent_headers = {"Content-Type": content_type}
         if request.idempotency_key:
             sent_headers[IDEMPOTENCY_HEADER] = request.idempotency_key
-        outgoing = OutgoingRequest(request, route.method, path, sent_headers, body, False)
+        outgoing = OutgoingRequest(
+            request, route.method, path, sent_headers, body, False, self._message(body)
+        )
         return self._serve_request(outgoing)
 
+    def _ticketed(
+        self, request_id: str, ticket: Ticket, route: RouteSettings, path: str, body: bytes
+    ) -> CallerAnswer:
+        headers = cherrypy.request.headers
+        if IDEMPOTENCY_HEADER in headers:
+            raise CallerError(ErrorKind.BAD_HEADER, "a ticket stands in place of a key")
+        call = TicketedRequest(
+            ticket=ticket,
+            token=headers[TICKET_HEADER],
+            path=path,
+            content_type=headers.get("Content-Type", "application/octet-stream"),
+            body=body,
+            timeout_ms=timeout_ms_of(headers, route),
+            request_id=request_id,
+            first_attempt=is_first_attempt(headers),
+        )
+        return self._ticketed_calls.serve(call)
+
+    def _mint_ticket(self, request_id: str) -> CallerAnswer:
+        """Answer with a ticket for one call, and with the address at which it is run."""
+        configuration = self._configuration()
+        organisation = organisation_of(cherrypy.request.headers, configuration)
+        route = configuration.route(route_of_ticket(self._read_body()))
+        if route is None or not route.path:
+            raise CallerError(ErrorKind.UNKNOWN_ROUTE)
+        if route.idempotent:
+            raise CallerError(ErrorKind.MALFORMED_REQUEST, "the route is idempotent: no ticket")
+        vm = self._services.settings.vm
+        token = self._tickets.mint(organisation.name, route.name)
+        document = {
+            "ticket": token,
+            "header": TICKET_HEADER,
+            "url": f"http://{vm.host}:{vm.port}/routes/{route.name}",
+            "expires_in_ms": TICKET_LIFETIME_MS,
+        }
+        return self._plain(request_id, 201, document)
+
     def _serve_request(self, outgoing: OutgoingRequest) -> CallerAnswer:
         caller = cherrypy.request.wsgi_environ[CALLER_SOCKET_NAME]
-        return RequestFlow(self._services, outgoing, caller).serve()
+        if FORWARDED_HEADER in cherrypy.request.headers:
+            # A VM that was asked does not ask others in its turn.
+            outgoing = replace(outgoing, request=replace(outgoing.request, offered=True))
+        return RequestFlow(self._services, outgoing, caller, offers=self._offers).serve()
+
+    @staticmethod
+    def _message(body: bytes) -> CallerMessage:
+        request = cherrypy.request
+        path = request.path_info
+        if request.query_string:
+            path += "?" + request.query_string
+        return CallerMessage.from_request(request.method, path, dict(request.headers), body)
 
     def _models(self, request_id: str) -> CallerAnswer:
         configuration = self._configuration()
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -16,11 +16,14 @@
     ConfigurationQuery,
     Envelope,
     Heartbeat,
+    Offer,
+    OfferAnswer,
     OperatorAnswer,
     OperatorQuery,
     Outcome,
     OutcomeQuery,
     PeerRefused,
+    TicketedCall,
 )
 
 PEER_THREADS = 32
@@ -36,9 +39,15 @@
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Return what is known of a call."""
 
+    def run_ticketed_call(self, call: TicketedCall) -> Outcome:
+        """Run a call whose ticket this process minted."""
+
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
 
+    def offer_request(self, offer: Offer) -> OfferAnswer:
+        """Say whether this VM takes a request that the peer would shed."""
+
     def fetch_configuration(self, query: ConfigurationQuery) -> ConfigurationAnswer:
         """Return the configuration where it is newer."""
 
@@ -56,9 +65,15 @@
     def find_outcome(self, query: Envelope) -> Envelope:
         return self._answer("find_outcome", query, OutcomeQuery)
 
+    def run_ticketed_call(self, call: Envelope) -> Envelope:
+        return self._answer("run_ticketed_call", call, TicketedCall)
+
     def exchange_heartbeat(self, heartbeat: Envelope) -> Envelope:
         return self._answer("exchange_heartbeat", heartbeat, Heartbeat)
 
+    def offer_request(self, offer: Envelope) -> Envelope:
+        return self._answer("offer_request", offer, Offer)
+
     def fetch_configuration(self, query: Envelope) -> Envelope:
         return self._answer("fetch_configuration", query, ConfigurationQuery)
 
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -25,6 +25,8 @@
     close_after_read: bool = False
     #: Announce more bytes than are sent.
     truncate: bool = False
+    #: Pause before each byte of the answer.
+    drip_ms: int = 0
     #: Make every answer larger by this much.
     padding_bytes: int = 0
     #: Announce no length: the end of the connection is the end of the answer.
@@ -38,6 +40,8 @@
         self.name = name
         self.switches = switches
         self.run_counts: dict[str, int] = {}
+        #: Runs by the id of the request that brought them.
+        self.request_runs: dict[str, int] = {}
         self.attempts = 0
 
     async def call(self, request: web.Request) -> web.StreamResponse:
@@ -50,6 +54,8 @@
         if request.method != "GET":
             key = request.headers.get("Idempotency-Key", "")
             self.run_counts[key] = self.run_counts.get(key, 0) + 1
+            request_id = request.headers.get("X-Request-Id", "")
+            self.request_runs[request_id] = self.request_runs.get(request_id, 0) + 1
         if self.switches.close_after_run:
             request.transport.close()
             return web.Response()
@@ -71,15 +77,28 @@
             await response.write(b"short")
             request.transport.close()
             return response
+        if self.switches.drip_ms:
+            return await self._drip(request, json.dumps(answer).encode())
         if self.switches.unannounced_length:
             request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nperhaps all, perhaps not")
             request.transport.close()
             return web.Response()
         return web.json_response(answer, status=self.switches.status, headers=headers)
 
+    async def _drip(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+        await response.prepare(request)
+        for number in range(len(body)):
+            await asyncio.sleep(self.switches.drip_ms / 1_000)
+            await response.write(body[number : number + 1])
+        return response
+
     async def runs(self, _request: web.Request) -> web.Response:
         return web.json_response(self.run_counts)
 
+    async def runs_by_request(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.request_runs)
+
     async def attempt_count(self, _request: web.Request) -> web.Response:
         return web.json_response({"attempts": self.attempts})
 
@@ -97,6 +116,7 @@
     application.add_routes(
         [
             web.get("/runs", service.runs),
+            web.get("/request-runs", service.runs_by_request),
             web.get("/attempts", service.attempt_count),
             web.post("/control", service.control),
             web.route("*", "/{path:.*}", service.call),
