The properties of the decisions know of requests that are placed anew

Ruled out: a fault in the core: the first dispatch had sent no byte. Change: AwaitPlacement takes the failed dispatch back in the account, and may only follow one.

--- a/azureturn/core/tests/test_decision_properties.py
+++ b/azureturn/core/tests/test_decision_properties.py
@@ -9,6 +9,7 @@
 from azureturn.core import (
     Action,
     AskPeersToTake,
+    AwaitPlacement,
     CallerLeft,
     CancelAtUpstream,
     Core,
@@ -69,6 +70,10 @@
             self.running.remove(action.request_id)
         if isinstance(action, AskPeersToTake):
             self.asked.append(action.request_id)
+        if isinstance(action, AwaitPlacement):
+            # No byte had left, so the dispatch that failed does not count as the request's end.
+            assert action.request_id not in self.running
+            self.ends[action.request_id] -= 1
         if isinstance(action, (Dispatch, Refuse, ForwardToPeer)):
             self.ends[action.request_id] += 1
         if isinstance(action, Refuse) and action.kind in _FOR_ROOM:
