What each request looks up is indexed; the configuration is checked once a revision

Ruled out: a cache beside the configuration; it would have to be kept in step, where an index made once with each revision cannot differ from it. Change: Configuration has its indexes; a revision that is not higher is dropped unread; beyond 20 engines load reports are read at 20 a second. Conclusion: the look-ups of a request no longer grow with the fleet.

--- a/azureturn/core/_configuration.py
+++ b/azureturn/core/_configuration.py
@@ -5,7 +5,13 @@
 from functools import cached_property
 
 from azureturn.core._blackboard import Table
-from azureturn.settings import RouteSettings, SharedSettings
+from azureturn.settings import (
+    OrganisationSettings,
+    RouteSettings,
+    SharedSettings,
+    UpstreamKind,
+    UpstreamSettings,
+)
 
 
 class ConfigurationSource(StrEnum):
@@ -38,6 +44,32 @@
         """Return a tier's rank; 0 is the most urgent."""
         return next(tier.rank for tier in self.shared.tiers if tier.name == name)
 
+    def organisation_of_token(self, token: str) -> OrganisationSettings | None:
+        """Return the organisation whose callers show this token."""
+        return self._organisations_by_token.get(token)
+
+    def upstream(self, name: str) -> UpstreamSettings | None:
+        """Return the upstream of this name."""
+        return self._upstreams.get(name)
+
+    @cached_property
+    def models(self) -> frozenset[str]:
+        """Return the names of the models that engines answer with."""
+        return frozenset(
+            target
+            for upstream in self.shared.upstreams
+            if upstream.kind is UpstreamKind.MODEL_ENGINE
+            for target in upstream.targets
+        )
+
+    @cached_property
+    def _organisations_by_token(self) -> dict[str, OrganisationSettings]:
+        return {one.token: one for one in self.shared.organisations}
+
+    @cached_property
+    def _upstreams(self) -> dict[str, UpstreamSettings]:
+        return {one.name: one for one in self.shared.upstreams}
+
     @cached_property
     def _routes(self) -> dict[str, RouteSettings]:
         return {route.name: route for route in self.shared.routes}
--- a/azureturn/daemon/_background.py
+++ b/azureturn/daemon/_background.py
@@ -17,6 +17,9 @@
 #: The configuration is also read this often, for the case that a watch has gone silent.
 POLL_INTERVAL_MS = 3_000
 VM_LIST_INTERVAL_MS = 1_000
+#: Beyond so many model engines their load reports are read at this rate, one after another.
+PACED_ENGINES = 20
+LOAD_REPORTS_PER_S = 20
 _MS_PER_S = 1_000
 
 
@@ -73,15 +76,20 @@
         configuration = self._services.runtime.inspect(
             lambda core: core.board.table(ConfigurationTable).in_force()
         )
-        for upstream in configuration.shared.upstreams:
-            if upstream.kind is not UpstreamKind.MODEL_ENGINE:
-                continue
+        engines = [
+            upstream
+            for upstream in configuration.shared.upstreams
+            if upstream.kind is UpstreamKind.MODEL_ENGINE
+        ]
+        for upstream in engines:
             client = self._services.upstreams.of(upstream.name, upstream.url)
             report = client.load_report(now_ms())
             if report is not None:
                 self._services.runtime.submit(LoadReported(upstream.name, report))
                 leaving = UpstreamLeaving(upstream.name, report.leaving)
                 self._services.runtime.submit(leaving)
+            if len(engines) > PACED_ENGINES:
+                self._stopped.wait(1 / LOAD_REPORTS_PER_S)
 
     def _poll_configuration(self) -> None:
         try:
--- a/azureturn/daemon/_caller_requests.py
+++ b/azureturn/daemon/_caller_requests.py
@@ -56,9 +56,9 @@
     value = headers.get("Authorization", "")
     if value.startswith(_BEARER):
         token = value.removeprefix(_BEARER)
-        for organisation in configuration.shared.organisations:
-            if organisation.token == token:
-                return organisation
+        organisation = configuration.organisation_of_token(token)
+        if organisation is not None:
+            return organisation
     raise CallerError(ErrorKind.UNKNOWN_ORGANISATION)
 
 
@@ -99,13 +99,7 @@
     headers: Mapping[str, str], model: str, configuration: Configuration
 ) -> RouteSettings:
     """Return the route named by header, or the first that the model answers."""
-    engines = {
-        target
-        for upstream in configuration.shared.upstreams
-        if upstream.kind is UpstreamKind.MODEL_ENGINE
-        for target in upstream.targets
-    }
-    if model not in engines:
+    if model not in configuration.models:
         raise CallerError(ErrorKind.UNKNOWN_MODEL)
     routes = [route for route in configuration.shared.routes if route.target == model]
     name = headers.get(ROUTE_HEADER)
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -247,17 +247,9 @@
     def _models(self, request_id: str) -> CallerAnswer:
         configuration = self._configuration()
         organisation_of(cherrypy.request.headers, configuration)
-        models = sorted(
-            {
-                target
-                for upstream in configuration.shared.upstreams
-                if upstream.kind is UpstreamKind.MODEL_ENGINE
-                for target in upstream.targets
-            }
-        )
         rows = [
             {"id": name, "object": "model", "created": 0, "owned_by": "azureturn"}
-            for name in models
+            for name in sorted(configuration.models)
         ]
         return self._plain(request_id, 200, {"object": "list", "data": rows})
 
--- a/azureturn/daemon/_gossip.py
+++ b/azureturn/daemon/_gossip.py
@@ -73,16 +73,17 @@
         self._enqueue(action)
 
     def accept(self, entry: KeyValueEntry, source: ConfigurationSource) -> None:
-        """Give the core a revision that the service or a peer holds."""
+        """Give the core a revision that the service or a peer holds, where it is a higher one."""
+        if entry.revision <= self._revision():
+            return
         try:
             shared = check_shared_settings(json.loads(entry.value))
         except (AzureturnError, ValueError) as error:
             self._services.log.error(LogEvent.CONFIGURATION_REFUSED, error=describe_error(error))
             return
-        before = self._revision()
         configuration = Configuration(entry.revision, shared, source)
         self._services.runtime.submit(ConfigurationReceived(configuration))
-        if self._revision() > before:
+        if self._revision() == entry.revision:
             self._services.log.info(
                 LogEvent.CONFIGURATION_IN_FORCE, revision=entry.revision, source=source.value
             )
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -72,7 +72,7 @@
         configuration = self.runtime.inspect(
             lambda core: core.board.table(ConfigurationTable).in_force()
         )
-        for upstream in configuration.shared.upstreams:
-            if upstream.name == name:
-                return upstream
-        raise RefusedError(ErrorKind.NO_UPSTREAM)
+        upstream = configuration.upstream(name)
+        if upstream is None:
+            raise RefusedError(ErrorKind.NO_UPSTREAM)
+        return upstream
