A planned stop waits until its claims are settled

Cause: a VM that stopped while the key-value service was out of its reach left claims whose end nobody knows: duplicates at other VMs were told outcome_unknown for a call that had been answered.

--- a/azureturn/core/_held_calls.py
+++ b/azureturn/core/_held_calls.py
@@ -80,6 +80,11 @@
         row = self.get(nonce)
         return row is not None and row.state is HeldState.ABANDONED
 
+    def unsettled_count(self) -> int:
+        """Return how many calls have ended here whose end the service does not hold yet."""
+        ended = (HeldState.SETTLED, HeldState.ABANDONED)
+        return sum(row.state in ended and not row.written_back for row in self.rows())
+
     def trim(self, now_ms: int) -> None:
         """Forget what is written back and old."""
         for nonce in list(self._forgettable(now_ms)):
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -14,6 +14,7 @@
     Configuration,
     Core,
     FetchConfiguration,
+    HeldCallTable,
     LeavingAnnounced,
     ReadSegment,
     SendHeartbeat,
@@ -161,7 +162,11 @@
             self._caller_server.stop()
             self._peer_server.stop()
         self._services.runtime.stop()
-        self._services.log.info(LogEvent.DAEMON_STOPPED, requests_cut=cut)
+        self._services.log.info(
+            LogEvent.DAEMON_STOPPED,
+            requests_cut=self._requests_in_flight(),
+            claims_unsettled=self._unsettled_claims(),
+        )
         self._services.log.close()
         return cut == 0
 
@@ -174,9 +179,17 @@
         self._background.announce_leaving()
 
     def _unfinished(self) -> int:
+        return self._requests_in_flight() + self._unsettled_claims()
+
+    def _requests_in_flight(self) -> int:
         in_flight = self._caller_server.requests_in_flight
         return max(in_flight, self._services.runtime.requests_in_progress)
 
+    def _unsettled_claims(self) -> int:
+        return self._services.runtime.inspect(
+            lambda core: core.board.table(HeldCallTable).unsettled_count()
+        )
+
     def _is_ready(self) -> bool:
         return self._started and self._stop.stage is StopStage.SERVING
 
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -47,7 +47,9 @@
     {
         LogEvent.DAEMON_STARTED: LogEventRow("The daemon serves.", ("host", "port", "peer_port")),
         LogEvent.DAEMON_STOPPING: LogEventRow("A planned stop has begun.", ()),
-        LogEvent.DAEMON_STOPPED: LogEventRow("The daemon has stopped.", ("requests_cut",)),
+        LogEvent.DAEMON_STOPPED: LogEventRow(
+            "The daemon has stopped.", ("requests_cut", "claims_unsettled")
+        ),
         LogEvent.REQUEST_ENDED: LogEventRow(
             "A request has its final answer, or its caller is gone.",
             (
@@ -116,6 +118,7 @@
         "host": "IP number that the daemon listens at.",
         "port": "Port for callers.",
         "peer_port": "Port for VMs and operators.",
+        "claims_unsettled": "Calls that ended here and whose end the service does not hold.",
         "requests_cut": "Requests in flight that the stop cut; 0 in a graceful one.",
         "of_event": "The event whose lines were left out.",
         "line_count": "How many lines were left out since the last such line.",
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -12,7 +12,7 @@
 import pytest
 import urllib3
 
-from standins.site import LOOPBACK, MODEL, TOKEN, Answer, Site
+from standins.site import LOOPBACK, MODEL, TOKEN, Answer, Site, link_name
 
 CHAT = "/v1/chat/completions"
 ENGINE = "engine-1"
@@ -155,3 +155,26 @@
         assert not any(one.done() for one in running)
         assert len(site.read(ENGINE, "/runs")) == 2
         assert all(one.result().body.endswith(b"data: [DONE]\n\n") for one in running)
+
+
+def test_a_stop_waits_until_the_claims_are_settled() -> None:
+    link = ("vm-1", "key-value")
+    with Site(vms=2, zones=2, engines=1, services=1, links=(link,)) as site:
+        site.control(SERVICE, delay_ms=300)
+        headers = {"Idempotency-Key": "settled"}
+        with ThreadPoolExecutor() as pool:
+            first = pool.submit(
+                site.call, "vm-1", "POST", "/routes/deposit", body={}, headers=headers
+            )
+            wait_for(lambda: site.runs().get("settled") == 1)
+            site.control(link_name(*link), mode="drop")
+            assert first.result().status == 200
+        site.processes["vm-1"].send_signal(signal.SIGTERM)
+        wait_for(lambda: site.call("vm-1", "GET", "/v1/models").status == 503)
+        site.control(link_name(*link), mode="refuse")
+        site.control(link_name(*link), mode="pass")
+        assert exit_code(site) == 0
+        assert site.logged("vm-1", "daemon_stopped")[0]["claims_unsettled"] == 0
+        shared = site.call("vm-2", "POST", "/routes/deposit", body={}, headers=headers)
+        assert shared.status == 200
+        assert site.runs()["settled"] == 1
