--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -20,6 +20,7 @@
     SwapSegment,
 )
 from azureturn.core._blackboard import Blackboard, BlackboardView, Table, UndeclaredTableError
+from azureturn.core._claim_progress import SegmentProgressTable
 from azureturn.core._claim_segments import ClaimSegment, call_digest, segment_key, segment_of
 from azureturn.core._claims import Claim, ClaimHolder, ClaimOutcome, ClaimResult, ClaimState
 from azureturn.core._configuration import Configuration, ConfigurationSource, ConfigurationTable
@@ -41,6 +42,7 @@
     LeavingAnnounced,
     LoadReported,
     NewsIsUrgent,
+    PeerPrefixSent,
     PeerQueueReported,
     PeersDecided,
     PeersListed,
@@ -89,6 +91,7 @@
     PlacementChoice,
     PlacementPolicy,
     PrefixTable,
+    SentPrefix,
     SpeedTable,
     candidate_filter,
     limit,
@@ -153,6 +156,7 @@
     "PLACEMENT_POLICIES",
     "PREFIX_BLOCK_TOKENS",
     "PeerQueue",
+    "PeerPrefixSent",
     "PeerQueueReported",
     "PeerQueueTable",
     "PeerStarted",
@@ -185,9 +189,11 @@
     "RowsReceived",
     "SegmentCallLost",
     "SegmentChanged",
+    "SegmentProgressTable",
     "SegmentRead",
     "SegmentSwapped",
     "SendHeartbeat",
+    "SentPrefix",
     "SpeedTable",
     "Started",
     "SwapSegment",
--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -16,8 +16,8 @@
 _ANSWER_WEIGHT = 0.05
 #: Prompts shorter than this tell too little of the prefill speed.
 _PREFILL_SAMPLE_TOKENS = 200
-#: A pace that no sample has confirmed for this long is trusted less.
-PACE_FRESH_MS = 5_000
+#: A pace that no sample has confirmed for this long gives way to the assumed one.
+_PACE_FRESH_MS = 5_000
 
 
 @dataclass(frozen=True)
@@ -40,6 +40,15 @@
             prefill_ms_per_token=_MS_PER_S / settings.prefill_tokens_per_s,
         )
 
+    def pace_ms(self, settings: UpstreamSettings, now_ms: int) -> float:
+        """Return the time for each token, by what was seen lately.
+
+        An upstream that was slow and has got no work since is tried again after a while.
+        """
+        if not self.samples or now_ms - self.sampled_at_ms <= _PACE_FRESH_MS:
+            return self.decode_ms_per_token
+        return min(self.decode_ms_per_token, _MS_PER_S / settings.decode_tokens_per_s)
+
     def with_pace(self, ms_per_token: float, *, now_ms: int) -> "LearnedSpeed":
         """Return a copy that has seen one more interval between tokens."""
         weight = max(_PACE_WEIGHT, 1.0 / (1 + self.samples))
@@ -76,11 +85,12 @@
         super().__init__()
         #: The speed last learned of any upstream of a hardware.
         self._by_hardware: dict[str, LearnedSpeed] = {}
+        self._assumed: dict[tuple[float, float], LearnedSpeed] = {}
 
     def learn(self, upstream: Upstream, speed: LearnedSpeed) -> None:
         """Replace the speed of an upstream."""
         self.put(upstream.settings.name, speed)
-        self._by_hardware[upstream.settings.hardware] = speed
+        self._by_hardware[upstream.settings.hardware] = changed(speed, samples=0, sampled_at_ms=0)
 
     def of(self, upstream: Upstream) -> LearnedSpeed:
         """Return what was learned of an upstream, of its hardware, or what its settings assume.
@@ -92,9 +102,14 @@
         if learned is not None:
             return learned
         of_hardware = self._by_hardware.get(upstream.settings.hardware)
-        if of_hardware is not None:
-            return changed(of_hardware, samples=0, sampled_at_ms=0)
-        return LearnedSpeed.from_settings(upstream.settings)
+        return self._assume(upstream.settings) if of_hardware is None else of_hardware
+
+    def _assume(self, settings: UpstreamSettings) -> LearnedSpeed:
+        key = (settings.decode_tokens_per_s, settings.prefill_tokens_per_s)
+        assumed = self._assumed.get(key)
+        if assumed is None:
+            assumed = self._assumed[key] = LearnedSpeed.from_settings(settings)
+        return assumed
 
 
 class OutputLengthTable(Table[tuple[str, str], float]):
