Decoders of other processes' messages and values: fuzzed

Cause: a value nested deeper than the interpreter's limit raised RecursionError in the decoder of claim segments and would have ended the thread that carries claims; the content type of a call under a ticket was passed on unchecked. Change: tests/test_decoders.py gives any bytes, and valid bytes with some changed, to each decoder (segments, move records, tickets, envelopes, heartbeats, outcomes, queries, configuration); the segment's decoder treats deep nesting as a broken value, tickets' content types are checked. Ruled out: the other decoders; they raise only errors of the closed list. Proof: test_any_bytes[claim segment] failed before; 15 passed after.

--- a/azureturn/core/_claim_segments.py
+++ b/azureturn/core/_claim_segments.py
@@ -16,7 +16,6 @@
 """
 
 import base64
-import binascii
 import hashlib
 import json
 from collections.abc import Mapping
@@ -118,7 +117,7 @@
             holders = [ClaimHolder(*row) for row in document["holders"]]
             claims = {key: _claim_of(row, holders) for key, row in document["claims"].items()}
             floor_ms = int(document["floor_ms"])
-        except (ValueError, TypeError, KeyError, IndexError, binascii.Error) as error:
+        except (ValueError, TypeError, KeyError, IndexError, RecursionError) as error:
             raise AzureturnError(ErrorKind.INTERNAL, "a segment of claims is broken") from error
         return cls(floor_ms=floor_ms).with_claims(claims)
 
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -182,9 +182,7 @@
             arrived_at_ms=arrived_at_ms,
             path=path,
         )
-        content_type = headers.get("Content-Type", "application/octet-stream")
-        check_header("Content-Type", content_type, limit=CONTENT_TYPE_LIMIT)
-        sent_headers = {"Content-Type": content_type}
+        sent_headers = {"Content-Type": _content_type(headers)}
         if request.idempotency_key:
             sent_headers[IDEMPOTENCY_HEADER] = request.idempotency_key
         outgoing = OutgoingRequest(
@@ -202,7 +200,7 @@
             ticket=ticket,
             token=headers[TICKET_HEADER],
             path=path,
-            content_type=headers.get("Content-Type", "application/octet-stream"),
+            content_type=_content_type(headers),
             body=body,
             timeout_ms=timeout_ms_of(headers, route),
             request_id=request_id,
@@ -314,3 +312,9 @@
     if not header.isascii() or not header.isdecimal() or len(header) > _LENGTH_DIGITS:
         raise CallerError(ErrorKind.BAD_HEADER, "Content-Length must be a whole number")
     return int(header)
+
+
+def _content_type(headers: Mapping[str, str]) -> str:
+    content_type = headers.get("Content-Type", "application/octet-stream")
+    check_header("Content-Type", content_type, limit=CONTENT_TYPE_LIMIT)
+    return content_type
--- /dev/null
+++ b/tests/test_decoders.py
@@ -0,0 +1,96 @@
+"""Every decoder of what comes from other processes raises only errors of the closed list."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azureturn.core import ClaimSegment
+from azureturn.core.moves import decode_record
+from azureturn.daemon._tickets import TicketOffice
+from azureturn.errors import AzureturnError
+from azureturn.peers import (
+    ConfigurationAnswer,
+    EnvelopeSigner,
+    Heartbeat,
+    OperatorQuery,
+    Outcome,
+    OutcomeQuery,
+    decode_struct,
+    encode_struct,
+    heartbeat_from_wire,
+)
+from azureturn.peers.gen.ttypes import Envelope
+from azureturn.settings import check_shared_settings, load_settings
+from standins.site import EXAMPLES
+
+SETTINGS = load_settings(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"])
+SIGNER = EnvelopeSigner(SETTINGS.daemon.peer_secret, "vm-1", clock_s=lambda: 0.0)
+TICKETS = TicketOffice(SETTINGS, boot_id="boot")
+
+BYTES: dict[str, Callable[[bytes], Any]] = {
+    "claim segment": ClaimSegment.from_bytes,
+    "move record": decode_record,
+    "ticket": lambda data: TICKETS.read(data.decode("latin-1")),
+    "envelope": lambda data: SIGNER.open("find_outcome", Envelope(data), OutcomeQuery),
+    "heartbeat": lambda data: heartbeat_from_wire(decode_struct(Heartbeat, data)),
+    "outcome": lambda data: decode_struct(Outcome, data),
+    "outcome query": lambda data: decode_struct(OutcomeQuery, data),
+    "operator query": lambda data: decode_struct(OperatorQuery, data),
+    "configuration": lambda data: decode_struct(ConfigurationAnswer, data),
+}
+_KEYS = st.sampled_from(
+    ["claims", "cells", "nonce", "digest", "body_digest", "vm", "boot_id", "host", "peer_port"]
+    + ["state", "stages", "model", "site", "tiers", "routes", "name", "rank", "upstreams", "policy"]
+)
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(_KEYS, inner, max_size=5),
+    max_leaves=15,
+)
+ANY_BYTES = (
+    st.binary(max_size=200)
+    | ANY_JSON.map(lambda document: json.dumps(document).encode())
+    | st.sampled_from(
+        [b"[" * 2_000, b"\x1c" * 10_000, b"\x19\xfc\xff\xff\xff\xff\x07", b"9" * 5_000]
+    )
+)
+
+
+@pytest.mark.parametrize("name", BYTES)
+@given(data=ANY_BYTES)
+def test_any_bytes(name: str, data: bytes) -> None:
+    try:
+        BYTES[name](data)
+    except AzureturnError:
+        return
+
+
+VALID = {
+    "claim segment": ClaimSegment().to_bytes(),
+    "ticket": TICKETS.mint("call-centre", "deposit").encode(),
+    "envelope": SIGNER.seal("find_outcome", OutcomeQuery()).signed_message or b"",
+    "heartbeat": encode_struct(Heartbeat(vm="vm-1", rows=[], incarnation=1)),
+    "outcome": encode_struct(Outcome(status=200, headers=[], body=b"x" * 50)),
+}
+
+
+@pytest.mark.parametrize("name", VALID)
+@given(at=st.integers(0, 400), byte=st.binary(min_size=1, max_size=3))
+def test_valid_bytes_with_some_changed(name: str, at: int, byte: bytes) -> None:
+    start = at % len(VALID[name])
+    try:
+        BYTES[name](VALID[name][:start] + byte + VALID[name][start + 1 :])
+    except AzureturnError:
+        return
+
+
+@given(document=ANY_JSON)
+def test_any_configuration(document: Any) -> None:
+    try:
+        check_shared_settings(document)
+    except AzureturnError:
+        return
