--- a/azureturn/upstreams/__init__.py
+++ b/azureturn/upstreams/__init__.py
@@ -17,12 +17,15 @@
     json_of,
     usage_of_whole,
 )
+from azureturn.upstreams._orders import EngineOrder, OrderClient
 from azureturn.upstreams._resuming import ResumingStream
 
 __all__ = [
     "AnswerAssembler",
+    "EngineOrder",
     "EventSplitter",
     "NOT_WHOLE_IN_TIME",
+    "OrderClient",
     "ResumingStream",
     "StreamedAnswer",
     "UpstreamClient",
