--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,235 @@
+"""Claims against writes of the key-value service: ``python -m benchmarks.claims``.
+
+Eight cores share a fake service of 400 writes a second and 3 ms to an answer, in simulated time.
+Each line is a JSON object for one policy and one offered rate. ``one_key_a_claim`` is the baseline:
+each claim is a write of its own, and a write beyond the service's rate is refused.
+"""
+
+import argparse
+import heapq
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from azureturn.core import (
+    CallSettled,
+    ClaimOutcome,
+    ClaimSegment,
+    ClaimState,
+    Configuration,
+    Core,
+    Dispatch,
+    Event,
+    ReadSegment,
+    Refuse,
+    Request,
+    RequestAnswered,
+    RequestArrived,
+    SegmentCallLost,
+    SegmentChanged,
+    SegmentRead,
+    SegmentSwapped,
+    Started,
+    SwapSegment,
+    Tick,
+)
+from azureturn.core.tests.claim_site import ORGANISATION, settings_of
+from azureturn.settings import UpstreamKind
+
+VMS = 8
+WRITES_PER_S = 400
+BURST = 50
+LATENCY_MS = 3
+RUN_MS = 5_000
+ANSWER_MS = 5
+TICK_MS = 50
+UNIX_START_MS = 1_700_000_000_000
+RATES_PER_S = (10, 50, 200, 400, 1_000, 2_000)
+_MS_PER_S = 1_000
+
+
+@dataclass
+class Service:
+    """The key-value service: compare-and-swap below a rate, a refusal beyond it."""
+
+    values: dict[int, tuple[int, ClaimSegment]] = field(default_factory=dict)
+    revision: int = 0
+    writes: int = 0
+    refused: int = 0
+    conflicts: int = 0
+    reads: int = 0
+    _allowance: float = BURST
+    _at_ms: float = 0.0
+
+    def take(self, now_ms: float) -> bool:
+        """Count a write and return whether the rate admits it."""
+        earned = (now_ms - self._at_ms) * WRITES_PER_S / _MS_PER_S
+        self._allowance = min(BURST, self._allowance + earned)
+        self._at_ms = now_ms
+        if self._allowance < 1:
+            self.refused += 1
+            return False
+        self._allowance -= 1
+        self.writes += 1
+        return True
+
+    def call(self, action: ReadSegment | SwapSegment, now_ms: float) -> Event:
+        """Return the answer to a call of a core."""
+        number, operation_id = action.segment, action.operation_id
+        revision, content = self.values.get(number, (0, ClaimSegment()))
+        if isinstance(action, ReadSegment):
+            self.reads += 1
+            return SegmentRead(number, operation_id, revision, content)
+        if not self.take(now_ms):
+            return SegmentCallLost(number, operation_id)
+        if revision != action.expected_revision:
+            self.conflicts += 1
+            return SegmentChanged(number, operation_id)
+        self.revision += 1
+        self.values[number] = (self.revision, action.content)
+        return SegmentSwapped(number, operation_id, self.revision)
+
+
+class Simulation:
+    """Cores, the service and time."""
+
+    def __init__(self, rate_per_s: int, seed: int) -> None:
+        self.service = Service()
+        self.latencies_ms: list[float] = []
+        self.refused = 0
+        self.arrived_at_ms: dict[str, float] = {}
+        self._rate_per_s = rate_per_s
+        self._random = random.Random(seed)
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self.now_ms = 0.0
+        self._cores = [self._core(number) for number in range(VMS)]
+
+    def _core(self, number: int) -> Core:
+        settings = settings_of(f"vm-{number}")
+        core = Core.from_settings(settings, seed=number)
+        core.handle(Started(Configuration(0, settings.shared), f"boot-{number}"), 0)
+        return core
+
+    def at(self, delay_ms: float, run: Callable[[], None]) -> None:
+        """Run something later."""
+        self._sequence += 1
+        heapq.heappush(self._due, (self.now_ms + delay_ms, self._sequence, run))
+
+    def run(self) -> None:
+        """Let claims arrive for the run's time, then end what is under way."""
+        for number in range(VMS):
+            self.at(TICK_MS * number / VMS, lambda number=number: self._tick(number))  # type: ignore[misc]
+        self.at(0, self._arrive)
+        while self._due:
+            self.now_ms, _, run = heapq.heappop(self._due)
+            if self.now_ms > 2 * RUN_MS:
+                return
+            run()
+
+    def _tick(self, number: int) -> None:
+        self.submit(number, Tick())
+        self.at(TICK_MS, lambda: self._tick(number))
+
+    def _arrive(self) -> None:
+        if self.now_ms > RUN_MS:
+            return
+        self.at(self._random.expovariate(self._rate_per_s / _MS_PER_S), self._arrive)
+        name = f"r{len(self.arrived_at_ms)}"
+        self.arrived_at_ms[name] = self.now_ms
+        now_ms = int(self.now_ms)
+        request = Request(
+            request_id=name,
+            organisation=ORGANISATION,
+            route="deposit",
+            tier_rank=0,
+            target="bookings",
+            kind=UpstreamKind.PLAIN_SERVICE,
+            arrived_at_ms=now_ms,
+            deadline_ms=now_ms + 10_000,
+            idempotent=False,
+            idempotency_key=name,
+            body_digest="d" * 32,
+            arrived_unix_ms=UNIX_START_MS + now_ms,
+        )
+        self.submit(self._random.randrange(VMS), RequestArrived(request))
+
+    def submit(self, number: int, event: Event) -> None:
+        """Give a core an event and carry out what it asks for."""
+        for action in self._cores[number].handle(event, int(self.now_ms)):
+            if isinstance(action, ReadSegment | SwapSegment):
+                self.at(LATENCY_MS / 2, lambda action=action: self._serve(number, action))  # type: ignore[misc]
+            elif isinstance(action, Dispatch):
+                self._dispatched(number, action)
+            elif isinstance(action, Refuse):
+                self.refused += 1
+
+    def _serve(self, number: int, action: ReadSegment | SwapSegment) -> None:
+        event = self.service.call(action, self.now_ms)
+        self.at(LATENCY_MS / 2, lambda: self.submit(number, event))
+
+    def _dispatched(self, number: int, action: Dispatch) -> None:
+        self.latencies_ms.append(self.now_ms - self.arrived_at_ms[action.request_id])
+        outcome = ClaimOutcome(ClaimState.RAN, 200, "application/json", "bookings-1", b"{}", True)
+
+        def end() -> None:
+            self.submit(number, RequestAnswered(action.request_id))
+            self.submit(number, CallSettled(action.claim_nonce, outcome))
+
+        self.at(ANSWER_MS, end)
+
+
+def one_key_a_claim(rate_per_s: int, seed: int) -> tuple[list[float], Service, int]:
+    """Return the baseline's latencies, its service, and the claims that arrived."""
+    generator = random.Random(seed)
+    service = Service()
+    latencies_ms: list[float] = []
+    now_ms = 0.0
+    arrived = 0
+    while now_ms <= RUN_MS:
+        arrived += 1
+        if service.take(now_ms + LATENCY_MS / 2):
+            latencies_ms.append(LATENCY_MS)
+        now_ms += generator.expovariate(rate_per_s / _MS_PER_S)
+    return latencies_ms, service, arrived
+
+
+def _line(
+    policy: str, rate_per_s: int, arrived: int, latencies_ms: list[float], service: Service
+) -> str:
+    ordered = sorted(latencies_ms)
+    seconds = RUN_MS / _MS_PER_S
+    figures = {
+        "policy": policy,
+        "offered_per_s": rate_per_s,
+        "claimed_per_s": round(len(ordered) / seconds, 1),
+        "claimed_share": round(len(ordered) / arrived, 4),
+        "writes_per_s": round(service.writes / seconds, 1),
+        "claims_per_write": round(len(ordered) / max(1, service.writes), 2),
+        "conflicts": service.conflicts,
+        "writes_refused": service.refused,
+        "reads_per_s": round(service.reads / seconds, 1),
+        "p50_ms": round(ordered[len(ordered) // 2], 1),
+        "p99_ms": round(ordered[len(ordered) * 99 // 100], 1),
+    }
+    return json.dumps(figures)
+
+
+def main() -> None:
+    """Print one line for each policy and rate."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    for rate_per_s in RATES_PER_S:
+        latencies_ms, service, arrived = one_key_a_claim(rate_per_s, seed)
+        print(_line("one_key_a_claim", rate_per_s, arrived, latencies_ms, service), flush=True)
+        simulation = Simulation(rate_per_s, seed)
+        simulation.run()
+        arrived = len(simulation.arrived_at_ms)
+        latencies_ms, service = simulation.latencies_ms, simulation.service
+        print(_line("group_commit", rate_per_s, arrived, latencies_ms, service), flush=True)
+
+
+if __name__ == "__main__":
+    main()
