--- a/azureturn/core/controllers/_move_gossip.py
+++ b/azureturn/core/controllers/_move_gossip.py
@@ -14,10 +14,10 @@
 from azureturn.core.moves._tables import EvidenceTable, Move, MoveTable
 from azureturn.core.moves._types import MoveReason, MoveRecord
 
-#: Evidence is told this often; both versions' together, so that no VM sees half a picture.
-PUBLISH_INTERVAL_MS = 2_000
-#: The same while the new version fails here, or is suspected and shows any trouble anywhere.
-URGENT_INTERVAL_MS = 250
+#: All evidence of this VM is told this often; rows hold both versions' counts.
+PUBLISH_INTERVAL_MS = 4_000
+#: Routes on which the new version has just shown a trouble are told this often.
+NEWS_INTERVAL_MS = 300
 _CONDEMNED, _COMPLETED = 1, 2
 _REASONS = tuple(MoveReason)
 
@@ -33,7 +33,6 @@
     def __init__(self, *arguments: object) -> None:
         super().__init__(*arguments)  # type: ignore[arg-type]
         self._published_at_ms: dict[str, int] = {}
-        self._published_news: dict[str, int] = {}
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
@@ -67,25 +66,28 @@
             context.post(EvidenceReceived(tuple(evidence), tuple(condemned), tuple(completed)))
 
     def _publish_evidence(self, own: PeerIdentity, move: Move, context: Context) -> None:
+        """Change this VM's rows: those of failing routes soon, all of them now and then."""
         record = move.record
         ledger = self.board.read(EvidenceTable).get(record.move_id)
         if ledger is None or record.ended:
             return
-        judged = self.board.read(EvidenceTable).verdicts.get(record.move_id)
-        suspected = judged is not None and judged.verdict.suspicious
-        news = ledger.bad_news if suspected else ledger.own_failures
-        failing = news != self._published_news.get(record.move_id, 0)
-        interval_ms = URGENT_INTERVAL_MS if failing else PUBLISH_INTERVAL_MS
-        if context.now_ms - self._published_at_ms.get(record.move_id, 0) < interval_ms:
+        all_due = self._is_due(f"{record.move_id} all", PUBLISH_INTERVAL_MS, context)
+        routes = set(ledger.own_news)
+        if not all_due and not (routes and self._is_due(record.move_id, NEWS_INTERVAL_MS, context)):
             return
         self._published_at_ms[record.move_id] = context.now_ms
-        self._published_news[record.move_id] = news
+        if all_due:
+            self._published_at_ms[f"{record.move_id} all"] = context.now_ms
+        ledger.own_news.clear()
+        held = ledger.rows_of(EvidenceSource(own.vm, ledger.own_boot_id))
+        rows = [row for row in held if all_due or row[0].route in routes]
         gossip = self.board.write(GossipTable)
-        rows = ledger.rows_of(EvidenceSource(own.vm, ledger.own_boot_id))
         for key, numbers in evidence_to_rows(record, rows):
             gossip.change_own(own, Topic.EVIDENCE, key, numbers, context.now_ms)
-        if failing:
-            context.post(NewsIsUrgent())
+
+    def _is_due(self, what: str, interval_ms: int, context: Context) -> bool:
+        last_ms = self._published_at_ms.get(what)
+        return last_ms is None or context.now_ms - last_ms >= interval_ms
 
     def _publish_end(self, own: PeerIdentity, model: str, move: Move, context: Context) -> None:
         moves = self.board.read(MoveTable)
--- a/azureturn/core/moves/_evidence.py
+++ b/azureturn/core/moves/_evidence.py
@@ -105,16 +105,16 @@
     bad_news: int = 0
     #: The boot id under which this process counts.
     own_boot_id: str = ""
-    #: Grows whenever this process sees the new version fail.
-    own_failures: int = 0
+    #: Routes on which this process saw a trouble of the new version that was not told yet.
+    own_news: set[str] = field(default_factory=set)
     _rows: dict[tuple[EvidenceSource, EvidenceKey], Counts] = field(default_factory=dict)
 
     def add(self, source: EvidenceSource, key: EvidenceKey, counts: Counts) -> None:
         """Count answers of this process."""
         known = self._rows.get((source, key))
         self.own_boot_id = source.boot_id
-        if key.is_new:
-            self.own_failures += counts.troubles[Trouble.FAILED]
+        if key.is_new and any(counts.troubles):
+            self.own_news.add(key.route)
         self._replace(source, key, known, counts if known is None else known.with_added(counts))
 
     def merge(self, row: EvidenceRow) -> None:
--- a/azureturn/core/moves/_gossip.py
+++ b/azureturn/core/moves/_gossip.py
@@ -21,10 +21,12 @@
 )
 from azureturn.core.moves._types import MoveRecord
 
-#: A row holds the move, the epoch, and then for each stage its number and both versions' counts.
+#: A row holds the move, the epoch, and then for each stage what both versions had: the stage,
+#: both numbers of requests, the new version's at load, and the troubles that are not 0 after a
+#: number whose bits say which these are.
 _HEAD_NUMBERS = 2
-_COUNT_NUMBERS = 2 + len(Trouble)
-_GROUP_NUMBERS = 1 + 2 * _COUNT_NUMBERS
+_GROUP_NUMBERS = 5
+_TROUBLE_KINDS = 2 * len(Trouble)
 _NUMBER_LIMIT = 1 << 48
 _DIGEST_CHARACTERS = 6
 #: Digits of a move's id that stand for it.
@@ -52,7 +54,7 @@
     for (route, epoch), by_stage in stages.items():
         numbers = [move_number(record.move_id), epoch]
         for stage, (old, new) in by_stage.items():
-            numbers += [stage, *_to_numbers(old), *_to_numbers(new)]
+            numbers += _to_numbers(stage, old, new)
         yield f"{route_digest(record.model, route)}{epoch % (OPEN_EPOCHS + 1)}", tuple(numbers)
 
 
@@ -60,8 +62,7 @@
     row: GossipRow, records: Iterable[MoveRecord], routes: Iterable[str]
 ) -> Iterator[EvidenceRow]:
     """Yield the evidence in a gossip row, if it is of one of these moves on one of these routes."""
-    groups, rest = divmod(len(row.numbers) - _HEAD_NUMBERS, _GROUP_NUMBERS)
-    if rest or groups < 1 or not _are_counts(row.numbers[:_HEAD_NUMBERS]):
+    if len(row.numbers) <= _HEAD_NUMBERS or not _are_counts(row.numbers[:_HEAD_NUMBERS]):
         return
     named = {
         route_digest(record.model, route): (record, route) for record in records for route in routes
@@ -70,21 +71,33 @@
     if found is None or move_number(found[0].move_id) != row.numbers[0]:
         return
     source = EvidenceSource(row.row_key.owner, str(row.incarnation))
-    for group in range(groups):
-        start = _HEAD_NUMBERS + group * _GROUP_NUMBERS
-        stage, *counts = row.numbers[start : start + _GROUP_NUMBERS]
-        if not _are_counts(counts):
-            continue
-        for is_new in (False, True):
-            own = counts[_COUNT_NUMBERS * is_new :][:_COUNT_NUMBERS]
-            if any(own):
-                key = EvidenceKey(row.numbers[1], stage, found[1], is_new)
-                counted = Counts(own[0], own[1], tuple(own[2:]))
-                yield EvidenceRow(source, found[0].move_id, key, counted)
-
-
-def _to_numbers(counts: Counts) -> tuple[int, ...]:
-    return (counts.requests, counts.busy, *counts.troubles)
+    for stage, is_new, counts in _from_numbers(row.numbers[_HEAD_NUMBERS:]):
+        key = EvidenceKey(row.numbers[1], stage, found[1], is_new)
+        yield EvidenceRow(source, found[0].move_id, key, counts)
+
+
+def _to_numbers(stage: int, old: Counts, new: Counts) -> list[int]:
+    troubles = (*old.troubles, *new.troubles)
+    present = sum(1 << place for place, count in enumerate(troubles) if count)
+    head = [stage, old.requests, new.requests, new.busy, present]
+    return [*head, *(count for count in troubles if count)]
+
+
+def _from_numbers(numbers: tuple[int, ...]) -> Iterator[tuple[int, bool, Counts]]:
+    """Yield stage, version and counts up to the first group that makes no sense."""
+    while len(numbers) >= _GROUP_NUMBERS and _are_counts(numbers[1:_GROUP_NUMBERS]):
+        stage, old_requests, new_requests, busy, present = numbers[:_GROUP_NUMBERS]
+        length = _GROUP_NUMBERS + present.bit_count()
+        told = iter(numbers[_GROUP_NUMBERS:length])
+        if present >> _TROUBLE_KINDS or len(numbers) < length or not _are_counts(numbers[1:length]):
+            return
+        troubles = [next(told) if present >> place & 1 else 0 for place in range(_TROUBLE_KINDS)]
+        old = Counts(old_requests, 0, tuple(troubles[: len(Trouble)]))
+        new = Counts(new_requests, busy, tuple(troubles[len(Trouble) :]))
+        for is_new, counts in ((False, old), (True, new)):
+            if counts != Counts():
+                yield stage, is_new, counts
+        numbers = numbers[length:]
 
 
 def _are_counts(numbers: Iterable[int]) -> bool:
