--- a/azureturn/core/controllers/_learning.py
+++ b/azureturn/core/controllers/_learning.py
@@ -4,6 +4,7 @@
 from azureturn.core._events import (
     AnswerProgressed,
     LoadReported,
+    PeerPrefixSent,
     PeerQueueReported,
     PeerWorkReported,
     RequestAnswered,
@@ -115,6 +116,11 @@
         added_tokens = work.tokens - (0 if before is None else before.tokens)
         self._add_peer_work(work.upstream, requests=added_requests, tokens=added_tokens)
 
+    @on(PeerPrefixSent)
+    def _on_peer_prefix(self, event: PeerPrefixSent, context: Context) -> None:
+        if event.upstream in self.board.read(UpstreamTable):
+            self.board.write(PrefixTable).of(event.upstream).note(event.digests)
+
     @on(PeerQueueReported)
     def _on_peer_queue(self, event: PeerQueueReported, context: Context) -> None:
         row = PeerQueue(event.vm, event.target, event.taken_at_ms, event.queued_by_rank)
@@ -143,12 +149,17 @@
         upstream = self.board.read(UpstreamTable).get(name)
         return None if upstream is None else self.board.read(SpeedTable).of(upstream)
 
+    def _keep_speed(self, name: str, speed: LearnedSpeed) -> None:
+        upstream = self.board.read(UpstreamTable).get(name)
+        if upstream is not None:
+            self.board.write(SpeedTable).learn(upstream, speed)
+
     def _learn_pace(self, request: Request, passed_ms: int, tokens: int, context: Context) -> None:
         speed = self._speed(request.upstream)
         if speed is None or tokens <= 0 or passed_ms <= 0:
             return
         learned = speed.with_pace(passed_ms / tokens, now_ms=context.now_ms)
-        self.board.write(SpeedTable).put(request.upstream, learned)
+        self._keep_speed(request.upstream, learned)
 
     def _learn_last_pace(self, request: Request, event: RequestAnswered, context: Context) -> None:
         if request.progressed_at_ms:
@@ -171,7 +182,7 @@
         speed = self._speed(request.upstream)
         if speed is not None:
             learned = speed.with_answer(took_ms)
-            self.board.write(SpeedTable).put(request.upstream, learned)
+            self._keep_speed(request.upstream, learned)
 
     def _learn_prefill(self, request: Request, event: RequestAnswered, context: Context) -> None:
         speed = self._speed(request.upstream)
@@ -181,4 +192,4 @@
         if speed is None or first_ms <= 0:
             return
         learned = speed.with_first_token(first_ms, event.prompt_tokens - event.cached_tokens)
-        self.board.write(SpeedTable).put(request.upstream, learned)
+        self._keep_speed(request.upstream, learned)
--- a/azureturn/daemon/_peer_face.py
+++ b/azureturn/daemon/_peer_face.py
@@ -10,10 +10,11 @@
     HeartbeatReceived,
     RequestOffered,
 )
+from azureturn.daemon._claimants import answer_query
 from azureturn.daemon._offers import request_of_offer
 from azureturn.daemon._operators import answer_operator
-from azureturn.daemon._outcomes import unknown_outcome
 from azureturn.daemon._services import Services
+from azureturn.daemon._ticketed_calls import TicketedCalls
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.peers import (
     ConfigurationAnswer,
@@ -25,6 +26,7 @@
     OperatorQuery,
     Outcome,
     OutcomeQuery,
+    TicketedCall,
     heartbeat_from_wire,
     heartbeat_to_wire,
 )
@@ -33,18 +35,17 @@
 class PeerFace:
     """Answers the calls of other VMs from the core and the outcomes."""
 
-    def __init__(self, services: Services) -> None:
+    def __init__(self, services: Services, ticketed_calls: TicketedCalls) -> None:
         self._services = services
+        self._ticketed_calls = ticketed_calls
 
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Return what this process knows of a call that it holds the claim of."""
-        key = (query.organisation, query.idempotency_key)
-        known_digest = self._services.outcomes.body_digest(key)
-        if query.boot_id != self._services.boot_id or known_digest is None:
-            return unknown_outcome()
-        if known_digest != query.body_digest:
-            raise AzureturnError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
-        return self._services.outcomes.find(key, wait_ms=query.wait_ms)
+        return answer_query(self._services, query)
+
+    def run_ticketed_call(self, call: TicketedCall) -> Outcome:
+        """Run a call whose ticket this process minted."""
+        return self._ticketed_calls.run_for_peer(call)
 
     def exchange_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a heartbeat in and return this VM's own."""
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -7,7 +7,7 @@
 from azureturn.core import ConfigurationTable
 from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._caller_watch import CallerWatch
-from azureturn.daemon._outcomes import OutcomeStore
+from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
@@ -44,7 +44,7 @@
     vm_list: VmListClient
     peers: PeerClient
     signer: EnvelopeSigner
-    outcomes: OutcomeStore
+    outcomes: CallOutcomes
     log: EventLog
     metrics: Metrics
     accounting: Accounting
--- a/azureturn/upstreams/__init__.py
+++ b/azureturn/upstreams/__init__.py
@@ -2,7 +2,7 @@
 
 from azureturn.upstreams._assembly import AnswerAssembler, streamed_body
 from azureturn.upstreams._client import (
-    SOCKET_OPTIONS,
+    NOT_WHOLE_IN_TIME,
     StreamedAnswer,
     UpstreamClient,
     UpstreamRequest,
@@ -24,9 +24,9 @@
     "AnswerAssembler",
     "EngineOrder",
     "EventSplitter",
+    "NOT_WHOLE_IN_TIME",
     "OrderClient",
     "ResumingStream",
-    "SOCKET_OPTIONS",
     "StreamedAnswer",
     "UpstreamClient",
     "UpstreamRequest",
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -44,7 +44,9 @@
         self.err = ""
 
     def __call__(self, command: str, *, expect: ExitCode = ExitCode.OK) -> str:
-        code = run([*command.split(), *self._site.tool_options])
+        # The site's overlays go before the command's own, which is to have the last word.
+        words = command.split()
+        code = run([*words[:2], *self._site.tool_options, *words[2:]])
         written = self._capsys.readouterr()
         self.err = written.err
         assert code == expect, written
@@ -99,10 +101,11 @@
         folder = tmp_path / str(limit)
         folder.mkdir()
         change = overlay(folder, {"policy": {"queue_limit": limit}}).split()
-        arguments = ["config", "apply", "--expect-revision", str(base), *change]
+        arguments = ["config", "apply", *site.tool_options]
+        arguments += ["--expect-revision", str(base), *change]
         racers.append(
             subprocess.Popen(
-                [sys.executable, "-m", "azureturn.command", *arguments, *site.tool_options],
+                [sys.executable, "-m", "azureturn.command", *arguments],
                 stdout=subprocess.PIPE,
                 stderr=subprocess.PIPE,
                 text=True,
@@ -177,6 +180,16 @@
         site.control("key-value", outage=False)
 
 
+def test_an_operator_without_the_secret_is_refused(
+    site: Site, tool: Tool, tmp_path: Path
+) -> None:
+    path = tmp_path / "other.json"
+    path.write_text('{"daemon": {"peer_secret": "not-the-secret-of-this-site"}}')
+    for command in ("vm list", "requests refused", "slo report"):
+        tool(f"{command} --overlay {path}", expect=ExitCode.UNAVAILABLE)
+        assert "the signature is not valid" in tool.err
+
+
 def test_without_the_platforms_list_the_vms_are_found_by_their_peers(
     site: Site, tool: Tool
 ) -> None:
