--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -84,11 +84,26 @@
     def __init__(self) -> None:
         super().__init__()
         self._assumed: dict[tuple[float, float], LearnedSpeed] = {}
+        #: The speed last learned of any upstream of a hardware.
+        self._by_hardware: dict[str, LearnedSpeed] = {}
+
+    def learn(self, upstream: Upstream, speed: LearnedSpeed) -> None:
+        """Replace the speed of an upstream."""
+        self.put(upstream.settings.name, speed)
+        unsampled = changed(speed, samples=0, sampled_at_ms=0)
+        self._by_hardware[upstream.settings.hardware] = unsampled
 
     def of(self, upstream: Upstream) -> LearnedSpeed:
-        """Return what was learned of an upstream, or what its settings assume."""
+        """Return what was learned of an upstream, of its hardware, or what its settings assume.
+
+        Without the hardware's, an upstream of which nothing is known would seem slower or
+        faster than its equals for no reason but the settings, and might never be chosen.
+        """
         learned = self.get(upstream.settings.name)
-        return self._assume(upstream.settings) if learned is None else learned
+        if learned is not None:
+            return learned
+        of_hardware = self._by_hardware.get(upstream.settings.hardware)
+        return self._assume(upstream.settings) if of_hardware is None else of_hardware
 
     def _assume(self, settings: UpstreamSettings) -> LearnedSpeed:
         key = (settings.decode_tokens_per_s, settings.prefill_tokens_per_s)
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -7,11 +7,11 @@
 from azureturn.core import ConfigurationTable
 from azureturn.daemon._accounting import Accounting
 from azureturn.daemon._caller_watch import CallerWatch
-from azureturn.daemon._outcomes import OutcomeStore
+from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._runtime import CoreRuntime
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
-from azureturn.peers import PeerClient
+from azureturn.peers import EnvelopeSigner, PeerClient
 from azureturn.platform import KeyValueClient, VmListClient
 from azureturn.settings import Settings, UpstreamKind, UpstreamSettings
 from azureturn.upstreams import UpstreamClient
@@ -43,7 +43,8 @@
     key_value: KeyValueClient
     vm_list: VmListClient
     peers: PeerClient
-    outcomes: OutcomeStore
+    signer: EnvelopeSigner
+    outcomes: CallOutcomes
     log: EventLog
     metrics: Metrics
     accounting: Accounting
