Waiting for the upstream that holds a prefix is bounded at ten seconds

Cause: the wait was a tenth of the request's time, which for a summary that is due in eight hours is 48 minutes in the queue while other engines stand open. Change: the lesser of a tenth of the time and 10 s. The new test was seen to fail with the bound at 10,000 s and passes with it; 22 tests of single decisions pass.

--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -38,6 +38,7 @@
 _HEADS = 8
 #: Share of a request's time in which it may wait for an upstream that holds its prefix.
 _PATIENCE_SHARE = 0.1
+_PATIENCE_LIMIT_MS = 10_000
 
 
 @dataclass(frozen=True)
@@ -193,7 +194,8 @@
         if not row.passed_over_at_ms:
             requests.put(request.request_id, row.with_passed_over(now_ms))
             return True
-        patience_ms = _PATIENCE_SHARE * (request.deadline_ms - request.arrived_at_ms)
+        timeout_ms = request.deadline_ms - request.arrived_at_ms
+        patience_ms = min(_PATIENCE_LIMIT_MS, _PATIENCE_SHARE * timeout_ms)
         return now_ms - row.passed_over_at_ms < patience_ms
 
     def _place(
--- a/azureturn/core/tests/test_decisions.py
+++ b/azureturn/core/tests/test_decisions.py
@@ -103,6 +103,18 @@
         assert isinstance(action, Dispatch) and action.upstream == f"engine-{number}"
 
 
+def test_work_with_a_far_deadline_waits_only_a_while_for_who_holds_its_prefix() -> None:
+    core = started_core(site_settings(engines=2, slots=4))
+    digests = tuple(f"d{n}" for n in range(8))
+    core.handle(PeerPrefixSent("vm-2", "engine-0", digests), 0)
+    core.handle(PeerWorkReported("vm-2", "engine-0", 0, 20, 1_000), 0)
+    summary = request_of("one", rank=2, timeout_ms=8 * 3_600_000, prefix_digests=digests)
+    assert core.handle(RequestArrived(summary), 1) == ()
+    core.handle(PeerWorkReported("vm-2", "engine-0", 9_000, 20, 1_000), 9_000)
+    (action,) = core.handle(Tick(), 10_100)
+    assert isinstance(action, Dispatch) and action.upstream == "engine-1"
+
+
 def test_peers_are_told_once_of_each_prefix_sent() -> None:
     core = started_core(site_settings(engines=1, slots=16))
     for number in range(3):
