--- a/azureturn/core/controllers/_admission.py
+++ b/azureturn/core/controllers/_admission.py
@@ -125,10 +125,8 @@
         return request.with_expected_output(tokens)
 
     def _entry(self, request: Request, configuration: Configuration) -> QueuedRequest:
-        least_ms = self._service_ms(request)
-        usual = self.board.read(AnswerTimeTable).get((request.route, request.organisation))
-        if usual is not None and request.tier_rank > 0:
-            least_ms = max(least_ms, usual.usual_ms(_GIVE_UP_DEVIATIONS))
+        early = configuration.shared.policy.early_refusal
+        least_ms = self._least_time_ms(request) if early else 0.0
         return QueuedRequest(
             request,
             cost_tokens=work_tokens(request),
@@ -136,6 +134,14 @@
             give_up_at_ms=int(request.deadline_ms - least_ms),
         )
 
+    def _least_time_ms(self, request: Request) -> float:
+        """Return the time before the deadline from which on a request is given up."""
+        service_ms = self._service_ms(request)
+        usual = self.board.read(AnswerTimeTable).get((request.route, request.organisation))
+        if usual is None or request.tier_rank == 0:
+            return service_ms
+        return max(service_ms, usual.usual_ms(_GIVE_UP_DEVIATIONS))
+
     def _comes_too_late(
         self, request: Request, queue: RequestQueue, configuration: Configuration, now_ms: int
     ) -> bool:
--- a/azureturn/settings/_types.py
+++ b/azureturn/settings/_types.py
@@ -208,7 +208,7 @@
     limits: Name = "work"
     #: ``tiers``, or ``first_come`` for arrival order without tiers.
     queue_order: Name = "tiers"
-    #: Whether a request is refused on arrival when the queue says that it would be late.
+    #: Whether a request is refused as soon as it is seen that it would be late, not when it is.
     early_refusal: bool = True
     queue_limit: Count = 500
     #: How long claims and outcomes are kept.
