--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -83,14 +83,15 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self._assumed: dict[tuple[float, float], LearnedSpeed] = {}
         #: The speed last learned of any upstream of a hardware.
         self._by_hardware: dict[str, LearnedSpeed] = {}
-        self._assumed: dict[tuple[float, float], LearnedSpeed] = {}
 
     def learn(self, upstream: Upstream, speed: LearnedSpeed) -> None:
         """Replace the speed of an upstream."""
         self.put(upstream.settings.name, speed)
-        self._by_hardware[upstream.settings.hardware] = changed(speed, samples=0, sampled_at_ms=0)
+        unsampled = changed(speed, samples=0, sampled_at_ms=0)
+        self._by_hardware[upstream.settings.hardware] = unsampled
 
     def of(self, upstream: Upstream) -> LearnedSpeed:
         """Return what was learned of an upstream, of its hardware, or what its settings assume.
