A request counts once in a site, and is followed by its id across VMs

Cause: a request that another VM took over was counted by both VMs, so the report did not add up; a duplicate's question left no line at the VM that was asked. Ruled out: not logging at the forwarding VM (its id would be lost there). Change: service levels leave out what another VM answered; request_ended names it (forwarded_to_vm); a peer's query carries the request's id, logged as outcome_asked. Seen to fail: the test of ends with the count taken whatever the VM; it passes now. Conclusion: tests in azureturn/daemon/tests/test_accounting.py and tests/test_logs.py.

--- a/azureturn/daemon/_accounting.py
+++ b/azureturn/daemon/_accounting.py
@@ -81,8 +81,12 @@
         upstream: str,
         error: AzureturnError | None = None,
         status: int = 200,
+        forwarded_to_vm: str = "",
     ) -> None:
-        """Account for a request that was admitted, whatever became of it."""
+        """Account for a request that was admitted, whatever became of it.
+
+        Service levels leave out what another VM has answered, since it counts there.
+        """
         ended = ANSWERED if error is None else error.kind.value
         run_state = RunState.RAN if error is None else error.run_state
         took_ms = now_ms() - request.arrived_at_ms
@@ -98,6 +102,7 @@
             route=request.route,
             tier=tier,
             upstream=upstream,
+            forwarded_to_vm=forwarded_to_vm,
             ended=ended,
             run_state=run_state.value,
             took_ms=took_ms,
@@ -110,7 +115,8 @@
             version=version,
             error_kind=_error_kind(error, status, late=now_ms() > request.deadline_ms),
         )
-        self.service_levels.record(key, latency_ms=took_ms, now_unix_ms=unix_now_ms())
+        if error is not None or not forwarded_to_vm:
+            self.service_levels.record(key, latency_ms=took_ms, now_unix_ms=unix_now_ms())
         if error is not None:
             self._note(request.request_id, error, request=request, tier=tier, upstream=upstream)
 
--- a/azureturn/daemon/_claimants.py
+++ b/azureturn/daemon/_claimants.py
@@ -24,6 +24,7 @@
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError, RunState
+from azureturn.observability import LogEvent
 from azureturn.peers import Outcome, OutcomeQuery, OutcomeState, PeerAddress
 
 DUPLICATE_HEADER = "Azureturn-Duplicate"
@@ -55,6 +56,7 @@
     """Return to a peer what this process knows of a call that it holds the claim of."""
     if query.boot_id != services.boot_id:
         return unknown_outcome()
+    services.log.info(LogEvent.OUTCOME_ASKED, request_id=query.request_id)
     wait_ms = min(query.wait_ms, QUERY_WAIT_MS)
     if not _waiting_queries.acquire(blocking=False):
         return _own_outcome(services, query.claim_nonce, query.call_digest, 0)
@@ -93,7 +95,7 @@
         if claim.holder.boot_id == services.boot_id:
             outcome = _own_outcome(services, claim.nonce, digest, left_ms)
         else:
-            outcome = _ask_peer(services, claim, digest, min(left_ms, QUERY_WAIT_MS))
+            outcome = _ask_peer(services, request, claim, min(left_ms, QUERY_WAIT_MS))
         if outcome.state != OutcomeState.PENDING or now_ms() >= request.deadline_ms:
             return outcome
         if now_ms() - asked_at_ms < _ASK_AGAIN_MS:
@@ -111,10 +113,14 @@
     return services.outcomes.find(nonce, wait_ms=wait_ms)
 
 
-def _ask_peer(services: Services, claim: Claim, digest: str, wait_ms: int) -> Outcome:
+def _ask_peer(services: Services, request: Request, claim: Claim, wait_ms: int) -> Outcome:
     holder = claim.holder
     query = OutcomeQuery(
-        call_digest=digest, claim_nonce=claim.nonce, boot_id=holder.boot_id, wait_ms=wait_ms
+        call_digest=digest_of(request),
+        claim_nonce=claim.nonce,
+        boot_id=holder.boot_id,
+        wait_ms=wait_ms,
+        request_id=request.request_id,
     )
     try:
         return services.peers.find_outcome(PeerAddress(holder.host, holder.peer_port), query)
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -89,6 +89,7 @@
         self._caller = caller
         self._watched = -1
         self._upstream = ""
+        self._forwarded_to_vm = ""
         self._claim_nonce = ""
         self._stream: ResumingStream | None = None
         self._caller_is_gone = False
@@ -174,10 +175,11 @@
         answer = self._offers.forward(
             self._request, self._outgoing.message, action.vm, read_timeout_ms=timeout_ms
         )
+        self._forwarded_to_vm = action.vm
         if self._outgoing.streamed and answer.is_event_stream:
             body = ForwardedStream(answer, self._request.request_id, on_end=self._end)
             return CallerAnswer(answer.status, forwarded_headers(answer), body)
-        whole = answer.read_whole()
+        whole = answer.read_whole(left_ms=self._left_ms)
         return CallerAnswer(whole.status, forwarded_headers(answer), whole.body)
 
     def _ask_engine(self, action: Dispatch) -> CallerAnswer:
@@ -327,5 +329,9 @@
             self._services.caller_watch.unwatch(self._watched)
         self._services.runtime.close_mailbox(self._request.request_id)
         self._services.accounting.request_ended(
-            self._request, upstream=self._upstream, error=error, status=status
+            self._request,
+            upstream=self._upstream,
+            error=error,
+            status=status,
+            forwarded_to_vm=self._forwarded_to_vm,
         )
--- /dev/null
+++ b/azureturn/daemon/tests/test_accounting.py
@@ -0,0 +1,113 @@
+"""Accounting: each request counts once in a site, as what it was."""
+
+import io
+import json
+from pathlib import Path
+
+import pytest
+
+from azureturn._time_of_day import unix_now_ms
+from azureturn.core import Configuration, Core, Request, Started
+from azureturn.daemon._accounting import Accounting
+from azureturn.daemon._runtime import CoreRuntime, now_ms
+from azureturn.errors import AzureturnError, ErrorKind
+from azureturn.observability import (
+    HOUR_MS,
+    UNKNOWN_TIER,
+    EventLog,
+    JsonLinesHandler,
+    LevelCounts,
+    Metrics,
+)
+from azureturn.settings import UpstreamKind, load_settings
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+SETTINGS = load_settings(EXAMPLES / "base.json", [EXAMPLES / "kuiseb.json"])
+
+
+class Account:
+    def __init__(self) -> None:
+        runtime = CoreRuntime(Core.from_settings(SETTINGS, seed=1), tick_interval_ms=1_000)
+        runtime.submit(Started(Configuration(0, SETTINGS.shared)))
+        self.stream = io.StringIO()
+        log = EventLog(JsonLinesHandler(self.stream), vm="vm-1")
+        self.accounting = Accounting(
+            runtime=runtime, log=log, metrics=Metrics(None), started_at_unix_ms=0
+        )
+
+    def counts(self, tier: str) -> LevelCounts:
+        window = self.accounting.service_levels.window(HOUR_MS, now_unix_ms=unix_now_ms())
+        return window.total(lambda key: key.tier == tier)
+
+    def logged(self) -> list[str]:
+        return [json.loads(line)["event"] for line in self.stream.getvalue().splitlines()]
+
+
+def request(*, left_ms: int = 60_000) -> Request:
+    return Request(
+        request_id="vm-1-1",
+        organisation="front-desk",
+        route="diagnosis",
+        tier_rank=0,
+        target="fibre-large",
+        kind=UpstreamKind.MODEL_ENGINE,
+        arrived_at_ms=now_ms(),
+        deadline_ms=now_ms() + left_ms,
+    )
+
+
+ENDS = {
+    "answered": ({}, LevelCounts(good_count=1)),
+    "answered late": ({"left_ms": -1}, LevelCounts(bad_count=1)),
+    "failed status": ({"status": 503}, LevelCounts(bad_count=1)),
+    "caller's status": ({"status": 404}, LevelCounts(good_count=1)),
+    "refused": ({"error": ErrorKind.SHED}, LevelCounts(bad_count=1)),
+    "caller gone": ({"error": ErrorKind.CALLER_GONE}, LevelCounts()),
+    "answered by another VM": ({"forwarded_to_vm": "vm-2"}, LevelCounts()),
+    "lost on the way to another VM": (
+        {"forwarded_to_vm": "vm-2", "error": ErrorKind.UPSTREAM_SILENT},
+        LevelCounts(bad_count=1),
+    ),
+}
+
+
+@pytest.mark.parametrize("case", ENDS)
+def test_a_request_counts_as_what_became_of_it(case: str) -> None:
+    ended, counts = ENDS[case]
+    account = Account()
+    error = AzureturnError(ended["error"]) if "error" in ended else None  # type: ignore[arg-type]
+    account.accounting.request_ended(
+        request(left_ms=int(str(ended.get("left_ms", 60_000)))),
+        upstream="fibre-large-1",
+        error=error,
+        status=int(str(ended.get("status", 200))),
+        forwarded_to_vm=str(ended.get("forwarded_to_vm", "")),
+    )
+    assert account.counts("urgent") == counts
+    assert account.logged() == ["request_ended"]
+
+
+def test_a_refusal_is_told_once_also_where_the_face_tells_it_again() -> None:
+    account = Account()
+    error = AzureturnError(ErrorKind.SHED)
+    account.accounting.request_ended(request(), upstream="", error=error)
+    account.accounting.refused("vm-1-1", error)
+    assert account.logged() == ["request_ended"]
+    assert len(account.accounting.refusals.latest(10)) == 1
+    assert account.counts(UNKNOWN_TIER) == LevelCounts()
+
+
+def test_a_refusal_before_the_tier_is_known_counts_by_itself() -> None:
+    account = Account()
+    account.accounting.refused("vm-1-2", AzureturnError(ErrorKind.OVERLOADED))
+    assert account.counts(UNKNOWN_TIER) == LevelCounts(bad_count=1)
+    assert account.logged() == ["request_refused"]
+
+
+def test_the_oldest_refusals_are_forgotten_and_counted() -> None:
+    account = Account()
+    for number in range(1_005):
+        account.accounting.refused(f"r-{number}", AzureturnError(ErrorKind.OVERLOADED))
+    refusals = account.accounting.refusals
+    assert refusals.latest(1)[0].request_id == "r-1004"
+    assert (len(refusals.latest(2_000)), refusals.forgotten_count) == (1_000, 5)
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -20,6 +20,7 @@
     DAEMON_STOPPED = "daemon_stopped"
     REQUEST_ENDED = "request_ended"
     REQUEST_REFUSED = "request_refused"
+    OUTCOME_ASKED = "outcome_asked"
     CONFIGURATION_IN_FORCE = "configuration_in_force"
     CONFIGURATION_REFUSED = "configuration_refused"
     CONFIGURATION_UNKNOWN_AT_START = "configuration_unknown_at_start"
@@ -56,6 +57,7 @@
                 "route",
                 "tier",
                 "upstream",
+                "forwarded_to_vm",
                 "ended",
                 "run_state",
                 "took_ms",
@@ -67,6 +69,10 @@
             ERROR_BURST,
             ERROR_RATE_PER_S,
         ),
+        LogEvent.OUTCOME_ASKED: LogEventRow(
+            "Another VM asked this one, for its request, what became of a call claimed here.",
+            ("request_id",),
+        ),
         LogEvent.CONFIGURATION_IN_FORCE: LogEventRow(
             "A revision of the shared settings is in force.", ("revision", "source")
         ),
@@ -106,6 +112,7 @@
         "route": "Name of the route.",
         "tier": "Name of the tier that the request was served in.",
         "upstream": "Name of the upstream that it was dispatched to, empty if to none.",
+        "forwarded_to_vm": "The VM that took the request over and answered it; empty if none.",
         "ended": "`answered`, or the error kind.",
         "kind": "The error kind; see ERRORS.md.",
         "run_state": "`not_run`, `ran` or `unknown`.",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -26,6 +26,8 @@
   2: string claim_nonce,
   3: string boot_id,
   4: i32 wait_ms,
+  // The asking request, so that the logs of both VMs name it.
+  5: string request_id,
 }
 
 struct Header {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -204,6 +204,7 @@
      - claim_nonce
      - boot_id
      - wait_ms
+     - request_id
 
     """
 
@@ -212,14 +213,16 @@
         'claim_nonce',
         'boot_id',
         'wait_ms',
+        'request_id',
     )
 
 
-    def __init__(self, call_digest=None, claim_nonce=None, boot_id=None, wait_ms=None,):
+    def __init__(self, call_digest=None, claim_nonce=None, boot_id=None, wait_ms=None, request_id=None,):
         self.call_digest = call_digest
         self.claim_nonce = claim_nonce
         self.boot_id = boot_id
         self.wait_ms = wait_ms
+        self.request_id = request_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -250,6 +253,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -276,6 +284,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 4)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 5)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3287,6 +3299,7 @@
     (2, TType.STRING, 'claim_nonce', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
+    (5, TType.STRING, 'request_id', 'UTF8', None, ),  # 5
 )
 all_structs.append(Header)
 Header.thrift_spec = (
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -180,9 +180,7 @@
         site.control("key-value", outage=False)
 
 
-def test_an_operator_without_the_secret_is_refused(
-    site: Site, tool: Tool, tmp_path: Path
-) -> None:
+def test_an_operator_without_the_secret_is_refused(site: Site, tool: Tool, tmp_path: Path) -> None:
     path = tmp_path / "other.json"
     path.write_text('{"daemon": {"peer_secret": "not-the-secret-of-this-site"}}')
     for command in ("vm list", "requests refused", "slo report"):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,9 +1,12 @@
 """What daemons log: nothing of a caller's text or token, and every request's end."""
 
 import json
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from standins.site import MODEL, TOKEN, Site
+from standins.site import MODEL, TOKEN, Answer, Site
 
 CHAT = "/v1/chat/completions"
 SECRET_TEXT = "the-customers-own-words"
@@ -28,6 +31,23 @@
 }
 
 
+def wait_until(condition: Callable[[], bool]) -> None:
+    ends_at_s = time.monotonic() + 20.0
+    while not condition():
+        assert time.monotonic() < ends_at_s
+        time.sleep(0.02)
+
+
+def all_ready(site: Site) -> bool:
+    return all(site.call(vm, "GET", "/readyz").status == 200 for vm in site.vm_names)
+
+
+def logged_events(site: Site, vm: str, answer: Answer) -> set[str]:
+    lines = map(json.loads, site.processes[vm].log_path.read_text().splitlines())
+    request_id = answer.headers["X-Request-Id"]
+    return {line["event"] for line in lines if line.get("request_id") == request_id}
+
+
 def test_no_text_or_token_of_a_caller_is_logged_and_every_answer_is() -> None:
     with Site(vms=2, zones=2, engines=1, services=1) as site:
         answers = {
@@ -44,3 +64,22 @@
     told = {line.get("request_id") for line in lines}
     missing = {n for n, one in answers.items() if one.headers["X-Request-Id"] not in told}
     assert missing == set()
+
+
+def test_a_request_is_followed_by_its_id_across_vms() -> None:
+    slow = {"bookings-1": {"delay_ms": 1_500}}
+    with Site(vms=2, zones=2, engines=1, services=1, switches=slow) as site:
+        wait_until(lambda: all_ready(site))
+
+        def deposit(vm: str) -> Answer:
+            return site.call(vm, "POST", "/routes/deposit", body={"cents": 1}, headers=KEY)
+
+        with ThreadPoolExecutor() as pool:
+            first = pool.submit(deposit, "vm-1")
+            wait_until(lambda: bool(site.runs()))
+            duplicate = deposit("vm-2")
+        assert first.result().status == duplicate.status == 200
+        for vm in site.vm_names:
+            site.processes[vm].stop()
+        events = {vm: logged_events(site, vm, duplicate) for vm in site.vm_names}
+    assert events == {"vm-1": {"outcome_asked"}, "vm-2": {"request_ended"}}
