--- a/azureturn/core/membership/_types.py
+++ b/azureturn/core/membership/_types.py
@@ -3,13 +3,17 @@
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
-#: Bytes of a row's fixed part and of one of its numbers, as thrift's compact form has them.
+#: Bytes of a row's fixed part, as thrift's compact form has it.
 _ROW_FIXED_BYTES = 20
-_NUMBER_BYTES = 3
 #: Bytes of a heartbeat without rows, its signature and the call around it.
 HEARTBEAT_FIXED_BYTES = 260
 
 
+def _number_bytes(number: int) -> int:
+    """Return the bytes of a number as a zigzag integer of seven bits a byte."""
+    return 1 + number.bit_length() // 7
+
+
 class Topic(IntEnum):
     """What a row is about; the lowest number goes first when the byte budget is short."""
 
@@ -25,6 +29,8 @@
     UPSTREAM_WORK = 5
     #: Key: a model. Numbers: its move, and how the move is known to have ended.
     MOVE_ENDED = 6
+    #: Key: upstream and a slot. Numbers: digests of a prompt's leading blocks.
+    PREFIX = 7
 
 
 #: Topics whose rows stay among the VMs of one availability zone.
@@ -60,7 +66,7 @@
     def size_bytes(self) -> int:
         """Return about how many bytes the row takes in a heartbeat."""
         names = len(self.row_key.owner) + len(self.row_key.key)
-        return _ROW_FIXED_BYTES + names + _NUMBER_BYTES * len(self.numbers)
+        return _ROW_FIXED_BYTES + names + sum(map(_number_bytes, self.numbers))
 
 
 @dataclass(frozen=True)
