What was not run says nothing of a version

Cause: a request whose deadline passed before its dispatch came back as a failure of the version that it had been given; only two kinds were left out. Ruled out: counting by error kind, since the list grows. Change: a failure with run state not_run is not evidence.

--- a/azureturn/core/controllers/_moves.py
+++ b/azureturn/core/controllers/_moves.py
@@ -47,14 +47,12 @@
     TrackedRequestTable,
 )
 from azureturn.core.moves._types import MoveRecord, MoveState
-from azureturn.errors import ErrorKind
+from azureturn.errors import RunState
 
 #: Shortest time between two judgements of one version.
 JUDGE_INTERVAL_MS = 100
 #: What is shown also changes with the time, so it is looked at this often.
 REPORT_INTERVAL_MS = 250
-#: Failures that say nothing of the version.
-_NOT_THE_VERSION = frozenset({ErrorKind.UPSTREAM_UNREACHABLE, ErrorKind.CALLER_GONE})
 
 
 @controller("moves")
@@ -142,7 +140,7 @@
     @on(RequestFailed)
     def _on_failed(self, event: RequestFailed, context: Context) -> None:
         tracked = self.board.write(TrackedRequestTable).remove(event.request_id)
-        if tracked is not None and event.kind not in _NOT_THE_VERSION:
+        if tracked is not None and event.run_state is not RunState.NOT_RUN:
             troubles = [0] * len(Trouble)
             troubles[Trouble.FAILED] = 1
             self._count(tracked, tuple(troubles), context)
--- a/azureturn/core/moves/tests/test_mover.py
+++ b/azureturn/core/moves/tests/test_mover.py
@@ -9,6 +9,10 @@
     Configuration,
     Core,
     Event,
+    Placed,
+    Request,
+    RequestFailed,
+    RequestTable,
     Started,
     Tick,
     Upstream,
@@ -21,6 +25,8 @@
     EvidenceReceived,
     EvidenceRow,
     EvidenceSource,
+    EvidenceTable,
+    ModelLoadTable,
     MoveReason,
     MoveRecord,
     MovesRead,
@@ -36,7 +42,8 @@
     WriteMove,
     WriteResult,
 )
-from azureturn.settings import Settings, check_settings, read_merged
+from azureturn.errors import ErrorKind, RunState
+from azureturn.settings import Settings, UpstreamKind, check_settings, read_merged
 from standins.site import EXAMPLES
 
 MODEL = "fibre-large"
@@ -263,3 +270,20 @@
     names = {one.settings.name for one in table.with_version(upstreams, MODEL, "v2")}
     assert "fibre-large-1" not in names
     assert "fibre-large-2" in names
+
+
+def test_a_request_that_was_not_run_says_nothing_of_its_version() -> None:
+    fleet = Fleet.of(1)
+    fleet.stored = StoredMove(replace(RECORD, state=MoveState.RAMPING, stage=4), 1)
+    fleet.run(400)
+    core = fleet.vms["vm-0"]
+    request = Request(
+        "r1", "call-centre", "diagnosis", 0, MODEL, UpstreamKind.MODEL_ENGINE, 0, 1_000_000
+    )
+    core.board.table(RequestTable).put("r1", request)
+    core.handle(Placed("r1"), fleet.now_ms)
+    assert next(core.board.table(ModelLoadTable).rows()).outstanding == 1
+    failed = RequestFailed("r1", ErrorKind.DEADLINE_PASSED, RunState.NOT_RUN)
+    core.handle(failed, fleet.now_ms)
+    assert core.board.table(EvidenceTable).get(RECORD.move_id) is None
+    assert next(core.board.table(ModelLoadTable).rows()).outstanding == 0
