--- a/azureturn/core/_claim_progress.py
+++ b/azureturn/core/_claim_progress.py
@@ -18,7 +18,7 @@
 FRESH_MS = 20
 #: Pause after a call without an answer, doubled with each further one up to the second bound.
 RETRY_AFTER_MS = 100
-RETRY_LIMIT_MS = 1_000
+RETRY_LIMIT_MS = 500
 #: Says of a claim that no write has carried it yet.
 NEVER_WRITTEN = -1
 #: An outcome waits this long for a claim to share its write with.
@@ -76,6 +76,8 @@
     #: When the last write began, so that segments take turns.
     written_at_ms: int = 0
     operation: Operation | None = None
+    #: Whether a write was set aside for this segment, before it was read.
+    has_write: bool = False
     retry_at_ms: int = 0
     retry_after_ms: int = RETRY_AFTER_MS
 
--- a/azureturn/core/tests/test_decision_properties.py
+++ b/azureturn/core/tests/test_decision_properties.py
@@ -71,9 +71,9 @@
         if isinstance(action, AskPeersToTake):
             self.asked.append(action.request_id)
         if isinstance(action, AwaitPlacement):
-            # No byte had left, so the dispatch that failed does not count as the request's end.
-            assert action.request_id not in self.running
+            # The dispatch before it sent nothing: the request is in the queue again.
             self.ends[action.request_id] -= 1
+            assert self.ends[action.request_id] == 0
         if isinstance(action, (Dispatch, Refuse, ForwardToPeer)):
             self.ends[action.request_id] += 1
         if isinstance(action, Refuse) and action.kind in _FOR_ROOM:
--- a/benchmarks/policy/_simulation.py
+++ b/benchmarks/policy/_simulation.py
@@ -11,6 +11,7 @@
     AnswerOffer,
     AnswerProgressed,
     AskPeersToTake,
+    AwaitPlacement,
     CallerLeft,
     CancelAtUpstream,
     Configuration,
@@ -177,8 +178,18 @@
         self._at(self._now_ms + _WIRE_MS, lambda: self._submit(outcome))
 
     def _unreachable(self, vm: int, outcome: Outcome) -> None:
+        """Tell the core, which may place the request again since nothing was sent."""
+        if outcome.refused:
+            return
         request_id = outcome.arrival.request.request_id
-        self._fail(vm, outcome, ErrorKind.UPSTREAM_UNREACHABLE, RunState.NOT_RUN, request_id)
+        kind = ErrorKind.UPSTREAM_UNREACHABLE
+        outcome.upstream = -1
+        failed = RequestFailed(request_id, kind, RunState.NOT_RUN)
+        actions = self._cores[vm].handle(failed, int(self._now_ms))
+        if not any(isinstance(one, AwaitPlacement) for one in actions):
+            self._end(outcome, kind.value)
+        for action in actions:
+            self._carry_out(vm, action)
 
     def _fail(
         self, vm: int, outcome: Outcome, kind: ErrorKind, run_state: RunState, request_id: str
