A refusal no longer says 'not run' of a key that an earlier attempt may have run

Ruled out: reading the claim before each refusal: in an outage it can't be read, and an attempt may still wait in another VM's queue. Change: refusals that never saw the claim say unknown for a call with a key, unless the caller declares its first attempt (Azureturn-First-Attempt: true). One test of an outage expected not_run without that header; it now expects unknown, and not_run with it. First tokens were told to the core twice for streams; once now. Conclusion: true for the key, at the cost of a less definite answer to callers that declare nothing.

--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -21,6 +21,7 @@
     timeout_ms_of,
 )
 from azureturn.daemon._caller_server import CALLER_SOCKET_NAME
+from azureturn.daemon._earlier_attempts import doubt_earlier_attempts
 from azureturn.daemon._offers import (
     FORWARD_CALL,
     FORWARDED_HEADER,
@@ -90,6 +91,7 @@
             request_id = self._forwarded_id() or request_id
             return self._send(self._serve(request_id, path))
         except AzureturnError as error:
+            doubt_earlier_attempts(error, cherrypy.request.headers)
             return self._send(self._refusal(error, request_id))
         except Exception as error:  # noqa: BLE001
             self._services.log.error(
--- a/azureturn/daemon/_relay.py
+++ b/azureturn/daemon/_relay.py
@@ -9,9 +9,8 @@
 class RelayedStream:
     """An iterator that the HTTP server reads, and closes when the caller has left.
 
-    ``on_begin`` is called when the first block is here. ``on_end`` is called once: with None for
-    a stream that was whole, else with the error. A stream that can't be made whole ends with an
-    event that says so, never with a terminator.
+    ``on_end`` is called once: with None for a stream that was whole, else with the error. A
+    stream that can't be made whole ends with an event that says so, never with a terminator.
     """
 
     def __init__(
@@ -19,12 +18,10 @@
         stream: ResumingStream,
         request_id: str,
         *,
-        on_begin: Callable[[], None],
         on_end: Callable[[AzureturnError | None], None],
     ) -> None:
         self._stream = stream
         self._request_id = request_id
-        self._on_begin: Callable[[], None] | None = on_begin
         self._on_end = on_end
         self._ended = False
         self._blocks = stream.blocks()
@@ -36,11 +33,7 @@
         if self._ended:
             raise StopIteration
         try:
-            block = next(self._blocks)
-            if self._on_begin is not None:
-                self._on_begin()
-                self._on_begin = None
-            return block
+            return next(self._blocks)
         except StopIteration:
             self._finish(None)
             raise
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -187,7 +187,7 @@
         client = self._services.upstream_client(self._upstream)
         sent = self._upstream_request(action, read_timeout_ms=min(self._left_ms(), silence_ms))
         stream = ResumingStream(
-            client, sent, left_ms=self._left_ms, on_first_event=self._on_first_event
+            client, sent, left_ms=self._left_ms, on_first_event=self._tell_first_token
         )
         self._stream = stream
         if self._caller_is_gone:
@@ -203,15 +203,11 @@
             body = RelayedStream(
                 stream,
                 self._request.request_id,
-                on_begin=self._tell_first_token,
                 on_end=self._on_stream_end,
             )
             return CallerAnswer(200, self._with_identity(headers), body)
         return self._assembled_answer(stream, headers)
 
-    def _on_first_event(self) -> None:
-        self._services.runtime.submit(AnswerProgressed(self._request.request_id, 1))
-
     def _engine_answer(self, whole: WholeAnswer) -> CallerAnswer:
         document = json_of(whole.body)
         if not isinstance(document, dict):
--- a/tests/randomised.py
+++ b/tests/randomised.py
@@ -57,6 +57,13 @@
             if error["run_state"] == "not_run":
                 self.not_run.add(answer.headers["X-Request-Id"])
 
+    def check_not_denied(self, key: str, answer: Answer) -> None:
+        """Hold an answer against an earlier attempt with the same key that had run."""
+        error = None if answer.status == 200 else _error_of(answer)
+        if error is not None and error["run_state"] == "not_run":
+            with self.lock:
+                self.violations.append(f"{key}: not_run, and an earlier attempt had run")
+
     def check(self, site: Site) -> None:
         """Hold all that was told against the runs that the stand-ins counted."""
         runs = site.runs()
@@ -124,6 +131,12 @@
             is_whole = _is_whole_stream if streamed else _is_whole_text
             self._ask(generator, "POST", "/v1/chat/completions", body, is_whole)
 
+    def _has_run(self, key: str) -> bool:
+        try:
+            return self._site.runs().get(key, 0) > 0
+        except urllib3.exceptions.HTTPError:
+            return False
+
     def _deposit(self, key: str, generator: random.Random) -> None:
         """Send a deposit and, often, its duplicates, one after the other or together."""
         attempts = generator.choice([1, 1, 2, 3])
@@ -131,9 +144,12 @@
 
         def attempt(own: random.Random) -> None:
             headers = {"Idempotency-Key": key}
+            had_run = self._has_run(key)
             answer = self._ask(
                 own, "POST", "/routes/deposit", {"key": key}, _is_whole_json, headers
             )
+            if answer is not None and had_run:
+                self._account.check_not_denied(key, answer)
             if answer is not None and answer.status == 200:
                 with self._account.lock:
                     self._account.bodies.setdefault(key, set()).add(answer.body)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -84,7 +84,9 @@
 def test_tickets_carry_deposits_through_an_outage(site: Site) -> None:
     site.control("key-value", outage=True)
     refused = deposit(site, "vm-1", "k")
-    assert told(refused) == ("key_value_unavailable", "not_run")
+    # Nothing is known here of an earlier attempt, unless the caller says that there was none.
+    assert told(refused) == ("key_value_unavailable", "unknown")
+    assert told(deposit(site, "vm-1", "k", **FIRST)) == ("key_value_unavailable", "not_run")
     assert int(refused.headers["Azureturn-Retry-After-Ms"]) > 0
     ticket = take_ticket(site, "vm-1")
     assert ticket["url"] == site.processes["vm-1"].url + DEPOSIT
@@ -156,3 +158,11 @@
     for vm in ("vm-1", "vm-2"):
         answer = use(site, vm, ticket, **{"Azureturn-Timeout-Ms": "1500"}, **headers)
         assert told(answer)[1] == run_state
+
+
+def test_a_refusal_in_an_outage_does_not_deny_an_earlier_run(site: Site) -> None:
+    assert deposit(site, "vm-1", "k").status == 200
+    site.control("key-value", outage=True)
+    refused = deposit(site, "vm-2", "k", **{"Azureturn-Timeout-Ms": "1500"})
+    assert refused.headers["Azureturn-Run-State"] == "unknown"
+    assert site.runs() == {"k": 1}
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -50,13 +50,24 @@
     def deposit(self, key: str, vm: str, *, timeout_ms: int = 4_000) -> Answer | None:
         """Send a deposit and keep its answer; None where the VM died before it answered."""
         headers = {"Idempotency-Key": key, "Azureturn-Timeout-Ms": str(timeout_ms)}
+        had_run = self._has_run(key)
         try:
             answer = self.site.call(vm, "POST", DEPOSIT, body={"key": key}, headers=headers)
         except urllib3.exceptions.HTTPError:
             return None
+        if had_run:
+            # An earlier attempt ran: "not run" would be false of the call, whoever refuses it.
+            assert answer.headers.get("Azureturn-Run-State") != "not_run", f"{key} had run"
         self.answers.setdefault(key, []).append(answer)
         return answer
 
+    def _has_run(self, key: str) -> bool:
+        try:
+            return self.site.runs().get(key, 0) > 0
+        except urllib3.exceptions.HTTPError:
+            # The service itself is down or paused; what it counted is looked at in the end.
+            return False
+
     def check(self) -> None:
         """Hold every answer against the runs that the services counted."""
         runs = self.site.runs()
