The library's access log is off: azureturn logs requests itself

Cause: on a quiet machine a plain call takes 2.5 ms of processor time; a profile of 300 calls shows 0.2 ms of it in CherryPy's access log, whose lines go nowhere. Ruled out: the relay's own code as the cause of the time per token: splitting events takes 4 us, the rest is urllib3's chunks, the server's write and the threads' turns. Ruled out: a shorter switch interval of the interpreter (0.5 ms for 5 ms): at 50 streams p50 1.6 to 3.8 ms, p95 4.3 to 21 ms; reverted. Change: the application's access log does nothing.

--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -81,7 +81,10 @@
         cherrypy.config.update(
             {"environment": "embedded", "log.screen": False, "engine.autoreload.on": False}
         )
-        return cherrypy.Application(self, "", config=_CONFIG)
+        application = cherrypy.Application(self, "", config=_CONFIG)
+        # Requests are logged by azureturn itself; the library would format a line for nobody.
+        application.log.access = lambda: None
+        return application
 
     @cherrypy.expose  # type: ignore[untyped-decorator]
     def default(self, *path: str, **_query: str) -> bytes | Iterator[bytes]:
