--- a/azureturn/daemon/_background.py
+++ b/azureturn/daemon/_background.py
@@ -8,7 +8,7 @@
 from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import PlatformError
-from azureturn.observability import LogEvent
+from azureturn.observability import LogEvent, describe_error
 from azureturn.platform import ListedVm
 from azureturn.settings import UpstreamKind
 
@@ -52,10 +52,17 @@
     def _every(self, interval_ms: int, task: Callable[[], None], name: str) -> None:
         def run() -> None:
             while not self._stopped.wait(interval_ms / _MS_PER_S):
-                task()
+                self._run_once(task)
 
         threading.Thread(target=run, name=name, daemon=True).start()
 
+    def _run_once(self, task: Callable[[], None]) -> None:
+        try:
+            task()
+        except Exception as error:  # noqa: BLE001
+            # A thread that ended here would end without a word, and its task with it.
+            self._services.log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
+
     def _enter_vm_list(self, *, leaving: bool) -> None:
         vm = self._services.settings.vm
         row = ListedVm(vm.name, vm.availability_zone, vm.host, vm.port, vm.peer_port, leaving)
--- a/azureturn/daemon/_gossip.py
+++ b/azureturn/daemon/_gossip.py
@@ -137,10 +137,16 @@
     def _serve(self) -> None:
         while True:
             action = self._waiting.get()
-            if isinstance(action, SendHeartbeat):
-                self._exchange(action)
-            elif isinstance(action, FetchConfiguration) and action.revision > self._revision():
-                self._fetch_from(PeerAddress(action.peer.host, action.peer.peer_port))
+            try:
+                self._carry_out(action)
+            except Exception as error:  # noqa: BLE001
+                self._services.log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, SendHeartbeat):
+            self._exchange(action)
+        elif isinstance(action, FetchConfiguration) and action.revision > self._revision():
+            self._fetch_from(PeerAddress(action.peer.host, action.peer.peer_port))
 
     def _exchange(self, action: SendHeartbeat) -> None:
         address = PeerAddress(action.peer.host, action.peer.peer_port)
--- a/azureturn/daemon/_relay.py
+++ b/azureturn/daemon/_relay.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Iterator
 
 from azureturn.errors import AzureturnError, ErrorKind, UpstreamError
-from azureturn.upstreams import ResumingStream, StreamedAnswer, error_event
+from azureturn.upstreams import StreamedAnswer, error_event
 
 
-class RelayedStream:
+class StreamedBody:
     """An iterator that the HTTP server reads, and closes when the caller has left.
 
     ``on_end`` is called once: with None for a stream that was whole, else with the error. A
@@ -15,16 +15,17 @@
 
     def __init__(
         self,
-        stream: ResumingStream,
+        blocks: Iterator[bytes],
         request_id: str,
         *,
+        close: Callable[[], None],
         on_end: Callable[[AzureturnError | None], None],
     ) -> None:
-        self._stream = stream
+        self._blocks = blocks
         self._request_id = request_id
+        self._close = close
         self._on_end = on_end
         self._ended = False
-        self._blocks = stream.blocks()
 
     def __iter__(self) -> Iterator[bytes]:
         return self
@@ -52,52 +53,10 @@
         if self._ended:
             return
         self._ended = True
-        self._stream.close()
+        self._close()
         self._on_end(error)
 
 
-class ForwardedStream:
-    """The body of a stream that another VM makes whole; it is passed on as it comes."""
-
-    def __init__(
-        self,
-        answer: StreamedAnswer,
-        request_id: str,
-        *,
-        on_end: Callable[[AzureturnError | None], None],
-    ) -> None:
-        self._answer = answer
-        self._request_id = request_id
-        self._on_end = on_end
-        self._ended = False
-        self._pieces = answer.pieces()
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        if self._ended:
-            raise StopIteration
-        try:
-            return next(self._pieces)
-        except StopIteration:
-            self._finish(None)
-            raise
-        except UpstreamError as error:
-            self._finish(error)
-            return error_event(error, self._request_id)
-
-    def close(self) -> None:
-        """End the stream; before its end that means that the caller has left."""
-        self._finish(AzureturnError(ErrorKind.CALLER_GONE))
-
-    def _finish(self, error: AzureturnError | None) -> None:
-        if not self._ended:
-            self._ended = True
-            self._answer.close()
-            self._on_end(error)
-
-
 def forwarded_headers(answer: StreamedAnswer) -> dict[str, str]:
     """Return the headers of another VM's answer that the caller gets."""
     return {name: value for name, value in answer.headers.items() if _is_passed(name.lower())}
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -23,7 +23,7 @@
 from azureturn.daemon._claimants import ask_claimant, settle_call
 from azureturn.daemon._offers import CallerMessage, OfferAdapter
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
-from azureturn.daemon._relay import ForwardedStream, RelayedStream, forwarded_headers
+from azureturn.daemon._relay import StreamedBody, forwarded_headers
 from azureturn.daemon._runtime import next_action, now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import (
@@ -177,7 +177,9 @@
         )
         self._forwarded_to_vm = action.vm
         if self._outgoing.streamed and answer.is_event_stream:
-            body = ForwardedStream(answer, self._request.request_id, on_end=self._end)
+            body = StreamedBody(
+                answer.pieces(), self._request.request_id, close=answer.close, on_end=self._end
+            )
             return CallerAnswer(answer.status, forwarded_headers(answer), body)
         whole = answer.read_whole(left_ms=self._left_ms)
         return CallerAnswer(whole.status, forwarded_headers(answer), whole.body)
@@ -200,9 +202,10 @@
             return self._engine_answer(answer.read_whole(left_ms=self._left_ms))
         headers = self._passed_headers(answer.headers)
         if self._outgoing.streamed:
-            body = RelayedStream(
-                stream,
+            body = StreamedBody(
+                stream.blocks(),
                 self._request.request_id,
+                close=stream.close,
                 on_end=self._on_stream_end,
             )
             return CallerAnswer(200, self._with_identity(headers), body)
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -205,6 +205,8 @@
             found = [row["vm"] for row in tool.json("vm list")["vms"]]
         finally:
             site.control("vm-list", outage=False)
+        # The list is read once a second: without a pause here no VM would ever see it.
+        time.sleep(1.2)
     assert found == site.vm_names
 
 
