A planned stop waits for what is just being read, and answers what nobody has accepted

Reading the code: a request counted only from its headers' end, so one that waited for a thread or was being read was not waited for, and closing the port resets connections that the system holds unaccepted. Ruled out: counting every open connection: one that a balancer keeps open idle would hold the stop for the whole header timeout. Change: requests that wait for a thread count; nothing may be unfinished for eight polls in a row; before the port closes what waits there is accepted and refused as stopping, run state unknown. What stays is a request on a kept connection that comes in the microseconds before the close.

--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -13,7 +13,7 @@
 from cheroot.wsgi import Gateway_10, Server
 
 from azureturn.daemon._answers import ERROR_KIND_HEADER, error_body, error_headers
-from azureturn.errors import ANSWERS, AzureturnError, ErrorKind
+from azureturn.errors import ANSWERS, AzureturnError, ErrorKind, RunState
 from azureturn.settings import Settings
 
 _MS_PER_S = 1_000
@@ -34,6 +34,8 @@
 #: Bounds on what is still read of a refused request.
 DRAIN_LIMIT_MS = 300
 DRAIN_LIMIT_BYTES = 4 << 20
+#: Connections that the system holds for a port until they are accepted.
+BACKLOG_LIMIT = 1_024
 _DRAIN_PIECE_BYTES = 65_536
 
 _ERROR_KIND_NAME = ERROR_KIND_HEADER.encode()
@@ -120,7 +122,11 @@
         kind = _KIND_OF_STATUS.get(code, ErrorKind.MALFORMED_REQUEST)
         if code == "413" and not self.ready:
             kind = ErrorKind.HEADERS_TOO_LARGE
-        error = AzureturnError(kind)
+        self.refuse(AzureturnError(kind))
+
+    def refuse(self, error: AzureturnError) -> None:
+        """Write a refusal and end the connection."""
+        kind = error.kind
         request_id = self.server.new_request_id()
         self.server.report_refusal(request_id, error)
         headers = error_headers(error, request_id=request_id, vm=self.server.vm_name)
@@ -199,7 +205,7 @@
             application,
             numthreads=limits.caller_threads,
             max=limits.caller_threads,
-            request_queue_size=1_024,
+            request_queue_size=BACKLOG_LIMIT,
             timeout=-(-limits.header_timeout_ms // _MS_PER_S),
             shutdown_timeout=1,
             accepted_queue_size=limits.accept_backlog,
@@ -220,14 +226,33 @@
 
     @property
     def requests_in_flight(self) -> int:
-        """Return how many requests have been read whose answer has not left whole."""
-        return self._in_flight
+        """Return how many requests wait for a thread or have not been answered whole."""
+        waiting: int = self.requests.qsize
+        return self._in_flight + waiting
 
     def count_in_flight(self, change: int) -> None:
         """Count a request that begins (1) or has ended (-1)."""
         with self._in_flight_lock:
             self._in_flight += change
 
+    def refuse_backlog(self) -> None:
+        """Answer connections that nobody has accepted yet; closing the port would reset them."""
+        listening = self.socket
+        if listening is None:
+            return
+        listening.setblocking(False)
+        for _ in range(BACKLOG_LIMIT):
+            try:
+                accepted, _address = listening.accept()
+            except OSError:
+                return
+            accepted.settimeout(DRAIN_LIMIT_MS / _MS_PER_S)
+            connection = _CallerConnection(self, accepted)
+            # Unread, it may be another attempt at a call that ran: "not run" can't be said.
+            unread = AzureturnError(ErrorKind.STOPPING, run_state=RunState.UNKNOWN)
+            _CallerRequest(self, connection).refuse(unread)
+            connection.close()
+
     def _serve_unservicable(self) -> None:
         while self.ready:
             connection = self._unservicable_conns.get()  # type: ignore[attr-defined]
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -163,6 +163,7 @@
         self._background.stop()
         self._moves.stop()
         if not cut:
+            self._caller_server.refuse_backlog()
             self._caller_server.stop()
             self._peer_server.stop()
         self._services.runtime.stop()
--- a/azureturn/daemon/_stop.py
+++ b/azureturn/daemon/_stop.py
@@ -8,6 +8,8 @@
 from azureturn.daemon._runtime import now_ms
 
 _POLL_S = 0.02
+#: Nothing must be unfinished for so many polls in a row: a request may be just being read.
+QUIET_POLLS = 8
 _MS_PER_S = 1_000
 
 
@@ -64,7 +66,9 @@
         self._cut.wait(self._limits.balancer_lag_ms / _MS_PER_S)
         self._stage = StopStage.FINISHING
         ends_at_ms = now_ms() + self._limits.stop_limit_ms
-        while self._unfinished() and now_ms() < ends_at_ms:
+        quiet_polls = 0
+        while quiet_polls < QUIET_POLLS and now_ms() < ends_at_ms:
+            quiet_polls = 0 if self._unfinished() else quiet_polls + 1
             if self._cut.wait(_POLL_S):
                 break
         cut = self._unfinished()
