--- a/azureturn/command/_configuration_store.py
+++ b/azureturn/command/_configuration_store.py
@@ -12,7 +12,7 @@
 from azureturn._time_of_day import unix_now_ms
 from azureturn.command._errors import CommandError
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.platform import KeyValueClient, KeyValueEntry
+from azureturn.store import KeyValueClient, KeyValueEntry
 from azureturn.settings import check_shared_settings
 
 CONFIGURATION_KEY = "configuration"
--- a/azureturn/command/_move_store.py
+++ b/azureturn/command/_move_store.py
@@ -17,7 +17,7 @@
     move_key,
 )
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.platform import KeyValueClient, KeyValueEntry
+from azureturn.store import KeyValueClient, KeyValueEntry
 
 #: How long a lost answer is read back before the operator is told that it is not known.
 RESOLVE_LIMIT_S = 10.0
--- a/azureturn/command/tests/test_burn.py
+++ b/azureturn/command/tests/test_burn.py
@@ -26,7 +26,7 @@
     ServiceLevels,
     ServiceLevelWindow,
 )
-from azureturn.platform import ListedVm
+from azureturn.store import ListedVm
 from azureturn.settings import ObjectiveSettings
 
 OBJECTIVE = ObjectiveSettings(tier="urgent", target=0.99)
--- a/azureturn/command/tests/test_move_store.py
+++ b/azureturn/command/tests/test_move_store.py
@@ -9,7 +9,7 @@
 from azureturn.command._move_store import MoveStore
 from azureturn.core.moves import MoveRecord, MoveState, decode_record, encode_record, move_key
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.platform import KeyValueEntry
+from azureturn.store import KeyValueEntry
 
 RECORD = MoveRecord("0123456789ab", "model", "v1", "v2", 0, 600_000)
 RIVAL = replace(RECORD, move_id="ba9876543210", to_version="v3")
--- a/azureturn/daemon/_background.py
+++ b/azureturn/daemon/_background.py
@@ -9,7 +9,7 @@
 from azureturn.daemon._services import Services
 from azureturn.errors import PlatformError
 from azureturn.observability import LogEvent, describe_error
-from azureturn.platform import ListedVm
+from azureturn.store import ListedVm
 from azureturn.settings import UpstreamKind
 
 #: Pause before a broken watch is begun anew.
--- a/azureturn/daemon/_claims.py
+++ b/azureturn/daemon/_claims.py
@@ -18,7 +18,7 @@
     segment_key,
 )
 from azureturn.errors import AzureturnError, CompareFailedError
-from azureturn.platform import KeyValueClient
+from azureturn.store import KeyValueClient
 
 CLAIM_THREADS = 8
 
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -43,7 +43,7 @@
     PeerClient,
     PeerServer,
 )
-from azureturn.platform import KeyValueClient, VmListClient
+from azureturn.store import KeyValueClient, VmListClient
 from azureturn.settings import Settings
 
 _BOOT_ID_BYTES = 8
--- a/azureturn/daemon/_gossip.py
+++ b/azureturn/daemon/_gossip.py
@@ -29,7 +29,7 @@
     heartbeat_from_wire,
     heartbeat_to_wire,
 )
-from azureturn.platform import KeyValueEntry, ListedVm
+from azureturn.store import KeyValueEntry, ListedVm
 from azureturn.settings import check_shared_settings
 
 CONFIGURATION_KEY = "configuration"
--- a/azureturn/daemon/_moves.py
+++ b/azureturn/daemon/_moves.py
@@ -27,7 +27,7 @@
 from azureturn.daemon._services import Services
 from azureturn.errors import CompareFailedError, KeyValueUnavailableError, PlatformError
 from azureturn.observability import LogEvent
-from azureturn.platform import KeyValueEntry
+from azureturn.store import KeyValueEntry
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import EngineOrder, OrderClient
 
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -12,7 +12,7 @@
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
 from azureturn.peers import EnvelopeSigner, PeerClient
-from azureturn.platform import KeyValueClient, VmListClient
+from azureturn.store import KeyValueClient, VmListClient
 from azureturn.settings import Settings, UpstreamKind, UpstreamSettings
 from azureturn.upstreams import UpstreamClient
 
--- a/azureturn/platform/_key_value.py
+++ b/azureturn/store/_key_value.py
@@ -9,7 +9,7 @@
 
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.platform._key_value_answers import (
+from azureturn.store._key_value_answers import (
     KeyValueEntry,
     decode_entries,
     decode_transaction,
--- a/azureturn/platform/tests/test_decoding.py
+++ b/azureturn/store/tests/test_decoding.py
@@ -8,13 +8,13 @@
 from hypothesis import strategies as st
 
 from azureturn.errors import KeyValueUnavailableError, PlatformError
-from azureturn.platform import KeyValueEntry
-from azureturn.platform._key_value_answers import (
+from azureturn.store import KeyValueEntry
+from azureturn.store._key_value_answers import (
     decode_entries,
     decode_transaction,
     decode_watch_line,
 )
-from azureturn.platform._vm_list import decode_vm_list
+from azureturn.store._vm_list import decode_vm_list
 
 _NAMES = st.sampled_from(
     ["header", "revision", "kvs", "key", "value", "mod_revision", "result", "events", "type", "kv"]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 import pytest
 
 from azureturn.daemon._gossip import CONFIGURATION_KEY
-from azureturn.platform import KeyValueClient
+from azureturn.store import KeyValueClient
 from azureturn.settings import read_merged
 from standins.site import EXAMPLES, Site
 
