--- a/azureturn/command/_configuration_store.py
+++ b/azureturn/command/_configuration_store.py
@@ -12,8 +12,8 @@
 from azureturn._time_of_day import unix_now_ms
 from azureturn.command._errors import CommandError
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.store import KeyValueClient, KeyValueEntry
 from azureturn.settings import check_shared_settings
+from azureturn.store import KeyValueClient, KeyValueEntry
 
 CONFIGURATION_KEY = "configuration"
 #: The key-value service takes no larger value.
--- a/azureturn/command/_site.py
+++ b/azureturn/command/_site.py
@@ -11,8 +11,8 @@
 from azureturn.command._options import SiteOptions
 from azureturn.errors import AzureturnError, ErrorKind, PlatformError
 from azureturn.peers import EnvelopeSigner, NoArgument, PeerAddress, PeerClient, VmAddresses
-from azureturn.store import KeyValueClient, ListedVm, VmListClient
 from azureturn.settings import Settings, check_settings, read_merged
+from azureturn.store import KeyValueClient, ListedVm, VmListClient
 
 OPERATOR_NAME = "operator"
 #: VMs that are asked at the same time.
--- a/azureturn/command/tests/test_burn.py
+++ b/azureturn/command/tests/test_burn.py
@@ -26,8 +26,8 @@
     ServiceLevels,
     ServiceLevelWindow,
 )
-from azureturn.store import ListedVm
 from azureturn.settings import ObjectiveSettings
+from azureturn.store import ListedVm
 
 OBJECTIVE = ObjectiveSettings(tier="urgent", target=0.99)
 NOW_MS = 1_000 * HOUR_MS
--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -76,6 +76,7 @@
     RequestTable,
     digest_of,
 )
+from azureturn.core._rows import changed as changed_row
 from azureturn.core._tickets import TICKET_LIFETIME_MS, Ticket, TicketPlace, ticket_place
 from azureturn.core._upstreams import LoadReport, Upstream, UpstreamTable
 from azureturn.core.placement import (
@@ -99,6 +100,7 @@
 )
 
 __all__ = [
+    "changed_row",
     "Action",
     "AnswerHeartbeat",
     "AnswerOffer",
--- a/azureturn/core/_controllers.py
+++ b/azureturn/core/_controllers.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, ClassVar, TypeVar
+from typing import Any, ClassVar, Generic, TypeVar
 
 from azureturn.core._actions import Action
 from azureturn.core._blackboard import Blackboard, BlackboardView
@@ -11,6 +11,7 @@
 from azureturn.settings import Settings
 
 _Handler = TypeVar("_Handler", bound=Callable[..., None])
+_Settings = TypeVar("_Settings")
 
 
 @dataclass
@@ -41,8 +42,8 @@
     return mark
 
 
-class Controller:
-    """The base of every controller.
+class Controller(Generic[_Settings]):
+    """The base of every controller; its settings are those of the program that it decides for.
 
     A subclass names the tables that it reads and writes, and the controllers that must see an
     event before it does. The framework resolves the order and gives it a view that admits
@@ -55,12 +56,12 @@
     after: ClassVar[tuple[str, ...]] = ()
     name: ClassVar[str] = ""
 
-    def __init__(self, board: BlackboardView, settings: Settings) -> None:
+    def __init__(self, board: BlackboardView, settings: _Settings) -> None:
         self.board = board
         self.settings = settings
 
     @classmethod
-    def from_settings(cls, settings: Settings, board: Blackboard) -> "Controller":
+    def from_settings(cls, settings: _Settings, board: Blackboard) -> "Controller[_Settings]":
         """Return the controller on its own view of ``board``."""
         view = BlackboardView(
             board, cls.name, reads=frozenset(cls.reads), writes=frozenset(cls.writes)
@@ -77,8 +78,8 @@
         return found
 
 
-CONTROLLERS: dict[str, type[Controller]] = {}
-_ControllerClass = TypeVar("_ControllerClass", bound=type[Controller])
+CONTROLLERS: dict[str, type[Controller[Settings]]] = {}
+_ControllerClass = TypeVar("_ControllerClass", bound=type[Controller[Any]])
 
 
 def controller(name: str) -> Callable[[_ControllerClass], _ControllerClass]:
@@ -92,9 +93,11 @@
     return register
 
 
-def in_dependency_order(controllers: dict[str, type[Controller]]) -> list[type[Controller]]:
+def in_dependency_order(
+    controllers: dict[str, type[Controller[_Settings]]],
+) -> list[type[Controller[_Settings]]]:
     """Return the controllers so that each comes after those it names in ``after``."""
-    ordered: list[type[Controller]] = []
+    ordered: list[type[Controller[_Settings]]] = []
 
     def visit(name: str) -> None:
         cls = controllers[name]
--- a/azureturn/core/_core.py
+++ b/azureturn/core/_core.py
@@ -3,7 +3,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 from azureturn.core._actions import Action
 from azureturn.core._blackboard import Blackboard
@@ -12,6 +12,7 @@
 from azureturn.settings import Settings
 
 _Handler = Callable[[Any, Context], None]
+_Settings = TypeVar("_Settings")
 
 
 class Core:
@@ -25,7 +26,7 @@
     ()
     """
 
-    def __init__(self, board: Blackboard, controllers: list[Controller], *, seed: int) -> None:
+    def __init__(self, board: Blackboard, controllers: list[Controller[Any]], *, seed: int) -> None:
         self.board = board
         self._random = random.Random(seed)
         self._handlers: dict[type[Event], list[_Handler]] = {}
@@ -36,10 +37,16 @@
     @classmethod
     def from_settings(cls, settings: Settings, *, seed: int) -> "Core":
         """Return a core with every registered controller, in the order they depend."""
+        return cls.from_controllers(CONTROLLERS, settings, seed=seed)
+
+    @classmethod
+    def from_controllers(
+        cls, controllers: dict[str, type[Controller[_Settings]]], settings: _Settings, *, seed: int
+    ) -> "Core":
+        """Return a core with these controllers, in the order they depend."""
         board = Blackboard()
-        classes = in_dependency_order(CONTROLLERS)
-        controllers = [one.from_settings(settings, board) for one in classes]
-        return cls(board, controllers, seed=seed)
+        classes = in_dependency_order(controllers)
+        return cls(board, [one.from_settings(settings, board) for one in classes], seed=seed)
 
     def handle(self, event: Event, now_ms: int) -> tuple[Action, ...]:
         """Handle an event, and every event it leads to, and return what is to be done."""
--- a/azureturn/core/_queue.py
+++ b/azureturn/core/_queue.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
 
 from azureturn.core._blackboard import Table
 from azureturn.core._fair_share import FairShareQueue
@@ -12,11 +13,38 @@
 _ONE_TIER = 0
 
 
+class Queueable(Protocol):
+    """What the queue asks of a request."""
+
+    @property
+    def request_id(self) -> str:
+        """Return the request's id."""
+
+    @property
+    def organisation(self) -> str:
+        """Return whose share the request is charged to."""
+
+    @property
+    def tier_rank(self) -> int:
+        """Return the tier; 0 is the most urgent."""
+
+    @property
+    def arrived_at_ms(self) -> int:
+        """Return when the request came."""
+
+    @property
+    def deadline_ms(self) -> int:
+        """Return what requests of one organisation are ordered by."""
+
+
+_Request = TypeVar("_Request", bound=Queueable)
+
+
 @dataclass(frozen=True)
-class QueuedRequest:
+class QueuedRequest(Generic[_Request]):
     """A request in the queue, with what the queue needs to order it."""
 
-    request: Request
+    request: _Request
     #: Work in tokens, which the organisation's share is charged with.
     cost_tokens: float
     #: Weight of the organisation's share.
@@ -25,7 +53,7 @@
     give_up_at_ms: int
 
 
-class RequestQueue:
+class RequestQueue(Generic[_Request]):
     """Requests that wait for an upstream.
 
     A more urgent tier always comes first. Within a tier, organisations share by weight, and
@@ -38,7 +66,7 @@
     def __init__(self) -> None:
         self._tiers: dict[int, FairShareQueue] = {}
         self._ranks: list[int] = []
-        self._entries: dict[str, QueuedRequest] = {}
+        self._entries: dict[str, QueuedRequest[_Request]] = {}
         self._give_up: list[tuple[int, str]] = []
         self.first_come = False
 
@@ -48,11 +76,11 @@
     def __contains__(self, request_id: object) -> bool:
         return request_id in self._entries
 
-    def requests(self) -> Iterator[Request]:
+    def requests(self) -> Iterator[_Request]:
         """Return every request, in no particular order."""
         return (entry.request for entry in self._entries.values())
 
-    def push(self, entry: QueuedRequest) -> None:
+    def push(self, entry: QueuedRequest[_Request]) -> None:
         """Add a request in its place."""
         request = entry.request
         self._entries[request.request_id] = entry
@@ -65,7 +93,7 @@
             weight=1.0 if self.first_come else entry.weight,
         )
 
-    def heads(self, rank: int, limit: int) -> list[Request]:
+    def heads(self, rank: int, limit: int) -> list[_Request]:
         """Return the first requests of one tier, the next to be served first."""
         tier = self._tiers.get(rank)
         if tier is None:
@@ -76,14 +104,14 @@
         """Return the tiers that have requests, the most urgent first."""
         return [rank for rank in self._ranks if len(self._tiers[rank])]
 
-    def take(self, request: Request) -> QueuedRequest:
+    def take(self, request: _Request) -> QueuedRequest[_Request]:
         """Take out a request to serve it, and charge its organisation for it."""
         self._tiers[self._rank(request)].serve(
             self._flow(request), self._order(request), request.request_id
         )
         return self._entries.pop(request.request_id)
 
-    def remove(self, request: Request) -> bool:
+    def remove(self, request: _Request) -> bool:
         """Take out a request that is not served, and return whether it was here."""
         entry = self._entries.pop(request.request_id, None)
         if entry is None:
@@ -94,7 +122,7 @@
         )
         return True
 
-    def pop_least_urgent(self) -> Request:
+    def pop_least_urgent(self) -> _Request:
         """Take out the request that leaves first when there is no room.
 
         It is of the lowest tier, of the organisation that waits with the most work for its
@@ -105,9 +133,9 @@
         self.remove(request)
         return request
 
-    def pop_hopeless(self, now_ms: int) -> list[Request]:
+    def pop_hopeless(self, now_ms: int) -> list[_Request]:
         """Take out every request that cannot be answered in time any more."""
-        hopeless: list[Request] = []
+        hopeless: list[_Request] = []
         while self._give_up and self._give_up[0][0] <= now_ms:
             give_up_at_ms, request_id = heapq.heappop(self._give_up)
             entry = self._entries.get(request_id)
@@ -129,7 +157,7 @@
         """Return how many requests of each of the most urgent tiers wait."""
         return tuple(self.length_of(rank) for rank in range(ranks))
 
-    def tokens_ahead(self, request: Request, weight: float) -> float:
+    def tokens_ahead(self, request: _Request, weight: float) -> float:
         """Return the queued work that would be served before a request that came now."""
         rank = self._rank(request)
         above = sum(tier.cost for other, tier in self._tiers.items() if other < rank)
@@ -143,20 +171,20 @@
             self._ranks = sorted(self._tiers)
         return tier
 
-    def _rank(self, request: Request) -> int:
+    def _rank(self, request: _Request) -> int:
         return _ONE_TIER if self.first_come else request.tier_rank
 
-    def _flow(self, request: Request) -> str:
+    def _flow(self, request: _Request) -> str:
         return "" if self.first_come else request.organisation
 
-    def _order(self, request: Request) -> int:
+    def _order(self, request: _Request) -> int:
         return request.arrived_at_ms if self.first_come else request.deadline_ms
 
 
-class QueueTable(Table[str, RequestQueue]):
+class QueueTable(Table[str, RequestQueue[Request]]):
     """One queue for each model or plain service."""
 
-    def of(self, target: str) -> RequestQueue:
+    def of(self, target: str) -> RequestQueue[Request]:
         """Return the queue of ``target``, made when first asked for."""
         queue = self.get(target)
         if queue is None:
--- a/azureturn/core/controllers/_admission.py
+++ b/azureturn/core/controllers/_admission.py
@@ -27,7 +27,7 @@
     work_tokens,
 )
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
-from azureturn.settings import UpstreamKind
+from azureturn.settings import Settings, UpstreamKind
 
 FIRST_COME = "first_come"
 #: Upstreams that are looked at for the time that an answer takes.
@@ -40,7 +40,7 @@
 
 
 @controller("admission")
-class AdmissionController(Controller):
+class AdmissionController(Controller[Settings]):
     """Keeps the queue within its bound; the lowest tier always leaves first."""
 
     reads = (ConfigurationTable, UpstreamTable, SpeedTable, OutputLengthTable, AnswerTimeTable)
--- a/azureturn/core/controllers/_claim_segments.py
+++ b/azureturn/core/controllers/_claim_segments.py
@@ -23,12 +23,13 @@
     Tick,
 )
 from azureturn.core._held_calls import HeldCallTable, HeldState
+from azureturn.settings import Settings
 
 _PROBED_SEGMENT = 0
 
 
 @controller("claim_segments")
-class ClaimSegmentsController(Controller):
+class ClaimSegmentsController(Controller[Settings]):
     """Keeps at most one call to the service under way for each segment.
 
     All claims that gather while a call is under way share the next write.
--- a/azureturn/core/controllers/_claims.py
+++ b/azureturn/core/controllers/_claims.py
@@ -23,6 +23,7 @@
 from azureturn.core._held_calls import HELD_CALL_LIMIT, HeldCall, HeldCallTable, HeldState
 from azureturn.core._requests import Request, RequestTable, digest_of
 from azureturn.errors import RunState
+from azureturn.settings import Settings
 
 #: A call waits this long for the service's word before it is given up.
 CLAIM_PATIENCE_MS = 2_000
@@ -31,7 +32,7 @@
 
 
 @controller("claims")
-class ClaimsController(Controller):
+class ClaimsController(Controller[Settings]):
     """Takes calls in, keeps this process's word about each, and gives up what takes too long."""
 
     writes = (RequestTable, SegmentProgressTable, HeldCallTable, ClaimServiceTable)
--- a/azureturn/core/controllers/_configuration.py
+++ b/azureturn/core/controllers/_configuration.py
@@ -8,10 +8,11 @@
     Started,
 )
 from azureturn.core._upstreams import Upstream, UpstreamTable
+from azureturn.settings import Settings
 
 
 @controller("configuration")
-class ConfigurationController(Controller):
+class ConfigurationController(Controller[Settings]):
     """Accepts only rising revisions, so that what was in force never comes back."""
 
     writes = (ConfigurationTable, UpstreamTable)
--- a/azureturn/core/controllers/_dispatch.py
+++ b/azureturn/core/controllers/_dispatch.py
@@ -22,6 +22,7 @@
 )
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind, RunState
+from azureturn.settings import Settings
 
 #: Upstreams that may refuse a request's connection before the caller is told.
 RETURN_LIMIT = 3
@@ -42,7 +43,7 @@
 
 
 @controller("dispatch")
-class DispatchController(Controller):
+class DispatchController(Controller[Settings]):
     """Sends each request at most once, and a call that is not idempotent only under a claim."""
 
     writes = (RequestTable,)
--- a/azureturn/core/controllers/_learning.py
+++ b/azureturn/core/controllers/_learning.py
@@ -22,6 +22,7 @@
     SpeedTable,
 )
 from azureturn.errors import ErrorKind
+from azureturn.settings import Settings
 
 #: An upstream that refused a connection gets no new work for this long, doubled each time.
 CLOSED_AFTER_REFUSAL_MS = 500
@@ -31,7 +32,7 @@
 
 
 @controller("learning")
-class LearningController(Controller):
+class LearningController(Controller[Settings]):
     """Turns what is heard of upstreams into the tables that estimates are made from."""
 
     writes = (
--- a/azureturn/core/controllers/_membership.py
+++ b/azureturn/core/controllers/_membership.py
@@ -33,6 +33,7 @@
     Topic,
     select_rows,
 )
+from azureturn.settings import Settings
 
 #: Peers of its own availability zone that a VM calls in each interval, and at urgent news.
 ZONE_DEGREE = 1
@@ -55,7 +56,7 @@
 
 
 @controller("membership")
-class MembershipController(Controller):
+class MembershipController(Controller[Settings]):
     """Keeps the table of peers, and spreads rows among them."""
 
     reads = (ConfigurationTable,)
--- a/azureturn/core/controllers/_move_gossip.py
+++ b/azureturn/core/controllers/_move_gossip.py
@@ -13,6 +13,7 @@
 from azureturn.core.moves._messages import EvidenceReceived
 from azureturn.core.moves._tables import EvidenceTable, Move, MoveTable
 from azureturn.core.moves._types import MoveReason, MoveRecord
+from azureturn.settings import Settings
 
 #: All evidence of this VM is told this often; rows hold both versions' counts.
 PUBLISH_INTERVAL_MS = 4_000
@@ -23,7 +24,7 @@
 
 
 @controller("move_gossip")
-class MoveGossipController(Controller):
+class MoveGossipController(Controller[Settings]):
     """Spreads evidence, and that a move has ended, by the rows of the membership's gossip."""
 
     reads = (ConfigurationTable, PeerTable, EvidenceTable, MoveTable)
--- a/azureturn/core/controllers/_mover.py
+++ b/azureturn/core/controllers/_mover.py
@@ -48,7 +48,7 @@
     ObservedUpstream,
 )
 from azureturn.core.moves._types import MoveReason, MoveRecord, MoveState
-from azureturn.settings import MoveSettings, UpstreamKind
+from azureturn.settings import MoveSettings, Settings, UpstreamKind
 
 #: How often a VM looks at what it could do for each move.
 DECIDE_INTERVAL_MS = 200
@@ -67,7 +67,7 @@
 
 
 @controller("mover")
-class MoverController(Controller):
+class MoverController(Controller[Settings]):
     """Holds moves: loads versions, lets shares grow, and ends moves."""
 
     reads = (ConfigurationTable, UpstreamTable, EvidenceTable, LatencyTable)
--- a/azureturn/core/controllers/_moves.py
+++ b/azureturn/core/controllers/_moves.py
@@ -48,6 +48,7 @@
 )
 from azureturn.core.moves._types import MoveRecord, MoveState
 from azureturn.errors import RunState
+from azureturn.settings import Settings
 
 #: Shortest time between two judgements of one version.
 JUDGE_INTERVAL_MS = 100
@@ -56,7 +57,7 @@
 
 
 @controller("moves")
-class MovesController(Controller):
+class MovesController(Controller[Settings]):
     """Applies shares and judges, on every VM and without the service.
 
     A version that this VM's pooled evidence condemns gets nothing more from this VM, at once and
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -53,7 +53,7 @@
 
 
 @controller("placement")
-class PlacementController(Controller):
+class PlacementController(Controller[Settings]):
     """Takes the most urgent request for which some upstream has room, and chooses the upstream."""
 
     reads = (ConfigurationTable, SpeedTable, PeerWorkTable)
--- a/azureturn/core/controllers/_refusals.py
+++ b/azureturn/core/controllers/_refusals.py
@@ -14,6 +14,7 @@
 from azureturn.core._queue import QueueTable
 from azureturn.core._requests import Request, RequestTable
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
+from azureturn.settings import Settings
 
 #: Peers that are asked, at most, before a request is refused.
 _PEERS_ASKED = 3
@@ -24,7 +25,7 @@
 
 
 @controller("refusals")
-class RefusalController(Controller):
+class RefusalController(Controller[Settings]):
     """Before a request is shed here, peers of the zone with less urgent work are asked once."""
 
     reads = (QueueTable, PeerQueueTable)
--- a/azureturn/core/controllers/_stragglers.py
+++ b/azureturn/core/controllers/_stragglers.py
@@ -6,6 +6,7 @@
 from azureturn.core._events import Tick
 from azureturn.core._upstreams import Upstream, UpstreamTable
 from azureturn.core.placement import LearnedSpeed, SpeedTable
+from azureturn.settings import Settings
 
 #: Upstreams that are compared in one look, however many there are.
 _COMPARED_AT_ONCE = 64
@@ -24,7 +25,7 @@
 
 
 @controller("stragglers")
-class StragglerController(Controller):
+class StragglerController(Controller[Settings]):
     """Compares paces at the same load; drains, probes and returns what is out of line."""
 
     reads = (SpeedTable,)
--- a/azureturn/core/controllers/_work_gossip.py
+++ b/azureturn/core/controllers/_work_gossip.py
@@ -12,6 +12,7 @@
 from azureturn.core._upstreams import Upstream, UpstreamTable
 from azureturn.core.membership import GossipRow, GossipTable, PeerIdentity, PeerTable, Topic
 from azureturn.core.placement import PrefixTable
+from azureturn.settings import Settings
 
 #: Changed amounts are told this often.
 PUBLISH_INTERVAL_MS = 500
@@ -29,7 +30,7 @@
 
 
 @controller("work_gossip")
-class WorkGossipController(Controller):
+class WorkGossipController(Controller[Settings]):
     """Spreads work and queues by the rows of the membership's gossip."""
 
     reads = (PeerTable, UpstreamTable, QueueTable)
--- a/azureturn/daemon/_accounting.py
+++ b/azureturn/daemon/_accounting.py
@@ -5,7 +5,6 @@
 
 from azureturn._time_of_day import unix_now_ms
 from azureturn.core import Configuration, ConfigurationTable, Request, UpstreamTable
-from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.errors import AzureturnError, ErrorKind, RunState
 from azureturn.observability import (
     NO_ERROR,
@@ -18,6 +17,7 @@
     ServiceLevels,
 )
 from azureturn.peers import Refusal
+from azureturn.serving import CoreRuntime, now_ms
 from azureturn.settings import EVERY_ORGANISATION
 
 ANSWERED = "answered"
--- a/azureturn/daemon/_background.py
+++ b/azureturn/daemon/_background.py
@@ -5,12 +5,12 @@
 
 from azureturn.core import ConfigurationSource, ConfigurationTable, LoadReported, UpstreamLeaving
 from azureturn.daemon._gossip import CONFIGURATION_KEY, GossipAdapter, listed_event
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import PlatformError
 from azureturn.observability import LogEvent, describe_error
-from azureturn.store import ListedVm
+from azureturn.serving import now_ms
 from azureturn.settings import UpstreamKind
+from azureturn.store import ListedVm
 
 #: Pause before a broken watch is begun anew.
 WATCH_RETRY_MS = 500
--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -1,178 +1,19 @@
-"""The HTTP server towards callers: bounded headers, bounded time, and errors of the closed list."""
+"""The HTTP server towards callers of the chat-completions form."""
 
-import _pyio  # type: ignore[import-not-found]
 import json
-import socket
-import threading
-import time
 from collections.abc import Callable
 from typing import Any
 
-from cheroot.makefile import MakeFile, StreamReader
-from cheroot.server import HTTPConnection, HTTPRequest
-from cheroot.wsgi import Gateway_10, Server
+from cheroot.wsgi import Gateway_10
 
 from azureturn.daemon._answers import ERROR_KIND_HEADER, error_body, error_headers
-from azureturn.errors import ANSWERS, AzureturnError, ErrorKind, RunState
+from azureturn.errors import AzureturnError
+from azureturn.serving import BoundedServer, RefusalMessage, ServerLimits
 from azureturn.settings import Settings
 
-_MS_PER_S = 1_000
-#: Longest wait until a caller takes more of its answer.
-CALLER_WRITE_TIMEOUT_S = 30.0
 #: Name under which the WSGI environment holds the caller's connection.
 CALLER_SOCKET_NAME = "azureturn.caller_socket"
 
-#: A caller whose VM has vanished is noticed after about 30 s, also while it waits.
-_CALLER_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 10),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 4),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 30_000),
-)
-
-#: Bounds on what is still read of a refused request.
-DRAIN_LIMIT_MS = 300
-DRAIN_LIMIT_BYTES = 4 << 20
-#: Connections that the system holds for a port until they are accepted.
-BACKLOG_LIMIT = 1_024
-_DRAIN_PIECE_BYTES = 65_536
-
-_ERROR_KIND_NAME = ERROR_KIND_HEADER.encode()
-
-_KIND_OF_STATUS = {
-    "400": ErrorKind.MALFORMED_REQUEST,
-    "408": ErrorKind.REQUEST_TIMEOUT,
-    "413": ErrorKind.BODY_TOO_LARGE,
-    "414": ErrorKind.HEADERS_TOO_LARGE,
-    "500": ErrorKind.INTERNAL,
-    "503": ErrorKind.OVERLOADED,
-}
-
-
-class _DeadlineSocketIO(socket.SocketIO):
-    """Reads from a socket until a moment, however little each read brings."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        super().__init__(sock, "rb")
-        self._socket = sock
-        self._ends_at_s: float | None = None
-
-    def limit(self, timeout_ms: int) -> None:
-        """Let reads go on for this long from now."""
-        self._ends_at_s = time.monotonic() + timeout_ms / _MS_PER_S
-
-    def unlimit(self) -> None:
-        """Take the limit off and let writes take their usual time."""
-        self._ends_at_s = None
-        self._socket.settimeout(CALLER_WRITE_TIMEOUT_S)
-
-    def readinto(self, buffer: Any) -> int | None:
-        """Read what is there, or raise ``TimeoutError`` once the moment has passed."""
-        if self._ends_at_s is not None:
-            left_s = self._ends_at_s - time.monotonic()
-            if left_s <= 0:
-                raise TimeoutError("timed out")
-            self._socket.settimeout(left_s)
-        return super().readinto(buffer)
-
-
-class _DeadlineReader(StreamReader):
-    def __init__(self, sock: socket.socket, bufsize: int) -> None:
-        _pyio.BufferedReader.__init__(self, _DeadlineSocketIO(sock), bufsize)
-        self.bytes_read = 0
-
-
-def _make_file(sock: socket.socket, mode: str, bufsize: int) -> Any:
-    return _DeadlineReader(sock, bufsize) if "r" in mode else MakeFile(sock, mode, bufsize)
-
-
-class _CallerRequest(HTTPRequest):
-    """One HTTP request; what the server itself refuses is told as the rest of azureturn does."""
-
-    def __init__(self, server: "CallerServer", conn: HTTPConnection) -> None:
-        super().__init__(server, conn, proxy_mode=True)
-
-    def parse_request(self) -> None:
-        """Read the request line and headers within the header timeout."""
-        self.conn.rfile.raw.limit(self.server.header_timeout_ms)
-        super().parse_request()
-        self.conn.rfile.raw.limit(self.server.body_timeout_ms)
-
-    def respond(self) -> None:
-        """Serve the request; it counts as in flight until its last byte has left."""
-        self.server.count_in_flight(1)
-        try:
-            super().respond()
-        finally:
-            self.server.count_in_flight(-1)
-
-    def send_headers(self) -> None:
-        """Send the headers; a refused request's unread rest ends the connection."""
-        self.conn.rfile.raw.unlimit()
-        refused = any(name == _ERROR_KIND_NAME for name, _ in self.outheaders)
-        if refused and (self.chunked_read or getattr(self.rfile, "remaining", False)):
-            self.close_connection = True
-            self.conn.drains_on_close = True
-        super().send_headers()
-
-    def simple_response(self, status: Any, msg: str = "") -> None:
-        """Write a refusal in the form that every refusal has, and end the connection."""
-        code = str(status)[:3]
-        kind = _KIND_OF_STATUS.get(code, ErrorKind.MALFORMED_REQUEST)
-        if code == "413" and not self.ready:
-            kind = ErrorKind.HEADERS_TOO_LARGE
-        self.refuse(AzureturnError(kind))
-
-    def refuse(self, error: AzureturnError) -> None:
-        """Write a refusal and end the connection."""
-        kind = error.kind
-        request_id = self.server.new_request_id()
-        self.server.report_refusal(request_id, error)
-        headers = error_headers(error, request_id=request_id, vm=self.server.vm_name)
-        body = json.dumps(error_body(error, request_id)).encode()
-        lines = [f"HTTP/1.1 {ANSWERS[kind].status} {kind.value}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
-        self.close_connection = True
-        self.conn.drains_on_close = True
-        try:
-            self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + body)
-        except OSError:
-            # The caller is gone; there is nobody to tell.
-            return
-
-
-class _CallerConnection(HTTPConnection):
-    RequestHandlerClass = _CallerRequest
-
-    def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
-        super().__init__(server, sock, _make_file)
-        self.drains_on_close = False
-        for level, name, value in _CALLER_SOCKET_OPTIONS:
-            sock.setsockopt(level, name, value)
-
-    def close(self) -> None:
-        """Close; where the caller is still sending, let it read its answer first."""
-        if self.drains_on_close:
-            self._drain()
-        super().close()
-
-    def _drain(self) -> None:
-        # Closing with unread bytes would reset the connection and lose the answer on its way.
-        ends_at_s = time.monotonic() + DRAIN_LIMIT_MS / _MS_PER_S
-        left_bytes = DRAIN_LIMIT_BYTES
-        try:
-            self.socket.shutdown(socket.SHUT_WR)
-            while left_bytes > 0 and (left_s := ends_at_s - time.monotonic()) > 0:
-                self.socket.settimeout(left_s)
-                piece = self.socket.recv(_DRAIN_PIECE_BYTES)
-                if not piece:
-                    return
-                left_bytes -= len(piece)
-        except OSError:
-            return
-
 
 class _CallerGateway(Gateway_10):
     def get_environ(self) -> Any:
@@ -181,14 +22,8 @@
         return environ
 
 
-class CallerServer(Server):
-    """CherryPy's HTTP server with azureturn's limits.
-
-    Connections beyond the threads and the backlog are answered ``overloaded`` by a thread that
-    does nothing else.
-    """
-
-    ConnectionClass = _CallerConnection
+class CallerServer(BoundedServer):
+    """The server towards callers of the chat-completions form."""
 
     def __init__(
         self,
@@ -200,68 +35,25 @@
         report_refusal: Callable[[str, AzureturnError], None],
     ) -> None:
         limits = settings.daemon
+        vm = settings.vm.name
         super().__init__(
             (settings.vm.host, settings.vm.port),
             application,
-            numthreads=limits.caller_threads,
-            max=limits.caller_threads,
-            request_queue_size=BACKLOG_LIMIT,
-            timeout=-(-limits.header_timeout_ms // _MS_PER_S),
-            shutdown_timeout=1,
-            accepted_queue_size=limits.accept_backlog,
-            accepted_queue_timeout=0,
+            ServerLimits(
+                threads=limits.caller_threads,
+                accept_backlog=limits.accept_backlog,
+                header_bytes=limits.header_limit_bytes,
+                header_timeout_ms=limits.header_timeout_ms,
+                body_timeout_ms=limits.body_timeout_ms,
+                idle_timeout_ms=limits.header_timeout_ms,
+            ),
+            new_request_id=new_request_id,
+            refusal=lambda error, request_id: RefusalMessage(
+                error_headers(error, request_id=request_id, vm=vm),
+                json.dumps(error_body(error, request_id)).encode(),
+            ),
+            refusal_marker=ERROR_KIND_HEADER,
+            report_error=report_error,
+            report_refusal=report_refusal,
         )
-        self.max_request_header_size = limits.header_limit_bytes
-        # The face bounds bodies itself, since it knows the kind of error.
-        self.max_request_body_size = 0
-        self.header_timeout_ms = limits.header_timeout_ms
-        self.body_timeout_ms = limits.body_timeout_ms
-        self.vm_name = settings.vm.name
-        self.new_request_id = new_request_id
-        self.report_refusal = report_refusal
-        self._report_error = report_error
         self.gateway = _CallerGateway
-        self._in_flight = 0
-        self._in_flight_lock = threading.Lock()
-
-    @property
-    def requests_in_flight(self) -> int:
-        """Return how many requests wait for a thread or have not been answered whole."""
-        waiting: int = self.requests.qsize
-        return self._in_flight + waiting
-
-    def count_in_flight(self, change: int) -> None:
-        """Count a request that begins (1) or has ended (-1)."""
-        with self._in_flight_lock:
-            self._in_flight += change
-
-    def refuse_backlog(self) -> None:
-        """Answer connections that nobody has accepted yet; closing the port would reset them."""
-        listening = self.socket
-        if listening is None:
-            return
-        listening.setblocking(False)
-        for _ in range(BACKLOG_LIMIT):
-            try:
-                accepted, _address = listening.accept()
-            except OSError:
-                return
-            accepted.settimeout(DRAIN_LIMIT_MS / _MS_PER_S)
-            connection = _CallerConnection(self, accepted)
-            # Unread, it may be another attempt at a call that ran: "not run" can't be said.
-            unread = AzureturnError(ErrorKind.STOPPING, run_state=RunState.UNKNOWN)
-            _CallerRequest(self, connection).refuse(unread)
-            connection.close()
-
-    def _serve_unservicable(self) -> None:
-        while self.ready:
-            connection = self._unservicable_conns.get()  # type: ignore[attr-defined]
-            if not isinstance(connection, HTTPConnection):
-                return
-            _CallerRequest(self, connection).simple_response("503 Service Unavailable")
-            connection.linger = True
-            connection.close()
-
-    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
-        """Tell the daemon's own log what the library could not handle."""
-        self._report_error(msg)
--- a/azureturn/daemon/_claimants.py
+++ b/azureturn/daemon/_claimants.py
@@ -21,11 +21,11 @@
     never_ran_outcome,
     unknown_outcome,
 )
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind, PeerUnavailableError, RunState
 from azureturn.observability import LogEvent
 from azureturn.peers import Outcome, OutcomeQuery, OutcomeState, PeerAddress
+from azureturn.serving import now_ms
 
 DUPLICATE_HEADER = "Azureturn-Duplicate"
 #: Longest that a peer's question waits here; the peer asks again.
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -32,9 +32,7 @@
 from azureturn.daemon._offers import OfferAdapter
 from azureturn.daemon._outcomes import CallOutcomes
 from azureturn.daemon._peer_face import PeerFace
-from azureturn.daemon._runtime import CoreRuntime
 from azureturn.daemon._services import Services
-from azureturn.daemon._stop import PlannedStop, StopLimits, StopStage
 from azureturn.daemon._ticketed_calls import TicketedCalls
 from azureturn.daemon._tickets import TicketOffice
 from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
@@ -43,8 +41,9 @@
     PeerClient,
     PeerServer,
 )
-from azureturn.store import KeyValueClient, VmListClient
+from azureturn.serving import CoreRuntime, PlannedStop, StopLimits, StopStage
 from azureturn.settings import Settings
+from azureturn.store import KeyValueClient, VmListClient
 
 _BOOT_ID_BYTES = 8
 
--- a/azureturn/daemon/_face.py
+++ b/azureturn/daemon/_face.py
@@ -29,12 +29,12 @@
     OfferAdapter,
 )
 from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.daemon._ticketed_calls import TicketedCalls, TicketedRequest
 from azureturn.daemon._tickets import TICKET_HEADER, TicketOffice, is_first_attempt
 from azureturn.errors import ANSWERS, AzureturnError, CallerError, ErrorKind, RefusedError
 from azureturn.observability import LogEvent, describe_error
+from azureturn.serving import now_ms
 from azureturn.settings import RouteSettings, UpstreamKind
 from azureturn.upstreams import streamed_body
 
--- a/azureturn/daemon/_gossip.py
+++ b/azureturn/daemon/_gossip.py
@@ -19,7 +19,6 @@
     SendHeartbeat,
 )
 from azureturn.core.membership import PeerIdentity
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, PlatformError
 from azureturn.observability import LogEvent, describe_error
@@ -29,8 +28,9 @@
     heartbeat_from_wire,
     heartbeat_to_wire,
 )
-from azureturn.store import KeyValueEntry, ListedVm
+from azureturn.serving import now_ms
 from azureturn.settings import check_shared_settings
+from azureturn.store import KeyValueEntry, ListedVm
 
 CONFIGURATION_KEY = "configuration"
 #: Threads that call peers; a peer that does not answer holds one for a second.
--- a/azureturn/daemon/_moves.py
+++ b/azureturn/daemon/_moves.py
@@ -23,12 +23,12 @@
     encode_record,
     move_key,
 )
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import CompareFailedError, KeyValueUnavailableError, PlatformError
 from azureturn.observability import LogEvent
-from azureturn.store import KeyValueEntry
+from azureturn.serving import now_ms
 from azureturn.settings import UpstreamKind
+from azureturn.store import KeyValueEntry
 from azureturn.upstreams import EngineOrder, OrderClient
 
 #: How often the records are read while a move goes on, and while none does.
--- a/azureturn/daemon/_offers.py
+++ b/azureturn/daemon/_offers.py
@@ -6,10 +6,10 @@
 
 from azureturn.core import AskPeersToTake, PeersDecided, Request
 from azureturn.core.membership import PeerTable
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind, RefusedError
 from azureturn.peers import Offer, OfferAnswer, PeerAddress
+from azureturn.serving import now_ms
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import StreamedAnswer, UpstreamClient, UpstreamRequest
 
--- a/azureturn/daemon/_operators.py
+++ b/azureturn/daemon/_operators.py
@@ -7,7 +7,6 @@
 from azureturn._version import __version__
 from azureturn.core import ConfigurationTable, Core, Upstream, UpstreamTable
 from azureturn.core.membership import PeerTable
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.peers import (
@@ -22,6 +21,7 @@
     decode_struct,
     encode_struct,
 )
+from azureturn.serving import now_ms
 
 _Argument = TypeVar("_Argument")
 _Answer = TypeVar("_Answer")
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -24,7 +24,6 @@
 from azureturn.daemon._offers import CallerMessage, OfferAdapter
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
 from azureturn.daemon._relay import StreamedBody, forwarded_headers
-from azureturn.daemon._runtime import next_action, now_ms
 from azureturn.daemon._services import Services
 from azureturn.errors import (
     AzureturnError,
@@ -34,6 +33,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
+from azureturn.serving import next_action, now_ms
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import (
     NOT_WHOLE_IN_TIME,
--- a/azureturn/daemon/_services.py
+++ b/azureturn/daemon/_services.py
@@ -6,14 +6,13 @@
 
 from azureturn.core import ConfigurationTable
 from azureturn.daemon._accounting import Accounting
-from azureturn.daemon._caller_watch import CallerWatch
 from azureturn.daemon._outcomes import CallOutcomes
-from azureturn.daemon._runtime import CoreRuntime
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
 from azureturn.peers import EnvelopeSigner, PeerClient
-from azureturn.store import KeyValueClient, VmListClient
+from azureturn.serving import CallerWatch, CoreRuntime
 from azureturn.settings import Settings, UpstreamKind, UpstreamSettings
+from azureturn.store import KeyValueClient, VmListClient
 from azureturn.upstreams import UpstreamClient
 
 _REQUEST_ID_BYTES = 10
--- a/azureturn/daemon/_ticketed_calls.py
+++ b/azureturn/daemon/_ticketed_calls.py
@@ -17,7 +17,6 @@
 from azureturn.daemon._caller_requests import IDEMPOTENCY_HEADER, TIMEOUT_HEADER, new_request
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
 from azureturn.daemon._request_flow import OutgoingRequest, RequestFlow
-from azureturn.daemon._runtime import now_ms
 from azureturn.daemon._services import Services
 from azureturn.daemon._tickets import TicketOffice
 from azureturn.errors import (
@@ -29,6 +28,7 @@
     RunState,
 )
 from azureturn.peers import Outcome, OutcomeState, PeerAddress, TicketedCall
+from azureturn.serving import now_ms
 from azureturn.settings import OrganisationSettings, RouteSettings, UpstreamKind
 
 #: Calls of other VMs that run here at once; the rest of the peers' threads stay free.
--- a/azureturn/daemon/_tickets.py
+++ b/azureturn/daemon/_tickets.py
@@ -7,8 +7,8 @@
 from itsdangerous import BadData, URLSafeSerializer
 
 from azureturn.core import TICKET_LIFETIME_MS, Ticket
-from azureturn.daemon._runtime import now_ms
 from azureturn.errors import CallerError, ErrorKind
+from azureturn.serving import now_ms
 from azureturn.settings import OrganisationSettings, RouteSettings, Settings
 
 #: Carries a ticket, in place of an idempotency key.
--- a/azureturn/daemon/tests/test_accounting.py
+++ b/azureturn/daemon/tests/test_accounting.py
@@ -9,7 +9,6 @@
 from azureturn._time_of_day import unix_now_ms
 from azureturn.core import Configuration, Core, Request, Started
 from azureturn.daemon._accounting import Accounting
-from azureturn.daemon._runtime import CoreRuntime, now_ms
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.observability import (
     HOUR_MS,
@@ -19,6 +18,7 @@
     LevelCounts,
     Metrics,
 )
+from azureturn.serving import CoreRuntime, now_ms
 from azureturn.settings import UpstreamKind, load_settings
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
--- a/azureturn/daemon/tests/test_planned_stop.py
+++ b/azureturn/daemon/tests/test_planned_stop.py
@@ -2,7 +2,7 @@
 
 from itertools import chain, repeat
 
-from azureturn.daemon._stop import PlannedStop, StopLimits
+from azureturn.serving import PlannedStop, StopLimits
 
 
 def test_a_request_that_is_just_being_read_is_waited_for() -> None:
--- a/azureturn/errors/_kinds.py
+++ b/azureturn/errors/_kinds.py
@@ -42,6 +42,8 @@
     KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
     OVERLOADED = "overloaded"
     SHED = "shed"
+    OVER_ALLOTMENT = "over_allotment"
+    CONFIGURATION_UNKNOWN = "configuration_unknown"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     NO_UPSTREAM = "no_upstream"
--- a/azureturn/errors/_table.py
+++ b/azureturn/errors/_table.py
@@ -79,6 +79,12 @@
         ErrorKind.SHED: ErrorAnswer(
             503, _NOT_RUN, True, "The request left the queue to make room for a higher tier."
         ),
+        ErrorKind.OVER_ALLOTMENT: ErrorAnswer(
+            429, _NOT_RUN, True, "The organisation has used up its allotment for now."
+        ),
+        ErrorKind.CONFIGURATION_UNKNOWN: ErrorAnswer(
+            503, _NOT_RUN, True, "This VM does not know the configuration yet."
+        ),
         ErrorKind.DEADLINE_UNREACHABLE: ErrorAnswer(
             503, _NOT_RUN, True, "The request cannot be answered by its deadline."
         ),
--- /dev/null
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -0,0 +1,133 @@
+"""One gateway process, put together from its settings and an adapter to a platform."""
+
+import secrets
+import threading
+import time
+from dataclasses import dataclass
+
+from azureturn.core import Core
+from azureturn.gateway.daemon._peer_calls import GatewayPeerFace, ViewFetcher
+from azureturn.gateway.daemon._peer_reports import ReportLink
+from azureturn.gateway.daemon._store_follower import StoreFollower, ViewKeeper
+from azureturn.gateway.daemon._store_writer import StoreWriter
+from azureturn.gateway.decisions import (
+    GATEWAY_CONTROLLERS,
+    FetchView,
+    GatewayStarted,
+    SendReport,
+    VmLeaving,
+    WriteStatus,
+)
+from azureturn.gateway.exchange import ExchangeServices, GatewayServer, ReadinessServer
+from azureturn.gateway.settings import GatewaySettings
+from azureturn.gateway.site import Dialect, SiteDocuments
+from azureturn.observability import EventLog, LogEvent
+from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
+from azureturn.serving import CoreRuntime, PlannedStop, StopLimits, StopStage
+from azureturn.store import WatchedStore
+
+#: Time before the end by force at which a stop ends whatever is still in flight.
+_STOP_MARGIN_MS = 700
+_HOUSEKEEPING_S = 0.5
+
+
+@dataclass(frozen=True)
+class PlatformAdapter:
+    """What an adapter gives."""
+
+    store: WatchedStore
+    documents: SiteDocuments
+    dialect: Dialect
+
+
+class GatewayDaemon:
+    """Serves callers until it is stopped."""
+
+    def __init__(self, settings: GatewaySettings, adapter: PlatformAdapter, log: EventLog) -> None:
+        self._settings = settings
+        self._log = log
+        seed = secrets.randbits(64)
+        core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
+        self._runtime = CoreRuntime(core, tick_interval_ms=settings.limits.tick_interval_ms)
+        self._keeper = ViewKeeper(self._runtime, adapter.documents, log)
+        limits = settings.limits
+        self._stop = PlannedStop(
+            StopLimits(
+                limits.balancer_lag_ms,
+                settings.bounds.stop_limit_ms - limits.balancer_lag_ms - _STOP_MARGIN_MS,
+            ),
+            unfinished=self._in_flight,
+        )
+        self._services = ExchangeServices(
+            settings=settings,
+            runtime=self._runtime,
+            dialect=adapter.dialect,
+            log=log,
+            view=lambda: self._keeper.view,
+            is_leaving=lambda: self._stop.stage is not StopStage.SERVING,
+            is_finishing=lambda: self._stop.stage >= StopStage.FINISHING,
+        )
+        vm = settings.vm
+        signer = EnvelopeSigner(limits.peer_secret, vm.name, clock_s=time.monotonic)
+        self._reports = ReportLink(vm.host, vm.peer_port, self._runtime, log)
+        self._fetcher = ViewFetcher(PeerClient(signer), self._keeper, log, peer_port=vm.peer_port)
+        self._peer_server = PeerServer(vm.host, vm.peer_port, GatewayPeerFace(self._keeper), signer)
+        self._writer = StoreWriter(adapter.store, self._keeper, adapter.documents, log)
+        self._follower = StoreFollower(
+            adapter.store, self._keeper, adapter.documents, log, wait_ms=limits.watch_wait_ms
+        )
+        self._server = GatewayServer(self._services)
+        self._readiness = ReadinessServer(self._services, is_ready=self._is_ready)
+        self._runtime.perform(SendReport, self._reports.send)
+        self._runtime.perform(FetchView, self._fetcher.take)
+        self._runtime.perform(WriteStatus, self._writer.take)
+
+    def start(self) -> None:
+        """Begin to serve; return once the ports are open."""
+        self._runtime.submit(GatewayStarted(self._settings.vm.name))
+        self._follower.start()
+        self._reports.start()
+        self._fetcher.start()
+        self._peer_server.start()
+        self._runtime.start()
+        for server, name in ((self._readiness, "readiness"), (self._server, "callers")):
+            server.prepare()
+            threading.Thread(target=server.serve, name=name, daemon=True).start()
+        self._writer.start(self._settings.vm)
+        threading.Thread(target=self._keep_house, name="housekeeping", daemon=True).start()
+        vm = self._settings.vm
+        self._log.info(
+            LogEvent.DAEMON_STARTED,
+            host=vm.caller_host,
+            port=vm.caller_port,
+            peer_port=vm.peer_port,
+        )
+
+    def stop(self) -> bool:
+        """Stop in an orderly way and return whether nothing in flight was cut."""
+        self._log.info(LogEvent.DAEMON_STOPPING)
+        cut = self._stop.run(announce=lambda: self._runtime.submit(VmLeaving()) and None)
+        self._log.info(LogEvent.DAEMON_STOPPED, requests_cut=cut, claims_unsettled=0)
+        self._log.close()
+        return cut == 0
+
+    def cut(self) -> None:
+        """Let a planned stop wait no longer."""
+        self._stop.cut()
+
+    def note_reload(self) -> None:
+        """Say that the settings were asked to be read anew."""
+        self._log.info(LogEvent.SETTINGS_RELOADED)
+
+    def _in_flight(self) -> int:
+        return max(self._server.requests_in_flight, self._runtime.requests_in_progress)
+
+    def _is_ready(self) -> bool:
+        return self._stop.stage is StopStage.SERVING and (
+            self._keeper.view.configuration is not None
+        )
+
+    def _keep_house(self) -> None:
+        while True:
+            time.sleep(_HOUSEKEEPING_S)
+            self._services.pool.close_idle()
--- /dev/null
+++ b/azureturn/gateway/daemon/_peer_reports.py
@@ -0,0 +1,53 @@
+"""Sends and receives peers' reports by UDP."""
+
+import socket
+import threading
+
+from azureturn.errors import AzureturnError
+from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
+from azureturn.gateway.decisions import PeerReported, SendReport
+from azureturn.observability import EventLog, LogEvent, describe_error
+from azureturn.peers import GatewayReport, decode_struct, encode_struct
+from azureturn.serving import CoreRuntime
+
+_DATAGRAM_LIMIT_BYTES = 60_000
+
+
+class ReportLink:
+    """One socket for all peers; a report that is lost is made up for by the next."""
+
+    def __init__(self, host: str, port: int, runtime: CoreRuntime, log: EventLog) -> None:
+        self._port = port
+        self._runtime = runtime
+        self._log = log
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((host, port))
+
+    def start(self) -> None:
+        """Begin to receive."""
+        threading.Thread(target=self._receive, name="peer-reports", daemon=True).start()
+
+    def send(self, action: SendReport) -> None:
+        """Send a report to every host; it does not wait."""
+        data = encode_struct(report_to_wire(action.report))
+        if len(data) > _DATAGRAM_LIMIT_BYTES:
+            self._log.error(LogEvent.INTERNAL_ERROR, error="a report is over the limit")
+            return
+        for host in action.hosts:
+            try:
+                self._socket.sendto(data, socket.MSG_DONTWAIT, (host, self._port))
+            except OSError as error:
+                self._log.error(LogEvent.PEER_UNREACHABLE, vm_host=host, error=str(error))
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data = self._socket.recv(_DATAGRAM_LIMIT_BYTES)
+                report = report_from_wire(decode_struct(GatewayReport, data))
+            except OSError as error:
+                self._log.error(LogEvent.PEER_UNREACHABLE, error=describe_error(error))
+                continue
+            except (AzureturnError, TypeError) as error:
+                self._log.error(LogEvent.PEER_REPORT_REFUSED, error=describe_error(error))
+                continue
+            self._runtime.submit(PeerReported(report))
--- /dev/null
+++ b/azureturn/gateway/decisions/_actions.py
@@ -0,0 +1,63 @@
+"""Actions that the gateway's decisions ask of the adapters, besides the core's own."""
+
+from dataclasses import dataclass
+
+from azureturn.core import Action, RequestAction
+from azureturn.gateway.decisions._peers import PeerReport
+from azureturn.gateway.site import MoveStatus, RegisteredUpstream
+
+
+@dataclass(frozen=True)
+class SendAttempt(RequestAction):
+    """Send the request to this upstream, once."""
+
+    upstream: RegisteredUpstream
+    #: What decided it, for the log.
+    reason: "PlacementReason"
+
+
+@dataclass(frozen=True)
+class PlacementReason:
+    """Why an upstream was chosen."""
+
+    #: Upstreams that could have been chosen.
+    candidates: int
+    #: Expected time to the first event or the answer.
+    expected_ms: int
+    #: Requests there, from all VMs, by estimate.
+    outstanding: int
+    queued_ms: int
+    #: Age of the oldest peer report that counted.
+    report_age_ms: int
+
+
+@dataclass(frozen=True)
+class Conclude(RequestAction):
+    """There is no further try: tell the caller what the last one brought."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class SendReport(Action):
+    """Send this report to these hosts."""
+
+    report: PeerReport
+    hosts: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class FetchView(Action):
+    """Ask a peer for its view, which is newer."""
+
+    vm: str
+    host: str
+    newer_than_revision: int
+
+
+@dataclass(frozen=True)
+class WriteStatus(Action):
+    """Write what is to be said of a move, if its status is still at a revision."""
+
+    status: MoveStatus
+    expected_revision: int
--- /dev/null
+++ b/azureturn/gateway/decisions/_peers.py
@@ -0,0 +1,141 @@
+"""What the peers of this VM say of themselves, many times a second."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from azureturn.core import Table
+from azureturn.gateway.decisions._prompts import SentPrompt
+
+#: A peer that is not heard for this long counts as unheard.
+UNHEARD_MS = 700
+#: A peer that is not heard for this long is taken to be gone for good.
+GONE_MS = 20_000
+#: For this long after a start, registered VMs that were never heard count as unheard.
+_REGISTERED_COUNT_MS = 10_000
+
+
+@dataclass(frozen=True)
+class WorkReport:
+    """What a peer has outstanding at one upstream."""
+
+    requests: int
+    pending_tokens: int
+
+
+@dataclass(frozen=True)
+class VersionCount:
+    """Answers of one version of a service, as one VM saw them."""
+
+    answers: int = 0
+    failures: int = 0
+    time_ms: int = 0
+
+
+@dataclass(frozen=True)
+class MoveReport:
+    """How far a peer thinks that a move has come."""
+
+    version: str
+    elapsed_ms: int
+    condemned: bool
+
+
+@dataclass(frozen=True)
+class PeerReport:
+    """One VM's report of itself."""
+
+    vm: str
+    host: str
+    #: Unlike that of any other process of this VM.
+    boot: int
+    sequence: int
+    leaving: bool
+    view_revision: int
+    work: dict[str, WorkReport]
+    #: Units that the organisations have used since the boot.
+    spent: dict[str, int]
+    prompts: tuple[SentPrompt, ...]
+    #: By service and version.
+    versions: dict[tuple[str, str], VersionCount]
+    moves: dict[str, MoveReport]
+    #: Hosts of other VMs by name.
+    peers: dict[str, str]
+    queued_requests: int = 0
+
+    def is_newer_than(self, other: "PeerReport") -> bool:
+        """Return whether the same process made the other report before, or at the same time."""
+        return self.boot == other.boot and self.sequence >= other.sequence
+
+
+@dataclass(frozen=True)
+class Peer:
+    """A peer's latest report and when it came."""
+
+    report: PeerReport
+    heard_at_ms: int
+
+    def is_heard(self, now_ms: int) -> bool:
+        """Return whether what it says is fresh."""
+        return now_ms - self.heard_at_ms <= UNHEARD_MS
+
+
+class PeerTable(Table[str, Peer]):
+    """Peers by name, with their work summed by upstream."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._work: dict[str, WorkReport] = {}
+        self.own_name = ""
+        self.started_at_ms = 0
+        #: VMs that the store names, this one included.
+        self.registered: frozenset[str] = frozenset()
+
+    def work_at(self, upstream: str) -> WorkReport:
+        """Return what all heard peers have outstanding at an upstream."""
+        return self._work.get(upstream, _NO_WORK)
+
+    def heard(self, now_ms: int) -> list[Peer]:
+        """Return the peers that are heard at present."""
+        return [peer for peer in self.rows() if peer.is_heard(now_ms)]
+
+    def vms(self, now_ms: int) -> int:
+        """Return how many VMs there are, heard or not, this one included."""
+        known = set(self._rows)
+        if now_ms - self.started_at_ms < _REGISTERED_COUNT_MS:
+            known |= self.registered
+        return len(known - {self.own_name}) + 1
+
+    def heard_share(self, now_ms: int) -> float:
+        """Return the share of VMs that are heard, this one included."""
+        return (len(self.heard(now_ms)) + 1) / max(1, self.vms(now_ms))
+
+    def sum_work(self, now_ms: int) -> None:
+        """Sum anew what the heard peers have outstanding, and forget peers that are gone."""
+        for name in [n for n, peer in self.items() if now_ms - peer.heard_at_ms > GONE_MS]:
+            self.remove(name)
+        self._work = _summed(peer.report.work for peer in self.heard(now_ms))
+
+    def add_work(self, before: PeerReport | None, after: PeerReport) -> None:
+        """Take one peer's newer report into the sums."""
+        for upstream, work in (before.work if before else {}).items():
+            _add(self._work, upstream, -work.requests, -work.pending_tokens)
+        for upstream, work in after.work.items():
+            _add(self._work, upstream, work.requests, work.pending_tokens)
+
+
+_NO_WORK = WorkReport(0, 0)
+
+
+def _add(sums: dict[str, WorkReport], upstream: str, requests: int, tokens: int) -> None:
+    work = sums.get(upstream, _NO_WORK)
+    sums[upstream] = WorkReport(
+        max(0, work.requests + requests), max(0, work.pending_tokens + tokens)
+    )
+
+
+def _summed(reports: Iterable[dict[str, WorkReport]]) -> dict[str, WorkReport]:
+    sums: dict[str, WorkReport] = {}
+    for one in reports:
+        for upstream, work in one.items():
+            _add(sums, upstream, work.requests, work.pending_tokens)
+    return sums
--- /dev/null
+++ b/azureturn/gateway/decisions/_requests.py
@@ -0,0 +1,90 @@
+"""One caller's request on its way, as the decisions see it."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from azureturn.core import Table
+from azureturn.core import changed_row as changed
+from azureturn.gateway.site import Prompt, Route
+
+
+class Stage(StrEnum):
+    """Where a request is."""
+
+    QUEUED = "queued"
+    SENT = "sent"
+
+
+@dataclass(frozen=True)
+class GatewayRequest:
+    """A request and what has been tried with it; bodies and sockets stay with the adapters."""
+
+    request_id: str
+    organisation: str
+    route: Route
+    #: The service that this request goes to, of the route's.
+    service: str
+    tier_rank: int
+    arrived_at_ms: int
+    #: When its objective is missed; the queue orders by it.
+    deadline_ms: int
+    #: When its final answer must be under way, whatever has become of it.
+    ends_at_ms: int
+    prompt: Prompt | None
+    #: What it counts against its organisation's allotment.
+    allotment_units: int = 0
+    stage: Stage = Stage.QUEUED
+    #: Name of the upstream that has it; empty while it waits.
+    upstream: str = ""
+    version: str = ""
+    #: Attempts that an upstream ran or may have run.
+    runs: int = 0
+    #: Attempts that came back without having been run.
+    returns: int = 0
+    #: Upstreams that were tried.
+    tried: tuple[str, ...] = ()
+    sent_at_ms: int = 0
+    #: When the first event of the latest attempt came; 0 before that.
+    first_event_at_ms: int = 0
+    #: Prompt tokens that the upstream has to work off, by estimate.
+    pending_tokens: int = 0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether it may run more than once."""
+        return self.route.may_repeat
+
+    def with_sent(
+        self, upstream: str, *, version: str, now_ms: int, pending_tokens: int
+    ) -> "GatewayRequest":
+        """Return a copy that an upstream has been given."""
+        return changed(
+            self,
+            stage=Stage.SENT,
+            upstream=upstream,
+            version=version,
+            sent_at_ms=now_ms,
+            first_event_at_ms=0,
+            pending_tokens=pending_tokens,
+            tried=(*self.tried, upstream),
+        )
+
+    def with_first_event(self, now_ms: int) -> "GatewayRequest":
+        """Return a copy whose prompt has been worked off."""
+        return changed(self, first_event_at_ms=now_ms, pending_tokens=0)
+
+    def with_return(self, *, ran: bool) -> "GatewayRequest":
+        """Return a copy that waits again after an attempt that came to nothing."""
+        return changed(
+            self,
+            stage=Stage.QUEUED,
+            upstream="",
+            pending_tokens=0,
+            first_event_at_ms=0,
+            runs=self.runs + (1 if ran else 0),
+            returns=self.returns + (0 if ran else 1),
+        )
+
+
+class GatewayRequestTable(Table[str, GatewayRequest]):
+    """Requests in progress on this VM, by id."""
--- /dev/null
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -0,0 +1,19 @@
+"""The gateway's controllers; importing this package registers them."""
+
+from azureturn.gateway.decisions.controllers._admission import AdmissionController
+from azureturn.gateway.decisions.controllers._attempts import AttemptController
+from azureturn.gateway.decisions.controllers._moves import MoveController
+from azureturn.gateway.decisions.controllers._placement import PlacementController
+from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
+from azureturn.gateway.decisions.controllers._reports import ReportController
+from azureturn.gateway.decisions.controllers._views import ViewController
+
+__all__ = [
+    "GATEWAY_CONTROLLERS",
+    "AdmissionController",
+    "AttemptController",
+    "MoveController",
+    "PlacementController",
+    "ReportController",
+    "ViewController",
+]
--- /dev/null
+++ b/azureturn/gateway/decisions/controllers/_moves.py
@@ -0,0 +1,109 @@
+"""Follows the operator's orders to move a service to another version."""
+
+from azureturn.core import Context, Tick, on
+from azureturn.gateway.decisions._actions import WriteStatus
+from azureturn.gateway.decisions._events import ViewChanged
+from azureturn.gateway.decisions._moves import COMPLETE_AT, Move, MoveTable, is_bad
+from azureturn.gateway.decisions._peers import PeerTable, VersionCount
+from azureturn.gateway.decisions._tables import ViewTable
+from azureturn.gateway.decisions.controllers._registry import (
+    GatewayController,
+    gateway_controller,
+)
+from azureturn.gateway.site import MoveOrder, MoveState, MoveStatus, SiteView
+
+#: A VM asks to write a status this much later for each VM that goes before it.
+_TURN_MS = 500
+_ASK_AGAIN_MS = 1_000
+
+
+@gateway_controller("moves")
+class MoveController(GatewayController):
+    """Judges new versions by what all VMs have seen; one conditional write ends a move."""
+
+    reads = (ViewTable, PeerTable)
+    writes = (MoveTable,)
+    after = ("views",)
+
+    @on(ViewChanged)
+    def _on_view(self, event: ViewChanged, context: Context) -> None:
+        view = self.board.read(ViewTable).current()
+        moves = self.board.write(MoveTable)
+        for service, order in view.orders.items():
+            revision = view.revision_of(MoveOrder, service)
+            move = moves.get(service)
+            if move is None or move.order_revision != revision:
+                move = Move(service, order.version, order.duration_ms, revision, context.now_ms)
+            moves.put(service, _with_status(move, view))
+        for service in [name for name, _ in moves.items() if name not in view.orders]:
+            moves.remove(service)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        moves = self.board.write(MoveTable)
+        for service, move in list(moves.items()):
+            if move.ended:
+                continue
+            if not move.condemned and self._is_bad(move, context.now_ms):
+                move = move.with_condemned()
+            state = self._wanted_state(move, context.now_ms)
+            if self._may_ask(move, state, context.now_ms):
+                move = move.with_asked(context.now_ms)
+                view = self.board.read(ViewTable).current()
+                status = MoveStatus(service, move.version, state)
+                context.act(WriteStatus(status, view.revision_of(MoveStatus, service)))
+            moves.put(service, move)
+
+    def _wanted_state(self, move: Move, now_ms: int) -> MoveState:
+        if move.condemned:
+            return MoveState.ROLLED_BACK
+        if move.elapsed_part(now_ms) >= COMPLETE_AT and self._has_upstreams(move):
+            return MoveState.COMPLETE
+        return MoveState.RUNNING
+
+    def _may_ask(self, move: Move, state: MoveState, now_ms: int) -> bool:
+        """Return whether it is this VM's turn to write; the lowest name goes first."""
+        view = self.board.read(ViewTable).current()
+        status = view.statuses.get(move.service)
+        wanted = MoveStatus(move.service, move.version, state)
+        if status == wanted and view.revision_of(MoveStatus, move.service) > move.order_revision:
+            return False
+        own = self.settings.vm.name
+        before = sum(peer.report.vm < own for peer in self.board.read(PeerTable).heard(now_ms))
+        since_ms = now_ms - max(move.asked_at_ms, move.began_at_ms)
+        if move.asked_at_ms:
+            return since_ms >= _ASK_AGAIN_MS + before * _TURN_MS
+        return since_ms >= before * _TURN_MS
+
+    def _is_bad(self, move: Move, now_ms: int) -> bool:
+        counts: dict[bool, VersionCount] = {True: VersionCount(), False: VersionCount()}
+        sources = [self.board.read(MoveTable).seen]
+        sources += [peer.report.versions for peer in self.board.read(PeerTable).rows()]
+        for seen in sources:
+            for (service, version), count in seen.items():
+                if service == move.service:
+                    is_new = version == move.version
+                    counts[is_new] = _sum(counts[is_new], count)
+        return is_bad(counts[True], counts[False])
+
+    def _has_upstreams(self, move: Move) -> bool:
+        view = self.board.read(ViewTable).current()
+        return any(
+            one.service == move.service and one.version == move.version
+            for one in view.upstreams.values()
+        )
+
+
+def _with_status(move: Move, view: SiteView) -> Move:
+    status = view.statuses.get(move.service)
+    if status is None or status.version != move.version or status.state is MoveState.RUNNING:
+        return move
+    if view.revision_of(MoveStatus, move.service) < move.order_revision:
+        return move
+    return move.with_end(completed=status.state is MoveState.COMPLETE)
+
+
+def _sum(one: VersionCount, other: VersionCount) -> VersionCount:
+    return VersionCount(
+        one.answers + other.answers, one.failures + other.failures, one.time_ms + other.time_ms
+    )
--- /dev/null
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -0,0 +1,177 @@
+"""Chooses the upstream of each queued request as soon as one has room for it."""
+
+from azureturn.core import Context, on
+from azureturn.core._queue import RequestQueue
+from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
+from azureturn.gateway.decisions._estimates import Candidate, Surroundings, candidate
+from azureturn.gateway.decisions._events import PlacementWanted
+from azureturn.gateway.decisions._moves import MoveTable
+from azureturn.gateway.decisions._peers import PeerTable
+from azureturn.gateway.decisions._prompts import PromptTable, SentPrompt
+from azureturn.gateway.decisions._rates import PlacementRateTable
+from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable
+from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
+from azureturn.gateway.decisions._work import UpstreamStateTable
+from azureturn.gateway.decisions.controllers._registry import (
+    GatewayController,
+    gateway_controller,
+)
+from azureturn.gateway.site import EngineShape, RegisteredUpstream
+
+#: Requests of a tier that are looked at before the tier is taken to wait for room.
+_HEADS = 4
+#: Candidates whose costs differ by less than this are equal; chance decides.
+_EQUAL_MS = 4.0
+
+
+@gateway_controller("placement")
+class PlacementController(GatewayController):
+    """Serves the most urgent tier first, at the upstream where it costs least."""
+
+    reads = (ViewTable, PeerTable, MoveTable)
+    writes = (
+        GatewayRequestTable,
+        GatewayQueueTable,
+        UpstreamStateTable,
+        PromptTable,
+        PlacementRateTable,
+    )
+    after = ("admission", "attempts")
+
+    @on(PlacementWanted)
+    def _on_wanted(self, event: PlacementWanted, context: Context) -> None:
+        queue = self.board.write(GatewayQueueTable).of(event.service)
+        while len(queue) and self._place_next(queue, event.service, context):
+            pass
+
+    def _place_next(
+        self, queue: "RequestQueue[GatewayRequest]", service: str, context: Context
+    ) -> bool:
+        """Place one request and return whether one was placed.
+
+        A tier whose first requests wait for room holds back the tiers below it.
+        """
+        for rank in queue.waiting_ranks():
+            for request in queue.heads(rank, _HEADS):
+                found = self._candidates(request, context)
+                with_room = [one for one in found if one.has_room]
+                if with_room:
+                    self._place(queue, request, _best(with_room, context), len(found), context)
+                    return True
+                if found:
+                    return False
+        return False
+
+    def _candidates(self, request: GatewayRequest, context: Context) -> list[Candidate]:
+        view = self.board.read(ViewTable).current()
+        serving = [
+            one
+            for one in view.upstreams.values()
+            if one.service == request.service and not one.is_leaving
+        ]
+        serving = self._of_version(request, serving, context)
+        untried = [one for one in serving if one.name not in request.tried]
+        states = self.board.write(UpstreamStateTable)
+        open_now = [one for one in untried if states.of(one.run).closed_until_ms <= context.now_ms]
+        engine = self._engine_of(request.service)
+        return [self._candidate(request, one, engine, context) for one in open_now]
+
+    def _of_version(
+        self, request: GatewayRequest, serving: list[RegisteredUpstream], context: Context
+    ) -> list[RegisteredUpstream]:
+        """Return the upstreams of the version that this request goes to."""
+        move = self.board.read(MoveTable).get(request.service)
+        if move is None:
+            return serving
+        new = [one for one in serving if one.version == move.version]
+        old = [one for one in serving if one.version != move.version]
+        share = move.share(context.now_ms, self.settings.bounds.move.share)
+        if move.completed:
+            return new or old
+        if new and old:
+            return new if context.random.random() < share else old
+        return old
+
+    def _candidate(
+        self,
+        request: GatewayRequest,
+        upstream: RegisteredUpstream,
+        engine: EngineShape | None,
+        context: Context,
+    ) -> Candidate:
+        peers = self.board.read(PeerTable)
+        record = None
+        if engine is not None:
+            record = self.board.write(PromptTable).of(upstream.run, engine.memory_tokens)
+        around = Surroundings(
+            upstream=upstream,
+            state=self.board.write(UpstreamStateTable).of(upstream.run),
+            peers=peers.work_at(upstream.name),
+            engine=engine,
+            record=record,
+            vms=peers.vms(context.now_ms),
+            own_zone=self.settings.vm.availability_zone,
+            now_ms=context.now_ms,
+        )
+        return candidate(request, around, self.settings.policy)
+
+    def _place(
+        self,
+        queue: "RequestQueue[GatewayRequest]",
+        request: GatewayRequest,
+        chosen: Candidate,
+        candidates: int,
+        context: Context,
+    ) -> None:
+        queue.take(request)
+        rates = self.board.write(PlacementRateTable)
+        rates.put(request.service, rates.of(request.service).with_placed())
+        upstream = chosen.upstream
+        states = self.board.write(UpstreamStateTable)
+        states.put(upstream.name, states.of(upstream.run).with_sent(chosen.pending_tokens))
+        engine = self._engine_of(request.service)
+        if engine is not None and request.prompt is not None and request.prompt.parts:
+            prompts = self.board.write(PromptTable)
+            prompts.of(upstream.run, engine.memory_tokens).note(
+                request.prompt.model, request.prompt.parts
+            )
+            prompts.untold.append(
+                SentPrompt(upstream.name, request.prompt.model, request.prompt.parts)
+            )
+        sent = request.with_sent(
+            upstream.name,
+            version=upstream.version,
+            now_ms=context.now_ms,
+            pending_tokens=chosen.pending_tokens,
+        )
+        self.board.write(GatewayRequestTable).put(request.request_id, sent)
+        context.act(
+            SendAttempt(
+                request.request_id, upstream, self._reason(request, chosen, candidates, context)
+            )
+        )
+
+    def _reason(
+        self, request: GatewayRequest, chosen: Candidate, candidates: int, context: Context
+    ) -> PlacementReason:
+        ages = [
+            context.now_ms - peer.heard_at_ms
+            for peer in self.board.read(PeerTable).heard(context.now_ms)
+        ]
+        return PlacementReason(
+            candidates=candidates,
+            expected_ms=int(chosen.expected_ms),
+            outstanding=chosen.requests,
+            queued_ms=context.now_ms - request.arrived_at_ms,
+            report_age_ms=max(ages, default=-1),
+        )
+
+    def _engine_of(self, service: str) -> EngineShape | None:
+        configuration = self.board.read(ViewTable).current().configuration
+        found = None if configuration is None else configuration.service(service)
+        return None if found is None else found.engine
+
+
+def _best(found: list[Candidate], context: Context) -> Candidate:
+    least = min(one.cost_ms for one in found)
+    return context.random.choice([one for one in found if one.cost_ms <= least + _EQUAL_MS])
--- /dev/null
+++ b/azureturn/gateway/decisions/controllers/_registry.py
@@ -0,0 +1,25 @@
+"""Where the gateway's controllers register, and their base."""
+
+from typing import TypeVar
+
+from azureturn.core import Controller
+from azureturn.gateway.settings import GatewaySettings
+
+GATEWAY_CONTROLLERS: dict[str, type[Controller[GatewaySettings]]] = {}
+
+_ControllerClass = TypeVar("_ControllerClass", bound=type[Controller[GatewaySettings]])
+
+
+class GatewayController(Controller[GatewaySettings]):
+    """The base of the gateway's controllers."""
+
+
+def gateway_controller(name: str):  # type: ignore[no-untyped-def]
+    """Register a controller class under ``name``."""
+
+    def register(cls: _ControllerClass) -> _ControllerClass:
+        cls.name = name
+        GATEWAY_CONTROLLERS[name] = cls
+        return cls
+
+    return register
--- /dev/null
+++ b/azureturn/gateway/exchange/_routing.py
@@ -0,0 +1,84 @@
+"""Finds the route and the organisation of a caller's request."""
+
+import xxhash
+
+from azureturn.errors import CallerError, ErrorKind, RefusedError
+from azureturn.gateway.decisions import GatewayRequest
+from azureturn.gateway.exchange._caller import CallerChannel
+from azureturn.gateway.site import CallerFacts, Organisation, Route, SiteConfiguration
+from azureturn.serving import CoreRuntime
+
+#: Ranks that routes may have within one rank of organisations.
+_ROUTE_RANKS = 16
+
+
+def route_request(
+    facts: CallerFacts,
+    caller: CallerChannel,
+    configuration: SiteConfiguration,
+    runtime: CoreRuntime,
+    *,
+    now_ms: int,
+) -> GatewayRequest:
+    """Return the request as it is to be decided on; an error says why it can't be let in."""
+    host = caller.header_values.get("host", "").partition(":")[0]
+    route = configuration.route_of(host, caller.path)
+    if route is None:
+        raise CallerError(ErrorKind.UNKNOWN_ROUTE)
+    organisation = _organisation_of(facts, route, configuration)
+    if runtime.has_mailbox(facts.request_id):
+        raise RefusedError(ErrorKind.OVERLOADED, "a request of this id is in progress")
+    timeout_ms = route.timeout_ms
+    if facts.patience_ms is not None:
+        timeout_ms = min(timeout_ms, facts.patience_ms)
+    return GatewayRequest(
+        request_id=facts.request_id,
+        organisation=organisation.name if organisation else "",
+        route=route,
+        service=_service_of(route, facts.request_id),
+        tier_rank=_rank_of(route, organisation),
+        arrived_at_ms=now_ms,
+        deadline_ms=now_ms + route.objective_ms,
+        ends_at_ms=now_ms + timeout_ms,
+        prompt=facts.prompt,
+        allotment_units=_allotment_units(facts, organisation),
+    )
+
+
+def _organisation_of(
+    facts: CallerFacts, route: Route, configuration: SiteConfiguration
+) -> Organisation | None:
+    organisation = configuration.organisation_of(facts.key)
+    if organisation is None and configuration.organisations and not route.is_public:
+        raise CallerError(ErrorKind.UNKNOWN_ORGANISATION)
+    return organisation
+
+
+def _rank_of(route: Route, organisation: Organisation | None) -> int:
+    """Return the tier: by the organisation's rank first, and by the route's among its requests."""
+    if organisation is None or organisation.rank is None:
+        return route.rank
+    return organisation.rank * _ROUTE_RANKS + min(route.rank, _ROUTE_RANKS - 1)
+
+
+def _allotment_units(facts: CallerFacts, organisation: Organisation | None) -> int:
+    if organisation is None:
+        return 0
+    if not organisation.allotment.counts_tokens:
+        return 1
+    if facts.prompt is None:
+        return organisation.allotment.uncounted_tokens
+    return facts.prompt.prompt_tokens + facts.prompt.answer_limit_tokens
+
+
+def _service_of(route: Route, request_id: str) -> str:
+    """Return one of the route's services by weight; the same request goes the same way."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(target.weight for target in route.targets)
+    point = (xxhash.xxh3_64_intdigest(request_id.encode()) / (1 << 64)) * total
+    for target in route.targets:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return route.targets[-1].service
--- /dev/null
+++ b/azureturn/gateway/exchange/_server.py
@@ -0,0 +1,115 @@
+"""The HTTP servers of the gateway: towards callers, and for the balancer's questions."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cheroot.server import Gateway
+
+from azureturn.errors import AzureturnError
+from azureturn.gateway.exchange._caller import CallerChannel
+from azureturn.gateway.exchange._exchange import CutError, Exchange
+from azureturn.gateway.exchange._services import ExchangeServices
+from azureturn.observability import LogEvent
+from azureturn.serving import BoundedServer, RefusalMessage, ServerLimits
+
+#: Until the configuration is known, and whatever it says: these bound the library itself.
+_HEADER_LIMIT_BYTES = 65_536
+_HEADER_TIMEOUT_MS = 10_000
+_BODY_TIMEOUT_MS = 15_000
+#: Longer than callers keep a connection idle.
+_IDLE_TIMEOUT_MS = 60_000
+_READINESS_THREADS = 2
+_READINESS_BACKLOG = 16
+
+
+class GatewayServer(BoundedServer):
+    """Serves callers."""
+
+    def __init__(self, services: ExchangeServices) -> None:
+        vm = services.settings.vm
+        limits = services.settings.limits
+
+        def refusal(error: AzureturnError, request_id: str) -> RefusalMessage:
+            headers = services.dialect.encode_refusal(error.retry_after_ms, request_id)
+            return RefusalMessage(dict(headers), b"")
+
+        super().__init__(
+            (vm.caller_host, vm.caller_port),
+            None,
+            ServerLimits(
+                threads=limits.caller_threads,
+                accept_backlog=limits.accept_backlog,
+                header_bytes=_HEADER_LIMIT_BYTES,
+                header_timeout_ms=_HEADER_TIMEOUT_MS,
+                body_timeout_ms=_BODY_TIMEOUT_MS,
+                idle_timeout_ms=_IDLE_TIMEOUT_MS,
+            ),
+            new_request_id=lambda: "",
+            refusal=refusal,
+            report_error=lambda text: services.log.error(LogEvent.INTERNAL_ERROR, error=text),
+            report_refusal=lambda request_id, error: services.log.error(
+                LogEvent.REQUEST_REFUSED,
+                request_id=request_id,
+                kind=error.kind.value,
+                run_state=error.run_state.value,
+            ),
+        )
+        self.services = services
+        self.gateway = _ExchangeGateway
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log what the library could not handle; a connection broken off on purpose is no error."""
+        if not msg.startswith(CutError.__name__):
+            super().error_log(msg, level, traceback)
+
+
+class _ExchangeGateway(Gateway):  # type: ignore[misc]
+    """What the library calls for each request."""
+
+    def respond(self) -> None:
+        request = self.req
+        channel = CallerChannel(request)
+        Exchange(request.server.services, channel).serve()
+
+
+class ReadinessServer(BoundedServer):
+    """Answers whether this VM is ready, on a port of its own."""
+
+    def __init__(
+        self,
+        services: ExchangeServices,
+        *,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        vm = services.settings.vm
+        super().__init__(
+            (vm.readiness_host, vm.readiness_port),
+            None,
+            ServerLimits(
+                threads=_READINESS_THREADS,
+                accept_backlog=_READINESS_BACKLOG,
+                header_bytes=_HEADER_LIMIT_BYTES,
+                header_timeout_ms=_HEADER_TIMEOUT_MS,
+                body_timeout_ms=_BODY_TIMEOUT_MS,
+                idle_timeout_ms=_HEADER_TIMEOUT_MS,
+            ),
+            new_request_id=lambda: "",
+            refusal=lambda error, request_id: RefusalMessage({}, b""),
+            report_error=lambda text: services.log.error(LogEvent.INTERNAL_ERROR, error=text),
+            report_refusal=lambda request_id, error: None,
+        )
+        self.readiness_path = services.dialect.readiness_path
+        self.is_ready = is_ready
+        self.gateway = _ReadinessGateway
+
+
+class _ReadinessGateway(Gateway):  # type: ignore[misc]
+    def respond(self) -> None:
+        channel = CallerChannel(self.req)
+        server: Any = self.req.server
+        if channel.path == server.readiness_path:
+            ready = server.is_ready()
+            status, body = (200, b"ready\n") if ready else (503, b"not ready\n")
+        else:
+            status, body = 404, b""
+        channel.answer(status, "", [("Content-Type", "text/plain")], body, close=False)
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -28,6 +28,17 @@
     MOVE_RECORD_REFUSED = "move_record_refused"
     VM_LIST_UNAVAILABLE = "vm_list_unavailable"
     KEY_VALUE_UNAVAILABLE = "key_value_unavailable"
+    ATTEMPT_PLACED = "attempt_placed"
+    ATTEMPT_ENDED = "attempt_ended"
+    EXCHANGE_ENDED = "exchange_ended"
+    UPSTREAM_CHANGED = "upstream_changed"
+    DOCUMENT_REFUSED = "document_refused"
+    KEY_VALUE_REGAINED = "key_value_regained"
+    STORE_HISTORY_LOST = "store_history_lost"
+    MOVE_STATUS_WRITTEN = "move_status_written"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_REPORT_REFUSED = "peer_report_refused"
+    SETTINGS_RELOADED = "settings_reloaded"
     INTERNAL_ERROR = "internal_error"
     LINES_LEFT_OUT = "lines_left_out"
 
@@ -102,6 +113,66 @@
         LogEvent.KEY_VALUE_UNAVAILABLE: _error_row(
             "The platform's key-value service gave no answer.", "error"
         ),
+        LogEvent.ATTEMPT_PLACED: LogEventRow(
+            "A request of the gateway is about to be sent to an upstream.",
+            (
+                "request_id",
+                "upstream",
+                "candidates",
+                "expected_ms",
+                "outstanding",
+                "queued_ms",
+                "report_age_ms",
+            ),
+        ),
+        LogEvent.ATTEMPT_ENDED: LogEventRow(
+            "An attempt at one upstream has ended.",
+            (
+                "request_id",
+                "upstream",
+                "result",
+                "first_event_ms",
+                "events",
+                "took_ms",
+                "error",
+            ),
+        ),
+        LogEvent.EXCHANGE_ENDED: LogEventRow(
+            "A request of the gateway has its final answer, or its caller is gone.",
+            (
+                "request_id",
+                "organisation",
+                "route",
+                "rank",
+                "upstream",
+                "ended",
+                "attempts",
+                "configuration",
+                "took_ms",
+            ),
+        ),
+        LogEvent.UPSTREAM_CHANGED: LogEventRow(
+            "An upstream came, is leaving, or is gone.",
+            ("upstream", "state", "version", "revision", "source"),
+        ),
+        LogEvent.DOCUMENT_REFUSED: _error_row(
+            "A document of the store cannot be read and was left out.", "key", "error"
+        ),
+        LogEvent.KEY_VALUE_REGAINED: LogEventRow(
+            "The key-value service answers again.", ("revision",)
+        ),
+        LogEvent.STORE_HISTORY_LOST: _error_row(
+            "The key-value service dropped its history; everything is read anew.", "error"
+        ),
+        LogEvent.MOVE_STATUS_WRITTEN: LogEventRow(
+            "What is to be said of a move was written, or another VM was first.",
+            ("service", "version", "state", "revision", "outcome"),
+        ),
+        LogEvent.PEER_UNREACHABLE: _error_row(
+            "Another VM could not be told or asked.", "vm_host", "error"
+        ),
+        LogEvent.PEER_REPORT_REFUSED: _error_row("A datagram was no report of a peer.", "error"),
+        LogEvent.SETTINGS_RELOADED: LogEventRow("The process was told to read its settings.", ()),
         LogEvent.INTERNAL_ERROR: _error_row(
             "azureturn itself failed; the type and the place of the failure are told.",
             "request_id",
@@ -144,6 +215,22 @@
         "peer_port": "Port for VMs and operators.",
         "claims_unsettled": "Calls that ended here and whose end the service does not hold.",
         "requests_cut": "Requests in flight that the stop cut; 0 in a graceful one.",
+        "candidates": "Upstreams that could have been chosen.",
+        "expected_ms": "Expected time to the first event, or to a plain answer.",
+        "outstanding": "Requests at the upstream from all VMs, by estimate.",
+        "queued_ms": "Time from the request's arrival.",
+        "report_age_ms": "Age of the oldest peer's report that counted; -1 without peers.",
+        "result": "What became of an attempt.",
+        "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
+        "events": "Events that came.",
+        "rank": "The tier's rank; 0 is the most urgent.",
+        "attempts": "How often the request was sent.",
+        "configuration": "Version of the configuration by which the request was served.",
+        "version": "Version of an upstream or of a move.",
+        "key": "Key in the key-value service.",
+        "service": "Name of a service.",
+        "outcome": "What became of a write.",
+        "vm_host": "IP number of another VM.",
         "of_event": "The event whose lines were left out.",
         "line_count": "How many lines were left out since the last such line.",
     }
--- a/azureturn/observability/_logs.py
+++ b/azureturn/observability/_logs.py
@@ -7,7 +7,7 @@
 import traceback
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import logbook
 
@@ -105,6 +105,11 @@
         stream = Path(path).open("a", encoding="utf-8")  # noqa: SIM115
         return cls(JsonLinesHandler(stream), vm=vm)
 
+    @classmethod
+    def to_stream(cls, stream: TextIO, *, vm: str) -> "EventLog":
+        """Return a log that writes to an open stream."""
+        return cls(JsonLinesHandler(stream), vm=vm)
+
     def info(self, event: LogEvent, **fields: Any) -> None:
         """Log something that happens in ordinary service."""
         self._log(self._logger.info, event, fields)
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -5,11 +5,14 @@
 from azureturn.peers._heartbeats import heartbeat_from_wire, heartbeat_to_wire
 from azureturn.peers._server import PeerHandler, PeerServer
 from azureturn.peers.gen.ttypes import (
+    AllotmentSpent,
     ConfigurationAnswer,
     ConfigurationQuery,
+    GatewayReport,
     Header,
     Heartbeat,
     LatencyHistogram,
+    MoveSeen,
     NoArgument,
     Offer,
     OfferAnswer,
@@ -19,6 +22,7 @@
     OutcomeQuery,
     OutcomeState,
     PeerRefused,
+    PromptSent,
     Refusal,
     Refusals,
     RefusalsArgument,
@@ -30,12 +34,22 @@
     TicketedCall,
     UpstreamStatus,
     UpstreamStatuses,
+    UpstreamWork,
+    VersionSeen,
     VmAddress,
     VmAddresses,
+    VmAddressSeen,
     VmStatus,
 )
 
 __all__ = [
+    "AllotmentSpent",
+    "GatewayReport",
+    "MoveSeen",
+    "PromptSent",
+    "UpstreamWork",
+    "VersionSeen",
+    "VmAddressSeen",
     "ConfigurationAnswer",
     "ConfigurationQuery",
     "EnvelopeSigner",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -229,6 +229,67 @@
   3: list<ServiceLevelPoint> series,
 }
 
+// What one VM of the gateway has outstanding at an upstream.
+struct UpstreamWork {
+  1: string upstream,
+  2: i32 requests,
+  // Prompt tokens that are still to be worked off before a first event.
+  3: i32 pending_prompt_tokens,
+}
+
+// What one VM has let pass for an organisation since its boot.
+struct AllotmentSpent {
+  1: string organisation,
+  2: i64 units,
+}
+
+// A prompt that was sent to an upstream.
+struct PromptSent {
+  1: string upstream,
+  2: string model,
+  3: list<string> part_ids,
+  4: list<i32> part_tokens,
+}
+
+// What one VM has seen of a version since its boot.
+struct VersionSeen {
+  1: string service_name,
+  2: string version,
+  3: i32 answers,
+  4: i32 failures,
+  5: i64 time_ms,
+}
+
+struct MoveSeen {
+  1: string service_name,
+  2: string version,
+  3: i32 elapsed_ms,
+  4: bool condemned,
+}
+
+struct VmAddressSeen {
+  1: string vm,
+  2: string host,
+}
+
+// One datagram, sent to every peer many times a second.
+struct GatewayReport {
+  1: string vm,
+  2: string host,
+  3: i64 boot,
+  4: i64 sequence,
+  5: bool leaving,
+  // Revision of the store up to which the sender has taken everything in.
+  6: i64 view_revision,
+  7: list<UpstreamWork> work,
+  8: list<AllotmentSpent> spent,
+  9: list<PromptSent> prompts,
+  10: list<VersionSeen> versions,
+  11: list<MoveSeen> moves,
+  12: list<VmAddressSeen> peers,
+  13: i32 queued_requests,
+}
+
 exception PeerRefused {
   1: string kind,
   2: string message,
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3196,6 +3196,864 @@
         return not (self == other)
 
 
+class UpstreamWork(object):
+    """
+    Attributes:
+     - upstream
+     - requests
+     - pending_prompt_tokens
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'requests',
+        'pending_prompt_tokens',
+    )
+
+
+    def __init__(self, upstream=None, requests=None, pending_prompt_tokens=None,):
+        self.upstream = upstream
+        self.requests = requests
+        self.pending_prompt_tokens = pending_prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.pending_prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamWork')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 2)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.pending_prompt_tokens is not None:
+            oprot.writeFieldBegin('pending_prompt_tokens', TType.I32, 3)
+            oprot.writeI32(self.pending_prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AllotmentSpent(object):
+    """
+    Attributes:
+     - organisation
+     - units
+
+    """
+
+    __slots__ = (
+        'organisation',
+        'units',
+    )
+
+
+    def __init__(self, organisation=None, units=None,):
+        self.organisation = organisation
+        self.units = units
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.units = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AllotmentSpent')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.units is not None:
+            oprot.writeFieldBegin('units', TType.I64, 2)
+            oprot.writeI64(self.units)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PromptSent(object):
+    """
+    Attributes:
+     - upstream
+     - model
+     - part_ids
+     - part_tokens
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'model',
+        'part_ids',
+        'part_tokens',
+    )
+
+
+    def __init__(self, upstream=None, model=None, part_ids=None, part_tokens=None,):
+        self.upstream = upstream
+        self.model = model
+        self.part_ids = part_ids
+        self.part_tokens = part_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.part_ids = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.part_ids.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.part_tokens = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI32()
+                        self.part_tokens.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptSent')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 2)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.part_ids is not None:
+            oprot.writeFieldBegin('part_ids', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.part_ids))
+            for iter103 in self.part_ids:
+                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_tokens is not None:
+            oprot.writeFieldBegin('part_tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.part_tokens))
+            for iter104 in self.part_tokens:
+                oprot.writeI32(iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VersionSeen(object):
+    """
+    Attributes:
+     - service_name
+     - version
+     - answers
+     - failures
+     - time_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'version',
+        'answers',
+        'failures',
+        'time_ms',
+    )
+
+
+    def __init__(self, service_name=None, version=None, answers=None, failures=None, time_ms=None,):
+        self.service_name = service_name
+        self.version = version
+        self.answers = answers
+        self.failures = failures
+        self.time_ms = time_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.time_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionSeen')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I32, 3)
+            oprot.writeI32(self.answers)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 4)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.time_ms is not None:
+            oprot.writeFieldBegin('time_ms', TType.I64, 5)
+            oprot.writeI64(self.time_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MoveSeen(object):
+    """
+    Attributes:
+     - service_name
+     - version
+     - elapsed_ms
+     - condemned
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'version',
+        'elapsed_ms',
+        'condemned',
+    )
+
+
+    def __init__(self, service_name=None, version=None, elapsed_ms=None, condemned=None,):
+        self.service_name = service_name
+        self.version = version
+        self.elapsed_ms = elapsed_ms
+        self.condemned = condemned
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.elapsed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.condemned = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MoveSeen')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.elapsed_ms is not None:
+            oprot.writeFieldBegin('elapsed_ms', TType.I32, 3)
+            oprot.writeI32(self.elapsed_ms)
+            oprot.writeFieldEnd()
+        if self.condemned is not None:
+            oprot.writeFieldBegin('condemned', TType.BOOL, 4)
+            oprot.writeBool(self.condemned)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VmAddressSeen(object):
+    """
+    Attributes:
+     - vm
+     - host
+
+    """
+
+    __slots__ = (
+        'vm',
+        'host',
+    )
+
+
+    def __init__(self, vm=None, host=None,):
+        self.vm = vm
+        self.host = host
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VmAddressSeen')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GatewayReport(object):
+    """
+    Attributes:
+     - vm
+     - host
+     - boot
+     - sequence
+     - leaving
+     - view_revision
+     - work
+     - spent
+     - prompts
+     - versions
+     - moves
+     - peers
+     - queued_requests
+
+    """
+
+    __slots__ = (
+        'vm',
+        'host',
+        'boot',
+        'sequence',
+        'leaving',
+        'view_revision',
+        'work',
+        'spent',
+        'prompts',
+        'versions',
+        'moves',
+        'peers',
+        'queued_requests',
+    )
+
+
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None,):
+        self.vm = vm
+        self.host = host
+        self.boot = boot
+        self.sequence = sequence
+        self.leaving = leaving
+        self.view_revision = view_revision
+        self.work = work
+        self.spent = spent
+        self.prompts = prompts
+        self.versions = versions
+        self.moves = moves
+        self.peers = peers
+        self.queued_requests = queued_requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.boot = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.view_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = UpstreamWork()
+                        _elem110.read(iprot)
+                        self.work.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.spent = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = AllotmentSpent()
+                        _elem116.read(iprot)
+                        self.spent.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = PromptSent()
+                        _elem122.read(iprot)
+                        self.prompts.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = VersionSeen()
+                        _elem128.read(iprot)
+                        self.versions.append(_elem128)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.moves = []
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = MoveSeen()
+                        _elem134.read(iprot)
+                        self.moves.append(_elem134)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = VmAddressSeen()
+                        _elem140.read(iprot)
+                        self.peers.append(_elem140)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.queued_requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GatewayReport')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.boot is not None:
+            oprot.writeFieldBegin('boot', TType.I64, 3)
+            oprot.writeI64(self.boot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 4)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.view_revision is not None:
+            oprot.writeFieldBegin('view_revision', TType.I64, 6)
+            oprot.writeI64(self.view_revision)
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter141 in self.work:
+                iter141.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.spent))
+            for iter142 in self.spent:
+                iter142.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.prompts))
+            for iter143 in self.prompts:
+                iter143.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions))
+            for iter144 in self.versions:
+                iter144.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.moves is not None:
+            oprot.writeFieldBegin('moves', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.moves))
+            for iter145 in self.moves:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.peers))
+            for iter146 in self.peers:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.queued_requests is not None:
+            oprot.writeFieldBegin('queued_requests', TType.I32, 13)
+            oprot.writeI32(self.queued_requests)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerRefused(TException):
     """
     Attributes:
@@ -3526,6 +4384,67 @@
     (2, TType.LIST, 'windows', (TType.STRUCT, [ServiceLevelWindow, None], False), None, ),  # 2
     (3, TType.LIST, 'series', (TType.STRUCT, [ServiceLevelPoint, None], False), None, ),  # 3
 )
+all_structs.append(UpstreamWork)
+UpstreamWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'requests', None, None, ),  # 2
+    (3, TType.I32, 'pending_prompt_tokens', None, None, ),  # 3
+)
+all_structs.append(AllotmentSpent)
+AllotmentSpent.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'units', None, None, ),  # 2
+)
+all_structs.append(PromptSent)
+PromptSent.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'model', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'part_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'part_tokens', (TType.I32, None, False), None, ),  # 4
+)
+all_structs.append(VersionSeen)
+VersionSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'answers', None, None, ),  # 3
+    (4, TType.I32, 'failures', None, None, ),  # 4
+    (5, TType.I64, 'time_ms', None, None, ),  # 5
+)
+all_structs.append(MoveSeen)
+MoveSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'elapsed_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'condemned', None, None, ),  # 4
+)
+all_structs.append(VmAddressSeen)
+VmAddressSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+)
+all_structs.append(GatewayReport)
+GatewayReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'boot', None, None, ),  # 3
+    (4, TType.I64, 'sequence', None, None, ),  # 4
+    (5, TType.BOOL, 'leaving', None, None, ),  # 5
+    (6, TType.I64, 'view_revision', None, None, ),  # 6
+    (7, TType.LIST, 'work', (TType.STRUCT, [UpstreamWork, None], False), None, ),  # 7
+    (8, TType.LIST, 'spent', (TType.STRUCT, [AllotmentSpent, None], False), None, ),  # 8
+    (9, TType.LIST, 'prompts', (TType.STRUCT, [PromptSent, None], False), None, ),  # 9
+    (10, TType.LIST, 'versions', (TType.STRUCT, [VersionSeen, None], False), None, ),  # 10
+    (11, TType.LIST, 'moves', (TType.STRUCT, [MoveSeen, None], False), None, ),  # 11
+    (12, TType.LIST, 'peers', (TType.STRUCT, [VmAddressSeen, None], False), None, ),  # 12
+    (13, TType.I32, 'queued_requests', None, None, ),  # 13
+)
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
     None,  # 0
--- /dev/null
+++ b/azureturn/serving/__init__.py
@@ -0,0 +1,30 @@
+"""What every serving program shares: the core's runtime, the HTTP server, the planned stop."""
+
+from azureturn.serving._bounded_server import (
+    BACKLOG_LIMIT,
+    DRAIN_LIMIT_BYTES,
+    DRAIN_LIMIT_MS,
+    BoundedServer,
+    RefusalMessage,
+    ServerLimits,
+)
+from azureturn.serving._caller_watch import CallerWatch
+from azureturn.serving._runtime import CoreRuntime, next_action, now_ms
+from azureturn.serving._stop import QUIET_POLLS, PlannedStop, StopLimits, StopStage
+
+__all__ = [
+    "BACKLOG_LIMIT",
+    "DRAIN_LIMIT_BYTES",
+    "DRAIN_LIMIT_MS",
+    "QUIET_POLLS",
+    "BoundedServer",
+    "CallerWatch",
+    "CoreRuntime",
+    "PlannedStop",
+    "RefusalMessage",
+    "ServerLimits",
+    "StopLimits",
+    "StopStage",
+    "next_action",
+    "now_ms",
+]
--- a/azureturn/daemon/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -15,8 +15,8 @@
 
 
 def now_ms() -> int:
-    """Return this VM's monotonic clock."""
-    return time.monotonic_ns() // 1_000_000
+    """Return this VM's clock since boot, which also runs while the VM is suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 class CoreRuntime:
@@ -50,6 +50,16 @@
         """Forget a request's mailbox."""
         self._mailboxes.pop(request_id, None)
 
+    def has_mailbox(self, request_id: str) -> bool:
+        """Return whether a request of this id is in progress."""
+        return request_id in self._mailboxes
+
+    def deliver(self, action: RequestAction) -> None:
+        """Hand a request an action that an adapter decided on, if it still waits for any."""
+        mailbox = self._mailboxes.get(action.request_id)
+        if mailbox is not None:
+            mailbox.put(action)
+
     @property
     def requests_in_progress(self) -> int:
         """Return how many mailboxes are open."""
@@ -82,9 +92,7 @@
             performer(action)
             return
         if isinstance(action, RequestAction):
-            mailbox = self._mailboxes.get(action.request_id)
-            if mailbox is not None:
-                mailbox.put(action)
+            self.deliver(action)
 
     def _tick_forever(self) -> None:
         while not self._stopped.wait(self._tick_interval_s):
--- a/azureturn/daemon/_stop.py
+++ b/azureturn/serving/_stop.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from azureturn.daemon._runtime import now_ms
+from azureturn.serving._runtime import now_ms
 
 _POLL_S = 0.02
 #: Nothing must be unfinished for so many polls in a row: a request may be just being read.
--- a/azureturn/store/__init__.py
+++ b/azureturn/store/__init__.py
@@ -1,7 +1,30 @@
 """Clients of what the platform gives: the key-value service and the list of VMs."""
 
+from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.store._key_value import KeyValueClient
 from azureturn.store._key_value_answers import KeyValueEntry
+from azureturn.store._port import (
+    ConditionalStore,
+    HistoryLostError,
+    StoreChange,
+    StoreChanges,
+    StoreRefusedError,
+    StoreSnapshot,
+    WatchedStore,
+)
 from azureturn.store._vm_list import ListedVm, VmListClient
 
-__all__ = ["KeyValueClient", "KeyValueEntry", "ListedVm", "VmListClient"]
+__all__ = [
+    "SOCKET_OPTIONS",
+    "ConditionalStore",
+    "HistoryLostError",
+    "KeyValueClient",
+    "KeyValueEntry",
+    "ListedVm",
+    "StoreChange",
+    "StoreChanges",
+    "StoreRefusedError",
+    "StoreSnapshot",
+    "VmListClient",
+    "WatchedStore",
+]
--- a/azureturn/store/_key_value.py
+++ b/azureturn/store/_key_value.py
@@ -9,13 +9,13 @@
 
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
+from azureturn.settings import PlatformSettings
 from azureturn.store._key_value_answers import (
     KeyValueEntry,
     decode_entries,
     decode_transaction,
     decode_watch_line,
 )
-from azureturn.settings import PlatformSettings
 
 #: A watch is asked anew after this long without a line.
 WATCH_SILENCE_MS = 30_000
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,8 +8,8 @@
 import pytest
 
 from azureturn.daemon._gossip import CONFIGURATION_KEY
-from azureturn.store import KeyValueClient
 from azureturn.settings import read_merged
+from azureturn.store import KeyValueClient
 from standins.site import EXAMPLES, Site
 
 WAIT_LIMIT_S = 30.0
