--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -43,6 +43,8 @@
     kind: ErrorKind
     retry_after_ms: int
     run_state: RunState = RunState.NOT_RUN
+    #: What decided it, for the log.
+    detail: str = ""
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -1,79 +1,106 @@
-"""What each organisation may still use, counted over all VMs.
+"""What each organisation may still use, counted over all VMs in a sliding window.
 
-Every VM holds a bucket filled at the organisation's whole rate and takes from it what it lets pass
-and what its peers say that they let pass. For a peer that is not heard, an equal share of the rate
-is taken instead, so that VMs which do not hear each other together pass no more than the rate.
+Every VM counts what it let pass in the window and hears from each peer what that peer let pass in
+its own. A peer that falls silent is thought to have stopped, so that what it last said slides out
+of the window; in exchange the VMs that hear each other use only their share of the limit. Parts of
+a divided site together so pass no more than the whole limit.
 """
 
-from dataclasses import dataclass, field
+from collections import deque
+from dataclasses import dataclass
 
 from azureturn.core import Table
-from azureturn.core import changed_row as changed
+from azureturn.gateway.settings import AllotmentBounds
 from azureturn.gateway.site import Allotment
 
 _MS_PER_S = 1_000.0
+#: Parts of the bounds' margins that are used; the rest covers what peers have not said yet.
+_OVERSHOOT_SHARE = 0.4
+_SLACK_SHARE = 0.3
+#: After a restart, this VM's earlier process is thought to have used this part of its share.
+_FORGOTTEN_SHARE = 0.5
 
 
 @dataclass(frozen=True)
-class AllotmentState:
-    """One organisation's bucket as this VM sees it."""
+class PeerUse:
+    """What a peer said that an organisation used in its window."""
 
-    #: What may still pass; below zero after a large request or late news from peers.
-    level: float = 0.0
-    filled_at_ms: int = 0
-    #: What this VM has let pass since its boot.
-    own_units: int = 0
+    units: int
+    said_at_ms: int
 
-    def with_time(
-        self, allotment: Allotment, *, heard_share: float, now_ms: int
-    ) -> "AllotmentState":
-        """Return a copy filled up to now; ``heard_share`` is that of VMs that are heard."""
-        passed_ms = max(0, now_ms - self.filled_at_ms) if self.filled_at_ms else 0
-        gained = allotment.rate_per_s * heard_share * passed_ms / _MS_PER_S
-        limit = allotment.burst * heard_share
-        return changed(self, level=min(limit, self.level + gained), filled_at_ms=now_ms)
 
-    def with_passed(self, units: int) -> "AllotmentState":
-        """Return a copy from which one request more has been taken."""
-        return changed(self, level=self.level - units, own_units=self.own_units + units)
+class AllotmentWindow:
+    """One organisation's use of the last window, on this VM and on its peers."""
 
-    def with_given_back(self, units: int) -> "AllotmentState":
-        """Return a copy to which a request that was not sent has been given back."""
-        return changed(self, level=self.level + units, own_units=self.own_units - units)
+    def __init__(self) -> None:
+        self._passed: deque[tuple[int, int]] = deque()
+        self._own_units = 0
+        self._peers: dict[str, PeerUse] = {}
 
-    def with_peers_passed(self, units: float) -> "AllotmentState":
-        """Return a copy from which a peer's requests have been taken."""
-        return changed(self, level=self.level - units)
+    def own_units(self, now_ms: int, window_ms: int) -> int:
+        """Return what this VM let pass in the window."""
+        while self._passed and self._passed[0][0] <= now_ms - window_ms:
+            self._own_units -= self._passed.popleft()[1]
+        return self._own_units
 
+    def peers_units(self, now_ms: int, window_ms: int) -> float:
+        """Return what the peers let pass in the window, as far as they said."""
+        return sum(
+            use.units * max(0.0, 1.0 - (now_ms - use.said_at_ms) / window_ms)
+            for use in self._peers.values()
+        )
 
-@dataclass
-class PeerSpending:
-    """What one peer's boot has said of each organisation."""
+    def note_passed(self, units: int, now_ms: int) -> None:
+        """Count a request that is let pass, or with fewer than no units one that was not sent."""
+        self._passed.append((now_ms, units))
+        self._own_units += units
 
-    boot: int
-    units: dict[str, int] = field(default_factory=dict)
+    def note_peer(self, vm: str, units: int, now_ms: int) -> None:
+        """Take in what a peer says of its window."""
+        self._peers[vm] = PeerUse(units, now_ms)
 
-    def news(self, organisation: str, units: int) -> int:
-        """Return what is new in a peer's count, and remember the count."""
-        before = self.units.get(organisation, 0)
-        self.units[organisation] = units
-        return units - before
+    def forget_peer(self, vm: str) -> None:
+        """Forget a peer that is gone for good."""
+        self._peers.pop(vm, None)
 
 
-class AllotmentTable(Table[str, AllotmentState]):
-    """Buckets by organisation, and what peers have said."""
+class AllotmentTable(Table[str, AllotmentWindow]):
+    """Windows by organisation."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.peers: dict[str, PeerSpending] = {}
-
-    def of(self, organisation: str) -> AllotmentState:
-        """Return an organisation's bucket; a new one starts empty."""
-        return self.get(organisation) or AllotmentState()
-
-    def spending_of(self, vm: str, boot: int) -> PeerSpending:
-        """Return what a peer's boot has said."""
-        spending = self.peers.get(vm)
-        if spending is None or spending.boot != boot:
-            spending = self.peers[vm] = PeerSpending(boot)
-        return spending
+        #: When this process began, if an earlier one of this VM may have let requests pass.
+        self.restarted_at_ms: int | None = None
+
+    def of(self, organisation: str) -> AllotmentWindow:
+        """Return an organisation's window, made when first asked for."""
+        window = self.get(organisation)
+        if window is None:
+            window = AllotmentWindow()
+            self.put(organisation, window)
+        return window
+
+    def left(
+        self,
+        organisation: str,
+        allotment: Allotment,
+        bounds: AllotmentBounds,
+        *,
+        heard_share: float,
+        own_share: float,
+        now_ms: int,
+    ) -> float:
+        """Return the units that this VM may still let pass now."""
+        window = self.of(organisation)
+        limit = allotment.rate_per_s * bounds.window_ms / _MS_PER_S + allotment.burst
+        bound = limit * (1.0 + _OVERSHOOT_SHARE * bounds.overshoot) + _SLACK_SHARE * bounds.slack
+        used = window.own_units(now_ms, bounds.window_ms)
+        used_by_peers = window.peers_units(now_ms, bounds.window_ms)
+        forgotten = self._forgotten_part(bounds.window_ms, now_ms) * own_share * limit
+        return bound * heard_share - used - used_by_peers - forgotten
+
+    def _forgotten_part(self, window_ms: int, now_ms: int) -> float:
+        if self.restarted_at_ms is None:
+            return 0.0
+        passed = (now_ms - self.restarted_at_ms) / window_ms
+        return _FORGOTTEN_SHARE * max(0.0, 1.0 - passed)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -52,7 +52,7 @@
     leaving: bool
     view_revision: int
     work: dict[str, WorkReport]
-    #: Units that the organisations have used since the boot.
+    #: Units that the organisations used at the VM in the last window.
     spent: dict[str, int]
     prompts: tuple[SentPrompt, ...]
     #: By service and version.
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -2,12 +2,12 @@
 
 from azureturn.core import Context, QueuedRequest, Refuse, Tick, on
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
-from azureturn.gateway.decisions._allotments import AllotmentState, AllotmentTable
+from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import (
     CallerArrived,
+    GatewayStarted,
     PlacementWanted,
     RequestClosed,
-    ViewChanged,
 )
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._rates import PlacementRateTable
@@ -41,14 +41,10 @@
     )
     after = ("views",)
 
-    @on(ViewChanged)
-    def _on_view(self, event: ViewChanged, context: Context) -> None:
-        """Begin to fill the buckets of organisations that are new."""
-        configuration = self.board.read(ViewTable).current().configuration
-        table = self.board.write(AllotmentTable)
-        for one in configuration.organisations if configuration else ():
-            if table.get(one.name) is None:
-                table.put(one.name, AllotmentState(filled_at_ms=context.now_ms))
+    @on(GatewayStarted)
+    def _on_started(self, event: GatewayStarted, context: Context) -> None:
+        if not self.settings.vm.is_first_start:
+            self.board.write(AllotmentTable).restarted_at_ms = context.now_ms
 
     @on(CallerArrived)
     def _on_arrived(self, event: CallerArrived, context: Context) -> None:
@@ -91,24 +87,36 @@
         if request is None or request.stage is not Stage.QUEUED:
             return
         self.board.write(GatewayQueueTable).of(request.service).remove(request)
-        self._give_back(request)
+        self._give_back(request, context)
 
     def _pass_allotment(self, request: GatewayRequest, context: Context) -> bool:
         allotment = self._allotment_of(request.organisation)
         if allotment is None or allotment.rate_per_s <= 0:
             return True
+        peers = self.board.read(PeerTable)
         table = self.board.write(AllotmentTable)
-        heard_share = self.board.read(PeerTable).heard_share(context.now_ms)
-        state = table.of(request.organisation).with_time(
-            allotment, heard_share=heard_share, now_ms=context.now_ms
+        heard_share = peers.heard_share(context.now_ms)
+        left = table.left(
+            request.organisation,
+            allotment,
+            self.settings.bounds.allotment,
+            heard_share=heard_share,
+            own_share=1.0 / peers.vms(context.now_ms),
+            now_ms=context.now_ms,
+        )
+        if left > 0:
+            table.of(request.organisation).note_passed(request.allotment_units, context.now_ms)
+            return True
+        retry_after_ms = _refill_ms(left, allotment, request.allotment_units)
+        context.act(
+            Refuse(
+                request.request_id,
+                ErrorKind.OVER_ALLOTMENT,
+                retry_after_ms,
+                detail=f"left {left:.0f} heard {heard_share:.2f}",
+            )
         )
-        if state.level <= 0:
-            table.put(request.organisation, state)
-            retry_after_ms = _refill_ms(state, allotment, request.allotment_units)
-            context.act(Refuse(request.request_id, ErrorKind.OVER_ALLOTMENT, retry_after_ms))
-            return False
-        table.put(request.organisation, state.with_passed(request.allotment_units))
-        return True
+        return False
 
     def _allotment_of(self, organisation: str) -> Allotment | None:
         configuration = self.board.read(ViewTable).current().configuration
@@ -117,13 +125,11 @@
         found = next((o for o in configuration.organisations if o.name == organisation), None)
         return None if found is None else found.allotment
 
-    def _give_back(self, request: GatewayRequest) -> None:
-        if request.tried:
-            return
-        table = self.board.write(AllotmentTable)
-        state = table.get(request.organisation)
-        if state is not None:
-            table.put(request.organisation, state.with_given_back(request.allotment_units))
+    def _give_back(self, request: GatewayRequest, context: Context) -> None:
+        """Take a request that was never sent out of its organisation's count."""
+        if not request.tried and request.allotment_units:
+            window = self.board.write(AllotmentTable).of(request.organisation)
+            window.note_passed(-request.allotment_units, context.now_ms)
 
     def _is_served(self, request: GatewayRequest) -> bool:
         view = self.board.read(ViewTable).current()
@@ -145,13 +151,12 @@
         self, request: GatewayRequest, kind: ErrorKind, wait_ms: int, context: Context
     ) -> None:
         self.board.write(GatewayRequestTable).remove(request.request_id)
-        self._give_back(request)
+        self._give_back(request, context)
         retry_after_ms = min(_LONGEST_RETRY_AFTER_MS, max(_LEAST_RETRY_AFTER_MS, wait_ms))
-        context.act(Refuse(request.request_id, kind, retry_after_ms))
+        context.act(Refuse(request.request_id, kind, retry_after_ms, detail=f"wait {wait_ms} ms"))
 
 
-def _refill_ms(state: AllotmentState, allotment: Allotment, units: int) -> int:
-    """Return when the bucket has filled again by as much as the request counts."""
-    missing = units - state.level
-    wait_ms = missing / allotment.rate_per_s * _MS_PER_S
+def _refill_ms(left: float, allotment: Allotment, units: int) -> int:
+    """Return when about as much has left the window as the request counts."""
+    wait_ms = (units - left) / allotment.rate_per_s * _MS_PER_S
     return int(min(_LONGEST_RETRY_AFTER_MS, max(_LEAST_RETRY_AFTER_MS, wait_ms)))
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -72,13 +72,13 @@
         if report.leaving:
             peers.remove(report.vm)
             peers.sum_work(context.now_ms)
-            self._take_spending(report)
+            self._take_spending(report, context.now_ms)
             return
         before = known.report if known is not None and known.is_heard(context.now_ms) else None
         peers.put(report.vm, Peer(report, context.now_ms))
         peers.add_work(before, report)
         self._take_prompts(report)
-        self._take_spending(report)
+        self._take_spending(report, context.now_ms)
         self._take_moves(report, context.now_ms)
         self._follow_view(report, context)
         for service, queue in self.board.read(GatewayQueueTable).items():
@@ -93,6 +93,7 @@
         if self._sequence % _INTRODUCTION_INTERVAL == 1:
             peers = {name: peer.report.host for name, peer in self.board.read(PeerTable).items()}
         moves = self.board.read(MoveTable)
+        window_ms = self.settings.bounds.allotment.window_ms
         return PeerReport(
             vm=self.settings.vm.name,
             host=self.settings.vm.host,
@@ -106,7 +107,8 @@
                 if state.requests
             },
             spent={
-                name: state.own_units for name, state in self.board.read(AllotmentTable).items()
+                name: window.own_units(self._sent_at_ms, window_ms)
+                for name, window in self.board.write(AllotmentTable).items()
             },
             prompts=told,
             versions=dict(moves.seen) if len(moves) else {},
@@ -140,14 +142,10 @@
             if record is not None and upstream is not None and record.run == upstream.run:
                 record.note(sent.model, sent.parts)
 
-    def _take_spending(self, report: PeerReport) -> None:
+    def _take_spending(self, report: PeerReport, now_ms: int) -> None:
         table = self.board.write(AllotmentTable)
-        spending = table.spending_of(report.vm, report.boot)
         for organisation, units in report.spent.items():
-            new_units = spending.news(organisation, units)
-            if new_units:
-                state = table.of(organisation).with_peers_passed(new_units)
-                table.put(organisation, state)
+            table.of(organisation).note_peer(report.vm, units, now_ms)
 
     def _take_moves(self, report: PeerReport, now_ms: int) -> None:
         moves = self.board.write(MoveTable)
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -69,6 +69,8 @@
         self._started_at_ms = now_ms()
         self._outcome = "internal"
         self._upstream = ""
+        #: What decided a refusal.
+        self._detail = ""
 
     def serve(self) -> None:
         """Answer the request; :class:`CutError` where the connection must be broken off."""
@@ -132,6 +134,7 @@
             self._outcome = "cut"
             raise CutError(type(action).__name__)
         if isinstance(action, Refuse):
+            self._detail = action.detail
             raise RefusedError(
                 action.kind, run_state=action.run_state, retry_after_ms=action.retry_after_ms
             )
@@ -365,6 +368,7 @@
             ended=self._outcome,
             attempts=self._attempts,
             configuration=self._configuration_version(),
+            error=self._detail,
             took_ms=now_ms() - self._started_at_ms,
         )
 
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -39,6 +39,8 @@
     #: Hosts of some VMs that may be asked for the others.
     seed_hosts: tuple[str, ...] = ()
     memory_mb: int = 0
+    #: The whole system starts for the first time: no process ran before.
+    is_first_start: bool = False
 
 
 @dataclass(frozen=True)
@@ -53,9 +55,13 @@
 
 @dataclass(frozen=True)
 class AllotmentBounds:
-    """How far all VMs together may exceed an organisation's allotment."""
+    """How an organisation's use is counted, and how far all VMs together may exceed it."""
 
-    #: In the unit that the allotment counts.
+    #: Any span of this length counts.
+    window_ms: int
+    #: Share of the allotment.
+    overshoot: float
+    #: Beyond that share, in the unit that the allotment counts.
     slack: float
 
 
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -149,6 +149,7 @@
                 "attempts",
                 "configuration",
                 "took_ms",
+                "error",
             ),
         ),
         LogEvent.UPSTREAM_CHANGED: LogEventRow(
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -237,7 +237,7 @@
   3: i32 pending_prompt_tokens,
 }
 
-// What one VM has let pass for an organisation since its boot.
+// What one VM has let pass for an organisation in the last window.
 struct AllotmentSpent {
   1: string organisation,
   2: i64 units,
