--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -17,8 +17,8 @@
 #: Parts of the bounds' margins that are used; the rest covers what peers have not said yet.
 _OVERSHOOT_SHARE = 0.4
 _SLACK_SHARE = 0.3
-#: After a restart, this VM's earlier process is thought to have used this part of its share.
-_FORGOTTEN_SHARE = 0.5
+#: What peers let pass for so long before now they have not said yet.
+_UNSAID_MS = 150
 
 
 @dataclass(frozen=True)
@@ -36,6 +36,8 @@
         self._passed: deque[tuple[int, int]] = deque()
         self._own_units = 0
         self._peers: dict[str, PeerUse] = {}
+        #: What this VM's earlier process is thought to have let pass.
+        self.forgotten_units = 0.0
 
     def own_units(self, now_ms: int, window_ms: int) -> int:
         """Return what this VM let pass in the window."""
@@ -43,6 +45,15 @@
             self._own_units -= self._passed.popleft()[1]
         return self._own_units
 
+    def unsaid_units(self, now_ms: int) -> int:
+        """Return what this VM let pass so lately that its peers do not know of it."""
+        units = 0
+        for passed_at_ms, one in reversed(self._passed):
+            if passed_at_ms <= now_ms - _UNSAID_MS:
+                break
+            units += one
+        return units
+
     def peers_units(self, now_ms: int, window_ms: int) -> float:
         """Return what the peers let pass in the window, as far as they said."""
         return sum(
@@ -87,20 +98,29 @@
         bounds: AllotmentBounds,
         *,
         heard_share: float,
-        own_share: float,
+        vms: int,
         now_ms: int,
     ) -> float:
-        """Return the units that this VM may still let pass now."""
+        """Return the units that this VM may still let pass now.
+
+        Peers are thought to have let pass as much as this VM since they last said.
+        """
         window = self.of(organisation)
         limit = allotment.rate_per_s * bounds.window_ms / _MS_PER_S + allotment.burst
         bound = limit * (1.0 + _OVERSHOOT_SHARE * bounds.overshoot) + _SLACK_SHARE * bounds.slack
         used = window.own_units(now_ms, bounds.window_ms)
         used_by_peers = window.peers_units(now_ms, bounds.window_ms)
-        forgotten = self._forgotten_part(bounds.window_ms, now_ms) * own_share * limit
-        return bound * heard_share - used - used_by_peers - forgotten
+        unsaid = window.unsaid_units(now_ms) * (heard_share * vms - 1)
+        window.forgotten_units = self._forgotten_part(bounds.window_ms, now_ms) * bound / vms
+        return bound * heard_share - used - used_by_peers - unsaid - window.forgotten_units
+
+    def told_units(self, organisation: str, now_ms: int, window_ms: int) -> int:
+        """Return what peers are told that this VM let pass, its earlier process included."""
+        window = self.of(organisation)
+        return window.own_units(now_ms, window_ms) + int(window.forgotten_units)
 
     def _forgotten_part(self, window_ms: int, now_ms: int) -> float:
+        """Return the part of its share that an earlier process is thought to have used."""
         if self.restarted_at_ms is None:
             return 0.0
-        passed = (now_ms - self.restarted_at_ms) / window_ms
-        return _FORGOTTEN_SHARE * max(0.0, 1.0 - passed)
+        return max(0.0, 1.0 - (now_ms - self.restarted_at_ms) / window_ms)
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -101,7 +101,7 @@
             allotment,
             self.settings.bounds.allotment,
             heard_share=heard_share,
-            own_share=1.0 / peers.vms(context.now_ms),
+            vms=peers.vms(context.now_ms),
             now_ms=context.now_ms,
         )
         if left > 0:
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -3,6 +3,7 @@
 from azureturn.core import Context, on
 from azureturn.core._queue import RequestQueue
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
+from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._estimates import Candidate, Surroundings, candidate
 from azureturn.gateway.decisions._events import PlacementWanted
 from azureturn.gateway.decisions._moves import MoveTable
@@ -35,6 +36,7 @@
         UpstreamStateTable,
         PromptTable,
         PlacementRateTable,
+        AllotmentTable,
     )
     after = ("admission", "attempts")
 
@@ -138,6 +140,10 @@
             prompts.untold.append(
                 SentPrompt(upstream.name, request.prompt.model, request.prompt.parts)
             )
+        if request.tried and request.allotment_units:
+            # Another run counts like another request.
+            window = self.board.write(AllotmentTable).of(request.organisation)
+            window.note_passed(request.allotment_units, context.now_ms)
         sent = request.with_sent(
             upstream.name,
             version=upstream.version,
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -93,6 +93,7 @@
         if self._sequence % _INTRODUCTION_INTERVAL == 1:
             peers = {name: peer.report.host for name, peer in self.board.read(PeerTable).items()}
         moves = self.board.read(MoveTable)
+        allotments = self.board.write(AllotmentTable)
         window_ms = self.settings.bounds.allotment.window_ms
         return PeerReport(
             vm=self.settings.vm.name,
@@ -107,8 +108,8 @@
                 if state.requests
             },
             spent={
-                name: window.own_units(self._sent_at_ms, window_ms)
-                for name, window in self.board.write(AllotmentTable).items()
+                name: allotments.told_units(name, self._sent_at_ms, window_ms)
+                for name, _ in allotments.items()
             },
             prompts=told,
             versions=dict(moves.seen) if len(moves) else {},
