--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -5,8 +5,16 @@
 
 from azureturn.core import Table
 from azureturn.core import changed_row as changed
+from azureturn.gateway.settings import EnginePolicy
 from azureturn.gateway.site import Prompt, Route
 
+#: Added to the tier of a request that will miss its objective.
+_LATE_RANKS = 1_000
+#: Part of a prompt's usual time that is added for what lies before it.
+_START_MARGIN = 1.3
+#: Share of its objective that even a request with a long prompt may wait.
+_LEAST_WAIT_SHARE = 0.4
+
 
 class Stage(StrEnum):
     """Where a request is."""
@@ -54,6 +62,25 @@
         """Return whether it may run more than once."""
         return self.route.may_repeat
 
+    @property
+    def is_late(self) -> bool:
+        """Return whether it waits behind requests that may still meet their objective."""
+        return self.tier_rank >= _LATE_RANKS
+
+    def latest_start_ms(self, engine: EnginePolicy) -> int:
+        """Return until when it has to be sent to meet its objective."""
+        if self.prompt is None:
+            return self.deadline_ms
+        prefill_ms = self.prompt.prompt_tokens / engine.prefill_tokens_per_ms
+        needed_ms = _START_MARGIN * (prefill_ms + engine.first_event_ms)
+        objective_ms = self.route.objective_ms
+        wait_ms = max(_LEAST_WAIT_SHARE * objective_ms, objective_ms - needed_ms)
+        return self.arrived_at_ms + int(wait_ms)
+
+    def with_late(self) -> "GatewayRequest":
+        """Return a copy that goes behind those that may still meet their objective."""
+        return changed(self, tier_rank=self.tier_rank + _LATE_RANKS)
+
     def with_sent(
         self, upstream: str, *, version: str, now_ms: int, pending_tokens: int
     ) -> "GatewayRequest":
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -1,7 +1,6 @@
 """Tables that several controllers share."""
 
-from azureturn.core import Table
-from azureturn.core._queue import RequestQueue
+from azureturn.core import RequestQueue, Table
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.site import SiteView
 
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -1,6 +1,6 @@
 """Lets requests in, within their organisation's allotment and what can be served in time."""
 
-from azureturn.core import Context, QueuedRequest, Refuse, Tick, on
+from azureturn.core import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import (
@@ -10,7 +10,6 @@
     RequestClosed,
 )
 from azureturn.gateway.decisions._peers import PeerTable
-from azureturn.gateway.decisions._rates import PlacementRateTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -37,7 +36,7 @@
         GatewayQueueTable,
         AllotmentTable,
         RetryTable,
-        PlacementRateTable,
+        DrainTable,
     )
     after = ("views",)
 
@@ -58,7 +57,10 @@
         if not self._is_served(request):
             self._refuse(request, ErrorKind.NO_UPSTREAM, DEFAULT_RETRY_AFTER_MS, context)
             return
-        wait_ms = self._wait_ms(request, context.now_ms)
+        drains = self.board.write(DrainTable)
+        drain = drains.of(request.service).with_arrived(request.tier_rank, 1.0)
+        drains.put(request.service, drain)
+        wait_ms = self._wait_ms(request)
         if wait_ms > self.settings.policy.refusal_objectives * request.route.objective_ms:
             self._refuse(request, ErrorKind.OVERLOADED, int(wait_ms), context)
             return
@@ -74,10 +76,12 @@
         for service, queue in self.board.write(GatewayQueueTable).items():
             for request in queue.pop_hopeless(context.now_ms):
                 kind = ErrorKind.DEADLINE_UNREACHABLE
-                wait_ms = int(self._wait_ms(request, context.now_ms))
+                wait_ms = int(self._wait_ms(request))
                 self._refuse(request, kind, wait_ms, context)
-            rates = self.board.write(PlacementRateTable)
-            rates.put(service, rates.of(service).with_time(context.now_ms, waiting=len(queue)))
+            self._demote_late(queue, context.now_ms)
+            drains = self.board.write(DrainTable)
+            drain = drains.of(service).with_time(context.now_ms, backlogged=len(queue) > 0)
+            drains.put(service, drain)
             if len(queue):
                 context.post(PlacementWanted(service))
 
@@ -137,10 +141,28 @@
             one.service == request.service and not one.is_leaving for one in view.upstreams.values()
         )
 
-    def _wait_ms(self, request: GatewayRequest, now_ms: int) -> float:
+    def _wait_ms(self, request: GatewayRequest) -> float:
+        """Return how long the request waits behind those that go before it."""
         queue = self.board.read(GatewayQueueTable).of(request.service)
-        ahead = sum(queue.length_of(rank) for rank in range(request.tier_rank + 1))
-        return self.board.read(PlacementRateTable).of(request.service).wait_ms(ahead)
+        ranks = [rank for rank in queue.waiting_ranks() if rank <= request.tier_rank]
+        ahead = sum(queue.length_of(rank) for rank in ranks)
+        drain = self.board.read(DrainTable).of(request.service)
+        return drain.wait_ms(request.tier_rank, float(ahead))
+
+    def _demote_late(self, queue: "RequestQueue[GatewayRequest]", now_ms: int) -> None:
+        """Let requests that will miss their objective go behind those that may still meet it."""
+        engine = self.settings.policy.engine
+        late = [
+            request
+            for request in queue.requests()
+            if not request.is_late and now_ms > request.latest_start_ms(engine)
+        ]
+        for request in late:
+            queue.remove(request)
+            demoted = request.with_late()
+            self.board.write(GatewayRequestTable).put(request.request_id, demoted)
+            give_up_at_ms = self._give_up_at_ms(demoted)
+            queue.push(QueuedRequest(demoted, 1.0, 1.0, give_up_at_ms))
 
     def _give_up_at_ms(self, request: GatewayRequest) -> int:
         patience_ms = self.settings.policy.patience_objectives * request.route.objective_ms
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -1,7 +1,6 @@
 """Chooses the upstream of each queued request as soon as one has room for it."""
 
-from azureturn.core import Context, on
-from azureturn.core._queue import RequestQueue
+from azureturn.core import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._estimates import Candidate, Surroundings, candidate
@@ -9,7 +8,6 @@
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._prompts import PromptTable, SentPrompt
-from azureturn.gateway.decisions._rates import PlacementRateTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._work import UpstreamStateTable
@@ -35,7 +33,7 @@
         GatewayQueueTable,
         UpstreamStateTable,
         PromptTable,
-        PlacementRateTable,
+        DrainTable,
         AllotmentTable,
     )
     after = ("admission", "attempts")
@@ -126,8 +124,8 @@
         context: Context,
     ) -> None:
         queue.take(request)
-        rates = self.board.write(PlacementRateTable)
-        rates.put(request.service, rates.of(request.service).with_placed())
+        drains = self.board.write(DrainTable)
+        drains.put(request.service, drains.of(request.service).with_placed(1.0))
         upstream = chosen.upstream
         states = self.board.write(UpstreamStateTable)
         states.put(upstream.name, states.of(upstream.run).with_sent(chosen.pending_tokens))
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -109,7 +109,7 @@
     #: A queued request is given up at this multiple of its objective.
     patience_objectives: Positive = 2.0
     #: Longest expected wait of a new request before it is refused, in objectives.
-    refusal_objectives: Positive = 1.5
+    refusal_objectives: Positive = 1.0
 
 
 @dataclass(frozen=True)
