--- a/azureturn/core/controllers/_admission.py
+++ b/azureturn/core/controllers/_admission.py
@@ -74,7 +74,11 @@
             self._enqueue(request, queue, configuration, context)
 
     def _enqueue(
-        self, request: Request, queue: RequestQueue, configuration: Configuration, context: Context
+        self,
+        request: Request,
+        queue: RequestQueue[Request],
+        configuration: Configuration,
+        context: Context,
     ) -> None:
         queue.push(self._entry(request, configuration))
         while len(queue) > configuration.shared.policy.queue_limit:
@@ -124,7 +128,7 @@
             tokens = min(tokens, request.expected_output_tokens)
         return request.with_expected_output(tokens)
 
-    def _entry(self, request: Request, configuration: Configuration) -> QueuedRequest:
+    def _entry(self, request: Request, configuration: Configuration) -> QueuedRequest[Request]:
         early = configuration.shared.policy.early_refusal
         least_ms = self._least_time_ms(request) if early else 0.0
         return QueuedRequest(
@@ -143,7 +147,11 @@
         return max(service_ms, usual.usual_ms(_GIVE_UP_DEVIATIONS))
 
     def _comes_too_late(
-        self, request: Request, queue: RequestQueue, configuration: Configuration, now_ms: int
+        self,
+        request: Request,
+        queue: RequestQueue[Request],
+        configuration: Configuration,
+        now_ms: int,
     ) -> bool:
         """Return whether the deadline passes before the work that goes first is done.
 
@@ -159,7 +167,7 @@
         return now_ms + wait_ms + self._service_ms(request) > request.deadline_ms
 
     def _wait_ms(
-        self, request: Request, queue: RequestQueue, configuration: Configuration
+        self, request: Request, queue: RequestQueue[Request], configuration: Configuration
     ) -> float:
         ahead = queue.tokens_ahead(request, configuration.weight(request.organisation))
         return self.board.read(DrainTable).of(request.target).wait_ms(request.tier_rank, ahead)
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -107,7 +107,7 @@
             )
             upstreams.put(request.upstream, released)
 
-    def _place_next(self, queue: RequestQueue, freed: str, context: Context) -> bool:
+    def _place_next(self, queue: RequestQueue[Request], freed: str, context: Context) -> bool:
         """Place one request and return whether one was placed.
 
         A tier whose first requests wait for room holds back the tiers below it. Requests that
@@ -199,7 +199,7 @@
         return now_ms - row.passed_over_at_ms < patience_ms
 
     def _place(
-        self, queue: RequestQueue, request: Request, chosen: Candidate, context: Context
+        self, queue: RequestQueue[Request], request: Request, chosen: Candidate, context: Context
     ) -> None:
         self._placed += 1
         queue.take(request)
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from azureturn.core import Core
+from azureturn.gateway.daemon._connection_trials import ConnectionTrials
 from azureturn.gateway.daemon._peer_calls import GatewayPeerFace, ViewFetcher
 from azureturn.gateway.daemon._peer_reports import ReportLink
 from azureturn.gateway.daemon._store_follower import StoreFollower, ViewKeeper
@@ -15,6 +16,7 @@
     FetchView,
     GatewayStarted,
     SendReport,
+    TryConnection,
     VmLeaving,
     WriteStatus,
 )
@@ -78,6 +80,8 @@
         )
         self._server = GatewayServer(self._services)
         self._readiness = ReadinessServer(self._services, is_ready=self._is_ready)
+        self._trials = ConnectionTrials(self._runtime, log)
+        self._runtime.perform(TryConnection, self._trials.take)
         self._runtime.perform(SendReport, self._reports.send)
         self._runtime.perform(FetchView, self._fetcher.take)
         self._runtime.perform(WriteStatus, self._writer.take)
@@ -88,6 +92,7 @@
         self._follower.start()
         self._reports.start()
         self._fetcher.start()
+        self._trials.start()
         self._peer_server.start()
         self._runtime.start()
         for server, name in ((self._readiness, "readiness"), (self._server, "callers")):
@@ -106,7 +111,7 @@
     def stop(self) -> bool:
         """Stop in an orderly way and return whether nothing in flight was cut."""
         self._log.info(LogEvent.DAEMON_STOPPING)
-        cut = self._stop.run(announce=lambda: self._runtime.submit(VmLeaving()) and None)
+        cut = self._stop.run(announce=self._announce_leaving)
         self._log.info(LogEvent.DAEMON_STOPPED, requests_cut=cut, claims_unsettled=0)
         self._log.close()
         return cut == 0
@@ -119,6 +124,9 @@
         """Say that the settings were asked to be read anew."""
         self._log.info(LogEvent.SETTINGS_RELOADED)
 
+    def _announce_leaving(self) -> None:
+        self._runtime.submit(VmLeaving())
+
     def _in_flight(self) -> int:
         return max(self._server.requests_in_flight, self._runtime.requests_in_progress)
 
--- a/azureturn/gateway/daemon/_store_follower.py
+++ b/azureturn/gateway/daemon/_store_follower.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from azureturn.errors import PlatformError
-from azureturn.gateway.decisions import ViewChanged
+from azureturn.gateway.decisions import StoreRegained, ViewChanged
 from azureturn.gateway.site import SiteDocuments, SiteView, StoredFact
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
@@ -34,6 +34,11 @@
         """Return the view in force."""
         return self._view
 
+    def note_regained(self) -> None:
+        """Tell the decisions that the store answers again."""
+        self._runtime.submit(StoreRegained())
+        self._log.info(LogEvent.KEY_VALUE_REGAINED, revision=self._view.revision)
+
     def accept_all(self, entries: Iterable[StoreChange], revision: int, source: str) -> bool:
         """Take in everything that there is; return whether it was newer."""
         written = self._facts(entries)
@@ -154,7 +159,6 @@
                     if not self._ask():
                         self._read_all()
                     pause_ms = _FIRST_PAUSE_MS
-                    self._note_regained()
             except HistoryLostError as error:
                 self._log.error(LogEvent.STORE_HISTORY_LOST, error=error.message)
             except PlatformError as error:
@@ -164,13 +168,14 @@
 
     def _read_all(self) -> None:
         snapshot = self._store.read_all(self._prefix)
+        self._note_regained()
         entries = [StoreChange(one.key, one.revision, one.value) for one in snapshot.entries]
         self._keeper.accept_all(entries, snapshot.revision, "read")
-        self._note_regained()
 
     def _ask(self) -> bool:
         after = self._keeper.view.revision
         found = self._store.changes(self._prefix, after_revision=after, wait_ms=self._wait_ms)
+        self._note_regained()
         return self._keeper.accept_changes(found.changes, after=after, revision=found.revision)
 
     def _note_lost(self, error: PlatformError) -> None:
@@ -181,4 +186,4 @@
     def _note_regained(self) -> None:
         if self._is_lost:
             self._is_lost = False
-            self._log.info(LogEvent.KEY_VALUE_REGAINED, revision=self._keeper.view.revision)
+            self._keeper.note_regained()
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -6,6 +6,7 @@
     PlacementReason,
     SendAttempt,
     SendReport,
+    TryConnection,
     WriteStatus,
 )
 from azureturn.gateway.decisions._events import (
@@ -16,6 +17,8 @@
     GatewayStarted,
     PeerReported,
     RequestClosed,
+    StoreRegained,
+    UpstreamReached,
     ViewChanged,
     VmLeaving,
 )
@@ -54,6 +57,9 @@
     "SendReport",
     "SentPrompt",
     "Stage",
+    "StoreRegained",
+    "TryConnection",
+    "UpstreamReached",
     "UpstreamState",
     "UpstreamStateTable",
     "VersionCount",
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -61,3 +61,10 @@
 
     status: MoveStatus
     expected_revision: int
+
+
+@dataclass(frozen=True)
+class TryConnection(Action):
+    """Try to connect to an upstream that could not be reached, and say whether that succeeded."""
+
+    upstream: RegisteredUpstream
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -49,6 +49,8 @@
     engine: EngineShape | None
     record: PromptRecord | None
     vms: int
+    #: Share of the VMs whose work is known, this one included.
+    heard_share: float
     own_zone: str
     now_ms: int
 
@@ -77,7 +79,8 @@
 ) -> Candidate:
     assert request.prompt is not None
     state = around.state
-    requests = state.requests + around.peers.requests
+    # VMs that are not heard are thought to have as much there as those that are.
+    requests = round((state.requests + around.peers.requests) / around.heard_share)
     pace = state.expected_pace(around.now_ms)
     held = around.record.held_tokens(request.prompt) if around.record else 0
     pending = max(0, request.prompt.prompt_tokens - held)
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -42,6 +42,18 @@
     view: SiteView
 
 
+@dataclass(frozen=True)
+class StoreRegained(Event):
+    """The store answers again after an outage."""
+
+
+@dataclass(frozen=True)
+class UpstreamReached(Event):
+    """A connection to an upstream that could not be reached was made again."""
+
+    upstream: str
+
+
 @dataclass(frozen=True)
 class CallerArrived(Event):
     """A caller's request was read whole and checked."""
--- a/azureturn/gateway/decisions/_work.py
+++ b/azureturn/gateway/decisions/_work.py
@@ -11,9 +11,6 @@
 #: What was learned of failures halves in this time without news, so that an upstream is tried.
 _FAILURE_HALF_LIFE_MS = 2_500.0
 _PACE_HALF_LIFE_MS = 6_000.0
-#: Pause after a refused or unanswered connection; it doubles with each further one.
-_FIRST_PAUSE_MS = 250
-_LONGEST_PAUSE_MS = 2_000
 _PACE_BOUNDS = (0.2, 20.0)
 
 
@@ -35,9 +32,8 @@
     #: Mean time of a plain answer; 0 until one came.
     answer_ms: float = 0.0
     answered_at_ms: int = 0
-    unreachable_count: int = 0
-    #: No new work before this time.
-    closed_until_ms: int = 0
+    #: The last connection to it was refused or unanswered.
+    is_unreachable: bool = False
 
     def with_sent(self, pending_tokens: int) -> "UpstreamState":
         """Return a copy that has one more request."""
@@ -77,16 +73,11 @@
         """Return a copy that has learned whether one more answer failed."""
         share = self.failures(now_ms)
         share += _LEARNING_WEIGHT * ((1.0 if failed else 0.0) - share)
-        return changed(self, failure_share=share, failed_at_ms=now_ms, unreachable_count=0)
+        return changed(self, failure_share=share, failed_at_ms=now_ms)
 
-    def with_unreachable(self, now_ms: int) -> "UpstreamState":
-        """Return a copy that gets nothing for a while."""
-        pause_ms = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS << min(8, self.unreachable_count))
-        return changed(
-            self,
-            unreachable_count=self.unreachable_count + 1,
-            closed_until_ms=now_ms + pause_ms,
-        )
+    def with_reachable(self, reachable: bool) -> "UpstreamState":
+        """Return a copy that can, or can't, be connected to."""
+        return changed(self, is_unreachable=not reachable)
 
     def failures(self, now_ms: int) -> float:
         """Return the share of answers that are expected to fail."""
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -54,7 +54,7 @@
         vms = self.board.read(PeerTable).vms(context.now_ms)
         state = retries.of(request.service).with_request(self.settings.bounds.retry, vms)
         retries.put(request.service, state)
-        if not self._is_served(request):
+        if not self.board.read(ViewTable).serving(request.service, context.now_ms):
             self._refuse(request, ErrorKind.NO_UPSTREAM, DEFAULT_RETRY_AFTER_MS, context)
             return
         drains = self.board.write(DrainTable)
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -1,14 +1,15 @@
 """Learns from each attempt, and decides whether there is another."""
 
-from azureturn.core import AwaitPlacement, Context, QueuedRequest, Refuse, on
+from azureturn.core import AwaitPlacement, Context, QueuedRequest, Refuse, Tick, on
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
-from azureturn.gateway.decisions._actions import Conclude
+from azureturn.gateway.decisions._actions import Conclude, TryConnection
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
     AttemptResult,
     FirstEventCame,
     PlacementWanted,
     RequestClosed,
+    UpstreamReached,
 )
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
@@ -24,6 +25,8 @@
 _RETURN_LIMIT = 3
 #: Time that must be left for another attempt.
 _LEAST_TIME_MS = 60
+#: How often upstreams that could not be reached are tried.
+_TRY_INTERVAL_MS = 250
 #: Events of a stream from which its pace is learned.
 _PACED_EVENTS = 3
 
@@ -45,6 +48,8 @@
     )
     after = ("admission",)
 
+    _tried_at_ms = 0
+
     @on(FirstEventCame)
     def _on_first_event(self, event: FirstEventCame, context: Context) -> None:
         requests = self.board.write(GatewayRequestTable)
@@ -79,6 +84,28 @@
         )
         context.act(AwaitPlacement(request.request_id))
 
+    @on(UpstreamReached)
+    def _on_reached(self, event: UpstreamReached, context: Context) -> None:
+        states = self.board.write(UpstreamStateTable)
+        state = states.get(event.upstream)
+        upstream = self.board.read(ViewTable).current().upstreams.get(event.upstream)
+        if state is not None:
+            states.put(event.upstream, state.with_reachable(True))
+        if upstream is not None:
+            context.post(PlacementWanted(upstream.service))
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        """Try the upstreams that could not be reached, instead of sending requests there."""
+        if context.now_ms - self._tried_at_ms < _TRY_INTERVAL_MS:
+            return
+        self._tried_at_ms = context.now_ms
+        states = self.board.read(UpstreamStateTable)
+        for name, upstream in self.board.read(ViewTable).current().upstreams.items():
+            state = states.get(name)
+            if state is not None and state.is_unreachable and state.run == upstream.run:
+                context.act(TryConnection(upstream))
+
     @on(RequestClosed)
     def _on_closed(self, event: RequestClosed, context: Context) -> None:
         request = self.board.read(GatewayRequestTable).get(event.request_id)
@@ -100,18 +127,15 @@
             return "returned too often"
         if now_ms + _LEAST_TIME_MS > request.ends_at_ms:
             return "no time left"
-        if not self._another_serves(request):
+        if not self._another_serves(request, now_ms):
             return "no other upstream"
         if result is AttemptResult.UNREACHABLE:
             return ""
         return "" if self.board.write(RetryTable).take(request.service) else "retry budget spent"
 
-    def _another_serves(self, request: GatewayRequest) -> bool:
-        view = self.board.read(ViewTable).current()
-        return any(
-            one.service == request.service and not one.is_leaving and one.name not in request.tried
-            for one in view.upstreams.values()
-        )
+    def _another_serves(self, request: GatewayRequest, now_ms: int) -> bool:
+        serving = self.board.read(ViewTable).serving(request.service, now_ms)
+        return any(one.name not in request.tried for one in serving)
 
     def _conclude(
         self, request: GatewayRequest, result: AttemptResult, reason: str, context: Context
@@ -143,7 +167,7 @@
         self, state: UpstreamState, request: GatewayRequest, event: AttemptEnded, now_ms: int
     ) -> UpstreamState:
         if event.result is AttemptResult.UNREACHABLE:
-            return state.with_unreachable(now_ms)
+            return state.with_reachable(False)
         if event.result is AttemptResult.REJECTED:
             return state.with_outcome(failed=True, now_ms=now_ms)
         if event.result is not AttemptResult.ABANDONED:
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -63,16 +63,11 @@
         return False
 
     def _candidates(self, request: GatewayRequest, context: Context) -> list[Candidate]:
-        view = self.board.read(ViewTable).current()
-        serving = [
-            one
-            for one in view.upstreams.values()
-            if one.service == request.service and not one.is_leaving
-        ]
+        serving = self.board.read(ViewTable).serving(request.service, context.now_ms)
         serving = self._of_version(request, serving, context)
         untried = [one for one in serving if one.name not in request.tried]
         states = self.board.write(UpstreamStateTable)
-        open_now = [one for one in untried if states.of(one.run).closed_until_ms <= context.now_ms]
+        open_now = [one for one in untried if not states.of(one.run).is_unreachable]
         engine = self._engine_of(request.service)
         return [self._candidate(request, one, engine, context) for one in open_now]
 
@@ -110,6 +105,7 @@
             engine=engine,
             record=record,
             vms=peers.vms(context.now_ms),
+            heard_share=peers.heard_share(context.now_ms),
             own_zone=self.settings.vm.availability_zone,
             now_ms=context.now_ms,
         )
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -1,7 +1,12 @@
 """Takes newer views in and keeps what rests on them in step."""
 
-from azureturn.core import Context, on
-from azureturn.gateway.decisions._events import GatewayStarted, PlacementWanted, ViewChanged
+from azureturn.core import Context, Tick, on
+from azureturn.gateway.decisions._events import (
+    GatewayStarted,
+    PlacementWanted,
+    StoreRegained,
+    ViewChanged,
+)
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._work import UpstreamStateTable
@@ -10,6 +15,9 @@
     gateway_controller,
 )
 
+#: Upstreams that are gone and still remembered, in case that they come back.
+_GONE_LIMIT = 32
+
 
 @gateway_controller("views")
 class ViewController(GatewayController):
@@ -24,15 +32,24 @@
         peers.own_name = event.vm
         peers.started_at_ms = context.now_ms
 
+    @on(StoreRegained)
+    def _on_regained(self, event: StoreRegained, context: Context) -> None:
+        self.board.write(ViewTable).note_regained(context.now_ms)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        """Forget upstreams that are gone and have nothing left of this VM's work."""
+        upstreams = self.board.read(ViewTable).current().upstreams
+        states = self.board.write(UpstreamStateTable)
+        gone = [n for n, one in states.items() if n not in upstreams and not one.requests]
+        for name in gone if len(gone) > _GONE_LIMIT else ():
+            states.remove(name)
+
     @on(ViewChanged)
     def _on_changed(self, event: ViewChanged, context: Context) -> None:
-        if not self.board.write(ViewTable).accept(event.view):
+        if not self.board.write(ViewTable).accept(event.view, now_ms=context.now_ms):
             return
         self.board.write(PeerTable).registered = frozenset(event.view.vms)
-        states = self.board.write(UpstreamStateTable)
-        for name in [name for name, _ in states.items() if name not in event.view.upstreams]:
-            # Requests that are still there are released by name, which is then unknown.
-            states.remove(name)
         for service, queue in self.board.read(GatewayQueueTable).items():
             if len(queue):
                 context.post(PlacementWanted(service))
--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -7,11 +7,13 @@
 
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
 from azureturn.gateway.exchange._clock import now_ms
-from azureturn.gateway.exchange._connections import ConnectionPool, UpstreamConnection
+from azureturn.gateway.exchange._connections import (
+    CONNECT_TIMEOUT_MS,
+    ConnectionPool,
+    UpstreamConnection,
+)
 from azureturn.gateway.site import AnswerFacts, Dialect, RegisteredUpstream
 
-#: Longest wait for a new connection.
-CONNECT_TIMEOUT_MS = 300
 ANSWER_LIMIT_BYTES = 16 << 20
 #: Answers to other requests that are passed over on one connection.
 _STRAY_LIMIT = 3
--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -21,6 +21,8 @@
 #: For what may not be repeated: an upstream that closes while it is idle must not be met.
 _SURE_IDLE_LIMIT_MS = 400
 _HEADER_LIMIT_BYTES = 65_536
+#: Longest wait for a new connection.
+CONNECT_TIMEOUT_MS = 150
 
 
 class UpstreamConnection:
--- a/azureturn/gateway/exchange/_server.py
+++ b/azureturn/gateway/exchange/_server.py
@@ -63,7 +63,7 @@
             super().error_log(msg, level, traceback)
 
 
-class _ExchangeGateway(Gateway):  # type: ignore[misc]
+class _ExchangeGateway(Gateway):
     """What the library calls for each request."""
 
     def respond(self) -> None:
@@ -103,7 +103,7 @@
         self.gateway = _ReadinessGateway
 
 
-class _ReadinessGateway(Gateway):  # type: ignore[misc]
+class _ReadinessGateway(Gateway):
     def respond(self) -> None:
         channel = CallerChannel(self.req)
         server: Any = self.req.server
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -32,6 +32,7 @@
     ATTEMPT_ENDED = "attempt_ended"
     EXCHANGE_ENDED = "exchange_ended"
     UPSTREAM_CHANGED = "upstream_changed"
+    UPSTREAM_REACHED = "upstream_reached"
     DOCUMENT_REFUSED = "document_refused"
     KEY_VALUE_REGAINED = "key_value_regained"
     STORE_HISTORY_LOST = "store_history_lost"
@@ -156,6 +157,9 @@
             "An upstream came, is leaving, or is gone.",
             ("upstream", "state", "version", "revision", "source"),
         ),
+        LogEvent.UPSTREAM_REACHED: LogEventRow(
+            "An upstream that could not be reached can be connected to again.", ("upstream",)
+        ),
         LogEvent.DOCUMENT_REFUSED: _error_row(
             "A document of the store cannot be read and was left out.", "key", "error"
         ),
