--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -25,7 +25,7 @@
 from azureturn.gateway.site import Dialect, SiteDocuments
 from azureturn.observability import EventLog, LogEvent
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
-from azureturn.serving import CoreRuntime, PlannedStop, StopLimits, StopStage
+from azureturn.serving import CoreRuntime, PlannedStop, StopLimits, StopStage, now_ms
 from azureturn.store import WatchedStore
 
 #: Time before the end by force at which a stop ends whatever is still in flight.
@@ -47,6 +47,7 @@
 
     def __init__(self, settings: GatewaySettings, adapter: PlatformAdapter, log: EventLog) -> None:
         self._settings = settings
+        self._leaving_at_ms: int | None = None
         self._log = log
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
@@ -67,7 +68,7 @@
             log=log,
             view=lambda: self._keeper.view,
             is_leaving=lambda: self._stop.stage is not StopStage.SERVING,
-            is_finishing=lambda: self._stop.stage >= StopStage.FINISHING,
+            time_left_ms=self._time_left_ms,
         )
         vm = settings.vm
         signer = EnvelopeSigner(limits.peer_secret, vm.name, clock_s=time.monotonic)
@@ -124,7 +125,17 @@
         """Say that the settings were asked to be read anew."""
         self._log.info(LogEvent.SETTINGS_RELOADED)
 
+    def _time_left_ms(self) -> int | None:
+        """Return the time in which a new request must be answered; None for any time."""
+        if self._stop.stage is StopStage.SERVING or self._leaving_at_ms is None:
+            return None
+        waited_ms = now_ms() - self._leaving_at_ms
+        if waited_ms <= self._settings.limits.balancer_lag_ms:
+            return None
+        return self._settings.bounds.stop_limit_ms - _STOP_MARGIN_MS - waited_ms
+
     def _announce_leaving(self) -> None:
+        self._leaving_at_ms = now_ms()
         self._runtime.submit(VmLeaving())
 
     def _in_flight(self) -> int:
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -19,6 +19,8 @@
 _SLACK_SHARE = 0.3
 #: What peers let pass for so long before now they have not said yet.
 _UNSAID_MS = 150
+#: Time after a restart over which the callers' demand is measured at the least.
+_LEAST_OBSERVED_MS = 1_000
 
 
 @dataclass(frozen=True)
@@ -36,6 +38,8 @@
         self._passed: deque[tuple[int, int]] = deque()
         self._own_units = 0
         self._peers: dict[str, PeerUse] = {}
+        #: What callers have asked for since this process began.
+        self.offered_units = 0
         #: What this VM's earlier process is thought to have let pass.
         self.forgotten_units = 0.0
 
@@ -97,21 +101,23 @@
         allotment: Allotment,
         bounds: AllotmentBounds,
         *,
+        units: int,
         heard_share: float,
         vms: int,
         now_ms: int,
     ) -> float:
-        """Return the units that this VM may still let pass now.
+        """Return the units that this VM may still let pass now, where some are asked for.
 
         Peers are thought to have let pass as much as this VM since they last said.
         """
         window = self.of(organisation)
+        window.offered_units += units
         limit = allotment.rate_per_s * bounds.window_ms / _MS_PER_S + allotment.burst
         bound = limit * (1.0 + _OVERSHOOT_SHARE * bounds.overshoot) + _SLACK_SHARE * bounds.slack
         used = window.own_units(now_ms, bounds.window_ms)
         used_by_peers = window.peers_units(now_ms, bounds.window_ms)
         unsaid = window.unsaid_units(now_ms) * (heard_share * vms - 1)
-        window.forgotten_units = self._forgotten_part(bounds.window_ms, now_ms) * bound / vms
+        window.forgotten_units = self._forgotten_units(window, bound / vms, bounds, now_ms)
         return bound * heard_share - used - used_by_peers - unsaid - window.forgotten_units
 
     def told_units(self, organisation: str, now_ms: int, window_ms: int) -> int:
@@ -119,8 +125,20 @@
         window = self.of(organisation)
         return window.own_units(now_ms, window_ms) + int(window.forgotten_units)
 
-    def _forgotten_part(self, window_ms: int, now_ms: int) -> float:
-        """Return the part of its share that an earlier process is thought to have used."""
+    def own_units(self, now_ms: int, window_ms: int) -> int:
+        """Return what this VM let pass in the window for all organisations."""
+        return sum(window.own_units(now_ms, window_ms) for window in self.rows())
+
+    def _forgotten_units(
+        self, window: AllotmentWindow, share: float, bounds: AllotmentBounds, now_ms: int
+    ) -> float:
+        """Return what an earlier process is thought to have let pass in the window.
+
+        Callers are thought to have asked for as much before the restart as after it.
+        """
         if self.restarted_at_ms is None:
             return 0.0
-        return max(0.0, 1.0 - (now_ms - self.restarted_at_ms) / window_ms)
+        passed_ms = now_ms - self.restarted_at_ms
+        rate = window.offered_units / max(passed_ms, _LEAST_OBSERVED_MS)
+        asked = min(share, rate * bounds.window_ms)
+        return asked * max(0.0, 1.0 - passed_ms / bounds.window_ms)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -10,6 +10,8 @@
 UNHEARD_MS = 700
 #: A peer that is not heard for this long is taken to be gone for good.
 GONE_MS = 20_000
+#: Share of the mean use that every VM is thought to have at the least.
+_LEAST_USE_SHARE = 0.3
 #: For this long after a start, registered VMs that were never heard count as unheard.
 _REGISTERED_COUNT_MS = 10_000
 
@@ -109,6 +111,23 @@
         """Return the share of VMs that are heard, this one included."""
         return (len(self.heard(now_ms)) + 1) / max(1, self.vms(now_ms))
 
+    def heard_use(self, own_units: int, now_ms: int) -> float:
+        """Return the share of all use that is due to VMs that are heard, this one included.
+
+        Of VMs that were never heard, or use little, a part of the mean is assumed.
+        """
+        used = {name: sum(peer.report.spent.values()) for name, peer in self.items()}
+        vms = self.vms(now_ms)
+        least = _LEAST_USE_SHARE * (own_units + sum(used.values())) / vms + 1.0
+        heard = max(own_units, least)
+        unheard = least * (vms - 1 - len(used))
+        for name, peer in self.items():
+            if peer.is_heard(now_ms):
+                heard += max(used[name], least)
+            else:
+                unheard += max(used[name], least)
+        return heard / (heard + max(0.0, unheard))
+
     def sum_work(self, now_ms: int) -> None:
         """Sum anew what the heard peers have outstanding, and forget peers that are gone."""
         for name in [n for n, peer in self.items() if now_ms - peer.heard_at_ms > GONE_MS]:
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -99,11 +99,13 @@
             return True
         peers = self.board.read(PeerTable)
         table = self.board.write(AllotmentTable)
-        heard_share = peers.heard_share(context.now_ms)
+        window_ms = self.settings.bounds.allotment.window_ms
+        heard_share = peers.heard_use(table.own_units(context.now_ms, window_ms), context.now_ms)
         left = table.left(
             request.organisation,
             allotment,
             self.settings.bounds.allotment,
+            units=request.allotment_units,
             heard_share=heard_share,
             vms=peers.vms(context.now_ms),
             now_ms=context.now_ms,
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -46,6 +46,8 @@
 _ANSWER_LEAST_MS = 150
 _ANSWER_OBJECTIVES = 2.0
 _MISDIRECTED = 421
+#: Part of a stream's expected time that must be left of a planned stop.
+_STOP_MARGIN = 3.0
 
 
 class CutError(Exception):
@@ -88,8 +90,6 @@
         configuration = view.configuration
         body_limit = configuration.limits.body_bytes if configuration else 4 << 20
         self._body = self._caller.read_body(body_limit)
-        if self._services.is_finishing():
-            raise RefusedError(ErrorKind.STOPPING)
         if configuration is None:
             raise RefusedError(ErrorKind.CONFIGURATION_UNKNOWN)
         try:
@@ -99,6 +99,8 @@
         request = route_request(
             facts, self._caller, configuration, self._services.runtime, now_ms=self._started_at_ms
         )
+        if not self._fits(request):
+            raise RefusedError(ErrorKind.STOPPING)
         self._request = request
         self._last_event_number = facts.last_event_number
         runtime = self._services.runtime
@@ -112,6 +114,18 @@
             runtime.submit(RequestClosed(request.request_id))
             runtime.close_mailbox(request.request_id)
 
+    def _fits(self, request: GatewayRequest) -> bool:
+        """Return whether the request will be answered before a planned stop ends."""
+        left_ms = self._services.time_left_ms()
+        if left_ms is None:
+            return True
+        if request.prompt is None:
+            return left_ms > request.ends_at_ms - self._started_at_ms
+        policy = self._services.settings.policy.engine
+        tokens = request.prompt.expected_answer_tokens or request.prompt.answer_limit_tokens
+        answer_ms = tokens * policy.ms_per_token + request.route.objective_ms
+        return left_ms > _STOP_MARGIN * answer_ms
+
     def _follow(self, request: GatewayRequest, mailbox: "queue.SimpleQueue[RequestAction]") -> None:
         while True:
             wait_ms = max(1, request.ends_at_ms - now_ms()) + _CORE_GRACE_MS
--- a/azureturn/gateway/exchange/_services.py
+++ b/azureturn/gateway/exchange/_services.py
@@ -22,7 +22,7 @@
     view: Callable[[], SiteView]
     #: Whether a planned stop has begun: connections are not kept any more.
     is_leaving: Callable[[], bool]
-    #: Whether new requests are refused.
-    is_finishing: Callable[[], bool]
+    #: Time that is left for new requests: None while no stop is planned.
+    time_left_ms: Callable[[], int | None]
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     caller_watch: CallerWatch = field(default_factory=CallerWatch)
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -125,8 +125,8 @@
     report_interval_ms: Annotated[int, Field(ge=20, le=10_000)] = 100
     #: Longest wait of one call that watches the store.
     watch_wait_ms: Annotated[int, Field(ge=100, le=30_000)] = 2_000
-    #: How long a stopping VM still serves new requests.
-    balancer_lag_ms: Milliseconds = 3_000
+    #: How long a stopping VM still serves every new request; later, only what will end in time.
+    balancer_lag_ms: Milliseconds = 2_800
     #: Key by which VMs authenticate to each other.
     peer_secret: Annotated[str, Field(min_length=16, max_length=256)] = "change-this-shared-secret"
 
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -19,6 +19,8 @@
     prompt_tokens: int
     #: Most tokens that the answer may have.
     answer_limit_tokens: int
+    #: The caller's own estimate of the answer; 0 where it gives none.
+    expected_answer_tokens: int = 0
     #: In order; the last part is the request's or its session's own.
     parts: tuple[PromptPart, ...] = ()
 
