--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -18,7 +18,11 @@
 _OVERSHOOT_SHARE = 0.4
 _SLACK_SHARE = 0.3
 #: What peers let pass for so long before now they have not said yet.
-_UNSAID_MS = 150
+_UNSAID_MS = 60
+#: Span over which it is measured how fast this VM lets requests pass.
+_RATE_SPAN_MS = 1_000
+#: Peers are told at once of what passes while less than this part of the bound is left.
+_URGENT_PART = 0.4
 #: Time after a restart over which the callers' demand is measured at the least.
 _LEAST_OBSERVED_MS = 1_000
 
@@ -31,6 +35,15 @@
     said_at_ms: int
 
 
+@dataclass(frozen=True)
+class AllotmentLeft:
+    """What an organisation may still use."""
+
+    units: float
+    #: So little that peers have to be told at once of what passes.
+    is_urgent: bool
+
+
 class AllotmentWindow:
     """One organisation's use of the last window, on this VM and on its peers."""
 
@@ -49,11 +62,11 @@
             self._own_units -= self._passed.popleft()[1]
         return self._own_units
 
-    def unsaid_units(self, now_ms: int) -> int:
-        """Return what this VM let pass so lately that its peers do not know of it."""
+    def lately_units(self, now_ms: int) -> int:
+        """Return what this VM let pass in the last span over which its rate is measured."""
         units = 0
         for passed_at_ms, one in reversed(self._passed):
-            if passed_at_ms <= now_ms - _UNSAID_MS:
+            if passed_at_ms <= now_ms - _RATE_SPAN_MS:
                 break
             units += one
         return units
@@ -105,7 +118,7 @@
         heard_share: float,
         vms: int,
         now_ms: int,
-    ) -> float:
+    ) -> "AllotmentLeft":
         """Return the units that this VM may still let pass now, where some are asked for.
 
         Peers are thought to have let pass as much as this VM since they last said.
@@ -116,9 +129,11 @@
         bound = limit * (1.0 + _OVERSHOOT_SHARE * bounds.overshoot) + _SLACK_SHARE * bounds.slack
         used = window.own_units(now_ms, bounds.window_ms)
         used_by_peers = window.peers_units(now_ms, bounds.window_ms)
-        unsaid = window.unsaid_units(now_ms) * (heard_share * vms - 1)
+        rate = window.lately_units(now_ms) / _RATE_SPAN_MS
+        unsaid = rate * _UNSAID_MS * max(0.0, heard_share * vms - 1)
         window.forgotten_units = self._forgotten_units(window, bound / vms, bounds, now_ms)
-        return bound * heard_share - used - used_by_peers - unsaid - window.forgotten_units
+        left = bound * heard_share - used - used_by_peers - unsaid - window.forgotten_units
+        return AllotmentLeft(left, is_urgent=left < _URGENT_PART * bound)
 
     def told_units(self, organisation: str, now_ms: int, window_ms: int) -> int:
         """Return what peers are told that this VM let pass, its earlier process included."""
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -94,6 +94,11 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class ReportWanted(Event):
+    """Peers should be told now (posted by the decisions themselves)."""
+
+
 @dataclass(frozen=True)
 class PeerReported(Event):
     """A peer's report came."""
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -5,9 +5,10 @@
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import (
     CallerArrived,
-    GatewayStarted,
     PlacementWanted,
+    ReportWanted,
     RequestClosed,
+    ViewChanged,
 )
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
@@ -40,9 +41,16 @@
     )
     after = ("views",)
 
-    @on(GatewayStarted)
-    def _on_started(self, event: GatewayStarted, context: Context) -> None:
-        if not self.settings.vm.is_first_start:
+    _first_view_seen = False
+
+    @on(ViewChanged)
+    def _on_view(self, event: ViewChanged, context: Context) -> None:
+        """Find out at the first view whether an earlier process of this VM was serving."""
+        if self._first_view_seen:
+            return
+        self._first_view_seen = True
+        vm = self.settings.vm
+        if not vm.is_first_start and vm.name in event.view.vms:
             self.board.write(AllotmentTable).restarted_at_ms = context.now_ms
 
     @on(CallerArrived)
@@ -110,16 +118,18 @@
             vms=peers.vms(context.now_ms),
             now_ms=context.now_ms,
         )
-        if left > 0:
+        if left.units > 0:
+            if left.is_urgent:
+                context.post(ReportWanted())
             table.of(request.organisation).note_passed(request.allotment_units, context.now_ms)
             return True
-        retry_after_ms = _refill_ms(left, allotment, request.allotment_units)
+        retry_after_ms = _refill_ms(left.units, allotment, request.allotment_units)
         context.act(
             Refuse(
                 request.request_id,
                 ErrorKind.OVER_ALLOTMENT,
                 retry_after_ms,
-                detail=f"left {left:.0f} heard {heard_share:.2f}",
+                detail=f"left {left.units:.0f} heard {heard_share:.2f}",
             )
         )
         return False
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -7,6 +7,7 @@
     GatewayStarted,
     PeerReported,
     PlacementWanted,
+    ReportWanted,
     VmLeaving,
 )
 from azureturn.gateway.decisions._moves import MoveTable
@@ -21,6 +22,8 @@
 
 #: Every so many reports name the VMs that the sender knows.
 _INTRODUCTION_INTERVAL = 10
+#: Least time between two reports, however urgent.
+_URGENT_INTERVAL_MS = 20
 #: A peer's newer view is fetched after this long without the store telling of it.
 _VIEW_PATIENCE_MS = 300
 _FETCH_INTERVAL_MS = 400
@@ -40,6 +43,7 @@
     _sent_at_ms = 0
     _boot = 0
     _leaving = False
+    _is_wanted = False
     _behind_since_ms = 0
     _fetched_at_ms = 0
 
@@ -53,8 +57,18 @@
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
-        if context.now_ms - self._sent_at_ms < self.settings.limits.report_interval_ms:
-            return
+        waited_ms = context.now_ms - self._sent_at_ms
+        if self._is_wanted or waited_ms >= self.settings.limits.report_interval_ms:
+            self._send(context)
+
+    @on(ReportWanted)
+    def _on_wanted(self, event: ReportWanted, context: Context) -> None:
+        self._is_wanted = True
+        if context.now_ms - self._sent_at_ms >= _URGENT_INTERVAL_MS:
+            self._send(context)
+
+    def _send(self, context: Context) -> None:
+        self._is_wanted = False
         self._sent_at_ms = context.now_ms
         self.board.write(PeerTable).sum_work(context.now_ms)
         self._sequence += 1
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -378,6 +378,7 @@
             organisation=request.organisation if request else "",
             route=request.route.name if request else "",
             rank=request.tier_rank if request else -1,
+            units=request.allotment_units if request else 0,
             upstream=self._upstream,
             ended=self._outcome,
             attempts=self._attempts,
