--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -1,14 +1,16 @@
 """What a request would meet at each upstream, and whether there is room for it."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from azureturn.core import changed_row as changed
 from azureturn.gateway.decisions._peers import WorkReport
 from azureturn.gateway.decisions._prompts import PromptRecord
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.decisions._work import UpstreamState
 from azureturn.gateway.settings import GatewayPolicy
-from azureturn.gateway.site import EngineShape, RegisteredUpstream
+from azureturn.gateway.site import EngineShape, Prompt, RegisteredUpstream
 
 #: Expected time lost by a failure.
 _FAILURE_COST_MS = 1_500.0
@@ -16,8 +18,6 @@
 _OTHER_ZONE_MS = 3.0
 #: Weight of the time for which a prompt holds up the answers that run beside it.
 _OTHERS_WEIGHT = 0.05
-#: A plain answer's time until one was seen.
-_PLAIN_ANSWER_MS = 25.0
 #: Requests that a plain upstream may have waiting, as a multiple of its slots.
 _PLAIN_QUEUE = 3
 
@@ -39,81 +39,111 @@
 
 
 @dataclass(frozen=True)
-class Surroundings:
-    """What the estimates for one upstream rest on."""
+class KnownUpstream:
+    """One upstream and what is known of it."""
 
     upstream: RegisteredUpstream
     state: UpstreamState
     peers: WorkReport
     #: None for a plain service.
-    engine: EngineShape | None
     record: PromptRecord | None
-    vms: int
-    #: Share of the VMs whose work is known, this one included.
-    heard_share: float
+    #: Requests there from all VMs, by estimate.
+    requests: int = 0
+    #: More requests that it may be given: those of any tier, and the most urgent ones.
+    room_left: int = 0
+    urgent_room_left: int = 0
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What the requests of one service find."""
+
+    upstreams: tuple[KnownUpstream, ...]
+    #: None for a plain service.
+    engine: EngineShape | None
     own_zone: str
     now_ms: int
 
-
-def candidate(request: GatewayRequest, around: Surroundings, policy: GatewayPolicy) -> Candidate:
+    @classmethod
+    def of(
+        cls,
+        upstreams: Iterable[KnownUpstream],
+        engine: EngineShape | None,
+        *,
+        vms: int,
+        heard_share: float,
+        own_zone: str,
+        policy: GatewayPolicy,
+        now_ms: int,
+    ) -> "Surroundings":
+        """Return the surroundings with the room at each upstream.
+
+        ``heard_share`` is the share of VMs whose work is known: the others are thought to have
+        as much there as those.
+        """
+        found = []
+        for one in upstreams:
+            requests = round((one.state.requests + one.peers.requests) / heard_share)
+            slots = max(1, one.upstream.slots)
+            if engine is None:
+                room = urgent_room = slots * _PLAIN_QUEUE - requests
+            else:
+                room = math.ceil(slots - policy.reserved_slots - requests)
+                urgent_room = math.ceil(slots + policy.ahead_requests - requests)
+                # A VM's share is open to it even where peers have taken more than theirs.
+                if one.state.requests < math.ceil(slots / vms):
+                    urgent_room += math.ceil(policy.ahead_requests)
+            found.append(
+                changed(one, requests=requests, room_left=room, urgent_room_left=urgent_room)
+            )
+        return cls(tuple(found), engine, own_zone, now_ms)
+
+
+def candidate(
+    request: GatewayRequest, known: KnownUpstream, site: Surroundings, policy: GatewayPolicy
+) -> Candidate:
     """Return the estimates for one upstream."""
-    if around.engine is None or request.prompt is None:
-        return _plain(request, around)
-    return _engine(request, around, policy, around.engine)
+    if site.engine is None or request.prompt is None:
+        return _plain(known, site)
+    return _engine(request, request.prompt, known, site, policy)
 
 
-def _plain(request: GatewayRequest, around: Surroundings) -> Candidate:
-    state = around.state
-    requests = state.requests + around.peers.requests
-    slots = max(1, around.upstream.slots)
-    answer_ms = max(state.expected_answer_ms(around.now_ms), 1.0) or _PLAIN_ANSWER_MS
-    waiting = max(0, requests + 1 - slots)
+def _plain(known: KnownUpstream, site: Surroundings) -> Candidate:
+    slots = max(1, known.upstream.slots)
+    answer_ms = max(known.state.expected_answer_ms(site.now_ms), 1.0)
+    waiting = max(0, known.requests + 1 - slots)
     expected_ms = answer_ms * (1.0 + waiting / slots)
-    cost_ms = expected_ms + answer_ms * requests / slots + _common_cost(around)
-    room = requests < slots * _PLAIN_QUEUE
-    return Candidate(around.upstream, requests, 0, expected_ms, cost_ms, room)
+    cost_ms = expected_ms + answer_ms * known.requests / slots + _common_cost(known, site)
+    has_room = known.room_left > 0
+    return Candidate(known.upstream, known.requests, 0, expected_ms, cost_ms, has_room)
 
 
 def _engine(
-    request: GatewayRequest, around: Surroundings, policy: GatewayPolicy, engine: EngineShape
+    request: GatewayRequest,
+    prompt: Prompt,
+    known: KnownUpstream,
+    site: Surroundings,
+    policy: GatewayPolicy,
 ) -> Candidate:
-    assert request.prompt is not None
-    state = around.state
-    # VMs that are not heard are thought to have as much there as those that are.
-    requests = round((state.requests + around.peers.requests) / around.heard_share)
-    pace = state.expected_pace(around.now_ms)
-    held = around.record.held_tokens(request.prompt) if around.record else 0
-    pending = max(0, request.prompt.prompt_tokens - held)
+    state = known.state
+    requests = known.requests
+    pace = state.expected_pace(site.now_ms)
+    held = known.record.held_tokens(prompt) if known.record else 0
+    pending = max(0, prompt.prompt_tokens - held)
     ms_per_token = pace / policy.engine.prefill_tokens_per_ms
-    ahead_ms = (state.pending_tokens + around.peers.pending_tokens) * ms_per_token
+    ahead_ms = (state.pending_tokens + known.peers.pending_tokens) * ms_per_token
     own_ms = pending * ms_per_token
-    slots = max(1, around.upstream.slots or engine.slots)
+    slots = max(1, known.upstream.slots)
     answer_ms = policy.engine.answer_tokens * policy.engine.ms_per_token * pace
     slot_wait_ms = max(0, requests + 1 - slots) / slots * answer_ms
     expected_ms = ahead_ms + own_ms + slot_wait_ms + policy.engine.first_event_ms * pace
-    cost_ms = expected_ms + _OTHERS_WEIGHT * requests * own_ms + _common_cost(around)
-    room = _engine_has_room(request, around, policy, requests, slots)
-    return Candidate(around.upstream, requests, pending, expected_ms, cost_ms, room)
+    cost_ms = expected_ms + _OTHERS_WEIGHT * requests * own_ms + _common_cost(known, site)
+    room = known.urgent_room_left if request.tier_rank == 0 else known.room_left
+    return Candidate(known.upstream, requests, pending, expected_ms, cost_ms, room > 0)
 
 
-def _engine_has_room(
-    request: GatewayRequest,
-    around: Surroundings,
-    policy: GatewayPolicy,
-    requests: int,
-    slots: int,
-) -> bool:
-    if request.tier_rank == 0:
-        if requests < slots + policy.ahead_requests:
-            return True
-        # A VM's share is open to it even where peers have taken more than theirs.
-        share = math.ceil(slots / max(1, around.vms))
-        return around.state.requests < share and requests < slots + 2 * policy.ahead_requests
-    return requests < slots - policy.reserved_slots
-
-
-def _common_cost(around: Surroundings) -> float:
-    cost_ms = around.state.failures(around.now_ms) * _FAILURE_COST_MS
-    if around.upstream.availability_zone != around.own_zone:
+def _common_cost(known: KnownUpstream, site: Surroundings) -> float:
+    cost_ms = known.state.failures(site.now_ms) * _FAILURE_COST_MS
+    if known.upstream.availability_zone != site.own_zone:
         cost_ms += _OTHER_ZONE_MS
     return cost_ms
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -3,7 +3,12 @@
 from azureturn.core import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
-from azureturn.gateway.decisions._estimates import Candidate, Surroundings, candidate
+from azureturn.gateway.decisions._estimates import (
+    Candidate,
+    KnownUpstream,
+    Surroundings,
+    candidate,
+)
 from azureturn.gateway.decisions._events import PlacementWanted
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import PeerTable
@@ -15,7 +20,7 @@
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import EngineShape, RegisteredUpstream
+from azureturn.gateway.site import EngineShape
 
 #: Requests of a tier that are looked at before the tier is taken to wait for room.
 _HEADS = 4
@@ -51,9 +56,12 @@
 
         A tier whose first requests wait for room holds back the tiers below it.
         """
+        site = self._surroundings(service, context)
+        if not any(one.urgent_room_left > 0 for one in site.upstreams):
+            return False
         for rank in queue.waiting_ranks():
             for request in queue.heads(rank, _HEADS):
-                found = self._candidates(request, context)
+                found = self._candidates(request, site, context)
                 with_room = [one for one in found if one.has_room]
                 if with_room:
                     self._place(queue, request, _best(with_room, context), len(found), context)
@@ -62,24 +70,45 @@
                     return False
         return False
 
-    def _candidates(self, request: GatewayRequest, context: Context) -> list[Candidate]:
-        serving = self.board.read(ViewTable).serving(request.service, context.now_ms)
-        serving = self._of_version(request, serving, context)
-        untried = [one for one in serving if one.name not in request.tried]
+    def _candidates(
+        self, request: GatewayRequest, site: Surroundings, context: Context
+    ) -> list[Candidate]:
+        untried = [one for one in site.upstreams if one.upstream.name not in request.tried]
+        serving = self._of_version(request, untried, context)
+        return [candidate(request, one, site, self.settings.policy) for one in serving]
+
+    def _surroundings(self, service: str, context: Context) -> Surroundings:
+        """Return what all requests of a service find at its upstreams now."""
+        peers = self.board.read(PeerTable)
         states = self.board.write(UpstreamStateTable)
-        open_now = [one for one in untried if not states.of(one.run).is_unreachable]
-        engine = self._engine_of(request.service)
-        return [self._candidate(request, one, engine, context) for one in open_now]
+        prompts = self.board.write(PromptTable)
+        engine = self._engine_of(service)
+        upstreams = []
+        for one in self.board.read(ViewTable).serving(service, context.now_ms):
+            state = states.of(one.run)
+            if not state.is_unreachable:
+                record = prompts.of(one.run, engine.memory_tokens) if engine else None
+                known = KnownUpstream(one, state, peers.work_at(one.name), record)
+                upstreams.append(known)
+        return Surroundings.of(
+            upstreams,
+            engine,
+            vms=peers.vms(context.now_ms),
+            heard_share=peers.heard_share(context.now_ms),
+            own_zone=self.settings.vm.availability_zone,
+            policy=self.settings.policy,
+            now_ms=context.now_ms,
+        )
 
     def _of_version(
-        self, request: GatewayRequest, serving: list[RegisteredUpstream], context: Context
-    ) -> list[RegisteredUpstream]:
+        self, request: GatewayRequest, serving: list[KnownUpstream], context: Context
+    ) -> list[KnownUpstream]:
         """Return the upstreams of the version that this request goes to."""
         move = self.board.read(MoveTable).get(request.service)
         if move is None:
             return serving
-        new = [one for one in serving if one.version == move.version]
-        old = [one for one in serving if one.version != move.version]
+        new = [one for one in serving if one.upstream.version == move.version]
+        old = [one for one in serving if one.upstream.version != move.version]
         share = move.share(context.now_ms, self.settings.bounds.move.share)
         if move.completed:
             return new or old
@@ -87,30 +116,6 @@
             return new if context.random.random() < share else old
         return old
 
-    def _candidate(
-        self,
-        request: GatewayRequest,
-        upstream: RegisteredUpstream,
-        engine: EngineShape | None,
-        context: Context,
-    ) -> Candidate:
-        peers = self.board.read(PeerTable)
-        record = None
-        if engine is not None:
-            record = self.board.write(PromptTable).of(upstream.run, engine.memory_tokens)
-        around = Surroundings(
-            upstream=upstream,
-            state=self.board.write(UpstreamStateTable).of(upstream.run),
-            peers=peers.work_at(upstream.name),
-            engine=engine,
-            record=record,
-            vms=peers.vms(context.now_ms),
-            heard_share=peers.heard_share(context.now_ms),
-            own_zone=self.settings.vm.availability_zone,
-            now_ms=context.now_ms,
-        )
-        return candidate(request, around, self.settings.policy)
-
     def _place(
         self,
         queue: "RequestQueue[GatewayRequest]",
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -6,7 +6,6 @@
 from azureturn.gateway.decisions._events import (
     GatewayStarted,
     PeerReported,
-    PlacementWanted,
     ReportWanted,
     VmLeaving,
 )
@@ -95,9 +94,6 @@
         self._take_spending(report, context.now_ms)
         self._take_moves(report, context.now_ms)
         self._follow_view(report, context)
-        for service, queue in self.board.read(GatewayQueueTable).items():
-            if len(queue):
-                context.post(PlacementWanted(service))
 
     def _report(self) -> PeerReport:
         prompts = self.board.write(PromptTable)
--- a/azureturn/peers/_authentication.py
+++ b/azureturn/peers/_authentication.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeVar
 
 from itsdangerous import BadData, TimestampSigner
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.TSerialization import TTransport
 
 from azureturn.errors import AzureturnError, ErrorKind
@@ -25,7 +25,7 @@
 def encode_struct(struct: Any) -> bytes:
     """Return a thrift struct in compact form."""
     transport = TTransport.TMemoryBuffer()
-    struct.write(TCompactProtocol(transport))
+    struct.write(TCompactProtocolAccelerated(transport))
     return bytes(transport.getvalue())
 
 
@@ -33,7 +33,11 @@
     """Return the struct in ``data``, or raise with kind ``malformed_request``."""
     struct = struct_type()
     try:
-        protocol = TCompactProtocol(TTransport.TMemoryBuffer(data), len(data) + 1, len(data) + 1)
+        limit = len(data) + 1
+        transport = TTransport.TMemoryBuffer(data)
+        protocol = TCompactProtocolAccelerated(
+            transport, string_length_limit=limit, container_length_limit=limit
+        )
         struct.read(protocol)  # type: ignore[attr-defined]
     except Exception as error:
         raise AzureturnError(ErrorKind.MALFORMED_REQUEST, "not a valid peer message") from error
