--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -11,6 +11,7 @@
 from azureturn.gateway.daemon._peer_reports import ReportLink
 from azureturn.gateway.daemon._store_follower import StoreFollower, ViewKeeper
 from azureturn.gateway.daemon._store_writer import StoreWriter
+from azureturn.gateway.daemon._strain import Strain
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     FetchView,
@@ -52,6 +53,7 @@
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
         self._runtime = CoreRuntime(core, tick_interval_ms=settings.limits.tick_interval_ms)
+        self._strain = Strain(self._runtime, log)
         self._keeper = ViewKeeper(self._runtime, adapter.documents, log)
         limits = settings.limits
         self._stop = PlannedStop(
@@ -67,7 +69,9 @@
             dialect=adapter.dialect,
             log=log,
             view=lambda: self._keeper.view,
-            is_leaving=lambda: self._stop.stage is not StopStage.SERVING,
+            is_leaving=lambda: (
+                self._stop.stage is not StopStage.SERVING or self._strain.is_strained()
+            ),
             time_left_ms=self._time_left_ms,
         )
         vm = settings.vm
@@ -83,7 +87,7 @@
         self._readiness = ReadinessServer(self._services, is_ready=self._is_ready)
         self._trials = ConnectionTrials(self._runtime, log)
         self._runtime.perform(TryConnection, self._trials.take)
-        self._runtime.perform(SendReport, self._reports.send)
+        self._runtime.perform(SendReport, self._send_report)
         self._runtime.perform(FetchView, self._fetcher.take)
         self._runtime.perform(WriteStatus, self._writer.take)
 
@@ -142,9 +146,13 @@
         return max(self._server.requests_in_flight, self._runtime.requests_in_progress)
 
     def _is_ready(self) -> bool:
-        return self._stop.stage is StopStage.SERVING and (
-            self._keeper.view.configuration is not None
-        )
+        if self._stop.stage is not StopStage.SERVING or self._strain.is_strained():
+            return False
+        return self._keeper.view.configuration is not None
+
+    def _send_report(self, action: SendReport) -> None:
+        report = action.report.with_strained(self._strain.is_strained())
+        self._reports.send(SendReport(report, action.hosts))
 
     def _keep_house(self) -> None:
         while True:
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -52,6 +52,7 @@
         ],
         peers=[VmAddressSeen(name, host) for name, host in report.peers.items()],
         queued_requests=report.queued_requests,
+        strained=report.strained,
     )
 
 
@@ -90,4 +91,5 @@
         },
         peers={one.vm: one.host for one in wire.peers or ()},
         queued_requests=wire.queued_requests or 0,
+        strained=bool(wire.strained),
     )
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from azureturn.core import Table
+from azureturn.core import changed_row as changed
 from azureturn.gateway.decisions._prompts import SentPrompt
 
 #: A peer that is not heard for this long counts as unheard.
@@ -63,6 +64,12 @@
     #: Hosts of other VMs by name.
     peers: dict[str, str]
     queued_requests: int = 0
+    #: It lacks processor time and steps back.
+    strained: bool = False
+
+    def with_strained(self, strained: bool) -> "PeerReport":
+        """Return a copy that says whether the VM is strained."""
+        return changed(self, strained=strained)
 
     def is_newer_than(self, other: "PeerReport") -> bool:
         """Return whether the same process made the other report before, or at the same time."""
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -39,6 +39,7 @@
     MOVE_STATUS_WRITTEN = "move_status_written"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_REPORT_REFUSED = "peer_report_refused"
+    STRAIN_CHANGED = "strain_changed"
     SETTINGS_RELOADED = "settings_reloaded"
     INTERNAL_ERROR = "internal_error"
     LINES_LEFT_OUT = "lines_left_out"
@@ -178,6 +179,10 @@
             "Another VM could not be told or asked.", "vm_host", "error"
         ),
         LogEvent.PEER_REPORT_REFUSED: _error_row("A datagram was no report of a peer.", "error"),
+        LogEvent.STRAIN_CHANGED: LogEventRow(
+            "This VM lacks processor time and steps back, or no longer does.",
+            ("state", "lateness_ms"),
+        ),
         LogEvent.SETTINGS_RELOADED: LogEventRow("The process was told to read its settings.", ()),
         LogEvent.INTERNAL_ERROR: _error_row(
             "azureturn itself failed; the type and the place of the failure are told.",
@@ -230,6 +235,7 @@
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
         "events": "Events that came.",
         "rank": "The tier's rank; 0 is the most urgent.",
+        "lateness_ms": "By how much this process's own ticks come late on average.",
         "units": "What the request counts against its organisation's allotment.",
         "attempts": "How often the request was sent.",
         "configuration": "Version of the configuration by which the request was served.",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -288,6 +288,7 @@
   11: list<MoveSeen> moves,
   12: list<VmAddressSeen> peers,
   13: i32 queued_requests,
+  14: bool strained,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3804,6 +3804,7 @@
      - moves
      - peers
      - queued_requests
+     - strained
 
     """
 
@@ -3821,10 +3822,11 @@
         'moves',
         'peers',
         'queued_requests',
+        'strained',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None, strained=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -3838,6 +3840,7 @@
         self.moves = moves
         self.peers = peers
         self.queued_requests = queued_requests
+        self.strained = strained
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3949,6 +3952,11 @@
                     self.queued_requests = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.strained = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4029,6 +4037,10 @@
             oprot.writeFieldBegin('queued_requests', TType.I32, 13)
             oprot.writeI32(self.queued_requests)
             oprot.writeFieldEnd()
+        if self.strained is not None:
+            oprot.writeFieldBegin('strained', TType.BOOL, 14)
+            oprot.writeBool(self.strained)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4444,6 +4456,7 @@
     (11, TType.LIST, 'moves', (TType.STRUCT, [MoveSeen, None], False), None, ),  # 11
     (12, TType.LIST, 'peers', (TType.STRUCT, [VmAddressSeen, None], False), None, ),  # 12
     (13, TType.I32, 'queued_requests', None, None, ),  # 13
+    (14, TType.BOOL, 'strained', None, None, ),  # 14
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -10,6 +10,8 @@
 from azureturn.errors import ErrorKind, RunState
 
 _MS_PER_S = 1_000
+#: Weight of the latest tick in the mean lateness.
+_LATENESS_WEIGHT = 0.1
 _ActionType = TypeVar("_ActionType", bound=Action)
 _Value = TypeVar("_Value")
 
@@ -33,6 +35,12 @@
         self._performers: dict[type[Action], Callable[..., None]] = {}
         self._tick_interval_s = tick_interval_ms / _MS_PER_S
         self._stopped = threading.Event()
+        self._lateness_ms = 0.0
+
+    @property
+    def lateness_ms(self) -> float:
+        """Return by how much ticks come late of late: a VM without processor time shows here."""
+        return self._lateness_ms
 
     def perform(
         self, action_type: type[_ActionType], performer: Callable[[_ActionType], None]
@@ -95,8 +103,12 @@
             self.deliver(action)
 
     def _tick_forever(self) -> None:
+        due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
         while not self._stopped.wait(self._tick_interval_s):
+            late_ms = max(0.0, now_ms() - due_at_ms)
+            self._lateness_ms += _LATENESS_WEIGHT * (late_ms - self._lateness_ms)
             self.submit(Tick())
+            due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
 
 
 def next_action(
