Tests of the gateway's decisions; a divided site divides allotments by what was used when it still was whole

The new tests found two faults: a request closed while it was sent kept its place at the upstream, and two parts of a divided site each took three quarters of an allotment.

--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -11,8 +11,8 @@
 UNHEARD_MS = 700
 #: A peer that is not heard for this long is taken to be gone for good.
 GONE_MS = 20_000
-#: Share of the mean use that every VM is thought to have at the least.
-_LEAST_USE_SHARE = 0.3
+#: Bounds of how much another VM is thought to use, as a multiple of this one's use.
+_USE_RATIO_BOUNDS = (0.33, 3.0)
 #: For this long after a start, registered VMs that were never heard count as unheard.
 _REGISTERED_COUNT_MS = 10_000
 
@@ -82,6 +82,8 @@
 
     report: PeerReport
     heard_at_ms: int
+    #: What this VM itself had used in its window then.
+    own_units: int = 0
 
     def is_heard(self, now_ms: int) -> bool:
         """Return whether what it says is fresh."""
@@ -121,18 +123,18 @@
     def heard_use(self, own_units: int, now_ms: int) -> float:
         """Return the share of all use that is due to VMs that are heard, this one included.
 
-        Of VMs that were never heard, or use little, a part of the mean is assumed.
+        What an unheard VM used is compared with what this one used when it was last heard, so
+        that both parts of a divided site come to the same division. A VM that was never heard
+        is thought to use as much as this one.
         """
-        used = {name: sum(peer.report.spent.values()) for name, peer in self.items()}
-        vms = self.vms(now_ms)
-        least = _LEAST_USE_SHARE * (own_units + sum(used.values())) / vms + 1.0
-        heard = max(own_units, least)
-        unheard = least * (vms - 1 - len(used))
-        for name, peer in self.items():
+        heard = 1.0
+        unheard = float(self.vms(now_ms) - 1 - len(self))
+        for peer in self.rows():
+            used = sum(peer.report.spent.values())
             if peer.is_heard(now_ms):
-                heard += max(used[name], least)
+                heard += _use_ratio(used, own_units)
             else:
-                unheard += max(used[name], least)
+                unheard += _use_ratio(used, peer.own_units)
         return heard / (heard + max(0.0, unheard))
 
     def sum_work(self, now_ms: int) -> None:
@@ -152,6 +154,11 @@
 _NO_WORK = WorkReport(0, 0)
 
 
+def _use_ratio(used: int, own_units: int) -> float:
+    low, high = _USE_RATIO_BOUNDS
+    return min(high, max(low, (used + 1) / (own_units + 1)))
+
+
 def _add(sums: dict[str, WorkReport], upstream: str, requests: int, tokens: int) -> None:
     work = sums.get(upstream, _NO_WORK)
     sums[upstream] = WorkReport(
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -95,9 +95,10 @@
 
     @on(RequestClosed)
     def _on_closed(self, event: RequestClosed, context: Context) -> None:
-        request = self.board.write(GatewayRequestTable).remove(event.request_id)
+        request = self.board.read(GatewayRequestTable).get(event.request_id)
         if request is None or request.stage is not Stage.QUEUED:
             return
+        self.board.write(GatewayRequestTable).remove(event.request_id)
         self.board.write(GatewayQueueTable).of(request.service).remove(request)
         self._give_back(request, context)
 
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -88,7 +88,9 @@
             self._take_spending(report, context.now_ms)
             return
         before = known.report if known is not None and known.is_heard(context.now_ms) else None
-        peers.put(report.vm, Peer(report, context.now_ms))
+        window_ms = self.settings.bounds.allotment.window_ms
+        own_units = self.board.read(AllotmentTable).own_units(context.now_ms, window_ms)
+        peers.put(report.vm, Peer(report, context.now_ms, own_units))
         peers.add_work(before, report)
         self._take_prompts(report)
         self._take_spending(report, context.now_ms)
--- /dev/null
+++ b/azureturn/gateway/decisions/tests/gateway_site.py
@@ -0,0 +1,196 @@
+"""A small site, and the decisions of one of its VMs, for tests."""
+
+from azureturn.core import Action, Core, Event, Tick
+from azureturn.gateway.decisions import (
+    GATEWAY_CONTROLLERS,
+    CallerArrived,
+    GatewayRequest,
+    GatewayStarted,
+    PeerReport,
+    ViewChanged,
+    WorkReport,
+)
+from azureturn.gateway.settings import (
+    AllotmentBounds,
+    GatewayBounds,
+    GatewaySettings,
+    GatewayVm,
+    MoveBounds,
+    RetryBounds,
+)
+from azureturn.gateway.site import (
+    Allotment,
+    EngineShape,
+    MoveOrder,
+    Organisation,
+    Prompt,
+    PromptPart,
+    RegisteredUpstream,
+    RegisteredVm,
+    RequestKind,
+    Route,
+    RouteTarget,
+    Service,
+    SiteConfiguration,
+    SiteView,
+    StoredFact,
+)
+
+ENGINE = EngineShape(slots=4, memory_tokens=100_000, tokens_per_event=5)
+STREAM_ROUTE = Route(
+    name="report",
+    host="site.example",
+    path_prefix="/report/",
+    kind=RequestKind.STREAM,
+    targets=(RouteTarget("models", 1.0),),
+    timeout_ms=12_000,
+    objective_ms=600,
+    attempts=2,
+    rank=0,
+    is_resumable=True,
+    pause_limit_ms=300,
+)
+BOOKING_ROUTE = Route(
+    name="booking",
+    host="site.example",
+    path_prefix="/booking/",
+    kind=RequestKind.NON_IDEMPOTENT,
+    targets=(RouteTarget("desk", 1.0),),
+    timeout_ms=600,
+    objective_ms=125,
+    attempts=1,
+    rank=2,
+)
+STATUS_ROUTE = Route(
+    name="status",
+    host="site.example",
+    path_prefix="/booking/status/",
+    kind=RequestKind.IDEMPOTENT,
+    targets=(RouteTarget("desk", 1.0),),
+    timeout_ms=600,
+    objective_ms=125,
+    attempts=2,
+    rank=2,
+)
+ALLOTMENT = Allotment(rate_per_s=1_000, burst=1_000, counts_tokens=True, uncounted_tokens=10)
+
+
+def configuration(version: int = 1) -> SiteConfiguration:
+    """Return the site's configuration."""
+    return SiteConfiguration(
+        version=version,
+        routes=(STREAM_ROUTE, BOOKING_ROUTE, STATUS_ROUTE),
+        services=(Service("models", engine=ENGINE), Service("desk")),
+        organisations=(
+            Organisation("kuiseb", frozenset({"kuiseb-key"}), allotment=ALLOTMENT),
+            Organisation("burdekin", frozenset({"burdekin-key"}), rank=1),
+        ),
+    )
+
+
+def upstream(name: str, service: str = "models", **fields: object) -> RegisteredUpstream:
+    """Return a registered upstream."""
+    usual: dict[str, object] = {
+        "host": "10.0.0.1",
+        "port": 80,
+        "availability_zone": "a",
+        "version": "v1",
+        "slots": 4,
+    }
+    return RegisteredUpstream(name, service, **{**usual, **fields})  # type: ignore[arg-type]
+
+
+def view(
+    *upstreams: RegisteredUpstream,
+    revision: int = 10,
+    vms: tuple[str, ...] = (),
+    order: MoveOrder | None = None,
+    site: SiteConfiguration | None = None,
+) -> SiteView:
+    """Return a view with these upstreams."""
+    facts = {"config": StoredFact("config", 1, b"", site or configuration())}
+    for one in upstreams:
+        facts[one.name] = StoredFact(one.name, 2, b"", one)
+    for name in vms:
+        facts[f"vm/{name}"] = StoredFact(f"vm/{name}", 2, b"", RegisteredVm(name, "10.0.1.1", 7))
+    if order is not None:
+        facts["order"] = StoredFact("order", 3, b"", order)
+    return SiteView(revision, facts)
+
+
+def request(request_id: str, route: Route = STREAM_ROUTE, **fields: object) -> GatewayRequest:
+    """Return a request that arrives at 1,000 ms unless the fields say otherwise."""
+    arrived_at_ms = int(fields.pop("arrived_at_ms", 1_000))  # type: ignore[call-overload]
+    is_stream = route.kind is RequestKind.STREAM
+    usual: dict[str, object] = {
+        "organisation": "burdekin",
+        "service": route.targets[0].service,
+        "tier_rank": route.rank,
+        "arrived_at_ms": arrived_at_ms,
+        "deadline_ms": arrived_at_ms + route.objective_ms,
+        "ends_at_ms": arrived_at_ms + route.timeout_ms,
+        "prompt": Prompt("m", 500, 100, 50, (PromptPart("p", 500),)) if is_stream else None,
+    }
+    return GatewayRequest(request_id, route=route, **{**usual, **fields})  # type: ignore[arg-type]
+
+
+def peer_report(vm: str, sequence: int = 1, **fields: object) -> PeerReport:
+    """Return a peer's report without anything to tell."""
+    usual: dict[str, object] = {
+        "host": "10.0.1.2",
+        "boot": 5,
+        "leaving": False,
+        "view_revision": 10,
+        "work": {},
+        "spent": {},
+        "prompts": (),
+        "versions": {},
+        "moves": {},
+        "peers": {},
+    }
+    return PeerReport(vm, sequence=sequence, **{**usual, **fields})  # type: ignore[arg-type]
+
+
+class GatewaySite:
+    """One VM's decisions with a clock that tests set."""
+
+    def __init__(self, first_view: SiteView, *, is_first_start: bool = True) -> None:
+        vm = GatewayVm(
+            "vm-1", "a", "10.0.1.1", "10.0.1.1", 1, "10.0.1.1", 2, 3, is_first_start=is_first_start
+        )
+        bounds = GatewayBounds(
+            stop_limit_ms=8_000,
+            retry=RetryBounds(ratio=0.2, slack=8),
+            allotment=AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=0),
+            move=MoveBounds(share=0.1, slack_requests=50),
+        )
+        self.settings = GatewaySettings(vm, bounds)
+        self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=1)
+        self.now_ms = 1_000
+        self.tell(GatewayStarted("vm-1"))
+        self.tell(ViewChanged(first_view))
+
+    def tell(self, event: Event, *, at_ms: int | None = None) -> tuple[Action, ...]:
+        """Tell an event and return the actions."""
+        if at_ms is not None:
+            self.now_ms = at_ms
+        return self.core.handle(event, self.now_ms)
+
+    def arrive(self, request_id: str, **fields: object) -> tuple[Action, ...]:
+        """Let a request arrive now."""
+        one = request(request_id, arrived_at_ms=self.now_ms, **fields)  # type: ignore[arg-type]
+        return self.tell(CallerArrived(one))
+
+    def tick(self, at_ms: int) -> tuple[Action, ...]:
+        """Let time pass."""
+        return self.tell(Tick(), at_ms=at_ms)
+
+
+def only(actions: tuple[Action, ...], kind: type[Action]) -> list[Action]:
+    """Return the actions of one type."""
+    return [one for one in actions if isinstance(one, kind)]
+
+
+def full(*names: str) -> dict[str, WorkReport]:
+    """Return a peer's work that fills upstreams."""
+    return {name: WorkReport(requests=20, pending_tokens=0) for name in names}
--- /dev/null
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -0,0 +1,145 @@
+"""Where requests go."""
+
+import pytest
+
+from azureturn.core import Refuse
+from azureturn.errors import ErrorKind
+from azureturn.gateway.decisions import (
+    AttemptEnded,
+    AttemptResult,
+    PeerReported,
+    SendAttempt,
+    StoreRegained,
+    TryConnection,
+    UpstreamReached,
+    ViewChanged,
+)
+from azureturn.gateway.decisions.tests.gateway_site import (
+    BOOKING_ROUTE,
+    GatewaySite,
+    full,
+    only,
+    peer_report,
+    upstream,
+    view,
+)
+
+
+def _sent_to(actions: tuple[object, ...]) -> list[str]:
+    return [one.upstream.name for one in actions if isinstance(one, SendAttempt)]
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "expected"),
+    [
+        ((upstream("u1"), upstream("u2", is_leaving=True)), "u1"),
+        ((upstream("u1", service="desk"), upstream("u2")), "u2"),
+    ],
+    ids=["leaving", "other service"],
+)
+def test_only_upstreams_of_the_service_that_stay_are_chosen(
+    upstreams: tuple[object, ...], expected: str
+) -> None:
+    site = GatewaySite(view(*upstreams))  # type: ignore[arg-type]
+    for number in range(4):
+        assert _sent_to(site.arrive(f"r{number}")) == [expected]
+
+
+def test_peers_work_is_counted() -> None:
+    site = GatewaySite(view(upstream("u1"), upstream("u2")))
+    site.tell(PeerReported(peer_report("vm-2", work=full("u1"))))
+    assert _sent_to(site.arrive("r1")) == ["u2"]
+
+
+def test_a_full_site_queues_and_an_end_makes_room() -> None:
+    site = GatewaySite(view(upstream("u1", slots=1)))
+    sent = [name for number in range(4) for name in _sent_to(site.arrive(f"r{number}"))]
+    assert 0 < len(sent) < 4
+    actions = site.tell(AttemptEnded("r0", AttemptResult.ANSWERED), at_ms=1_050)
+    assert _sent_to(actions) == ["u1"]
+
+
+def test_a_leaving_upstream_gets_nothing_from_the_queue() -> None:
+    site = GatewaySite(view(upstream("u1", slots=1)))
+    for number in range(4):
+        site.arrive(f"r{number}")
+    site.tell(ViewChanged(view(upstream("u1", slots=1, is_leaving=True), revision=11)))
+    assert not _sent_to(site.tell(AttemptEnded("r0", AttemptResult.ANSWERED)))
+
+
+def test_a_request_that_will_be_late_goes_behind_one_that_may_be_in_time() -> None:
+    site = GatewaySite(view(upstream("u1", slots=1)))
+    site.tell(PeerReported(peer_report("vm-2", work=full("u1"))))
+    site.arrive("old")
+    site.tick(1_590)
+    site.arrive("new")
+    site.tell(PeerReported(peer_report("vm-2", sequence=2)), at_ms=1_600)
+    actions = site.tick(1_610)
+    assert [one.request_id for one in only(actions, SendAttempt)][:1] == ["new"]  # type: ignore[attr-defined]
+
+
+def test_a_queued_request_is_given_up_with_a_time_to_come_back() -> None:
+    site = GatewaySite(view(upstream("u1", slots=1)))
+    site.tell(PeerReported(peer_report("vm-2", work=full("u1"))))
+    site.arrive("r1")
+    for at_ms in range(1_100, 2_300, 100):
+        site.tell(PeerReported(peer_report("vm-2", sequence=at_ms, work=full("u1"))), at_ms=at_ms)
+        found = only(site.tick(at_ms), Refuse)
+        if found:
+            break
+    (refusal,) = found
+    assert isinstance(refusal, Refuse)
+    assert refusal.kind is ErrorKind.DEADLINE_UNREACHABLE
+    assert refusal.retry_after_ms > 0
+    assert at_ms >= 2_200
+
+
+def test_without_an_upstream_the_refusal_is_immediate() -> None:
+    site = GatewaySite(view(upstream("u1")))
+    (refusal,) = site.arrive("r1", route=BOOKING_ROUTE)
+    assert isinstance(refusal, Refuse)
+    assert refusal.kind is ErrorKind.NO_UPSTREAM
+
+
+def test_an_unreachable_upstream_is_tried_by_connecting_and_then_used_again() -> None:
+    site = GatewaySite(view(upstream("u1"), upstream("u2", availability_zone="b")))
+    assert _sent_to(site.arrive("r1")) == ["u1"]
+    site.tell(AttemptEnded("r1", AttemptResult.UNREACHABLE))
+    assert _sent_to(site.arrive("r2")) == ["u2"]
+    (trial,) = only(site.tick(1_300), TryConnection)
+    assert isinstance(trial, TryConnection)
+    assert trial.upstream.name == "u1"
+    site.tell(UpstreamReached("u1"))
+    assert _sent_to(site.arrive("r3")) == ["u1"]
+
+
+def test_another_run_under_the_same_name_begins_with_nothing_known() -> None:
+    site = GatewaySite(view(upstream("u1", started_unix_ms=1)))
+    site.arrive("r1")
+    site.tell(AttemptEnded("r1", AttemptResult.UNREACHABLE))
+    restarted = view(upstream("u1", started_unix_ms=2), revision=11)
+    site.tell(ViewChanged(restarted))
+    assert _sent_to(site.arrive("r2")) == ["u1"]
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "serves"), [(100, True), (2_200, True), (2_400, False)], ids=str
+)
+def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while(after_ms: int, serves: bool) -> None:
+    site = GatewaySite(view(upstream("u1")))
+    site.tell(StoreRegained())
+    site.tell(ViewChanged(view(revision=11)))
+    site.now_ms += after_ms
+    assert bool(_sent_to(site.arrive("r1"))) is serves
+
+
+def test_without_an_outage_a_missing_entry_is_gone() -> None:
+    site = GatewaySite(view(upstream("u1")))
+    site.tell(ViewChanged(view(revision=11)))
+    assert not _sent_to(site.arrive("r1"))
+
+
+def test_a_view_of_a_lower_revision_is_not_taken() -> None:
+    site = GatewaySite(view(upstream("u1"), revision=10))
+    site.tell(ViewChanged(view(upstream("u2"), revision=9)))
+    assert _sent_to(site.arrive("r1")) == ["u1"]
