--- a/azureturn/observability/__init__.py
+++ b/azureturn/observability/__init__.py
@@ -2,7 +2,12 @@
 
 from azureturn.observability._latency import LatencySketch, merged_sketch
 from azureturn.observability._log_events import LOG_EVENTS, LOG_FIELDS, LogEvent, LogEventRow
-from azureturn.observability._logs import EventLog, JsonLinesHandler, describe_error
+from azureturn.observability._logs import (
+    BoundedHandler,
+    EventLog,
+    JsonLinesHandler,
+    describe_error,
+)
 from azureturn.observability._metrics import (
     METRIC_PREFIX,
     METRICS,
@@ -26,6 +31,7 @@
 )
 
 __all__ = [
+    "BoundedHandler",
     "EventLog",
     "HOUR_MS",
     "JsonLinesHandler",
--- a/azureturn/observability/_logs.py
+++ b/azureturn/observability/_logs.py
@@ -10,6 +10,7 @@
 from typing import Any, TextIO
 
 import logbook
+import logbook.queues
 
 from azureturn.errors import AzureturnError
 from azureturn.observability._log_events import LOG_EVENTS, LogEvent
@@ -18,6 +19,12 @@
 FIELD_LIMIT_CHARACTERS = 300
 #: Left-out lines are told of at most this often.
 LEFT_OUT_INTERVAL_S = 1.0
+#: Lines that wait to be written.
+QUEUE_LIMIT_LINES = 8_192
+#: Part of the queue that ordinary lines may fill; the rest is for errors.
+_ORDINARY_SHARE = 0.75
+#: Name under which lines are counted that found the queue full.
+_EVERY_EVENT = "every"
 
 
 def describe_error(error: BaseException | None) -> str:
@@ -49,6 +56,31 @@
         return json.dumps(line, separators=(",", ":"))
 
 
+class BoundedHandler(logbook.queues.ThreadedWrapperHandler):  # type: ignore[misc]
+    """Writes from a thread of its own, so that a slow reader of the log holds nobody up.
+
+    When its queue fills, ordinary lines are dropped before errors; what was dropped is counted.
+    """
+
+    _direct_attrs = logbook.queues.ThreadedWrapperHandler._direct_attrs | {
+        "dropped_count",
+        "_limit_lines",
+    }
+
+    def __init__(self, handler: logbook.Handler, *, limit_lines: int = QUEUE_LIMIT_LINES) -> None:
+        self.dropped_count = 0
+        self._limit_lines = limit_lines
+        super().__init__(handler, limit_lines)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a line, or drop it."""
+        share = 1.0 if record.level >= logbook.ERROR else _ORDINARY_SHARE
+        if self.queue.qsize() >= share * self._limit_lines:
+            self.dropped_count += 1
+            return
+        super().emit(record)
+
+
 class _LineBucket:
     """A token bucket for one event's lines, with a count of those that found it empty."""
 
@@ -87,6 +119,7 @@
     ) -> None:
         self._logger = logbook.Logger("azureturn")
         self._logger.handlers.append(handler)
+        self._handler = handler
         self._vm = vm
         self._clock_s = clock_s
         self._lock = threading.Lock()
@@ -107,8 +140,8 @@
 
     @classmethod
     def to_stream(cls, stream: TextIO, *, vm: str) -> "EventLog":
-        """Return a log that writes to an open stream."""
-        return cls(JsonLinesHandler(stream), vm=vm)
+        """Return a log that writes to an open stream and never waits for it."""
+        return cls(BoundedHandler(JsonLinesHandler(stream)), vm=vm)
 
     def info(self, event: LogEvent, **fields: Any) -> None:
         """Log something that happens in ordinary service."""
@@ -123,10 +156,12 @@
         with self._lock:
             left_out = self._take_left_out()
         self._tell_left_out(left_out)
+        if isinstance(self._handler, BoundedHandler):
+            self._handler.close()
 
     def _log(self, write: Callable[..., None], event: LogEvent, fields: dict[str, Any]) -> None:
         now_s = self._clock_s()
-        left_out: dict[LogEvent, int] = {}
+        left_out: dict[str, int] = {}
         with self._lock:
             allowed = self._buckets[event].take(now_s)
             if now_s - self._told_at_s >= LEFT_OUT_INTERVAL_S:
@@ -136,17 +171,20 @@
             write(event.value, fields={"vm": self._vm, **_allowed_fields(event, fields)})
         self._tell_left_out(left_out)
 
-    def _take_left_out(self) -> dict[LogEvent, int]:
-        left_out: dict[LogEvent, int] = {}
+    def _take_left_out(self) -> dict[str, int]:
+        left_out: dict[str, int] = {}
+        if isinstance(self._handler, BoundedHandler) and self._handler.dropped_count:
+            left_out[_EVERY_EVENT] = self._handler.dropped_count
+            self._handler.dropped_count = 0
         for event, bucket in self._buckets.items():
             if bucket.left_out_count:
-                left_out[event] = bucket.left_out_count
+                left_out[event.value] = bucket.left_out_count
                 bucket.left_out_count = 0
         return left_out
 
-    def _tell_left_out(self, left_out: dict[LogEvent, int]) -> None:
+    def _tell_left_out(self, left_out: dict[str, int]) -> None:
         for event, line_count in left_out.items():
-            fields = {"vm": self._vm, "of_event": event.value, "line_count": line_count}
+            fields = {"vm": self._vm, "of_event": event, "line_count": line_count}
             self._logger.error(LogEvent.LINES_LEFT_OUT.value, fields=fields)
 
 
--- a/azureturn/observability/tests/test_logs.py
+++ b/azureturn/observability/tests/test_logs.py
@@ -2,11 +2,13 @@
 
 import io
 import json
+import threading
 from typing import Any
 
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.observability import (
     LOG_EVENTS,
+    BoundedHandler,
     EventLog,
     JsonLinesHandler,
     LogEvent,
@@ -80,3 +82,33 @@
 def test_our_own_error_is_told_with_its_sentence() -> None:
     error = AzureturnError(ErrorKind.NO_UPSTREAM, "no upstream is left")
     assert describe_error(error) == "no_upstream: no upstream is left"
+
+
+class _StuckStream(io.StringIO):
+    """A stream whose reader has stopped until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go_on = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.go_on.wait(10)
+        return super().write(text)
+
+
+def test_a_reader_that_stops_holds_nobody_up_and_what_is_dropped_is_counted() -> None:
+    stream = _StuckStream()
+    handler = BoundedHandler(JsonLinesHandler(stream), limit_lines=40)
+    log = EventLog(handler, vm="vm-1")
+    for number in range(100):
+        log.info(LogEvent.REQUEST_ENDED, request_id=str(number))
+    for _ in range(5):
+        log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error="down")
+    stream.go_on.set()
+    log.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    events = [line["event"] for line in lines]
+    assert events.count("key_value_unavailable") == 5
+    dropped = [line for line in lines if line["event"] == "lines_left_out"]
+    assert dropped[0]["of_event"] == "every"
+    assert dropped[0]["line_count"] + events.count("request_ended") == 100
