A planned stop refuses everything before it ends

Ruled out: the grace limit (3.95 s of 8 s had passed). The stop now has a closing stage, in which what still comes is refused as not run, and a second quiet time.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -133,6 +133,8 @@
         """Return the time in which a new request must be answered; None for any time."""
         if self._stop.stage is StopStage.SERVING or self._leaving_at_ms is None:
             return None
+        if self._stop.stage >= StopStage.CLOSING:
+            return 0
         waited_ms = now_ms() - self._leaving_at_ms
         if waited_ms <= self._settings.limits.balancer_lag_ms:
             return None
--- a/azureturn/serving/_stop.py
+++ b/azureturn/serving/_stop.py
@@ -21,7 +21,9 @@
     LEAVING = 1
     #: New requests are refused as not run; those in flight are served to their end.
     FINISHING = 2
-    STOPPED = 3
+    #: Nothing is unfinished any more: whatever still comes is refused, without exception.
+    CLOSING = 3
+    STOPPED = 4
 
 
 @dataclass(frozen=True)
@@ -66,11 +68,16 @@
         self._cut.wait(self._limits.balancer_lag_ms / _MS_PER_S)
         self._stage = StopStage.FINISHING
         ends_at_ms = now_ms() + self._limits.stop_limit_ms
+        self._wait_until_quiet(ends_at_ms)
+        self._stage = StopStage.CLOSING
+        self._wait_until_quiet(ends_at_ms)
+        cut = self._unfinished()
+        self._stage = StopStage.STOPPED
+        return cut
+
+    def _wait_until_quiet(self, ends_at_ms: int) -> None:
         quiet_polls = 0
         while quiet_polls < QUIET_POLLS and now_ms() < ends_at_ms:
             quiet_polls = 0 if self._unfinished() else quiet_polls + 1
             if self._cut.wait(_POLL_S):
-                break
-        cut = self._unfinished()
-        self._stage = StopStage.STOPPED
-        return cut
+                return
