--- a/azureturn/command/_requests.py
+++ b/azureturn/command/_requests.py
@@ -7,6 +7,7 @@
 import cappa
 
 from azureturn.command._exit_codes import ExitCode
+from azureturn.command._explain import RequestsExplain
 from azureturn.command._options import SiteOptions
 from azureturn.command._output import Output, table
 from azureturn.command._site import OperatorSite, require_answers
@@ -102,7 +103,7 @@
 class RequestsCommand:
     """``azureturn requests``."""
 
-    command: cappa.Subcommands[RequestsRefused]
+    command: cappa.Subcommands[RequestsRefused | RequestsExplain]
 
 
 def _refusals_text(rows: list[RefusalRow]) -> str:
