--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -7,8 +7,11 @@
 from azureturn.core import changed_row as changed
 from azureturn.gateway.decisions._prompts import SentPrompt
 
-#: A peer that is not heard for this long counts as unheard.
-UNHEARD_MS = 700
+#: A peer that is not heard for so many of its reports counts as unheard.
+_UNHEARD_REPORTS = 7
+#: VMs up to which each reports to every other at the shortest interval; beyond it the interval
+#: grows with their number, so that a VM's reports a second stay the same.
+_FREQUENT_VMS = 16
 #: A peer that is not heard for this long is taken to be gone for good.
 GONE_MS = 20_000
 #: Bounds of how much another VM is thought to use, as a multiple of this one's use.
@@ -85,9 +88,12 @@
     #: What this VM itself had used in its window then.
     own_units: int = 0
 
+    #: How often it reports.
+    interval_ms: int = 100
+
     def is_heard(self, now_ms: int) -> bool:
         """Return whether what it says is fresh."""
-        return now_ms - self.heard_at_ms <= UNHEARD_MS
+        return now_ms - self.heard_at_ms <= _UNHEARD_REPORTS * self.interval_ms
 
 
 class PeerTable(Table[str, Peer]):
@@ -116,6 +122,10 @@
             known |= self.registered
         return len(known - {self.own_name}) + 1
 
+    def interval_ms(self, shortest_ms: int) -> int:
+        """Return how often a VM of a site of this size reports."""
+        return int(shortest_ms * max(1.0, (len(self) + 1) / _FREQUENT_VMS))
+
     def heard_share(self, now_ms: int) -> float:
         """Return the share of VMs that are heard, this one included."""
         return (len(self.heard(now_ms)) + 1) / max(1, self.vms(now_ms))
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -57,15 +57,20 @@
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         waited_ms = context.now_ms - self._sent_at_ms
-        if self._is_wanted or waited_ms >= self.settings.limits.report_interval_ms:
+        if self._is_wanted or waited_ms >= self._interval_ms():
             self._send(context)
 
     @on(ReportWanted)
     def _on_wanted(self, event: ReportWanted, context: Context) -> None:
         self._is_wanted = True
-        if context.now_ms - self._sent_at_ms >= _URGENT_INTERVAL_MS:
+        least_ms = self.board.read(PeerTable).interval_ms(_URGENT_INTERVAL_MS)
+        if context.now_ms - self._sent_at_ms >= least_ms:
             self._send(context)
 
+    def _interval_ms(self) -> int:
+        shortest_ms = self.settings.limits.report_interval_ms
+        return self.board.read(PeerTable).interval_ms(shortest_ms)
+
     def _send(self, context: Context) -> None:
         self._is_wanted = False
         self._sent_at_ms = context.now_ms
@@ -90,7 +95,7 @@
         before = known.report if known is not None and known.is_heard(context.now_ms) else None
         window_ms = self.settings.bounds.allotment.window_ms
         own_units = self.board.read(AllotmentTable).own_units(context.now_ms, window_ms)
-        peers.put(report.vm, Peer(report, context.now_ms, own_units))
+        peers.put(report.vm, Peer(report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(before, report)
         self._take_prompts(report)
         self._take_spending(report, context.now_ms)
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -92,3 +92,15 @@
     (fetch,) = only(later, FetchView)
     assert isinstance(fetch, FetchView)
     assert fetch.newer_than_revision == 10
+
+
+def test_reports_become_rarer_as_vms_become_more() -> None:
+    sent = {}
+    for peers in (8, 79):
+        site = GatewaySite(view(upstream("u1")))
+        for at_ms in range(1_000, 5_000, 50):
+            for number in range(peers):
+                site.tell(PeerReported(peer_report(f"p{number}", sequence=at_ms)), at_ms=at_ms)
+            sent[peers] = sent.get(peers, 0) + len(only(site.tick(at_ms), SendReport))
+    assert sent[8] >= 39
+    assert sent[79] <= 10
