Allotments: after a restart of all VMs each tells what it has forgotten of every organisation

In 30 ms each VM heard the others, took their use for nothing, and let pass what was free of the whole window.

--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -7,11 +7,12 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from azureturn.core import Table
 from azureturn.gateway.settings import AllotmentBounds
-from azureturn.gateway.site import Allotment
+from azureturn.gateway.site import Allotment, Organisation
 
 _MS_PER_S = 1_000.0
 #: Parts of the bounds' margins that are used; the rest covers what peers have not said yet.
@@ -23,8 +24,13 @@
 _RATE_SPAN_MS = 1_000
 #: Peers are told at once of what passes while less than this part of the bound is left.
 _URGENT_PART = 0.4
-#: Time after a restart over which the callers' demand is measured at the least.
-_LEAST_OBSERVED_MS = 1_000
+#: For so long after a restart nothing of what was forgotten is thought to leave the window: most
+#: of it may have been used just before.
+_HELD_MS = 2_500
+#: Time after a restart in which the callers' demand is measured, and the part of this VM's share
+#: that they are thought to have used until then.
+_OBSERVED_MS = 1_000
+_UNKNOWN_SHARE = 0.9
 
 
 @dataclass(frozen=True)
@@ -125,20 +131,41 @@
         """
         window = self.of(organisation)
         window.offered_units += units
-        limit = allotment.rate_per_s * bounds.window_ms / _MS_PER_S + allotment.burst
-        bound = limit * (1.0 + _OVERSHOOT_SHARE * bounds.overshoot) + _SLACK_SHARE * bounds.slack
+        bound = _bound(allotment, bounds)
         used = window.own_units(now_ms, bounds.window_ms)
         used_by_peers = window.peers_units(now_ms, bounds.window_ms)
         rate = window.lately_units(now_ms) / _RATE_SPAN_MS
         unsaid = rate * _UNSAID_MS * max(0.0, heard_share * vms - 1)
         window.forgotten_units = self._forgotten_units(window, bound / vms, bounds, now_ms)
         left = bound * heard_share - used - used_by_peers - unsaid - window.forgotten_units
+        if window.forgotten_units:
+            # Nothing is known well enough to let a large request pass beyond what is left.
+            left -= units
         return AllotmentLeft(left, is_urgent=left < _URGENT_PART * bound)
 
-    def told_units(self, organisation: str, now_ms: int, window_ms: int) -> int:
-        """Return what peers are told that this VM let pass, its earlier process included."""
-        window = self.of(organisation)
-        return window.own_units(now_ms, window_ms) + int(window.forgotten_units)
+    def told(
+        self,
+        organisations: Iterable[Organisation],
+        bounds: AllotmentBounds,
+        *,
+        vms: int,
+        now_ms: int,
+    ) -> dict[str, int]:
+        """Return what peers are told that this VM let pass, its earlier process included.
+
+        Organisations that have not called since a restart count too: all VMs may have restarted,
+        and then nobody else knows what they used.
+        """
+        found: dict[str, int] = {}
+        for one in organisations:
+            if one.allotment.rate_per_s <= 0:
+                continue
+            window = self.of(one.name)
+            share = _bound(one.allotment, bounds) / vms
+            window.forgotten_units = self._forgotten_units(window, share, bounds, now_ms)
+            own_units = window.own_units(now_ms, bounds.window_ms)
+            found[one.name] = own_units + int(window.forgotten_units)
+        return found
 
     def own_units(self, now_ms: int, window_ms: int) -> int:
         """Return what this VM let pass in the window for all organisations."""
@@ -154,6 +181,16 @@
         if self.restarted_at_ms is None:
             return 0.0
         passed_ms = now_ms - self.restarted_at_ms
-        rate = window.offered_units / max(passed_ms, _LEAST_OBSERVED_MS)
+        rate = window.offered_units / max(1, passed_ms)
         asked = min(share, rate * bounds.window_ms)
-        return asked * max(0.0, 1.0 - passed_ms / bounds.window_ms)
+        if passed_ms < _OBSERVED_MS:
+            # Callers have not shown yet how much they ask for.
+            asked = max(asked, _UNKNOWN_SHARE * share)
+        left_ms = bounds.window_ms - passed_ms
+        return asked * min(1.0, max(0.0, left_ms / (bounds.window_ms - _HELD_MS)))
+
+
+def _bound(allotment: Allotment, bounds: AllotmentBounds) -> float:
+    """Return what all VMs together let pass in a window."""
+    limit = allotment.rate_per_s * bounds.window_ms / _MS_PER_S + allotment.burst
+    return limit * (1.0 + _OVERSHOOT_SHARE * bounds.overshoot) + _SLACK_SHARE * bounds.slack
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -110,8 +110,8 @@
         if self._sequence % _INTRODUCTION_INTERVAL == 1:
             peers = {name: peer.report.host for name, peer in self.board.read(PeerTable).items()}
         moves = self.board.read(MoveTable)
-        allotments = self.board.write(AllotmentTable)
-        window_ms = self.settings.bounds.allotment.window_ms
+        configuration = self.board.read(ViewTable).current().configuration
+        peer_table = self.board.read(PeerTable)
         return PeerReport(
             vm=self.settings.vm.name,
             host=self.settings.vm.host,
@@ -124,10 +124,12 @@
                 for name, state in self.board.read(UpstreamStateTable).items()
                 if state.requests
             },
-            spent={
-                name: allotments.told_units(name, self._sent_at_ms, window_ms)
-                for name, _ in allotments.items()
-            },
+            spent=self.board.write(AllotmentTable).told(
+                configuration.organisations if configuration else (),
+                self.settings.bounds.allotment,
+                vms=peer_table.vms(self._sent_at_ms),
+                now_ms=self._sent_at_ms,
+            ),
             prompts=told,
             versions=dict(moves.seen) if len(moves) else {},
             moves={
--- a/azureturn/gateway/decisions/tests/test_allotments.py
+++ b/azureturn/gateway/decisions/tests/test_allotments.py
@@ -74,6 +74,24 @@
     assert _use(site, 50, until_ms=2_000, step_ms=5) <= 0.45 * _BOUND
 
 
+def test_a_restart_just_after_the_window_was_used_up_lets_almost_nothing_pass() -> None:
+    """Replays the shape of hunt-4a8b-11: what was used before had not begun to leave the window."""
+    site = _site(vms=("vm-1",), is_first_start=False)
+    assert _use(site, 50, until_ms=3_400, step_ms=5) <= 0.1 * _BOUND
+
+
+def test_after_all_vms_restarted_hearing_each_other_does_not_free_the_window() -> None:
+    """The cause of hunt-4a8b-11: peers told of no organisation that had not called yet."""
+    told = _site(vms=("vm-1", "vm-2"), is_first_start=False)
+    (sent,) = only(told.tick(1_100), SendReport)
+    assert isinstance(sent, SendReport)
+    spent = sent.report.spent
+    site = _site(vms=("vm-1", "vm-2"), is_first_start=False)
+    site.now_ms = 1_100
+    site.tell(PeerReported(peer_report("vm-2", spent=spent)))
+    assert _use(site, 50, until_ms=1_500, step_ms=5) <= 0.15 * _BOUND
+
+
 def test_a_new_vm_has_nothing_to_remember() -> None:
     site = _site(is_first_start=False)
     assert _use(site, 50, until_ms=2_000, step_ms=5) >= 0.9 * _BOUND
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -342,6 +342,8 @@
         self._services.log.info(
             LogEvent.ATTEMPT_PLACED,
             request_id=request.request_id,
+            organisation=request.organisation,
+            units=request.allotment_units,
             upstream=action.upstream.name,
             candidates=reason.candidates,
             expected_ms=reason.expected_ms,
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -119,6 +119,8 @@
             "A request of the gateway is about to be sent to an upstream.",
             (
                 "request_id",
+                "organisation",
+                "units",
                 "upstream",
                 "candidates",
                 "expected_ms",
