--- a/azureturn/gateway/decisions/controllers/_registry.py
+++ b/azureturn/gateway/decisions/controllers/_registry.py
@@ -1,5 +1,6 @@
 """Where the gateway's controllers register, and their base."""
 
+from collections.abc import Callable
 from typing import TypeVar
 
 from azureturn.core import Controller
@@ -14,7 +15,7 @@
     """The base of the gateway's controllers."""
 
 
-def gateway_controller(name: str):  # type: ignore[no-untyped-def]
+def gateway_controller(name: str) -> Callable[[_ControllerClass], _ControllerClass]:
     """Register a controller class under ``name``."""
 
     def register(cls: _ControllerClass) -> _ControllerClass:
--- a/azureturn/gateway/decisions/tests/gateway_site.py
+++ b/azureturn/gateway/decisions/tests/gateway_site.py
@@ -162,7 +162,7 @@
             stop_limit_ms=8_000,
             retry=RetryBounds(ratio=0.2, slack=8),
             allotment=AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=0),
-            move=MoveBounds(share=0.1, slack_requests=50),
+            move=MoveBounds(share=0.1),
         )
         self.settings = GatewaySettings(vm, bounds)
         self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=1)
--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -6,13 +6,13 @@
 import h11
 
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
-from azureturn.gateway.exchange._clock import now_ms
 from azureturn.gateway.exchange._connections import (
     CONNECT_TIMEOUT_MS,
     ConnectionPool,
     UpstreamConnection,
 )
 from azureturn.gateway.site import AnswerFacts, Dialect, RegisteredUpstream
+from azureturn.serving import now_ms
 
 ANSWER_LIMIT_BYTES = 16 << 20
 #: Answers to other requests that are passed over on one connection.
--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -9,7 +9,7 @@
 import h11
 
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
-from azureturn.gateway.exchange._clock import now_ms
+from azureturn.serving import now_ms
 from azureturn.store import SOCKET_OPTIONS
 
 _MS_PER_S = 1_000
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -25,13 +25,12 @@
 )
 from azureturn.gateway.exchange._attempt import AnswerHead, Attempt, OutgoingMessage
 from azureturn.gateway.exchange._caller import CallerChannel
-from azureturn.gateway.exchange._clock import now_ms
 from azureturn.gateway.exchange._event_blocks import BlockSplitter
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
 from azureturn.gateway.site import AttemptHeaders, RequestKind
 from azureturn.observability import LogEvent
-from azureturn.serving import next_action
+from azureturn.serving import next_action, now_ms
 
 #: How long after a request's end the core may still speak before that is an error.
 _CORE_GRACE_MS = 1_000
--- a/azureturn/gateway/exchange/tests/test_attempt.py
+++ b/azureturn/gateway/exchange/tests/test_attempt.py
@@ -4,7 +4,6 @@
 
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
 from azureturn.gateway.exchange._attempt import Attempt, OutgoingMessage
-from azureturn.gateway.exchange._clock import now_ms
 from azureturn.gateway.exchange._connections import ConnectionPool
 from azureturn.gateway.exchange.tests.plain_dialect import PlainDialect
 from azureturn.gateway.exchange.tests.scripted_upstream import (
@@ -13,6 +12,7 @@
     answers,
 )
 from azureturn.gateway.site import RegisteredUpstream
+from azureturn.serving import now_ms
 
 _WAIT_MS = 2_000
 
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -38,7 +38,6 @@
     peer_port: int
     #: Hosts of some VMs that may be asked for the others.
     seed_hosts: tuple[str, ...] = ()
-    memory_mb: int = 0
     #: The whole system starts for the first time: no process ran before.
     is_first_start: bool = False
 
@@ -71,7 +70,6 @@
 
     #: Share of its service's requests.
     share: float
-    slack_requests: float
 
 
 @dataclass(frozen=True)
