Allotments: use is kept in the store and counted by process; room without the VMs of a zone that is cut off

Ruled out: callers beyond their allotment (the organisations used about half of it). Change: one VM writes every two seconds what every process let pass; a start recalls it, unless it is old; use is counted by process, with what was used late told apart; a divided part is held to the smaller of the whole's rest and its own share's rest; VMs of a silent zone whose upstreams cannot be reached no longer count at the other upstreams. Longest pauses of streams are logged.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass
 
+from azureturn._time_of_day import unix_now_ms
 from azureturn.core import Core
 from azureturn.gateway.daemon._connection_trials import ConnectionTrials
 from azureturn.gateway.daemon._peer_calls import GatewayPeerFace, ViewFetcher
@@ -17,8 +18,10 @@
     FetchView,
     GatewayStarted,
     SendReport,
+    TellRecall,
     TryConnection,
     VmLeaving,
+    WriteAllotmentRecord,
     WriteStatus,
 )
 from azureturn.gateway.exchange import ExchangeServices, GatewayServer, ReadinessServer
@@ -88,12 +91,14 @@
         self._trials = ConnectionTrials(self._runtime, log)
         self._runtime.perform(TryConnection, self._trials.take)
         self._runtime.perform(SendReport, self._send_report)
+        self._runtime.perform(TellRecall, self._tell_recall)
         self._runtime.perform(FetchView, self._fetcher.take)
         self._runtime.perform(WriteStatus, self._writer.take)
+        self._runtime.perform(WriteAllotmentRecord, self._writer.take)
 
     def start(self) -> None:
         """Begin to serve; return once the ports are open."""
-        self._runtime.submit(GatewayStarted(self._settings.vm.name))
+        self._runtime.submit(GatewayStarted(self._settings.vm.name, unix_now_ms()))
         self._follower.start()
         self._reports.start()
         self._fetcher.start()
@@ -156,6 +161,14 @@
         report = action.report.with_strained(self._strain.is_strained())
         self._reports.send(SendReport(report, action.hosts))
 
+    def _tell_recall(self, action: TellRecall) -> None:
+        self._log.info(
+            LogEvent.ALLOTMENTS_RECALLED,
+            processes=action.processes,
+            age_ms=action.age_ms,
+            outcome="relied on" if action.relied_on else "guessed",
+        )
+
     def _keep_house(self) -> None:
         while True:
             time.sleep(_HOUSEKEEPING_S)
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -7,7 +7,7 @@
     VersionCount,
     WorkReport,
 )
-from azureturn.gateway.site import PromptPart
+from azureturn.gateway.site import PromptPart, SpentUnits
 from azureturn.peers import (
     AllotmentSpent,
     GatewayReport,
@@ -32,7 +32,10 @@
             UpstreamWork(name, work.requests, work.pending_tokens)
             for name, work in report.work.items()
         ],
-        spent=[AllotmentSpent(name, units) for name, units in report.spent.items()],
+        spent=[
+            AllotmentSpent(name, spent.units, spent.late_units)
+            for name, spent in report.spent.items()
+        ],
         prompts=[
             PromptSent(
                 sent.upstream,
@@ -53,6 +56,7 @@
         peers=[VmAddressSeen(name, host) for name, host in report.peers.items()],
         queued_requests=report.queued_requests,
         strained=report.strained,
+        availability_zone=report.availability_zone,
     )
 
 
@@ -69,7 +73,9 @@
             one.upstream: WorkReport(one.requests, one.pending_prompt_tokens)
             for one in wire.work or ()
         },
-        spent={one.organisation: one.units for one in wire.spent or ()},
+        spent={
+            one.organisation: SpentUnits(one.units, one.late_units or 0) for one in wire.spent or ()
+        },
         prompts=tuple(
             SentPrompt(
                 one.upstream,
@@ -92,4 +98,5 @@
         peers={one.vm: one.host for one in wire.peers or ()},
         queued_requests=wire.queued_requests or 0,
         strained=bool(wire.strained),
+        availability_zone=wire.availability_zone or "",
     )
--- a/azureturn/gateway/daemon/_store_writer.py
+++ b/azureturn/gateway/daemon/_store_writer.py
@@ -1,4 +1,4 @@
-"""Writes what must last: where this VM is, and what is said of moves."""
+"""Writes what must last: where this VM is, what is said of moves, and what was used."""
 
 import queue
 import threading
@@ -7,7 +7,7 @@
 from azureturn.errors import CompareFailedError, PlatformError
 from azureturn.gateway.daemon._store_follower import ViewKeeper
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import WriteStatus
+from azureturn.gateway.decisions import WriteAllotmentRecord, WriteStatus
 from azureturn.gateway.settings import GatewayVm
 from azureturn.gateway.site import RegisteredVm, SiteDocuments
 from azureturn.observability import EventLog, LogEvent
@@ -32,15 +32,15 @@
         self._keeper = keeper
         self._documents = documents
         self._log = log
-        self._waiting: queue.Queue[WriteStatus] = queue.Queue(_QUEUE_LIMIT)
+        self._waiting: queue.Queue[WriteStatus | WriteAllotmentRecord] = queue.Queue(_QUEUE_LIMIT)
 
     def start(self, vm: GatewayVm) -> None:
         """Begin to write, the place of this VM first."""
         run_forever(self._write_forever, "store-writer", self._log)
         threading.Thread(target=self._register, args=(vm,), name="register", daemon=True).start()
 
-    def take(self, action: WriteStatus) -> None:
-        """Write a status soon; it does not wait."""
+    def take(self, action: WriteStatus | WriteAllotmentRecord) -> None:
+        """Write a document soon; it does not wait."""
         try:
             self._waiting.put_nowait(action)
         except queue.Full:
@@ -50,16 +50,32 @@
     def _write_forever(self) -> None:
         while True:
             action = self._waiting.get()
-            key, value = self._documents.encode_status(action.status)
-            outcome = self._write(key, value, action.expected_revision)
-            self._log.info(
-                LogEvent.MOVE_STATUS_WRITTEN,
-                service=action.status.service,
-                version=action.status.version,
-                state=action.status.state.value,
-                revision=action.expected_revision,
-                outcome=outcome,
-            )
+            if isinstance(action, WriteStatus):
+                self._write_status(action)
+            else:
+                self._write_record(action)
+
+    def _write_status(self, action: WriteStatus) -> None:
+        key, value = self._documents.encode_status(action.status)
+        outcome = self._write(key, value, action.expected_revision)
+        self._log.info(
+            LogEvent.MOVE_STATUS_WRITTEN,
+            service=action.status.service,
+            version=action.status.version,
+            state=action.status.state.value,
+            revision=action.expected_revision,
+            outcome=outcome,
+        )
+
+    def _write_record(self, action: WriteAllotmentRecord) -> None:
+        key, value = self._documents.encode_allotment_record(action.record)
+        outcome = self._write(key, value, action.expected_revision)
+        self._log.info(
+            LogEvent.ALLOTMENT_RECORD_WRITTEN,
+            processes=len(action.record.processes),
+            revision=action.expected_revision,
+            outcome=outcome,
+        )
 
     def _write(self, key: str, value: bytes, expected_revision: int) -> str:
         try:
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -6,7 +6,9 @@
     PlacementReason,
     SendAttempt,
     SendReport,
+    TellRecall,
     TryConnection,
+    WriteAllotmentRecord,
     WriteStatus,
 )
 from azureturn.gateway.decisions._events import (
@@ -58,6 +60,7 @@
     "SentPrompt",
     "Stage",
     "StoreRegained",
+    "TellRecall",
     "TryConnection",
     "UpstreamReached",
     "UpstreamState",
@@ -67,5 +70,6 @@
     "ViewTable",
     "VmLeaving",
     "WorkReport",
+    "WriteAllotmentRecord",
     "WriteStatus",
 ]
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -4,7 +4,7 @@
 
 from azureturn.core import Action, RequestAction
 from azureturn.gateway.decisions._peers import PeerReport
-from azureturn.gateway.site import MoveStatus, RegisteredUpstream
+from azureturn.gateway.site import AllotmentRecord, MoveStatus, RegisteredUpstream
 
 
 @dataclass(frozen=True)
@@ -63,6 +63,24 @@
     expected_revision: int
 
 
+@dataclass(frozen=True)
+class WriteAllotmentRecord(Action):
+    """Write what organisations have used, if the record is still at a revision."""
+
+    record: AllotmentRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True)
+class TellRecall(Action):
+    """Say what was recalled of the allotments that were used before this process began."""
+
+    processes: int
+    #: Age of the record; -1 where there is none.
+    age_ms: int
+    relied_on: bool
+
+
 @dataclass(frozen=True)
 class TryConnection(Action):
     """Try to connect to an upstream that could not be reached, and say whether that succeeded."""
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -1,18 +1,27 @@
 """What each organisation may still use, counted over all VMs in a sliding window.
 
 Every VM counts what it let pass in the window and hears from each peer what that peer let pass in
-its own. A peer that falls silent is thought to have stopped, so that what it last said slides out
-of the window; in exchange the VMs that hear each other use only their share of the limit. Parts of
-a divided site together so pass no more than the whole limit.
+its own. What a process told stays in the count until it has left the window, whether the process
+still lives or not. While some VMs are not heard, those that hear each other use only their share
+of the limit, so that the parts of a divided site together pass no more than the whole limit.
+
+What all processes let pass is also kept in the store, so that after a restart of all VMs nothing
+has to be guessed.
 """
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from azureturn.core import Table
+from azureturn.gateway.decisions._allotment_windows import LATE_MS, AllotmentWindow, Process
 from azureturn.gateway.settings import AllotmentBounds
-from azureturn.gateway.site import Allotment, Organisation
+from azureturn.gateway.site import (
+    Allotment,
+    AllotmentRecord,
+    Organisation,
+    ProcessUse,
+    SpentUnits,
+)
 
 _MS_PER_S = 1_000.0
 #: Parts of the bounds' margins that are used; the rest covers what peers have not said yet.
@@ -20,12 +29,12 @@
 _SLACK_SHARE = 0.3
 #: What peers let pass for so long before now they have not said yet.
 _UNSAID_MS = 60
-#: Span over which it is measured how fast this VM lets requests pass.
-_RATE_SPAN_MS = 1_000
 #: Peers are told at once of what passes while less than this part of the bound is left.
 _URGENT_PART = 0.4
 #: Organisations that one report tells of, those that used most first; a datagram has to hold them.
 _TOLD_LIMIT = 500
+#: A record that is older may miss what was let pass in an outage of the store.
+_RECORD_AGE_LIMIT_MS = 5_000
 #: For so long after a restart nothing of what was forgotten is thought to leave the window: most
 #: of it may have been used just before.
 _HELD_MS = 2_500
@@ -35,14 +44,6 @@
 _UNKNOWN_SHARE = 0.9
 
 
-@dataclass(frozen=True)
-class PeerUse:
-    """What a peer said that an organisation used in its window."""
-
-    units: int
-    said_at_ms: int
-
-
 @dataclass(frozen=True)
 class AllotmentLeft:
     """What an organisation may still use."""
@@ -52,48 +53,15 @@
     is_urgent: bool
 
 
-class AllotmentWindow:
-    """One organisation's use of the last window, on this VM and on its peers."""
-
-    def __init__(self) -> None:
-        self._passed: deque[tuple[int, int]] = deque()
-        self._own_units = 0
-        self._peers: dict[str, PeerUse] = {}
-        #: What callers have asked for since this process began.
-        self.offered_units = 0
-        #: What this VM's earlier process is thought to have let pass.
-        self.forgotten_units = 0.0
+@dataclass(frozen=True)
+class HeardPart:
+    """The VMs that hear each other, this one included."""
 
-    def own_units(self, now_ms: int, window_ms: int) -> int:
-        """Return what this VM let pass in the window."""
-        while self._passed and self._passed[0][0] <= now_ms - window_ms:
-            self._own_units -= self._passed.popleft()[1]
-        return self._own_units
-
-    def lately_units(self, now_ms: int) -> int:
-        """Return what this VM let pass in the last span over which its rate is measured."""
-        units = 0
-        for passed_at_ms, one in reversed(self._passed):
-            if passed_at_ms <= now_ms - _RATE_SPAN_MS:
-                break
-            units += one
-        return units
-
-    def peers_units(self, now_ms: int, window_ms: int) -> float:
-        """Return what the peers let pass in the window, as far as they said."""
-        return sum(
-            use.units * max(0.0, 1.0 - (now_ms - use.said_at_ms) / window_ms)
-            for use in self._peers.values()
-        )
-
-    def note_passed(self, units: int, now_ms: int) -> None:
-        """Count a request that is let pass, or with fewer than no units one that was not sent."""
-        self._passed.append((now_ms, units))
-        self._own_units += units
-
-    def note_peer(self, vm: str, units: int, now_ms: int) -> None:
-        """Take in what a peer says of its window."""
-        self._peers[vm] = PeerUse(units, now_ms)
+    vms: frozenset[str]
+    #: Share of all use that is due to them.
+    use_share: float
+    #: VMs that there are, heard or not.
+    all_vms: int
 
 
 class AllotmentTable(Table[str, AllotmentWindow]):
@@ -101,7 +69,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        #: When this process began, if an earlier one of this VM may have let requests pass.
+        #: When this process began, if an earlier one of this VM may have let requests pass and
+        #: nothing tells how many.
         self.restarted_at_ms: int | None = None
 
     def of(self, organisation: str) -> AllotmentWindow:
@@ -119,10 +88,9 @@
         bounds: AllotmentBounds,
         *,
         units: int,
-        heard_share: float,
-        vms: int,
+        part: HeardPart,
         now_ms: int,
-    ) -> "AllotmentLeft":
+    ) -> AllotmentLeft:
         """Return the units that this VM may still let pass now, where some are asked for.
 
         Peers are thought to have let pass as much as this VM since they last said.
@@ -130,15 +98,17 @@
         window = self.of(organisation)
         window.offered_units += units
         bound = _bound(allotment, bounds)
-        used = window.own_units(now_ms, bounds.window_ms)
-        used_by_peers = window.peers_units(now_ms, bounds.window_ms)
-        rate = window.lately_units(now_ms) / _RATE_SPAN_MS
-        unsaid = rate * _UNSAID_MS * max(0.0, heard_share * vms - 1)
-        window.forgotten_units = self._forgotten_units(window, bound / vms, bounds, now_ms)
-        left = bound * heard_share - used - used_by_peers - unsaid - window.forgotten_units
+        own = window.own_units(now_ms, bounds.window_ms)
+        every, of_heard = window.told_units(now_ms, bounds.window_ms, heard=part.vms)
+        # The others of a divided site keep to their own share, whatever they used before.
+        left = min(bound - every, bound * part.use_share - of_heard) - own
+        unsaid_vms = max(0.0, part.use_share * part.all_vms - 1)
+        left -= window.units_per_ms(now_ms) * _UNSAID_MS * unsaid_vms
+        share = bound / part.all_vms
+        window.forgotten_units = self._forgotten_units(window, share, bounds, now_ms)
         if window.forgotten_units:
             # Nothing is known well enough to let a large request pass beyond what is left.
-            left -= units
+            left -= window.forgotten_units + units
         return AllotmentLeft(left, is_urgent=left < _URGENT_PART * bound)
 
     def told(
@@ -148,13 +118,13 @@
         *,
         vms: int,
         now_ms: int,
-    ) -> dict[str, int]:
-        """Return what peers are told that this VM let pass, its earlier process included.
+    ) -> dict[str, SpentUnits]:
+        """Return what peers are told that this VM let pass, with what it has forgotten.
 
         Organisations that have not called since a restart count too: all VMs may have restarted,
         and then nobody else knows what they used.
         """
-        found: dict[str, int] = {}
+        found: dict[str, SpentUnits] = {}
         for one in organisations:
             if one.allotment.rate_per_s <= 0:
                 continue
@@ -163,14 +133,46 @@
             window = self.of(one.name)
             share = _bound(one.allotment, bounds) / vms
             window.forgotten_units = self._forgotten_units(window, share, bounds, now_ms)
-            own_units = window.own_units(now_ms, bounds.window_ms)
-            if units := own_units + int(window.forgotten_units):
-                found[one.name] = units
+            forgotten = int(window.forgotten_units)
+            own = window.own_spent(now_ms, bounds.window_ms)
+            if own.units or forgotten:
+                found[one.name] = SpentUnits(own.units + forgotten, own.late_units + forgotten)
         if len(found) <= _TOLD_LIMIT:
             return found
-        largest = sorted(found.items(), key=lambda item: item[1], reverse=True)
+        largest = sorted(found.items(), key=lambda item: item[1].units, reverse=True)
         return dict(largest[:_TOLD_LIMIT])
 
+    def note_report(self, process: Process, spent: dict[str, SpentUnits], now_ms: int) -> None:
+        """Take in what a process says of its window."""
+        for organisation, units in spent.items():
+            self.of(organisation).note_told(process, units, now_ms)
+
+    def processes(self, own: Process, window_ms: int, now_ms: int) -> tuple[ProcessUse, ...]:
+        """Return what every process let pass in the window, as far as this one knows."""
+        found: dict[Process, dict[str, SpentUnits]] = {}
+        for organisation, window in self.items():
+            spent = window.own_spent(now_ms, window_ms)
+            for process, units in [(own, spent), *window.told(now_ms, window_ms)]:
+                if units.units > 0:
+                    found.setdefault(process, {})[organisation] = units
+        return tuple(ProcessUse(vm, boot, spent) for (vm, boot), spent in sorted(found.items()))
+
+    def recall(self, record: AllotmentRecord | None, *, unix_ms: int, now_ms: int) -> bool:
+        """Take in what was kept before this process began; return whether it can be relied on.
+
+        What was let pass after it was written is thought to have come as fast as just before.
+        """
+        if record is None or abs(unix_ms - record.written_unix_ms) > _RECORD_AGE_LIMIT_MS:
+            return False
+        unkept_parts = max(0, unix_ms - record.written_unix_ms) / LATE_MS
+        for one in record.processes:
+            spent = {
+                organisation: _with_late(units, int(units.late_units * unkept_parts))
+                for organisation, units in one.spent.items()
+            }
+            self.note_report((one.vm, one.boot), spent, now_ms)
+        return True
+
     def own_units(self, now_ms: int, window_ms: int) -> int:
         """Return what this VM let pass in the window for all organisations."""
         return sum(window.own_units(now_ms, window_ms) for window in self.rows())
@@ -194,6 +196,10 @@
         return asked * min(1.0, max(0.0, left_ms / (bounds.window_ms - _HELD_MS)))
 
 
+def _with_late(spent: SpentUnits, units: int) -> SpentUnits:
+    return SpentUnits(spent.units + units, spent.late_units + units)
+
+
 def _bound(allotment: Allotment, bounds: AllotmentBounds) -> float:
     """Return what all VMs together let pass in a window."""
     limit = allotment.rate_per_s * bounds.window_ms / _MS_PER_S + allotment.burst
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -33,6 +33,8 @@
     """The gateway starts."""
 
     vm: str
+    #: By this VM's time of day.
+    unix_ms: int
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -1,11 +1,12 @@
 """What the peers of this VM say of themselves, many times a second."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from azureturn.core import Table
 from azureturn.core import changed_row as changed
 from azureturn.gateway.decisions._prompts import SentPrompt
+from azureturn.gateway.site import SpentUnits
 
 #: A peer that is not heard for so many of its reports counts as unheard.
 _UNHEARD_REPORTS = 7
@@ -58,8 +59,8 @@
     leaving: bool
     view_revision: int
     work: dict[str, WorkReport]
-    #: Units that the organisations used at the VM in the last window.
-    spent: dict[str, int]
+    #: What the organisations used at the VM in the last window.
+    spent: dict[str, SpentUnits]
     prompts: tuple[SentPrompt, ...]
     #: By service and version.
     versions: dict[tuple[str, str], VersionCount]
@@ -69,6 +70,7 @@
     queued_requests: int = 0
     #: It lacks processor time and steps back.
     strained: bool = False
+    availability_zone: str = ""
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy that says whether the VM is strained."""
@@ -103,7 +105,11 @@
         super().__init__()
         self._work: dict[str, WorkReport] = {}
         self.own_name = ""
+        #: This process, unlike any other of this VM.
+        self.own_boot = 0
         self.started_at_ms = 0
+        #: The same moment by the time of day.
+        self.started_unix_ms = 0
         #: VMs that the store names, this one included.
         self.registered: frozenset[str] = frozenset()
 
@@ -115,6 +121,14 @@
         """Return the peers that are heard at present."""
         return [peer for peer in self.rows() if peer.is_heard(now_ms)]
 
+    def unix_ms(self, now_ms: int) -> int:
+        """Return the time of day; it does not jump while this process runs."""
+        return self.started_unix_ms + now_ms - self.started_at_ms
+
+    def heard_names(self, now_ms: int) -> frozenset[str]:
+        """Return the names of the VMs that are heard, this one included."""
+        return frozenset({self.own_name, *(peer.report.vm for peer in self.heard(now_ms))})
+
     def vms(self, now_ms: int) -> int:
         """Return how many VMs there are, heard or not, this one included."""
         known = set(self._rows)
@@ -126,9 +140,19 @@
         """Return how often a VM of a site of this size reports."""
         return int(shortest_ms * max(1.0, (len(self) + 1) / _FREQUENT_VMS))
 
-    def heard_share(self, now_ms: int) -> float:
-        """Return the share of VMs that are heard, this one included."""
-        return (len(self.heard(now_ms)) + 1) / max(1, self.vms(now_ms))
+    def silent_zones(self, now_ms: int) -> frozenset[str]:
+        """Return the availability zones of which VMs are known and none is heard."""
+        zones = {peer.report.availability_zone for peer in self.rows()}
+        heard = {peer.report.availability_zone for peer in self.heard(now_ms)}
+        return frozenset(zones - heard)
+
+    def vms_outside(self, zones: Container[str], now_ms: int) -> int:
+        """Return how many VMs there are, without those that are unheard in these zones."""
+        left_out = sum(
+            not peer.is_heard(now_ms) and peer.report.availability_zone in zones
+            for peer in self.rows()
+        )
+        return self.vms(now_ms) - left_out
 
     def heard_use(self, own_units: int, now_ms: int) -> float:
         """Return the share of all use that is due to VMs that are heard, this one included.
@@ -140,7 +164,7 @@
         heard = 1.0
         unheard = float(self.vms(now_ms) - 1 - len(self))
         for peer in self.rows():
-            used = sum(peer.report.spent.values())
+            used = sum(spent.units for spent in peer.report.spent.values())
             if peer.is_heard(now_ms):
                 heard += _use_ratio(used, own_units)
             else:
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -1,6 +1,9 @@
 """The gateway's controllers; importing this package registers them."""
 
 from azureturn.gateway.decisions.controllers._admission import AdmissionController
+from azureturn.gateway.decisions.controllers._allotment_records import (
+    AllotmentRecordController,
+)
 from azureturn.gateway.decisions.controllers._attempts import AttemptController
 from azureturn.gateway.decisions.controllers._moves import MoveController
 from azureturn.gateway.decisions.controllers._placement import PlacementController
@@ -11,6 +14,7 @@
 __all__ = [
     "GATEWAY_CONTROLLERS",
     "AdmissionController",
+    "AllotmentRecordController",
     "AttemptController",
     "MoveController",
     "PlacementController",
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -2,13 +2,12 @@
 
 from azureturn.core import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
-from azureturn.gateway.decisions._allotments import AllotmentTable
+from azureturn.gateway.decisions._allotments import AllotmentTable, HeardPart
 from azureturn.gateway.decisions._events import (
     CallerArrived,
     PlacementWanted,
     ReportWanted,
     RequestClosed,
-    ViewChanged,
 )
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
@@ -41,18 +40,6 @@
     )
     after = ("views",)
 
-    _first_view_seen = False
-
-    @on(ViewChanged)
-    def _on_view(self, event: ViewChanged, context: Context) -> None:
-        """Find out at the first view whether an earlier process of this VM was serving."""
-        if self._first_view_seen:
-            return
-        self._first_view_seen = True
-        vm = self.settings.vm
-        if not vm.is_first_start and vm.name in event.view.vms:
-            self.board.write(AllotmentTable).restarted_at_ms = context.now_ms
-
     @on(CallerArrived)
     def _on_arrived(self, event: CallerArrived, context: Context) -> None:
         request = event.request
@@ -109,14 +96,18 @@
         peers = self.board.read(PeerTable)
         table = self.board.write(AllotmentTable)
         window_ms = self.settings.bounds.allotment.window_ms
-        heard_share = peers.heard_use(table.own_units(context.now_ms, window_ms), context.now_ms)
+        own_units = table.own_units(context.now_ms, window_ms)
+        part = HeardPart(
+            vms=peers.heard_names(context.now_ms),
+            use_share=peers.heard_use(own_units, context.now_ms),
+            all_vms=peers.vms(context.now_ms),
+        )
         left = table.left(
             request.organisation,
             allotment,
             self.settings.bounds.allotment,
             units=request.allotment_units,
-            heard_share=heard_share,
-            vms=peers.vms(context.now_ms),
+            part=part,
             now_ms=context.now_ms,
         )
         if left.units > 0:
@@ -130,7 +121,7 @@
                 request.request_id,
                 ErrorKind.OVER_ALLOTMENT,
                 retry_after_ms,
-                detail=f"left {left.units:.0f} heard {heard_share:.2f}",
+                detail=f"left {left.units:.0f} heard {part.use_share:.2f}",
             )
         )
         return False
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -90,16 +90,35 @@
                 record = prompts.of(one.run, engine.memory_tokens) if engine else None
                 known = KnownUpstream(one, state, peers.work_at(one.name), record)
                 upstreams.append(known)
+        vms = peers.vms_outside(self._cut_off_zones(context.now_ms), context.now_ms)
         return Surroundings.of(
             upstreams,
             engine,
-            vms=peers.vms(context.now_ms),
-            heard_share=peers.heard_share(context.now_ms),
+            vms=vms,
+            heard_share=(len(peers.heard(context.now_ms)) + 1) / vms,
             own_zone=self.settings.vm.availability_zone,
             policy=self.settings.policy,
             now_ms=context.now_ms,
         )
 
+    def _cut_off_zones(self, now_ms: int) -> frozenset[str]:
+        """Return the zones from which no VM is heard and where no upstream can be reached.
+
+        The VMs there can't reach the upstreams that this one can, and so have no work there.
+        """
+        silent = self.board.read(PeerTable).silent_zones(now_ms)
+        silent -= {self.settings.vm.availability_zone}
+        if not silent:
+            return silent
+        states = self.board.read(UpstreamStateTable)
+        unreachable: set[str] = set()
+        reachable: set[str] = set()
+        for one in self.board.read(ViewTable).current().upstreams.values():
+            state = states.get(one.name)
+            lost = state is not None and state.run == one.run and state.is_unreachable
+            (unreachable if lost else reachable).add(one.availability_zone)
+        return silent & (unreachable - reachable)
+
     def _of_version(
         self, request: GatewayRequest, serving: list[KnownUpstream], context: Context
     ) -> list[KnownUpstream]:
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -4,7 +4,6 @@
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import (
-    GatewayStarted,
     PeerReported,
     ReportWanted,
     VmLeaving,
@@ -40,16 +39,11 @@
 
     _sequence = 0
     _sent_at_ms = 0
-    _boot = 0
     _leaving = False
     _is_wanted = False
     _behind_since_ms = 0
     _fetched_at_ms = 0
 
-    @on(GatewayStarted)
-    def _on_started(self, event: GatewayStarted, context: Context) -> None:
-        self._boot = context.random.getrandbits(62)
-
     @on(VmLeaving)
     def _on_leaving(self, event: VmLeaving, context: Context) -> None:
         self._leaving = True
@@ -115,7 +109,7 @@
         return PeerReport(
             vm=self.settings.vm.name,
             host=self.settings.vm.host,
-            boot=self._boot,
+            boot=peer_table.own_boot,
             sequence=self._sequence,
             leaving=self._leaving,
             view_revision=self.board.read(ViewTable).current().revision,
@@ -142,6 +136,7 @@
             queued_requests=sum(
                 len(queue) for _, queue in self.board.read(GatewayQueueTable).items()
             ),
+            availability_zone=self.settings.vm.availability_zone,
         )
 
     def _hosts(self) -> tuple[str, ...]:
@@ -163,9 +158,8 @@
                 record.note(sent.model, sent.parts)
 
     def _take_spending(self, report: PeerReport, now_ms: int) -> None:
-        table = self.board.write(AllotmentTable)
-        for organisation, units in report.spent.items():
-            table.of(organisation).note_peer(report.vm, units, now_ms)
+        process = (report.vm, report.boot)
+        self.board.write(AllotmentTable).note_report(process, report.spent, now_ms)
 
     def _take_moves(self, report: PeerReport, now_ms: int) -> None:
         moves = self.board.write(MoveTable)
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -30,7 +30,9 @@
     def _on_started(self, event: GatewayStarted, context: Context) -> None:
         peers = self.board.write(PeerTable)
         peers.own_name = event.vm
+        peers.own_boot = context.random.getrandbits(62)
         peers.started_at_ms = context.now_ms
+        peers.started_unix_ms = event.unix_ms
 
     @on(StoreRegained)
     def _on_regained(self, event: StoreRegained, context: Context) -> None:
--- a/azureturn/gateway/decisions/tests/gateway_site.py
+++ b/azureturn/gateway/decisions/tests/gateway_site.py
@@ -20,6 +20,7 @@
 )
 from azureturn.gateway.site import (
     Allotment,
+    AllotmentRecord,
     EngineShape,
     MoveOrder,
     Organisation,
@@ -36,6 +37,7 @@
     StoredFact,
 )
 
+STARTED_UNIX_MS = 1_780_000_000_000
 ENGINE = EngineShape(slots=4, memory_tokens=100_000, tokens_per_event=5)
 STREAM_ROUTE = Route(
     name="report",
@@ -106,6 +108,7 @@
     vms: tuple[str, ...] = (),
     order: MoveOrder | None = None,
     site: SiteConfiguration | None = None,
+    record: AllotmentRecord | None = None,
 ) -> SiteView:
     """Return a view with these upstreams."""
     facts = {"config": StoredFact("config", 1, b"", site or configuration())}
@@ -115,6 +118,8 @@
         facts[f"vm/{name}"] = StoredFact(f"vm/{name}", 2, b"", RegisteredVm(name, "10.0.1.1", 7))
     if order is not None:
         facts["order"] = StoredFact("order", 3, b"", order)
+    if record is not None:
+        facts["record"] = StoredFact("record", 4, b"", record)
     return SiteView(revision, facts)
 
 
@@ -167,7 +172,7 @@
         self.settings = GatewaySettings(vm, bounds)
         self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=1)
         self.now_ms = 1_000
-        self.tell(GatewayStarted("vm-1"))
+        self.tell(GatewayStarted("vm-1", STARTED_UNIX_MS))
         self.tell(ViewChanged(first_view))
 
     def tell(self, event: Event, *, at_ms: int | None = None) -> tuple[Action, ...]:
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -20,7 +20,7 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import PromptPart
+from azureturn.gateway.site import PromptPart, SpentUnits
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
 
@@ -28,13 +28,14 @@
     report = peer_report(
         "vm-2",
         work={"u1": WorkReport(3, 700)},
-        spent={"kuiseb": 12},
+        spent={"kuiseb": SpentUnits(12, 5)},
         prompts=(SentPrompt("u1", "m", (PromptPart("a", 60),)),),
         versions={("desk", "v2"): VersionCount(3, 1, 90)},
         moves={"desk": MoveReport("v2", 800, condemned=True)},
         peers={"vm-3": "10.0.1.3"},
         queued_requests=4,
         strained=True,
+        availability_zone="b",
     )
     data = encode_struct(report_to_wire(report))
     assert report_from_wire(decode_struct(GatewayReport, data)) == report
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -367,6 +367,7 @@
             result=result.value,
             first_event_ms=relay.first_at_ms - self._started_at_ms if relay.events else -1,
             events=relay.events,
+            longest_pause_ms=relay.longest_pause_ms,
             took_ms=took_ms,
             error=detail,
         )
@@ -399,6 +400,7 @@
     def __init__(self) -> None:
         self.events = 0
         self.first_at_ms = 0
+        self.longest_pause_ms = 0
         self._last_at_ms = 0
 
     @property
@@ -408,5 +410,7 @@
     def note(self, events: int, at_ms: int) -> None:
         if not self.events:
             self.first_at_ms = at_ms
+        else:
+            self.longest_pause_ms = max(self.longest_pause_ms, at_ms - self._last_at_ms)
         self.events += events
         self._last_at_ms = at_ms
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -1,5 +1,6 @@
 """What a site consists of, as operators and upstreams declare it."""
 
+from azureturn.gateway.site._allotment_use import AllotmentRecord, ProcessUse, SpentUnits
 from azureturn.gateway.site._configuration import (
     Allotment,
     CallerLimits,
@@ -31,6 +32,7 @@
 
 __all__ = [
     "Allotment",
+    "AllotmentRecord",
     "AnswerFacts",
     "AttemptHeaders",
     "CallerFacts",
@@ -42,6 +44,7 @@
     "MoveState",
     "MoveStatus",
     "Organisation",
+    "ProcessUse",
     "Prompt",
     "PromptPart",
     "RegisteredUpstream",
@@ -53,5 +56,6 @@
     "SiteConfiguration",
     "SiteDocuments",
     "SiteView",
+    "SpentUnits",
     "StoredFact",
 ]
--- a/azureturn/gateway/site/_facts.py
+++ b/azureturn/gateway/site/_facts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from azureturn.gateway.site._allotment_use import AllotmentRecord
 from azureturn.gateway.site._configuration import SiteConfiguration
 
 
@@ -63,4 +64,6 @@
     state: MoveState
 
 
-Fact = SiteConfiguration | RegisteredUpstream | RegisteredVm | MoveOrder | MoveStatus
+Fact = (
+    SiteConfiguration | RegisteredUpstream | RegisteredVm | MoveOrder | MoveStatus | AllotmentRecord
+)
--- a/azureturn/gateway/site/_ports.py
+++ b/azureturn/gateway/site/_ports.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
+from azureturn.gateway.site._allotment_use import AllotmentRecord
 from azureturn.gateway.site._facts import Fact, MoveStatus, RegisteredVm
 from azureturn.gateway.site._requests import AnswerFacts, AttemptHeaders, CallerFacts
 
@@ -24,6 +25,9 @@
     def encode_status(self, status: MoveStatus) -> tuple[str, bytes]:
         """Return the key and the document that tell operators of a move."""
 
+    def encode_allotment_record(self, record: AllotmentRecord) -> tuple[str, bytes]:
+        """Return the key and the document that keep what organisations have used."""
+
     def encode_vm(self, vm: RegisteredVm) -> tuple[str, bytes]:
         """Return the key and the document by which this system's VMs find each other."""
 
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -5,6 +5,7 @@
 from functools import cached_property
 from typing import TypeVar
 
+from azureturn.gateway.site._allotment_use import AllotmentRecord
 from azureturn.gateway.site._configuration import SiteConfiguration
 from azureturn.gateway.site._facts import (
     Fact,
@@ -73,6 +74,17 @@
         """Return what is said of moves, by service."""
         return {one.service: one for one in self._of(MoveStatus)}
 
+    @cached_property
+    def allotment_record(self) -> AllotmentRecord | None:
+        """Return what organisations had used, or None where that is not kept."""
+        return next(iter(self._of(AllotmentRecord)), None)
+
+    @cached_property
+    def allotment_record_revision(self) -> int:
+        """Return the revision of that record; 0 where there is none."""
+        kept = (one for one in self.facts.values() if isinstance(one.fact, AllotmentRecord))
+        return next((one.revision for one in kept), 0)
+
     def revision_of(self, kind: type[Fact], service: str) -> int:
         """Return the revision of a service's order or status; 0 where there is none."""
         for one in self.facts.values():
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -37,6 +37,8 @@
     KEY_VALUE_REGAINED = "key_value_regained"
     STORE_HISTORY_LOST = "store_history_lost"
     MOVE_STATUS_WRITTEN = "move_status_written"
+    ALLOTMENT_RECORD_WRITTEN = "allotment_record_written"
+    ALLOTMENTS_RECALLED = "allotments_recalled"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_REPORT_REFUSED = "peer_report_refused"
     STRAIN_CHANGED = "strain_changed"
@@ -136,6 +138,7 @@
                 "upstream",
                 "result",
                 "first_event_ms",
+                "longest_pause_ms",
                 "events",
                 "took_ms",
                 "error",
@@ -177,6 +180,14 @@
             "What is to be said of a move was written, or another VM was first.",
             ("service", "version", "state", "revision", "outcome"),
         ),
+        LogEvent.ALLOTMENT_RECORD_WRITTEN: LogEventRow(
+            "What organisations have used was written, or another VM was first.",
+            ("processes", "revision", "outcome"),
+        ),
+        LogEvent.ALLOTMENTS_RECALLED: LogEventRow(
+            "What was used before this process began was read, or has to be guessed.",
+            ("processes", "age_ms", "outcome"),
+        ),
         LogEvent.PEER_UNREACHABLE: _error_row(
             "Another VM could not be told or asked.", "vm_host", "error"
         ),
@@ -232,8 +243,11 @@
         "expected_ms": "Expected time to the first event, or to a plain answer.",
         "outstanding": "Requests at the upstream from all VMs, by estimate.",
         "queued_ms": "Time from the request's arrival.",
+        "processes": "Processes whose use is told of.",
+        "age_ms": "Age of what was read; -1 where there was nothing.",
         "report_age_ms": "Age of the oldest peer's report that counted; -1 without peers.",
         "result": "What became of an attempt.",
+        "longest_pause_ms": "Longest time between two events of a stream.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
         "events": "Events that came.",
         "rank": "The tier's rank; 0 is the most urgent.",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -241,6 +241,8 @@
 struct AllotmentSpent {
   1: string organisation,
   2: i64 units,
+  // Those of them that were let pass in the last part of the window.
+  3: i64 late_units,
 }
 
 // A prompt that was sent to an upstream.
@@ -289,6 +291,7 @@
   12: list<VmAddressSeen> peers,
   13: i32 queued_requests,
   14: bool strained,
+  15: string availability_zone,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3293,18 +3293,21 @@
     Attributes:
      - organisation
      - units
+     - late_units
 
     """
 
     __slots__ = (
         'organisation',
         'units',
+        'late_units',
     )
 
 
-    def __init__(self, organisation=None, units=None,):
+    def __init__(self, organisation=None, units=None, late_units=None,):
         self.organisation = organisation
         self.units = units
+        self.late_units = late_units
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3325,6 +3328,11 @@
                     self.units = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.late_units = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3343,6 +3351,10 @@
             oprot.writeFieldBegin('units', TType.I64, 2)
             oprot.writeI64(self.units)
             oprot.writeFieldEnd()
+        if self.late_units is not None:
+            oprot.writeFieldBegin('late_units', TType.I64, 3)
+            oprot.writeI64(self.late_units)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3805,6 +3817,7 @@
      - peers
      - queued_requests
      - strained
+     - availability_zone
 
     """
 
@@ -3823,10 +3836,11 @@
         'peers',
         'queued_requests',
         'strained',
+        'availability_zone',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None, strained=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None, strained=None, availability_zone=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -3841,6 +3855,7 @@
         self.peers = peers
         self.queued_requests = queued_requests
         self.strained = strained
+        self.availability_zone = availability_zone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3957,6 +3972,11 @@
                     self.strained = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4041,6 +4061,10 @@
             oprot.writeFieldBegin('strained', TType.BOOL, 14)
             oprot.writeBool(self.strained)
             oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 15)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4408,6 +4432,7 @@
     None,  # 0
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
     (2, TType.I64, 'units', None, None, ),  # 2
+    (3, TType.I64, 'late_units', None, None, ),  # 3
 )
 all_structs.append(PromptSent)
 PromptSent.thrift_spec = (
@@ -4457,6 +4482,7 @@
     (12, TType.LIST, 'peers', (TType.STRUCT, [VmAddressSeen, None], False), None, ),  # 12
     (13, TType.I32, 'queued_requests', None, None, ),  # 13
     (14, TType.BOOL, 'strained', None, None, ),  # 14
+    (15, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 15
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
