Long prompts wait for another upstream where they would hold up slow answers

Change: the pause that a prompt would cause is estimated from the learned pace; where it is too long the prompt waits for another upstream and lets those behind it pass.

--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -20,6 +20,8 @@
 _OTHERS_WEIGHT = 0.05
 #: Requests that a plain upstream may have waiting, as a multiple of its slots.
 _PLAIN_QUEUE = 3
+#: Part of the longest pause allowed that prompts may take up; the rest is for what is not known.
+_HOLD_UP_SHARE = 0.85
 
 
 @dataclass(frozen=True)
@@ -36,6 +38,8 @@
     #: What is compared: the time, and what the choice costs others.
     cost_ms: float
     has_room: bool
+    #: Its answers would pause for longer than they may while it works off this prompt.
+    is_held_up: bool = False
 
 
 @dataclass(frozen=True)
@@ -139,7 +143,32 @@
     expected_ms = ahead_ms + own_ms + slot_wait_ms + policy.engine.first_event_ms * pace
     cost_ms = expected_ms + _OTHERS_WEIGHT * requests * own_ms + _common_cost(known, site)
     room = known.urgent_room_left if request.tier_rank == 0 else known.room_left
-    return Candidate(known.upstream, requests, pending, expected_ms, cost_ms, room > 0)
+    before = state.pending_tokens + known.peers.pending_tokens
+    held_up = requests > 0 and _holds_up(request, before + pending, pace, site, policy)
+    return Candidate(known.upstream, requests, pending, expected_ms, cost_ms, room > 0, held_up)
+
+
+def _holds_up(
+    request: GatewayRequest,
+    pending_tokens: int,
+    pace: float,
+    site: Surroundings,
+    policy: GatewayPolicy,
+) -> bool:
+    """Return whether answers beside these prompt tokens would pause for too long.
+
+    An engine works prompts off in chunks, one for each token of the answers, so that an event
+    waits for as many chunks as it has tokens, at the most.
+    """
+    assert site.engine is not None
+    if not request.route.pause_limit_ms:
+        return False
+    engine = policy.engine
+    event_tokens = site.engine.tokens_per_event
+    event_ms = event_tokens * engine.ms_per_token * pace
+    tokens = min(pending_tokens, event_tokens * engine.chunk_tokens)
+    pause_ms = tokens / engine.prefill_tokens_per_ms * pace
+    return pause_ms > _HOLD_UP_SHARE * (request.route.pause_limit_ms - event_ms)
 
 
 def _common_cost(known: KnownUpstream, site: Surroundings) -> float:
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -54,7 +54,8 @@
     ) -> bool:
         """Place one request and return whether one was placed.
 
-        A tier whose first requests wait for room holds back the tiers below it.
+        A tier whose first requests wait for room holds back the tiers below it, unless there is
+        only room where their prompts would hold up the answers under way.
         """
         site = self._surroundings(service, context)
         if not any(one.urgent_room_left > 0 for one in site.upstreams):
@@ -63,11 +64,12 @@
             for request in queue.heads(rank, _HEADS):
                 found = self._candidates(request, site, context)
                 with_room = [one for one in found if one.has_room]
-                if with_room:
-                    self._place(queue, request, _best(with_room, context), len(found), context)
-                    return True
-                if found:
+                if found and not with_room:
                     return False
+                suitable = _suitable(found, with_room)
+                if suitable:
+                    self._place(queue, request, _best(suitable, context), len(found), context)
+                    return True
         return False
 
     def _candidates(
@@ -196,6 +198,13 @@
         return None if found is None else found.engine
 
 
+def _suitable(found: list[Candidate], with_room: list[Candidate]) -> list[Candidate]:
+    """Return those whose answers are not held up, or all where that holds for none at all."""
+    if all(one.is_held_up for one in found):
+        return with_room
+    return [one for one in with_room if not one.is_held_up]
+
+
 def _best(found: list[Candidate], context: Context) -> Candidate:
     least = min(one.cost_ms for one in found)
     return context.random.choice([one for one in found if one.cost_ms <= least + _EQUAL_MS])
--- a/azureturn/gateway/decisions/tests/test_placement.py
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -8,11 +8,13 @@
     AttemptEnded,
     AttemptResult,
     PeerReported,
+    RequestClosed,
     SendAttempt,
     StoreRegained,
     TryConnection,
     UpstreamReached,
     ViewChanged,
+    WorkReport,
 )
 from azureturn.gateway.decisions.tests.gateway_site import (
     BOOKING_ROUTE,
@@ -23,6 +25,7 @@
     upstream,
     view,
 )
+from azureturn.gateway.site import Prompt, PromptPart
 
 
 def _sent_to(actions: tuple[object, ...]) -> list[str]:
@@ -143,3 +146,63 @@
     site = GatewaySite(view(upstream("u1"), revision=10))
     site.tell(ViewChanged(view(upstream("u2"), revision=9)))
     assert _sent_to(site.arrive("r1")) == ["u1"]
+
+
+def _long_prompt(tokens: int) -> Prompt:
+    return Prompt("m", tokens, 100, 50, (PromptPart(f"own-{tokens}", tokens),))
+
+
+def _site_with_a_slow_upstream() -> GatewaySite:
+    """Return a site whose upstream ``slow`` needs four times the usual time, and has work."""
+    site = GatewaySite(view(upstream("slow")))
+    site.arrive("r1")
+    slow_answer = AttemptEnded("r1", AttemptResult.ANSWERED, events=10, streamed_ms=684)
+    site.tell(slow_answer, at_ms=1_500)
+    site.tell(ViewChanged(view(upstream("slow"), upstream("fast"), revision=11)))
+    site.tell(PeerReported(peer_report("vm-2", work={"slow": WorkReport(1, 0), **full("fast")})))
+    return site
+
+
+@pytest.mark.parametrize(
+    ("tokens", "expected"), [(500, ["slow"]), (20_000, [])], ids=["short", "long"]
+)
+def test_a_prompt_that_would_hold_up_slow_answers_waits_for_another_upstream(
+    tokens: int, expected: list[str]
+) -> None:
+    """Half of the streams on upstreams with a pace of 2.8 paused for longer than they may."""
+    site = _site_with_a_slow_upstream()
+    assert _sent_to(site.arrive("r2", prompt=_long_prompt(tokens))) == expected
+
+
+def test_a_prompt_that_waits_for_a_faster_upstream_does_not_hold_back_the_others() -> None:
+    site = _site_with_a_slow_upstream()
+    site.arrive("long", prompt=_long_prompt(20_000))
+    assert _sent_to(site.arrive("short", prompt=_long_prompt(500))) == ["slow"]
+
+
+def test_a_long_prompt_goes_to_a_slow_upstream_where_there_is_no_other() -> None:
+    site = _site_with_a_slow_upstream()
+    site.tell(ViewChanged(view(upstream("slow"), revision=12)))
+    assert _sent_to(site.arrive("r2", prompt=_long_prompt(20_000))) == ["slow"]
+
+
+@pytest.mark.parametrize(("cut_off", "placed"), [(True, 4), (False, 1)], ids=str)
+def test_vms_of_a_zone_that_is_cut_off_have_no_work_at_the_upstreams_left(
+    cut_off: bool, placed: int
+) -> None:
+    """In a divided site the small part left three quarters of its engines empty."""
+    other = [upstream("far", availability_zone="b")] if cut_off else []
+    site = GatewaySite(view(upstream("near", slots=4), *other))
+    for vm in ("vm-2", "vm-3", "vm-4"):
+        site.tell(PeerReported(peer_report(vm, availability_zone="b")))
+    if cut_off:
+        busy = peer_report("vm-2", sequence=2, availability_zone="b", work=full("near"))
+        site.tell(PeerReported(busy))
+        site.arrive("r0")
+        site.tell(AttemptEnded("r0", AttemptResult.UNREACHABLE))
+        site.tell(RequestClosed("r0"))
+    site.tick(3_000)
+    sent = []
+    for number in range(1, 5):
+        sent += _sent_to(site.arrive(f"r{number}", tier_rank=1))
+    assert len(sent) == placed
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -91,6 +91,8 @@
     #: From the end of prefill to the first event.
     first_event_ms: Positive = 50.0
     ms_per_token: Positive = 3.8
+    #: Prompt tokens that it works off between two tokens of the answers that run beside them.
+    chunk_tokens: Positive = 2_048.0
     #: A usual answer.
     answer_tokens: Positive = 300.0
 
