Callers that come back are as old as their first attempt; late requests stay in their tier

Change: the usual patience of a route's callers is told from the latest requests; what is missing of it has been waited already. Late requests go behind the timely ones of their tier, no longer behind all tiers: late answers of the urgent kind are worth more than timely ones of the others.

--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -142,7 +142,7 @@
     slot_wait_ms = max(0, requests + 1 - slots) / slots * answer_ms
     expected_ms = ahead_ms + own_ms + slot_wait_ms + policy.engine.first_event_ms * pace
     cost_ms = expected_ms + _OTHERS_WEIGHT * requests * own_ms + _common_cost(known, site)
-    room = known.urgent_room_left if request.tier_rank == 0 else known.room_left
+    room = known.urgent_room_left if request.urgency_rank == 0 else known.room_left
     before = state.pending_tokens + known.peers.pending_tokens
     held_up = requests > 0 and _holds_up(request, before + pending, pace, site, policy)
     return Candidate(known.upstream, requests, pending, expected_ms, cost_ms, room > 0, held_up)
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -8,8 +8,6 @@
 from azureturn.gateway.settings import EnginePolicy
 from azureturn.gateway.site import Prompt, Route
 
-#: Added to the tier of a request that will miss its objective.
-_LATE_RANKS = 1_000
 #: Part of a prompt's usual time that is added for what lies before it.
 _START_MARGIN = 1.3
 #: Share of its objective that even a request with a long prompt may wait.
@@ -32,13 +30,18 @@
     route: Route
     #: The service that this request goes to, of the route's.
     service: str
-    tier_rank: int
+    #: 0 is the most urgent.
+    urgency_rank: int
     arrived_at_ms: int
     #: When its objective is missed; the queue orders by it.
     deadline_ms: int
     #: When its final answer must be under way, whatever has become of it.
     ends_at_ms: int
     prompt: Prompt | None
+    #: How long its caller will wait, as it said; None where it did not.
+    patience_ms: int | None = None
+    #: It will miss its objective.
+    is_late: bool = False
     #: What it counts against its organisation's allotment.
     allotment_units: int = 0
     stage: Stage = Stage.QUEUED
@@ -63,23 +66,27 @@
         return self.route.may_repeat
 
     @property
-    def is_late(self) -> bool:
-        """Return whether it waits behind requests that may still meet their objective."""
-        return self.tier_rank >= _LATE_RANKS
+    def tier_rank(self) -> int:
+        """Return its tier in the queue: behind the equally urgent ones that are not late."""
+        return 2 * self.urgency_rank + self.is_late
 
     def latest_start_ms(self, engine: EnginePolicy) -> int:
         """Return until when it has to be sent to meet its objective."""
+        objective_ms = self.route.objective_ms
         if self.prompt is None:
             return self.deadline_ms
         prefill_ms = self.prompt.prompt_tokens / engine.prefill_tokens_per_ms
         needed_ms = _START_MARGIN * (prefill_ms + engine.first_event_ms)
-        objective_ms = self.route.objective_ms
         wait_ms = max(_LEAST_WAIT_SHARE * objective_ms, objective_ms - needed_ms)
-        return self.arrived_at_ms + int(wait_ms)
+        return self.deadline_ms - objective_ms + int(wait_ms)
+
+    def with_waited(self, waited_ms: int) -> "GatewayRequest":
+        """Return a copy whose caller had waited before it came here."""
+        return changed(self, deadline_ms=self.deadline_ms - waited_ms)
 
     def with_late(self) -> "GatewayRequest":
         """Return a copy that goes behind those that may still meet their objective."""
-        return changed(self, tier_rank=self.tier_rank + _LATE_RANKS)
+        return changed(self, is_late=True)
 
     def with_sent(
         self, upstream: str, *, version: str, now_ms: int, pending_tokens: int
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -9,6 +9,7 @@
     ReportWanted,
     RequestClosed,
 )
+from azureturn.gateway.decisions._patience import PatienceTable
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryTable
@@ -35,6 +36,7 @@
         GatewayRequestTable,
         GatewayQueueTable,
         AllotmentTable,
+        PatienceTable,
         RetryTable,
         DrainTable,
     )
@@ -42,7 +44,7 @@
 
     @on(CallerArrived)
     def _on_arrived(self, event: CallerArrived, context: Context) -> None:
-        request = event.request
+        request = self._aged(event.request, context.now_ms)
         if not self._pass_allotment(request, context):
             return
         retries = self.board.write(RetryTable)
@@ -89,6 +91,16 @@
         self.board.write(GatewayQueueTable).of(request.service).remove(request)
         self._give_back(request, context)
 
+    def _aged(self, request: GatewayRequest, now_ms: int) -> GatewayRequest:
+        """Return the request as old as its caller's first attempt."""
+        if request.patience_ms is None:
+            return request
+        history = self.board.write(PatienceTable).of(request.route.name)
+        if waited_ms := history.waited_ms(request.patience_ms):
+            request = request.with_waited(waited_ms)
+        late = now_ms > request.latest_start_ms(self.settings.policy.engine)
+        return request.with_late() if late else request
+
     def _pass_allotment(self, request: GatewayRequest, context: Context) -> bool:
         allotment = self._allotment_of(request.organisation)
         if allotment is None or allotment.rate_per_s <= 0:
--- a/azureturn/gateway/decisions/tests/gateway_site.py
+++ b/azureturn/gateway/decisions/tests/gateway_site.py
@@ -130,7 +130,7 @@
     usual: dict[str, object] = {
         "organisation": "burdekin",
         "service": route.targets[0].service,
-        "tier_rank": route.rank,
+        "urgency_rank": route.rank,
         "arrived_at_ms": arrived_at_ms,
         "deadline_ms": arrived_at_ms + route.objective_ms,
         "ends_at_ms": arrived_at_ms + route.timeout_ms,
--- a/azureturn/gateway/decisions/tests/test_placement.py
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -204,5 +204,34 @@
     site.tick(3_000)
     sent = []
     for number in range(1, 5):
-        sent += _sent_to(site.arrive(f"r{number}", tier_rank=1))
+        sent += _sent_to(site.arrive(f"r{number}", urgency_rank=1))
     assert len(sent) == placed
+
+
+def test_a_caller_that_comes_back_goes_behind_those_that_may_still_be_in_time() -> None:
+    """Its objective counts from its first attempt; more than half of all that came in an overload
+    had been refused before and took the places of those that were not late yet.
+    """
+    site = GatewaySite(view(upstream("u1", slots=1)))
+    site.tell(PeerReported(peer_report("vm-2", work=full("u1"))))
+    for number in range(3):
+        site.arrive(f"first-{number}", patience_ms=12_000)
+        site.tell(RequestClosed(f"first-{number}"))
+    site.arrive("back", patience_ms=10_800)
+    site.arrive("new", patience_ms=12_000)
+    actions = site.tell(PeerReported(peer_report("vm-2", sequence=2)))
+    actions += site.tick(1_100)
+    assert [one.request_id for one in only(actions, SendAttempt)][:1] == ["new"]  # type: ignore[attr-defined]
+
+
+def test_late_requests_go_before_less_urgent_ones() -> None:
+    """A late answer of an urgent kind is worth more than a timely one of the kinds below it."""
+    site = GatewaySite(view(upstream("u1", slots=1)))
+    site.tell(PeerReported(peer_report("vm-2", work=full("u1"))))
+    site.arrive("usual", patience_ms=12_000)
+    site.tell(RequestClosed("usual"))
+    site.arrive("less urgent", patience_ms=12_000, urgency_rank=1)
+    site.arrive("late", patience_ms=9_000)
+    actions = site.tell(PeerReported(peer_report("vm-2", sequence=2)))
+    actions += site.tick(1_100)
+    assert [one.request_id for one in only(actions, SendAttempt)][:1] == ["late"]  # type: ignore[attr-defined]
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -67,8 +67,6 @@
         #: What the last attempt that failed had answered.
         self._failure: tuple[AnswerHead, bytes] | None = None
         self._attempts = 0
-        #: How long the caller said that it waits; -1 where it did not.
-        self._patience_ms = -1
         self._started_at_ms = now_ms()
         self._outcome = "internal"
         self._upstream = ""
@@ -103,7 +101,6 @@
         if not self._fits(request):
             raise RefusedError(ErrorKind.STOPPING)
         self._request = request
-        self._patience_ms = facts.patience_ms or -1
         self._last_event_number = facts.last_event_number
         runtime = self._services.runtime
         mailbox = runtime.open_mailbox(request.request_id)
@@ -377,14 +374,15 @@
 
     def _log_end(self) -> None:
         request = self._request
+        patience_ms = None if request is None else request.patience_ms
         self._services.log.info(
             LogEvent.EXCHANGE_ENDED,
             request_id=self._caller.header_values.get("x-request-id", ""),
             organisation=request.organisation if request else "",
             route=request.route.name if request else "",
-            rank=request.tier_rank if request else -1,
+            rank=request.urgency_rank if request else -1,
             units=request.allotment_units if request else 0,
-            patience_ms=self._patience_ms,
+            patience_ms=-1 if patience_ms is None else patience_ms,
             upstream=self._upstream,
             ended=self._outcome,
             attempts=self._attempts,
--- a/azureturn/gateway/exchange/_routing.py
+++ b/azureturn/gateway/exchange/_routing.py
@@ -36,11 +36,12 @@
         organisation=organisation.name if organisation else "",
         route=route,
         service=_service_of(route, facts.request_id),
-        tier_rank=_rank_of(route, organisation),
+        urgency_rank=_rank_of(route, organisation),
         arrived_at_ms=now_ms,
         deadline_ms=now_ms + route.objective_ms,
         ends_at_ms=now_ms + timeout_ms,
         prompt=facts.prompt,
+        patience_ms=facts.patience_ms,
         allotment_units=_allotment_units(facts, organisation),
     )
 
@@ -55,7 +56,7 @@
 
 
 def _rank_of(route: Route, organisation: Organisation | None) -> int:
-    """Return the tier: by the organisation's rank first, and by the route's among its requests."""
+    """Return the urgency: the organisation's rank first, then the route's."""
     if organisation is None or organisation.rank is None:
         return route.rank
     return organisation.rank * _ROUTE_RANKS + min(route.rank, _ROUTE_RANKS - 1)
