The last room is left to what comes first at a peer

Change: reports tell the most urgent tier that waits and its first deadline; a VM leaves the last room to a peer whose request is more urgent or older, and tells of the room at once. Not beyond 32 VMs, where word goes round slowly; not to peers that reach no upstream, nor on old word.

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -5,6 +5,7 @@
     PeerReport,
     SentPrompt,
     VersionCount,
+    WaitingReport,
     WorkReport,
 )
 from azureturn.gateway.site import PromptPart, SpentUnits
@@ -13,6 +14,7 @@
     GatewayReport,
     MoveSeen,
     PromptSent,
+    TierWaiting,
     UpstreamWork,
     VersionSeen,
     VmAddressSeen,
@@ -57,6 +59,10 @@
         queued_requests=report.queued_requests,
         strained=report.strained,
         availability_zone=report.availability_zone,
+        waiting=[
+            TierWaiting(service, one.tier_rank, one.requests, one.deadline_in_ms)
+            for service, one in report.waiting.items()
+        ],
     )
 
 
@@ -99,4 +105,8 @@
         queued_requests=wire.queued_requests or 0,
         strained=bool(wire.strained),
         availability_zone=wire.availability_zone or "",
+        waiting={
+            one.service_name: WaitingReport(one.tier_rank, one.requests, one.deadline_in_ms)
+            for one in wire.waiting or ()
+        },
     )
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -29,6 +29,7 @@
     PeerReport,
     PeerTable,
     VersionCount,
+    WaitingReport,
     WorkReport,
 )
 from azureturn.gateway.decisions._prompts import SentPrompt
@@ -69,6 +70,7 @@
     "ViewChanged",
     "ViewTable",
     "VmLeaving",
+    "WaitingReport",
     "WorkReport",
     "WriteAllotmentRecord",
     "WriteStatus",
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -1,7 +1,7 @@
 """What the peers of this VM say of themselves, many times a second."""
 
 from collections.abc import Container, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from azureturn.core import Table
 from azureturn.core import changed_row as changed
@@ -13,6 +13,12 @@
 #: VMs up to which each reports to every other at the shortest interval; beyond it the interval
 #: grows with their number, so that a VM's reports a second stay the same.
 _FREQUENT_VMS = 16
+#: What a peer said of its queue counts for this long.
+_WAITING_AGE_MS = 250
+#: Of one peer's queue so many requests count.
+_WAITING_LIMIT = 4
+#: Deadlines that differ by less are equal.
+_EQUAL_DEADLINE_MS = 50
 #: A peer that is not heard for this long is taken to be gone for good.
 GONE_MS = 20_000
 #: Bounds of how much another VM is thought to use, as a multiple of this one's use.
@@ -29,6 +35,16 @@
     pending_tokens: int
 
 
+@dataclass(frozen=True)
+class WaitingReport:
+    """The most urgent tier that waits for upstreams of a service at a peer."""
+
+    tier_rank: int
+    requests: int
+    #: Until the first of them misses its objective; negative where it has.
+    deadline_in_ms: int
+
+
 @dataclass(frozen=True)
 class VersionCount:
     """Answers of one version of a service, as one VM saw them."""
@@ -71,6 +87,8 @@
     #: It lacks processor time and steps back.
     strained: bool = False
     availability_zone: str = ""
+    #: By service.
+    waiting: dict[str, WaitingReport] = field(default_factory=dict)
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy that says whether the VM is strained."""
@@ -171,6 +189,25 @@
                 unheard += _use_ratio(used, peer.own_units)
         return heard / (heard + max(0.0, unheard))
 
+    def waiting_before(self, service: str, tier_rank: int, deadline_ms: int, now_ms: int) -> int:
+        """Return how many requests of peers come before one that waits here.
+
+        A peer that has no work at upstreams may not reach them, and is not waited for.
+        """
+        found = 0
+        for peer in self.rows():
+            told = peer.report.waiting.get(service)
+            if told is None or not peer.report.work:
+                continue
+            if now_ms - peer.heard_at_ms > _WAITING_AGE_MS:
+                continue
+            first_ms = peer.heard_at_ms + told.deadline_in_ms + _EQUAL_DEADLINE_MS
+            if told.tier_rank < tier_rank:
+                found += min(_WAITING_LIMIT, told.requests)
+            elif told.tier_rank == tier_rank and first_ms < deadline_ms:
+                found += 1
+        return found
+
     def sum_work(self, now_ms: int) -> None:
         """Sum anew what the heard peers have outstanding, and forget peers that are gone."""
         for name in [n for n, peer in self.items() if now_ms - peer.heard_at_ms > GONE_MS]:
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -9,7 +9,7 @@
     Surroundings,
     candidate,
 )
-from azureturn.gateway.decisions._events import PlacementWanted
+from azureturn.gateway.decisions._events import PlacementWanted, ReportWanted
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._prompts import PromptTable, SentPrompt
@@ -26,6 +26,8 @@
 _HEADS = 4
 #: Candidates whose costs differ by less than this are equal; chance decides.
 _EQUAL_MS = 4.0
+#: Room is left for more urgent requests of peers where there are fewer VMs than this.
+_HANDED_OVER_VMS = 32
 
 
 @gateway_controller("placement")
@@ -67,11 +69,32 @@
                 if found and not with_room:
                     return False
                 suitable = _suitable(found, with_room)
+                if suitable and self._is_owed_to_peers(request, site, context):
+                    context.post(ReportWanted())
+                    return False
                 if suitable:
                     self._place(queue, request, _best(suitable, context), len(found), context)
                     return True
         return False
 
+    def _is_owed_to_peers(
+        self, request: GatewayRequest, site: Surroundings, context: Context
+    ) -> bool:
+        """Return whether the room that is left should go to requests that wait at peers.
+
+        Where VMs are so many that word of free room goes round slowly, it would lie idle.
+        """
+        peers = self.board.read(PeerTable)
+        if len(peers) >= _HANDED_OVER_VMS or site.engine is None:
+            return False
+        before = peers.waiting_before(
+            request.service, request.tier_rank, request.deadline_ms, context.now_ms
+        )
+        if not before:
+            return False
+        room = sum(max(0, one.room_left) for one in site.upstreams)
+        return room <= before
+
     def _candidates(
         self, request: GatewayRequest, site: Surroundings, context: Context
     ) -> list[Candidate]:
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -5,11 +5,19 @@
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import (
     PeerReported,
+    PlacementWanted,
     ReportWanted,
     VmLeaving,
 )
 from azureturn.gateway.decisions._moves import MoveTable
-from azureturn.gateway.decisions._peers import MoveReport, Peer, PeerReport, PeerTable, WorkReport
+from azureturn.gateway.decisions._peers import (
+    MoveReport,
+    Peer,
+    PeerReport,
+    PeerTable,
+    WaitingReport,
+    WorkReport,
+)
 from azureturn.gateway.decisions._prompts import PromptTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._work import UpstreamStateTable
@@ -95,6 +103,9 @@
         self._take_spending(report, context.now_ms)
         self._take_moves(report, context.now_ms)
         self._follow_view(report, context)
+        for service, queue in self.board.read(GatewayQueueTable).items():
+            if len(queue):
+                context.post(PlacementWanted(service))
 
     def _report(self) -> PeerReport:
         prompts = self.board.write(PromptTable)
@@ -137,8 +148,20 @@
                 len(queue) for _, queue in self.board.read(GatewayQueueTable).items()
             ),
             availability_zone=self.settings.vm.availability_zone,
+            waiting=self._waiting(),
         )
 
+    def _waiting(self) -> dict[str, WaitingReport]:
+        found: dict[str, WaitingReport] = {}
+        for service, queue in self.board.read(GatewayQueueTable).items():
+            ranks = queue.waiting_ranks()
+            if not ranks:
+                continue
+            first = queue.heads(ranks[0], 1)[0]
+            deadline_in_ms = first.deadline_ms - self._sent_at_ms
+            found[service] = WaitingReport(ranks[0], queue.length_of(ranks[0]), deadline_in_ms)
+        return found
+
     def _hosts(self) -> tuple[str, ...]:
         hosts = {peer.report.host for peer in self.board.read(PeerTable).rows()}
         if self._sequence % _INTRODUCTION_INTERVAL == 1:
--- a/azureturn/gateway/decisions/tests/test_placement.py
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -10,10 +10,12 @@
     PeerReported,
     RequestClosed,
     SendAttempt,
+    SendReport,
     StoreRegained,
     TryConnection,
     UpstreamReached,
     ViewChanged,
+    WaitingReport,
     WorkReport,
 )
 from azureturn.gateway.decisions.tests.gateway_site import (
@@ -76,8 +78,8 @@
     site.arrive("old")
     site.tick(1_590)
     site.arrive("new")
-    site.tell(PeerReported(peer_report("vm-2", sequence=2)), at_ms=1_600)
-    actions = site.tick(1_610)
+    actions = site.tell(PeerReported(peer_report("vm-2", sequence=2)), at_ms=1_600)
+    actions += site.tick(1_610)
     assert [one.request_id for one in only(actions, SendAttempt)][:1] == ["new"]  # type: ignore[attr-defined]
 
 
@@ -186,6 +188,40 @@
     assert _sent_to(site.arrive("r2", prompt=_long_prompt(20_000))) == ["slow"]
 
 
+@pytest.mark.parametrize(
+    ("waiting", "expected"),
+    [
+        (WaitingReport(tier_rank=0, requests=1, deadline_in_ms=500), []),
+        (WaitingReport(tier_rank=2, requests=1, deadline_in_ms=200), []),
+        (WaitingReport(tier_rank=2, requests=1, deadline_in_ms=900), ["u1"]),
+        (WaitingReport(tier_rank=4, requests=9, deadline_in_ms=-500), ["u1"]),
+    ],
+    ids=["more urgent", "earlier", "later", "less urgent"],
+)
+def test_the_last_room_is_left_to_what_comes_first_at_a_peer(
+    waiting: WaitingReport, expected: list[str]
+) -> None:
+    site = GatewaySite(view(upstream("u1", slots=1), upstream("u2", slots=1)))
+    fields = {"work": full("u2"), "waiting": {"models": waiting}}
+    site.tell(PeerReported(peer_report("vm-2", **fields)))
+    site.tick(1_000)
+    site.now_ms = 1_010
+    assert _sent_to(site.arrive("r1", urgency_rank=1)) == expected
+    # Peers are told of the room at once, before the next report is due.
+    assert bool(only(site.tick(1_030), SendReport)) is not bool(expected)
+
+
+def test_room_is_not_left_to_a_peer_whose_word_is_old_or_that_reaches_nothing() -> None:
+    waiting = {"models": WaitingReport(tier_rank=0, requests=1, deadline_in_ms=500)}
+    old = GatewaySite(view(upstream("u1", slots=1), upstream("u2", slots=1)))
+    old.tell(PeerReported(peer_report("vm-2", work=full("u2"), waiting=waiting)))
+    old.now_ms += 300
+    cut_off = GatewaySite(view(upstream("u1", slots=1)))
+    cut_off.tell(PeerReported(peer_report("vm-2", waiting=waiting)))
+    for site in (old, cut_off):
+        assert _sent_to(site.arrive("r1", urgency_rank=1)) == ["u1"]
+
+
 @pytest.mark.parametrize(("cut_off", "placed"), [(True, 4), (False, 1)], ids=str)
 def test_vms_of_a_zone_that_is_cut_off_have_no_work_at_the_upstreams_left(
     cut_off: bool, placed: int
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -11,6 +11,7 @@
     SentPrompt,
     VersionCount,
     VmLeaving,
+    WaitingReport,
     WorkReport,
 )
 from azureturn.gateway.decisions.tests.gateway_site import (
@@ -36,6 +37,7 @@
         queued_requests=4,
         strained=True,
         availability_zone="b",
+        waiting={"models": WaitingReport(3, 2, -40)},
     )
     data = encode_struct(report_to_wire(report))
     assert report_from_wire(decode_struct(GatewayReport, data)) == report
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -275,6 +275,15 @@
 }
 
 // One datagram, sent to every peer many times a second.
+// The most urgent tier that waits for upstreams of a service at the sender.
+struct TierWaiting {
+  1: string service_name,
+  2: i32 tier_rank,
+  3: i32 requests,
+  // Until the first of them misses its objective; negative where it has.
+  4: i32 deadline_in_ms,
+}
+
 struct GatewayReport {
   1: string vm,
   2: string host,
@@ -292,6 +301,7 @@
   13: i32 queued_requests,
   14: bool strained,
   15: string availability_zone,
+  16: list<TierWaiting> waiting,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3800,6 +3800,110 @@
         return not (self == other)
 
 
+class TierWaiting(object):
+    """
+    Attributes:
+     - service_name
+     - tier_rank
+     - requests
+     - deadline_in_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'tier_rank',
+        'requests',
+        'deadline_in_ms',
+    )
+
+
+    def __init__(self, service_name=None, tier_rank=None, requests=None, deadline_in_ms=None,):
+        self.service_name = service_name
+        self.tier_rank = tier_rank
+        self.requests = requests
+        self.deadline_in_ms = deadline_in_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tier_rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.deadline_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TierWaiting')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.tier_rank is not None:
+            oprot.writeFieldBegin('tier_rank', TType.I32, 2)
+            oprot.writeI32(self.tier_rank)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 3)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.deadline_in_ms is not None:
+            oprot.writeFieldBegin('deadline_in_ms', TType.I32, 4)
+            oprot.writeI32(self.deadline_in_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GatewayReport(object):
     """
     Attributes:
@@ -3818,6 +3922,7 @@
      - queued_requests
      - strained
      - availability_zone
+     - waiting
 
     """
 
@@ -3837,10 +3942,11 @@
         'queued_requests',
         'strained',
         'availability_zone',
+        'waiting',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None, strained=None, availability_zone=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None, strained=None, availability_zone=None, waiting=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -3856,6 +3962,7 @@
         self.queued_requests = queued_requests
         self.strained = strained
         self.availability_zone = availability_zone
+        self.waiting = waiting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3977,6 +4084,17 @@
                     self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.waiting = []
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = TierWaiting()
+                        _elem146.read(iprot)
+                        self.waiting.append(_elem146)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4014,43 +4132,43 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter141 in self.work:
-                iter141.write(oprot)
+            for iter147 in self.work:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter142 in self.spent:
-                iter142.write(oprot)
+            for iter148 in self.spent:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter143 in self.prompts:
-                iter143.write(oprot)
+            for iter149 in self.prompts:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter144 in self.versions:
-                iter144.write(oprot)
+            for iter150 in self.versions:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.moves is not None:
             oprot.writeFieldBegin('moves', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.moves))
-            for iter145 in self.moves:
-                iter145.write(oprot)
+            for iter151 in self.moves:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter146 in self.peers:
-                iter146.write(oprot)
+            for iter152 in self.peers:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.queued_requests is not None:
@@ -4065,6 +4183,13 @@
             oprot.writeFieldBegin('availability_zone', TType.STRING, 15)
             oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
             oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.waiting))
+            for iter153 in self.waiting:
+                iter153.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4465,6 +4590,14 @@
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
 )
+all_structs.append(TierWaiting)
+TierWaiting.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tier_rank', None, None, ),  # 2
+    (3, TType.I32, 'requests', None, None, ),  # 3
+    (4, TType.I32, 'deadline_in_ms', None, None, ),  # 4
+)
 all_structs.append(GatewayReport)
 GatewayReport.thrift_spec = (
     None,  # 0
@@ -4483,6 +4616,7 @@
     (13, TType.I32, 'queued_requests', None, None, ),  # 13
     (14, TType.BOOL, 'strained', None, None, ),  # 14
     (15, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 15
+    (16, TType.LIST, 'waiting', (TType.STRUCT, [TierWaiting, None], False), None, ),  # 16
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
