--- a/azureturn/gateway/daemon/_strain.py
+++ b/azureturn/gateway/daemon/_strain.py
@@ -5,8 +5,8 @@
 from azureturn.serving import CoreRuntime, now_ms
 
 #: Mean lateness of ticks at which a VM is strained, and below which it no longer is.
-_STRAINED_MS = 40.0
-_RELAXED_MS = 10.0
+_STRAINED_MS = 10.0
+_RELAXED_MS = 3.0
 #: A VM steps back only while no more than this share of all VMs is strained or unheard.
 _ABSENT_SHARE = 0.34
 
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -33,6 +33,8 @@
 _URGENT_PART = 0.4
 #: Organisations that one report tells of, those that used most first; a datagram has to hold them.
 _TOLD_LIMIT = 500
+#: What was let pass for so long before the end of a process its last record may not hold.
+_UNKEPT_MS = 1_200
 #: A record that is older may miss what was let pass in an outage of the store.
 _RECORD_AGE_LIMIT_MS = 5_000
 #: For so long after a restart nothing of what was forgotten is thought to leave the window: most
@@ -72,6 +74,8 @@
         #: When this process began, if an earlier one of this VM may have let requests pass and
         #: nothing tells how many.
         self.restarted_at_ms: int | None = None
+        #: When an organisation last came near its limit.
+        self.urgent_at_ms: int | None = None
 
     def of(self, organisation: str) -> AllotmentWindow:
         """Return an organisation's window, made when first asked for."""
@@ -109,7 +113,10 @@
         if window.forgotten_units:
             # Nothing is known well enough to let a large request pass beyond what is left.
             left -= window.forgotten_units + units
-        return AllotmentLeft(left, is_urgent=left < _URGENT_PART * bound)
+        is_urgent = left < _URGENT_PART * bound
+        if is_urgent:
+            self.urgent_at_ms = now_ms
+        return AllotmentLeft(left, is_urgent)
 
     def told(
         self,
@@ -164,7 +171,8 @@
         """
         if record is None or abs(unix_ms - record.written_unix_ms) > _RECORD_AGE_LIMIT_MS:
             return False
-        unkept_parts = max(0, unix_ms - record.written_unix_ms) / LATE_MS
+        age_ms = unix_ms - record.written_unix_ms
+        unkept_parts = min(_UNKEPT_MS, max(0, age_ms)) / LATE_MS
         for one in record.processes:
             spent = {
                 organisation: _with_late(units, int(units.late_units * unkept_parts))
--- a/azureturn/gateway/decisions/controllers/_allotment_records.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_records.py
@@ -12,11 +12,13 @@
 )
 from azureturn.gateway.site import AllotmentRecord
 
-#: How old the record becomes before it is written anew.
-_INTERVAL_MS = 2_000
+#: How old the record becomes before it is written anew: usually, and while an organisation is
+#: near its limit.
+_INTERVAL_MS = 3_000
+_URGENT_INTERVAL_MS = 1_000
 #: A VM waits this much longer for each VM that goes before it.
 _TURN_MS = 400
-_ASK_AGAIN_MS = 1_000
+_ASK_AGAIN_MS = 900
 
 
 @gateway_controller("allotment_records")
@@ -64,11 +66,14 @@
         if not self._first_view_seen or now_ms - self._asked_at_ms < _ASK_AGAIN_MS:
             return False
         waited_ms = now_ms - self._written_at_ms
-        if waited_ms < _INTERVAL_MS:
+        urgent_at_ms = self.board.read(AllotmentTable).urgent_at_ms
+        is_urgent = urgent_at_ms is not None and now_ms - urgent_at_ms < _INTERVAL_MS
+        interval_ms = _URGENT_INTERVAL_MS if is_urgent else _INTERVAL_MS
+        if waited_ms < interval_ms:
             return False
         own = self.settings.vm.name
         before = sum(name < own for name in self.board.read(PeerTable).heard_names(now_ms))
-        return waited_ms >= _INTERVAL_MS + before * _TURN_MS
+        return waited_ms >= interval_ms + before * _TURN_MS
 
     def _recall(self, context: Context) -> None:
         """Take in what an earlier process of this VM, and all the others, let pass."""
--- a/azureturn/gateway/decisions/tests/gateway_site.py
+++ b/azureturn/gateway/decisions/tests/gateway_site.py
@@ -173,6 +173,7 @@
         self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=1)
         self.now_ms = 1_000
         self.tell(GatewayStarted("vm-1", STARTED_UNIX_MS))
+        self.facts = first_view.facts
         self.tell(ViewChanged(first_view))
 
     def tell(self, event: Event, *, at_ms: int | None = None) -> tuple[Action, ...]:
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -12,6 +12,8 @@
 _MS_PER_S = 1_000
 #: Weight of the latest tick in the mean lateness.
 _LATENESS_WEIGHT = 0.1
+#: A tick counts as no later than this: a VM that stood still once does not lack processor time.
+_LATENESS_LIMIT_MS = 200.0
 _ActionType = TypeVar("_ActionType", bound=Action)
 _Value = TypeVar("_Value")
 
@@ -105,7 +107,7 @@
     def _tick_forever(self) -> None:
         due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
         while not self._stopped.wait(self._tick_interval_s):
-            late_ms = max(0.0, now_ms() - due_at_ms)
+            late_ms = min(_LATENESS_LIMIT_MS, max(0.0, now_ms() - due_at_ms))
             self._lateness_ms += _LATENESS_WEIGHT * (late_ms - self._lateness_ms)
             self.submit(Tick())
             due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
