--- a/azureturn/command/_config.py
+++ b/azureturn/command/_config.py
@@ -19,15 +19,8 @@
 from azureturn.command._site import OperatorSite, require_answers
 from azureturn.command._waiting import wait_until_done
 from azureturn.errors import ErrorKind, PlatformError
-from azureturn.settings import (
-    Change,
-    differences,
-    load_settings,
-    masked,
-    read_json,
-    read_merged,
-    settings_schema,
-)
+from azureturn.json_files import read_json, read_merged
+from azureturn.settings import Change, differences, load_settings, masked, settings_schema
 
 
 @cappa.command(name="check", help="Check settings and list every mistake.")
--- a/azureturn/command/_site.py
+++ b/azureturn/command/_site.py
@@ -10,8 +10,9 @@
 from azureturn.command._exit_codes import ExitCode
 from azureturn.command._options import SiteOptions
 from azureturn.errors import AzureturnError, ErrorKind, PlatformError
+from azureturn.json_files import read_merged
 from azureturn.peers import EnvelopeSigner, NoArgument, PeerAddress, PeerClient, VmAddresses
-from azureturn.settings import Settings, check_settings, read_merged
+from azureturn.settings import Settings, check_settings
 from azureturn.store import KeyValueClient, ListedVm, VmListClient
 
 OPERATOR_NAME = "operator"
--- a/azureturn/command/tests/test_configuration_store.py
+++ b/azureturn/command/tests/test_configuration_store.py
@@ -11,7 +11,7 @@
 from azureturn.command._errors import CommandError
 from azureturn.command._exit_codes import ExitCode
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.settings import read_merged
+from azureturn.json_files import read_merged
 from azureturn.store import KeyValueEntry
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
--- a/azureturn/core/__init__.py
+++ b/azureturn/core/__init__.py
@@ -2,31 +2,25 @@
 
 from azureturn.core import controllers
 from azureturn.core._actions import (
-    Action,
     AnswerHeartbeat,
     AnswerOffer,
     AskClaimant,
     AskPeersToTake,
-    AwaitPlacement,
     CancelAtUpstream,
     ClaimAbandoned,
     Dispatch,
     FetchConfiguration,
     ForwardToPeer,
     ReadSegment,
-    Refuse,
-    RequestAction,
     SendHeartbeat,
     SwapSegment,
 )
-from azureturn.core._blackboard import Blackboard, BlackboardView, Table, UndeclaredTableError
 from azureturn.core._claim_progress import SegmentProgressTable
 from azureturn.core._claim_segments import ClaimSegment, call_digest, segment_key, segment_of
 from azureturn.core._claims import Claim, ClaimHolder, ClaimOutcome, ClaimResult, ClaimState
 from azureturn.core._configuration import Configuration, ConfigurationSource, ConfigurationTable
-from azureturn.core._controllers import CONTROLLERS, Context, Controller, controller, on
+from azureturn.core._controllers import CONTROLLERS, controller
 from azureturn.core._core import Core
-from azureturn.core._drain import DrainRate, DrainTable
 from azureturn.core._events import (
     AnswerProgressed,
     CallerLeft,
@@ -35,7 +29,6 @@
     ClaimSought,
     ConfigurationInForce,
     ConfigurationReceived,
-    Event,
     FirstByteSent,
     HeartbeatFailed,
     HeartbeatReceived,
@@ -63,12 +56,11 @@
     SegmentRead,
     SegmentSwapped,
     Started,
-    Tick,
     UpstreamLeaving,
 )
 from azureturn.core._held_calls import HeldCall, HeldCallTable, HeldState
 from azureturn.core._peers import PeerQueue, PeerQueueTable, PeerWork, PeerWorkTable
-from azureturn.core._queue import QueuedRequest, QueueTable, RequestQueue
+from azureturn.core._queue import QueueTable
 from azureturn.core._requests import (
     PREFIX_BLOCK_TOKENS,
     Request,
@@ -76,7 +68,6 @@
     RequestTable,
     digest_of,
 )
-from azureturn.core._rows import changed as changed_row
 from azureturn.core._tickets import TICKET_LIFETIME_MS, Ticket, TicketPlace, ticket_place
 from azureturn.core._upstreams import LoadReport, Upstream, UpstreamTable
 from azureturn.core.placement import (
@@ -100,16 +91,11 @@
 )
 
 __all__ = [
-    "changed_row",
-    "Action",
     "AnswerHeartbeat",
     "AnswerOffer",
     "AnswerProgressed",
     "AskClaimant",
     "AskPeersToTake",
-    "AwaitPlacement",
-    "Blackboard",
-    "BlackboardView",
     "CANDIDATE_FILTERS",
     "CONTROLLERS",
     "CallSettled",
@@ -131,13 +117,8 @@
     "ConfigurationReceived",
     "ConfigurationSource",
     "ConfigurationTable",
-    "Context",
-    "Controller",
     "Core",
     "Dispatch",
-    "DrainRate",
-    "DrainTable",
-    "Event",
     "FetchConfiguration",
     "FirstByteSent",
     "ForwardToPeer",
@@ -173,11 +154,8 @@
     "PlacementPolicy",
     "PrefixTable",
     "QueueTable",
-    "QueuedRequest",
     "ReadSegment",
-    "Refuse",
     "Request",
-    "RequestAction",
     "RequestAnswered",
     "RequestArrived",
     "RequestEnded",
@@ -185,7 +163,6 @@
     "RequestGivenUp",
     "RequestOffered",
     "RequestReturned",
-    "RequestQueue",
     "RequestStage",
     "RequestTable",
     "RowsReceived",
@@ -199,12 +176,9 @@
     "SpeedTable",
     "Started",
     "SwapSegment",
-    "Table",
     "TICKET_LIFETIME_MS",
-    "Tick",
     "Ticket",
     "TicketPlace",
-    "UndeclaredTableError",
     "Upstream",
     "UpstreamLeaving",
     "UpstreamTable",
@@ -214,7 +188,6 @@
     "controllers",
     "digest_of",
     "limit",
-    "on",
     "placement_policy",
     "ticket_place",
     "segment_key",
--- a/azureturn/core/_actions.py
+++ b/azureturn/core/_actions.py
@@ -1,4 +1,4 @@
-"""Actions: everything that the core asks of the adapters."""
+"""Actions: everything that the core asks of the adapters, besides the framework's own."""
 
 from dataclasses import dataclass
 
@@ -6,18 +6,7 @@
 from azureturn.core._claims import Claim
 from azureturn.core._requests import Request
 from azureturn.core.membership import PeerHeartbeat, PeerIdentity
-from azureturn.errors import ErrorKind, RunState
-
-
-class Action:
-    """The base of every action."""
-
-
-@dataclass(frozen=True)
-class RequestAction(Action):
-    """The base of actions that are meant for the one request they name."""
-
-    request_id: str
+from azureturn.framework import Action, RequestAction
 
 
 @dataclass(frozen=True)
@@ -31,22 +20,6 @@
     claim_nonce: str = ""
 
 
-@dataclass(frozen=True)
-class AwaitPlacement(RequestAction):
-    """No byte has left and the request waits again: its next action is still to come."""
-
-
-@dataclass(frozen=True)
-class Refuse(RequestAction):
-    """Give the caller its final answer now; the request is in no queue any more."""
-
-    kind: ErrorKind
-    retry_after_ms: int
-    run_state: RunState = RunState.NOT_RUN
-    #: What decided it, for the log.
-    detail: str = ""
-
-
 @dataclass(frozen=True)
 class AskClaimant(RequestAction):
     """An earlier request holds the claim: its answer is to be shared."""
--- a/azureturn/core/_claim_progress.py
+++ b/azureturn/core/_claim_progress.py
@@ -10,9 +10,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from azureturn.core._blackboard import Table
 from azureturn.core._claim_segments import ClaimSegment
 from azureturn.core._claims import Claim, ClaimOutcome
+from azureturn.framework import Table
 
 #: A segment read or written this recently is taken to be unchanged; a compare says if it is not.
 FRESH_MS = 20
--- a/azureturn/core/_claim_service.py
+++ b/azureturn/core/_claim_service.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from azureturn.core._blackboard import Table
 from azureturn.core._claims import ClaimHolder
+from azureturn.framework import Table
 
 #: Writes of one process: eight VMs leave a tenth of the service's 400 a second to others.
 WRITES_PER_S = 45
--- a/azureturn/core/_configuration.py
+++ b/azureturn/core/_configuration.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from functools import cached_property
 
-from azureturn.core._blackboard import Table
+from azureturn.framework import Table
 from azureturn.settings import (
     OrganisationSettings,
     RouteSettings,
--- a/azureturn/core/_events.py
+++ b/azureturn/core/_events.py
@@ -1,4 +1,4 @@
-"""Events: everything that the core is told."""
+"""Events: everything that the core is told, besides the framework's own."""
 
 from dataclasses import dataclass
 
@@ -9,10 +9,7 @@
 from azureturn.core._upstreams import LoadReport
 from azureturn.core.membership import GossipRow, PeerHeartbeat, PeerIdentity
 from azureturn.errors import ErrorKind, RunState
-
-
-class Event:
-    """The base of every event."""
+from azureturn.framework import Event
 
 
 @dataclass(frozen=True)
@@ -24,11 +21,6 @@
     boot_id: str = ""
 
 
-@dataclass(frozen=True)
-class Tick(Event):
-    """Time has passed."""
-
-
 @dataclass(frozen=True)
 class ConfigurationReceived(Event):
     """A revision was read from the key-value service or heard from a peer."""
--- a/azureturn/core/_held_calls.py
+++ b/azureturn/core/_held_calls.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from azureturn.core._blackboard import Table
+from azureturn.framework import Table
 
 #: Calls remembered at once; beyond it new calls are refused rather than old ones forgotten.
 HELD_CALL_LIMIT = 50_000
--- a/azureturn/core/_peers.py
+++ b/azureturn/core/_peers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from azureturn.core._blackboard import Table
+from azureturn.framework import Table
 
 #: A peer that was not heard for this long counts no more.
 PEER_SILENT_MS = 5_000
--- a/azureturn/core/_requests.py
+++ b/azureturn/core/_requests.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from azureturn.core._blackboard import Table
 from azureturn.core._claim_segments import call_digest
-from azureturn.core._rows import changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.settings import UpstreamKind
 
 #: Prompt tokens to one block of ``Request.prefix_digests``.
--- a/azureturn/core/_upstreams.py
+++ b/azureturn/core/_upstreams.py
@@ -8,8 +8,8 @@
 
 import xxhash
 
-from azureturn.core._blackboard import Table
-from azureturn.core._rows import changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.settings import UpstreamSettings
 
 #: Changes of this VM's own work that are kept to correct old load reports.
--- a/azureturn/core/controllers/_admission.py
+++ b/azureturn/core/controllers/_admission.py
@@ -2,10 +2,8 @@
 
 from itertools import islice
 
-from azureturn.core._actions import Refuse
 from azureturn.core._configuration import Configuration, ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._drain import DrainTable
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     CallerLeft,
     ConfigurationInForce,
@@ -14,9 +12,8 @@
     RequestEnded,
     RequestGivenUp,
     RequestReturned,
-    Tick,
 )
-from azureturn.core._queue import QueuedRequest, QueueTable, RequestQueue
+from azureturn.core._queue import QueueTable
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.core._upstreams import UpstreamTable
 from azureturn.core.placement import (
@@ -27,6 +24,16 @@
     work_tokens,
 )
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
+from azureturn.framework import (
+    Context,
+    Controller,
+    DrainTable,
+    QueuedRequest,
+    Refuse,
+    RequestQueue,
+    Tick,
+    on,
+)
 from azureturn.settings import Settings, UpstreamKind
 
 FIRST_COME = "first_come"
--- a/azureturn/core/controllers/_claim_segments.py
+++ b/azureturn/core/controllers/_claim_segments.py
@@ -11,7 +11,7 @@
 from azureturn.core._claim_service import PROBE_INTERVAL_MS, ClaimServiceTable
 from azureturn.core._claims import Claim, ClaimResult, ClaimState
 from azureturn.core._configuration import ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     CallSettled,
     ClaimDecided,
@@ -20,9 +20,9 @@
     SegmentChanged,
     SegmentRead,
     SegmentSwapped,
-    Tick,
 )
 from azureturn.core._held_calls import HeldCallTable, HeldState
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 _PROBED_SEGMENT = 0
--- a/azureturn/core/controllers/_claims.py
+++ b/azureturn/core/controllers/_claims.py
@@ -11,18 +11,12 @@
 from azureturn.core._claim_segments import kept_outcome, segment_of
 from azureturn.core._claim_service import OUTAGE_PATIENCE_MS, ClaimServiceTable
 from azureturn.core._claims import Claim, ClaimHolder, ClaimOutcome, ClaimResult, ClaimState
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import (
-    CallSettled,
-    ClaimDecided,
-    ClaimSought,
-    RequestFailed,
-    Started,
-    Tick,
-)
+from azureturn.core._controllers import controller
+from azureturn.core._events import CallSettled, ClaimDecided, ClaimSought, RequestFailed, Started
 from azureturn.core._held_calls import HELD_CALL_LIMIT, HeldCall, HeldCallTable, HeldState
 from azureturn.core._requests import Request, RequestTable, digest_of
 from azureturn.errors import RunState
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: A call waits this long for the service's word before it is given up.
--- a/azureturn/core/controllers/_configuration.py
+++ b/azureturn/core/controllers/_configuration.py
@@ -1,13 +1,10 @@
 """Puts configurations in force, and keeps the table of upstreams in step with them."""
 
 from azureturn.core._configuration import Configuration, ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import (
-    ConfigurationInForce,
-    ConfigurationReceived,
-    Started,
-)
+from azureturn.core._controllers import controller
+from azureturn.core._events import ConfigurationInForce, ConfigurationReceived, Started
 from azureturn.core._upstreams import Upstream, UpstreamTable
+from azureturn.framework import Context, Controller, on
 from azureturn.settings import Settings
 
 
--- a/azureturn/core/controllers/_dispatch.py
+++ b/azureturn/core/controllers/_dispatch.py
@@ -1,15 +1,9 @@
 """Turns a placement into one dispatch, once the right to run is ours."""
 
-from azureturn.core._actions import (
-    AskClaimant,
-    AwaitPlacement,
-    CancelAtUpstream,
-    Dispatch,
-    Refuse,
-)
+from azureturn.core._actions import AskClaimant, CancelAtUpstream, Dispatch
 from azureturn.core._claim_service import OUTAGE_RETRY_AFTER_MS
 from azureturn.core._claims import ClaimResult
-from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     CallerLeft,
     ClaimDecided,
@@ -22,6 +16,7 @@
 )
 from azureturn.core._requests import Request, RequestStage, RequestTable
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind, RunState
+from azureturn.framework import AwaitPlacement, Context, Controller, Refuse, on
 from azureturn.settings import Settings
 
 #: Upstreams that may refuse a request's connection before the caller is told.
--- a/azureturn/core/controllers/_learning.py
+++ b/azureturn/core/controllers/_learning.py
@@ -1,6 +1,6 @@
 """Learns from answers, load reports and peers what placement estimates with."""
 
-from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     AnswerProgressed,
     LoadReported,
@@ -9,7 +9,6 @@
     PeerWorkReported,
     RequestAnswered,
     RequestFailed,
-    Tick,
 )
 from azureturn.core._peers import PeerQueue, PeerQueueTable, PeerWork, PeerWorkTable
 from azureturn.core._requests import Request, RequestTable
@@ -22,6 +21,7 @@
     SpeedTable,
 )
 from azureturn.errors import ErrorKind
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: An upstream that refused a connection gets no new work for this long, doubled each time.
--- a/azureturn/core/controllers/_membership.py
+++ b/azureturn/core/controllers/_membership.py
@@ -7,7 +7,7 @@
 
 from azureturn.core._actions import AnswerHeartbeat, FetchConfiguration, SendHeartbeat
 from azureturn.core._configuration import ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     HeartbeatFailed,
     HeartbeatReceived,
@@ -16,7 +16,6 @@
     PeersListed,
     PeerStarted,
     RowsReceived,
-    Tick,
     UpstreamLeaving,
 )
 from azureturn.core._upstreams import UpstreamTable
@@ -33,6 +32,7 @@
     Topic,
     select_rows,
 )
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: Peers of its own availability zone that a VM calls in each interval, and at urgent news.
--- a/azureturn/core/controllers/_move_gossip.py
+++ b/azureturn/core/controllers/_move_gossip.py
@@ -1,8 +1,8 @@
 """Tells peers what this VM knows of versions, and takes in what they tell."""
 
 from azureturn.core._configuration import ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import NewsIsUrgent, RowsReceived, Tick
+from azureturn.core._controllers import controller
+from azureturn.core._events import NewsIsUrgent, RowsReceived
 from azureturn.core.membership import GossipTable, PeerIdentity, PeerTable, Topic
 from azureturn.core.moves._evidence import CondemnedMove, EvidenceRow, EvidenceSource
 from azureturn.core.moves._gossip import (
@@ -13,6 +13,7 @@
 from azureturn.core.moves._messages import EvidenceReceived
 from azureturn.core.moves._tables import EvidenceTable, Move, MoveTable
 from azureturn.core.moves._types import MoveReason, MoveRecord
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: All evidence of this VM is told this often; rows hold both versions' counts.
--- a/azureturn/core/controllers/_mover.py
+++ b/azureturn/core/controllers/_mover.py
@@ -19,8 +19,8 @@
 from dataclasses import replace
 
 from azureturn.core._configuration import ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import Started, Tick
+from azureturn.core._controllers import controller
+from azureturn.core._events import Started
 from azureturn.core._upstreams import UpstreamTable
 from azureturn.core.moves._evidence import EvidenceLedger
 from azureturn.core.moves._judging import Verdict
@@ -48,6 +48,7 @@
     ObservedUpstream,
 )
 from azureturn.core.moves._types import MoveReason, MoveRecord, MoveState
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import MoveSettings, Settings, UpstreamKind
 
 #: How often a VM looks at what it could do for each move.
--- a/azureturn/core/controllers/_moves.py
+++ b/azureturn/core/controllers/_moves.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from azureturn.core._configuration import ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     AnswerProgressed,
     Placed,
@@ -12,7 +12,6 @@
     RequestFailed,
     RequestReturned,
     Started,
-    Tick,
 )
 from azureturn.core._requests import Request, RequestTable
 from azureturn.core.moves._evidence import (
@@ -48,6 +47,7 @@
 )
 from azureturn.core.moves._types import MoveRecord, MoveState
 from azureturn.errors import RunState
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: Shortest time between two judgements of one version.
--- a/azureturn/core/controllers/_placement.py
+++ b/azureturn/core/controllers/_placement.py
@@ -5,13 +5,11 @@
 
 import xxhash
 
-from azureturn.core._blackboard import Blackboard, BlackboardView
 from azureturn.core._configuration import ConfigurationTable
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._drain import DrainTable
+from azureturn.core._controllers import controller
 from azureturn.core._events import Placed, PlacementDue, RequestEnded, RequestReturned
 from azureturn.core._peers import PeerWorkTable
-from azureturn.core._queue import QueueTable, RequestQueue
+from azureturn.core._queue import QueueTable
 from azureturn.core._requests import PREFIX_BLOCK_TOKENS, Request, RequestTable
 from azureturn.core._upstreams import Upstream, UpstreamTable
 from azureturn.core.placement import (
@@ -30,6 +28,15 @@
     prefill_ms,
     work_tokens,
 )
+from azureturn.framework import (
+    Blackboard,
+    BlackboardView,
+    Context,
+    Controller,
+    DrainTable,
+    RequestQueue,
+    on,
+)
 from azureturn.settings import PolicySettings, Settings
 
 #: Upstreams that are looked at: this many around the prompt's hash, and this many by chance.
--- a/azureturn/core/controllers/_refusals.py
+++ b/azureturn/core/controllers/_refusals.py
@@ -1,19 +1,19 @@
 """Ends what was given up: at a peer that has less urgent work, or with a refusal at once."""
 
-from azureturn.core._actions import AnswerOffer, AskPeersToTake, ForwardToPeer, Refuse
-from azureturn.core._controllers import Context, Controller, controller, on
+from azureturn.core._actions import AnswerOffer, AskPeersToTake, ForwardToPeer
+from azureturn.core._controllers import controller
 from azureturn.core._events import (
     CallerLeft,
     PeersDecided,
     RequestEnded,
     RequestGivenUp,
     RequestOffered,
-    Tick,
 )
 from azureturn.core._peers import PeerQueueTable
 from azureturn.core._queue import QueueTable
 from azureturn.core._requests import Request, RequestTable
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
+from azureturn.framework import Context, Controller, Refuse, Tick, on
 from azureturn.settings import Settings
 
 #: Peers that are asked, at most, before a request is refused.
--- a/azureturn/core/controllers/_stragglers.py
+++ b/azureturn/core/controllers/_stragglers.py
@@ -2,10 +2,10 @@
 
 from statistics import median
 
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import Tick
+from azureturn.core._controllers import controller
 from azureturn.core._upstreams import Upstream, UpstreamTable
 from azureturn.core.placement import LearnedSpeed, SpeedTable
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: Upstreams that are compared in one look, however many there are.
--- a/azureturn/core/controllers/_work_gossip.py
+++ b/azureturn/core/controllers/_work_gossip.py
@@ -1,17 +1,12 @@
 """Tells peers what this VM has outstanding and queued, and takes in what they tell."""
 
-from azureturn.core._controllers import Context, Controller, controller, on
-from azureturn.core._events import (
-    PeerPrefixSent,
-    PeerQueueReported,
-    PeerWorkReported,
-    RowsReceived,
-    Tick,
-)
+from azureturn.core._controllers import controller
+from azureturn.core._events import PeerPrefixSent, PeerQueueReported, PeerWorkReported, RowsReceived
 from azureturn.core._queue import QueueTable
 from azureturn.core._upstreams import Upstream, UpstreamTable
 from azureturn.core.membership import GossipRow, GossipTable, PeerIdentity, PeerTable, Topic
 from azureturn.core.placement import PrefixTable
+from azureturn.framework import Context, Controller, Tick, on
 from azureturn.settings import Settings
 
 #: Changed amounts are told this often.
--- a/azureturn/core/membership/_tables.py
+++ b/azureturn/core/membership/_tables.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from azureturn.core._blackboard import Table
 from azureturn.core.membership._types import GossipRow, Peer, PeerIdentity, RowKey, Topic
+from azureturn.framework import Table
 
 _MS_PER_S = 1_000
 #: A budget that was not used is saved up for this long.
--- a/azureturn/core/moves/_filter.py
+++ b/azureturn/core/moves/_filter.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Sequence
 
-from azureturn.core._blackboard import BlackboardView
 from azureturn.core._requests import Request
 from azureturn.core._upstreams import Upstream
 from azureturn.core.moves._tables import MoveTable
 from azureturn.core.placement import candidate_filter
+from azureturn.framework import BlackboardView
 
 
 @candidate_filter("version_is_loaded", reads=(MoveTable,))
--- a/azureturn/core/moves/_messages.py
+++ b/azureturn/core/moves/_messages.py
@@ -3,10 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from azureturn.core._actions import Action
-from azureturn.core._events import Event
 from azureturn.core.moves._evidence import CondemnedMove, EvidenceRow
 from azureturn.core.moves._types import MoveReason, MoveRecord, MoveState
+from azureturn.framework import Action, Event
 
 
 @dataclass(frozen=True)
--- a/azureturn/core/moves/_tables.py
+++ b/azureturn/core/moves/_tables.py
@@ -5,13 +5,13 @@
 
 from ddsketch import DDSketch
 
-from azureturn.core._blackboard import Table
 from azureturn.core._upstreams import Upstream
 from azureturn.core.moves._evidence import EvidenceLedger
 from azureturn.core.moves._judging import Judge, Verdict
 from azureturn.core.moves._messages import ReportMove
 from azureturn.core.moves._sharing import takes_new_version
 from azureturn.core.moves._types import MoveReason, MoveRecord, MoveState, SlowThresholds
+from azureturn.framework import Table
 
 #: A VM that has heard nothing from the service for this long shows what it knows as unknown.
 FRESH_MS = 5_000
--- a/azureturn/core/moves/tests/test_mover.py
+++ b/azureturn/core/moves/tests/test_mover.py
@@ -5,16 +5,13 @@
 import pytest
 
 from azureturn.core import (
-    Action,
     Configuration,
     Core,
-    Event,
     Placed,
     Request,
     RequestFailed,
     RequestTable,
     Started,
-    Tick,
     Upstream,
     UpstreamTable,
 )
@@ -43,7 +40,9 @@
     WriteResult,
 )
 from azureturn.errors import ErrorKind, RunState
-from azureturn.settings import Settings, UpstreamKind, check_settings, read_merged
+from azureturn.framework import Action, Event, Tick
+from azureturn.json_files import read_merged
+from azureturn.settings import Settings, UpstreamKind, check_settings
 from standins.site import EXAMPLES
 
 MODEL = "fibre-large"
--- a/azureturn/core/placement/_candidates.py
+++ b/azureturn/core/placement/_candidates.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from azureturn.core._blackboard import Blackboard, BlackboardView
 from azureturn.core._requests import Request
 from azureturn.core._upstreams import Upstream
+from azureturn.framework import Blackboard, BlackboardView
 
 #: Returns those of the candidates that the request may go to, in the order given.
 FilterFunction = Callable[[Request, Sequence[Upstream], BlackboardView], Sequence[Upstream]]
--- a/azureturn/core/placement/_prefixes.py
+++ b/azureturn/core/placement/_prefixes.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
-from azureturn.core._blackboard import Table
 from azureturn.core._requests import PREFIX_BLOCK_TOKENS, Request
+from azureturn.framework import Table
 
 #: Prompt tokens that an upstream's cache is first thought to hold.
 _FIRST_CAPACITY_TOKENS = 100_000
--- a/azureturn/core/placement/_speeds.py
+++ b/azureturn/core/placement/_speeds.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from azureturn.core._blackboard import Table
-from azureturn.core._rows import changed
 from azureturn.core._upstreams import Upstream
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.settings import UpstreamSettings
 
 _MS_PER_S = 1_000.0
--- a/azureturn/core/tests/claim_site.py
+++ b/azureturn/core/tests/claim_site.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from azureturn.core import (
-    Action,
     AskClaimant,
     CallSettled,
     ClaimAbandoned,
@@ -14,11 +13,9 @@
     Configuration,
     Core,
     Dispatch,
-    Event,
     HeldCallTable,
     HeldState,
     ReadSegment,
-    Refuse,
     Request,
     RequestAnswered,
     RequestArrived,
@@ -29,9 +26,9 @@
     SegmentSwapped,
     Started,
     SwapSegment,
-    Tick,
 )
 from azureturn.errors import ErrorKind, RunState
+from azureturn.framework import Action, Event, Refuse, Tick
 from azureturn.settings import (
     OrganisationSettings,
     PlatformSettings,
--- a/azureturn/core/tests/decision_site.py
+++ b/azureturn/core/tests/decision_site.py
@@ -1,6 +1,7 @@
 """A small site for tests of the decisions: one core, a few engines, and requests for them."""
 
-from azureturn.core import Action, Configuration, Core, Event, Request, Started
+from azureturn.core import Configuration, Core, Request, Started
+from azureturn.framework import Action, Event
 from azureturn.settings import (
     OrganisationSettings,
     PlatformSettings,
--- a/azureturn/core/tests/test_controllers.py
+++ b/azureturn/core/tests/test_controllers.py
@@ -2,14 +2,8 @@
 
 import pytest
 
-from azureturn.core import (
-    CONTROLLERS,
-    Blackboard,
-    BlackboardView,
-    QueueTable,
-    RequestTable,
-    UndeclaredTableError,
-)
+from azureturn.core import CONTROLLERS, QueueTable, RequestTable
+from azureturn.framework import Blackboard, BlackboardView, UndeclaredTableError
 
 
 @pytest.mark.parametrize("name", CONTROLLERS)
--- a/azureturn/core/tests/test_decision_properties.py
+++ b/azureturn/core/tests/test_decision_properties.py
@@ -7,14 +7,11 @@
 from hypothesis import strategies as st
 
 from azureturn.core import (
-    Action,
     AskPeersToTake,
-    AwaitPlacement,
     CallerLeft,
     CancelAtUpstream,
     Core,
     Dispatch,
-    Event,
     ForwardToPeer,
     LoadReport,
     LoadReported,
@@ -22,15 +19,14 @@
     PeersDecided,
     PeerWorkReported,
     QueueTable,
-    Refuse,
     RequestAnswered,
     RequestArrived,
     RequestFailed,
-    Tick,
     UpstreamTable,
 )
 from azureturn.core.tests.decision_site import MODEL, request_of, site_settings, started_core
 from azureturn.errors import ErrorKind, RunState
+from azureturn.framework import Action, AwaitPlacement, Event, Refuse, Tick
 
 QUEUE_LIMIT = 4
 _FOR_ROOM = {ErrorKind.SHED, ErrorKind.OVERLOADED, ErrorKind.DEADLINE_UNREACHABLE}
--- a/azureturn/core/tests/test_decisions.py
+++ b/azureturn/core/tests/test_decisions.py
@@ -17,11 +17,9 @@
     PeerStarted,
     PeerWorkReported,
     PrefixTable,
-    Refuse,
     RequestAnswered,
     RequestArrived,
     RequestOffered,
-    Tick,
     UpstreamLeaving,
     UpstreamTable,
 )
@@ -35,6 +33,7 @@
     started_core,
 )
 from azureturn.errors import ErrorKind
+from azureturn.framework import Refuse, Tick
 
 #: Requests that fill both engines of the test site, with their excess, for every tier.
 _FILL = 10
--- a/azureturn/core/tests/test_fair_share.py
+++ b/azureturn/core/tests/test_fair_share.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from azureturn.core._fair_share import FairShareQueue
+from azureturn.framework import FairShareQueue
 
 SHARES: dict[str, tuple[dict[str, float], dict[str, int], int, dict[str, int]]] = {
     "equal weights": ({"a": 1.0, "b": 1.0}, {"a": 50, "b": 50}, 20, {"a": 10, "b": 10}),
--- a/azureturn/daemon/_claims.py
+++ b/azureturn/daemon/_claims.py
@@ -6,9 +6,7 @@
 from functools import singledispatchmethod
 
 from azureturn.core import (
-    Action,
     ClaimSegment,
-    Event,
     ReadSegment,
     SegmentCallLost,
     SegmentChanged,
@@ -18,6 +16,7 @@
     segment_key,
 )
 from azureturn.errors import AzureturnError, CompareFailedError
+from azureturn.framework import Action, Event
 from azureturn.store import KeyValueClient
 
 CLAIM_THREADS = 8
--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -8,7 +8,6 @@
 from azureturn._time_of_day import unix_now_ms
 from azureturn.core import (
     AskPeersToTake,
-    AwaitPlacement,
     CancelAtUpstream,
     ClaimAbandoned,
     Configuration,
@@ -35,6 +34,7 @@
 from azureturn.daemon._services import Services
 from azureturn.daemon._ticketed_calls import TicketedCalls
 from azureturn.daemon._tickets import TicketOffice
+from azureturn.framework import AwaitPlacement
 from azureturn.observability import EventLog, LogEvent, Metrics, describe_error
 from azureturn.peers import (
     EnvelopeSigner,
--- a/azureturn/daemon/_gossip.py
+++ b/azureturn/daemon/_gossip.py
@@ -6,7 +6,6 @@
 import time
 
 from azureturn.core import (
-    Action,
     Configuration,
     ConfigurationReceived,
     ConfigurationSource,
@@ -19,14 +18,14 @@
     SendHeartbeat,
 )
 from azureturn.core.membership import PeerIdentity
+from azureturn.daemon._heartbeats import heartbeat_from_wire, heartbeat_to_wire
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, PlatformError
+from azureturn.framework import Action
 from azureturn.observability import LogEvent, describe_error
 from azureturn.peers import (
     ConfigurationQuery,
     PeerAddress,
-    heartbeat_from_wire,
-    heartbeat_to_wire,
 )
 from azureturn.serving import now_ms
 from azureturn.settings import check_shared_settings
--- a/azureturn/daemon/_operators.py
+++ b/azureturn/daemon/_operators.py
@@ -5,10 +5,11 @@
 from typing import Any, TypeVar
 
 from azureturn._version import __version__
-from azureturn.core import ConfigurationTable, Core, Upstream, UpstreamTable
+from azureturn.core import ConfigurationTable, Upstream, UpstreamTable
 from azureturn.core.membership import PeerTable
 from azureturn.daemon._services import Services
 from azureturn.errors import AzureturnError, ErrorKind
+from azureturn.framework import Core
 from azureturn.peers import (
     NoArgument,
     OperatorAnswer,
--- a/azureturn/daemon/_peer_face.py
+++ b/azureturn/daemon/_peer_face.py
@@ -11,6 +11,7 @@
     RequestOffered,
 )
 from azureturn.daemon._claimants import answer_query
+from azureturn.daemon._heartbeats import heartbeat_from_wire, heartbeat_to_wire
 from azureturn.daemon._offers import request_of_offer
 from azureturn.daemon._operators import answer_operator
 from azureturn.daemon._services import Services
@@ -27,8 +28,6 @@
     Outcome,
     OutcomeQuery,
     TicketedCall,
-    heartbeat_from_wire,
-    heartbeat_to_wire,
 )
 
 
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -7,14 +7,11 @@
 from azureturn.core import (
     AnswerProgressed,
     AskClaimant,
-    AwaitPlacement,
     CallerLeft,
     Dispatch,
     FirstByteSent,
     ForwardToPeer,
-    Refuse,
     Request,
-    RequestAction,
     RequestAnswered,
     RequestArrived,
     RequestFailed,
@@ -33,6 +30,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
+from azureturn.framework import AwaitPlacement, Refuse, RequestAction
 from azureturn.serving import next_action, now_ms
 from azureturn.settings import UpstreamKind
 from azureturn.upstreams import (
--- a/azureturn/peers/tests/test_heartbeats.py
+++ b/azureturn/daemon/tests/test_heartbeats.py
@@ -3,7 +3,8 @@
 import time
 
 from azureturn.core.membership import GossipRow, PeerHeartbeat, PeerIdentity, RowKey, Topic
-from azureturn.peers import EnvelopeSigner, heartbeat_from_wire, heartbeat_to_wire
+from azureturn.daemon._heartbeats import heartbeat_from_wire, heartbeat_to_wire
+from azureturn.peers import EnvelopeSigner
 from azureturn.peers._authentication import encode_struct
 from azureturn.peers.gen.ttypes import Heartbeat
 
--- /dev/null
+++ b/azureturn/framework/__init__.py
@@ -0,0 +1,40 @@
+"""The frame in which decisions are made: events in, actions out, tables between controllers."""
+
+from azureturn.framework._actions import Action, AwaitPlacement, Refuse, RequestAction
+from azureturn.framework._blackboard import (
+    Blackboard,
+    BlackboardView,
+    Table,
+    UndeclaredTableError,
+)
+from azureturn.framework._controllers import Context, Controller, in_dependency_order, on
+from azureturn.framework._core import Core
+from azureturn.framework._drain import DrainRate, DrainTable
+from azureturn.framework._events import Event, Tick
+from azureturn.framework._fair_share import FairShareQueue
+from azureturn.framework._queue import QueuedRequest, RequestQueue
+from azureturn.framework._rows import changed as changed_row
+
+__all__ = [
+    "Action",
+    "AwaitPlacement",
+    "Blackboard",
+    "BlackboardView",
+    "Context",
+    "Controller",
+    "Core",
+    "DrainRate",
+    "DrainTable",
+    "Event",
+    "FairShareQueue",
+    "QueuedRequest",
+    "Refuse",
+    "RequestAction",
+    "RequestQueue",
+    "Table",
+    "Tick",
+    "UndeclaredTableError",
+    "changed_row",
+    "in_dependency_order",
+    "on",
+]
--- /dev/null
+++ b/azureturn/framework/_core.py
@@ -0,0 +1,60 @@
+"""The decision core: events in, actions out, no clock, chance, lock or socket of its own."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from azureturn.framework._actions import Action
+from azureturn.framework._blackboard import Blackboard
+from azureturn.framework._controllers import Context, Controller, in_dependency_order
+from azureturn.framework._events import Event
+
+_Handler = Callable[[Any, Context], None]
+_Settings = TypeVar("_Settings")
+_CoreType = TypeVar("_CoreType", bound="Core")
+
+
+class Core:
+    """All decisions of one VM.
+
+    The same core runs in the daemon, in property tests, along the specification's traces and
+    in the policy bench, since time and chance are passed in.
+
+    >>> core = Core.from_controllers(controllers, settings, seed=1)  # doctest: +SKIP
+    >>> core.handle(Tick(), now_ms=0)  # doctest: +SKIP
+    ()
+    """
+
+    def __init__(self, board: Blackboard, controllers: list[Controller[Any]], *, seed: int) -> None:
+        self.board = board
+        self._random = random.Random(seed)
+        self._handlers: dict[type[Event], list[_Handler]] = {}
+        for one in controllers:
+            for event_type, handler in one.handlers().items():
+                self._handlers.setdefault(event_type, []).append(handler)
+
+    @classmethod
+    def from_controllers(
+        cls: type[_CoreType],
+        controllers: dict[str, type[Controller[_Settings]]],
+        settings: _Settings,
+        *,
+        seed: int,
+    ) -> _CoreType:
+        """Return a core with these controllers, in the order they depend."""
+        board = Blackboard()
+        classes = in_dependency_order(controllers)
+        return cls(board, [one.from_settings(settings, board) for one in classes], seed=seed)
+
+    def handle(self, event: Event, now_ms: int) -> tuple[Action, ...]:
+        """Handle an event, and every event it leads to, and return what is to be done."""
+        context = Context(now_ms=now_ms, random=self._random)
+        waiting: deque[Event] = deque([event])
+        while waiting:
+            current = waiting.popleft()
+            for handler in self._handlers.get(type(current), ()):
+                handler(current, context)
+            waiting.extend(context.posted)
+            context.posted.clear()
+        return tuple(context.actions)
--- a/azureturn/core/_drain.py
+++ b/azureturn/framework/_drain.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
-from azureturn.core._blackboard import Table
-from azureturn.core._rows import changed
+from azureturn.framework._blackboard import Table
+from azureturn.framework._rows import changed
 
 #: Rates follow changes within about this time.
 _RATE_WINDOW_MS = 2_000.0
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from azureturn._time_of_day import unix_now_ms
-from azureturn.core import Core
+from azureturn.framework import Core
 from azureturn.gateway.daemon._connection_trials import ConnectionTrials
 from azureturn.gateway.daemon._peer_calls import GatewayPeerFace, ViewFetcher
 from azureturn.gateway.daemon._peer_reports import ReportLink
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from azureturn.core import Action, RequestAction
+from azureturn.framework import Action, RequestAction
 from azureturn.gateway.decisions._peers import PeerReport
 from azureturn.gateway.site import AllotmentRecord, MoveStatus, RegisteredUpstream
 
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from azureturn.core import Table
+from azureturn.framework import Table
 from azureturn.gateway.decisions._allotment_windows import LATE_MS, AllotmentWindow, Process
 from azureturn.gateway.settings import AllotmentBounds
 from azureturn.gateway.site import (
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from azureturn.core import changed_row as changed
+from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._peers import WorkReport
 from azureturn.gateway.decisions._prompts import PromptRecord
 from azureturn.gateway.decisions._requests import GatewayRequest
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from azureturn.core import Event
+from azureturn.framework import Event
 from azureturn.gateway.decisions._peers import PeerReport
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.site import SiteView
--- a/azureturn/gateway/decisions/_moves.py
+++ b/azureturn/gateway/decisions/_moves.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
-from azureturn.core import Table
-from azureturn.core import changed_row as changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._peers import VersionCount
 
 #: Answers of a new version before it can be judged.
--- a/azureturn/gateway/decisions/_patience.py
+++ b/azureturn/gateway/decisions/_patience.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from azureturn.core import Table
+from azureturn.framework import Table
 
 #: Requests of a route from which the callers' usual patience is told.
 _KEPT_REQUESTS = 256
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -3,8 +3,8 @@
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
-from azureturn.core import Table
-from azureturn.core import changed_row as changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._prompts import SentPrompt
 from azureturn.gateway.site import SpentUnits
 
--- a/azureturn/gateway/decisions/_prompts.py
+++ b/azureturn/gateway/decisions/_prompts.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from azureturn.core import Table
+from azureturn.framework import Table
 from azureturn.gateway.site import Prompt, PromptPart
 
 #: Share of an engine's memory that old parts may fill; running requests take the rest.
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from azureturn.core import Table
-from azureturn.core import changed_row as changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.gateway.settings import EnginePolicy
 from azureturn.gateway.site import Prompt, Route
 
--- a/azureturn/gateway/decisions/_retries.py
+++ b/azureturn/gateway/decisions/_retries.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from azureturn.core import Table
-from azureturn.core import changed_row as changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 from azureturn.gateway.settings import RetryBounds
 
 #: Shares of the bounds that are used; the rest covers requests counted in another window.
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -1,6 +1,6 @@
 """Tables that several controllers share."""
 
-from azureturn.core import RequestQueue, Table
+from azureturn.framework import RequestQueue, Table
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.site import RegisteredUpstream, SiteView
 
--- a/azureturn/gateway/decisions/_work.py
+++ b/azureturn/gateway/decisions/_work.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
-from azureturn.core import Table
-from azureturn.core import changed_row as changed
+from azureturn.framework import Table
+from azureturn.framework import changed_row as changed
 
 #: Weight of a new answer in what is learned of an upstream.
 _LEARNING_WEIGHT = 0.15
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -1,7 +1,7 @@
 """Lets requests in, within their organisation's allotment and what can be served in time."""
 
-from azureturn.core import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
+from azureturn.framework import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
 from azureturn.gateway.decisions._allotments import AllotmentTable, HeardPart
 from azureturn.gateway.decisions._events import (
     CallerArrived,
--- a/azureturn/gateway/decisions/controllers/_allotment_records.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_records.py
@@ -1,6 +1,6 @@
 """Keeps in the store what organisations have used, for a start of all VMs at once."""
 
-from azureturn.core import Context, Tick, on
+from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import TellRecall, WriteAllotmentRecord
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import ViewChanged
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -1,7 +1,7 @@
 """Learns from each attempt, and decides whether there is another."""
 
-from azureturn.core import AwaitPlacement, Context, QueuedRequest, Refuse, Tick, on
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
+from azureturn.framework import AwaitPlacement, Context, QueuedRequest, Refuse, Tick, on
 from azureturn.gateway.decisions._actions import Conclude, TryConnection
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
--- a/azureturn/gateway/decisions/controllers/_moves.py
+++ b/azureturn/gateway/decisions/controllers/_moves.py
@@ -1,6 +1,6 @@
 """Follows the operator's orders to move a service to another version."""
 
-from azureturn.core import Context, Tick, on
+from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import WriteStatus
 from azureturn.gateway.decisions._events import ViewChanged
 from azureturn.gateway.decisions._moves import COMPLETE_AT, Move, MoveTable, is_bad
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -1,6 +1,6 @@
 """Chooses the upstream of each queued request as soon as one has room for it."""
 
-from azureturn.core import Context, DrainTable, RequestQueue, on
+from azureturn.framework import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._estimates import (
--- a/azureturn/gateway/decisions/controllers/_registry.py
+++ b/azureturn/gateway/decisions/controllers/_registry.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from azureturn.core import Controller
+from azureturn.framework import Controller
 from azureturn.gateway.settings import GatewaySettings
 
 GATEWAY_CONTROLLERS: dict[str, type[Controller[GatewaySettings]]] = {}
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -1,6 +1,6 @@
 """Tells the peers of this VM's work, and takes in what they tell."""
 
-from azureturn.core import Context, Tick, on
+from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import (
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -1,6 +1,6 @@
 """Takes newer views in and keeps what rests on them in step."""
 
-from azureturn.core import Context, Tick, on
+from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._events import (
     GatewayStarted,
     PlacementWanted,
--- a/azureturn/gateway/decisions/tests/gateway_site.py
+++ b/azureturn/gateway/decisions/tests/gateway_site.py
@@ -1,6 +1,6 @@
 """A small site, and the decisions of one of its VMs, for tests."""
 
-from azureturn.core import Action, Core, Event, Tick
+from azureturn.framework import Action, Core, Event, Tick
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     CallerArrived,
--- a/azureturn/gateway/decisions/tests/test_attempts.py
+++ b/azureturn/gateway/decisions/tests/test_attempts.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from azureturn.core import AwaitPlacement, Refuse
 from azureturn.errors import RunState
+from azureturn.framework import AwaitPlacement, Refuse
 from azureturn.gateway.decisions import (
     AttemptEnded,
     AttemptResult,
--- a/azureturn/gateway/decisions/tests/test_placement.py
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from azureturn.core import Refuse
 from azureturn.errors import ErrorKind
+from azureturn.framework import Refuse
 from azureturn.gateway.decisions import (
     AttemptEnded,
     AttemptResult,
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -1,6 +1,6 @@
 """What VMs tell each other."""
 
-from azureturn.core import Tick
+from azureturn.framework import Tick
 from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
 from azureturn.gateway.decisions import (
     FetchView,
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -3,7 +3,6 @@
 import json
 import queue
 
-from azureturn.core import AwaitPlacement, Refuse, RequestAction
 from azureturn.errors import (
     ANSWERS,
     AzureturnError,
@@ -14,6 +13,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
+from azureturn.framework import AwaitPlacement, Refuse, RequestAction
 from azureturn.gateway.decisions import (
     AttemptEnded,
     AttemptResult,
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -8,7 +8,7 @@
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
 from azureturn.errors import ErrorKind, SettingsError
-from azureturn.settings import read_merged
+from azureturn.json_files import read_merged
 
 Positive = Annotated[float, Field(gt=0)]
 Share = Annotated[float, Field(ge=0, le=1)]
--- /dev/null
+++ b/azureturn/json_files/__init__.py
@@ -0,0 +1,5 @@
+"""Files in JSON: a base and its overlays."""
+
+from azureturn.json_files._merge import MERGE_KEY, Json, merge, read_json, read_merged
+
+__all__ = ["MERGE_KEY", "Json", "merge", "read_json", "read_merged"]
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from types import MappingProxyType
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import statsd
 
-from azureturn.settings import DaemonSettings
+if TYPE_CHECKING:
+    from azureturn.settings import DaemonSettings
+
 
 METRIC_PREFIX = "azureturn"
 _NOT_IN_NAMES = re.compile(r"[^A-Za-z0-9_-]")
@@ -79,7 +81,7 @@
         self._client = client
 
     @classmethod
-    def from_settings(cls, settings: DaemonSettings) -> "Metrics":
+    def from_settings(cls, settings: "DaemonSettings") -> "Metrics":
         """Return metrics that go to the statsd host of the settings."""
         if not settings.statsd_host:
             return cls(None)
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -2,7 +2,6 @@
 
 from azureturn.peers._authentication import EnvelopeSigner, decode_struct, encode_struct
 from azureturn.peers._client import PeerAddress, PeerClient
-from azureturn.peers._heartbeats import heartbeat_from_wire, heartbeat_to_wire
 from azureturn.peers._server import PeerHandler, PeerServer
 from azureturn.peers.gen.ttypes import (
     AllotmentSpent,
@@ -87,6 +86,4 @@
     "VmStatus",
     "decode_struct",
     "encode_struct",
-    "heartbeat_from_wire",
-    "heartbeat_to_wire",
 ]
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from azureturn.core import Action, Core, Event, Refuse, RequestAction, Tick
 from azureturn.errors import ErrorKind, RunState
+from azureturn.framework import Action, Core, Event, Refuse, RequestAction, Tick
 
 _MS_PER_S = 1_000
 #: Weight of the latest tick in the mean lateness.
--- a/azureturn/settings/__init__.py
+++ b/azureturn/settings/__init__.py
@@ -5,9 +5,6 @@
     check_settings,
     check_shared_settings,
     load_settings,
-    merge,
-    read_json,
-    read_merged,
 )
 from azureturn.settings._masking import MASK, masked
 from azureturn.settings._mistakes import Mistake
@@ -54,8 +51,5 @@
     "differences",
     "load_settings",
     "masked",
-    "merge",
-    "read_json",
-    "read_merged",
     "settings_schema",
 ]
--- a/azureturn/settings/_difference.py
+++ b/azureturn/settings/_difference.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Any
 
-from azureturn.settings._load import MERGE_KEY
+from azureturn.json_files import MERGE_KEY
 from azureturn.settings._masking import SECRET_FIELDS, masked
 
 
--- a/azureturn/settings/tests/test_load.py
+++ b/azureturn/settings/tests/test_load.py
@@ -8,7 +8,8 @@
 import pytest
 
 from azureturn.errors import SettingsError
-from azureturn.settings import check_settings, load_settings, masked, merge, read_merged
+from azureturn.json_files import merge, read_merged
+from azureturn.settings import check_settings, load_settings, masked
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 
--- a/azureturn/store/_key_value.py
+++ b/azureturn/store/_key_value.py
@@ -3,13 +3,12 @@
 import base64
 import json
 from collections.abc import Iterator
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import urllib3
 
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
-from azureturn.settings import PlatformSettings
 from azureturn.store._key_value_answers import (
     KeyValueEntry,
     decode_entries,
@@ -17,6 +16,9 @@
     decode_watch_line,
 )
 
+if TYPE_CHECKING:
+    from azureturn.settings import PlatformSettings
+
 #: A watch is asked anew after this long without a line.
 WATCH_SILENCE_MS = 30_000
 _MS_PER_S = 1_000
@@ -44,7 +46,7 @@
         )
 
     @classmethod
-    def from_settings(cls, settings: PlatformSettings) -> "KeyValueClient":
+    def from_settings(cls, settings: "PlatformSettings") -> "KeyValueClient":
         """Return a client for the service that the settings name."""
         return cls(
             settings.key_value_url,
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -20,9 +20,7 @@
     Configuration,
     Core,
     Dispatch,
-    Event,
     ReadSegment,
-    Refuse,
     Request,
     RequestAnswered,
     RequestArrived,
@@ -32,9 +30,9 @@
     SegmentSwapped,
     Started,
     SwapSegment,
-    Tick,
 )
 from azureturn.core.tests.claim_site import ORGANISATION, settings_of
+from azureturn.framework import Event, Refuse, Tick
 from azureturn.settings import UpstreamKind
 
 VMS = 8
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -20,8 +20,8 @@
     RequestAnswered,
     RequestArrived,
     Started,
-    Tick,
 )
+from azureturn.framework import Tick
 from azureturn.settings import (
     OrganisationSettings,
     PlatformSettings,
--- a/benchmarks/gossip_model.py
+++ b/benchmarks/gossip_model.py
@@ -8,7 +8,6 @@
     AnswerHeartbeat,
     Configuration,
     Core,
-    Event,
     FetchConfiguration,
     HeartbeatFailed,
     HeartbeatReceived,
@@ -16,9 +15,9 @@
     PeerStarted,
     SendHeartbeat,
     Started,
-    Tick,
 )
 from azureturn.core.membership import PeerIdentity
+from azureturn.framework import Event, Tick
 from azureturn.settings import (
     PlatformSettings,
     Settings,
--- a/benchmarks/move_model.py
+++ b/benchmarks/move_model.py
@@ -10,13 +10,10 @@
 
 from azureturn.core import (
     CONTROLLERS,
-    Action,
     AnswerHeartbeat,
     AnswerProgressed,
-    Blackboard,
     Configuration,
     Core,
-    Event,
     HeartbeatReceived,
     PeersListed,
     PeerStarted,
@@ -28,7 +25,6 @@
     RequestTable,
     SendHeartbeat,
     Started,
-    Tick,
 )
 from azureturn.core.membership import PeerIdentity
 from azureturn.core.moves import (
@@ -54,7 +50,9 @@
     troubles_of,
 )
 from azureturn.errors import ErrorKind, RunState
-from azureturn.settings import MoveSettings, Settings, UpstreamKind, check_settings, read_merged
+from azureturn.framework import Action, Blackboard, Event, Tick
+from azureturn.json_files import read_merged
+from azureturn.settings import MoveSettings, Settings, UpstreamKind, check_settings
 from benchmarks.move_outcomes import SITES, Fault, Outcome, RouteMix, draw_outcome, fault_of
 from benchmarks.move_platform import EnginesModel, ServiceModel
 
--- a/benchmarks/policy/_simulation.py
+++ b/benchmarks/policy/_simulation.py
@@ -7,17 +7,14 @@
 from dataclasses import replace
 
 from azureturn.core import (
-    Action,
     AnswerOffer,
     AnswerProgressed,
     AskPeersToTake,
-    AwaitPlacement,
     CallerLeft,
     CancelAtUpstream,
     Configuration,
     Core,
     Dispatch,
-    Event,
     LoadReport,
     LoadReported,
     PeerPrefixSent,
@@ -26,17 +23,16 @@
     PeerWorkReported,
     PrefixTable,
     QueueTable,
-    Refuse,
     RequestAnswered,
     RequestArrived,
     RequestFailed,
     RequestOffered,
     RequestStage,
     Started,
-    Tick,
     UpstreamTable,
 )
 from azureturn.errors import ErrorKind, RunState
+from azureturn.framework import Action, AwaitPlacement, Event, Refuse, Tick
 from benchmarks.policy._outcomes import Figures, Intervals, Outcome
 from benchmarks.policy._policies import Contender
 from benchmarks.policy._scenarios import Scenario
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,8 +15,9 @@
 from dataclasses import asdict, dataclass
 from functools import partial
 
-from azureturn.core import LoadReport, LoadReported, Tick, UpstreamLeaving, UpstreamTable
+from azureturn.core import LoadReport, LoadReported, UpstreamLeaving, UpstreamTable
 from azureturn.core.membership import GossipTable, PeerTable, Topic
+from azureturn.framework import Tick
 from azureturn.settings import check_shared_settings
 from benchmarks.gossip_model import TICK_MS, GossipModel, GossipVm
 
--- a/specification/tests/test_claims_conformance.py
+++ b/specification/tests/test_claims_conformance.py
@@ -3,13 +3,7 @@
 import random
 from collections import Counter
 
-from azureturn.core import (
-    ClaimSegment,
-    SegmentProgressTable,
-    SwapSegment,
-    call_digest,
-    segment_of,
-)
+from azureturn.core import ClaimSegment, SegmentProgressTable, SwapSegment, call_digest, segment_of
 from azureturn.core.tests.claim_site import ANSWERED, ORGANISATION, ClaimSite
 from azureturn.errors import RunState
 from specification.claims import Phase, State, Word, claims_protocol, nonce_of
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 import pytest
 
 from azureturn.daemon._gossip import CONFIGURATION_KEY
-from azureturn.settings import read_merged
+from azureturn.json_files import read_merged
 from azureturn.store import KeyValueClient
 from standins.site import EXAMPLES, Site
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -10,6 +10,7 @@
 
 from azureturn.core import ClaimSegment
 from azureturn.core.moves import decode_record
+from azureturn.daemon._heartbeats import heartbeat_from_wire
 from azureturn.daemon._tickets import TicketOffice
 from azureturn.errors import AzureturnError
 from azureturn.peers import (
@@ -21,7 +22,6 @@
     OutcomeQuery,
     decode_struct,
     encode_struct,
-    heartbeat_from_wire,
 )
 from azureturn.peers.gen.ttypes import Envelope
 from azureturn.settings import check_shared_settings, load_settings
