--- a/azureturn/framework/_core.py
+++ b/azureturn/framework/_core.py
@@ -29,6 +29,7 @@
     def __init__(self, board: Blackboard, controllers: list[Controller[Any]], *, seed: int) -> None:
         self.board = board
         self._random = random.Random(seed)
+        self._controllers = controllers
         self._handlers: dict[type[Event], list[_Handler]] = {}
         for one in controllers:
             for event_type, handler in one.handlers().items():
@@ -47,6 +48,11 @@
         classes = in_dependency_order(controllers)
         return cls(board, [one.from_settings(settings, board) for one in classes], seed=seed)
 
+    def change_settings(self, settings: Any) -> None:
+        """Let every controller decide by other settings from the next event on."""
+        for one in self._controllers:
+            one.settings = settings
+
     def handle(self, event: Event, now_ms: int) -> tuple[Action, ...]:
         """Handle an event, and every event it leads to, and return what is to be done."""
         context = Context(now_ms=now_ms, random=self._random)
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -3,7 +3,7 @@
 import secrets
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from azureturn._time_of_day import unix_now_ms
 from azureturn.framework import Core
@@ -24,17 +24,30 @@
     WriteAllotmentRecord,
     WriteStatus,
 )
-from azureturn.gateway.exchange import ExchangeServices, GatewayServer, ReadinessServer
+from azureturn.gateway.exchange import (
+    ExchangeServices,
+    GatewayServer,
+    StatusPage,
+    StatusServer,
+)
 from azureturn.gateway.settings import GatewaySettings
 from azureturn.gateway.site import Dialect, SiteDocuments
-from azureturn.observability import EventLog, LogEvent
+from azureturn.observability import (
+    CONTENT_TYPE,
+    EventLog,
+    LogEvent,
+    Metric,
+    Metrics,
+    MetricText,
+)
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
-from azureturn.serving import CoreRuntime, PlannedStop, StopLimits, StopStage, now_ms
+from azureturn.serving import BoundedServer, CoreRuntime, PlannedStop, StopLimits, StopStage, now_ms
 from azureturn.store import WatchedStore
 
 #: Time before the end by force at which a stop ends whatever is still in flight.
 _STOP_MARGIN_MS = 700
 _HOUSEKEEPING_S = 0.5
+_METRICS_PATH = "/metrics"
 
 
 @dataclass(frozen=True)
@@ -56,7 +69,9 @@
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
         self._runtime = CoreRuntime(core, tick_interval_ms=settings.limits.tick_interval_ms)
-        self._strain = Strain(self._runtime, log)
+        self._metric_text = MetricText()
+        self._metrics = Metrics(None, self._metric_text)
+        self._strain = Strain(self._runtime, log, self._metrics)
         self._keeper = ViewKeeper(self._runtime, adapter.documents, log)
         limits = settings.limits
         self._stop = PlannedStop(
@@ -67,10 +82,11 @@
             unfinished=self._in_flight,
         )
         self._services = ExchangeServices(
-            settings=settings,
+            settings=lambda: self._settings,
             runtime=self._runtime,
             dialect=adapter.dialect,
             log=log,
+            metrics=self._metrics,
             view=lambda: self._keeper.view,
             is_leaving=lambda: (
                 self._stop.stage is not StopStage.SERVING or self._strain.is_strained()
@@ -87,7 +103,14 @@
             adapter.store, self._keeper, adapter.documents, log, wait_ms=limits.watch_wait_ms
         )
         self._server = GatewayServer(self._services)
-        self._readiness = ReadinessServer(self._services, is_ready=self._is_ready)
+        readiness = {adapter.dialect.readiness_path: self._readiness_page}
+        self._servers: dict[str, BoundedServer] = {
+            "readiness": StatusServer(vm.readiness_host, vm.readiness_port, log, readiness),
+            "callers": self._server,
+        }
+        if limits.metrics_port:
+            metrics = {_METRICS_PATH: self._metrics_page}
+            self._servers["metrics"] = StatusServer(vm.host, limits.metrics_port, log, metrics)
         self._trials = ConnectionTrials(self._runtime, log)
         self._runtime.perform(TryConnection, self._trials.take)
         self._runtime.perform(SendReport, self._send_report)
@@ -105,7 +128,7 @@
         self._trials.start()
         self._peer_server.start()
         self._runtime.start()
-        for server, name in ((self._readiness, "readiness"), (self._server, "callers")):
+        for name, server in self._servers.items():
             server.prepare()
             threading.Thread(target=server.serve, name=name, daemon=True).start()
         self._writer.start(self._settings.vm)
@@ -130,9 +153,16 @@
         """Let a planned stop wait no longer."""
         self._stop.cut()
 
-    def note_reload(self) -> None:
-        """Say that the settings were asked to be read anew."""
-        self._log.info(LogEvent.SETTINGS_RELOADED)
+    def change_settings(self, settings: GatewaySettings) -> None:
+        """Go on by other settings; addresses stay as they were at the start."""
+        outcome = "unchanged" if settings == self._settings else "changed"
+        self._settings = replace(settings, vm=self._settings.vm.with_seeds(settings.vm.seed_hosts))
+        self._runtime.inspect(lambda core: core.change_settings(self._settings))
+        self._log.info(LogEvent.SETTINGS_RELOADED, outcome=outcome)
+
+    def note_wrong_settings(self, error: str) -> None:
+        """Say that settings can't be read; those in force stay."""
+        self._log.error(LogEvent.SETTINGS_RELOADED, outcome="not valid", error=error)
 
     def _time_left_ms(self) -> int | None:
         """Return the time in which a new request must be answered; None for any time."""
@@ -157,6 +187,13 @@
             return False
         return self._keeper.view.configuration is not None
 
+    def _readiness_page(self) -> StatusPage:
+        return StatusPage(200, b"ready\n") if self._is_ready() else StatusPage(503, b"not ready\n")
+
+    def _metrics_page(self) -> StatusPage:
+        self._metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
+        return StatusPage(200, self._metric_text.render(), CONTENT_TYPE)
+
     def _send_report(self, action: SendReport) -> None:
         report = action.report.with_strained(self._strain.is_strained())
         self._reports.send(SendReport(report, action.hosts))
--- a/azureturn/gateway/daemon/_strain.py
+++ b/azureturn/gateway/daemon/_strain.py
@@ -1,7 +1,7 @@
 """Tells when this VM lacks processor time, so that it should be spared new callers."""
 
 from azureturn.gateway.decisions import PeerTable
-from azureturn.observability import EventLog, LogEvent
+from azureturn.observability import EventLog, LogEvent, Metric, Metrics
 from azureturn.serving import CoreRuntime, now_ms
 
 #: Mean lateness of ticks at which a VM is strained, and below which it no longer is.
@@ -14,9 +14,10 @@
 class Strain:
     """Steps back while this VM is late and enough of its peers are not."""
 
-    def __init__(self, runtime: CoreRuntime, log: EventLog) -> None:
+    def __init__(self, runtime: CoreRuntime, log: EventLog, metrics: Metrics) -> None:
         self._runtime = runtime
         self._log = log
+        self._metrics = metrics
         self._strained = False
 
     def is_strained(self) -> bool:
@@ -27,6 +28,7 @@
             wanted = self._others_suffice()
         if wanted != self._strained:
             self._strained = wanted
+            self._metrics.set(Metric.STRAINED, int(wanted))
             self._log.info(
                 LogEvent.STRAIN_CHANGED,
                 state="strained" if wanted else "relaxed",
--- a/azureturn/gateway/daemon/tests/test_strain.py
+++ b/azureturn/gateway/daemon/tests/test_strain.py
@@ -14,9 +14,11 @@
     upstream,
     view,
 )
-from azureturn.observability import EventLog
+from azureturn.observability import EventLog, Metrics
 from azureturn.serving import now_ms
 
+_LOG = EventLog.to_stream(StringIO(), vm="vm-1")
+
 
 class _Runtime:
     """A runtime whose lateness the test sets."""
@@ -47,7 +49,7 @@
 )
 def test_a_late_vm_steps_back(lateness_ms: list[float], expected: list[bool]) -> None:
     runtime = _Runtime(strained_peers=0, peers=5)
-    strain = Strain(runtime, EventLog.to_stream(StringIO(), vm="vm-1"))  # type: ignore[arg-type]
+    strain = Strain(runtime, _LOG, Metrics(None))  # type: ignore[arg-type]
     found = []
     for one in lateness_ms:
         runtime.lateness_ms = one
@@ -57,10 +59,10 @@
 
 def test_a_late_vm_stays_where_too_many_others_stepped_back() -> None:
     runtime = _Runtime(strained_peers=2, peers=5)
-    strain = Strain(runtime, EventLog.to_stream(StringIO(), vm="vm-1"))  # type: ignore[arg-type]
+    strain = Strain(runtime, _LOG, Metrics(None))  # type: ignore[arg-type]
     runtime.lateness_ms = 50.0
     assert strain.is_strained() is True
     few = _Runtime(strained_peers=3, peers=5)
     few.lateness_ms = 50.0
-    stays = Strain(few, EventLog.to_stream(StringIO(), vm="vm-1"))  # type: ignore[arg-type]
+    stays = Strain(few, _LOG, Metrics(None))  # type: ignore[arg-type]
     assert stays.is_strained() is False
--- a/azureturn/gateway/exchange/__init__.py
+++ b/azureturn/gateway/exchange/__init__.py
@@ -5,7 +5,7 @@
     ConnectionPool,
     UpstreamConnection,
 )
-from azureturn.gateway.exchange._server import GatewayServer, ReadinessServer
+from azureturn.gateway.exchange._server import GatewayServer, StatusPage, StatusServer
 from azureturn.gateway.exchange._services import ExchangeServices
 
 __all__ = [
@@ -13,6 +13,7 @@
     "ConnectionPool",
     "ExchangeServices",
     "GatewayServer",
-    "ReadinessServer",
+    "StatusPage",
+    "StatusServer",
     "UpstreamConnection",
 ]
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -29,7 +29,7 @@
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
 from azureturn.gateway.site import AttemptHeaders, RequestKind
-from azureturn.observability import LogEvent
+from azureturn.observability import LogEvent, Metric
 from azureturn.serving import next_action, now_ms
 
 #: How long after a request's end the core may still speak before that is an error.
@@ -70,6 +70,8 @@
         self._started_at_ms = now_ms()
         self._outcome = "internal"
         self._upstream = ""
+        #: The error kind of a refusal; empty for other ends.
+        self._refused_kind = ""
         #: What decided a refusal.
         self._detail = ""
 
@@ -120,7 +122,7 @@
             return True
         if request.prompt is None:
             return left_ms > request.ends_at_ms - self._started_at_ms
-        policy = self._services.settings.policy.engine
+        policy = self._services.settings().policy.engine
         tokens = request.prompt.expected_answer_tokens or request.prompt.answer_limit_tokens
         answer_ms = tokens * policy.ms_per_token + request.route.objective_ms
         return left_ms > _STOP_MARGIN * answer_ms
@@ -324,7 +326,7 @@
         raise CutError(self._outcome)
 
     def _refuse(self, error: AzureturnError) -> None:
-        self._outcome = error.kind.value
+        self._outcome = self._refused_kind = error.kind.value
         answer = ANSWERS[error.kind]
         request_id = self._caller.header_values.get("x-request-id", "")
         retry_after_ms = error.retry_after_ms if answer.retryable else None
@@ -350,6 +352,8 @@
             queued_ms=reason.queued_ms,
             report_age_ms=reason.report_age_ms,
         )
+        queued_ms = reason.queued_ms
+        self._services.metrics.time(Metric.QUEUE_TIME, queued_ms, service=request.service)
 
     def _log_attempt(
         self,
@@ -371,6 +375,13 @@
             took_ms=took_ms,
             error=detail,
         )
+        metrics = self._services.metrics
+        metrics.count(Metric.ATTEMPTS_ENDED, service=request.service, result=result.value)
+        if relay.events:
+            first_ms = relay.first_at_ms - self._started_at_ms
+            metrics.time(Metric.FIRST_EVENT_TIME, first_ms, service=request.service)
+            pause_ms = relay.longest_pause_ms
+            metrics.time(Metric.LONGEST_PAUSE_TIME, pause_ms, service=request.service)
 
     def _log_end(self) -> None:
         request = self._request
@@ -391,6 +402,13 @@
             took_ms=now_ms() - self._started_at_ms,
         )
 
+        metrics = self._services.metrics
+        route = request.route.name if request else "none"
+        metrics.count(Metric.REQUESTS_ENDED, route=route, ended=self._outcome)
+        metrics.time(Metric.REQUEST_TIME, now_ms() - self._started_at_ms, route=route)
+        if self._refused_kind:
+            metrics.count(Metric.REQUESTS_REFUSED, kind=self._refused_kind)
+
     def _configuration_version(self) -> int:
         configuration = self._services.view().configuration
         return 0 if configuration is None else configuration.version
--- a/azureturn/gateway/exchange/_server.py
+++ b/azureturn/gateway/exchange/_server.py
@@ -1,7 +1,8 @@
-"""The HTTP servers of the gateway: towards callers, and for the balancer's questions."""
+"""The HTTP servers of the gateway: towards callers, and for questions about this VM."""
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from cheroot.server import Gateway
@@ -10,7 +11,7 @@
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange import CutError, Exchange
 from azureturn.gateway.exchange._services import ExchangeServices
-from azureturn.observability import LogEvent, describe_error
+from azureturn.observability import EventLog, LogEvent, describe_error
 from azureturn.serving import BoundedServer, RefusalMessage, ServerLimits
 
 #: Until the configuration is known, and whatever it says: these bound the library itself.
@@ -19,16 +20,16 @@
 _BODY_TIMEOUT_MS = 15_000
 #: Longer than callers keep a connection idle.
 _IDLE_TIMEOUT_MS = 60_000
-_READINESS_THREADS = 2
-_READINESS_BACKLOG = 16
+_STATUS_THREADS = 2
+_STATUS_BACKLOG = 16
 
 
 class GatewayServer(BoundedServer):
     """Serves callers."""
 
     def __init__(self, services: ExchangeServices) -> None:
-        vm = services.settings.vm
-        limits = services.settings.limits
+        settings = services.settings()
+        vm, limits = settings.vm, settings.limits
 
         def refusal(error: AzureturnError, request_id: str) -> RefusalMessage:
             headers = services.dialect.encode_refusal(error.retry_after_ms, request_id)
@@ -75,22 +76,30 @@
         Exchange(request.server.services, channel).serve()
 
 
-class ReadinessServer(BoundedServer):
-    """Answers whether this VM is ready, on a port of its own."""
+@dataclass(frozen=True)
+class StatusPage:
+    """What is answered at one path."""
+
+    status: int
+    body: bytes
+    content_type: str = "text/plain"
+
+
+_NOT_FOUND = StatusPage(404, b"")
+
+
+class StatusServer(BoundedServer):
+    """Answers questions about this VM itself, on a port of its own."""
 
     def __init__(
-        self,
-        services: ExchangeServices,
-        *,
-        is_ready: Callable[[], bool],
+        self, host: str, port: int, log: EventLog, pages: Mapping[str, Callable[[], StatusPage]]
     ) -> None:
-        vm = services.settings.vm
         super().__init__(
-            (vm.readiness_host, vm.readiness_port),
+            (host, port),
             None,
             ServerLimits(
-                threads=_READINESS_THREADS,
-                accept_backlog=_READINESS_BACKLOG,
+                threads=_STATUS_THREADS,
+                accept_backlog=_STATUS_BACKLOG,
                 header_bytes=_HEADER_LIMIT_BYTES,
                 header_timeout_ms=_HEADER_TIMEOUT_MS,
                 body_timeout_ms=_BODY_TIMEOUT_MS,
@@ -98,23 +107,20 @@
             ),
             new_request_id=lambda: "",
             refusal=lambda error, request_id: RefusalMessage({}, b""),
-            report_error=lambda _text: services.log.error(
+            report_error=lambda _text: log.error(
                 LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
             ),
             report_refusal=lambda request_id, error: None,
         )
-        self.readiness_path = services.dialect.readiness_path
-        self.is_ready = is_ready
-        self.gateway = _ReadinessGateway
+        self.pages = pages
+        self.gateway = _StatusGateway
 
 
-class _ReadinessGateway(Gateway):
+class _StatusGateway(Gateway):
     def respond(self) -> None:
         channel = CallerChannel(self.req)
         server: Any = self.req.server
-        if channel.path == server.readiness_path:
-            ready = server.is_ready()
-            status, body = (200, b"ready\n") if ready else (503, b"not ready\n")
-        else:
-            status, body = 404, b""
-        channel.answer(status, "", [("Content-Type", "text/plain")], body, close=False)
+        find = server.pages.get(channel.path)
+        page = find() if find else _NOT_FOUND
+        content_type = [("Content-Type", page.content_type)]
+        channel.answer(page.status, "", content_type, page.body, close=False)
--- a/azureturn/gateway/exchange/_services.py
+++ b/azureturn/gateway/exchange/_services.py
@@ -6,7 +6,7 @@
 from azureturn.gateway.exchange._connections import ConnectionPool
 from azureturn.gateway.settings import GatewaySettings
 from azureturn.gateway.site import Dialect, SiteView
-from azureturn.observability import EventLog
+from azureturn.observability import EventLog, Metrics
 from azureturn.serving import CallerWatch, CoreRuntime
 
 
@@ -14,10 +14,12 @@
 class ExchangeServices:
     """The adapters that exchanges share."""
 
-    settings: GatewaySettings
+    #: Those in force; they may change while the process runs.
+    settings: Callable[[], GatewaySettings]
     runtime: CoreRuntime
     dialect: Dialect
     log: EventLog
+    metrics: Metrics
     #: The view that this VM decides by.
     view: Callable[[], SiteView]
     #: Whether a planned stop has begun: connections are not kept any more.
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -1,7 +1,7 @@
 """The gateway's settings: where a VM stands, what binds it, and how it decides."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Annotated
 
@@ -41,6 +41,10 @@
     #: The whole system starts for the first time: no process ran before.
     is_first_start: bool = False
 
+    def with_seeds(self, seed_hosts: tuple[str, ...]) -> "GatewayVm":
+        """Return a copy that knows other VMs to ask."""
+        return replace(self, seed_hosts=seed_hosts)
+
 
 @dataclass(frozen=True)
 class RetryBounds:
@@ -127,6 +131,8 @@
     watch_wait_ms: Annotated[int, Field(ge=100, le=30_000)] = 2_000
     #: How long a stopping VM still serves every new request; later, only what will end in time.
     balancer_lag_ms: Milliseconds = 2_800
+    #: Port at which metrics are given as text; 0 for none.
+    metrics_port: Annotated[int, Field(ge=0, le=65_535)] = 0
     #: Key by which VMs authenticate to each other.
     peer_secret: Annotated[str, Field(min_length=16, max_length=256)] = "change-this-shared-secret"
 
--- a/azureturn/observability/__init__.py
+++ b/azureturn/observability/__init__.py
@@ -8,6 +8,7 @@
     JsonLinesHandler,
     describe_error,
 )
+from azureturn.observability._metric_text import CONTENT_TYPE, MetricText, metric_text_name
 from azureturn.observability._metrics import (
     METRIC_PREFIX,
     METRICS,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "BoundedHandler",
+    "CONTENT_TYPE",
     "EventLog",
     "HOUR_MS",
     "JsonLinesHandler",
@@ -50,6 +52,7 @@
     "Metric",
     "MetricKind",
     "MetricRow",
+    "MetricText",
     "Metrics",
     "NOT_COUNTED",
     "NO_ERROR",
@@ -58,4 +61,5 @@
     "UNKNOWN_TIER",
     "describe_error",
     "merged_sketch",
+    "metric_text_name",
 ]
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -197,7 +197,10 @@
             "This VM lacks processor time and steps back, or no longer does.",
             ("state", "lateness_ms"),
         ),
-        LogEvent.SETTINGS_RELOADED: LogEventRow("The process was told to read its settings.", ()),
+        LogEvent.SETTINGS_RELOADED: LogEventRow(
+            "The settings were read again; those that are not valid leave the others in force.",
+            ("outcome", "error"),
+        ),
         LogEvent.INTERNAL_ERROR: _error_row(
             "azureturn itself failed; the type and the place of the failure are told.",
             "request_id",
--- /dev/null
+++ b/azureturn/observability/_metric_text.py
@@ -0,0 +1,60 @@
+"""Metrics kept in this process and given as text, in Prometheus' exposition format."""
+
+from collections.abc import Mapping
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from azureturn.observability._metrics import METRIC_PREFIX, METRICS, Metric, MetricKind
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_BUCKETS_MS = (2, 5, 10, 20, 50, 100, 200, 350, 600, 1_000, 2_000, 5_000, 10_000, 30_000)
+
+
+class MetricText:
+    """Counters, gauges and latency histograms of one process.
+
+    >>> text = MetricText()
+    >>> text.count(Metric.REQUESTS_REFUSED, 2, {"kind": "overloaded"})
+    >>> 'azureturn_requests_refused_total{kind="overloaded"} 2.0' in text.render().decode()
+    True
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._counters: dict[Metric, Counter] = {}
+        self._gauges: dict[Metric, Gauge] = {}
+        self._histograms: dict[Metric, Histogram] = {}
+        for metric, row in METRICS.items():
+            name, tags = metric_text_name(metric), metric.tags
+            if row.kind is MetricKind.COUNTER:
+                self._counters[metric] = Counter(name, row.summary, tags, registry=self._registry)
+            elif row.kind is MetricKind.GAUGE:
+                self._gauges[metric] = Gauge(name, row.summary, tags, registry=self._registry)
+            else:
+                self._histograms[metric] = Histogram(
+                    name, row.summary, tags, registry=self._registry, buckets=_BUCKETS_MS
+                )
+
+    def count(self, metric: Metric, by: int, tags: Mapping[str, str]) -> None:
+        """Add to a counter."""
+        counter = self._counters[metric]
+        (counter.labels(**tags) if tags else counter).inc(by)
+
+    def time(self, metric: Metric, took_ms: float, tags: Mapping[str, str]) -> None:
+        """Record a duration."""
+        histogram = self._histograms[metric]
+        (histogram.labels(**tags) if tags else histogram).observe(took_ms)
+
+    def set(self, metric: Metric, value: float, tags: Mapping[str, str]) -> None:
+        """Set a gauge."""
+        gauge = self._gauges[metric]
+        (gauge.labels(**tags) if tags else gauge).set(value)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
+
+
+def metric_text_name(metric: Metric) -> str:
+    """Return a metric's name in the text; counters there end in ``_total`` besides."""
+    return f"{METRIC_PREFIX}_{metric.name.lower()}"
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics, sent by statsd; the one table of them is here."""
+"""Metrics, sent by statsd and given as text; the one table of them is here."""
 
 import re
 import string
@@ -11,6 +11,7 @@
 import statsd
 
 if TYPE_CHECKING:
+    from azureturn.observability._metric_text import MetricText
     from azureturn.settings import DaemonSettings
 
 
@@ -33,6 +34,11 @@
     REQUEST_TIME = "requests.{route}.time_ms"
     REQUESTS_IN_PROGRESS = "requests.in_progress"
     REQUESTS_REFUSED = "refused.{kind}"
+    ATTEMPTS_ENDED = "attempts.{service}.{result}"
+    FIRST_EVENT_TIME = "attempts.{service}.first_event_ms"
+    QUEUE_TIME = "attempts.{service}.queued_ms"
+    LONGEST_PAUSE_TIME = "attempts.{service}.longest_pause_ms"
+    STRAINED = "strained"
 
     @property
     def tags(self) -> tuple[str, ...]:
@@ -67,18 +73,34 @@
             "requests",
             "Every refusal and failure by error kind, also of requests that name no route.",
         ),
+        Metric.ATTEMPTS_ENDED: MetricRow(
+            MetricKind.COUNTER, "attempts", "Attempts of the gateway at upstreams, by result."
+        ),
+        Metric.FIRST_EVENT_TIME: MetricRow(
+            MetricKind.TIMER, "ms", "From a request's arrival to the first event of its stream."
+        ),
+        Metric.QUEUE_TIME: MetricRow(
+            MetricKind.TIMER, "ms", "From a request's arrival to its sending to an upstream."
+        ),
+        Metric.LONGEST_PAUSE_TIME: MetricRow(
+            MetricKind.TIMER, "ms", "Longest time between two events of a stream."
+        ),
+        Metric.STRAINED: MetricRow(
+            MetricKind.GAUGE, "yes or no", "1 while this VM lacks processor time, else 0."
+        ),
     }
 )
 
 
 class Metrics:
-    """Sends metrics by statsd, or nowhere where no host is set.
+    """Sends metrics by statsd, keeps them as text, both or neither.
 
     >>> Metrics(None).count(Metric.REQUESTS_REFUSED, kind="overloaded")
     """
 
-    def __init__(self, client: Any) -> None:
+    def __init__(self, client: Any, text: "MetricText | None" = None) -> None:
         self._client = client
+        self._text = text
 
     @classmethod
     def from_settings(cls, settings: "DaemonSettings") -> "Metrics":
@@ -94,16 +116,22 @@
         """Add to a counter."""
         if self._client is not None:
             self._client.incr(_name(metric, tags), by)
+        if self._text is not None:
+            self._text.count(metric, by, tags)
 
     def time(self, metric: Metric, took_ms: float, **tags: str) -> None:
         """Record a duration."""
         if self._client is not None:
             self._client.timing(_name(metric, tags), took_ms)
+        if self._text is not None:
+            self._text.time(metric, took_ms, tags)
 
     def set(self, metric: Metric, value: float, **tags: str) -> None:
         """Set a gauge."""
         if self._client is not None:
             self._client.gauge(_name(metric, tags), value)
+        if self._text is not None:
+            self._text.set(metric, value, tags)
 
 
 def _name(metric: Metric, tags: Mapping[str, str]) -> str:
