--- a/azureturn/command/_site.py
+++ b/azureturn/command/_site.py
@@ -62,6 +62,10 @@
         return [{"vm": one.vm, "cause": one.cause} for one in self.silent]
 
 
+#: An operator's command waits for a slow service; a request that a daemon serves can't.
+_LEAST_TIMEOUT_MS = 5_000
+
+
 class OperatorSite:
     """What commands need of a site; made from the files that its daemons read."""
 
@@ -69,7 +73,9 @@
         self.settings = settings
         #: The merged settings as they stand in the files, defaults left out.
         self.document = document
-        self.key_value = KeyValueClient.from_settings(settings.platform)
+        self.key_value = KeyValueClient.from_settings(
+            settings.platform, least_timeout_ms=_LEAST_TIMEOUT_MS
+        )
         self._vm_list = VmListClient(settings.platform.vm_list_url)
         signer = EnvelopeSigner(settings.daemon.peer_secret, OPERATOR_NAME, clock_s=time.monotonic)
         self._peers = PeerClient(signer)
--- a/azureturn/store/_key_value.py
+++ b/azureturn/store/_key_value.py
@@ -46,11 +46,13 @@
         )
 
     @classmethod
-    def from_settings(cls, settings: "PlatformSettings") -> "KeyValueClient":
-        """Return a client for the service that the settings name."""
+    def from_settings(
+        cls, settings: "PlatformSettings", *, least_timeout_ms: int = 0
+    ) -> "KeyValueClient":
+        """Return a client for the service that the settings name; some can wait for longer."""
         return cls(
             settings.key_value_url,
-            timeout_ms=settings.key_value_timeout_ms,
+            timeout_ms=max(least_timeout_ms, settings.key_value_timeout_ms),
             key_prefix=settings.key_prefix,
         )
 
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -147,6 +147,15 @@
     tool("upstream return engine-2 --wait")
 
 
+def test_a_command_waits_for_a_slow_service(site: Site, tool: Tool) -> None:
+    """A busy machine once took longer than the second that a daemon waits."""
+    site.control("key-value", slow_ms=1_300)
+    try:
+        assert "revision" in tool.json("config show")
+    finally:
+        site.control("key-value", slow_ms=0)
+
+
 def test_an_unknown_upstream_is_named(site: Site, tool: Tool) -> None:
     tool("upstream drain none", expect=ExitCode.NOT_FOUND)
     assert "'none'" in tool.err
