--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -100,7 +100,12 @@
         self._peer_server = PeerServer(vm.host, vm.peer_port, GatewayPeerFace(self._keeper), signer)
         self._writer = StoreWriter(adapter.store, self._keeper, adapter.documents, log)
         self._follower = StoreFollower(
-            adapter.store, self._keeper, adapter.documents, log, wait_ms=limits.watch_wait_ms
+            adapter.store,
+            self._keeper,
+            adapter.documents,
+            log,
+            wait_ms=limits.watch_wait_ms,
+            vms=lambda: len(self._keeper.view.vms),
         )
         self._server = GatewayServer(self._services)
         readiness = {adapter.dialect.readiness_path: self._readiness_page}
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -20,6 +20,8 @@
     VmAddressSeen,
 )
 
+_PERCENT = 100
+
 
 def report_to_wire(report: PeerReport) -> GatewayReport:
     """Return the struct of a report."""
@@ -31,7 +33,13 @@
         leaving=report.leaving,
         view_revision=report.view_revision,
         work=[
-            UpstreamWork(name, work.requests, work.pending_tokens)
+            UpstreamWork(
+                name,
+                work.requests,
+                work.pending_tokens,
+                round(work.pace * _PERCENT),
+                work.pace_age_ms,
+            )
             for name, work in report.work.items()
         ],
         spent=[
@@ -56,7 +64,6 @@
             for service, move in report.moves.items()
         ],
         peers=[VmAddressSeen(name, host) for name, host in report.peers.items()],
-        queued_requests=report.queued_requests,
         strained=report.strained,
         availability_zone=report.availability_zone,
         waiting=[
@@ -76,7 +83,12 @@
         leaving=bool(wire.leaving),
         view_revision=wire.view_revision or 0,
         work={
-            one.upstream: WorkReport(one.requests, one.pending_prompt_tokens)
+            one.upstream: WorkReport(
+                one.requests,
+                one.pending_prompt_tokens,
+                (one.pace_percent or 0) / _PERCENT,
+                one.pace_age_ms or 0,
+            )
             for one in wire.work or ()
         },
         spent={
@@ -102,7 +114,6 @@
             for one in wire.moves or ()
         },
         peers={one.vm: one.host for one in wire.peers or ()},
-        queued_requests=wire.queued_requests or 0,
         strained=bool(wire.strained),
         availability_zone=wire.availability_zone or "",
         waiting={
--- a/azureturn/gateway/daemon/_store_follower.py
+++ b/azureturn/gateway/daemon/_store_follower.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from base64 import b64decode, b64encode
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from azureturn.errors import PlatformError
 from azureturn.gateway.daemon._threads import run_forever
@@ -18,6 +18,9 @@
 _FIRST_PAUSE_MS = 100
 _LONGEST_PAUSE_MS = 1_000
 _MS_PER_S = 1_000
+#: Time between two calls that ask for changes, for each VM of the site: every change wakes all.
+_GATHERING_MS = 5
+_LONGEST_GATHERING_MS = 400
 
 
 class ViewKeeper:
@@ -139,12 +142,14 @@
         log: EventLog,
         *,
         wait_ms: int,
+        vms: Callable[[], int],
     ) -> None:
         self._store = store
         self._keeper = keeper
         self._prefix = documents.watched_prefix
         self._log = log
         self._wait_ms = wait_ms
+        self._vms = vms
         self._is_lost = False
 
     def start(self) -> None:
@@ -174,6 +179,8 @@
         self._keeper.accept_all(entries, snapshot.revision, "read")
 
     def _ask(self) -> bool:
+        """Ask for changes once; with many VMs, changes that come together are read together."""
+        time.sleep(min(_LONGEST_GATHERING_MS, _GATHERING_MS * self._vms()) / _MS_PER_S)
         after = self._keeper.view.revision
         found = self._store.changes(self._prefix, after_revision=after, wait_ms=self._wait_ms)
         self._note_regained()
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -33,6 +33,9 @@
 
     requests: int
     pending_tokens: int
+    #: Time that its answers take, as a multiple of what is assumed; 0 where it was not measured.
+    pace: float = 0.0
+    pace_age_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -83,7 +86,6 @@
     moves: dict[str, MoveReport]
     #: Hosts of other VMs by name.
     peers: dict[str, str]
-    queued_requests: int = 0
     #: It lacks processor time and steps back.
     strained: bool = False
     availability_zone: str = ""
@@ -197,7 +199,7 @@
         found = 0
         for peer in self.rows():
             told = peer.report.waiting.get(service)
-            if told is None or not peer.report.work:
+            if told is None or not any(work.requests for work in peer.report.work.values()):
                 continue
             if now_ms - peer.heard_at_ms > _WAITING_AGE_MS:
                 continue
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -151,12 +151,6 @@
             window = self.board.write(AllotmentTable).of(request.organisation)
             window.note_passed(-request.allotment_units, context.now_ms)
 
-    def _is_served(self, request: GatewayRequest) -> bool:
-        view = self.board.read(ViewTable).current()
-        return any(
-            one.service == request.service and not one.is_leaving for one in view.upstreams.values()
-        )
-
     def _wait_ms(self, request: GatewayRequest) -> float:
         """Return how long the request waits behind those that go before it."""
         queue = self.board.read(GatewayQueueTable).of(request.service)
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -33,6 +33,8 @@
 #: A peer's newer view is fetched after this long without the store telling of it.
 _VIEW_PATIENCE_MS = 300
 _FETCH_INTERVAL_MS = 400
+#: What was learned of an upstream is told in so many reports.
+_NEWS_REPORTS = 2
 #: Prompts in one report; a datagram has to hold them.
 _PROMPT_LIMIT = 40
 
@@ -41,8 +43,8 @@
 class ReportController(GatewayController):
     """Sends a report to every peer many times a second."""
 
-    reads = (UpstreamStateTable, GatewayQueueTable, ViewTable)
-    writes = (PeerTable, PromptTable, AllotmentTable, MoveTable)
+    reads = (GatewayQueueTable, ViewTable)
+    writes = (PeerTable, PromptTable, AllotmentTable, MoveTable, UpstreamStateTable)
     after = ("views", "moves")
 
     _sequence = 0
@@ -100,6 +102,7 @@
         peers.put(report.vm, Peer(report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(before, report)
         self._take_prompts(report)
+        self._take_paces(report, context.now_ms)
         self._take_spending(report, context.now_ms)
         self._take_moves(report, context.now_ms)
         self._follow_view(report, context)
@@ -124,11 +127,7 @@
             sequence=self._sequence,
             leaving=self._leaving,
             view_revision=self.board.read(ViewTable).current().revision,
-            work={
-                name: WorkReport(state.requests, state.pending_tokens)
-                for name, state in self.board.read(UpstreamStateTable).items()
-                if state.requests
-            },
+            work=self._work(),
             spent=self.board.write(AllotmentTable).told(
                 configuration.organisations if configuration else (),
                 self.settings.bounds.allotment,
@@ -144,13 +143,24 @@
                 for service, move in moves.items()
             },
             peers=peers,
-            queued_requests=sum(
-                len(queue) for _, queue in self.board.read(GatewayQueueTable).items()
-            ),
             availability_zone=self.settings.vm.availability_zone,
             waiting=self._waiting(),
         )
 
+    def _work(self) -> dict[str, WorkReport]:
+        """Return what is outstanding, and what this VM itself has learned of upstreams of late."""
+        found: dict[str, WorkReport] = {}
+        news_ms = _NEWS_REPORTS * self._interval_ms()
+        for name, state in self.board.read(UpstreamStateTable).items():
+            age_ms = self._sent_at_ms - state.measured_at_ms
+            has_news = bool(state.measured_at_ms) and age_ms <= news_ms
+            if state.requests or has_news:
+                pace = state.pace if has_news else 0.0
+                found[name] = WorkReport(
+                    state.requests, state.pending_tokens, pace, age_ms if has_news else 0
+                )
+        return found
+
     def _waiting(self) -> dict[str, WaitingReport]:
         found: dict[str, WaitingReport] = {}
         for service, queue in self.board.read(GatewayQueueTable).items():
@@ -180,6 +190,15 @@
             if record is not None and upstream is not None and record.run == upstream.run:
                 record.note(sent.model, sent.parts)
 
+    def _take_paces(self, report: PeerReport, now_ms: int) -> None:
+        states = self.board.write(UpstreamStateTable)
+        upstreams = self.board.read(ViewTable).current().upstreams
+        for name, work in report.work.items():
+            upstream = upstreams.get(name)
+            if work.pace and upstream is not None:
+                told = states.of(upstream.run).with_told_pace(work.pace, now_ms - work.pace_age_ms)
+                states.put(name, told)
+
     def _take_spending(self, report: PeerReport, now_ms: int) -> None:
         process = (report.vm, report.boot)
         self.board.write(AllotmentTable).note_report(process, report.spent, now_ms)
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -26,10 +26,11 @@
 from azureturn.gateway.exchange._attempt import AnswerHead, Attempt, OutgoingMessage
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._event_blocks import BlockSplitter
+from azureturn.gateway.exchange._exchange_account import ExchangeAccount, ExchangeEnd
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
+from azureturn.gateway.exchange._stream_progress import StreamProgress
 from azureturn.gateway.site import AttemptHeaders, RequestKind
-from azureturn.observability import LogEvent, Metric
 from azureturn.serving import next_action, now_ms
 
 #: How long after a request's end the core may still speak before that is an error.
@@ -68,6 +69,8 @@
         self._failure: tuple[AnswerHead, bytes] | None = None
         self._attempts = 0
         self._started_at_ms = now_ms()
+        request_id = caller.header_values.get("x-request-id", "")
+        self._account = ExchangeAccount(services, request_id, self._started_at_ms)
         self._outcome = "internal"
         self._upstream = ""
         #: The error kind of a refusal; empty for other ends.
@@ -84,7 +87,10 @@
         except AzureturnError as error:
             self._refuse(error)
         finally:
-            self._log_end()
+            end = ExchangeEnd(
+                self._outcome, self._refused_kind, self._detail, self._upstream, self._attempts
+            )
+            self._account.tell_end(self._request, end)
 
     def _serve(self) -> None:
         view = self._services.view()
@@ -164,14 +170,14 @@
         """Make one attempt and return whether the caller has its final answer."""
         self._attempts += 1
         self._upstream = action.upstream.name
-        self._log_placed(request, action)
+        self._account.tell_placed(request, action)
         attempt = Attempt(action.upstream, self._services.pool, self._services.dialect)
         self._attempt = attempt
-        relay = _Relay()
+        progress = StreamProgress()
         began_at_ms = now_ms()
         detail = ""
         try:
-            result = self._run(request, action, attempt, relay)
+            result = self._run(request, action, attempt, progress)
         except UpstreamUnreachableError as error:
             result, detail = AttemptResult.UNREACHABLE, error.message
         except TimeoutError:
@@ -189,9 +195,11 @@
         elif now_ms() >= request.ends_at_ms and result is not AttemptResult.ANSWERED:
             detail = f"time limit; {result.value} {detail}"
             result = AttemptResult.ABANDONED
-        self._log_attempt(request, action, result, relay, now_ms() - began_at_ms, detail)
+        self._account.tell_attempt(
+            request, action, result, progress, took_ms=now_ms() - began_at_ms, detail=detail
+        )
         self._services.runtime.submit(
-            AttemptEnded(request.request_id, result, relay.events, relay.streamed_ms)
+            AttemptEnded(request.request_id, result, progress.events, progress.streamed_ms)
         )
         if result is AttemptResult.ABANDONED:
             self._end_abandoned()
@@ -199,7 +207,11 @@
         return result is AttemptResult.ANSWERED
 
     def _run(
-        self, request: GatewayRequest, action: SendAttempt, attempt: Attempt, relay: "_Relay"
+        self,
+        request: GatewayRequest,
+        action: SendAttempt,
+        attempt: Attempt,
+        progress: StreamProgress,
     ) -> AttemptResult:
         attempt.send(
             self._message(request, action),
@@ -215,7 +227,7 @@
         if head.status < 300 and not head.facts.is_sealed:
             raise UpstreamError(ErrorKind.ANSWER_MISMATCHED, "a success without a seal")
         if request.route.kind is RequestKind.STREAM and head.status == 200:
-            self._relay_stream(request, attempt, head, relay)
+            self._relay_stream(request, attempt, head, progress)
             return AttemptResult.ANSWERED
         body = attempt.read_whole(
             wait_ms=request.ends_at_ms - now_ms(), ends_at_ms=request.ends_at_ms
@@ -228,7 +240,7 @@
         return AttemptResult.ANSWERED
 
     def _relay_stream(
-        self, request: GatewayRequest, attempt: Attempt, head: AnswerHead, relay: "_Relay"
+        self, request: GatewayRequest, attempt: Attempt, head: AnswerHead, progress: StreamProgress
     ) -> None:
         splitter = BlockSplitter()
         pause_ms = self._pause_limit_ms(request)
@@ -241,9 +253,9 @@
                 self._check_order(block.number)
             if not blocks:
                 continue
-            if not relay.events:
+            if not progress.events:
                 self._services.runtime.submit(FirstEventCame(request.request_id))
-            relay.note(len(blocks), now_ms())
+            progress.note(len(blocks), now_ms())
             self._begin_stream(head)
             self._caller.write(b"".join(block.data for block in blocks))
         self._begin_stream(head)
@@ -337,100 +349,3 @@
         body = json.dumps({"error": error.kind.value, "message": answer.summary}).encode()
         close = self._services.is_leaving()
         self._caller.answer(answer.status, error.kind.value, headers, body, close=close)
-
-    def _log_placed(self, request: GatewayRequest, action: SendAttempt) -> None:
-        reason = action.reason
-        self._services.log.info(
-            LogEvent.ATTEMPT_PLACED,
-            request_id=request.request_id,
-            organisation=request.organisation,
-            units=request.allotment_units,
-            upstream=action.upstream.name,
-            candidates=reason.candidates,
-            expected_ms=reason.expected_ms,
-            outstanding=reason.outstanding,
-            queued_ms=reason.queued_ms,
-            report_age_ms=reason.report_age_ms,
-        )
-        queued_ms = reason.queued_ms
-        self._services.metrics.time(Metric.QUEUE_TIME, queued_ms, service=request.service)
-
-    def _log_attempt(
-        self,
-        request: GatewayRequest,
-        action: SendAttempt,
-        result: AttemptResult,
-        relay: "_Relay",
-        took_ms: int,
-        detail: str,
-    ) -> None:
-        self._services.log.info(
-            LogEvent.ATTEMPT_ENDED,
-            request_id=request.request_id,
-            upstream=action.upstream.name,
-            result=result.value,
-            first_event_ms=relay.first_at_ms - self._started_at_ms if relay.events else -1,
-            events=relay.events,
-            longest_pause_ms=relay.longest_pause_ms,
-            took_ms=took_ms,
-            error=detail,
-        )
-        metrics = self._services.metrics
-        metrics.count(Metric.ATTEMPTS_ENDED, service=request.service, result=result.value)
-        if relay.events:
-            first_ms = relay.first_at_ms - self._started_at_ms
-            metrics.time(Metric.FIRST_EVENT_TIME, first_ms, service=request.service)
-            pause_ms = relay.longest_pause_ms
-            metrics.time(Metric.LONGEST_PAUSE_TIME, pause_ms, service=request.service)
-
-    def _log_end(self) -> None:
-        request = self._request
-        patience_ms = None if request is None else request.patience_ms
-        self._services.log.info(
-            LogEvent.EXCHANGE_ENDED,
-            request_id=self._caller.header_values.get("x-request-id", ""),
-            organisation=request.organisation if request else "",
-            route=request.route.name if request else "",
-            rank=request.urgency_rank if request else -1,
-            units=request.allotment_units if request else 0,
-            patience_ms=-1 if patience_ms is None else patience_ms,
-            upstream=self._upstream,
-            ended=self._outcome,
-            attempts=self._attempts,
-            configuration=self._configuration_version(),
-            error=self._detail,
-            took_ms=now_ms() - self._started_at_ms,
-        )
-
-        metrics = self._services.metrics
-        route = request.route.name if request else "none"
-        metrics.count(Metric.REQUESTS_ENDED, route=route, ended=self._outcome)
-        metrics.time(Metric.REQUEST_TIME, now_ms() - self._started_at_ms, route=route)
-        if self._refused_kind:
-            metrics.count(Metric.REQUESTS_REFUSED, kind=self._refused_kind)
-
-    def _configuration_version(self) -> int:
-        configuration = self._services.view().configuration
-        return 0 if configuration is None else configuration.version
-
-
-class _Relay:
-    """What has come of one stream."""
-
-    def __init__(self) -> None:
-        self.events = 0
-        self.first_at_ms = 0
-        self.longest_pause_ms = 0
-        self._last_at_ms = 0
-
-    @property
-    def streamed_ms(self) -> int:
-        return self._last_at_ms - self.first_at_ms
-
-    def note(self, events: int, at_ms: int) -> None:
-        if not self.events:
-            self.first_at_ms = at_ms
-        else:
-            self.longest_pause_ms = max(self.longest_pause_ms, at_ms - self._last_at_ms)
-        self.events += events
-        self._last_at_ms = at_ms
--- /dev/null
+++ b/azureturn/gateway/exchange/_stream_progress.py
@@ -0,0 +1,25 @@
+"""What has come of one stream."""
+
+
+class StreamProgress:
+    """Counts a stream's events and the time between them."""
+
+    def __init__(self) -> None:
+        self.events = 0
+        self.first_at_ms = 0
+        self.longest_pause_ms = 0
+        self._last_at_ms = 0
+
+    @property
+    def streamed_ms(self) -> int:
+        """Return the time from the first event to the last."""
+        return self._last_at_ms - self.first_at_ms
+
+    def note(self, events: int, at_ms: int) -> None:
+        """Count events that have come together."""
+        if not self.events:
+            self.first_at_ms = at_ms
+        else:
+            self.longest_pause_ms = max(self.longest_pause_ms, at_ms - self._last_at_ms)
+        self.events += events
+        self._last_at_ms = at_ms
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3202,6 +3202,8 @@
      - upstream
      - requests
      - pending_prompt_tokens
+     - pace_percent
+     - pace_age_ms
 
     """
 
@@ -3209,13 +3211,17 @@
         'upstream',
         'requests',
         'pending_prompt_tokens',
+        'pace_percent',
+        'pace_age_ms',
     )
 
 
-    def __init__(self, upstream=None, requests=None, pending_prompt_tokens=None,):
+    def __init__(self, upstream=None, requests=None, pending_prompt_tokens=None, pace_percent=None, pace_age_ms=None,):
         self.upstream = upstream
         self.requests = requests
         self.pending_prompt_tokens = pending_prompt_tokens
+        self.pace_percent = pace_percent
+        self.pace_age_ms = pace_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3241,6 +3247,16 @@
                     self.pending_prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.pace_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.pace_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3263,6 +3279,14 @@
             oprot.writeFieldBegin('pending_prompt_tokens', TType.I32, 3)
             oprot.writeI32(self.pending_prompt_tokens)
             oprot.writeFieldEnd()
+        if self.pace_percent is not None:
+            oprot.writeFieldBegin('pace_percent', TType.I32, 4)
+            oprot.writeI32(self.pace_percent)
+            oprot.writeFieldEnd()
+        if self.pace_age_ms is not None:
+            oprot.writeFieldBegin('pace_age_ms', TType.I32, 5)
+            oprot.writeI32(self.pace_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3919,7 +3943,6 @@
      - versions
      - moves
      - peers
-     - queued_requests
      - strained
      - availability_zone
      - waiting
@@ -3939,14 +3962,13 @@
         'versions',
         'moves',
         'peers',
-        'queued_requests',
         'strained',
         'availability_zone',
         'waiting',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, queued_requests=None, strained=None, availability_zone=None, waiting=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -3959,7 +3981,6 @@
         self.versions = versions
         self.moves = moves
         self.peers = peers
-        self.queued_requests = queued_requests
         self.strained = strained
         self.availability_zone = availability_zone
         self.waiting = waiting
@@ -4069,11 +4090,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.I32:
-                    self.queued_requests = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.BOOL:
                     self.strained = iprot.readBool()
@@ -4171,10 +4187,6 @@
                 iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.queued_requests is not None:
-            oprot.writeFieldBegin('queued_requests', TType.I32, 13)
-            oprot.writeI32(self.queued_requests)
-            oprot.writeFieldEnd()
         if self.strained is not None:
             oprot.writeFieldBegin('strained', TType.BOOL, 14)
             oprot.writeBool(self.strained)
@@ -4551,6 +4563,8 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'requests', None, None, ),  # 2
     (3, TType.I32, 'pending_prompt_tokens', None, None, ),  # 3
+    (4, TType.I32, 'pace_percent', None, None, ),  # 4
+    (5, TType.I32, 'pace_age_ms', None, None, ),  # 5
 )
 all_structs.append(AllotmentSpent)
 AllotmentSpent.thrift_spec = (
@@ -4613,7 +4627,7 @@
     (10, TType.LIST, 'versions', (TType.STRUCT, [VersionSeen, None], False), None, ),  # 10
     (11, TType.LIST, 'moves', (TType.STRUCT, [MoveSeen, None], False), None, ),  # 11
     (12, TType.LIST, 'peers', (TType.STRUCT, [VmAddressSeen, None], False), None, ),  # 12
-    (13, TType.I32, 'queued_requests', None, None, ),  # 13
+    None,  # 13
     (14, TType.BOOL, 'strained', None, None, ),  # 14
     (15, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 15
     (16, TType.LIST, 'waiting', (TType.STRUCT, [TierWaiting, None], False), None, ),  # 16
