--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -46,6 +46,8 @@
 _ANSWER_LEAST_MS = 150
 _ANSWER_OBJECTIVES = 2.0
 _MISDIRECTED = 421
+#: A caller that another VM can serve need not wait before it turns there.
+_ELSEWHERE_MS = 20
 #: Part of a stream's expected time that must be left of a planned stop.
 _STOP_MARGIN = 3.0
 
@@ -107,7 +109,7 @@
             facts, self._caller, configuration, self._services.runtime, now_ms=self._started_at_ms
         )
         if not self._fits(request):
-            raise RefusedError(ErrorKind.STOPPING)
+            raise RefusedError(ErrorKind.STOPPING, retry_after_ms=_ELSEWHERE_MS)
         self._request = request
         self._last_event_number = facts.last_event_number
         runtime = self._services.runtime
