--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -124,6 +124,11 @@
         self._runtime.perform(WriteStatus, self._writer.take)
         self._runtime.perform(WriteAllotmentRecord, self._writer.take)
 
+    @property
+    def settings(self) -> GatewaySettings:
+        """Return the settings in force."""
+        return self._settings
+
     def start(self) -> None:
         """Begin to serve; return once the ports are open."""
         self._runtime.submit(GatewayStarted(self._settings.vm.name, unix_now_ms()))
--- a/azureturn/gateway/daemon/_run.py
+++ b/azureturn/gateway/daemon/_run.py
@@ -22,7 +22,7 @@
     def __init__(self, daemon: GatewayDaemon, read: Callable[[], GatewaySettings]) -> None:
         self._daemon = daemon
         self._read = read
-        self._seen: GatewaySettings | str = read()
+        self._seen: GatewaySettings | str = daemon.settings
 
     def look(self, *, asked: bool) -> None:
         """Put in force what has changed; settings that are not valid are only told of."""
--- a/azureturn/gateway/daemon/tests/test_run.py
+++ b/azureturn/gateway/daemon/tests/test_run.py
@@ -16,6 +16,7 @@
 
 class _Daemon:
     def __init__(self) -> None:
+        self.settings = _FIRST
         self.told: list[object] = []
 
     def change_settings(self, settings: GatewaySettings) -> None:
@@ -38,7 +39,7 @@
 def test_settings_are_put_in_force_once_when_they_change_or_are_asked_for(
     found: list[GatewaySettings | SettingsError], asked: bool, expected: list[object]
 ) -> None:
-    waiting: list[GatewaySettings | SettingsError] = [_FIRST, *found]
+    waiting: list[GatewaySettings | SettingsError] = list(found)
 
     def read() -> GatewaySettings:
         one = waiting.pop(0)
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
+from functools import cache
 from pathlib import Path
 from typing import Annotated
 
@@ -155,6 +156,11 @@
     policy: GatewayPolicy = field(default_factory=GatewayPolicy)
 
 
+@cache
+def _adapter() -> TypeAdapter[OwnSettings]:
+    return TypeAdapter(OwnSettings)
+
+
 def load_own_settings(base: Path, overlays: Sequence[Path] = ()) -> OwnSettings:
     """Return the settings in a base file with overlays merged onto it.
 
@@ -162,7 +168,7 @@
     """
     merged = read_merged(base, overlays)
     try:
-        return TypeAdapter(OwnSettings).validate_python(merged)
+        return _adapter().validate_python(merged)
     except ValidationError as error:
         mistakes = [
             ".".join(str(part) for part in one["loc"]) + ": " + one["msg"]
