Allotments: what peers have not said yet is told from all, by their interval; pace is not told

Likely cause: each of 68 VMs took its own rate for that of the others (mostly 0), for 60 ms, where they report every 85 ms at the most. Now the rate is that of all peers, over their interval.

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -20,8 +20,6 @@
     VmAddressSeen,
 )
 
-_PERCENT = 100
-
 
 def report_to_wire(report: PeerReport) -> GatewayReport:
     """Return the struct of a report."""
@@ -33,13 +31,7 @@
         leaving=report.leaving,
         view_revision=report.view_revision,
         work=[
-            UpstreamWork(
-                name,
-                work.requests,
-                work.pending_tokens,
-                round(work.pace * _PERCENT),
-                work.pace_age_ms,
-            )
+            UpstreamWork(name, work.requests, work.pending_tokens)
             for name, work in report.work.items()
         ],
         spent=[
@@ -83,12 +75,7 @@
         leaving=bool(wire.leaving),
         view_revision=wire.view_revision or 0,
         work={
-            one.upstream: WorkReport(
-                one.requests,
-                one.pending_prompt_tokens,
-                (one.pace_percent or 0) / _PERCENT,
-                one.pace_age_ms or 0,
-            )
+            one.upstream: WorkReport(one.requests, one.pending_prompt_tokens)
             for one in wire.work or ()
         },
         spent={
--- a/azureturn/gateway/decisions/_allotment_windows.py
+++ b/azureturn/gateway/decisions/_allotment_windows.py
@@ -8,8 +8,6 @@
 
 #: Length of the last part of the window: what was used in it leaves the window last.
 LATE_MS = 2_000
-#: Span over which it is measured how fast this VM lets requests pass.
-_RATE_SPAN_MS = 1_000
 
 #: A VM's name and what tells its processes apart.
 Process = tuple[str, int]
@@ -56,10 +54,6 @@
         units = self.own_units(now_ms, window_ms)
         return SpentUnits(units, self._units_since(now_ms - LATE_MS))
 
-    def units_per_ms(self, now_ms: int) -> float:
-        """Return how fast this process lets requests pass of late."""
-        return self._units_since(now_ms - _RATE_SPAN_MS) / _RATE_SPAN_MS
-
     def told(self, now_ms: int, window_ms: int) -> Iterator[tuple[Process, SpentUnits]]:
         """Yield what each other process let pass in the window, as far as it was told."""
         for process, use in list(self._told.items()):
@@ -70,13 +64,13 @@
 
     def told_units(
         self, now_ms: int, window_ms: int, *, heard: Container[str]
-    ) -> tuple[float, float]:
+    ) -> tuple[SpentUnits, SpentUnits]:
         """Return what all other processes let pass, and what those of heard VMs did."""
-        every = of_heard = 0.0
+        every = of_heard = SpentUnits(0, 0)
         for (vm, _), spent in self.told(now_ms, window_ms):
-            every += spent.units
+            every = every.plus(spent)
             if vm in heard:
-                of_heard += spent.units
+                of_heard = of_heard.plus(spent)
         return every, of_heard
 
     def note_passed(self, units: int, now_ms: int) -> None:
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -27,7 +27,7 @@
 #: Parts of the bounds' margins that are used; the rest covers what peers have not said yet.
 _OVERSHOOT_SHARE = 0.4
 _SLACK_SHARE = 0.3
-#: What peers let pass for so long before now they have not said yet.
+#: What peers let pass for so long before now, at the least, they have not said yet.
 _UNSAID_MS = 60
 #: Peers are told at once of what passes while less than this part of the bound is left.
 _URGENT_PART = 0.4
@@ -64,6 +64,8 @@
     use_share: float
     #: VMs that there are, heard or not.
     all_vms: int
+    #: How often they tell of what passes near a limit.
+    report_interval_ms: int = 0
 
 
 class AllotmentTable(Table[str, AllotmentWindow]):
@@ -97,7 +99,7 @@
     ) -> AllotmentLeft:
         """Return the units that this VM may still let pass now, where some are asked for.
 
-        Peers are thought to have let pass as much as this VM since they last said.
+        Since they last said, peers are thought to have let pass as much as shortly before.
         """
         window = self.of(organisation)
         window.offered_units += units
@@ -105,9 +107,8 @@
         own = window.own_units(now_ms, bounds.window_ms)
         every, of_heard = window.told_units(now_ms, bounds.window_ms, heard=part.vms)
         # The others of a divided site keep to their own share, whatever they used before.
-        left = min(bound - every, bound * part.use_share - of_heard) - own
-        unsaid_vms = max(0.0, part.use_share * part.all_vms - 1)
-        left -= window.units_per_ms(now_ms) * _UNSAID_MS * unsaid_vms
+        left = min(bound - every.units, bound * part.use_share - of_heard.units) - own
+        left -= of_heard.late_units / LATE_MS * max(_UNSAID_MS, part.report_interval_ms)
         share = bound / part.all_vms
         window.forgotten_units = self._forgotten_units(window, share, bounds, now_ms)
         if window.forgotten_units:
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -10,6 +10,8 @@
 
 #: A peer that is not heard for so many of its reports counts as unheard.
 _UNHEARD_REPORTS = 7
+#: Least time between two reports, however urgent.
+URGENT_INTERVAL_MS = 20
 #: VMs up to which each reports to every other at the shortest interval; beyond it the interval
 #: grows with their number, so that a VM's reports a second stay the same.
 _FREQUENT_VMS = 16
@@ -33,9 +35,6 @@
 
     requests: int
     pending_tokens: int
-    #: Time that its answers take, as a multiple of what is assumed; 0 where it was not measured.
-    pace: float = 0.0
-    pace_age_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -199,7 +198,7 @@
         found = 0
         for peer in self.rows():
             told = peer.report.waiting.get(service)
-            if told is None or not any(work.requests for work in peer.report.work.values()):
+            if told is None or not peer.report.work:
                 continue
             if now_ms - peer.heard_at_ms > _WAITING_AGE_MS:
                 continue
--- a/azureturn/gateway/decisions/_work.py
+++ b/azureturn/gateway/decisions/_work.py
@@ -12,8 +12,6 @@
 _FAILURE_HALF_LIFE_MS = 2_500.0
 _PACE_HALF_LIFE_MS = 6_000.0
 _PACE_BOUNDS = (0.2, 20.0)
-#: Weight of what a peer has learned of an upstream since this VM's own latest answer from it.
-_TOLD_WEIGHT = 0.5
 
 
 @dataclass(frozen=True)
@@ -28,8 +26,6 @@
     #: Time that it takes, as a multiple of what is assumed.
     pace: float = 1.0
     paced_at_ms: int = 0
-    #: When this VM itself last learned the pace; 0 for never.
-    measured_at_ms: int = 0
     #: Share of answers that failed, as of ``failed_at_ms``.
     failure_share: float = 0.0
     failed_at_ms: int = 0
@@ -64,15 +60,7 @@
         low, high = _PACE_BOUNDS
         bounded = min(high, max(low, pace))
         weight = 1.0 if not self.paced_at_ms else _LEARNING_WEIGHT
-        pace = self.pace + weight * (bounded - self.pace)
-        return changed(self, pace=pace, paced_at_ms=now_ms, measured_at_ms=now_ms)
-
-    def with_told_pace(self, pace: float, told_at_ms: int) -> "UpstreamState":
-        """Return a copy that has learned from a peer's answers, if they are newer than its own."""
-        if told_at_ms <= self.paced_at_ms:
-            return self
-        weight = 1.0 if not self.paced_at_ms else _TOLD_WEIGHT
-        return changed(self, pace=self.pace + weight * (pace - self.pace), paced_at_ms=told_at_ms)
+        return changed(self, pace=self.pace + weight * (bounded - self.pace), paced_at_ms=now_ms)
 
     def with_answer_time(self, took_ms: float, now_ms: int) -> "UpstreamState":
         """Return a copy that has learned from one more plain answer."""
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -10,7 +10,7 @@
     RequestClosed,
 )
 from azureturn.gateway.decisions._patience import PatienceTable
-from azureturn.gateway.decisions._peers import PeerTable
+from azureturn.gateway.decisions._peers import URGENT_INTERVAL_MS, PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -113,6 +113,7 @@
             vms=peers.heard_names(context.now_ms),
             use_share=peers.heard_use(own_units, context.now_ms),
             all_vms=peers.vms(context.now_ms),
+            report_interval_ms=peers.interval_ms(URGENT_INTERVAL_MS),
         )
         left = table.left(
             request.organisation,
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -11,6 +11,7 @@
 )
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import (
+    URGENT_INTERVAL_MS,
     MoveReport,
     Peer,
     PeerReport,
@@ -28,13 +29,9 @@
 
 #: Every so many reports name the VMs that the sender knows.
 _INTRODUCTION_INTERVAL = 10
-#: Least time between two reports, however urgent.
-_URGENT_INTERVAL_MS = 20
 #: A peer's newer view is fetched after this long without the store telling of it.
 _VIEW_PATIENCE_MS = 300
 _FETCH_INTERVAL_MS = 400
-#: What was learned of an upstream is told in so many reports.
-_NEWS_REPORTS = 2
 #: Prompts in one report; a datagram has to hold them.
 _PROMPT_LIMIT = 40
 
@@ -43,8 +40,8 @@
 class ReportController(GatewayController):
     """Sends a report to every peer many times a second."""
 
-    reads = (GatewayQueueTable, ViewTable)
-    writes = (PeerTable, PromptTable, AllotmentTable, MoveTable, UpstreamStateTable)
+    reads = (UpstreamStateTable, GatewayQueueTable, ViewTable)
+    writes = (PeerTable, PromptTable, AllotmentTable, MoveTable)
     after = ("views", "moves")
 
     _sequence = 0
@@ -67,7 +64,7 @@
     @on(ReportWanted)
     def _on_wanted(self, event: ReportWanted, context: Context) -> None:
         self._is_wanted = True
-        least_ms = self.board.read(PeerTable).interval_ms(_URGENT_INTERVAL_MS)
+        least_ms = self.board.read(PeerTable).interval_ms(URGENT_INTERVAL_MS)
         if context.now_ms - self._sent_at_ms >= least_ms:
             self._send(context)
 
@@ -102,7 +99,6 @@
         peers.put(report.vm, Peer(report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(before, report)
         self._take_prompts(report)
-        self._take_paces(report, context.now_ms)
         self._take_spending(report, context.now_ms)
         self._take_moves(report, context.now_ms)
         self._follow_view(report, context)
@@ -127,7 +123,11 @@
             sequence=self._sequence,
             leaving=self._leaving,
             view_revision=self.board.read(ViewTable).current().revision,
-            work=self._work(),
+            work={
+                name: WorkReport(state.requests, state.pending_tokens)
+                for name, state in self.board.read(UpstreamStateTable).items()
+                if state.requests
+            },
             spent=self.board.write(AllotmentTable).told(
                 configuration.organisations if configuration else (),
                 self.settings.bounds.allotment,
@@ -147,20 +147,6 @@
             waiting=self._waiting(),
         )
 
-    def _work(self) -> dict[str, WorkReport]:
-        """Return what is outstanding, and what this VM itself has learned of upstreams of late."""
-        found: dict[str, WorkReport] = {}
-        news_ms = _NEWS_REPORTS * self._interval_ms()
-        for name, state in self.board.read(UpstreamStateTable).items():
-            age_ms = self._sent_at_ms - state.measured_at_ms
-            has_news = bool(state.measured_at_ms) and age_ms <= news_ms
-            if state.requests or has_news:
-                pace = state.pace if has_news else 0.0
-                found[name] = WorkReport(
-                    state.requests, state.pending_tokens, pace, age_ms if has_news else 0
-                )
-        return found
-
     def _waiting(self) -> dict[str, WaitingReport]:
         found: dict[str, WaitingReport] = {}
         for service, queue in self.board.read(GatewayQueueTable).items():
@@ -190,15 +176,6 @@
             if record is not None and upstream is not None and record.run == upstream.run:
                 record.note(sent.model, sent.parts)
 
-    def _take_paces(self, report: PeerReport, now_ms: int) -> None:
-        states = self.board.write(UpstreamStateTable)
-        upstreams = self.board.read(ViewTable).current().upstreams
-        for name, work in report.work.items():
-            upstream = upstreams.get(name)
-            if work.pace and upstream is not None:
-                told = states.of(upstream.run).with_told_pace(work.pace, now_ms - work.pace_age_ms)
-                states.put(name, told)
-
     def _take_spending(self, report: PeerReport, now_ms: int) -> None:
         process = (report.vm, report.boot)
         self.board.write(AllotmentTable).note_report(process, report.spent, now_ms)
--- a/azureturn/gateway/decisions/tests/test_allotments.py
+++ b/azureturn/gateway/decisions/tests/test_allotments.py
@@ -239,3 +239,12 @@
     (after,) = only(site.tick(1_250), SendReport)
     assert isinstance(after, SendReport)
     assert after.report.spent == {"kuiseb": SpentUnits(500, 500)}
+
+
+def test_peers_are_thought_to_have_passed_as_much_since_they_last_said_as_before() -> None:
+    """A VM that has passed nothing itself tells from the others how fast they are."""
+    site = _site()
+    spent = {"kuiseb": SpentUnits(9_000, 9_000)}
+    site.tell(PeerReported(peer_report("vm-2", spent=spent)))
+    # 4.5 units a millisecond, for 60 ms: 270 of the 360 that are left.
+    assert _use(site, 50, until_ms=1_100) <= 150
--- a/azureturn/gateway/site/_allotment_use.py
+++ b/azureturn/gateway/site/_allotment_use.py
@@ -12,6 +12,10 @@
     #: Those of them that it let pass in the last part of the window, which leave it last.
     late_units: int = 0
 
+    def plus(self, other: "SpentUnits") -> "SpentUnits":
+        """Return the sum."""
+        return SpentUnits(self.units + other.units, self.late_units + other.late_units)
+
 
 @dataclass(frozen=True)
 class ProcessUse:
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -235,10 +235,6 @@
   2: i32 requests,
   // Prompt tokens that are still to be worked off before a first event.
   3: i32 pending_prompt_tokens,
-  // Time that its answers take, in hundredths of what is assumed, and how long ago that was
-  // measured; 0 where it was not.
-  4: i32 pace_percent,
-  5: i32 pace_age_ms,
 }
 
 // What one VM has let pass for an organisation in the last window.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3202,8 +3202,6 @@
      - upstream
      - requests
      - pending_prompt_tokens
-     - pace_percent
-     - pace_age_ms
 
     """
 
@@ -3211,17 +3209,13 @@
         'upstream',
         'requests',
         'pending_prompt_tokens',
-        'pace_percent',
-        'pace_age_ms',
     )
 
 
-    def __init__(self, upstream=None, requests=None, pending_prompt_tokens=None, pace_percent=None, pace_age_ms=None,):
+    def __init__(self, upstream=None, requests=None, pending_prompt_tokens=None,):
         self.upstream = upstream
         self.requests = requests
         self.pending_prompt_tokens = pending_prompt_tokens
-        self.pace_percent = pace_percent
-        self.pace_age_ms = pace_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3247,16 +3241,6 @@
                     self.pending_prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.pace_percent = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.pace_age_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3279,14 +3263,6 @@
             oprot.writeFieldBegin('pending_prompt_tokens', TType.I32, 3)
             oprot.writeI32(self.pending_prompt_tokens)
             oprot.writeFieldEnd()
-        if self.pace_percent is not None:
-            oprot.writeFieldBegin('pace_percent', TType.I32, 4)
-            oprot.writeI32(self.pace_percent)
-            oprot.writeFieldEnd()
-        if self.pace_age_ms is not None:
-            oprot.writeFieldBegin('pace_age_ms', TType.I32, 5)
-            oprot.writeI32(self.pace_age_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4563,8 +4539,6 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'requests', None, None, ),  # 2
     (3, TType.I32, 'pending_prompt_tokens', None, None, ),  # 3
-    (4, TType.I32, 'pace_percent', None, None, ),  # 4
-    (5, TType.I32, 'pace_age_ms', None, None, ),  # 5
 )
 all_structs.append(AllotmentSpent)
 AllotmentSpent.thrift_spec = (
