--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -106,3 +106,15 @@
             sent[peers] = sent.get(peers, 0) + len(only(site.tick(at_ms), SendReport))
     assert sent[8] >= 39
     assert sent[79] <= 10
+
+
+def test_a_newer_view_is_fetched_also_where_another_peer_is_as_far_behind() -> None:
+    """Several VMs that the store turns away at once must not keep each other from learning."""
+    site = GatewaySite(view(upstream("u1"), revision=10))
+    fetched = 0
+    for sequence, at_ms in enumerate(range(1_000, 3_000, 100)):
+        newer = peer_report("vm-2", sequence=sequence, view_revision=12)
+        behind = peer_report("vm-3", sequence=sequence, view_revision=10)
+        for report in (newer, behind):
+            fetched += len(only(site.tell(PeerReported(report), at_ms=at_ms), FetchView))
+    assert fetched
