The line of an attempt names the response's framing and the bytes of an incomplete event

New fields: framing and partial_event_bytes. StreamProgress is ResponseProgress, since it now also holds the framing. No decision changed.

--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -11,6 +11,7 @@
     ConnectionPool,
     UpstreamConnection,
 )
+from azureturn.gateway.exchange._framing import BodyFraming
 from azureturn.gateway.site import Dialect, RegisteredUpstream, ResponseFacts
 from azureturn.serving import now_ms
 
@@ -54,6 +55,7 @@
     reason: str
     #: Headers to relay to the caller.
     headers: tuple[tuple[str, str], ...]
+    framing: BodyFraming
     facts: ResponseFacts
 
     @property
@@ -73,6 +75,7 @@
         self._dialect = dialect
         self._connection: UpstreamConnection | None = None
         self._request_id = ""
+        self._method = ""
         self._aborted = False
         #: Whether part of the request may have been sent.
         self.was_sent = False
@@ -99,6 +102,7 @@
         if self._aborted:
             raise UpstreamUnreachableError(ErrorKind.CALLER_GONE)
         self._request_id = message.request_id
+        self._method = message.method
         headers = [(name, value) for name, value in message.headers]
         if message.body or message.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", str(len(message.body))))
@@ -183,6 +187,7 @@
             headers=tuple(
                 header for header in headers if header[0].lower() not in _NOT_RELAYED_HEADERS
             ),
+            framing=BodyFraming.from_response(response, request_method=self._method),
             facts=self._dialect.decode_response_headers(value_by_lower_name),
         )
 
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -26,10 +26,10 @@
 from azureturn.gateway.exchange._attempt import Attempt, ResponseHead, UpstreamRequest
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange_reporter import ExchangeReporter, ExchangeResult
+from azureturn.gateway.exchange._response_progress import ResponseProgress
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
 from azureturn.gateway.exchange._sse_events import SseEventSplitter
-from azureturn.gateway.exchange._stream_progress import StreamProgress
 from azureturn.gateway.site import AttemptHeaders, RequestKind
 from azureturn.serving import next_action, now_ms
 
@@ -189,7 +189,7 @@
         self._reporter.report_placement(request, action)
         attempt = Attempt(action.upstream, self._services.pool, self._services.dialect)
         self._attempt = attempt
-        progress = StreamProgress()
+        progress = ResponseProgress()
         attempt_started_at_ms = now_ms()
         detail = ""
         try:
@@ -232,7 +232,7 @@
         request: GatewayRequest,
         action: SendAttempt,
         attempt: Attempt,
-        progress: StreamProgress,
+        progress: ResponseProgress,
     ) -> AttemptResult:
         attempt.send(
             self._upstream_request(request, action),
@@ -242,6 +242,7 @@
         if self._caller_disconnected:
             return AttemptResult.ABANDONED
         head = attempt.read_head(ends_at_ms=self._head_deadline_ms(request))
+        progress.framing = head.framing
         if head.facts.not_executed or head.status == _MISDIRECTED_REQUEST:
             attempt.read_body(wait_ms=_MIN_PAUSE_TIMEOUT_MS, ends_at_ms=request.ends_at_ms)
             return AttemptResult.REJECTED
@@ -265,7 +266,7 @@
         request: GatewayRequest,
         attempt: Attempt,
         head: ResponseHead,
-        progress: StreamProgress,
+        progress: ResponseProgress,
     ) -> None:
         splitter = SseEventSplitter()
         pause_timeout_ms = self._pause_timeout_ms(request)
@@ -274,6 +275,7 @@
                 events = splitter.feed(part)
             except ValueError as error:
                 raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, str(error)) from error
+            progress.partial_event_bytes = len(splitter.remainder)
             for event in events:
                 self._check_order(event.number)
             if not events:
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from azureturn.gateway.decisions import AttemptResult, GatewayRequest, SendAttempt
+from azureturn.gateway.exchange._response_progress import ResponseProgress
 from azureturn.gateway.exchange._services import ExchangeServices
-from azureturn.gateway.exchange._stream_progress import StreamProgress
 from azureturn.observability import LogEvent, Metric
 from azureturn.serving import now_ms
 
@@ -55,7 +55,7 @@
         request: GatewayRequest,
         action: SendAttempt,
         result: AttemptResult,
-        progress: StreamProgress,
+        progress: ResponseProgress,
         *,
         took_ms: int,
         detail: str,
@@ -71,6 +71,8 @@
             result=result.value,
             first_event_ms=first_event_ms,
             events=progress.event_count,
+            framing=progress.framing.value if progress.framing else "",
+            partial_event_bytes=progress.partial_event_bytes,
             longest_pause_ms=progress.longest_pause_ms,
             took_ms=took_ms,
             error=detail,
--- a/azureturn/gateway/exchange/_stream_progress.py
+++ b/azureturn/gateway/exchange/_response_progress.py
@@ -1,11 +1,17 @@
-"""Event count and timing of one response stream."""
+"""What has been received of one response: its framing, and the count and timing of its events."""
 
+from azureturn.gateway.exchange._framing import BodyFraming
 
-class StreamProgress:
+
+class ResponseProgress:
     """Counts a stream's events and measures the pauses between them."""
 
     def __init__(self) -> None:
+        #: How the end of the body is marked; None until the head has been received.
+        self.framing: BodyFraming | None = None
         self.event_count = 0
+        #: Size of the received part of an event that is not complete yet.
+        self.partial_event_bytes = 0
         self.first_event_at_ms = 0
         self.longest_pause_ms = 0
         self._last_event_at_ms = 0
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -142,6 +142,8 @@
                 "first_event_ms",
                 "longest_pause_ms",
                 "events",
+                "framing",
+                "partial_event_bytes",
                 "took_ms",
                 "error",
             ),
