A stream that ends inside an event is broken off, whatever the framing of its response says

Cause: whether a stream is complete was decided by the HTTP library alone. Where a response has neither length nor chunks, the library reports the end of the message whenever the connection is closed, and the relay then sent the rest of the event and ended its own response properly. Class: the end of the transport taken for the end of the message.

Change: at the end of the body the relay asks the stream itself. Inside an event, or in an unframed response before its first event, the attempt is broken: the rest comes from another upstream where the route may be resumed, else the caller's connection is closed without the last chunk. Empty lines and whole comments after the last event belong to no event. Events that end with CR CR or with mixed line ends are recognised, so that such a stream doesn't count as broken off.

--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -26,6 +26,7 @@
 from azureturn.gateway.exchange._attempt import Attempt, ResponseHead, UpstreamRequest
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange_reporter import ExchangeReporter, ExchangeResult
+from azureturn.gateway.exchange._framing import BodyFraming
 from azureturn.gateway.exchange._response_progress import ResponseProgress
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
@@ -285,6 +286,7 @@
             progress.record(len(events), now_ms())
             self._start_stream(head)
             self._caller.write(b"".join(event.data for event in events))
+        _check_stream_is_complete(splitter, progress)
         self._start_stream(head)
         if splitter.remainder:
             self._caller.write(splitter.remainder)
@@ -381,3 +383,14 @@
         body = json.dumps({"error": error.kind.value, "message": answer.summary}).encode()
         close = self._services.closes_connections()
         self._caller.send_response(answer.status, error.kind.value, headers, body, close=close)
+
+
+def _check_stream_is_complete(splitter: SseEventSplitter, progress: ResponseProgress) -> None:
+    """Raise :class:`UpstreamError` if a stream was broken off, although its body has ended.
+
+    Without a length and chunks, the body ends whenever its connection is closed.
+    """
+    if splitter.is_inside_event:
+        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "stream ended inside an event")
+    if progress.framing is BodyFraming.CONNECTION_CLOSE and not progress.event_count:
+        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection closed before the first event")
--- a/azureturn/gateway/exchange/_sse_events.py
+++ b/azureturn/gateway/exchange/_sse_events.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-_EVENT_END = b"\n\n"
-_EVENT_END_CRLF = b"\r\n\r\n"
+#: An empty line ends an event; lines end with LF, CRLF or CR.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _ID_FIELD = b"id:"
 #: Maximum size of an event; more data without the end of an event is an error.
 MAX_EVENT_BYTES = 1 << 20
@@ -36,6 +36,15 @@
         """Return the received part of an event that is not complete yet."""
         return self._pending
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the received data ends inside an event.
+
+        Empty lines and whole comment lines after the last event belong to no event.
+        """
+        lines = self._pending.splitlines(keepends=True)
+        return any(not _is_empty_or_comment(line) for line in lines)
+
     def feed(self, data: bytes) -> list[SseEvent]:
         """Return the events that ``data`` completes.
 
@@ -53,12 +62,15 @@
 
 def _event_end(data: bytes) -> int:
     """Return the offset just after the first whole event, or 0 if there is none."""
-    ends = [
-        index + len(end) for end in (_EVENT_END, _EVENT_END_CRLF) if (index := data.find(end)) >= 0
-    ]
+    ends = [index + len(end) for end in _EVENT_ENDS if (index := data.find(end)) >= 0]
     return min(ends, default=0)
 
 
+def _is_empty_or_comment(line: bytes) -> bool:
+    is_whole_line = line.endswith((b"\n", b"\r"))
+    return is_whole_line and (not line.strip(b"\r\n") or line.startswith(b":"))
+
+
 def _event_number(event: bytes) -> int | None:
     for line in event.splitlines():
         if line.startswith(_ID_FIELD):
--- a/azureturn/gateway/exchange/tests/test_sse_events.py
+++ b/azureturn/gateway/exchange/tests/test_sse_events.py
@@ -11,6 +11,7 @@
         ([b"id: 1\ndata: a\n\n"], [1], b""),
         ([b"id: 1\nda", b"ta: a\n", b"\nid: 2\n"], [1], b"id: 2\n"),
         ([b"id:7\r\ndata: a\r\n\r\nid:8\r\n\r\n"], [7, 8], b""),
+        ([b"id:7\rdata: a\r\rid:8\n\r\n"], [7, 8], b""),
         ([b"versions: 3\nid: 4\ndata: x\n\n"], [4], b""),
         ([b"data: no number\n\n"], [None], b""),
         ([b"id: x\n\n"], [None], b""),
@@ -33,3 +34,25 @@
     splitter.feed(b"x" * MAX_EVENT_BYTES)
     with pytest.raises(ValueError, match="limit"):
         splitter.feed(b"x")
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"", False),
+        (b"id: 1\ndata: a\n\n", False),
+        (b"id: 1\ndata: a\n\nid: 2\nda", True),
+        (b"id: 1\ndata: a\n", True),
+        (b"id: 1\r\ndata: a\r\n\r", True),
+        (b"data: a\n\n\r\n", False),
+        (b"data: a\n\n: end of stream\n", False),
+        (b"data: a\n\n: end of", True),
+        (b"data: a\n\n: comment\ndata: b\n", True),
+    ],
+)
+def test_data_ends_inside_an_event_unless_only_empty_lines_or_comments_are_left(
+    data: bytes, expected: bool
+) -> None:
+    splitter = SseEventSplitter()
+    splitter.feed(data)
+    assert splitter.is_inside_event is expected
