A response whose attempt this VM aborted itself is not complete

When a caller closes its sending side, the gateway shuts its connection to the upstream down. A body without length and chunks then seemed to end, and by reading a plain answer of that form went to a caller that still reads as a 200 with the Content-Length of the part received. Now an end of the connection that this VM caused raises answer_truncated.

Test: test_a_response_whose_attempt_is_aborted_is_not_complete, which fails before for the response without a length (with a length the library noticed already).

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -83,7 +83,11 @@
                 if remaining_ms <= 0:
                     raise TimeoutError
                 self._socket.settimeout(remaining_ms / _MS_PER_S)
-                self._http.receive_data(self._socket.recv(_READ_BYTES))
+                data = self._socket.recv(_READ_BYTES)
+                if not data and self._aborted:
+                    # Only the peer's close may end a body that has neither a length nor chunks.
+                    raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection aborted")
+                self._http.receive_data(data)
         except TimeoutError:
             raise
         except OSError as error:
--- a/azureturn/gateway/exchange/tests/test_attempt.py
+++ b/azureturn/gateway/exchange/tests/test_attempt.py
@@ -30,8 +30,13 @@
         self.upstream = ScriptedUpstream(*scripts)
         self.pool = ConnectionPool()
 
-    def send(self, request_id: str = "r1", *, method: str = "GET") -> bytes:
-        """Send one request and return the body of the response."""
+    def send(
+        self, request_id: str = "r1", *, method: str = "GET", abort_after_part: bool = False
+    ) -> bytes:
+        """Send one request and return the body of the response.
+
+        ``abort_after_part`` aborts the attempt after the first part of the body.
+        """
         port = self.upstream.port
         upstream = RegisteredUpstream("u", "s", "127.0.0.1", port, "a", "v1", slots=4)
         attempt = Attempt(upstream, self.pool, PlainDialect())
@@ -43,7 +48,12 @@
             attempt.send(request, unrepeatable=False, ends_at_ms=ends_at_ms)
             head = attempt.read_head(ends_at_ms=ends_at_ms)
             assert head.facts.is_sealed
-            return attempt.read_body(wait_ms=_WAIT_MS, ends_at_ms=ends_at_ms)
+            if not abort_after_part:
+                return attempt.read_body(wait_ms=_WAIT_MS, ends_at_ms=ends_at_ms)
+            parts = attempt.iter_body(wait_ms=_WAIT_MS, ends_at_ms=ends_at_ms)
+            first_part = next(parts)
+            attempt.abort()
+            return first_part + b"".join(parts)
         finally:
             attempt.close()
 
@@ -110,6 +120,15 @@
     )
 
 
+@pytest.mark.parametrize("with_length", [True, False], ids=["length", "no length"])
+def test_a_response_whose_attempt_is_aborted_is_not_complete(with_length: bool) -> None:
+    response = _response("r1", b"first part, rest", with_length=with_length)[: -len(b", rest")]
+    client = _AttemptClient(respond_with(response))
+    with pytest.raises(UpstreamError) as raised:
+        client.send(abort_after_part=True)
+    assert raised.value.kind is ErrorKind.ANSWER_TRUNCATED
+
+
 def test_a_refused_connection_is_reported_as_unreachable() -> None:
     client = _AttemptClient()
     client.upstream.close()
