A response that only the close of its connection ends is aborted by a reset

Callers of that form saw a broken stream as complete. Now the connection is reset if a response of that form is given up after its head has been sent; one with chunks or a length is closed as before, since there the missing end shows.

Test: test_a_caller_that_reads_until_the_connection_ends_is_told_of_a_broken_stream, DID NOT RAISE before; the complete stream of such a caller still ends in order (second test).

--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -2,9 +2,11 @@
 
 import _pyio  # type: ignore[import-not-found]
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -27,6 +29,9 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 30_000),
 )
 
+#: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
 #: Limits on draining a connection, that is, reading and discarding the rest of a refused request.
 DRAIN_LIMIT_MS = 300
 DRAIN_LIMIT_BYTES = 4 << 20
@@ -101,9 +106,18 @@
         self.server.count_in_flight(1)
         try:
             super().respond()
+        except Exception:
+            self.conn.resets_on_close = self._ends_by_closing()
+            raise
         finally:
             self.server.count_in_flight(-1)
 
+    def _ends_by_closing(self) -> bool:
+        """Return whether only the close of the connection ends the response that has been begun."""
+        names = {name.lower() for name, _ in self.outheaders}
+        has_length = b"content-length" in names
+        return bool(self.sent_headers) and not self.chunked_write and not has_length
+
     def send_headers(self) -> None:
         """Send the headers; close the connection after a refusal with an unread request body."""
         self.conn.rfile.raw.clear_deadline()
@@ -146,6 +160,8 @@
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
         super().__init__(server, sock, _make_file)
         self.drains_on_close = False
+        #: Whether to reset the connection, so that an incomplete response does not look complete.
+        self.resets_on_close = False
         for level, name, value in _CALLER_SOCKET_OPTIONS:
             sock.setsockopt(level, name, value)
 
@@ -155,6 +171,14 @@
             self._drain()
         super().close()
 
+    def _close_kernel_socket(self) -> None:
+        if not self.resets_on_close:
+            super()._close_kernel_socket()  # type: ignore[misc]
+            return
+        # Without a shutdown before it, a close with a linger time of 0 resets the connection.
+        with suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+
     def _drain(self) -> None:
         # Closing a socket with unread bytes would reset the connection, and the caller could lose
         # the answer.
