Events before one that is out of order reach the caller before the stream is resumed

Where one read brought events 1, 2 and 4, event 2 counted as the caller's last one, but the error about 4 came before anything of that read was relayed. The next attempt went on after 2, and the caller got 1, 3, 4, 5 as a complete stream. Now the events before the one out of order are relayed first.

The relay of a stream has a module of its own, _stream_relay, so that Exchange no longer holds its state; the checks of the end of a stream moved there unchanged.

Test: test_events_before_a_left_out_one_are_relayed_before_the_stream_is_resumed; before: [1, 3, 4, 5] in place of [1, 2, 3, 4, 5].

--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -26,11 +26,10 @@
 from azureturn.gateway.exchange._attempt import Attempt, ResponseHead, UpstreamRequest
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange_reporter import ExchangeReporter, ExchangeResult
-from azureturn.gateway.exchange._framing import BodyFraming
 from azureturn.gateway.exchange._response_progress import ResponseProgress
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
-from azureturn.gateway.exchange._sse_events import SseEventSplitter
+from azureturn.gateway.exchange._stream_relay import StreamRelay
 from azureturn.gateway.site import AttemptHeaders, RequestKind
 from azureturn.serving import next_action, now_ms
 
@@ -75,7 +74,7 @@
         self._body = b""
         self._attempt: Attempt | None = None
         self._caller_disconnected = False
-        self._last_event_number: int | None = None
+        self._stream_relay = StreamRelay(None)
         #: Response of the latest attempt to which the upstream responded with a server error.
         self._failure_response: tuple[ResponseHead, bytes] | None = None
         self._attempt_count = 0
@@ -123,7 +122,7 @@
         if not self._fits_before_stop(request):
             raise RefusedError(ErrorKind.STOPPING, retry_after_ms=_STOPPING_RETRY_AFTER_MS)
         self._request = request
-        self._last_event_number = facts.last_event_number
+        self._stream_relay = StreamRelay(facts.last_event_number)
         runtime = self._services.runtime
         mailbox = runtime.open_mailbox(request.request_id)
         watch = self._services.caller_watch.watch(self._caller.socket, self._on_caller_disconnected)
@@ -269,40 +268,21 @@
         head: ResponseHead,
         progress: ResponseProgress,
     ) -> None:
-        splitter = SseEventSplitter()
+        def write(data: bytes) -> None:
+            self._start_stream(head)
+            self._caller.write(data)
+
+        relay = self._stream_relay
+        relay.begin_attempt(progress, write)
         pause_timeout_ms = self._pause_timeout_ms(request)
         for part in attempt.iter_body(wait_ms=pause_timeout_ms, ends_at_ms=request.ends_at_ms):
-            try:
-                events = splitter.feed(part)
-            except ValueError as error:
-                raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, str(error)) from error
-            progress.partial_event_bytes = len(splitter.remainder)
-            for event in events:
-                self._check_order(event.number)
-            if not events:
-                continue
-            if not progress.event_count:
+            had_events = bool(progress.event_count)
+            relay.feed(part)
+            if progress.event_count and not had_events:
                 self._services.runtime.submit(FirstEventReceived(request.request_id))
-            progress.record(len(events), now_ms())
-            self._start_stream(head)
-            self._caller.write(b"".join(event.data for event in events))
-        _check_stream_is_complete(splitter, progress)
-        self._start_stream(head)
-        if splitter.remainder:
-            self._caller.write(splitter.remainder)
+        relay.finish()
         self._outcome = "answered"
 
-    def _check_order(self, number: int | None) -> None:
-        """Raise :class:`UpstreamError` unless ``number`` is the successor of the last event's."""
-        if number is None:
-            return
-        last = self._last_event_number
-        if last is not None and number != last + 1:
-            raise UpstreamError(
-                ErrorKind.ANSWER_MISMATCHED, f"event number {number} received after {last}"
-            )
-        self._last_event_number = number
-
     def _start_stream(self, head: ResponseHead) -> None:
         if not self._caller.response_started:
             self._caller.start_stream(
@@ -318,7 +298,7 @@
             upstream=action.upstream.name,
             organisation=request.organisation,
             time_left_ms=max(1, request.ends_at_ms - now_ms()),
-            last_event_number=self._last_event_number,
+            last_event_number=self._stream_relay.last_event_number,
         )
         headers = self._services.dialect.encode_attempt_headers(list(self._caller.headers), attempt)
         return UpstreamRequest(
@@ -383,14 +363,3 @@
         body = json.dumps({"error": error.kind.value, "message": answer.summary}).encode()
         close = self._services.closes_connections()
         self._caller.send_response(answer.status, error.kind.value, headers, body, close=close)
-
-
-def _check_stream_is_complete(splitter: SseEventSplitter, progress: ResponseProgress) -> None:
-    """Raise :class:`UpstreamError` if a stream was broken off, although its body has ended.
-
-    Without a length and chunks, the body ends whenever its connection is closed.
-    """
-    if splitter.is_inside_event:
-        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "stream ended inside an event")
-    if progress.framing is BodyFraming.CONNECTION_CLOSE and not progress.event_count:
-        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection closed before the first event")
