A response without a stream is not joined to a stream that has begun

Found while the same class was looked for. When a stream was resumed and the other upstream answered with a status below 500 other than 200 (404, 204), that whole response, head and all, was written into the caller's chunked body, and the body was ended as complete: bytes that belong to no event, and a broken stream that looks complete. Now the attempt counts as broken: another upstream is tried if the route allows one, else the caller's connection is closed without the last chunk.

Test: test_a_response_without_a_stream_is_not_joined_to_a_stream_that_has_begun[204, 404]; before, two status lines in the bytes of one response.

--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -257,6 +257,9 @@
         if head.failed:
             self._failure_response = (head, body)
             return AttemptResult.FAILED
+        if self._caller.response_started:
+            message = f"status {head.status} in place of the rest of a stream"
+            raise UpstreamError(ErrorKind.ANSWER_MISMATCHED, message)
         self._outcome = "answered"
         self._send_response(head, body)
         return AttemptResult.ANSWERED
