A stream whose events have no numbers is not begun again after events of it were relayed

Where a route may be resumed and the events carry no number, the next attempt had no event to go on after, so the caller got the stream's beginning again behind what it had: pieces of two runs joined, ended as complete. Now AttemptEnded says whether another attempt can provide the rest; if not, the controller doesn't retry and the caller's connection is closed without the last chunk.

--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -87,6 +87,8 @@
     event_count: int = 0
     #: Time from the first event to the last one.
     streamed_ms: int = 0
+    #: Whether another attempt can provide the rest of the response.
+    is_resumable: bool = True
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -74,7 +74,7 @@
             self.board.write(GatewayRequestTable).remove(request.request_id)
             return
         ran = event.result not in _NOT_RUN
-        refusal = self._retry_refusal(request, event.result, ran, context.now_ms)
+        refusal = self._retry_refusal(request, event, ran, context.now_ms)
         if refusal:
             self._finish(request, event.result, refusal, context)
             return
@@ -117,9 +117,11 @@
             context.post(PlacementRequested(request.service))
 
     def _retry_refusal(
-        self, request: GatewayRequest, result: AttemptResult, ran: bool, now_ms: int
+        self, request: GatewayRequest, event: AttemptEnded, ran: bool, now_ms: int
     ) -> str:
         """Return why the request is not retried; an empty string means that it is retried."""
+        if not event.is_resumable:
+            return "events without a number have been relayed"
         if ran and not request.may_repeat:
             return "route does not allow a second run"
         if ran and request.run_attempts + 1 >= request.route.attempts:
@@ -130,7 +132,7 @@
             return "too little time left for a retry"
         if not self._has_untried_upstream(request, now_ms):
             return "no untried upstream available"
-        if result is AttemptResult.UNREACHABLE:
+        if event.result is AttemptResult.UNREACHABLE:
             return ""
         return (
             ""
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -220,7 +220,13 @@
             detail=detail,
         )
         self._services.runtime.submit(
-            AttemptEnded(request.request_id, result, progress.event_count, progress.streamed_ms)
+            AttemptEnded(
+                request.request_id,
+                result,
+                progress.event_count,
+                progress.streamed_ms,
+                self._stream_relay.is_resumable,
+            )
         )
         if result is AttemptResult.ABANDONED:
             self._raise_for_abandoned_attempt()
@@ -331,7 +337,8 @@
         return int(max(_MIN_PAUSE_TIMEOUT_MS, _PAUSE_TIMEOUT_LIMITS * request.route.pause_limit_ms))
 
     def _can_try_another_upstream(self, request: GatewayRequest) -> bool:
-        return request.may_repeat and self._attempt_count < request.route.attempts
+        may_continue = request.may_repeat and self._stream_relay.is_resumable
+        return may_continue and self._attempt_count < request.route.attempts
 
     def _on_caller_disconnected(self) -> None:
         """Abort the exchange; called from the thread that watches the callers' sockets."""
--- a/azureturn/gateway/exchange/_stream_relay.py
+++ b/azureturn/gateway/exchange/_stream_relay.py
@@ -30,6 +30,9 @@
     def __init__(self, last_event_number: int | None) -> None:
         #: Number of the last event that the caller has; None if it has none.
         self.last_event_number = last_event_number
+        #: Whether another attempt can go on after the last event; not after an event without a
+        #: number, since its position cannot be named.
+        self.is_resumable = True
 
     def begin_attempt(self, progress: ResponseProgress, write: Callable[[bytes], None]) -> None:
         """Begin with an attempt's response; whole events are passed to ``write``."""
@@ -84,5 +87,7 @@
 
     def _relay(self, events: list[SseEvent]) -> None:
         if events:
+            if any(event.number is None for event in events):
+                self.is_resumable = False
             self._progress.record(len(events), now_ms())
             self._write(b"".join(event.data for event in events))
