A version whose streams are several times slower is rolled back by their pace, not only by their first events

Cause: a version was judged slow by the time to the first event alone. Of a version whose work takes 3.3 times as long, queueing and reading hide much of that there (ratio of the means 1.2 to 2.1 in the first 16 answers, limit 2.2), while the interval between events shows it (2.2 to 5). Ruled out: too few answers (30 to 40 at the ramp), reports of peers that don't arrive (counts are pooled in all of them).

Change: each VM also counts the pace of streams by version, also of those that the caller gave up; peers report it (three optional fields); the same limit, 2.2, over at least eight streams of each version.

Test: test_a_version_whose_streams_are_several_times_slower_is_rolled_back, which failed before (never rolled back).

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -6,6 +6,7 @@
     PeerReport,
     QueueReport,
     SentPrompt,
+    StreamPace,
     VersionCount,
 )
 from azureturn.gateway.site import AllotmentUsage, PromptPart
@@ -48,7 +49,7 @@
             for prompt in report.prompts
         ],
         versions=[
-            VersionSeen(service, version, count.answers, count.failures, count.time_ms)
+            _version_to_wire(service, version, count)
             for (service, version), count in report.versions.items()
         ],
         moves=[
@@ -94,8 +95,7 @@
             for row in wire.prompts or ()
         ),
         versions={
-            (row.service_name, row.version): VersionCount(row.answers, row.failures, row.time_ms)
-            for row in wire.versions or ()
+            (row.service_name, row.version): _version_from_wire(row) for row in wire.versions or ()
         },
         moves={
             row.service_name: MoveReport(row.version, row.elapsed_ms, bool(row.condemned))
@@ -109,3 +109,21 @@
             for row in wire.waiting or ()
         },
     )
+
+
+def _version_to_wire(service: str, version: str, count: VersionCount) -> VersionSeen:
+    return VersionSeen(
+        service_name=service,
+        version=version,
+        answers=count.answers,
+        failures=count.failures,
+        time_ms=count.time_ms,
+        streams=count.pace.streams,
+        intervals=count.pace.intervals,
+        streamed_ms=count.pace.streamed_ms,
+    )
+
+
+def _version_from_wire(row: VersionSeen) -> VersionCount:
+    pace = StreamPace(row.streams or 0, row.intervals or 0, row.streamed_ms or 0)
+    return VersionCount(row.answers or 0, row.failures or 0, row.time_ms or 0, pace)
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -30,6 +30,7 @@
     PeerReport,
     PeerTable,
     QueueReport,
+    StreamPace,
     VersionCount,
 )
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
@@ -68,6 +69,7 @@
     "UpstreamReconnected",
     "UpstreamState",
     "UpstreamStateTable",
+    "StreamPace",
     "VersionCount",
     "ViewChanged",
     "ViewTable",
--- a/azureturn/gateway/decisions/_moves.py
+++ b/azureturn/gateway/decisions/_moves.py
@@ -9,15 +9,16 @@
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
-from azureturn.gateway.decisions._peers import VersionCount
+from azureturn.gateway.decisions._peers import StreamPace, VersionCount
 
-#: Minimum number of answers of a new version before it is evaluated.
+#: Minimum number of answers of a version, and of streams for its pace, before it is evaluated.
 _MIN_ANSWERS = 8
 #: A new version whose failure share exceeds the old one's by more than this, or by more than this
 #: many standard errors if that is larger, is rolled back.
 _FAILURE_MARGIN = 0.12
 _STANDARD_ERRORS = 2.0
-#: A new version that is slower than the old one by more than this factor is rolled back.
+#: A new version that is slower than the old one by more than this factor is rolled back: in the
+#: time to the first event or plain answer, or in the pace of its streams.
 _SLOWDOWN_LIMIT = 2.2
 #: Shares of the requests that go to the new version, and the fractions of the move's duration at
 #: which they begin. The first share is relative to the configured maximum for a version that has
@@ -94,24 +95,42 @@
 
     def record_answer(self, service: str, version: str, *, failed: bool, took_ms: int) -> None:
         """Add one answer to the counts of a version."""
+        self._add(service, version, VersionCount(1, 1 if failed else 0, took_ms))
+
+    def record_stream(
+        self, service: str, version: str, *, event_count: int, streamed_ms: int
+    ) -> None:
+        """Add the pace of one stream to the counts of a version."""
+        pace = StreamPace(1, event_count - 1, streamed_ms)
+        self._add(service, version, VersionCount(pace=pace))
+
+    def _add(self, service: str, version: str, count: VersionCount) -> None:
         previous = self.version_counts.get((service, version), VersionCount())
-        self.version_counts[(service, version)] = VersionCount(
-            previous.answers + 1,
-            previous.failures + (1 if failed else 0),
-            previous.time_ms + took_ms,
-        )
+        self.version_counts[(service, version)] = previous.plus(count)
 
 
 def is_regression(new: VersionCount, old: VersionCount) -> bool:
     """Return whether a new version is measurably worse than the old one."""
+    return _fails_more_often(new, old) or _starts_slower(new, old) or _streams_slower(new, old)
+
+
+def _fails_more_often(new: VersionCount, old: VersionCount) -> bool:
     if new.answers < _MIN_ANSWERS:
         return False
     old_answers = max(1, old.answers)
     old_share = old.failures / old_answers
     spread = math.sqrt(max(old_share, 0.02) / new.answers)
     limit = old_share + max(_FAILURE_MARGIN, _STANDARD_ERRORS * spread)
-    if new.failures / new.answers > limit:
-        return True
-    if old.answers < _MIN_ANSWERS:
+    return new.failures / new.answers > limit
+
+
+def _starts_slower(new: VersionCount, old: VersionCount) -> bool:
+    if min(new.answers, old.answers) < _MIN_ANSWERS:
+        return False
+    return new.time_ms / new.answers > _SLOWDOWN_LIMIT * old.time_ms / old.answers
+
+
+def _streams_slower(new: VersionCount, old: VersionCount) -> bool:
+    if min(new.pace.streams, old.pace.streams) < _MIN_ANSWERS:
         return False
-    return new.time_ms / new.answers > _SLOWDOWN_LIMIT * old.time_ms / old_answers
+    return new.pace.ms_per_event > _SLOWDOWN_LIMIT * old.pace.ms_per_event
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -28,7 +28,7 @@
 _MIN_ATTEMPT_MS = 60
 #: Interval of connection probes to unreachable upstreams.
 _PROBE_INTERVAL_MS = 250
-#: Minimum number of events of a stream from which a slowdown is measured.
+#: Minimum number of events of a stream from which its pace is measured.
 _MIN_TIMED_EVENTS = 3
 
 _NOT_RUN = (AttemptResult.REJECTED, AttemptResult.UNREACHABLE)
@@ -161,6 +161,13 @@
         state = state.with_ended(request.pending_tokens)
         state = self._with_result(state, request, event, now_ms)
         self.board.write(UpstreamStateTable).put(request.upstream, state)
+        if event.event_count >= _MIN_TIMED_EVENTS:
+            self.board.write(MoveTable).record_stream(
+                request.service,
+                request.version,
+                event_count=event.event_count,
+                streamed_ms=event.streamed_ms,
+            )
         if event.result is not AttemptResult.ABANDONED and event.result not in _NOT_RUN:
             answered_at_ms = request.first_event_at_ms or now_ms
             self.board.write(MoveTable).record_answer(
--- a/azureturn/gateway/decisions/controllers/_moves.py
+++ b/azureturn/gateway/decisions/controllers/_moves.py
@@ -89,7 +89,7 @@
             for (service, version), count in version_counts.items():
                 if service == move.service:
                     is_new = version == move.version
-                    counts[is_new] = _sum(counts[is_new], count)
+                    counts[is_new] = counts[is_new].plus(count)
         return is_regression(counts[True], counts[False])
 
     def _has_upstreams(self, move: Move) -> bool:
@@ -107,11 +107,3 @@
     if view.revision_of(MoveStatus, move.service) < move.order_revision:
         return move
     return move.with_end(completed=status.state is MoveState.COMPLETE)
-
-
-def _sum(first: VersionCount, second: VersionCount) -> VersionCount:
-    return VersionCount(
-        first.answers + second.answers,
-        first.failures + second.failures,
-        first.time_ms + second.time_ms,
-    )
--- a/azureturn/gateway/decisions/tests/test_moves.py
+++ b/azureturn/gateway/decisions/tests/test_moves.py
@@ -8,6 +8,7 @@
     MoveReport,
     PeerReportReceived,
     SendAttempt,
+    StreamPace,
     VersionCount,
     ViewChanged,
     WriteMoveStatus,
@@ -124,6 +125,11 @@
     assert not _states(harness.tick(9_900))
 
 
+def _streams(streams: int, streamed_ms: int) -> VersionCount:
+    """Return a count of streams with 11 events each, whose first events were equally fast."""
+    return VersionCount(streams, 0, 50 * streams, StreamPace(streams, 10 * streams, streamed_ms))
+
+
 @pytest.mark.parametrize(
     ("new", "old", "expected"),
     [
@@ -133,7 +139,27 @@
         (VersionCount(20, 3, 0), VersionCount(100, 14, 0), False),
         (VersionCount(20, 0, 2_000), VersionCount(100, 0, 3_000), True),
         (VersionCount(20, 0, 700), VersionCount(100, 0, 3_000), False),
+        (_streams(8, 5_000), _streams(90, 18_000), True),
+        (_streams(8, 3_000), _streams(90, 18_000), False),
+        (_streams(7, 9_000), _streams(90, 18_000), False),
+        (_streams(8, 9_000), _streams(7, 1_400), False),
     ],
 )
 def test_is_regression(new: VersionCount, old: VersionCount, expected: bool) -> None:
     assert is_regression(new, old) is expected
+
+
+def test_a_version_whose_streams_are_several_times_slower_is_rolled_back() -> None:
+    # The first events of both versions arrive at the same time; only later events are slower.
+    harness = _harness()
+    streamed_ms = {"old": 300, "new": 1_200}
+    for number in range(400):
+        request_id = f"r{number}"
+        actions = harness.submit_request(request_id, route=STATUS_ROUTE)
+        for send_attempt in of_type(actions, SendAttempt):
+            name = send_attempt.upstream.name  # type: ignore[attr-defined]
+            ended = AttemptEnded(
+                request_id, AttemptResult.ANSWERED, event_count=20, streamed_ms=streamed_ms[name]
+            )
+            harness.handle_event(ended)
+    assert MoveState.ROLLED_BACK in _states(harness.tick(3_000))
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -11,6 +11,7 @@
     QueueReport,
     SendReport,
     SentPrompt,
+    StreamPace,
     VersionCount,
     VmLeaving,
 )
@@ -31,7 +32,7 @@
         work={"u1": OutstandingWork(requests=3, pending_tokens=700)},
         spent={"kuiseb": AllotmentUsage(units=12, late_units=5)},
         prompts=(SentPrompt("u1", "m", (PromptPart("part-a", tokens=60),)),),
-        versions={("desk", "v2"): VersionCount(answers=3, failures=1, time_ms=90)},
+        versions={("desk", "v2"): VersionCount(3, 1, 90, StreamPace(2, 30, 700))},
         moves={"desk": MoveReport("v2", elapsed_ms=800, condemned=True)},
         peers={"vm-3": "10.0.1.3"},
         strained=True,
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -261,6 +261,10 @@
   3: i32 answers,
   4: i32 failures,
   5: i64 time_ms,
+  // Streams whose pace was measured, the intervals between their events, and the sum of these.
+  6: i32 streams,
+  7: i64 intervals,
+  8: i64 streamed_ms,
 }
 
 struct MoveSeen {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3508,6 +3508,9 @@
      - answers
      - failures
      - time_ms
+     - streams
+     - intervals
+     - streamed_ms
 
     """
 
@@ -3517,15 +3520,21 @@
         'answers',
         'failures',
         'time_ms',
+        'streams',
+        'intervals',
+        'streamed_ms',
     )
 
 
-    def __init__(self, service_name=None, version=None, answers=None, failures=None, time_ms=None,):
+    def __init__(self, service_name=None, version=None, answers=None, failures=None, time_ms=None, streams=None, intervals=None, streamed_ms=None,):
         self.service_name = service_name
         self.version = version
         self.answers = answers
         self.failures = failures
         self.time_ms = time_ms
+        self.streams = streams
+        self.intervals = intervals
+        self.streamed_ms = streamed_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3561,6 +3570,21 @@
                     self.time_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.intervals = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.streamed_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3591,6 +3615,18 @@
             oprot.writeFieldBegin('time_ms', TType.I64, 5)
             oprot.writeI64(self.time_ms)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 6)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.intervals is not None:
+            oprot.writeFieldBegin('intervals', TType.I64, 7)
+            oprot.writeI64(self.intervals)
+            oprot.writeFieldEnd()
+        if self.streamed_ms is not None:
+            oprot.writeFieldBegin('streamed_ms', TType.I64, 8)
+            oprot.writeI64(self.streamed_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4563,6 +4599,9 @@
     (3, TType.I32, 'answers', None, None, ),  # 3
     (4, TType.I32, 'failures', None, None, ),  # 4
     (5, TType.I64, 'time_ms', None, None, ),  # 5
+    (6, TType.I32, 'streams', None, None, ),  # 6
+    (7, TType.I64, 'intervals', None, None, ),  # 7
+    (8, TType.I64, 'streamed_ms', None, None, ),  # 8
 )
 all_structs.append(MoveSeen)
 MoveSeen.thrift_spec = (
