A streamed answer of another VM without a marked end is not complete

Our own VMs send chunks, so callers have not seen it; by reading, anything between them that doesn't could. Now StreamedAnswer.iter_body itself raises answer_truncated at such an end.

Test: test_client.py, the case without length and chunks fails before (DID NOT RAISE); the other four pass before and after.

--- a/azureturn/upstreams/_client.py
+++ b/azureturn/upstreams/_client.py
@@ -77,11 +77,16 @@
             sock.settimeout(max(1, timeout_ms) / _MS_PER_S)
 
     def iter_body(self) -> Iterator[bytes]:
-        """Yield the body as it is received; raise :class:`UpstreamError` if the read fails."""
+        """Yield the body as it is received.
+
+        Raise :class:`UpstreamError` if the read fails, or if the body ends although neither a
+        length nor chunks mark its end.
+        """
         try:
             yield from self._response.stream(_READ_BYTES, decode_content=False)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             raise _error_after_dispatch(error) from error
+        self._check_framing()
 
     def read_complete(self, *, remaining_ms: Callable[[], int]) -> CompleteAnswer:
         """Read the rest of the body and return the answer.
@@ -90,9 +95,7 @@
         exceeds the limit, or is not complete when ``remaining_ms`` reaches 0.
         """
         try:
-            if not self._has_delimited_body():
-                message = "the answer has neither Content-Length nor chunked encoding"
-                raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, message)
+            self._check_framing()
             body = bytearray()
             for piece in self.iter_body():
                 body += piece
@@ -117,10 +120,13 @@
             with suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
-    def _has_delimited_body(self) -> bool:
+    def _check_framing(self) -> None:
+        """Raise :class:`UpstreamError` if neither a length nor chunks mark the end of the body."""
         headers = self._response.headers
         chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-        return chunked or "Content-Length" in headers or self.status in _NO_BODY_STATUSES
+        if not (chunked or "Content-Length" in headers or self.status in _NO_BODY_STATUSES):
+            message = "the answer has neither Content-Length nor chunked encoding"
+            raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, message)
 
     def _socket(self) -> socket.socket | None:
         return getattr(self._response.connection, "sock", None)
