The log says why a version move is rolled back, with the counts compared

Now a verdict carries a sentence with the figures of both versions (failures, time to the first event, or interval between events), or the peer that judged first, and move_status_written has it as reason. No decision changed; test_is_regression keeps its cases under a name that says what it covers, and asks that a reason is given.

--- a/azureturn/gateway/daemon/_store_writer.py
+++ b/azureturn/gateway/daemon/_store_writer.py
@@ -67,6 +67,7 @@
             service=action.status.service,
             version=action.status.version,
             state=action.status.state.value,
+            reason=action.reason,
             revision=action.expected_revision,
             outcome=outcome,
         )
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -62,6 +62,8 @@
 
     status: MoveStatus
     expected_revision: int
+    #: Why the move is rolled back; empty for other states.
+    reason: str = ""
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_moves.py
+++ b/azureturn/gateway/decisions/_moves.py
@@ -43,9 +43,9 @@
     order_revision: int
     #: Start of the move by this VM's clock.
     began_at_ms: int
-    #: Whether this VM or a peer judged the new version to be worse than the old one. It then gets
-    #: no more requests; never reset.
-    condemned: bool = False
+    #: Why this VM or a peer judged the new version to be worse than the old one; empty if none did.
+    #: The version then gets no more requests; never reset.
+    condemned_reason: str = ""
     #: Whether its status in the store is complete or rolled back.
     ended: bool = False
     #: Whether its status in the store is complete.
@@ -53,6 +53,11 @@
     #: Last time at which this VM requested a write of the status; 0 before the first.
     write_requested_at_ms: int = 0
 
+    @property
+    def condemned(self) -> bool:
+        """Return whether this VM or a peer judged the new version to be worse."""
+        return bool(self.condemned_reason)
+
     def share(self, now_ms: int, exposure_share: float) -> float:
         """Return the share of requests that currently go to the new version."""
         if self.completed:
@@ -72,9 +77,9 @@
         """Return a copy that started at least ``elapsed_ms`` ago."""
         return changed(self, began_at_ms=min(self.began_at_ms, now_ms - elapsed_ms))
 
-    def with_condemned(self) -> "Move":
-        """Return a copy whose new version receives no more requests."""
-        return changed(self, condemned=True)
+    def with_condemned(self, reason: str) -> "Move":
+        """Return a copy whose new version receives no more requests, for the first reason given."""
+        return changed(self, condemned_reason=self.condemned_reason or reason)
 
     def with_end(self, *, completed: bool) -> "Move":
         """Return a copy that has ended according to the store."""
@@ -109,28 +114,42 @@
         self.version_counts[(service, version)] = previous.plus(count)
 
 
-def is_regression(new: VersionCount, old: VersionCount) -> bool:
-    """Return whether a new version is measurably worse than the old one."""
-    return _fails_more_often(new, old) or _starts_slower(new, old) or _streams_slower(new, old)
+def regression_reason(new: VersionCount, old: VersionCount) -> str:
+    """Return in what a new version is measurably worse than the old one; empty if in nothing."""
+    return (
+        _more_failures_reason(new, old)
+        or _slower_start_reason(new, old)
+        or _slower_streams_reason(new, old)
+    )
 
 
-def _fails_more_often(new: VersionCount, old: VersionCount) -> bool:
+def _more_failures_reason(new: VersionCount, old: VersionCount) -> str:
     if new.answers < _MIN_ANSWERS:
-        return False
-    old_answers = max(1, old.answers)
-    old_share = old.failures / old_answers
+        return ""
+    old_share = old.failures / max(1, old.answers)
     spread = math.sqrt(max(old_share, 0.02) / new.answers)
     limit = old_share + max(_FAILURE_MARGIN, _STANDARD_ERRORS * spread)
-    return new.failures / new.answers > limit
+    if new.failures / new.answers <= limit:
+        return ""
+    return (
+        f"{new.failures} of {new.answers} answers failed, "
+        f"{old.failures} of {old.answers} of the old version"
+    )
 
 
-def _starts_slower(new: VersionCount, old: VersionCount) -> bool:
+def _slower_start_reason(new: VersionCount, old: VersionCount) -> str:
     if min(new.answers, old.answers) < _MIN_ANSWERS:
-        return False
-    return new.time_ms / new.answers > _SLOWDOWN_LIMIT * old.time_ms / old.answers
+        return ""
+    new_ms, old_ms = new.time_ms / new.answers, old.time_ms / old.answers
+    if new_ms <= _SLOWDOWN_LIMIT * old_ms:
+        return ""
+    return f"{new_ms:.0f} ms to the first event of {new.answers} answers, before {old_ms:.0f} ms"
 
 
-def _streams_slower(new: VersionCount, old: VersionCount) -> bool:
+def _slower_streams_reason(new: VersionCount, old: VersionCount) -> str:
     if min(new.pace.streams, old.pace.streams) < _MIN_ANSWERS:
-        return False
-    return new.pace.ms_per_event > _SLOWDOWN_LIMIT * old.pace.ms_per_event
+        return ""
+    new_ms, old_ms = new.pace.ms_per_event, old.pace.ms_per_event
+    if new_ms <= _SLOWDOWN_LIMIT * old_ms:
+        return ""
+    return f"{new_ms:.0f} ms an event in {new.pace.streams} streams, before {old_ms:.0f} ms"
--- a/azureturn/gateway/decisions/controllers/_moves.py
+++ b/azureturn/gateway/decisions/controllers/_moves.py
@@ -3,7 +3,7 @@
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import WriteMoveStatus
 from azureturn.gateway.decisions._events import ViewChanged
-from azureturn.gateway.decisions._moves import COMPLETE_AT, Move, MoveTable, is_regression
+from azureturn.gateway.decisions._moves import COMPLETE_AT, Move, MoveTable, regression_reason
 from azureturn.gateway.decisions._peers import PeerTable, VersionCount
 from azureturn.gateway.decisions._tables import ViewTable
 from azureturn.gateway.decisions.controllers._registry import (
@@ -48,14 +48,15 @@
         for service, move in list(moves.items()):
             if move.ended:
                 continue
-            if not move.condemned and self._is_regression(move, context.now_ms):
-                move = move.with_condemned()
+            if not move.condemned:
+                move = move.with_condemned(self._regression_reason(move))
             state = self._target_state(move, context.now_ms)
             if self._may_write(move, state, context.now_ms):
                 move = move.with_write_requested(context.now_ms)
                 view = self.board.read(ViewTable).current()
                 status = MoveStatus(service, move.version, state)
-                context.act(WriteMoveStatus(status, view.revision_of(MoveStatus, service)))
+                revision = view.revision_of(MoveStatus, service)
+                context.act(WriteMoveStatus(status, revision, move.condemned_reason))
             moves.put(service, move)
 
     def _target_state(self, move: Move, now_ms: int) -> MoveState:
@@ -81,7 +82,7 @@
             return since_ms >= _WRITE_RETRY_MS + vms_ahead * _STAGGER_MS
         return since_ms >= vms_ahead * _STAGGER_MS
 
-    def _is_regression(self, move: Move, now_ms: int) -> bool:
+    def _regression_reason(self, move: Move) -> str:
         counts: dict[bool, VersionCount] = {True: VersionCount(), False: VersionCount()}
         sources = [self.board.read(MoveTable).version_counts]
         sources += [peer.report.versions for peer in self.board.read(PeerTable).rows()]
@@ -90,7 +91,7 @@
                 if service == move.service:
                     is_new = version == move.version
                     counts[is_new] = counts[is_new].plus(count)
-        return is_regression(counts[True], counts[False])
+        return regression_reason(counts[True], counts[False])
 
     def _has_upstreams(self, move: Move) -> bool:
         view = self.board.read(ViewTable).current()
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -198,7 +198,9 @@
             if move is None or move.version != move_report.version:
                 continue
             move = move.with_elapsed(move_report.elapsed_ms, now_ms)
-            moves.put(service, move.with_condemned() if move_report.condemned else move)
+            if move_report.condemned:
+                move = move.with_condemned(f"judged worse by {report.vm}")
+            moves.put(service, move)
 
     def _fetch_newer_view(self, report: PeerReport, context: Context) -> None:
         """Fetch a peer's view if the store does not deliver one as new in time."""
--- a/azureturn/gateway/decisions/tests/test_moves.py
+++ b/azureturn/gateway/decisions/tests/test_moves.py
@@ -13,7 +13,7 @@
     ViewChanged,
     WriteMoveStatus,
 )
-from azureturn.gateway.decisions._moves import is_regression
+from azureturn.gateway.decisions._moves import regression_reason
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     STATUS_ROUTE,
     GatewayCoreHarness,
@@ -145,8 +145,10 @@
         (_streams(8, 9_000), _streams(7, 1_400), False),
     ],
 )
-def test_is_regression(new: VersionCount, old: VersionCount, expected: bool) -> None:
-    assert is_regression(new, old) is expected
+def test_a_new_version_is_worse_if_it_fails_more_often_starts_slower_or_streams_slower(
+    new: VersionCount, old: VersionCount, expected: bool
+) -> None:
+    assert bool(regression_reason(new, old)) is expected
 
 
 def test_a_version_whose_streams_are_several_times_slower_is_rolled_back() -> None:
@@ -162,4 +164,6 @@
                 request_id, AttemptResult.ANSWERED, event_count=20, streamed_ms=streamed_ms[name]
             )
             harness.handle_event(ended)
-    assert MoveState.ROLLED_BACK in _states(harness.tick(3_000))
+    (write,) = of_type(harness.tick(3_000), WriteMoveStatus)
+    assert write.status.state is MoveState.ROLLED_BACK  # type: ignore[attr-defined]
+    assert "ms an event" in write.reason  # type: ignore[attr-defined]
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -185,7 +185,7 @@
         ),
         LogEvent.MOVE_STATUS_WRITTEN: LogEventDefinition(
             "The status of a move was written, or another VM wrote first; see `outcome`.",
-            ("service", "version", "state", "revision", "outcome"),
+            ("service", "version", "state", "reason", "revision", "outcome"),
         ),
         LogEvent.ALLOTMENT_RECORD_WRITTEN: LogEventDefinition(
             "The record of allotment use was written, or another VM wrote first; see `outcome`.",
@@ -263,6 +263,8 @@
         "longest_pause_ms": "Longest time between two events of a stream.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
         "events": "Number of events received.",
+        "framing": "How the end of the body is marked; empty without a response.",
+        "partial_event_bytes": "Size of the received part of an incomplete event.",
         "rank": "The tier's rank; 0 is the most urgent.",
         "lateness_ms": "Mean delay of this process's ticks.",
         "patience_ms": "How long the caller stated that it will wait; -1 if it did not.",
