--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -36,6 +36,8 @@
 @pytest.fixture
 def site() -> Iterator[Site]:
     with new_site() as running_site:
+        # The port accepts connections before the daemon has started completely.
+        wait_for(lambda: readiness_status(running_site) == 200)
         yield running_site
 
 
