--- a/azureturn/gateway/decisions/tests/test_moves.py
+++ b/azureturn/gateway/decisions/tests/test_moves.py
@@ -167,3 +167,7 @@
     (write,) = of_type(harness.tick(3_000), WriteMoveStatus)
     assert write.status.state is MoveState.ROLLED_BACK  # type: ignore[attr-defined]
     assert "ms an event" in write.reason  # type: ignore[attr-defined]
+
+
+def test_one_failed_answer_among_the_first_eight_is_no_verdict() -> None:
+    assert not regression_reason(VersionCount(8, 1, 400), VersionCount(412, 0, 20_600))
