The error event of a forwarded stream is an event of its own also where the stream broke inside one

A body that ended in order inside an event was even relayed as complete. Now only whole events are relayed, and such an end is answer_truncated.

--- a/azureturn/daemon/_relay.py
+++ b/azureturn/daemon/_relay.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Iterator
 
 from azureturn.errors import AzureturnError, ErrorKind, UpstreamError
-from azureturn.upstreams import StreamedAnswer, error_event
+from azureturn.upstreams import EVENT_LIMIT_BYTES, StreamedAnswer, error_event
+
+_EVENT_END = b"\n\n"
 
 
 class StreamedBody:
@@ -57,6 +59,25 @@
         self._on_end(error)
 
 
+def whole_events(parts: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield the events of a stream in blocks of whole events.
+
+    Raises :class:`UpstreamError` if the stream ends inside an event.
+
+    >>> list(whole_events(iter([b"data: a\\n", b"\\ndata: b\\n\\nda", b"ta: c\\n\\n"])))
+    [b'data: a\\n\\ndata: b\\n\\n', b'data: c\\n\\n']
+    """
+    pending = b""
+    for part in parts:
+        *events, pending = (pending + part).split(_EVENT_END)
+        if len(pending) > EVENT_LIMIT_BYTES:
+            raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "an event exceeds the limit")
+        if events:
+            yield b"".join(event + _EVENT_END for event in events)
+    if pending:
+        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "the stream ended inside an event")
+
+
 def relayed_headers(answer: StreamedAnswer) -> dict[str, str]:
     """Return those headers of another VM's answer that are passed on to the caller."""
     return {
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -21,7 +21,7 @@
 from azureturn.daemon._duplicate_calls import query_claim_holder, settle_call
 from azureturn.daemon._offers import CallerMessage, OfferAdapter
 from azureturn.daemon._outcomes import answered_outcome, unknown_outcome
-from azureturn.daemon._relay import StreamedBody, relayed_headers
+from azureturn.daemon._relay import StreamedBody, relayed_headers, whole_events
 from azureturn.errors import (
     AzureturnError,
     ErrorKind,
@@ -178,7 +178,7 @@
         self._forwarded_to_vm = action.vm
         if self._outgoing.streamed and answer.is_event_stream:
             body = StreamedBody(
-                answer.iter_body(),
+                whole_events(answer.iter_body()),
                 self._request.request_id,
                 close=answer.close,
                 on_end=self._record_end,
--- a/azureturn/upstreams/__init__.py
+++ b/azureturn/upstreams/__init__.py
@@ -10,6 +10,7 @@
     parse_load_report,
 )
 from azureturn.upstreams._events import (
+    EVENT_LIMIT_BYTES,
     EventSplitter,
     Usage,
     check_answer_id,
@@ -23,6 +24,7 @@
 __all__ = [
     "AnswerAssembler",
     "CompleteAnswer",
+    "EVENT_LIMIT_BYTES",
     "EngineOrder",
     "EventSplitter",
     "INCOMPLETE_AT_DEADLINE",
