--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -1,10 +1,14 @@
-"""Checks whether upstreams that could not be reached accept connections again."""
+"""Checks whether upstreams accept connections."""
 
 import queue
 
 from azureturn.errors import UpstreamUnreachableError
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import ProbeConnection, UpstreamReconnected
+from azureturn.gateway.decisions import (
+    ProbeConnection,
+    UpstreamProcessEnded,
+    UpstreamReconnected,
+)
 from azureturn.gateway.exchange import CONNECT_TIMEOUT_MS, UpstreamConnection
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
@@ -33,13 +37,19 @@
 
     def _probe_forever(self) -> None:
         while True:
-            upstream = self._queue.get().upstream
+            action = self._queue.get()
+            upstream = action.upstream
             try:
                 connection = UpstreamConnection.open(
                     upstream.host, upstream.port, timeout_ms=CONNECT_TIMEOUT_MS
                 )
-            except UpstreamUnreachableError:
+            except UpstreamUnreachableError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    if action.after_broken_answer:
+                        self._log.info(LogEvent.UPSTREAM_ENDED, upstream=upstream.name)
+                    self._runtime.submit(UpstreamProcessEnded(upstream.run))
                 continue
             connection.close()
-            self._log.info(LogEvent.UPSTREAM_REACHED, upstream=upstream.name)
+            if not action.after_broken_answer:
+                self._log.info(LogEvent.UPSTREAM_REACHED, upstream=upstream.name)
             self._runtime.submit(UpstreamReconnected(upstream.name))
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -87,9 +87,12 @@
 
 @dataclass(frozen=True)
 class ProbeConnection(Action):
-    """Try to connect to an unreachable upstream.
+    """Try to connect to an upstream.
 
-    A success is reported by :class:`UpstreamReconnected`.
+    A success is reported by :class:`UpstreamReconnected`, and a refused connection by
+    :class:`UpstreamProcessEnded`.
     """
 
     upstream: RegisteredUpstream
+    #: Whether it has just broken off an answer; otherwise it could not be reached before.
+    after_broken_answer: bool = False
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -56,6 +56,14 @@
     upstream: str
 
 
+@dataclass(frozen=True)
+class UpstreamProcessEnded(Event):
+    """A connection probe was refused: no process accepts connections at the upstream's address."""
+
+    #: Name of the upstream and start time of the run that has ended.
+    run: tuple[str, int]
+
+
 @dataclass(frozen=True)
 class RequestReceived(Event):
     """A caller's request was read completely and validated."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -5,6 +5,7 @@
     AllotmentRecordController,
 )
 from azureturn.gateway.decisions.controllers._attempts import AttemptController
+from azureturn.gateway.decisions.controllers._crashes import CrashController
 from azureturn.gateway.decisions.controllers._moves import MoveController
 from azureturn.gateway.decisions.controllers._placement import PlacementController
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
@@ -16,6 +17,7 @@
     "AdmissionController",
     "AllotmentRecordController",
     "AttemptController",
+    "CrashController",
     "MoveController",
     "PlacementController",
     "ReportController",
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -47,7 +47,7 @@
         RetryBudgetTable,
         MoveTable,
     )
-    after = ("admission",)
+    after = ("admission", "crashes")
 
     _probed_at_ms = 0
 
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -64,11 +64,15 @@
         first_event_ms = (
             progress.first_event_at_ms - self._started_at_ms if progress.event_count else -1
         )
+        answering_ms = progress.answering_ms(now_ms())
+        prompt_parts = request.prompt.part_ids if request.prompt else ()
         self._services.log.info(
             LogEvent.ATTEMPT_ENDED,
             request_id=request.request_id,
             upstream=action.upstream.name,
             result=result.value,
+            prompt_parts=",".join(prompt_parts),
+            answering_ms=-1 if answering_ms is None else answering_ms,
             first_event_ms=first_event_ms,
             events=progress.event_count,
             framing=progress.framing.value if progress.framing else "",
--- a/azureturn/gateway/exchange/_response_progress.py
+++ b/azureturn/gateway/exchange/_response_progress.py
@@ -9,6 +9,7 @@
     def __init__(self) -> None:
         #: How the end of the body is marked; None until the head has been received.
         self.framing: BodyFraming | None = None
+        self._head_at_ms = 0
         self.event_count = 0
         #: Size of the received part of an event that is not complete yet.
         self.partial_event_bytes = 0
@@ -21,6 +22,15 @@
         """Return the time from the first event to the last one so far."""
         return self._last_event_at_ms - self.first_event_at_ms
 
+    def record_head(self, framing: BodyFraming, at_ms: int) -> None:
+        """Record that the head of the response was received at ``at_ms``."""
+        self.framing = framing
+        self._head_at_ms = at_ms
+
+    def answering_ms(self, at_ms: int) -> int | None:
+        """Return the time from the head of the response to ``at_ms``; None without a head."""
+        return None if self.framing is None else at_ms - self._head_at_ms
+
     def record(self, event_count: int, at_ms: int) -> None:
         """Count events that arrived together at ``at_ms``."""
         if not self.event_count:
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -24,6 +24,11 @@
     #: In the order of the prompt. The last part occurs only in this request or its session.
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Return the ids of the parts, in the order of the prompt."""
+        return tuple(part.part_id for part in self.parts)
+
 
 @dataclass(frozen=True)
 class RequestFacts:
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -33,6 +33,7 @@
     EXCHANGE_ENDED = "exchange_ended"
     UPSTREAM_CHANGED = "upstream_changed"
     UPSTREAM_REACHED = "upstream_reached"
+    UPSTREAM_ENDED = "upstream_ended"
     DOCUMENT_REFUSED = "document_refused"
     KEY_VALUE_REGAINED = "key_value_regained"
     STORE_HISTORY_LOST = "store_history_lost"
@@ -139,6 +140,8 @@
                 "request_id",
                 "upstream",
                 "result",
+                "prompt_parts",
+                "answering_ms",
                 "first_event_ms",
                 "longest_pause_ms",
                 "events",
@@ -173,6 +176,10 @@
         LogEvent.UPSTREAM_REACHED: LogEventDefinition(
             "An upstream that was unreachable accepts connections again.", ("upstream",)
         ),
+        LogEvent.UPSTREAM_ENDED: LogEventDefinition(
+            "An upstream refuses connections after it broke off an answer: its process has ended.",
+            ("upstream",),
+        ),
         LogEvent.DOCUMENT_REFUSED: _error_definition(
             "A document in the store cannot be read and was ignored.", "key", "error"
         ),
@@ -261,6 +268,9 @@
         "report_age_ms": "Age of the oldest peer report used for the estimate; -1 without peers.",
         "result": "Result of the attempt.",
         "longest_pause_ms": "Longest time between two events of a stream.",
+        "prompt_parts": "Ids of the parts of the request's prompt, separated by commas.",
+        "answering_ms": "Time from the head of the response to the end of the attempt; -1 if there "
+        "was no head.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
         "events": "Number of events received.",
         "framing": "How the end of the body is marked; empty without a response.",
