--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -97,6 +97,8 @@
     streamed_ms: int = 0
     #: Whether another attempt can provide the rest of the response.
     is_resumable: bool = True
+    #: Time from the head of the response to the end of the attempt; None if there was no head.
+    answering_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -38,6 +38,7 @@
 )
 
 STARTED_UNIX_MS = 1_780_000_000_000
+_FIRST_MS = 1_000
 ENGINE = EngineCapacity(slots=4, memory_tokens=100_000, tokens_per_event=5)
 STREAM_ROUTE = Route(
     name="report",
@@ -163,9 +164,17 @@
 class GatewayCoreHarness:
     """The decision core of one VM, with a clock that is set by the test."""
 
-    def __init__(self, first_view: SiteView, *, is_first_start: bool = True) -> None:
+    def __init__(
+        self,
+        first_view: SiteView,
+        *,
+        is_first_start: bool = True,
+        vm_name: str = "vm-1",
+        now_ms: int = _FIRST_MS,
+        seed: int = 1,
+    ) -> None:
         vm = GatewayVm(
-            "vm-1", "a", "10.0.1.1", "10.0.1.1", 1, "10.0.1.1", 2, 3, is_first_start=is_first_start
+            vm_name, "a", "10.0.1.1", "10.0.1.1", 1, "10.0.1.1", 2, 3, is_first_start=is_first_start
         )
         bounds = GatewayBounds(
             stop_limit_ms=8_000,
@@ -174,9 +183,9 @@
             move=MoveBounds(share=0.1),
         )
         self.settings = GatewaySettings(vm, bounds)
-        self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=1)
-        self.now_ms = 1_000
-        self.handle_event(GatewayStarted("vm-1", STARTED_UNIX_MS))
+        self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=seed)
+        self.now_ms = now_ms
+        self.handle_event(GatewayStarted(vm_name, STARTED_UNIX_MS + now_ms - _FIRST_MS))
         self.stored_documents = first_view.stored_documents
         self.handle_event(ViewChanged(first_view))
 
--- /dev/null
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -0,0 +1,264 @@
+"""A simulated site for tests: several decision cores with their peers, a store and engines.
+
+Messages take a few simulated milliseconds. Engines answer every request after a while, except that
+a request with the crashing part ends the engine that begins to answer it; a new engine takes its
+place some seconds later.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from azureturn.framework import Action, AwaitPlacement, Refuse, Tick
+from azureturn.gateway.decisions import (
+    AttemptEnded,
+    AttemptResult,
+    FirstEventReceived,
+    PeerReportReceived,
+    ProbeConnection,
+    RequestClosed,
+    RequestReceived,
+    ReturnLastResult,
+    SendAttempt,
+    SendReport,
+    UpstreamProcessEnded,
+    UpstreamReconnected,
+    ViewChanged,
+)
+from azureturn.gateway.decisions.tests.gateway_core_harness import (
+    GatewayCoreHarness,
+    request,
+    upstream,
+    view,
+)
+from azureturn.gateway.site import Prompt, PromptPart, SiteView
+
+_TICK_MS = 50
+_MESSAGE_MS = 5
+#: Time from the arrival of a request at an engine to the head of its response.
+_HEAD_MS = 60
+#: Time from the head to the end of the engine, for a request with the crashing part.
+_CRASH_MS = 70
+_FIRST_EVENT_MS = 20
+_ANSWER_MS = (100, 1_500)
+_LAPSE_MS = 2_500
+_RESTART_MS = 3_000
+_PART_TOKENS = 100
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an engine."""
+
+    at_ms: int
+    vm: int
+    upstream: str
+    request_id: str
+    parts: tuple[str, ...]
+
+
+@dataclass
+class _EngineAttempt:
+    vm: int
+    request_id: str
+    parts: tuple[str, ...]
+    head_at_ms: int
+    is_over: bool = False
+
+
+@dataclass
+class _Engine:
+    name: str
+    is_up: bool = True
+    attempts: list[_EngineAttempt] = field(default_factory=list)
+
+
+class SimulatedSite:
+    """Runs the cores of several VMs against simulated engines, on one simulated clock."""
+
+    def __init__(
+        self, *, vm_count: int, engine_count: int, crashing_part: str = "", seed: int = 1
+    ) -> None:
+        self._random = random.Random(seed)
+        self._crashing_part = crashing_part
+        self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
+        self._schedule_count = 0
+        self._engines = {f"e-{n}": _Engine(f"e-{n}") for n in range(engine_count)}
+        self._registered = dict.fromkeys(self._engines)
+        self._revision = 10
+        self._parts: dict[str, tuple[str, ...]] = {}
+        #: VMs that exchange no reports with the others.
+        self.vms_without_peers: set[int] = set()
+        #: VMs that receive no changes of the store.
+        self.vms_without_store: set[int] = set()
+        self.now_ms = 1_000
+        #: Times at which callers sent requests, by request id.
+        self.sent_at_ms: dict[str, int] = {}
+        self.arrivals: list[Arrival] = []
+        self.crashed_at_ms: list[int] = []
+        #: Attempts made for each answered request.
+        self.answered: dict[str, int] = {}
+        self.refused: dict[str, Refuse] = {}
+        self.vms = [self._new_vm(number) for number in range(vm_count)]
+        self._after(_TICK_MS, self._tick)
+
+    def run_until(self, at_ms: int) -> None:
+        """Advance the clock."""
+        while self._scheduled and self._scheduled[0][0] <= at_ms:
+            self.now_ms, _, callback = heapq.heappop(self._scheduled)
+            callback()
+        self.now_ms = at_ms
+
+    def send(self, vm: int, request_id: str, *part_ids: str) -> None:
+        """Let a caller send a request whose prompt has these parts."""
+        parts = tuple(PromptPart(part_id, _PART_TOKENS) for part_id in part_ids)
+        prompt = Prompt("m", _PART_TOKENS * len(parts), 100, 50, parts)
+        self._parts[request_id] = part_ids
+        self.sent_at_ms[request_id] = self.now_ms
+        received = request(request_id, arrived_at_ms=self.now_ms, prompt=prompt)
+        self._handle(vm, RequestReceived(received))
+
+    def restart_vm(self, number: int) -> None:
+        """Replace a VM's process by a new one that knows only what the store holds."""
+        self.vms[number] = self._new_vm(number, is_first_start=False)
+
+    def arrivals_with(self, part: str, *, after_ms: int) -> list[Arrival]:
+        """Return the arrivals of requests with this part that came later than ``after_ms``."""
+        return [row for row in self.arrivals if part in row.parts and row.at_ms > after_ms]
+
+    def _new_vm(self, number: int, *, is_first_start: bool = True) -> GatewayCoreHarness:
+        return GatewayCoreHarness(
+            self._view(),
+            is_first_start=is_first_start,
+            vm_name=f"vm-{number}",
+            now_ms=self.now_ms,
+            seed=self._random.getrandbits(32),
+        )
+
+    def _view(self) -> SiteView:
+        return view(*(upstream(name) for name in self._registered), revision=self._revision)
+
+    def _after(self, delay_ms: int, callback: Callable[[], None]) -> None:
+        self._schedule_count += 1
+        heapq.heappush(self._scheduled, (self.now_ms + delay_ms, self._schedule_count, callback))
+
+    def _tick(self) -> None:
+        for number in range(len(self.vms)):
+            self._handle(number, Tick())
+        self._after(_TICK_MS, self._tick)
+
+    def _handle(self, number: int, event: object) -> None:
+        vm = self.vms[number]
+        for action in vm.handle_event(event, at_ms=self.now_ms):  # type: ignore[arg-type]
+            self._carry_out(number, action)
+
+    def _carry_out(self, number: int, action: Action) -> None:
+        if isinstance(action, SendAttempt):
+            self._after(
+                _MESSAGE_MS,
+                lambda: self._arrive(number, action.upstream.name, action.request_id),
+            )
+        elif isinstance(action, SendReport):
+            self._after(_MESSAGE_MS, lambda: self._deliver(number, action))
+        elif isinstance(action, ProbeConnection):
+            self._after(_MESSAGE_MS, lambda: self._probe(number, action))
+        elif isinstance(action, Refuse):
+            self.refused[action.request_id] = action
+            self._close(number, action.request_id)
+        elif isinstance(action, ReturnLastResult):
+            self._close(number, action.request_id)
+        else:
+            assert isinstance(action, AwaitPlacement), action
+
+    def _close(self, number: int, request_id: str) -> None:
+        self._after(0, lambda: self._handle(number, RequestClosed(request_id)))
+
+    def _deliver(self, sender: int, action: SendReport) -> None:
+        for number in range(len(self.vms)):
+            if number != sender and not self.vms_without_peers & {number, sender}:
+                self._handle(number, PeerReportReceived(action.report))
+
+    def _probe(self, number: int, action: ProbeConnection) -> None:
+        if self._engines[action.upstream.name].is_up:
+            self._handle(number, UpstreamReconnected(action.upstream.name))
+        else:
+            self._handle(number, UpstreamProcessEnded(action.upstream.run))
+
+    def _arrive(self, number: int, engine_name: str, request_id: str) -> None:
+        engine = self._engines[engine_name]
+        if not engine.is_up:
+            self._handle(number, AttemptEnded(request_id, AttemptResult.UNREACHABLE))
+            return
+        parts = self._parts[request_id]
+        self.arrivals.append(Arrival(self.now_ms, number, engine_name, request_id, parts))
+        attempt = _EngineAttempt(number, request_id, parts, self.now_ms + _HEAD_MS)
+        engine.attempts.append(attempt)
+        if self._crashing_part in parts:
+            self._after(_HEAD_MS + _CRASH_MS, lambda: self._crash(engine))
+            return
+        first_event_ms = _HEAD_MS + _FIRST_EVENT_MS
+        self._after(first_event_ms, lambda: self._first_event(attempt))
+        answer_ms = first_event_ms + self._random.randint(*_ANSWER_MS)
+        self._after(answer_ms, lambda: self._answer(engine, attempt))
+
+    def _first_event(self, attempt: _EngineAttempt) -> None:
+        if not attempt.is_over:
+            self._handle(attempt.vm, FirstEventReceived(attempt.request_id))
+
+    def _answer(self, engine: _Engine, attempt: _EngineAttempt) -> None:
+        if attempt.is_over:
+            return
+        engine.attempts.remove(attempt)
+        attempt.is_over = True
+        attempts = sum(row.request_id == attempt.request_id for row in self.arrivals)
+        self.answered[attempt.request_id] = attempts
+        answering_ms = self.now_ms - attempt.head_at_ms
+        self._handle(
+            attempt.vm,
+            AttemptEnded(
+                attempt.request_id,
+                AttemptResult.ANSWERED,
+                event_count=5,
+                streamed_ms=answering_ms,
+                answering_ms=answering_ms,
+            ),
+        )
+        self._close(attempt.vm, attempt.request_id)
+
+    def _crash(self, engine: _Engine) -> None:
+        if not engine.is_up:
+            return
+        engine.is_up = False
+        self.crashed_at_ms.append(self.now_ms)
+        attempts, engine.attempts = engine.attempts, []
+        for attempt in attempts:
+            attempt.is_over = True
+            answering_ms = self.now_ms - attempt.head_at_ms
+            self._after(_MESSAGE_MS, self._broken(attempt, answering_ms))
+        self._after(_LAPSE_MS, lambda: self._unregister(engine))
+        self._after(_RESTART_MS, self._start_engine)
+
+    def _broken(self, attempt: _EngineAttempt, answering_ms: int) -> Callable[[], None]:
+        event = AttemptEnded(
+            attempt.request_id,
+            AttemptResult.BROKEN,
+            answering_ms=answering_ms if answering_ms >= 0 else None,
+        )
+        return lambda: self._handle(attempt.vm, event)
+
+    def _unregister(self, engine: _Engine) -> None:
+        del self._registered[engine.name]
+        self._publish()
+
+    def _start_engine(self) -> None:
+        engine = _Engine(f"e-{len(self._engines)}")
+        self._engines[engine.name] = engine
+        self._registered[engine.name] = None
+        self._publish()
+
+    def _publish(self) -> None:
+        self._revision += 1
+        changed = ViewChanged(self._view())
+        for number in set(range(len(self.vms))) - self.vms_without_store:
+            self._handle(number, changed)
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -226,6 +226,7 @@
                 progress.event_count,
                 progress.streamed_ms,
                 self._stream_relay.is_resumable,
+                progress.answering_ms(now_ms()),
             )
         )
         if result is AttemptResult.ABANDONED:
