--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -18,11 +18,13 @@
     FetchView,
     GatewayStarted,
     LogAllotmentRestore,
+    LogQuarantineChange,
     ProbeConnection,
     SendReport,
     VmLeaving,
     WriteAllotmentRecord,
     WriteMoveStatus,
+    WriteQuarantineRecord,
 )
 from azureturn.gateway.exchange import (
     ExchangeServices,
@@ -127,6 +129,8 @@
         self._runtime.register_handler(FetchView, self._view_fetcher.enqueue)
         self._runtime.register_handler(WriteMoveStatus, self._writer.enqueue)
         self._runtime.register_handler(WriteAllotmentRecord, self._writer.enqueue)
+        self._runtime.register_handler(WriteQuarantineRecord, self._writer.enqueue)
+        self._runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
 
     @property
     def settings(self) -> GatewaySettings:
@@ -227,6 +231,15 @@
             outcome="relied on" if action.record_used else "guessed",
         )
 
+    def _log_quarantine_change(self, action: LogQuarantineChange) -> None:
+        self._log.info(
+            LogEvent.QUARANTINE_CHANGED,
+            prompt_parts=",".join(sorted(action.part_ids)),
+            source=action.source,
+            crashes=action.crashes,
+            outcome=action.outcome,
+        )
+
     def _close_idle_connections(self) -> None:
         while True:
             time.sleep(_IDLE_CHECK_INTERVAL_S)
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -1,6 +1,7 @@
 """Conversion between peer reports and the Thrift structs in which they are sent."""
 
 from azureturn.gateway.decisions import (
+    CrashReport,
     MoveReport,
     OutstandingWork,
     PeerReport,
@@ -9,11 +10,14 @@
     StreamPace,
     VersionCount,
 )
-from azureturn.gateway.site import AllotmentUsage, PromptPart
+from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedPrompt
 from azureturn.peers import (
     AllotmentSpent,
+    CrashSeen,
     GatewayReport,
     MoveSeen,
+    PartCleared,
+    PromptQuarantined,
     PromptSent,
     TierWaiting,
     UpstreamWork,
@@ -63,6 +67,17 @@
             TierWaiting(service, waiting.tier_rank, waiting.requests, waiting.deadline_in_ms)
             for service, waiting in report.waiting.items()
         ],
+        crashes=[
+            CrashSeen(*crash.run, crash.age_ms, [sorted(prompt) for prompt in crash.prompts])
+            for crash in report.crashes
+        ],
+        cleared_parts=[
+            PartCleared(part_id, age_ms) for part_id, age_ms in report.cleared_parts_ms.items()
+        ],
+        quarantined=[
+            PromptQuarantined(sorted(prompt.part_ids), prompt.since_unix_ms)
+            for prompt in report.quarantined
+        ],
     )
 
 
@@ -108,9 +123,20 @@
             row.service_name: QueueReport(row.tier_rank, row.requests, row.deadline_in_ms)
             for row in wire.waiting or ()
         },
+        crashes=tuple(_crash_from_wire(row) for row in wire.crashes or ()),
+        cleared_parts_ms={row.part_id: row.age_ms for row in wire.cleared_parts or ()},
+        quarantined=tuple(
+            QuarantinedPrompt(frozenset(row.part_ids), row.since_unix_ms)
+            for row in wire.quarantined or ()
+        ),
     )
 
 
+def _crash_from_wire(row: CrashSeen) -> CrashReport:
+    prompts = tuple(frozenset(part_ids) for part_ids in row.prompts or ())
+    return CrashReport((row.upstream, row.started_unix_ms), row.age_ms, prompts)
+
+
 def _version_to_wire(service: str, version: str, count: VersionCount) -> VersionSeen:
     return VersionSeen(
         service_name=service,
--- a/azureturn/gateway/daemon/_store_writer.py
+++ b/azureturn/gateway/daemon/_store_writer.py
@@ -1,4 +1,4 @@
-"""Writes to the store: this VM's address, statuses of version moves, and allotment records."""
+"""Writes to the store: this VM's address, statuses of version moves, and shared records."""
 
 import queue
 import threading
@@ -7,7 +7,11 @@
 from azureturn.errors import CompareFailedError, PlatformError
 from azureturn.gateway.daemon._store_watcher import ViewHolder
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import WriteAllotmentRecord, WriteMoveStatus
+from azureturn.gateway.decisions import (
+    WriteAllotmentRecord,
+    WriteMoveStatus,
+    WriteQuarantineRecord,
+)
 from azureturn.gateway.settings import GatewayVm
 from azureturn.gateway.site import DocumentCodec, RegisteredVm
 from azureturn.observability import EventLog, LogEvent
@@ -17,6 +21,8 @@
 _REGISTRATION_RETRY_S = 2.0
 _MS_PER_S = 1_000
 
+_Write = WriteMoveStatus | WriteAllotmentRecord | WriteQuarantineRecord
+
 
 class StoreWriter:
     """A thread that makes conditional writes; a write without a response is never sent again.
@@ -36,14 +42,14 @@
         self._view_holder = view_holder
         self._documents = documents
         self._log = log
-        self._queue: queue.Queue[WriteMoveStatus | WriteAllotmentRecord] = queue.Queue(_QUEUE_LIMIT)
+        self._queue: queue.Queue[_Write] = queue.Queue(_QUEUE_LIMIT)
 
     def start(self, vm: GatewayVm) -> None:
         """Start writing, and register this VM's address."""
         run_forever(self._write_forever, "store-writer", self._log)
         threading.Thread(target=self._register, args=(vm,), name="register", daemon=True).start()
 
-    def enqueue(self, action: WriteMoveStatus | WriteAllotmentRecord) -> None:
+    def enqueue(self, action: _Write) -> None:
         """Queue the write of a document without blocking."""
         try:
             self._queue.put_nowait(action)
@@ -56,8 +62,10 @@
             action = self._queue.get()
             if isinstance(action, WriteMoveStatus):
                 self._write_move_status(action)
-            else:
+            elif isinstance(action, WriteAllotmentRecord):
                 self._write_allotment_record(action)
+            else:
+                self._write_quarantine_record(action)
 
     def _write_move_status(self, action: WriteMoveStatus) -> None:
         key, value = self._documents.encode_status(action.status)
@@ -82,6 +90,16 @@
             outcome=outcome,
         )
 
+    def _write_quarantine_record(self, action: WriteQuarantineRecord) -> None:
+        key, value = self._documents.encode_quarantine_record(action.record)
+        outcome = self._write(key, value, action.expected_revision)
+        self._log.info(
+            LogEvent.QUARANTINE_RECORD_WRITTEN,
+            prompts=len(action.record.prompts),
+            revision=action.expected_revision,
+            outcome=outcome,
+        )
+
     def _write(self, key: str, value: bytes, expected_revision: int) -> str:
         try:
             self._store.compare_and_swap(key, value, expected_revision=expected_revision)
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -3,6 +3,7 @@
 from azureturn.gateway.decisions._actions import (
     FetchView,
     LogAllotmentRestore,
+    LogQuarantineChange,
     PlacementReason,
     ProbeConnection,
     ReturnLastResult,
@@ -10,7 +11,9 @@
     SendReport,
     WriteAllotmentRecord,
     WriteMoveStatus,
+    WriteQuarantineRecord,
 )
+from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
     AttemptResult,
@@ -35,6 +38,7 @@
     VersionCount,
 )
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
+from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
@@ -43,6 +47,7 @@
 __all__ = [
     "AttemptEnded",
     "AttemptResult",
+    "CrashReport",
     "FetchView",
     "FirstEventReceived",
     "GATEWAY_CONTROLLERS",
@@ -51,6 +56,7 @@
     "GatewayRequestTable",
     "GatewayStarted",
     "LogAllotmentRestore",
+    "LogQuarantineChange",
     "MoveReport",
     "OutstandingWork",
     "PeerReport",
@@ -58,6 +64,7 @@
     "PeerTable",
     "PlacementReason",
     "ProbeConnection",
+    "QuarantineTable",
     "QueueReport",
     "RequestClosed",
     "RequestReceived",
@@ -78,4 +85,5 @@
     "VmLeaving",
     "WriteAllotmentRecord",
     "WriteMoveStatus",
+    "WriteQuarantineRecord",
 ]
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -4,7 +4,12 @@
 
 from azureturn.framework import Action, RequestAction
 from azureturn.gateway.decisions._peers import PeerReport
-from azureturn.gateway.site import AllotmentRecord, MoveStatus, RegisteredUpstream
+from azureturn.gateway.site import (
+    AllotmentRecord,
+    MoveStatus,
+    QuarantineRecord,
+    RegisteredUpstream,
+)
 
 
 @dataclass(frozen=True)
@@ -74,6 +79,26 @@
     expected_revision: int
 
 
+@dataclass(frozen=True)
+class WriteQuarantineRecord(Action):
+    """Write the quarantine record if the record in the store still has the expected revision."""
+
+    record: QuarantineRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True)
+class LogQuarantineChange(Action):
+    """Log that a prompt was put into quarantine, or that a quarantine ended."""
+
+    part_ids: frozenset[str]
+    #: Who found it or ended it: this VM, a peer or the store.
+    source: str
+    #: Number of engines' runs that ended under the prompt, as far as this VM knows.
+    crashes: int
+    outcome: str
+
+
 @dataclass(frozen=True)
 class LogAllotmentRestore(Action):
     """Log which allotment usage was restored from before this process started."""
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -101,6 +101,13 @@
     answering_ms: int | None = None
 
 
+@dataclass(frozen=True)
+class PromptQuarantined(Event):
+    """A prompt was put into quarantine (posted by controllers)."""
+
+    part_ids: frozenset[str]
+
+
 @dataclass(frozen=True)
 class RequestClosed(Event):
     """A request has received its final answer, or its caller has disconnected."""
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -5,8 +5,9 @@
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
+from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
-from azureturn.gateway.site import AllotmentUsage
+from azureturn.gateway.site import AllotmentUsage, QuarantinedPrompt
 
 #: A peer is live, that is, assumed to run and to be reachable, until its last report is older than
 #: this many report intervals.
@@ -137,6 +138,12 @@
     availability_zone: str = ""
     #: Queued requests, by service.
     waiting: dict[str, QueueReport] = field(default_factory=dict)
+    #: Recent ends of engines that broke off answers to this VM.
+    crashes: tuple[CrashReport, ...] = ()
+    #: Parts of prompts that were answered, of those that are suspected of ending engines, with the
+    #: time since then.
+    cleared_parts_ms: dict[str, int] = field(default_factory=dict)
+    quarantined: tuple[QuarantinedPrompt, ...] = ()
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy with the given value of ``strained``."""
@@ -195,6 +202,13 @@
         """Return the names of the live VMs, including this one."""
         return frozenset({self.own_name, *(peer.report.vm for peer in self.live_peers(now_ms))})
 
+    def vms_ahead(self, now_ms: int) -> int:
+        """Return the number of live VMs whose names sort before this VM's.
+
+        VMs that would all make the same write wait in this order, so that usually only one writes.
+        """
+        return sum(peer.report.vm < self.own_name for peer in self.live_peers(now_ms))
+
     def vms(self, now_ms: int) -> int:
         """Return the number of known VMs, live or not, including this one."""
         known = set(self._rows)
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -6,7 +6,7 @@
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
 from azureturn.gateway.settings import EnginePolicy
-from azureturn.gateway.site import Prompt, Route
+from azureturn.gateway.site import Prompt, RegisteredUpstream, Route
 
 #: Factor on the expected time to the first event, as a margin for work queued ahead.
 _FIRST_EVENT_TIME_FACTOR = 1.3
@@ -53,6 +53,8 @@
     stage: Stage = Stage.QUEUED
     #: Name of the upstream that it was sent to; empty while it is queued.
     upstream: str = ""
+    #: Name of that upstream and start time of its run.
+    upstream_run: tuple[str, int] = ("", 0)
     version: str = ""
     #: Number of ended attempts in which the upstream ran the request, or may have run it.
     run_attempts: int = 0
@@ -95,18 +97,19 @@
         return changed(self, is_late=True)
 
     def with_sent(
-        self, upstream: str, *, version: str, now_ms: int, pending_tokens: int
+        self, upstream: RegisteredUpstream, *, now_ms: int, pending_tokens: int
     ) -> "GatewayRequest":
         """Return a copy that has been sent to an upstream."""
         return changed(
             self,
             stage=Stage.SENT,
-            upstream=upstream,
-            version=version,
+            upstream=upstream.name,
+            upstream_run=upstream.run,
+            version=upstream.version,
             sent_at_ms=now_ms,
             first_event_at_ms=0,
             pending_tokens=pending_tokens,
-            tried_upstreams=(*self.tried_upstreams, upstream),
+            tried_upstreams=(*self.tried_upstreams, upstream.name),
         )
 
     def with_first_event(self, now_ms: int) -> "GatewayRequest":
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -8,6 +8,7 @@
 from azureturn.gateway.decisions.controllers._crashes import CrashController
 from azureturn.gateway.decisions.controllers._moves import MoveController
 from azureturn.gateway.decisions.controllers._placement import PlacementController
+from azureturn.gateway.decisions.controllers._quarantine import QuarantineController
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
 from azureturn.gateway.decisions.controllers._reports import ReportController
 from azureturn.gateway.decisions.controllers._views import ViewController
@@ -20,6 +21,7 @@
     "CrashController",
     "MoveController",
     "PlacementController",
+    "QuarantineController",
     "ReportController",
     "ViewController",
 ]
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -2,15 +2,18 @@
 
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.framework import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
+from azureturn.gateway.decisions._actions import ReturnLastResult
 from azureturn.gateway.decisions._allotments import AllotmentTable, LiveVms
 from azureturn.gateway.decisions._caller_timeouts import CallerTimeoutTable
 from azureturn.gateway.decisions._events import (
     PlacementRequested,
+    PromptQuarantined,
     ReportRequested,
     RequestClosed,
     RequestReceived,
 )
 from azureturn.gateway.decisions._peers import URGENT_INTERVAL_MS, PeerTable
+from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryBudgetTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -18,7 +21,7 @@
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import Allotment
+from azureturn.gateway.site import Allotment, QuarantinedPrompt
 
 _MS_PER_S = 1_000.0
 _MIN_RETRY_AFTER_MS = 200
@@ -26,6 +29,8 @@
 #: A queued request is refused this long before its time limit, so that the refusal can still be
 #: sent.
 _ANSWER_MARGIN_MS = 20
+#: Maximum Retry-After of a request whose prompt is in quarantine; the quarantine may end early.
+_MAX_QUARANTINE_RETRY_MS = 60_000
 
 
 @gateway_controller("admission")
@@ -34,6 +39,7 @@
 
     reads = (ViewTable, PeerTable)
     writes = (
+        QuarantineTable,
         GatewayRequestTable,
         GatewayQueueTable,
         AllotmentTable,
@@ -46,6 +52,10 @@
     @on(RequestReceived)
     def _on_request_received(self, event: RequestReceived, context: Context) -> None:
         request = self._with_prior_wait(event.request, context.now_ms)
+        quarantined = self.board.read(QuarantineTable).match(request.prompt)
+        if quarantined is not None and not self._may_try(quarantined, context.now_ms):
+            self._refuse_quarantined(request, quarantined, context)
+            return
         if not self._admit_within_allotment(request, context):
             return
         retries = self.board.write(RetryBudgetTable)
@@ -83,6 +93,16 @@
             if len(queue):
                 context.post(PlacementRequested(service))
 
+    @on(PromptQuarantined)
+    def _on_prompt_quarantined(self, event: PromptQuarantined, context: Context) -> None:
+        """Take the requests that are now in quarantine out of the queues."""
+        for _, queue in self.board.write(GatewayQueueTable).items():
+            for request in list(queue.requests()):
+                quarantined = self.board.read(QuarantineTable).match(request.prompt)
+                if quarantined is not None:
+                    queue.remove(request)
+                    self._end_quarantined(request, quarantined, context)
+
     @on(RequestClosed)
     def _on_request_closed(self, event: RequestClosed, context: Context) -> None:
         request = self.board.read(GatewayRequestTable).get(event.request_id)
@@ -181,6 +201,44 @@
         queue_until_ms = int(request.arrived_at_ms + queue_limit_ms)
         return min(request.ends_at_ms - _ANSWER_MARGIN_MS, queue_until_ms)
 
+    def _may_try(self, quarantined: QuarantinedPrompt, now_ms: int) -> bool:
+        """Return whether a request with a quarantined prompt may be sent as a trial.
+
+        Only the first live VM in the order of names makes trials.
+        """
+        peers = self.board.read(PeerTable)
+        if peers.vms_ahead(now_ms):
+            return False
+        return self.board.write(QuarantineTable).take_trial(quarantined, peers.unix_ms(now_ms))
+
+    def _end_quarantined(
+        self, request: GatewayRequest, quarantined: QuarantinedPrompt, context: Context
+    ) -> None:
+        """End a request that was queued when its prompt was put into quarantine."""
+        if not request.run_attempts:
+            self._refund(request, context)
+            self._refuse_quarantined(request, quarantined, context)
+            return
+        self.board.write(GatewayRequestTable).remove(request.request_id)
+        context.act(ReturnLastResult(request.request_id, "prompt is in quarantine"))
+
+    def _refuse_quarantined(
+        self, request: GatewayRequest, quarantined: QuarantinedPrompt, context: Context
+    ) -> None:
+        self.board.write(GatewayRequestTable).remove(request.request_id)
+        unix_ms = self.board.read(PeerTable).unix_ms(context.now_ms)
+        time_left_ms = self.board.read(QuarantineTable).time_left_ms(quarantined, unix_ms)
+        retry_after_ms = min(_MAX_QUARANTINE_RETRY_MS, max(_MIN_RETRY_AFTER_MS, time_left_ms))
+        parts = ",".join(sorted(quarantined.part_ids))
+        context.act(
+            Refuse(
+                request.request_id,
+                ErrorKind.PROMPT_QUARANTINED,
+                retry_after_ms,
+                detail=f"parts {parts}",
+            )
+        )
+
     def _refuse(
         self, request: GatewayRequest, kind: ErrorKind, wait_ms: int, context: Context
     ) -> None:
--- a/azureturn/gateway/decisions/controllers/_allotment_records.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_records.py
@@ -71,10 +71,7 @@
         interval_ms = _URGENT_INTERVAL_MS if is_near_limit else _INTERVAL_MS
         if record_age_ms < interval_ms:
             return False
-        own_name = self.settings.vm.name
-        vms_ahead = sum(
-            name < own_name for name in self.board.read(PeerTable).live_vm_names(now_ms)
-        )
+        vms_ahead = self.board.read(PeerTable).vms_ahead(now_ms)
         return record_age_ms >= interval_ms + vms_ahead * _STAGGER_MS
 
     def _restore(self, context: Context) -> None:
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -12,6 +12,7 @@
     UpstreamReconnected,
 )
 from azureturn.gateway.decisions._moves import MoveTable
+from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryBudgetTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -39,7 +40,7 @@
 class AttemptController(GatewayController):
     """Retries a request unless it may have run already and its route forbids a second run."""
 
-    reads = (ViewTable,)
+    reads = (ViewTable, QuarantineTable)
     writes = (
         GatewayRequestTable,
         GatewayQueueTable,
@@ -122,6 +123,8 @@
         """Return why the request is not retried; an empty string means that it is retried."""
         if not event.is_resumable:
             return "events without a number have been relayed"
+        if self.board.read(QuarantineTable).match(request.prompt):
+            return "prompt is in quarantine"
         if ran and not request.may_repeat:
             return "route does not allow a second run"
         if ran and request.run_attempts + 1 >= request.route.attempts:
--- a/azureturn/gateway/decisions/controllers/_crashes.py
+++ b/azureturn/gateway/decisions/controllers/_crashes.py
@@ -1,32 +1,112 @@
-"""Finds out which upstreams' processes ended while they answered requests."""
+"""Collects what this VM and its peers see of engines that end while they answer requests."""
 
-from azureturn.framework import Context, on
+from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import ProbeConnection
-from azureturn.gateway.decisions._crashes import CrashTable
-from azureturn.gateway.decisions._events import AttemptEnded, AttemptResult
-from azureturn.gateway.decisions._requests import GatewayRequestTable
+from azureturn.gateway.decisions._crashes import (
+    CLEARED_ANSWERING_MS,
+    SUSPECT_ANSWERING_MS,
+    CrashTable,
+)
+from azureturn.gateway.decisions._events import (
+    AttemptEnded,
+    AttemptResult,
+    PeerReportReceived,
+    ReportRequested,
+    UpstreamProcessEnded,
+)
+from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import ViewTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
 )
 
+#: Interval at which requests that are being answered are looked through for parts to clear.
+_CLEARING_INTERVAL_MS = 250
+
 
 @gateway_controller("crashes")
 class CrashController(GatewayController):
-    """Probes each upstream that broke off an answer; one that refuses connections has ended."""
+    """Records which prompts an engine had just begun to answer when its process ended.
+
+    An upstream that breaks off an answer is probed; if it refuses the connection, its process has
+    ended.
+    """
 
     reads = (GatewayRequestTable, ViewTable)
     writes = (CrashTable,)
     after = ("admission",)
 
+    _cleared_at_ms = 0
+
     @on(AttemptEnded)
     def _on_attempt_ended(self, event: AttemptEnded, context: Context) -> None:
         request = self.board.read(GatewayRequestTable).get(event.request_id)
-        if request is None or event.result is not AttemptResult.BROKEN:
+        if request is None or request.stage is not Stage.SENT:
             return
-        upstream = self.board.read(ViewTable).current().upstreams.get(request.upstream)
-        if upstream is None:
+        if event.result is AttemptResult.BROKEN:
+            suspect = _suspect(request, event.answering_ms)
+            self.board.write(CrashTable).record_broken(
+                request.upstream_run, suspect, context.now_ms
+            )
+            self._probe(request, context)
+        if event.result is AttemptResult.UNREACHABLE:
+            self._confirm(request.upstream_run, context)
+        is_long_answer = (event.answering_ms or 0) >= CLEARED_ANSWERING_MS
+        if event.result is AttemptResult.ANSWERED or is_long_answer:
+            self._record_cleared(request, context.now_ms)
+
+    @on(UpstreamProcessEnded)
+    def _on_process_ended(self, event: UpstreamProcessEnded, context: Context) -> None:
+        self._confirm(event.run, context)
+
+    @on(PeerReportReceived)
+    def _on_peer_report(self, event: PeerReportReceived, context: Context) -> None:
+        report = event.report
+        if report.vm == self.settings.vm.name:
+            return
+        crashes = self.board.write(CrashTable)
+        for crash in report.crashes:
+            crashes.record_report(report.vm, crash, context.now_ms)
+        for part_id, age_ms in report.cleared_parts_ms.items():
+            crashes.record_cleared((part_id,), context.now_ms - age_ms)
+
+    @on(Tick)
+    def _on_tick(self, event: Tick, context: Context) -> None:
+        """Clear the parts of requests that have been answered for long enough."""
+        if not len(self.board.read(CrashTable)):
+            return
+        if context.now_ms - self._cleared_at_ms < _CLEARING_INTERVAL_MS:
             return
-        if self.board.write(CrashTable).take_probe(upstream.run, context.now_ms):
+        self._cleared_at_ms = context.now_ms
+        for request in self.board.read(GatewayRequestTable).rows():
+            first_event_at_ms = request.first_event_at_ms
+            if first_event_at_ms and context.now_ms - first_event_at_ms >= CLEARED_ANSWERING_MS:
+                self._record_cleared(request, context.now_ms)
+
+    def _record_cleared(self, request: GatewayRequest, now_ms: int) -> None:
+        if request.prompt is not None:
+            self.board.write(CrashTable).record_cleared(request.prompt.shared_part_ids, now_ms)
+
+    def _probe(self, request: GatewayRequest, context: Context) -> None:
+        upstream = self.board.read(ViewTable).current().upstreams.get(request.upstream)
+        if upstream is None or upstream.run != request.upstream_run:
+            self._confirm(request.upstream_run, context)
+        elif self.board.write(CrashTable).take_probe(upstream.run, context.now_ms):
             context.act(ProbeConnection(upstream, after_broken_answer=True))
+
+    def _confirm(self, run: tuple[str, int], context: Context) -> None:
+        if self.board.write(CrashTable).confirm(self.settings.vm.name, run, context.now_ms):
+            context.post(ReportRequested())
+
+
+def _suspect(request: GatewayRequest, answering_ms: int | None) -> frozenset[str] | None:
+    """Return the parts of the prompt if its answer had just begun, or None.
+
+    An engine sends the head of its response when it begins to answer, so a request without one was
+    still waiting at the engine.
+    """
+    has_begun = answering_ms is not None and answering_ms < SUSPECT_ANSWERING_MS
+    if not has_begun or request.prompt is None:
+        return None
+    return request.prompt.shared_part_ids or None
--- a/azureturn/gateway/decisions/controllers/_moves.py
+++ b/azureturn/gateway/decisions/controllers/_moves.py
@@ -73,10 +73,7 @@
         target = MoveStatus(move.service, move.version, state)
         if status == target and view.revision_of(MoveStatus, move.service) > move.order_revision:
             return False
-        own_name = self.settings.vm.name
-        vms_ahead = sum(
-            peer.report.vm < own_name for peer in self.board.read(PeerTable).live_peers(now_ms)
-        )
+        vms_ahead = self.board.read(PeerTable).vms_ahead(now_ms)
         since_ms = now_ms - max(move.write_requested_at_ms, move.began_at_ms)
         if move.write_requested_at_ms:
             return since_ms >= _WRITE_RETRY_MS + vms_ahead * _STAGGER_MS
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -205,10 +205,7 @@
             window = self.board.write(AllotmentTable).of(request.organisation)
             window.record_admitted(request.allotment_units, context.now_ms)
         sent_request = request.with_sent(
-            upstream.name,
-            version=upstream.version,
-            now_ms=context.now_ms,
-            pending_tokens=chosen.pending_tokens,
+            upstream, now_ms=context.now_ms, pending_tokens=chosen.pending_tokens
         )
         self.board.write(GatewayRequestTable).put(request.request_id, sent_request)
         context.act(
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -3,6 +3,7 @@
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
+from azureturn.gateway.decisions._crashes import CrashTable
 from azureturn.gateway.decisions._events import (
     PeerReportReceived,
     PlacementRequested,
@@ -20,6 +21,7 @@
     QueueReport,
 )
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable
+from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
@@ -41,7 +43,7 @@
 class ReportController(GatewayController):
     """Sends a report to every peer several times a second, and applies those received."""
 
-    reads = (UpstreamStateTable, GatewayQueueTable, ViewTable)
+    reads = (UpstreamStateTable, GatewayQueueTable, ViewTable, CrashTable, QuarantineTable)
     writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable)
     after = ("views", "moves")
 
@@ -119,6 +121,8 @@
         moves = self.board.read(MoveTable)
         configuration = self.board.read(ViewTable).current().configuration
         peer_table = self.board.read(PeerTable)
+        crashes = self.board.read(CrashTable)
+        quarantine = self.board.read(QuarantineTable)
         return PeerReport(
             vm=self.settings.vm.name,
             host=self.settings.vm.host,
@@ -148,6 +152,11 @@
             peers=peers,
             availability_zone=self.settings.vm.availability_zone,
             waiting=self._waiting(),
+            crashes=crashes.reported_crashes(peer_table.own_name, self._sent_at_ms),
+            cleared_parts_ms=crashes.reported_cleared_ages_ms(
+                quarantine.all_part_ids(), self._sent_at_ms
+            ),
+            quarantined=tuple(quarantine.rows()),
         )
 
     def _waiting(self) -> dict[str, QueueReport]:
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -26,6 +26,7 @@
     Organisation,
     Prompt,
     PromptPart,
+    QuarantineRecord,
     RegisteredUpstream,
     RegisteredVm,
     RequestKind,
@@ -110,8 +111,9 @@
     order: MoveOrder | None = None,
     stored_configuration: SiteConfiguration | None = None,
     record: AllotmentRecord | None = None,
+    quarantine: QuarantineRecord | None = None,
 ) -> SiteView:
-    """Return a view with the given upstreams, VMs, move order and usage record."""
+    """Return a view with the given upstreams, VMs, move order and records."""
     stored_documents = {
         "config": StoredDocument("config", 1, b"", stored_configuration or configuration())
     }
@@ -125,6 +127,8 @@
         stored_documents["order"] = StoredDocument("order", 3, b"", order)
     if record is not None:
         stored_documents["record"] = StoredDocument("record", 4, b"", record)
+    if quarantine is not None:
+        stored_documents["quarantine"] = StoredDocument("quarantine", 5, b"", quarantine)
     return SiteView(revision, stored_documents)
 
 
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -14,7 +14,9 @@
 from azureturn.gateway.decisions import (
     AttemptEnded,
     AttemptResult,
+    FetchView,
     FirstEventReceived,
+    LogQuarantineChange,
     PeerReportReceived,
     ProbeConnection,
     RequestClosed,
@@ -25,6 +27,7 @@
     UpstreamProcessEnded,
     UpstreamReconnected,
     ViewChanged,
+    WriteQuarantineRecord,
 )
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     GatewayCoreHarness,
@@ -32,7 +35,7 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import Prompt, PromptPart, SiteView
+from azureturn.gateway.site import Prompt, PromptPart, QuarantineRecord, SiteView
 
 _TICK_MS = 50
 _MESSAGE_MS = 5
@@ -87,6 +90,7 @@
         self._engines = {f"e-{n}": _Engine(f"e-{n}") for n in range(engine_count)}
         self._registered = dict.fromkeys(self._engines)
         self._revision = 10
+        self._quarantine_record: QuarantineRecord | None = None
         self._parts: dict[str, tuple[str, ...]] = {}
         #: VMs that exchange no reports with the others.
         self.vms_without_peers: set[int] = set()
@@ -96,6 +100,7 @@
         #: Times at which callers sent requests, by request id.
         self.sent_at_ms: dict[str, int] = {}
         self.arrivals: list[Arrival] = []
+        self.quarantine_changes: list[LogQuarantineChange] = []
         self.crashed_at_ms: list[int] = []
         #: Attempts made for each answered request.
         self.answered: dict[str, int] = {}
@@ -119,6 +124,16 @@
         received = request(request_id, arrived_at_ms=self.now_ms, prompt=prompt)
         self._handle(vm, RequestReceived(received))
 
+    def crash_engines(self, count: int) -> None:
+        """End so many engines, chosen at random, from outside."""
+        running = [engine for engine in self._engines.values() if engine.is_up]
+        for engine in self._random.sample(running, min(count, len(running))):
+            self._crash(engine)
+
+    def repair_engines(self) -> None:
+        """Let engines answer requests with the crashing part like all others."""
+        self._crashing_part = ""
+
     def restart_vm(self, number: int) -> None:
         """Replace a VM's process by a new one that knows only what the store holds."""
         self.vms[number] = self._new_vm(number, is_first_start=False)
@@ -137,7 +152,11 @@
         )
 
     def _view(self) -> SiteView:
-        return view(*(upstream(name) for name in self._registered), revision=self._revision)
+        return view(
+            *(upstream(name) for name in self._registered),
+            revision=self._revision,
+            quarantine=self._quarantine_record,
+        )
 
     def _after(self, delay_ms: int, callback: Callable[[], None]) -> None:
         self._schedule_count += 1
@@ -163,13 +182,23 @@
             self._after(_MESSAGE_MS, lambda: self._deliver(number, action))
         elif isinstance(action, ProbeConnection):
             self._after(_MESSAGE_MS, lambda: self._probe(number, action))
+        elif isinstance(action, WriteQuarantineRecord):
+            self._after(_MESSAGE_MS, lambda: self._write_quarantine(number, action.record))
+        elif isinstance(action, LogQuarantineChange):
+            self.quarantine_changes.append(action)
         elif isinstance(action, Refuse):
             self.refused[action.request_id] = action
             self._close(number, action.request_id)
         elif isinstance(action, ReturnLastResult):
             self._close(number, action.request_id)
         else:
-            assert isinstance(action, AwaitPlacement), action
+            # A view that a peer is asked for does not arrive.
+            assert isinstance(action, AwaitPlacement | FetchView), action
+
+    def _write_quarantine(self, number: int, record: QuarantineRecord) -> None:
+        if number not in self.vms_without_store:
+            self._quarantine_record = record
+            self._publish()
 
     def _close(self, number: int, request_id: str) -> None:
         self._after(0, lambda: self._handle(number, RequestClosed(request_id)))
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -3,6 +3,7 @@
 from azureturn.framework import Tick
 from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
 from azureturn.gateway.decisions import (
+    CrashReport,
     FetchView,
     MoveReport,
     OutstandingWork,
@@ -22,7 +23,7 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import AllotmentUsage, PromptPart
+from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedPrompt
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
 
@@ -38,6 +39,9 @@
         strained=True,
         availability_zone="b",
         waiting={"models": QueueReport(tier_rank=3, requests=2, deadline_in_ms=-40)},
+        crashes=(CrashReport(("u1", 17), 40, (frozenset({"p", "q"}), frozenset({"r"}))),),
+        cleared_parts_ms={"q": 30},
+        quarantined=(QuarantinedPrompt(frozenset({"p"}), 1_780_000_000_000),),
     )
     data = encode_struct(report_to_wire(report))
     assert report_from_wire(decode_struct(GatewayReport, data)) == report
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -24,6 +24,7 @@
     RegisteredVm,
 )
 from azureturn.gateway.site._ports import Dialect, DocumentCodec
+from azureturn.gateway.site._quarantine import QuarantinedPrompt, QuarantineRecord
 from azureturn.gateway.site._requests import (
     AttemptHeaders,
     Prompt,
@@ -50,6 +51,8 @@
     "ProcessUsage",
     "Prompt",
     "PromptPart",
+    "QuarantineRecord",
+    "QuarantinedPrompt",
     "RegisteredUpstream",
     "RegisteredVm",
     "RequestFacts",
--- a/azureturn/gateway/site/_document_types.py
+++ b/azureturn/gateway/site/_document_types.py
@@ -5,6 +5,7 @@
 
 from azureturn.gateway.site._allotment_usage import AllotmentRecord
 from azureturn.gateway.site._configuration import SiteConfiguration
+from azureturn.gateway.site._quarantine import QuarantineRecord
 
 
 @dataclass(frozen=True)
@@ -68,5 +69,11 @@
 
 #: Content of any document in the store that the gateway can decode.
 DocumentContent = (
-    SiteConfiguration | RegisteredUpstream | RegisteredVm | MoveOrder | MoveStatus | AllotmentRecord
+    SiteConfiguration
+    | RegisteredUpstream
+    | RegisteredVm
+    | MoveOrder
+    | MoveStatus
+    | AllotmentRecord
+    | QuarantineRecord
 )
--- a/azureturn/gateway/site/_ports.py
+++ b/azureturn/gateway/site/_ports.py
@@ -5,6 +5,7 @@
 
 from azureturn.gateway.site._allotment_usage import AllotmentRecord
 from azureturn.gateway.site._document_types import DocumentContent, MoveStatus, RegisteredVm
+from azureturn.gateway.site._quarantine import QuarantineRecord
 from azureturn.gateway.site._requests import AttemptHeaders, RequestFacts, ResponseFacts
 
 Headers = Sequence[tuple[str, str]]
@@ -28,6 +29,9 @@
     def encode_allotment_record(self, record: AllotmentRecord) -> tuple[str, bytes]:
         """Return the key and the document of an allotment record."""
 
+    def encode_quarantine_record(self, record: QuarantineRecord) -> tuple[str, bytes]:
+        """Return the key and the document of the record of quarantined prompts."""
+
     def encode_vm(self, vm: RegisteredVm) -> tuple[str, bytes]:
         """Return the key and the document that register a VM, so that other VMs find it."""
 
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -29,6 +29,11 @@
         """Return the ids of the parts, in the order of the prompt."""
         return tuple(part.part_id for part in self.parts)
 
+    @property
+    def shared_part_ids(self) -> frozenset[str]:
+        """Return the ids of the parts that other prompts may contain too: all but the last."""
+        return frozenset(part.part_id for part in self.parts[:-1])
+
 
 @dataclass(frozen=True)
 class RequestFacts:
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -14,6 +14,7 @@
     RegisteredUpstream,
     RegisteredVm,
 )
+from azureturn.gateway.site._quarantine import QuarantineRecord
 
 _ContentType = TypeVar("_ContentType")
 
@@ -85,12 +86,17 @@
     @cached_property
     def allotment_record_revision(self) -> int:
         """Return the revision of the allotment record; 0 if there is none."""
-        records = (
-            stored
-            for stored in self.stored_documents.values()
-            if isinstance(stored.content, AllotmentRecord)
-        )
-        return next((stored.revision for stored in records), 0)
+        return self._revision_of_type(AllotmentRecord)
+
+    @cached_property
+    def quarantine_record(self) -> QuarantineRecord | None:
+        """Return the record of quarantined prompts, or None if the store holds none."""
+        return next(iter(self._contents_of_type(QuarantineRecord)), None)
+
+    @cached_property
+    def quarantine_record_revision(self) -> int:
+        """Return the revision of the record of quarantined prompts; 0 if there is none."""
+        return self._revision_of_type(QuarantineRecord)
 
     def revision_of(self, kind: type[DocumentContent], service: str) -> int:
         """Return the revision of a service's move order or status; 0 if there is none."""
@@ -102,6 +108,15 @@
                 return stored.revision
         return 0
 
+    def _revision_of_type(self, kind: type[DocumentContent]) -> int:
+        """Return the revision of the only document of this type; 0 if there is none."""
+        revisions = (
+            stored.revision
+            for stored in self.stored_documents.values()
+            if isinstance(stored.content, kind)
+        )
+        return next(revisions, 0)
+
     def _contents_of_type(self, kind: type[_ContentType]) -> list[_ContentType]:
         return [
             stored.content
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -40,6 +40,8 @@
     MOVE_STATUS_WRITTEN = "move_status_written"
     ALLOTMENT_RECORD_WRITTEN = "allotment_record_written"
     ALLOTMENTS_RECALLED = "allotments_recalled"
+    QUARANTINE_CHANGED = "quarantine_changed"
+    QUARANTINE_RECORD_WRITTEN = "quarantine_record_written"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_REPORT_REFUSED = "peer_report_refused"
     STRAIN_CHANGED = "strain_changed"
@@ -202,6 +204,15 @@
             "The use of allotments before this process started was read, or has to be estimated.",
             ("processes", "age_ms", "outcome"),
         ),
+        LogEvent.QUARANTINE_CHANGED: LogEventDefinition(
+            "Requests whose prompts contain these parts are now refused, or accepted again.",
+            ("prompt_parts", "source", "crashes", "outcome"),
+        ),
+        LogEvent.QUARANTINE_RECORD_WRITTEN: LogEventDefinition(
+            "The record of quarantined prompts was written, or another VM wrote first; see "
+            "`outcome`.",
+            ("prompts", "revision", "outcome"),
+        ),
         LogEvent.PEER_UNREACHABLE: _error_definition(
             "A call to another VM failed.", "vm_host", "error"
         ),
@@ -268,7 +279,9 @@
         "report_age_ms": "Age of the oldest peer report used for the estimate; -1 without peers.",
         "result": "Result of the attempt.",
         "longest_pause_ms": "Longest time between two events of a stream.",
-        "prompt_parts": "Ids of the parts of the request's prompt, separated by commas.",
+        "prompt_parts": "Ids of parts of prompts, separated by commas.",
+        "crashes": "Number of engines' runs that ended under the prompt, as far as this VM knows.",
+        "prompts": "Number of prompts in quarantine.",
         "answering_ms": "Time from the head of the response to the end of the attempt; -1 if there "
         "was no head.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -7,6 +7,7 @@
     AllotmentSpent,
     ConfigurationAnswer,
     ConfigurationQuery,
+    CrashSeen,
     GatewayReport,
     Header,
     Heartbeat,
@@ -20,7 +21,9 @@
     Outcome,
     OutcomeQuery,
     OutcomeState,
+    PartCleared,
     PeerRefused,
+    PromptQuarantined,
     PromptSent,
     Refusal,
     Refusals,
@@ -44,6 +47,9 @@
 
 __all__ = [
     "AllotmentSpent",
+    "CrashSeen",
+    "PartCleared",
+    "PromptQuarantined",
     "GatewayReport",
     "MoveSeen",
     "PromptSent",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -288,6 +288,27 @@
   4: i32 deadline_in_ms,
 }
 
+// The end of an engine's process, with the prompts that it had just begun to answer.
+struct CrashSeen {
+  1: string upstream,
+  2: i64 started_unix_ms,
+  3: i32 age_ms,
+  // The ids of the parts of each prompt.
+  4: list<list<string>> prompts,
+}
+
+// A part of prompts that is suspected of ending engines and with which a request was answered.
+struct PartCleared {
+  1: string part_id,
+  2: i32 age_ms,
+}
+
+// Parts of prompts that end engines which answer a prompt with all of them.
+struct PromptQuarantined {
+  1: list<string> part_ids,
+  2: i64 since_unix_ms,
+}
+
 // One datagram, sent to every peer many times a second.
 struct GatewayReport {
   1: string vm,
@@ -306,6 +327,9 @@
   14: bool strained,
   15: string availability_zone,
   16: list<TierWaiting> waiting,
+  17: list<CrashSeen> crashes,
+  18: list<PartCleared> cleared_parts,
+  19: list<PromptQuarantined> quarantined,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3940,6 +3940,294 @@
         return not (self == other)
 
 
+class CrashSeen(object):
+    """
+    Attributes:
+     - upstream
+     - started_unix_ms
+     - age_ms
+     - prompts
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'started_unix_ms',
+        'age_ms',
+        'prompts',
+    )
+
+
+    def __init__(self, upstream=None, started_unix_ms=None, age_ms=None, prompts=None,):
+        self.upstream = upstream
+        self.started_unix_ms = started_unix_ms
+        self.age_ms = age_ms
+        self.prompts = prompts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.prompts = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = []
+                        (_etype114, _size111) = iprot.readListBegin()
+                        for _i115 in range(_size111):
+                            _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem110.append(_elem116)
+                        iprot.readListEnd()
+                        self.prompts.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashSeen')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.started_unix_ms is not None:
+            oprot.writeFieldBegin('started_unix_ms', TType.I64, 2)
+            oprot.writeI64(self.started_unix_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.prompts is not None:
+            oprot.writeFieldBegin('prompts', TType.LIST, 4)
+            oprot.writeListBegin(TType.LIST, len(self.prompts))
+            for iter117 in self.prompts:
+                oprot.writeListBegin(TType.STRING, len(iter117))
+                for iter118 in iter117:
+                    oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartCleared(object):
+    """
+    Attributes:
+     - part_id
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'part_id',
+        'age_ms',
+    )
+
+
+    def __init__(self, part_id=None, age_ms=None,):
+        self.part_id = part_id
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartCleared')
+        if self.part_id is not None:
+            oprot.writeFieldBegin('part_id', TType.STRING, 1)
+            oprot.writeString(self.part_id.encode('utf-8') if sys.version_info[0] == 2 else self.part_id)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PromptQuarantined(object):
+    """
+    Attributes:
+     - part_ids
+     - since_unix_ms
+
+    """
+
+    __slots__ = (
+        'part_ids',
+        'since_unix_ms',
+    )
+
+
+    def __init__(self, part_ids=None, since_unix_ms=None,):
+        self.part_ids = part_ids
+        self.since_unix_ms = since_unix_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.part_ids = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.part_ids.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.since_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptQuarantined')
+        if self.part_ids is not None:
+            oprot.writeFieldBegin('part_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.part_ids))
+            for iter125 in self.part_ids:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.since_unix_ms is not None:
+            oprot.writeFieldBegin('since_unix_ms', TType.I64, 2)
+            oprot.writeI64(self.since_unix_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GatewayReport(object):
     """
     Attributes:
@@ -3958,6 +4246,9 @@
      - strained
      - availability_zone
      - waiting
+     - crashes
+     - cleared_parts
+     - quarantined
 
     """
 
@@ -3977,10 +4268,13 @@
         'strained',
         'availability_zone',
         'waiting',
+        'crashes',
+        'cleared_parts',
+        'quarantined',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_parts=None, quarantined=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -3996,6 +4290,9 @@
         self.strained = strained
         self.availability_zone = availability_zone
         self.waiting = waiting
+        self.crashes = crashes
+        self.cleared_parts = cleared_parts
+        self.quarantined = quarantined
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4039,66 +4336,66 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = UpstreamWork()
-                        _elem110.read(iprot)
-                        self.work.append(_elem110)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = UpstreamWork()
+                        _elem131.read(iprot)
+                        self.work.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = AllotmentSpent()
-                        _elem116.read(iprot)
-                        self.spent.append(_elem116)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = AllotmentSpent()
+                        _elem137.read(iprot)
+                        self.spent.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.prompts = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = PromptSent()
-                        _elem122.read(iprot)
-                        self.prompts.append(_elem122)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = PromptSent()
+                        _elem143.read(iprot)
+                        self.prompts.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = VersionSeen()
-                        _elem128.read(iprot)
-                        self.versions.append(_elem128)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = VersionSeen()
+                        _elem149.read(iprot)
+                        self.versions.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.moves = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = MoveSeen()
-                        _elem134.read(iprot)
-                        self.moves.append(_elem134)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = MoveSeen()
+                        _elem155.read(iprot)
+                        self.moves.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = VmAddressSeen()
-                        _elem140.read(iprot)
-                        self.peers.append(_elem140)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = VmAddressSeen()
+                        _elem161.read(iprot)
+                        self.peers.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4115,11 +4412,44 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.waiting = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = TierWaiting()
-                        _elem146.read(iprot)
-                        self.waiting.append(_elem146)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = TierWaiting()
+                        _elem167.read(iprot)
+                        self.waiting.append(_elem167)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = CrashSeen()
+                        _elem173.read(iprot)
+                        self.crashes.append(_elem173)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.cleared_parts = []
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = PartCleared()
+                        _elem179.read(iprot)
+                        self.cleared_parts.append(_elem179)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.quarantined = []
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = PromptQuarantined()
+                        _elem185.read(iprot)
+                        self.quarantined.append(_elem185)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4160,43 +4490,43 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter147 in self.work:
-                iter147.write(oprot)
+            for iter186 in self.work:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter148 in self.spent:
-                iter148.write(oprot)
+            for iter187 in self.spent:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter149 in self.prompts:
-                iter149.write(oprot)
+            for iter188 in self.prompts:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter150 in self.versions:
-                iter150.write(oprot)
+            for iter189 in self.versions:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.moves is not None:
             oprot.writeFieldBegin('moves', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.moves))
-            for iter151 in self.moves:
-                iter151.write(oprot)
+            for iter190 in self.moves:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter152 in self.peers:
-                iter152.write(oprot)
+            for iter191 in self.peers:
+                iter191.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strained is not None:
@@ -4210,8 +4540,29 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.waiting))
-            for iter153 in self.waiting:
-                iter153.write(oprot)
+            for iter192 in self.waiting:
+                iter192.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter193 in self.crashes:
+                iter193.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared_parts is not None:
+            oprot.writeFieldBegin('cleared_parts', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.cleared_parts))
+            for iter194 in self.cleared_parts:
+                iter194.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantined is not None:
+            oprot.writeFieldBegin('quarantined', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
+            for iter195 in self.quarantined:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4625,6 +4976,26 @@
     (3, TType.I32, 'requests', None, None, ),  # 3
     (4, TType.I32, 'deadline_in_ms', None, None, ),  # 4
 )
+all_structs.append(CrashSeen)
+CrashSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_unix_ms', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 4
+)
+all_structs.append(PartCleared)
+PartCleared.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(PromptQuarantined)
+PromptQuarantined.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'part_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I64, 'since_unix_ms', None, None, ),  # 2
+)
 all_structs.append(GatewayReport)
 GatewayReport.thrift_spec = (
     None,  # 0
@@ -4644,6 +5015,9 @@
     (14, TType.BOOL, 'strained', None, None, ),  # 14
     (15, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 15
     (16, TType.LIST, 'waiting', (TType.STRUCT, [TierWaiting, None], False), None, ),  # 16
+    (17, TType.LIST, 'crashes', (TType.STRUCT, [CrashSeen, None], False), None, ),  # 17
+    (18, TType.LIST, 'cleared_parts', (TType.STRUCT, [PartCleared, None], False), None, ),  # 18
+    (19, TType.LIST, 'quarantined', (TType.STRUCT, [PromptQuarantined, None], False), None, ),  # 19
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
