An upstream whose process has ended gets no more requests before it is reached again

Cause: only a request that failed to connect marked an upstream as unreachable, although the VM's own probe had found the process gone. Test: test_no_request_is_sent_to_an_upstream_whose_process_has_ended (failed before).

--- a/azureturn/gateway/decisions/controllers/_crashes.py
+++ b/azureturn/gateway/decisions/controllers/_crashes.py
@@ -16,6 +16,7 @@
 )
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import ViewTable
+from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
@@ -34,7 +35,7 @@
     """
 
     reads = (GatewayRequestTable, ViewTable)
-    writes = (CrashTable,)
+    writes = (CrashTable, UpstreamStateTable)
     after = ("admission",)
 
     _cleared_at_ms = 0
@@ -58,6 +59,10 @@
 
     @on(UpstreamProcessEnded)
     def _on_process_ended(self, event: UpstreamProcessEnded, context: Context) -> None:
+        upstream = self.board.read(ViewTable).current().upstreams.get(event.run[0])
+        if upstream is not None and upstream.run == event.run:
+            states = self.board.write(UpstreamStateTable)
+            states.put(upstream.name, states.of(event.run).with_reachable(False))
         self._confirm(event.run, context)
 
     @on(PeerReportReceived)
--- a/azureturn/gateway/decisions/tests/test_attempts.py
+++ b/azureturn/gateway/decisions/tests/test_attempts.py
@@ -10,6 +10,7 @@
     RequestClosed,
     ReturnLastResult,
     SendAttempt,
+    UpstreamProcessEnded,
     UpstreamStateTable,
 )
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
@@ -61,6 +62,21 @@
         assert retried[0].upstream.name != first.upstream.name  # type: ignore[attr-defined]
 
 
+def test_no_request_is_sent_to_an_upstream_whose_process_has_ended() -> None:
+    harness = _harness()
+    for number in range(2):
+        harness.handle_event(UpstreamProcessEnded((f"desk-{number}", 0)))
+    for number in range(3):
+        (sent,) = of_type(harness.submit_request(f"r{number}", route=STATUS_ROUTE), SendAttempt)
+        assert sent.upstream.name == "desk-2"  # type: ignore[attr-defined]
+
+
+def test_an_upstream_that_started_again_is_sent_requests_after_its_earlier_run_ended() -> None:
+    harness = GatewayCoreHarness(view(upstream("desk-1", "desk", started_unix_ms=2)))
+    harness.handle_event(UpstreamProcessEnded(("desk-1", 1)))
+    assert of_type(harness.submit_request("r1", route=STATUS_ROUTE), SendAttempt)
+
+
 def test_run_attempts_stay_within_the_route_limit() -> None:
     harness = _harness()
     harness.submit_request("r1", route=STATUS_ROUTE)
