A request that has run is not refused as not run when its wait for another attempt expires

Callers could see 503, which promises 'not run', for a repeatable request whose first attempt had run and broken off, if the wait for its second attempt expired. Cause: expired requests were refused without a look at their attempts. Now the last result is returned. Class: a promise made from the stage of a request instead of its history; the other refusals of the queue (quarantine, attempts) look at run_attempts. Test: test_request_that_ran_once_is_not_refused_as_not_run_when_its_second_wait_expires (failed before).

--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -83,9 +83,7 @@
     def _on_tick(self, event: Tick, context: Context) -> None:
         for service, queue in self.board.write(GatewayQueueTable).items():
             for request in queue.pop_expired(context.now_ms):
-                kind = ErrorKind.DEADLINE_UNREACHABLE
-                wait_ms = int(self._wait_ms(request))
-                self._refuse(request, kind, wait_ms, context)
+                self._end_expired(request, context)
             self._demote_late(queue, context.now_ms)
             drains = self.board.write(DrainTable)
             drain = drains.of(service).with_time(context.now_ms, backlogged=len(queue) > 0)
@@ -215,12 +213,24 @@
         self, request: GatewayRequest, quarantined: QuarantinedPrompt, context: Context
     ) -> None:
         """End a request that was queued when its prompt was put into quarantine."""
-        if not request.run_attempts:
-            self._refund(request, context)
-            self._refuse_quarantined(request, quarantined, context)
+        if request.run_attempts:
+            self._return_last_result(request, "prompt is in quarantine", context)
             return
+        self._refund(request, context)
+        self._refuse_quarantined(request, quarantined, context)
+
+    def _end_expired(self, request: GatewayRequest, context: Context) -> None:
+        """End a request that cannot be answered in time any more."""
+        if request.run_attempts:
+            self._return_last_result(request, "no capacity for another attempt in time", context)
+            return
+        wait_ms = int(self._wait_ms(request))
+        self._refuse(request, ErrorKind.DEADLINE_UNREACHABLE, wait_ms, context)
+
+    def _return_last_result(self, request: GatewayRequest, reason: str, context: Context) -> None:
+        """End a request that has run, so that it must not be refused as not run."""
         self.board.write(GatewayRequestTable).remove(request.request_id)
-        context.act(ReturnLastResult(request.request_id, "prompt is in quarantine"))
+        context.act(ReturnLastResult(request.request_id, reason))
 
     def _refuse_quarantined(
         self, request: GatewayRequest, quarantined: QuarantinedPrompt, context: Context
--- a/azureturn/gateway/decisions/tests/test_attempts.py
+++ b/azureturn/gateway/decisions/tests/test_attempts.py
@@ -125,3 +125,15 @@
     harness.handle_event(RequestClosed("r1"))
     states = harness.core.board.table(UpstreamStateTable)
     assert [state.requests for state in states.rows()] == [0]
+
+
+def test_request_that_ran_once_is_not_refused_as_not_run_when_its_second_wait_expires() -> None:
+    harness = GatewayCoreHarness(view(upstream("models-1"), upstream("models-2")))
+    harness.submit_request("r1")
+    number = 0
+    while of_type(harness.submit_request(f"other-{number}"), SendAttempt):
+        number += 1
+    assert of_type(harness.handle_event(AttemptEnded("r1", AttemptResult.BROKEN)), AwaitPlacement)
+    actions = harness.tick(harness.now_ms + STREAM_ROUTE.timeout_ms)
+    assert "r1" in [action.request_id for action in of_type(actions, ReturnLastResult)]  # type: ignore[attr-defined]
+    assert "r1" not in [action.request_id for action in of_type(actions, Refuse)]  # type: ignore[attr-defined]
