--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -249,7 +249,8 @@
         if self._caller_disconnected:
             return AttemptResult.ABANDONED
         head = attempt.read_head(ends_at_ms=self._head_deadline_ms(request))
-        progress.record_head(head.framing, now_ms())
+        limit_per_s = head.facts.limit_per_s
+        progress.record_head(head.framing, now_ms(), limit_per_s=limit_per_s)
         if head.facts.not_executed or head.status == _MISDIRECTED_REQUEST:
             attempt.read_body(wait_ms=_MIN_PAUSE_TIMEOUT_MS, ends_at_ms=request.ends_at_ms)
             return AttemptResult.REJECTED
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -77,6 +77,7 @@
             events=progress.event_count,
             framing=progress.framing.value if progress.framing else "",
             partial_event_bytes=progress.partial_event_bytes,
+            limit_per_s=-1 if progress.limit_per_s is None else progress.limit_per_s,
             longest_pause_ms=progress.longest_pause_ms,
             took_ms=took_ms,
             error=detail,
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -74,3 +74,5 @@
     #: Whether the response carries the seal: a header by which an upstream marks a response as its
     #: own. A successful response without it is not relayed.
     is_sealed: bool
+    #: Requests per second that the upstream takes from all VMs together; None if it states none.
+    limit_per_s: float | None = None
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -143,6 +143,7 @@
                 "upstream",
                 "result",
                 "prompt_parts",
+                "limit_per_s",
                 "answering_ms",
                 "first_event_ms",
                 "longest_pause_ms",
@@ -282,6 +283,8 @@
         "prompt_parts": "Ids of parts of prompts, separated by commas.",
         "crashes": "Number of engines' runs that ended under the prompt, as far as this VM knows.",
         "prompts": "Number of prompts in quarantine.",
+        "limit_per_s": "Requests per second that the upstream takes from all VMs together, as its "
+        "response states; -1 if it states no limit.",
         "answering_ms": "Time from the head of the response to the end of the attempt; -1 if there "
         "was no head.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
