--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -83,6 +83,9 @@
     """The first event of the response stream to a request was received from the upstream."""
 
     request_id: str
+    #: Requests per second that the upstream takes from all VMs, as stated in the head of its
+    #: response; None if it states no limit.
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -99,6 +102,8 @@
     is_resumable: bool = True
     #: Time from the head of the response to the end of the attempt; None if there was no head.
     answering_ms: int | None = None
+    #: The same limit as in :class:`FirstEventReceived`.
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -2,7 +2,7 @@
 
 Messages take a few simulated milliseconds. Engines answer every request after a while, except that
 a request with the crashing part ends the engine that begins to answer it; a new engine takes its
-place some seconds later.
+place some seconds later. An engine may name a limit of requests in its answers.
 """
 
 import heapq
@@ -44,7 +44,6 @@
 #: Time from the head to the end of the engine, for a request with the crashing part.
 _CRASH_MS = 70
 _FIRST_EVENT_MS = 20
-_ANSWER_MS = (100, 1_500)
 _LAPSE_MS = 2_500
 _RESTART_MS = 3_000
 _PART_TOKENS = 100
@@ -67,6 +66,7 @@
     request_id: str
     parts: tuple[str, ...]
     head_at_ms: int
+    limit_per_s: float | None = None
     is_over: bool = False
 
 
@@ -74,6 +74,7 @@
 class _Engine:
     name: str
     is_up: bool = True
+    limit_per_s: float | None = None
     attempts: list[_EngineAttempt] = field(default_factory=list)
 
 
@@ -81,9 +82,17 @@
     """Runs the cores of several VMs against simulated engines, on one simulated clock."""
 
     def __init__(
-        self, *, vm_count: int, engine_count: int, crashing_part: str = "", seed: int = 1
+        self,
+        *,
+        vm_count: int,
+        engine_count: int,
+        crashing_part: str = "",
+        answer_ms: tuple[int, int] = (100, 1_500),
+        seed: int = 1,
     ) -> None:
         self._random = random.Random(seed)
+        #: Shortest and longest time from the first event to the end of an answer.
+        self._answer_ms = answer_ms
         self._crashing_part = crashing_part
         self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
         self._schedule_count = 0
@@ -100,6 +109,8 @@
         #: Times at which callers sent requests, by request id.
         self.sent_at_ms: dict[str, int] = {}
         self.arrivals: list[Arrival] = []
+        #: Time of the first answer of an engine to a VM that named a limit, by engine and VM.
+        self.told_at_ms: dict[tuple[str, int], int] = {}
         self.quarantine_changes: list[LogQuarantineChange] = []
         self.crashed_at_ms: list[int] = []
         #: Attempts made for each answered request.
@@ -130,6 +141,10 @@
         for engine in self._random.sample(running, min(count, len(running))):
             self._crash(engine)
 
+    def limit_engine(self, name: str, limit_per_s: float | None) -> None:
+        """Let an engine name a limit in its answers from now on; None to name none."""
+        self._engines[name].limit_per_s = limit_per_s
+
     def repair_engines(self) -> None:
         """Let engines answer requests with the crashing part like all others."""
         self._crashing_part = ""
@@ -227,13 +242,18 @@
             self._after(_HEAD_MS + _CRASH_MS, lambda: self._crash(engine))
             return
         first_event_ms = _HEAD_MS + _FIRST_EVENT_MS
-        self._after(first_event_ms, lambda: self._first_event(attempt))
-        answer_ms = first_event_ms + self._random.randint(*_ANSWER_MS)
+        self._after(first_event_ms, lambda: self._first_event(engine, attempt))
+        answer_ms = first_event_ms + self._random.randint(*self._answer_ms)
         self._after(answer_ms, lambda: self._answer(engine, attempt))
 
-    def _first_event(self, attempt: _EngineAttempt) -> None:
-        if not attempt.is_over:
-            self._handle(attempt.vm, FirstEventReceived(attempt.request_id))
+    def _first_event(self, engine: _Engine, attempt: _EngineAttempt) -> None:
+        if attempt.is_over:
+            return
+        attempt.limit_per_s = engine.limit_per_s
+        if engine.limit_per_s is not None:
+            self.told_at_ms.setdefault((engine.name, attempt.vm), self.now_ms)
+        event = FirstEventReceived(attempt.request_id, attempt.limit_per_s)
+        self._handle(attempt.vm, event)
 
     def _answer(self, engine: _Engine, attempt: _EngineAttempt) -> None:
         if attempt.is_over:
@@ -251,6 +271,7 @@
                 event_count=5,
                 streamed_ms=answering_ms,
                 answering_ms=answering_ms,
+                limit_per_s=attempt.limit_per_s,
             ),
         )
         self._close(attempt.vm, attempt.request_id)
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -227,6 +227,7 @@
                 progress.streamed_ms,
                 self._stream_relay.is_resumable,
                 progress.answering_ms(now_ms()),
+                progress.limit_per_s,
             )
         )
         if result is AttemptResult.ABANDONED:
@@ -290,7 +291,9 @@
             had_events = bool(progress.event_count)
             relay.feed(part)
             if progress.event_count and not had_events:
-                self._services.runtime.submit(FirstEventReceived(request.request_id))
+                self._services.runtime.submit(
+                    FirstEventReceived(request.request_id, progress.limit_per_s)
+                )
         relay.finish()
         self._outcome = "answered"
 
