Upstreams that limit the requests they take get no more than that from all VMs together

Cause: azureturn read nothing of the limit from the answers, and placed requests by its estimates alone. Ruled out: a sum over VMs that each keep it (none did), late knowledge (it went on for half a minute). Change: the limit in an answer's head is kept for the upstream's run, until an answer names none, and told to the other VMs by reports. Each VM sends its share of it, by the number of known VMs, in time slots of its own that begin at a random time and lapse after 0.5 s. Without a slot the upstream has no capacity. Weighed against it: a bucket per VM (87 idle VMs would all have a request saved), counts of sent requests in reports (0.5 s old at 87 VMs, several times a small limit).

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -2,6 +2,7 @@
 
 from azureturn.gateway.decisions import (
     CrashReport,
+    LimitReport,
     MoveReport,
     OutstandingWork,
     PeerReport,
@@ -15,6 +16,7 @@
     AllotmentSpent,
     CrashSeen,
     GatewayReport,
+    LimitSeen,
     MoveSeen,
     PartCleared,
     PromptQuarantined,
@@ -78,6 +80,7 @@
             PromptQuarantined(sorted(prompt.part_ids), prompt.since_unix_ms)
             for prompt in report.quarantined
         ],
+        limits=[LimitSeen(*limit.run, limit.limit_per_s, limit.age_ms) for limit in report.limits],
     )
 
 
@@ -129,6 +132,10 @@
             QuarantinedPrompt(frozenset(row.part_ids), row.since_unix_ms)
             for row in wire.quarantined or ()
         ),
+        limits=tuple(
+            LimitReport((row.upstream, row.started_unix_ms), row.limit_per_s, row.age_ms)
+            for row in wire.limits or ()
+        ),
     )
 
 
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -39,6 +39,7 @@
 )
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
 from azureturn.gateway.decisions._quarantine import QuarantineTable
+from azureturn.gateway.decisions._request_limits import LimitReport, RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
@@ -55,6 +56,7 @@
     "GatewayRequest",
     "GatewayRequestTable",
     "GatewayStarted",
+    "LimitReport",
     "LogAllotmentRestore",
     "LogQuarantineChange",
     "MoveReport",
@@ -68,6 +70,7 @@
     "QueueReport",
     "RequestClosed",
     "RequestReceived",
+    "RequestLimitTable",
     "ReturnLastResult",
     "SendAttempt",
     "SendReport",
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -54,6 +54,8 @@
     peer_work: OutstandingWork
     #: None for a plain service.
     prefix_cache: PrefixCacheEstimate | None
+    #: Whether a limit of requests that the upstream states lets this VM send one now.
+    may_send: bool = True
     #: Estimated number of requests at the upstream, from all VMs.
     requests: int = 0
     #: Number of further requests that may be placed on it: of any tier, and of the most urgent
@@ -101,6 +103,8 @@
                 # A VM may always use its own share, even if peers exceed theirs.
                 if snapshot.state.requests < math.ceil(slots / vm_count):
                     urgent_capacity += math.ceil(policy.ahead_requests)
+            if not snapshot.may_send:
+                capacity = urgent_capacity = 0
             with_capacity.append(
                 changed(
                     snapshot,
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -7,6 +7,7 @@
 from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
+from azureturn.gateway.decisions._request_limits import LimitReport
 from azureturn.gateway.site import AllotmentUsage, QuarantinedPrompt
 
 #: A peer is live, that is, assumed to run and to be reachable, until its last report is older than
@@ -144,6 +145,8 @@
     #: time since then.
     cleared_parts_ms: dict[str, int] = field(default_factory=dict)
     quarantined: tuple[QuarantinedPrompt, ...] = ()
+    #: Limits of requests that upstreams stated recently, and ends of such limits.
+    limits: tuple[LimitReport, ...] = ()
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy with the given value of ``strained``."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -11,6 +11,7 @@
 from azureturn.gateway.decisions.controllers._quarantine import QuarantineController
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
 from azureturn.gateway.decisions.controllers._reports import ReportController
+from azureturn.gateway.decisions.controllers._request_limits import RequestLimitController
 from azureturn.gateway.decisions.controllers._views import ViewController
 
 __all__ = [
@@ -23,5 +24,6 @@
     "PlacementController",
     "QuarantineController",
     "ReportController",
+    "RequestLimitController",
     "ViewController",
 ]
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -48,7 +48,7 @@
         RetryBudgetTable,
         MoveTable,
     )
-    after = ("admission", "crashes")
+    after = ("admission", "crashes", "request_limits")
 
     _probed_at_ms = 0
 
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -13,6 +13,7 @@
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable, SentPrompt
+from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
@@ -42,8 +43,9 @@
         PrefixCacheTable,
         DrainTable,
         AllotmentTable,
+        RequestLimitTable,
     )
-    after = ("admission", "attempts")
+    after = ("admission", "attempts", "request_limits")
 
     @on(PlacementRequested)
     def _on_requested(self, event: PlacementRequested, context: Context) -> None:
@@ -117,6 +119,8 @@
         peers = self.board.read(PeerTable)
         states = self.board.write(UpstreamStateTable)
         prefix_caches = self.board.write(PrefixCacheTable)
+        limits = self.board.read(RequestLimitTable)
+        known_vms = peers.vms(context.now_ms)
         engine = self._engine_of(service)
         snapshots = []
         for upstream in self.board.read(ViewTable).serving_upstreams(service, context.now_ms):
@@ -126,7 +130,11 @@
                     prefix_caches.of(upstream.run, engine.memory_tokens) if engine else None
                 )
                 snapshot = UpstreamSnapshot(
-                    upstream, state, peers.work_at(upstream.name), prefix_cache
+                    upstream,
+                    state,
+                    peers.work_at(upstream.name),
+                    prefix_cache,
+                    may_send=limits.may_send(upstream.run, known_vms, context.now_ms),
                 )
                 snapshots.append(snapshot)
         vm_count = peers.vm_count_outside(self._partitioned_zones(context.now_ms), context.now_ms)
@@ -191,6 +199,8 @@
         upstream = chosen.upstream
         states = self.board.write(UpstreamStateTable)
         states.put(upstream.name, states.of(upstream.run).with_sent(chosen.pending_tokens))
+        vm_count = self.board.read(PeerTable).vms(context.now_ms)
+        self.board.write(RequestLimitTable).record_sent(upstream.run, vm_count, context.now_ms)
         engine = self._engine_of(request.service)
         if engine is not None and request.prompt is not None and request.prompt.parts:
             prefix_caches = self.board.write(PrefixCacheTable)
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -22,6 +22,7 @@
 )
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
+from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
@@ -43,7 +44,14 @@
 class ReportController(GatewayController):
     """Sends a report to every peer several times a second, and applies those received."""
 
-    reads = (UpstreamStateTable, GatewayQueueTable, ViewTable, CrashTable, QuarantineTable)
+    reads = (
+        UpstreamStateTable,
+        GatewayQueueTable,
+        ViewTable,
+        CrashTable,
+        QuarantineTable,
+        RequestLimitTable,
+    )
     writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable)
     after = ("views", "moves")
 
@@ -157,6 +165,7 @@
                 quarantine.all_part_ids(), self._sent_at_ms
             ),
             quarantined=tuple(quarantine.rows()),
+            limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
         )
 
     def _waiting(self) -> dict[str, QueueReport]:
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -5,6 +5,7 @@
 from azureturn.gateway.decisions import (
     CrashReport,
     FetchView,
+    LimitReport,
     MoveReport,
     OutstandingWork,
     PeerReportReceived,
@@ -41,6 +42,7 @@
         waiting={"models": QueueReport(tier_rank=3, requests=2, deadline_in_ms=-40)},
         crashes=(CrashReport(("u1", 17), 40, (frozenset({"p", "q"}), frozenset({"r"}))),),
         cleared_parts_ms={"q": 30},
+        limits=(LimitReport(("u1", 17), 3.5, 20), LimitReport(("u2", 0), None, 30)),
         quarantined=(QuarantinedPrompt(frozenset({"p"}), 1_780_000_000_000),),
     )
     data = encode_struct(report_to_wire(report))
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -12,6 +12,7 @@
     Header,
     Heartbeat,
     LatencyHistogram,
+    LimitSeen,
     MoveSeen,
     NoArgument,
     Offer,
@@ -47,6 +48,7 @@
 
 __all__ = [
     "AllotmentSpent",
+    "LimitSeen",
     "CrashSeen",
     "PartCleared",
     "PromptQuarantined",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -309,6 +309,15 @@
   2: i64 since_unix_ms,
 }
 
+// The limit of requests per second that an upstream's latest answer to the sender stated.
+struct LimitSeen {
+  1: string upstream,
+  2: i64 started_unix_ms,
+  // Absent if the answer stated no limit any more.
+  3: optional double limit_per_s,
+  4: i32 age_ms,
+}
+
 // One datagram, sent to every peer many times a second.
 struct GatewayReport {
   1: string vm,
@@ -330,6 +339,7 @@
   17: list<CrashSeen> crashes,
   18: list<PartCleared> cleared_parts,
   19: list<PromptQuarantined> quarantined,
+  20: list<LimitSeen> limits,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -4228,6 +4228,110 @@
         return not (self == other)
 
 
+class LimitSeen(object):
+    """
+    Attributes:
+     - upstream
+     - started_unix_ms
+     - limit_per_s
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'started_unix_ms',
+        'limit_per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, upstream=None, started_unix_ms=None, limit_per_s=None, age_ms=None,):
+        self.upstream = upstream
+        self.started_unix_ms = started_unix_ms
+        self.limit_per_s = limit_per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitSeen')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.started_unix_ms is not None:
+            oprot.writeFieldBegin('started_unix_ms', TType.I64, 2)
+            oprot.writeI64(self.started_unix_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GatewayReport(object):
     """
     Attributes:
@@ -4249,6 +4353,7 @@
      - crashes
      - cleared_parts
      - quarantined
+     - limits
 
     """
 
@@ -4271,10 +4376,11 @@
         'crashes',
         'cleared_parts',
         'quarantined',
+        'limits',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_parts=None, quarantined=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_parts=None, quarantined=None, limits=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4293,6 +4399,7 @@
         self.crashes = crashes
         self.cleared_parts = cleared_parts
         self.quarantined = quarantined
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4453,6 +4560,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype189, _size186) = iprot.readListBegin()
+                    for _i190 in range(_size186):
+                        _elem191 = LimitSeen()
+                        _elem191.read(iprot)
+                        self.limits.append(_elem191)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4490,43 +4608,43 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter186 in self.work:
-                iter186.write(oprot)
+            for iter192 in self.work:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter187 in self.spent:
-                iter187.write(oprot)
+            for iter193 in self.spent:
+                iter193.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter188 in self.prompts:
-                iter188.write(oprot)
+            for iter194 in self.prompts:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter189 in self.versions:
-                iter189.write(oprot)
+            for iter195 in self.versions:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.moves is not None:
             oprot.writeFieldBegin('moves', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.moves))
-            for iter190 in self.moves:
-                iter190.write(oprot)
+            for iter196 in self.moves:
+                iter196.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter191 in self.peers:
-                iter191.write(oprot)
+            for iter197 in self.peers:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strained is not None:
@@ -4540,29 +4658,36 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.waiting))
-            for iter192 in self.waiting:
-                iter192.write(oprot)
+            for iter198 in self.waiting:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter193 in self.crashes:
-                iter193.write(oprot)
+            for iter199 in self.crashes:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_parts is not None:
             oprot.writeFieldBegin('cleared_parts', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.cleared_parts))
-            for iter194 in self.cleared_parts:
-                iter194.write(oprot)
+            for iter200 in self.cleared_parts:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter195 in self.quarantined:
-                iter195.write(oprot)
+            for iter201 in self.quarantined:
+                iter201.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter202 in self.limits:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4996,6 +5121,14 @@
     (1, TType.LIST, 'part_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.I64, 'since_unix_ms', None, None, ),  # 2
 )
+all_structs.append(LimitSeen)
+LimitSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_unix_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(GatewayReport)
 GatewayReport.thrift_spec = (
     None,  # 0
@@ -5018,6 +5151,7 @@
     (17, TType.LIST, 'crashes', (TType.STRUCT, [CrashSeen, None], False), None, ),  # 17
     (18, TType.LIST, 'cleared_parts', (TType.STRUCT, [PartCleared, None], False), None, ),  # 18
     (19, TType.LIST, 'quarantined', (TType.STRUCT, [PromptQuarantined, None], False), None, ),  # 19
+    (20, TType.LIST, 'limits', (TType.STRUCT, [LimitSeen, None], False), None, ),  # 20
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
