--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -123,14 +123,7 @@
             metrics = {_METRICS_PATH: self._metrics_page}
             self._servers["metrics"] = StatusServer(vm.host, limits.metrics_port, log, metrics)
         self._probes = ConnectionProbes(self._runtime, log)
-        self._runtime.register_handler(ProbeConnection, self._probes.enqueue)
-        self._runtime.register_handler(SendReport, self._send_report)
-        self._runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
-        self._runtime.register_handler(FetchView, self._view_fetcher.enqueue)
-        self._runtime.register_handler(WriteMoveStatus, self._writer.enqueue)
-        self._runtime.register_handler(WriteAllotmentRecord, self._writer.enqueue)
-        self._runtime.register_handler(WriteQuarantineRecord, self._writer.enqueue)
-        self._runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
+        self._register_handlers()
 
     @property
     def settings(self) -> GatewaySettings:
@@ -186,6 +179,17 @@
         """Log that the settings could not be read; the current ones are kept."""
         self._log.error(LogEvent.SETTINGS_RELOADED, outcome="not valid", error=error)
 
+    def _register_handlers(self) -> None:
+        """Connect the core's actions to the threads that carry them out."""
+        self._runtime.register_handler(ProbeConnection, self._probes.enqueue)
+        self._runtime.register_handler(SendReport, self._send_report)
+        self._runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
+        self._runtime.register_handler(FetchView, self._view_fetcher.enqueue)
+        self._runtime.register_handler(WriteMoveStatus, self._writer.enqueue)
+        self._runtime.register_handler(WriteAllotmentRecord, self._writer.enqueue)
+        self._runtime.register_handler(WriteQuarantineRecord, self._writer.enqueue)
+        self._runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
+
     def _time_left_ms(self) -> int | None:
         """Return the time left to answer a new request, in milliseconds; None if not limited.
 
--- a/azureturn/gateway/decisions/_crash_analysis.py
+++ b/azureturn/gateway/decisions/_crash_analysis.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
-from azureturn.gateway.decisions._crashes import Crash, Run
+from azureturn.gateway.decisions._crashes import Crash
+from azureturn.gateway.site import UpstreamRun
 
 #: Crashes that are closer to the first one of an incident belong to that incident.
 _INCIDENT_MS = 100
@@ -72,7 +73,7 @@
 
 def _merge_by_run(crashes: Iterable[Crash]) -> list[Crash]:
     """Return one crash a run, from all VMs that have seen it, in the order of time."""
-    merged: dict[Run, Crash] = {}
+    merged: dict[UpstreamRun, Crash] = {}
     for crash in crashes:
         before = merged.get(crash.run)
         if before is not None:
--- a/azureturn/gateway/decisions/_crashes.py
+++ b/azureturn/gateway/decisions/_crashes.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from azureturn.framework import Table
+from azureturn.gateway.site import UpstreamRun
 
 #: An upstream that breaks off several answers at once is probed once in this time.
 _PROBE_INTERVAL_MS = 100
@@ -28,15 +29,13 @@
 _MAX_REPORTED_PROMPTS = 12
 _MAX_REPORTED_PARTS = 64
 
-Run = tuple[str, int]
-
 
 @dataclass(frozen=True)
 class Crash:
     """The end of an engine's process, as one VM has seen it."""
 
     #: Name of the engine and start time of the run that ended.
-    run: Run
+    run: UpstreamRun
     at_ms: int
     #: The part ids of each prompt that the engine had just begun to answer; it may be empty.
     prompts: tuple[frozenset[str], ...]
@@ -46,23 +45,23 @@
 class CrashReport:
     """A crash as a VM reports it to its peers; VMs have no common clock."""
 
-    run: Run
+    run: UpstreamRun
     age_ms: int
     prompts: tuple[frozenset[str], ...]
 
 
-class CrashTable(Table[tuple[str, Run], Crash]):
+class CrashTable(Table[tuple[str, UpstreamRun], Crash]):
     """Crashes keyed by the VM that has seen them and the run that ended; and cleared parts."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._probed_at_ms: dict[Run, int] = {}
+        self._probed_at_ms: dict[UpstreamRun, int] = {}
         #: Answers of this VM that broke off, while it is not known whether the process ended.
-        self._unconfirmed: dict[Run, Crash] = {}
+        self._unconfirmed: dict[UpstreamRun, Crash] = {}
         #: When a request with the part was last seen to be answered, the oldest first.
         self._cleared_at_ms: OrderedDict[str, int] = OrderedDict()
 
-    def take_probe(self, run: Run, now_ms: int) -> bool:
+    def take_probe(self, run: UpstreamRun, now_ms: int) -> bool:
         """Return whether a run is to be probed now, and if so record that it is."""
         oldest_ms = now_ms - _PROBE_INTERVAL_MS
         self._probed_at_ms = {
@@ -73,7 +72,7 @@
         self._probed_at_ms[run] = now_ms
         return True
 
-    def record_broken(self, run: Run, suspect: frozenset[str] | None, now_ms: int) -> None:
+    def record_broken(self, run: UpstreamRun, suspect: frozenset[str] | None, now_ms: int) -> None:
         """Record a broken answer; ``suspect`` has the parts of a prompt just begun to answer."""
         before = self._unconfirmed.get(run)
         if before is None or now_ms - before.at_ms > _CONFIRMATION_MS:
@@ -81,7 +80,7 @@
         prompts = before.prompts if suspect is None else (*before.prompts, suspect)
         self._unconfirmed[run] = Crash(run, before.at_ms, prompts)
 
-    def confirm(self, vm: str, run: Run, now_ms: int) -> bool:
+    def confirm(self, vm: str, run: UpstreamRun, now_ms: int) -> bool:
         """Record that a run has ended; return whether it had broken off answers to this VM."""
         crash = self._unconfirmed.pop(run, None)
         if crash is None or now_ms - crash.at_ms > _CONFIRMATION_MS:
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -6,7 +6,7 @@
 from azureturn.framework import Event
 from azureturn.gateway.decisions._peers import PeerReport
 from azureturn.gateway.decisions._requests import GatewayRequest
-from azureturn.gateway.site import SiteView
+from azureturn.gateway.site import SiteView, UpstreamRun
 
 
 class AttemptResult(StrEnum):
@@ -60,8 +60,7 @@
 class UpstreamProcessEnded(Event):
     """A connection probe was refused: no process accepts connections at the upstream's address."""
 
-    #: Name of the upstream and start time of the run that has ended.
-    run: tuple[str, int]
+    run: UpstreamRun
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_prefix_cache.py
+++ b/azureturn/gateway/decisions/_prefix_cache.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from azureturn.framework import Table
-from azureturn.gateway.site import Prompt, PromptPart
+from azureturn.gateway.site import Prompt, PromptPart, UpstreamRun
 
 #: Share of an engine's memory available to cached prefixes; running requests use the rest.
 _PREFIX_CACHE_SHARE = 0.6
@@ -30,7 +30,7 @@
     its start.
     """
 
-    def __init__(self, run: tuple[str, int], capacity_tokens: int) -> None:
+    def __init__(self, run: UpstreamRun, capacity_tokens: int) -> None:
         self.run = run
         self._capacity_tokens = capacity_tokens * _PREFIX_CACHE_SHARE
         self._total_tokens = 0
@@ -68,7 +68,7 @@
         #: Prompts that this VM has sent but not yet reported to its peers.
         self.unreported_prompts: list[SentPrompt] = []
 
-    def of(self, run: tuple[str, int], capacity_tokens: int) -> PrefixCacheEstimate:
+    def of(self, run: UpstreamRun, capacity_tokens: int) -> PrefixCacheEstimate:
         """Return the estimate for a run of an upstream; a new run starts empty."""
         prefix_cache = self.get(run[0])
         if prefix_cache is None or prefix_cache.run != run:
--- a/azureturn/gateway/decisions/_request_limits.py
+++ b/azureturn/gateway/decisions/_request_limits.py
@@ -11,6 +11,7 @@
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
+from azureturn.gateway.site import UpstreamRun
 
 _MS_PER_S = 1_000.0
 #: How long after its beginning a slot may be used.
@@ -20,14 +21,12 @@
 #: Age up to which an observed limit, or its end, is reported to peers.
 _REPORTED_AGE_MS = 10_000
 
-Run = tuple[str, int]
-
 
 @dataclass(frozen=True)
 class LimitReport:
     """What an upstream's latest answer to a VM stated, as the VM reports it to its peers."""
 
-    run: Run
+    run: UpstreamRun
     #: None if the answer stated no limit any more.
     limit_per_s: float | None
     age_ms: int
@@ -37,7 +36,7 @@
 class RequestLimit:
     """The limit of one run of an upstream, and this VM's next slot."""
 
-    run: Run
+    run: UpstreamRun
     #: None if the upstream's latest answer stated no limit any more.
     limit_per_s: float | None
     observed_at_ms: int
@@ -84,12 +83,12 @@
             after = changed(after, next_slot_at_ms=next_slot_at_ms)
         self.put(name, after)
 
-    def may_send(self, run: Run, vm_count: int, now_ms: int) -> bool:
+    def may_send(self, run: UpstreamRun, vm_count: int, now_ms: int) -> bool:
         """Return whether this VM may send a request to a run of an upstream now."""
         limit = self._limit_of(run)
         return limit is None or limit.first_valid_slot_ms(vm_count, now_ms) <= now_ms
 
-    def record_sent(self, run: Run, vm_count: int, now_ms: int) -> None:
+    def record_sent(self, run: UpstreamRun, vm_count: int, now_ms: int) -> None:
         """Use up a slot for a request that is sent now."""
         limit = self._limit_of(run)
         if limit is not None:
@@ -105,7 +104,7 @@
             if now_ms - limit.observed_at_ms <= _REPORTED_AGE_MS
         )
 
-    def _limit_of(self, run: Run) -> RequestLimit | None:
+    def _limit_of(self, run: UpstreamRun) -> RequestLimit | None:
         limit = self.get(run[0])
         if limit is None or limit.run != run or limit.limit_per_s is None:
             return None
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -6,7 +6,7 @@
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
 from azureturn.gateway.settings import EnginePolicy
-from azureturn.gateway.site import Prompt, RegisteredUpstream, Route
+from azureturn.gateway.site import Prompt, RegisteredUpstream, Route, UpstreamRun
 
 #: Factor on the expected time to the first event, as a margin for work queued ahead.
 _FIRST_EVENT_TIME_FACTOR = 1.3
@@ -53,8 +53,7 @@
     stage: Stage = Stage.QUEUED
     #: Name of the upstream that it was sent to; empty while it is queued.
     upstream: str = ""
-    #: Name of that upstream and start time of its run.
-    upstream_run: tuple[str, int] = ("", 0)
+    upstream_run: UpstreamRun = ("", 0)
     version: str = ""
     #: Number of ended attempts in which the upstream ran the request, or may have run it.
     run_attempts: int = 0
--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -5,6 +5,7 @@
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
+from azureturn.gateway.site import UpstreamRun
 
 #: Weight of a new sample in the moving averages.
 _EWMA_WEIGHT = 0.15
@@ -21,8 +22,7 @@
     A run is the time between a start of the upstream's process and its end.
     """
 
-    #: Name of the upstream and start time of the run.
-    run: tuple[str, int]
+    run: UpstreamRun
     #: Requests of this VM that it is running.
     requests: int = 0
     #: Estimated prompt tokens to prefill for requests whose first event has not been received.
@@ -106,7 +106,7 @@
 class UpstreamStateTable(Table[str, UpstreamState]):
     """Upstream states, keyed by upstream name."""
 
-    def of(self, run: tuple[str, int]) -> UpstreamState:
+    def of(self, run: UpstreamRun) -> UpstreamState:
         """Return the state of a run of an upstream; a new run starts empty."""
         state = self.get(run[0])
         if state is None or state.run != run:
--- a/azureturn/gateway/decisions/controllers/_crashes.py
+++ b/azureturn/gateway/decisions/controllers/_crashes.py
@@ -21,6 +21,7 @@
     GatewayController,
     gateway_controller,
 )
+from azureturn.gateway.site import UpstreamRun
 
 #: Interval at which requests that are being answered are looked through for parts to clear.
 _CLEARING_INTERVAL_MS = 250
@@ -100,7 +101,7 @@
         elif self.board.write(CrashTable).take_probe(upstream.run, context.now_ms):
             context.act(ProbeConnection(upstream, after_broken_answer=True))
 
-    def _confirm(self, run: tuple[str, int], context: Context) -> None:
+    def _confirm(self, run: UpstreamRun, context: Context) -> None:
         if self.board.write(CrashTable).confirm(self.settings.vm.name, run, context.now_ms):
             context.post(ReportRequested())
 
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -22,6 +22,7 @@
     MoveStatus,
     RegisteredUpstream,
     RegisteredVm,
+    UpstreamRun,
 )
 from azureturn.gateway.site._ports import Dialect, DocumentCodec
 from azureturn.gateway.site._quarantine import QuarantinedPrompt, QuarantineRecord
@@ -64,4 +65,5 @@
     "SiteConfiguration",
     "SiteView",
     "StoredDocument",
+    "UpstreamRun",
 ]
--- a/azureturn/gateway/site/_document_types.py
+++ b/azureturn/gateway/site/_document_types.py
@@ -7,6 +7,10 @@
 from azureturn.gateway.site._configuration import SiteConfiguration
 from azureturn.gateway.site._quarantine import QuarantineRecord
 
+#: Name of an upstream and start time of its process, in ms since 1970. A run is the time from a
+#: start of the process to its end.
+UpstreamRun = tuple[str, int]
+
 
 @dataclass(frozen=True)
 class RegisteredUpstream:
@@ -27,8 +31,8 @@
     started_unix_ms: int = 0
 
     @property
-    def run(self) -> tuple[str, int]:
-        """Return the id of the current run: the time from a start of the upstream to its end."""
+    def run(self) -> UpstreamRun:
+        """Return the id of the current run."""
         return (self.name, self.started_unix_ms)
 
 
