A quarantined set of parts is narrowed down by the first engine that ends under some of them

Now a suspect that has some of the parts, but not all, shows at once which are the cause, without waiting for reports, since these only add what was answered. Test: test_a_crashing_part_is_recognised_beside_other_parts_than_before (failed before with one VM and with six), test_a_crash_under_one_part_of_a_known_prompt_narrows_it_down_at_once.

--- a/azureturn/gateway/decisions/_crash_analysis.py
+++ b/azureturn/gateway/decisions/_crash_analysis.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
+from itertools import product
 
 from azureturn.gateway.decisions._crashes import Crash
 from azureturn.gateway.site import UpstreamRun
@@ -49,14 +50,18 @@
     crashes: Iterable[Crash],
     known_prompts: Iterable[frozenset[str]],
     is_cleared: Callable[[str, int], bool],
+    *,
+    settled_at_ms: float,
 ) -> list[frozenset[str]]:
     """Return the sets of parts, not in ``known_prompts``, that end engines.
 
-    ``is_cleared`` tells whether a part has been cleared at a time or later.
+    ``is_cleared`` tells whether a part has been cleared at a time or later. Crashes after
+    ``settled_at_ms`` only narrow down known prompts, since peers may not have reported yet what
+    they know of the suspects.
 
     >>> prompts = [(frozenset({"a", f"own-{number}"}),) for number in range(3)]
     >>> crashes = [Crash((f"e-{n}", 0), 1_000 * n, prompts[n]) for n in range(3)]
-    >>> find_crashing_prompts(crashes, (), lambda part_id, since_ms: False)
+    >>> find_crashing_prompts(crashes, (), lambda part_id, since_ms: False, settled_at_ms=3_000)
     [frozenset({'a'})]
     """
     found: list[frozenset[str]] = []
@@ -64,7 +69,10 @@
     merged = _merge_by_run(crashes)
     while True:
         unexplained = [crash for crash in merged if not _is_explained(crash, explained)]
-        newly_found = _strongest_explanations(unexplained, is_cleared)
+        settled = [crash for crash in unexplained if crash.at_ms <= settled_at_ms]
+        newly_found = _narrowed(unexplained, explained, is_cleared) or _strongest_explanations(
+            settled, is_cleared
+        )
         if not newly_found:
             return found
         found += newly_found
@@ -87,6 +95,26 @@
     return any(known <= suspect for suspect in crash.prompts for known in prompts)
 
 
+def _narrowed(
+    crashes: Sequence[Crash],
+    prompts: Sequence[frozenset[str]],
+    is_cleared: Callable[[str, int], bool],
+) -> list[frozenset[str]]:
+    """Return the parts that a known prompt shares with the suspect of a crash that it missed.
+
+    The known prompt has several parts of which only one is the cause; a suspect that has some of
+    them, but not all, shows which.
+    """
+    for crash in crashes:
+        for suspect, known in product(crash.prompts, prompts):
+            common = frozenset(
+                part for part in known & suspect if not is_cleared(part, crash.at_ms)
+            )
+            if common:
+                return [common]
+    return []
+
+
 def _strongest_explanations(
     crashes: Sequence[Crash], is_cleared: Callable[[str, int], bool]
 ) -> list[frozenset[str]]:
--- a/azureturn/gateway/decisions/controllers/_quarantine.py
+++ b/azureturn/gateway/decisions/controllers/_quarantine.py
@@ -70,12 +70,13 @@
     def _find_new(self, context: Context) -> list[frozenset[str]]:
         peers = self.board.read(PeerTable)
         interval_ms = peers.interval_ms(self.settings.limits.report_interval_ms)
-        settled_ms = context.now_ms - _REPORT_INTERVALS * interval_ms
+        settled_at_ms = context.now_ms - _REPORT_INTERVALS * interval_ms
         crashes = self.board.read(CrashTable)
         return find_crashing_prompts(
-            [crash for crash in crashes.rows() if crash.at_ms <= settled_ms],
+            crashes.rows(),
             [prompt.part_ids for prompt in self.board.read(QuarantineTable).rows()],
             crashes.is_cleared,
+            settled_at_ms=settled_at_ms,
         )
 
     def _add(self, prompt: QuarantinedPrompt, source: str, context: Context) -> None:
--- a/azureturn/gateway/decisions/tests/test_crash_analysis.py
+++ b/azureturn/gateway/decisions/tests/test_crash_analysis.py
@@ -61,16 +61,37 @@
     rows: list[_Row], cleared_at_ms: dict[str, int], expected: list[str]
 ) -> None:
     found = find_crashing_prompts(
-        _crashes(*rows), (), lambda part_id, since_ms: cleared_at_ms.get(part_id, -1) >= since_ms
+        _crashes(*rows),
+        (),
+        lambda part_id, since_ms: cleared_at_ms.get(part_id, -1) >= since_ms,
+        settled_at_ms=5_000,
     )
     assert sorted(" ".join(sorted(part_ids)) for part_ids in found) == expected
 
 
+def _find(crashes: list[Crash], *known: str, settled_at_ms: int = 5_000) -> list[frozenset[str]]:
+    """Return what is found if ``known`` prompts are in quarantine and no part was cleared."""
+    known_prompts = [frozenset(prompt.split()) for prompt in known]
+    return find_crashing_prompts(
+        crashes, known_prompts, lambda *_: False, settled_at_ms=settled_at_ms
+    )
+
+
+def test_a_crash_under_one_part_of_a_known_prompt_narrows_it_down_at_once() -> None:
+    crashes = _crashes((0, "s x"), (200, "s x"), (400, "s x"), (900, "t x|u"))
+    assert _find(crashes, "s x", settled_at_ms=500) == [frozenset({"x"})]
+
+
+def test_crashes_are_not_judged_before_peers_have_reported() -> None:
+    crashes = _crashes((0, "x"), (200, "x"), (400, "x"))
+    assert _find(crashes, settled_at_ms=399) == []
+
+
 def test_crashes_under_a_known_prompt_are_explained() -> None:
     crashes = _crashes((0, "s x"), (200, "s x"), (400, "s x"))
-    assert find_crashing_prompts(crashes, [frozenset({"x"})], lambda *_: False) == []
+    assert _find(crashes, "x") == []
 
 
 def test_a_crash_that_several_vms_saw_is_one_incident() -> None:
     crashes = [Crash(("e-1", 0), at_ms, (frozenset({"x"}),)) for at_ms in (0, 200, 400)]
-    assert find_crashing_prompts(crashes, (), lambda *_: False) == []
+    assert _find(crashes) == []
--- a/azureturn/gateway/decisions/tests/test_crashing_prompts.py
+++ b/azureturn/gateway/decisions/tests/test_crashing_prompts.py
@@ -75,6 +75,19 @@
     assert {change.part_ids for change in site.quarantine_changes} == {frozenset({"crashing"})}
 
 
+@pytest.mark.parametrize("vm_count", [1, 6])
+def test_a_crashing_part_is_recognised_beside_other_parts_than_before(vm_count: int) -> None:
+    site = SimulatedSite(vm_count=vm_count, engine_count=9, crashing_part="crashing")
+    _play(site, _CALM_MS)
+    _play(site, _CALM_MS, "rare-1", "crashing")
+    limit_from_ms = _fifth_crash_ms(site) + _CONTACT_MS
+    _play(site, _CALM_MS, "rare-1", "crashing")
+    _play(site, _CALM_MS, "rare-2", "crashing")
+    _play(site, _CALM_MS, "crashing", "rare-3")
+    later = site.arrivals_with("crashing", after_ms=limit_from_ms)
+    assert len(later) <= _MAX_LATER_ARRIVALS
+
+
 def _site_with_quarantine(vm_count: int) -> SimulatedSite:
     """Return a site on which the part "crashing" has been put into quarantine."""
     site = SimulatedSite(vm_count=vm_count, engine_count=9, crashing_part="crashing")
