--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -46,6 +46,9 @@
     prompt: Prompt | None
     #: Time-out stated by the caller; None if it stated none.
     caller_timeout_ms: int | None = None
+    #: Digest of what the caller sent; requests with the same digest ask for the same. Empty if it
+    #: was not computed.
+    digest: str = ""
     #: Whether it is expected to miss its objective.
     is_late: bool = False
     #: Units charged to the organisation's allotment.
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -119,7 +119,12 @@
         except ValueError as error:
             raise CallerError(ErrorKind.BAD_HEADER, str(error)) from error
         request = route_request(
-            facts, self._caller, configuration, self._services.runtime, now_ms=self._started_at_ms
+            facts,
+            self._caller,
+            configuration,
+            self._services.runtime,
+            body=self._body,
+            now_ms=self._started_at_ms,
         )
         if not self._fits_before_stop(request):
             raise RefusedError(ErrorKind.STOPPING, retry_after_ms=_STOPPING_RETRY_AFTER_MS)
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -71,6 +71,7 @@
             request_id=request.request_id,
             upstream=action.upstream.name,
             result=result.value,
+            request_digest=request.digest,
             prompt_parts=",".join(prompt_parts),
             answering_ms=-1 if answering_ms is None else answering_ms,
             first_event_ms=first_event_ms,
--- a/azureturn/gateway/exchange/_routing.py
+++ b/azureturn/gateway/exchange/_routing.py
@@ -1,5 +1,7 @@
 """Determines the route, service, organisation and urgency of a caller's request."""
 
+import hashlib
+
 import xxhash
 
 from azureturn.errors import CallerError, ErrorKind, RefusedError
@@ -10,6 +12,7 @@
 
 #: Number of ranks of routes that are distinguished within one rank of organisations.
 _ROUTE_RANKS_PER_ORGANISATION_RANK = 16
+_DIGEST_BYTES = 12
 
 
 def route_request(
@@ -18,6 +21,7 @@
     configuration: SiteConfiguration,
     runtime: CoreRuntime,
     *,
+    body: bytes,
     now_ms: int,
 ) -> GatewayRequest:
     """Return the request in the form in which the controllers handle it.
@@ -46,10 +50,22 @@
         ends_at_ms=now_ms + timeout_ms,
         prompt=facts.prompt,
         caller_timeout_ms=facts.caller_timeout_ms,
+        digest=_digest(caller, host, organisation.name if organisation else "", body),
         allotment_units=_allotment_units(facts, organisation),
     )
 
 
+def _digest(caller: CallerChannel, host: str, organisation: str, body: bytes) -> str:
+    """Return the digest of what a caller asks for: the organisation, method, target and body.
+
+    The request id is left out, since it is new each time a caller sends a request again.
+    """
+    head = "\0".join((organisation, caller.method, host, caller.target, ""))
+    digest = hashlib.blake2b(head.encode(), digest_size=_DIGEST_BYTES)
+    digest.update(body)
+    return digest.hexdigest()
+
+
 def _find_organisation(
     facts: RequestFacts, route: Route, configuration: SiteConfiguration
 ) -> Organisation | None:
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -142,6 +142,7 @@
                 "request_id",
                 "upstream",
                 "result",
+                "request_digest",
                 "prompt_parts",
                 "limit_per_s",
                 "answering_ms",
