--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -1,8 +1,10 @@
 """A simulated site for tests: several decision cores with their peers, a store and engines.
 
 Messages take a few simulated milliseconds. Engines answer every request after a while, except that
-a request with the crashing part ends the engine that begins to answer it; a new engine takes its
-place some seconds later. An engine may name a limit of requests in its answers.
+a request with the crashing part or a crashing digest ends the engine that begins to answer it; a
+new engine takes its place some seconds later. An engine may name a limit of requests in its
+answers. The site may have upstreams of a plain service in place of engines; these send no head
+before the whole answer.
 """
 
 import heapq
@@ -30,6 +32,8 @@
     WriteQuarantineRecord,
 )
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
+    STATUS_ROUTE,
+    STREAM_ROUTE,
     GatewayCoreHarness,
     request,
     upstream,
@@ -41,8 +45,11 @@
 _MESSAGE_MS = 5
 #: Time from the arrival of a request at an engine to the head of its response.
 _HEAD_MS = 60
-#: Time from the head to the end of the engine, for a request with the crashing part.
+#: Time from the head to the end of the engine, for a request that ends it.
 _CRASH_MS = 70
+#: Time from the arrival to the end of an upstream of a plain service, which has sent no head then.
+_PLAIN_CRASH_MS = 60
+_PLAIN_ANSWER_MS = (30, 60)
 _FIRST_EVENT_MS = 20
 _LAPSE_MS = 2_500
 _RESTART_MS = 3_000
@@ -58,6 +65,15 @@
     upstream: str
     request_id: str
     parts: tuple[str, ...]
+    digest: str
+
+
+@dataclass(frozen=True)
+class EngineCrash:
+    """The end of an engine, and the digests of the requests that it had then."""
+
+    at_ms: int
+    digests: frozenset[str]
 
 
 @dataclass
@@ -78,6 +94,12 @@
     attempts: list[_EngineAttempt] = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class _SentRequest:
+    parts: tuple[str, ...]
+    digest: str
+
+
 class SimulatedSite:
     """Runs the cores of several VMs against simulated engines, on one simulated clock."""
 
@@ -87,6 +109,8 @@
         vm_count: int,
         engine_count: int,
         crashing_part: str = "",
+        crashing_digests: tuple[str, ...] = (),
+        is_plain: bool = False,
         answer_ms: tuple[int, int] = (100, 1_500),
         seed: int = 1,
     ) -> None:
@@ -94,13 +118,16 @@
         #: Shortest and longest time from the first event to the end of an answer.
         self._answer_ms = answer_ms
         self._crashing_part = crashing_part
+        self._crashing_digests = crashing_digests
+        #: Whether the upstreams are those of a plain service.
+        self._is_plain = is_plain
         self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
         self._schedule_count = 0
         self._engines = {f"e-{n}": _Engine(f"e-{n}") for n in range(engine_count)}
         self._registered = dict.fromkeys(self._engines)
         self._revision = 10
         self._quarantine_record: QuarantineRecord | None = None
-        self._parts: dict[str, tuple[str, ...]] = {}
+        self._requests: dict[str, _SentRequest] = {}
         #: VMs that exchange no reports with the others.
         self.vms_without_peers: set[int] = set()
         #: VMs that receive no changes of the store.
@@ -112,7 +139,7 @@
         #: Time of the first answer of an engine to a VM that named a limit, by engine and VM.
         self.told_at_ms: dict[tuple[str, int], int] = {}
         self.quarantine_changes: list[LogQuarantineChange] = []
-        self.crashed_at_ms: list[int] = []
+        self.crashes: list[EngineCrash] = []
         #: Attempts made for each answered request.
         self.answered: dict[str, int] = {}
         self.refused: dict[str, Refuse] = {}
@@ -126,13 +153,22 @@
             callback()
         self.now_ms = at_ms
 
-    def send(self, vm: int, request_id: str, *part_ids: str) -> None:
-        """Let a caller send a request whose prompt has these parts."""
-        parts = tuple(PromptPart(part_id, _PART_TOKENS) for part_id in part_ids)
-        prompt = Prompt("m", _PART_TOKENS * len(parts), 100, 50, parts)
-        self._parts[request_id] = part_ids
+    def send(self, vm: int, request_id: str, *part_ids: str, digest: str = "") -> None:
+        """Let a caller send a request whose prompt has these parts; a plain service gets none.
+
+        Requests without a stated digest are all different.
+        """
+        digest = digest or f"digest of {request_id}"
+        self._requests[request_id] = _SentRequest(part_ids, digest)
         self.sent_at_ms[request_id] = self.now_ms
-        received = request(request_id, arrived_at_ms=self.now_ms, prompt=prompt)
+        prompt = None
+        if not self._is_plain:
+            parts = tuple(PromptPart(part_id, _PART_TOKENS) for part_id in part_ids)
+            prompt = Prompt("m", _PART_TOKENS * len(parts), 100, 50, parts)
+        route = STATUS_ROUTE if self._is_plain else STREAM_ROUTE
+        received = request(
+            request_id, route, arrived_at_ms=self.now_ms, prompt=prompt, digest=digest
+        )
         self._handle(vm, RequestReceived(received))
 
     def crash_engines(self, count: int) -> None:
@@ -146,8 +182,9 @@
         self._engines[name].limit_per_s = limit_per_s
 
     def repair_engines(self) -> None:
-        """Let engines answer requests with the crashing part like all others."""
+        """Let engines answer all requests."""
         self._crashing_part = ""
+        self._crashing_digests = ()
 
     def restart_vm(self, number: int) -> None:
         """Replace a VM's process by a new one that knows only what the store holds."""
@@ -157,6 +194,10 @@
         """Return the arrivals of requests with this part that came later than ``after_ms``."""
         return [row for row in self.arrivals if part in row.parts and row.at_ms > after_ms]
 
+    def arrivals_of(self, digest: str) -> list[Arrival]:
+        """Return the arrivals of requests with this digest."""
+        return [row for row in self.arrivals if row.digest == digest]
+
     def _new_vm(self, number: int, *, is_first_start: bool = True) -> GatewayCoreHarness:
         return GatewayCoreHarness(
             self._view(),
@@ -167,8 +208,9 @@
         )
 
     def _view(self) -> SiteView:
+        service = "desk" if self._is_plain else "models"
         return view(
-            *(upstream(name) for name in self._registered),
+            *(upstream(name, service) for name in self._registered),
             revision=self._revision,
             quarantine=self._quarantine_record,
         )
@@ -234,12 +276,20 @@
         if not engine.is_up:
             self._handle(number, AttemptEnded(request_id, AttemptResult.UNREACHABLE))
             return
-        parts = self._parts[request_id]
-        self.arrivals.append(Arrival(self.now_ms, number, engine_name, request_id, parts))
-        attempt = _EngineAttempt(number, request_id, parts, self.now_ms + _HEAD_MS)
+        sent = self._requests[request_id]
+        self.arrivals.append(
+            Arrival(self.now_ms, number, engine_name, request_id, sent.parts, sent.digest)
+        )
+        head_ms = _PLAIN_ANSWER_MS[1] if self._is_plain else _HEAD_MS
+        attempt = _EngineAttempt(number, request_id, sent.parts, self.now_ms + head_ms)
         engine.attempts.append(attempt)
-        if self._crashing_part in parts:
-            self._after(_HEAD_MS + _CRASH_MS, lambda: self._crash(engine))
+        if self._crashing_part in sent.parts or sent.digest in self._crashing_digests:
+            crash_ms = _PLAIN_CRASH_MS if self._is_plain else _HEAD_MS + _CRASH_MS
+            self._after(crash_ms, lambda: self._crash(engine))
+            return
+        if self._is_plain:
+            answer_ms = self._random.randint(*_PLAIN_ANSWER_MS)
+            self._after(answer_ms, lambda: self._answer(engine, attempt))
             return
         first_event_ms = _HEAD_MS + _FIRST_EVENT_MS
         self._after(first_event_ms, lambda: self._first_event(engine, attempt))
@@ -261,6 +311,7 @@
         engine.attempts.remove(attempt)
         attempt.is_over = True
         attempts = sum(row.request_id == attempt.request_id for row in self.arrivals)
+        is_stream = not self._is_plain
         self.answered[attempt.request_id] = attempts
         answering_ms = self.now_ms - attempt.head_at_ms
         self._handle(
@@ -268,9 +319,9 @@
             AttemptEnded(
                 attempt.request_id,
                 AttemptResult.ANSWERED,
-                event_count=5,
-                streamed_ms=answering_ms,
-                answering_ms=answering_ms,
+                event_count=5 if is_stream else 0,
+                streamed_ms=answering_ms if is_stream else 0,
+                answering_ms=max(0, answering_ms),
                 limit_per_s=attempt.limit_per_s,
             ),
         )
@@ -280,8 +331,9 @@
         if not engine.is_up:
             return
         engine.is_up = False
-        self.crashed_at_ms.append(self.now_ms)
         attempts, engine.attempts = engine.attempts, []
+        digests = frozenset(self._requests[attempt.request_id].digest for attempt in attempts)
+        self.crashes.append(EngineCrash(self.now_ms, digests))
         for attempt in attempts:
             attempt.is_over = True
             answering_ms = self.now_ms - attempt.head_at_ms
@@ -293,7 +345,7 @@
         event = AttemptEnded(
             attempt.request_id,
             AttemptResult.BROKEN,
-            answering_ms=answering_ms if answering_ms >= 0 else None,
+            answering_ms=answering_ms if answering_ms >= 0 and not self._is_plain else None,
         )
         return lambda: self._handle(attempt.vm, event)
 
--- a/azureturn/gateway/decisions/tests/test_crashing_prompts.py
+++ b/azureturn/gateway/decisions/tests/test_crashing_prompts.py
@@ -42,7 +42,7 @@
 
 def _fifth_crash_ms(site: SimulatedSite) -> int:
     """Return the time of the fifth crash, or of the last one if there were fewer."""
-    return site.crashed_at_ms[:_COUNTED_CRASHES][-1]
+    return site.crashes[:_COUNTED_CRASHES][-1].at_ms
 
 
 def _first_attempt_share(site: SimulatedSite, from_ms: int) -> float:
