--- a/azureturn/errors/_kinds.py
+++ b/azureturn/errors/_kinds.py
@@ -47,7 +47,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     NO_UPSTREAM = "no_upstream"
-    PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
--- a/azureturn/errors/_table.py
+++ b/azureturn/errors/_table.py
@@ -99,11 +99,11 @@
         ErrorKind.NO_UPSTREAM: ErrorResponse(
             503, _NOT_RUN, True, "No upstream for this route is in service."
         ),
-        ErrorKind.PROMPT_QUARANTINED: ErrorResponse(
+        ErrorKind.REQUEST_QUARANTINED: ErrorResponse(
             503,
             _NOT_RUN,
             True,
-            "Upstreams ended when they answered prompts with a part that this one contains.",
+            "Upstreams ended when they ran this request, or others with a prompt part that it has.",
         ),
         ErrorKind.UPSTREAM_UNREACHABLE: ErrorResponse(
             502, _NOT_RUN, True, "Connecting to the upstream failed; nothing was sent."
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -238,7 +238,7 @@
     def _log_quarantine_change(self, action: LogQuarantineChange) -> None:
         self._log.info(
             LogEvent.QUARANTINE_CHANGED,
-            prompt_parts=",".join(sorted(action.part_ids)),
+            traits=",".join(sorted(action.traits)),
             source=action.source,
             crashes=action.crashes,
             outcome=action.outcome,
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -9,19 +9,21 @@
     QueueReport,
     SentPrompt,
     StreamPace,
+    Suspect,
     VersionCount,
 )
-from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedPrompt
+from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits
 from azureturn.peers import (
     AllotmentSpent,
     CrashSeen,
     GatewayReport,
     LimitSeen,
     MoveSeen,
-    PartCleared,
-    PromptQuarantined,
     PromptSent,
+    QuarantineSeen,
+    SuspectSeen,
     TierWaiting,
+    TraitCleared,
     UpstreamWork,
     VersionSeen,
     VmAddressSeen,
@@ -70,15 +72,14 @@
             for service, waiting in report.waiting.items()
         ],
         crashes=[
-            CrashSeen(*crash.run, crash.age_ms, [sorted(prompt) for prompt in crash.prompts])
+            CrashSeen(*crash.run, crash.age_ms, [_suspect_to_wire(row) for row in crash.suspects])
             for crash in report.crashes
         ],
-        cleared_parts=[
-            PartCleared(part_id, age_ms) for part_id, age_ms in report.cleared_parts_ms.items()
+        cleared_traits=[
+            TraitCleared(trait, age_ms) for trait, age_ms in report.cleared_traits_ms.items()
         ],
         quarantined=[
-            PromptQuarantined(sorted(prompt.part_ids), prompt.since_unix_ms)
-            for prompt in report.quarantined
+            QuarantineSeen(sorted(row.traits), row.since_unix_ms) for row in report.quarantined
         ],
         limits=[LimitSeen(*limit.run, limit.limit_per_s, limit.age_ms) for limit in report.limits],
     )
@@ -127,9 +128,9 @@
             for row in wire.waiting or ()
         },
         crashes=tuple(_crash_from_wire(row) for row in wire.crashes or ()),
-        cleared_parts_ms={row.part_id: row.age_ms for row in wire.cleared_parts or ()},
+        cleared_traits_ms={row.trait: row.age_ms for row in wire.cleared_traits or ()},
         quarantined=tuple(
-            QuarantinedPrompt(frozenset(row.part_ids), row.since_unix_ms)
+            QuarantinedTraits(frozenset(row.traits), row.since_unix_ms)
             for row in wire.quarantined or ()
         ),
         limits=tuple(
@@ -140,8 +141,14 @@
 
 
 def _crash_from_wire(row: CrashSeen) -> CrashReport:
-    prompts = tuple(frozenset(part_ids) for part_ids in row.prompts or ())
-    return CrashReport((row.upstream, row.started_unix_ms), row.age_ms, prompts)
+    suspects = tuple(
+        Suspect(frozenset(suspect.traits), suspect.sent_before_ms) for suspect in row.suspects or ()
+    )
+    return CrashReport((row.upstream, row.started_unix_ms), row.age_ms, suspects)
+
+
+def _suspect_to_wire(suspect: Suspect) -> SuspectSeen:
+    return SuspectSeen(sorted(suspect.traits), suspect.sent_before_ms)
 
 
 def _version_to_wire(service: str, version: str, count: VersionCount) -> VersionSeen:
--- a/azureturn/gateway/daemon/_store_writer.py
+++ b/azureturn/gateway/daemon/_store_writer.py
@@ -95,7 +95,7 @@
         outcome = self._write(key, value, action.expected_revision)
         self._log.info(
             LogEvent.QUARANTINE_RECORD_WRITTEN,
-            prompts=len(action.record.prompts),
+            quarantines=len(action.record.quarantined),
             revision=action.expected_revision,
             outcome=outcome,
         )
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -13,7 +13,7 @@
     WriteMoveStatus,
     WriteQuarantineRecord,
 )
-from azureturn.gateway.decisions._crashes import CrashReport
+from azureturn.gateway.decisions._crashes import CrashReport, Suspect
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
     AttemptResult,
@@ -82,6 +82,7 @@
     "UpstreamState",
     "UpstreamStateTable",
     "StreamPace",
+    "Suspect",
     "VersionCount",
     "ViewChanged",
     "ViewTable",
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -89,12 +89,12 @@
 
 @dataclass(frozen=True)
 class LogQuarantineChange(Action):
-    """Log that a prompt was put into quarantine, or that a quarantine ended."""
+    """Log that traits of requests were put into quarantine, or that a quarantine ended."""
 
-    part_ids: frozenset[str]
+    traits: frozenset[str]
     #: Who found it or ended it: this VM, a peer or the store.
     source: str
-    #: Number of engines' runs that ended under the prompt, as far as this VM knows.
+    #: Number of upstreams' runs that ended under the traits, as far as this VM knows.
     crashes: int
     outcome: str
 
--- a/azureturn/gateway/decisions/_crashes.py
+++ b/azureturn/gateway/decisions/_crashes.py
@@ -1,8 +1,8 @@
-"""What all VMs have seen of engines whose processes ended while they answered requests.
+"""What all VMs have seen of upstreams whose processes ended while they ran requests.
 
-An engine that ends breaks off all its answers at once, and only one of the requests may be the
-cause. A request whose answer had just begun is a suspect. A part of a prompt is cleared if a
-request with it has been answered: it does not end engines.
+An upstream that ends breaks off all its answers at once, and only one of the requests may be the
+cause. A request that the upstream may just have begun to run is a suspect. A trait of a request is
+cleared if a request with it has been answered: it does not end upstreams.
 """
 
 from collections import OrderedDict
@@ -22,23 +22,32 @@
 _CONFIRMATION_MS = 2_000
 _RETENTION_MS = 600_000
 _MAX_CRASHES = 128
-_MAX_CLEARED_PARTS = 4_096
-#: Age up to which crashes and cleared parts are reported, and the maximum number of each.
+_MAX_CLEARED_TRAITS = 4_096
+#: Age up to which crashes and cleared traits are reported, and the maximum number of each.
 _REPORTED_AGE_MS = 30_000
 _MAX_REPORTED_CRASHES = 8
-_MAX_REPORTED_PROMPTS = 12
-_MAX_REPORTED_PARTS = 64
+_MAX_REPORTED_SUSPECTS = 12
+_MAX_REPORTED_TRAITS = 64
+
+
+@dataclass(frozen=True)
+class Suspect:
+    """A request that an upstream may just have begun to run when its process ended."""
+
+    #: Without prompt parts if the upstream had not begun to answer.
+    traits: frozenset[str]
+    #: Time from the sending of the request to the end of the process.
+    sent_before_ms: int
 
 
 @dataclass(frozen=True)
 class Crash:
-    """The end of an engine's process, as one VM has seen it."""
+    """The end of an upstream's process, as one VM has seen it."""
 
-    #: Name of the engine and start time of the run that ended.
+    #: Name of the upstream and start time of the run that ended.
     run: UpstreamRun
     at_ms: int
-    #: The part ids of each prompt that the engine had just begun to answer; it may be empty.
-    prompts: tuple[frozenset[str], ...]
+    suspects: tuple[Suspect, ...]
 
 
 @dataclass(frozen=True)
@@ -47,19 +56,20 @@
 
     run: UpstreamRun
     age_ms: int
-    prompts: tuple[frozenset[str], ...]
+    suspects: tuple[Suspect, ...]
 
 
 class CrashTable(Table[tuple[str, UpstreamRun], Crash]):
-    """Crashes keyed by the VM that has seen them and the run that ended; and cleared parts."""
+    """Crashes keyed by the VM that has seen them and the run that ended; and cleared traits."""
 
     def __init__(self) -> None:
         super().__init__()
         self._probed_at_ms: dict[UpstreamRun, int] = {}
         #: Answers of this VM that broke off, while it is not known whether the process ended.
         self._unconfirmed: dict[UpstreamRun, Crash] = {}
-        #: When a request with the part was last seen to be answered, the oldest first.
+        #: When a request with the trait was last seen to be answered, the oldest first.
         self._cleared_at_ms: OrderedDict[str, int] = OrderedDict()
+        self._suspected_traits: frozenset[str] = frozenset()
 
     def take_probe(self, run: UpstreamRun, now_ms: int) -> bool:
         """Return whether a run is to be probed now, and if so record that it is."""
@@ -72,13 +82,13 @@
         self._probed_at_ms[run] = now_ms
         return True
 
-    def record_broken(self, run: UpstreamRun, suspect: frozenset[str] | None, now_ms: int) -> None:
-        """Record a broken answer; ``suspect`` has the parts of a prompt just begun to answer."""
+    def record_broken(self, run: UpstreamRun, suspect: Suspect | None, now_ms: int) -> None:
+        """Record a broken answer; ``suspect`` is None if the request cannot be the cause."""
         before = self._unconfirmed.get(run)
         if before is None or now_ms - before.at_ms > _CONFIRMATION_MS:
             before = Crash(run, now_ms, ())
-        prompts = before.prompts if suspect is None else (*before.prompts, suspect)
-        self._unconfirmed[run] = Crash(run, before.at_ms, prompts)
+        suspects = before.suspects if suspect is None else (*before.suspects, suspect)
+        self._unconfirmed[run] = Crash(run, before.at_ms, suspects)
 
     def confirm(self, vm: str, run: UpstreamRun, now_ms: int) -> bool:
         """Record that a run has ended; return whether it had broken off answers to this VM."""
@@ -86,54 +96,57 @@
         if crash is None or now_ms - crash.at_ms > _CONFIRMATION_MS:
             return False
         before = self.get((vm, run))
-        prompts = crash.prompts if before is None else (*before.prompts, *crash.prompts)
-        self._put_bounded(vm, Crash(run, crash.at_ms, prompts), now_ms)
+        suspects = crash.suspects if before is None else (*before.suspects, *crash.suspects)
+        self._put_bounded(vm, Crash(run, crash.at_ms, suspects), now_ms)
         return True
 
     def record_report(self, vm: str, report: CrashReport, now_ms: int) -> None:
         """Record a crash that a peer has seen."""
         before = self.get((vm, report.run))
-        if before is None or len(before.prompts) < len(report.prompts):
-            self._put_bounded(vm, Crash(report.run, now_ms - report.age_ms, report.prompts), now_ms)
-
-    def record_cleared(self, part_ids: Iterable[str], at_ms: int) -> None:
-        """Record that a request with these parts was answered."""
-        for part_id in part_ids:
-            last_ms = self._cleared_at_ms.get(part_id, at_ms)
-            self._cleared_at_ms[part_id] = max(last_ms, at_ms)
-            self._cleared_at_ms.move_to_end(part_id)
-        while len(self._cleared_at_ms) > _MAX_CLEARED_PARTS:
+        if before is None or len(before.suspects) < len(report.suspects):
+            crash = Crash(report.run, now_ms - report.age_ms, report.suspects)
+            self._put_bounded(vm, crash, now_ms)
+
+    def is_suspected(self, trait: str) -> bool:
+        """Return whether a suspect of a known crash has the trait."""
+        return trait in self._suspected_traits
+
+    def record_cleared(self, traits: Iterable[str], at_ms: int) -> None:
+        """Record that a request with these traits was answered."""
+        for trait in traits:
+            last_ms = self._cleared_at_ms.get(trait, at_ms)
+            self._cleared_at_ms[trait] = max(last_ms, at_ms)
+            self._cleared_at_ms.move_to_end(trait)
+        while len(self._cleared_at_ms) > _MAX_CLEARED_TRAITS:
             self._cleared_at_ms.popitem(last=False)
 
-    def is_cleared(self, part_id: str, since_ms: int) -> bool:
-        """Return whether a request with the part was answered at ``since_ms`` or later."""
-        cleared_at_ms = self._cleared_at_ms.get(part_id)
+    def is_cleared(self, trait: str, since_ms: int) -> bool:
+        """Return whether a request with the trait was answered at ``since_ms`` or later."""
+        cleared_at_ms = self._cleared_at_ms.get(trait)
         return cleared_at_ms is not None and cleared_at_ms >= since_ms
 
     def reported_crashes(self, vm: str, now_ms: int) -> tuple[CrashReport, ...]:
         """Return this VM's recent crashes for its report."""
         recent = [
-            CrashReport(run, now_ms - crash.at_ms, crash.prompts[:_MAX_REPORTED_PROMPTS])
+            CrashReport(run, now_ms - crash.at_ms, crash.suspects[:_MAX_REPORTED_SUSPECTS])
             for (seen_by, run), crash in self.items()
             if seen_by == vm and now_ms - crash.at_ms <= _REPORTED_AGE_MS
         ]
         return tuple(recent[-_MAX_REPORTED_CRASHES:])
 
     def reported_cleared_ages_ms(
-        self, quarantined_parts: frozenset[str], now_ms: int
+        self, quarantined_traits: frozenset[str], now_ms: int
     ) -> dict[str, int]:
-        """Return the age of the clearing of each part that is suspected or in quarantine."""
-        suspected = quarantined_parts.union(
-            *(prompt for crash in self.rows() for prompt in crash.prompts)
-        )
+        """Return the age of the clearing of each trait that is suspected or in quarantine."""
+        suspected = quarantined_traits | self._suspected_traits
         ages_ms = {
-            part_id: now_ms - self._cleared_at_ms[part_id]
-            for part_id in suspected & self._cleared_at_ms.keys()
+            trait: now_ms - self._cleared_at_ms[trait]
+            for trait in suspected & self._cleared_at_ms.keys()
         }
         recent = sorted(
-            (age_ms, part_id) for part_id, age_ms in ages_ms.items() if age_ms <= _REPORTED_AGE_MS
+            (age_ms, trait) for trait, age_ms in ages_ms.items() if age_ms <= _REPORTED_AGE_MS
         )
-        return {part_id: age_ms for age_ms, part_id in recent[:_MAX_REPORTED_PARTS]}
+        return {trait: age_ms for age_ms, trait in recent[:_MAX_REPORTED_TRAITS]}
 
     def _put_bounded(self, vm: str, crash: Crash, now_ms: int) -> None:
         self.remove((vm, crash.run))
@@ -145,3 +158,6 @@
             expired += [key for key, _ in self.items() if key not in expired][:excess]
         for key in expired:
             self.remove(key)
+        self._suspected_traits = frozenset[str]().union(
+            *(suspect.traits for row in self.rows() for suspect in row.suspects)
+        )
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -106,10 +106,10 @@
 
 
 @dataclass(frozen=True)
-class PromptQuarantined(Event):
-    """A prompt was put into quarantine (posted by controllers)."""
+class TraitsQuarantined(Event):
+    """Traits of requests were put into quarantine (posted by controllers)."""
 
-    part_ids: frozenset[str]
+    traits: frozenset[str]
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -8,7 +8,7 @@
 from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
 from azureturn.gateway.decisions._request_limits import LimitReport
-from azureturn.gateway.site import AllotmentUsage, QuarantinedPrompt
+from azureturn.gateway.site import AllotmentUsage, QuarantinedTraits
 
 #: A peer is live, that is, assumed to run and to be reachable, until its last report is older than
 #: this many report intervals.
@@ -139,12 +139,12 @@
     availability_zone: str = ""
     #: Queued requests, by service.
     waiting: dict[str, QueueReport] = field(default_factory=dict)
-    #: Recent ends of engines that broke off answers to this VM.
+    #: Recent ends of upstreams that broke off answers to this VM.
     crashes: tuple[CrashReport, ...] = ()
-    #: Parts of prompts that were answered, of those that are suspected of ending engines, with the
-    #: time since then.
-    cleared_parts_ms: dict[str, int] = field(default_factory=dict)
-    quarantined: tuple[QuarantinedPrompt, ...] = ()
+    #: Traits of answered requests, of those that are suspected of ending upstreams, with the time
+    #: since then.
+    cleared_traits_ms: dict[str, int] = field(default_factory=dict)
+    quarantined: tuple[QuarantinedTraits, ...] = ()
     #: Limits of requests that upstreams stated recently, and ends of such limits.
     limits: tuple[LimitReport, ...] = ()
 
--- a/azureturn/gateway/decisions/_quarantine.py
+++ b/azureturn/gateway/decisions/_quarantine.py
@@ -1,72 +1,74 @@
-"""The prompts in quarantine: requests with them are refused and not sent to any engine.
+"""The traits in quarantine: requests with them are refused and not sent to any upstream.
 
 A quarantine works like a circuit breaker: at set times a single request is let through as a trial.
-If it is answered, the prompt is released.
+If it is answered, the traits are released.
 """
 
 from azureturn.framework import Table
-from azureturn.gateway.site import Prompt, QuarantinedPrompt
+from azureturn.gateway.site import QuarantinedTraits
 
-#: A quarantine ends after this time, in case the engines have been repaired. If they have not, the
-#: prompt is found again.
+#: A quarantine ends after this time, in case the upstreams have been repaired. If they have not,
+#: the traits are found again.
 _QUARANTINE_MS = 600_000
-_MAX_PROMPTS = 64
+_MAX_QUARANTINES = 64
 #: When trials begin, counted from the start of the quarantine, and how long one may take to come.
 _TRIALS_AFTER_MS = (30_000, 150_000)
+#: The same for a quarantine of one request only, which keeps no other request from upstreams.
+_SINGLE_REQUEST_TRIALS_AFTER_MS = (150_000,)
 _TRIAL_WINDOW_MS = 5_000
 
 
-class QuarantineTable(Table[frozenset[str], QuarantinedPrompt]):
-    """Quarantined prompts, keyed by their part ids."""
+class QuarantineTable(Table[frozenset[str], QuarantinedTraits]):
+    """Quarantines, keyed by their traits."""
 
     def __init__(self) -> None:
         super().__init__()
-        #: The last trial of each prompt that this VM has made.
+        #: The last trial of each quarantine that this VM has made.
         self._trials_made: dict[frozenset[str], int] = {}
 
-    def take_trial(self, prompt: QuarantinedPrompt, unix_ms: int) -> bool:
-        """Return whether a request with the prompt is to be sent as a trial, and record it."""
-        age_ms = unix_ms - prompt.since_unix_ms
-        for trial, after_ms in enumerate(_TRIALS_AFTER_MS):
+    def take_trial(self, quarantined: QuarantinedTraits, unix_ms: int) -> bool:
+        """Return whether a request in quarantine is to be sent as a trial, and record it."""
+        age_ms = unix_ms - quarantined.since_unix_ms
+        is_single_request = quarantined.is_single_request
+        trials = _SINGLE_REQUEST_TRIALS_AFTER_MS if is_single_request else _TRIALS_AFTER_MS
+        for trial, after_ms in enumerate(trials):
             if after_ms <= age_ms < after_ms + _TRIAL_WINDOW_MS:
-                is_due = self._trials_made.get(prompt.part_ids, -1) < trial
-                self._trials_made[prompt.part_ids] = trial
+                is_due = self._trials_made.get(quarantined.traits, -1) < trial
+                self._trials_made[quarantined.traits] = trial
                 return is_due
         return False
 
-    def match(self, prompt: Prompt | None) -> QuarantinedPrompt | None:
-        """Return the quarantine that a prompt falls under, or None."""
-        if prompt is None or not self._rows:
-            return None
-        part_ids = prompt.shared_part_ids
-        return next((row for row in self.rows() if row.part_ids <= part_ids), None)
+    def match(self, traits: frozenset[str]) -> QuarantinedTraits | None:
+        """Return the quarantine that a request with these traits falls under, or None."""
+        return next((row for row in self.rows() if row.traits <= traits), None)
 
-    def add(self, prompt: QuarantinedPrompt, unix_ms: int) -> bool:
-        """Add a prompt; return False if its quarantine is over, or another one includes it."""
-        if unix_ms - prompt.since_unix_ms >= _QUARANTINE_MS or not prompt.part_ids:
+    def add(self, quarantined: QuarantinedTraits, unix_ms: int) -> bool:
+        """Add a quarantine; return False if it is over, or another one includes it."""
+        traits = quarantined.traits
+        if unix_ms - quarantined.since_unix_ms >= _QUARANTINE_MS or not traits:
             return False
-        if any(row.part_ids <= prompt.part_ids for row in self.rows()):
+        if any(row.traits <= traits for row in self.rows()):
             return False
-        for part_ids in [known for known in self._rows if prompt.part_ids < known]:
-            self.remove(part_ids)
-        if len(self) >= _MAX_PROMPTS:
+        for known in [known for known in self._rows if traits < known]:
+            self.remove(known)
+        if len(self) >= _MAX_QUARANTINES:
             self.remove(next(iter(self._rows)))
-        self.put(prompt.part_ids, prompt)
+        self.put(traits, quarantined)
         return True
 
     def remove_expired(self, unix_ms: int) -> None:
-        """Remove the prompts whose quarantine is over."""
-        for prompt in list(self.rows()):
-            if self.time_left_ms(prompt, unix_ms) <= 0:
-                self.remove(prompt.part_ids)
+        """Remove the quarantines that are over."""
+        for quarantined in list(self.rows()):
+            if self.time_left_ms(quarantined, unix_ms) <= 0:
+                self.remove(quarantined.traits)
         self._trials_made = {
-            part_ids: trial for part_ids, trial in self._trials_made.items() if part_ids in self
+            traits: trial for traits, trial in self._trials_made.items() if traits in self
         }
 
-    def time_left_ms(self, prompt: QuarantinedPrompt, unix_ms: int) -> int:
-        """Return how long a prompt stays in quarantine."""
-        return prompt.since_unix_ms + _QUARANTINE_MS - unix_ms
+    def time_left_ms(self, quarantined: QuarantinedTraits, unix_ms: int) -> int:
+        """Return how long a quarantine lasts."""
+        return quarantined.since_unix_ms + _QUARANTINE_MS - unix_ms
 
-    def all_part_ids(self) -> frozenset[str]:
-        """Return the parts of all quarantined prompts."""
+    def all_traits(self) -> frozenset[str]:
+        """Return the traits of all quarantines."""
         return frozenset[str]().union(*self._rows)
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -6,7 +6,13 @@
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
 from azureturn.gateway.settings import EnginePolicy
-from azureturn.gateway.site import Prompt, RegisteredUpstream, Route, UpstreamRun
+from azureturn.gateway.site import (
+    Prompt,
+    RegisteredUpstream,
+    Route,
+    UpstreamRun,
+    digest_trait,
+)
 
 #: Factor on the expected time to the first event, as a margin for work queued ahead.
 _FIRST_EVENT_TIME_FACTOR = 1.3
@@ -75,6 +81,17 @@
         """Return whether the request may run more than once."""
         return self.route.may_repeat
 
+    @property
+    def digest_traits(self) -> frozenset[str]:
+        """Return the trait that only this request has, whenever it is sent; empty if unknown."""
+        return frozenset({digest_trait(self.digest)}) if self.digest else frozenset()
+
+    @property
+    def traits(self) -> frozenset[str]:
+        """Return what it may have in common with other requests: prompt parts and digest."""
+        part_ids = self.prompt.shared_part_ids if self.prompt else frozenset()
+        return part_ids | self.digest_traits
+
     @property
     def tier_rank(self) -> int:
         """Return the rank of its tier; a late request ranks behind others of equal urgency."""
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -7,10 +7,10 @@
 from azureturn.gateway.decisions._caller_timeouts import CallerTimeoutTable
 from azureturn.gateway.decisions._events import (
     PlacementRequested,
-    PromptQuarantined,
     ReportRequested,
     RequestClosed,
     RequestReceived,
+    TraitsQuarantined,
 )
 from azureturn.gateway.decisions._peers import URGENT_INTERVAL_MS, PeerTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
@@ -21,7 +21,7 @@
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import Allotment, QuarantinedPrompt
+from azureturn.gateway.site import Allotment, QuarantinedTraits
 
 _MS_PER_S = 1_000.0
 _MIN_RETRY_AFTER_MS = 200
@@ -29,7 +29,7 @@
 #: A queued request is refused this long before its time limit, so that the refusal can still be
 #: sent.
 _ANSWER_MARGIN_MS = 20
-#: Maximum Retry-After of a request whose prompt is in quarantine; the quarantine may end early.
+#: Maximum Retry-After of a request in quarantine; the quarantine may end early.
 _MAX_QUARANTINE_RETRY_MS = 60_000
 
 
@@ -52,7 +52,7 @@
     @on(RequestReceived)
     def _on_request_received(self, event: RequestReceived, context: Context) -> None:
         request = self._with_prior_wait(event.request, context.now_ms)
-        quarantined = self.board.read(QuarantineTable).match(request.prompt)
+        quarantined = self.board.read(QuarantineTable).match(request.traits)
         if quarantined is not None and not self._may_try(quarantined, context.now_ms):
             self._refuse_quarantined(request, quarantined, context)
             return
@@ -91,12 +91,12 @@
             if len(queue):
                 context.post(PlacementRequested(service))
 
-    @on(PromptQuarantined)
-    def _on_prompt_quarantined(self, event: PromptQuarantined, context: Context) -> None:
+    @on(TraitsQuarantined)
+    def _on_traits_quarantined(self, event: TraitsQuarantined, context: Context) -> None:
         """Take the requests that are now in quarantine out of the queues."""
         for _, queue in self.board.write(GatewayQueueTable).items():
             for request in list(queue.requests()):
-                quarantined = self.board.read(QuarantineTable).match(request.prompt)
+                quarantined = self.board.read(QuarantineTable).match(request.traits)
                 if quarantined is not None:
                     queue.remove(request)
                     self._end_quarantined(request, quarantined, context)
@@ -199,8 +199,8 @@
         queue_until_ms = int(request.arrived_at_ms + queue_limit_ms)
         return min(request.ends_at_ms - _ANSWER_MARGIN_MS, queue_until_ms)
 
-    def _may_try(self, quarantined: QuarantinedPrompt, now_ms: int) -> bool:
-        """Return whether a request with a quarantined prompt may be sent as a trial.
+    def _may_try(self, quarantined: QuarantinedTraits, now_ms: int) -> bool:
+        """Return whether a request in quarantine may be sent as a trial.
 
         Only the first live VM in the order of names makes trials.
         """
@@ -210,11 +210,11 @@
         return self.board.write(QuarantineTable).take_trial(quarantined, peers.unix_ms(now_ms))
 
     def _end_quarantined(
-        self, request: GatewayRequest, quarantined: QuarantinedPrompt, context: Context
+        self, request: GatewayRequest, quarantined: QuarantinedTraits, context: Context
     ) -> None:
-        """End a request that was queued when its prompt was put into quarantine."""
+        """End a request that was queued when its traits were put into quarantine."""
         if request.run_attempts:
-            self._return_last_result(request, "prompt is in quarantine", context)
+            self._return_last_result(request, "request is in quarantine", context)
             return
         self._refund(request, context)
         self._refuse_quarantined(request, quarantined, context)
@@ -233,19 +233,19 @@
         context.act(ReturnLastResult(request.request_id, reason))
 
     def _refuse_quarantined(
-        self, request: GatewayRequest, quarantined: QuarantinedPrompt, context: Context
+        self, request: GatewayRequest, quarantined: QuarantinedTraits, context: Context
     ) -> None:
         self.board.write(GatewayRequestTable).remove(request.request_id)
         unix_ms = self.board.read(PeerTable).unix_ms(context.now_ms)
         time_left_ms = self.board.read(QuarantineTable).time_left_ms(quarantined, unix_ms)
         retry_after_ms = min(_MAX_QUARANTINE_RETRY_MS, max(_MIN_RETRY_AFTER_MS, time_left_ms))
-        parts = ",".join(sorted(quarantined.part_ids))
+        traits = ",".join(sorted(quarantined.traits))
         context.act(
             Refuse(
                 request.request_id,
-                ErrorKind.PROMPT_QUARANTINED,
+                ErrorKind.REQUEST_QUARANTINED,
                 retry_after_ms,
-                detail=f"parts {parts}",
+                detail=f"traits {traits}",
             )
         )
 
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -123,8 +123,8 @@
         """Return why the request is not retried; an empty string means that it is retried."""
         if not event.is_resumable:
             return "events without a number have been relayed"
-        if self.board.read(QuarantineTable).match(request.prompt):
-            return "prompt is in quarantine"
+        if self.board.read(QuarantineTable).match(request.traits):
+            return "request is in quarantine"
         if ran and not request.may_repeat:
             return "route does not allow a second run"
         if ran and request.run_attempts + 1 >= request.route.attempts:
--- a/azureturn/gateway/decisions/controllers/_crashes.py
+++ b/azureturn/gateway/decisions/controllers/_crashes.py
@@ -1,4 +1,4 @@
-"""Collects what this VM and its peers see of engines that end while they answer requests."""
+"""Collects what this VM and its peers see of upstreams that end while they run requests."""
 
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import ProbeConnection
@@ -6,6 +6,7 @@
     CLEARED_ANSWERING_MS,
     SUSPECT_ANSWERING_MS,
     CrashTable,
+    Suspect,
 )
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
@@ -14,6 +15,7 @@
     ReportRequested,
     UpstreamProcessEnded,
 )
+from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
@@ -23,19 +25,19 @@
 )
 from azureturn.gateway.site import UpstreamRun
 
-#: Interval at which requests that are being answered are looked through for parts to clear.
+#: Interval at which requests that are being answered are looked through for traits to clear.
 _CLEARING_INTERVAL_MS = 250
 
 
 @gateway_controller("crashes")
 class CrashController(GatewayController):
-    """Records which prompts an engine had just begun to answer when its process ended.
+    """Records which requests an upstream may have begun to run when its process ended.
 
     An upstream that breaks off an answer is probed; if it refuses the connection, its process has
     ended.
     """
 
-    reads = (GatewayRequestTable, ViewTable)
+    reads = (GatewayRequestTable, ViewTable, QuarantineTable)
     writes = (CrashTable, UpstreamStateTable)
     after = ("admission",)
 
@@ -47,7 +49,7 @@
         if request is None or request.stage is not Stage.SENT:
             return
         if event.result is AttemptResult.BROKEN:
-            suspect = _suspect(request, event.answering_ms)
+            suspect = _suspect(request, event.answering_ms, context.now_ms)
             self.board.write(CrashTable).record_broken(
                 request.upstream_run, suspect, context.now_ms
             )
@@ -74,12 +76,12 @@
         crashes = self.board.write(CrashTable)
         for crash in report.crashes:
             crashes.record_report(report.vm, crash, context.now_ms)
-        for part_id, age_ms in report.cleared_parts_ms.items():
-            crashes.record_cleared((part_id,), context.now_ms - age_ms)
+        for trait, age_ms in report.cleared_traits_ms.items():
+            crashes.record_cleared((trait,), context.now_ms - age_ms)
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
-        """Clear the parts of requests that have been answered for long enough."""
+        """Clear the traits of requests that have been answered for long enough."""
         if not len(self.board.read(CrashTable)):
             return
         if context.now_ms - self._cleared_at_ms < _CLEARING_INTERVAL_MS:
@@ -91,8 +93,19 @@
                 self._record_cleared(request, context.now_ms)
 
     def _record_cleared(self, request: GatewayRequest, now_ms: int) -> None:
-        if request.prompt is not None:
-            self.board.write(CrashTable).record_cleared(request.prompt.shared_part_ids, now_ms)
+        """Clear the traits of an answered request, its digest only if that is suspected.
+
+        Digests of all requests would displace the other cleared traits.
+        """
+        crashes = self.board.write(CrashTable)
+        cleared = request.traits
+        for digest in request.digest_traits:
+            if not crashes.is_suspected(digest) and digest not in self._quarantined_traits():
+                cleared -= {digest}
+        crashes.record_cleared(cleared, now_ms)
+
+    def _quarantined_traits(self) -> frozenset[str]:
+        return self.board.read(QuarantineTable).all_traits()
 
     def _probe(self, request: GatewayRequest, context: Context) -> None:
         upstream = self.board.read(ViewTable).current().upstreams.get(request.upstream)
@@ -106,13 +119,14 @@
             context.post(ReportRequested())
 
 
-def _suspect(request: GatewayRequest, answering_ms: int | None) -> frozenset[str] | None:
-    """Return the parts of the prompt if its answer had just begun, or None.
+def _suspect(request: GatewayRequest, answering_ms: int | None, now_ms: int) -> Suspect | None:
+    """Return the suspect that a request is whose answer broke off, or None if it is none.
 
-    An engine sends the head of its response when it begins to answer, so a request without one was
-    still waiting at the engine.
+    An engine sends the head of its response when it begins to answer. A request without a head may
+    run, or may still be waiting at the upstream; its digest is suspected, but no prompt part, since
+    a part is in many requests that wait.
     """
-    has_begun = answering_ms is not None and answering_ms < SUSPECT_ANSWERING_MS
-    if not has_begun or request.prompt is None:
+    if answering_ms is not None and answering_ms >= SUSPECT_ANSWERING_MS:
         return None
-    return request.prompt.shared_part_ids or None
+    traits = request.digest_traits if answering_ms is None else request.traits
+    return Suspect(traits, now_ms - request.sent_at_ms) if traits else None
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -161,8 +161,8 @@
             availability_zone=self.settings.vm.availability_zone,
             waiting=self._waiting(),
             crashes=crashes.reported_crashes(peer_table.own_name, self._sent_at_ms),
-            cleared_parts_ms=crashes.reported_cleared_ages_ms(
-                quarantine.all_part_ids(), self._sent_at_ms
+            cleared_traits_ms=crashes.reported_cleared_ages_ms(
+                quarantine.all_traits(), self._sent_at_ms
             ),
             quarantined=tuple(quarantine.rows()),
             limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
--- a/azureturn/gateway/decisions/tests/test_crash_analysis.py
+++ b/azureturn/gateway/decisions/tests/test_crash_analysis.py
@@ -1,22 +1,28 @@
-"""Which parts of prompts are found to end engines, from crashes that VMs have seen."""
+"""Which traits of requests are found to end upstreams, from crashes that VMs have seen."""
 
 import pytest
 
-from azureturn.gateway.decisions._crash_analysis import find_crashing_prompts
-from azureturn.gateway.decisions._crashes import Crash
+from azureturn.gateway.decisions._crash_analysis import find_crashing_traits
+from azureturn.gateway.decisions._crashes import Crash, Suspect
 
 _Row = tuple[int, str]
+_SENT_BEFORE_MS = 50
 
 
-def _crashes(*rows: _Row) -> list[Crash]:
-    """Return crashes from rows of a time in ms and the prompts, as in ``"a b|a c"``."""
+def _suspect(text: str, sent_before_ms: int = _SENT_BEFORE_MS) -> Suspect:
+    """Return a suspect with the traits in ``text``; ``#1`` stands for the digest 1."""
+    return Suspect(frozenset(text.replace("#", "digest:").split()), sent_before_ms)
+
+
+def _crashes(*rows: _Row, sent_before_ms: int = _SENT_BEFORE_MS) -> list[Crash]:
+    """Return crashes from rows of a time in ms and the suspects, as in ``"a b|a c"``."""
     return [
         Crash(
             (f"e-{number}", 0),
             at_ms,
-            tuple(frozenset(prompt.split()) for prompt in prompts.split("|") if prompt),
+            tuple(_suspect(text, sent_before_ms) for text in suspects.split("|") if text),
         )
-        for number, (at_ms, prompts) in enumerate(rows)
+        for number, (at_ms, suspects) in enumerate(rows)
     ]
 
 
@@ -38,6 +44,15 @@
         ([(at_ms, "x|y") for at_ms in range(0, 1_000, 200)], {}, ["x", "y"]),
         ([(0, "x"), (100, "y"), (200, "x"), (300, "y"), (400, "x"), (500, "y")], {}, ["x", "y"]),
         ([(200 * n, "x" if n % 5 == 0 else "") for n in range(11)], {}, []),
+        ([(0, "#1"), (200, "#1"), (400, "#1")], {}, ["#1"]),
+        ([(0, "#1"), (60, "#1"), (120, "#1")], {}, ["#1"]),
+        ([(0, "#1|#2"), (200, "#1"), (400, "#1|#2")], {}, ["#1"]),
+        ([(0, "#1|#2"), (200, "#1|#2"), (400, "#1|#2"), (600, "#1")], {}, ["#1"]),
+        ([(0, "#1 s"), (200, "#1 s"), (400, "#1 s|#2 s")], {}, ["#1"]),
+        ([(0, "#1 s"), (200, "#1 s"), (400, "#1 s"), (600, "#2 s")], {}, ["s"]),
+        ([(0, "#1 s"), (200, "#1 s"), (400, "#1 s"), (600, "#2 s")], {"s": 500}, ["#1"]),
+        ([(0, "#1"), (200, "#1"), (400, "#1")], {"#1": 300}, []),
+        ([(200 * n, f"#{n % 5}") for n in range(11)], {}, ["#0"]),
     ],
     ids=[
         "two incidents",
@@ -55,25 +70,35 @@
         "rivals after five incidents",
         "two parts at the same time",
         "in few of many crashes",
+        "a request that is sent again",
+        "a request that is sent again at once",
+        "a bystander in some of the crashes under a request",
+        "a bystander until it was not sent again",
+        "a request with a part that others share",
+        "another request with the same part",
+        "another request with a cleared part",
+        "a request that was answered in between",
+        "several requests that take turns",
     ],
 )
 def test_parts_that_explain_crashes(
     rows: list[_Row], cleared_at_ms: dict[str, int], expected: list[str]
 ) -> None:
-    found = find_crashing_prompts(
+    found = find_crashing_traits(
         _crashes(*rows),
         (),
-        lambda part_id, since_ms: cleared_at_ms.get(part_id, -1) >= since_ms,
+        lambda trait, since_ms: cleared_at_ms.get(trait.replace("digest:", "#"), -1) >= since_ms,
         settled_at_ms=5_000,
     )
-    assert sorted(" ".join(sorted(part_ids)) for part_ids in found) == expected
+    texts = [" ".join(sorted(traits)).replace("digest:", "#") for traits in found]
+    assert sorted(texts) == expected
 
 
 def _find(crashes: list[Crash], *known: str, settled_at_ms: int = 5_000) -> list[frozenset[str]]:
-    """Return what is found if ``known`` prompts are in quarantine and no part was cleared."""
-    known_prompts = [frozenset(prompt.split()) for prompt in known]
-    return find_crashing_prompts(
-        crashes, known_prompts, lambda *_: False, settled_at_ms=settled_at_ms
+    """Return what is found if ``known`` traits are in quarantine and none was cleared."""
+    known_traits = [frozenset(text.split()) for text in known]
+    return find_crashing_traits(
+        crashes, known_traits, lambda *_: False, settled_at_ms=settled_at_ms
     )
 
 
@@ -92,6 +117,11 @@
     assert _find(crashes, "x") == []
 
 
+def test_copies_of_a_request_at_upstreams_that_end_at_the_same_moment_are_one_incident() -> None:
+    crashes = _crashes((0, "#1|#2"), (10, "#1|#3"), (20, "#1|#4"), sent_before_ms=80)
+    assert _find(crashes) == []
+
+
 def test_a_crash_that_several_vms_saw_is_one_incident() -> None:
-    crashes = [Crash(("e-1", 0), at_ms, (frozenset({"x"}),)) for at_ms in (0, 200, 400)]
+    crashes = [Crash(("e-1", 0), at_ms, (_suspect("x"),)) for at_ms in (0, 200, 400)]
     assert _find(crashes) == []
--- a/azureturn/gateway/decisions/tests/test_crashing_prompts.py
+++ b/azureturn/gateway/decisions/tests/test_crashing_prompts.py
@@ -72,7 +72,7 @@
     assert len(later) <= _MAX_LATER_ARRIVALS
     share = _first_attempt_share(site, limit_from_ms + _CONTACT_MS)
     assert share >= _MIN_FIRST_ATTEMPT_RATIO * calm_share
-    assert {change.part_ids for change in site.quarantine_changes} == {frozenset({"crashing"})}
+    assert {change.traits for change in site.quarantine_changes} == {frozenset({"crashing"})}
 
 
 @pytest.mark.parametrize("vm_count", [1, 6])
--- a/azureturn/gateway/decisions/tests/test_crashing_requests.py
+++ b/azureturn/gateway/decisions/tests/test_crashing_requests.py
@@ -128,7 +128,7 @@
     quarantined = {
         request_id
         for request_id, refusal in site.refused.items()
-        if refusal.kind is ErrorKind.PROMPT_QUARANTINED
+        if refusal.kind is ErrorKind.REQUEST_QUARANTINED
     }
     assert quarantined
     assert not [request_id for request_id in quarantined if request_id.startswith("sound")]
--- a/azureturn/gateway/decisions/tests/test_quarantine.py
+++ b/azureturn/gateway/decisions/tests/test_quarantine.py
@@ -1,4 +1,4 @@
-"""What a VM does with requests whose prompts are in quarantine."""
+"""What a VM does with requests that are in quarantine."""
 
 import pytest
 
@@ -21,16 +21,16 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import Prompt, PromptPart, QuarantinedPrompt, QuarantineRecord
+from azureturn.gateway.site import Prompt, PromptPart, QuarantinedTraits, QuarantineRecord
 
-_QUARANTINED = QuarantinedPrompt(frozenset({"bad"}), STARTED_UNIX_MS)
+_QUARANTINED = QuarantinedTraits(frozenset({"bad"}), STARTED_UNIX_MS)
 
 
 def _prompt(*part_ids: str) -> Prompt:
     return Prompt("m", 100, 20, 10, tuple(PromptPart(part_id, 50) for part_id in part_ids))
 
 
-def _harness(*names: str, quarantined: QuarantinedPrompt | None = None) -> GatewayCoreHarness:
+def _harness(*names: str, quarantined: QuarantinedTraits | None = None) -> GatewayCoreHarness:
     record = QuarantineRecord((quarantined,)) if quarantined else None
     return GatewayCoreHarness(view(*(upstream(name) for name in names), quarantine=record))
 
@@ -60,14 +60,14 @@
     assert bool(of_type(actions, SendAttempt)) is not is_refused
     for refusal in refusals:
         assert (refusal.kind, refusal.run_state) == (
-            ErrorKind.PROMPT_QUARANTINED,
+            ErrorKind.REQUEST_QUARANTINED,
             RunState.NOT_RUN,
         )
         assert refusal.retry_after_ms > 0
 
 
 def test_a_prompt_without_all_parts_of_a_quarantine_is_sent() -> None:
-    both = QuarantinedPrompt(frozenset({"bad", "other"}), STARTED_UNIX_MS)
+    both = QuarantinedTraits(frozenset({"bad", "other"}), STARTED_UNIX_MS)
     harness = _harness("e-1", quarantined=both)
     assert of_type(harness.submit_request("r1", prompt=_prompt("bad", "own")), SendAttempt)
 
@@ -114,7 +114,7 @@
     _quarantine(harness)
     (write,) = of_type(harness.tick(harness.now_ms + 1_000), WriteQuarantineRecord)
     assert isinstance(write, WriteQuarantineRecord)
-    assert write.record.part_sets == {frozenset({"bad"})}
+    assert write.record.trait_sets == {frozenset({"bad"})}
 
 
 def test_a_quarantine_ends_after_its_time() -> None:
@@ -127,12 +127,12 @@
 
 
 def test_a_part_that_a_peer_saw_answered_is_released() -> None:
-    both = QuarantinedPrompt(frozenset({"bad", "sound"}), STARTED_UNIX_MS)
+    both = QuarantinedTraits(frozenset({"bad", "sound"}), STARTED_UNIX_MS)
     harness = _harness("e-1", quarantined=both)
     harness.now_ms += 2_000
-    report = peer_report("vm-2", cleared_parts_ms={"sound": 500})
+    report = peer_report("vm-2", cleared_traits_ms={"sound": 500})
     harness.handle_event(PeerReportReceived(report))
     harness.tick(harness.now_ms + 50)
-    assert [row.part_ids for row in harness.core.board.table(QuarantineTable).rows()] == [
+    assert [row.traits for row in harness.core.board.table(QuarantineTable).rows()] == [
         frozenset({"bad"})
     ]
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -14,6 +14,7 @@
     SendReport,
     SentPrompt,
     StreamPace,
+    Suspect,
     VersionCount,
     VmLeaving,
 )
@@ -24,7 +25,7 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedPrompt
+from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
 
@@ -40,10 +41,16 @@
         strained=True,
         availability_zone="b",
         waiting={"models": QueueReport(tier_rank=3, requests=2, deadline_in_ms=-40)},
-        crashes=(CrashReport(("u1", 17), 40, (frozenset({"p", "q"}), frozenset({"r"}))),),
-        cleared_parts_ms={"q": 30},
+        crashes=(
+            CrashReport(
+                ("u1", 17),
+                40,
+                (Suspect(frozenset({"p", "q"}), 60), Suspect(frozenset({"digest:r"}), 9)),
+            ),
+        ),
+        cleared_traits_ms={"q": 30},
         limits=(LimitReport(("u1", 17), 3.5, 20), LimitReport(("u2", 0), None, 30)),
-        quarantined=(QuarantinedPrompt(frozenset({"p"}), 1_780_000_000_000),),
+        quarantined=(QuarantinedTraits(frozenset({"p"}), 1_780_000_000_000),),
     )
     data = encode_struct(report_to_wire(report))
     assert report_from_wire(decode_struct(GatewayReport, data)) == report
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -25,7 +25,12 @@
     UpstreamRun,
 )
 from azureturn.gateway.site._ports import Dialect, DocumentCodec
-from azureturn.gateway.site._quarantine import QuarantinedPrompt, QuarantineRecord
+from azureturn.gateway.site._quarantine import (
+    QuarantinedTraits,
+    QuarantineRecord,
+    digest_trait,
+    is_digest_trait,
+)
 from azureturn.gateway.site._requests import (
     AttemptHeaders,
     Prompt,
@@ -53,7 +58,7 @@
     "Prompt",
     "PromptPart",
     "QuarantineRecord",
-    "QuarantinedPrompt",
+    "QuarantinedTraits",
     "RegisteredUpstream",
     "RegisteredVm",
     "RequestFacts",
@@ -66,4 +71,6 @@
     "SiteView",
     "StoredDocument",
     "UpstreamRun",
+    "digest_trait",
+    "is_digest_trait",
 ]
--- a/azureturn/gateway/site/_ports.py
+++ b/azureturn/gateway/site/_ports.py
@@ -30,7 +30,7 @@
         """Return the key and the document of an allotment record."""
 
     def encode_quarantine_record(self, record: QuarantineRecord) -> tuple[str, bytes]:
-        """Return the key and the document of the record of quarantined prompts."""
+        """Return the key and the document of the record of quarantined traits."""
 
     def encode_vm(self, vm: RegisteredVm) -> tuple[str, bytes]:
         """Return the key and the document that register a VM, so that other VMs find it."""
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -90,12 +90,12 @@
 
     @cached_property
     def quarantine_record(self) -> QuarantineRecord | None:
-        """Return the record of quarantined prompts, or None if the store holds none."""
+        """Return the record of quarantined traits, or None if the store holds none."""
         return next(iter(self._contents_of_type(QuarantineRecord)), None)
 
     @cached_property
     def quarantine_record_revision(self) -> int:
-        """Return the revision of the record of quarantined prompts; 0 if there is none."""
+        """Return the revision of the record of quarantined traits; 0 if there is none."""
         return self._revision_of_type(QuarantineRecord)
 
     def revision_of(self, kind: type[DocumentContent], service: str) -> int:
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -207,13 +207,13 @@
             ("processes", "age_ms", "outcome"),
         ),
         LogEvent.QUARANTINE_CHANGED: LogEventDefinition(
-            "Requests whose prompts contain these parts are now refused, or accepted again.",
-            ("prompt_parts", "source", "crashes", "outcome"),
+            "Requests with these traits are now refused, or accepted again.",
+            ("traits", "source", "crashes", "outcome"),
         ),
         LogEvent.QUARANTINE_RECORD_WRITTEN: LogEventDefinition(
-            "The record of quarantined prompts was written, or another VM wrote first; see "
+            "The record of quarantined traits was written, or another VM wrote first; see "
             "`outcome`.",
-            ("prompts", "revision", "outcome"),
+            ("quarantines", "revision", "outcome"),
         ),
         LogEvent.PEER_UNREACHABLE: _error_definition(
             "A call to another VM failed.", "vm_host", "error"
@@ -282,8 +282,11 @@
         "result": "Result of the attempt.",
         "longest_pause_ms": "Longest time between two events of a stream.",
         "prompt_parts": "Ids of parts of prompts, separated by commas.",
-        "crashes": "Number of engines' runs that ended under the prompt, as far as this VM knows.",
-        "prompts": "Number of prompts in quarantine.",
+        "crashes": "Number of runs that ended under the traits, as far as this VM knows.",
+        "traits": "Ids of prompt parts, or `digest:` and the digest of one request.",
+        "request_digest": "Digest of organisation, method, host, target and body; the same when "
+        "the request is sent again.",
+        "quarantines": "Number of quarantines.",
         "limit_per_s": "Requests per second that the upstream takes from all VMs together, as its "
         "response states; -1 if it states no limit.",
         "answering_ms": "Time from the head of the response to the end of the attempt; -1 if there "
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -288,24 +288,30 @@
   4: i32 deadline_in_ms,
 }
 
-// The end of an engine's process, with the prompts that it had just begun to answer.
+// A request that an upstream may just have begun to run when its process ended.
+struct SuspectSeen {
+  1: list<string> traits,
+  2: i32 sent_before_ms,
+}
+
+// The end of an upstream's process, with the requests that may be the cause.
 struct CrashSeen {
   1: string upstream,
   2: i64 started_unix_ms,
   3: i32 age_ms,
-  // The ids of the parts of each prompt.
-  4: list<list<string>> prompts,
+  5: list<SuspectSeen> suspects,
 }
 
-// A part of prompts that is suspected of ending engines and with which a request was answered.
-struct PartCleared {
-  1: string part_id,
+// A trait (prompt part or digest) that is suspected of ending upstreams and with which a request
+// was answered.
+struct TraitCleared {
+  1: string trait,
   2: i32 age_ms,
 }
 
-// Parts of prompts that end engines which answer a prompt with all of them.
-struct PromptQuarantined {
-  1: list<string> part_ids,
+// Traits that end upstreams which run a request with all of them.
+struct QuarantineSeen {
+  1: list<string> traits,
   2: i64 since_unix_ms,
 }
 
@@ -337,8 +343,8 @@
   15: string availability_zone,
   16: list<TierWaiting> waiting,
   17: list<CrashSeen> crashes,
-  18: list<PartCleared> cleared_parts,
-  19: list<PromptQuarantined> quarantined,
+  18: list<TraitCleared> cleared_traits,
+  19: list<QuarantineSeen> quarantined,
   20: list<LimitSeen> limits,
 }
 
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -3940,13 +3940,101 @@
         return not (self == other)
 
 
+class SuspectSeen(object):
+    """
+    Attributes:
+     - traits
+     - sent_before_ms
+
+    """
+
+    __slots__ = (
+        'traits',
+        'sent_before_ms',
+    )
+
+
+    def __init__(self, traits=None, sent_before_ms=None,):
+        self.traits = traits
+        self.sent_before_ms = sent_before_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.traits = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.traits.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.sent_before_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectSeen')
+        if self.traits is not None:
+            oprot.writeFieldBegin('traits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.traits))
+            for iter111 in self.traits:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sent_before_ms is not None:
+            oprot.writeFieldBegin('sent_before_ms', TType.I32, 2)
+            oprot.writeI32(self.sent_before_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CrashSeen(object):
     """
     Attributes:
      - upstream
      - started_unix_ms
      - age_ms
-     - prompts
+     - suspects
 
     """
 
@@ -3954,15 +4042,15 @@
         'upstream',
         'started_unix_ms',
         'age_ms',
-        'prompts',
+        'suspects',
     )
 
 
-    def __init__(self, upstream=None, started_unix_ms=None, age_ms=None, prompts=None,):
+    def __init__(self, upstream=None, started_unix_ms=None, age_ms=None, suspects=None,):
         self.upstream = upstream
         self.started_unix_ms = started_unix_ms
         self.age_ms = age_ms
-        self.prompts = prompts
+        self.suspects = suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3988,18 +4076,14 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.LIST:
-                    self.prompts = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = []
-                        (_etype114, _size111) = iprot.readListBegin()
-                        for _i115 in range(_size111):
-                            _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _elem110.append(_elem116)
-                        iprot.readListEnd()
-                        self.prompts.append(_elem110)
+                    self.suspects = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = SuspectSeen()
+                        _elem117.read(iprot)
+                        self.suspects.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4025,14 +4109,11 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.prompts is not None:
-            oprot.writeFieldBegin('prompts', TType.LIST, 4)
-            oprot.writeListBegin(TType.LIST, len(self.prompts))
-            for iter117 in self.prompts:
-                oprot.writeListBegin(TType.STRING, len(iter117))
-                for iter118 in iter117:
-                    oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
-                oprot.writeListEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter118 in self.suspects:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4060,22 +4141,22 @@
         return not (self == other)
 
 
-class PartCleared(object):
+class TraitCleared(object):
     """
     Attributes:
-     - part_id
+     - trait
      - age_ms
 
     """
 
     __slots__ = (
-        'part_id',
+        'trait',
         'age_ms',
     )
 
 
-    def __init__(self, part_id=None, age_ms=None,):
-        self.part_id = part_id
+    def __init__(self, trait=None, age_ms=None,):
+        self.trait = trait
         self.age_ms = age_ms
 
     def read(self, iprot):
@@ -4089,7 +4170,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.part_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.trait = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -4106,10 +4187,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PartCleared')
-        if self.part_id is not None:
-            oprot.writeFieldBegin('part_id', TType.STRING, 1)
-            oprot.writeString(self.part_id.encode('utf-8') if sys.version_info[0] == 2 else self.part_id)
+        oprot.writeStructBegin('TraitCleared')
+        if self.trait is not None:
+            oprot.writeFieldBegin('trait', TType.STRING, 1)
+            oprot.writeString(self.trait.encode('utf-8') if sys.version_info[0] == 2 else self.trait)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
             oprot.writeFieldBegin('age_ms', TType.I32, 2)
@@ -4140,22 +4221,22 @@
         return not (self == other)
 
 
-class PromptQuarantined(object):
+class QuarantineSeen(object):
     """
     Attributes:
-     - part_ids
+     - traits
      - since_unix_ms
 
     """
 
     __slots__ = (
-        'part_ids',
+        'traits',
         'since_unix_ms',
     )
 
 
-    def __init__(self, part_ids=None, since_unix_ms=None,):
-        self.part_ids = part_ids
+    def __init__(self, traits=None, since_unix_ms=None,):
+        self.traits = traits
         self.since_unix_ms = since_unix_ms
 
     def read(self, iprot):
@@ -4169,11 +4250,11 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.part_ids = []
+                    self.traits = []
                     (_etype122, _size119) = iprot.readListBegin()
                     for _i123 in range(_size119):
                         _elem124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.part_ids.append(_elem124)
+                        self.traits.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4191,11 +4272,11 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PromptQuarantined')
-        if self.part_ids is not None:
-            oprot.writeFieldBegin('part_ids', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRING, len(self.part_ids))
-            for iter125 in self.part_ids:
+        oprot.writeStructBegin('QuarantineSeen')
+        if self.traits is not None:
+            oprot.writeFieldBegin('traits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.traits))
+            for iter125 in self.traits:
                 oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -4351,7 +4432,7 @@
      - availability_zone
      - waiting
      - crashes
-     - cleared_parts
+     - cleared_traits
      - quarantined
      - limits
 
@@ -4374,13 +4455,13 @@
         'availability_zone',
         'waiting',
         'crashes',
-        'cleared_parts',
+        'cleared_traits',
         'quarantined',
         'limits',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_parts=None, quarantined=None, limits=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4397,7 +4478,7 @@
         self.availability_zone = availability_zone
         self.waiting = waiting
         self.crashes = crashes
-        self.cleared_parts = cleared_parts
+        self.cleared_traits = cleared_traits
         self.quarantined = quarantined
         self.limits = limits
 
@@ -4540,12 +4621,12 @@
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
-                    self.cleared_parts = []
+                    self.cleared_traits = []
                     (_etype177, _size174) = iprot.readListBegin()
                     for _i178 in range(_size174):
-                        _elem179 = PartCleared()
+                        _elem179 = TraitCleared()
                         _elem179.read(iprot)
-                        self.cleared_parts.append(_elem179)
+                        self.cleared_traits.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4554,7 +4635,7 @@
                     self.quarantined = []
                     (_etype183, _size180) = iprot.readListBegin()
                     for _i184 in range(_size180):
-                        _elem185 = PromptQuarantined()
+                        _elem185 = QuarantineSeen()
                         _elem185.read(iprot)
                         self.quarantined.append(_elem185)
                     iprot.readListEnd()
@@ -4669,10 +4750,10 @@
                 iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.cleared_parts is not None:
-            oprot.writeFieldBegin('cleared_parts', TType.LIST, 18)
-            oprot.writeListBegin(TType.STRUCT, len(self.cleared_parts))
-            for iter200 in self.cleared_parts:
+        if self.cleared_traits is not None:
+            oprot.writeFieldBegin('cleared_traits', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.cleared_traits))
+            for iter200 in self.cleared_traits:
                 iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -5101,24 +5182,31 @@
     (3, TType.I32, 'requests', None, None, ),  # 3
     (4, TType.I32, 'deadline_in_ms', None, None, ),  # 4
 )
+all_structs.append(SuspectSeen)
+SuspectSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'traits', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I32, 'sent_before_ms', None, None, ),  # 2
+)
 all_structs.append(CrashSeen)
 CrashSeen.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I64, 'started_unix_ms', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
-    (4, TType.LIST, 'prompts', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 4
+    None,  # 4
+    (5, TType.LIST, 'suspects', (TType.STRUCT, [SuspectSeen, None], False), None, ),  # 5
 )
-all_structs.append(PartCleared)
-PartCleared.thrift_spec = (
+all_structs.append(TraitCleared)
+TraitCleared.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'part_id', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'trait', 'UTF8', None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
-all_structs.append(PromptQuarantined)
-PromptQuarantined.thrift_spec = (
+all_structs.append(QuarantineSeen)
+QuarantineSeen.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'part_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (1, TType.LIST, 'traits', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.I64, 'since_unix_ms', None, None, ),  # 2
 )
 all_structs.append(LimitSeen)
@@ -5149,8 +5237,8 @@
     (15, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 15
     (16, TType.LIST, 'waiting', (TType.STRUCT, [TierWaiting, None], False), None, ),  # 16
     (17, TType.LIST, 'crashes', (TType.STRUCT, [CrashSeen, None], False), None, ),  # 17
-    (18, TType.LIST, 'cleared_parts', (TType.STRUCT, [PartCleared, None], False), None, ),  # 18
-    (19, TType.LIST, 'quarantined', (TType.STRUCT, [PromptQuarantined, None], False), None, ),  # 19
+    (18, TType.LIST, 'cleared_traits', (TType.STRUCT, [TraitCleared, None], False), None, ),  # 18
+    (19, TType.LIST, 'quarantined', (TType.STRUCT, [QuarantineSeen, None], False), None, ),  # 19
     (20, TType.LIST, 'limits', (TType.STRUCT, [LimitSeen, None], False), None, ),  # 20
 )
 all_structs.append(PeerRefused)
