--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -19,6 +19,7 @@
     GatewayStarted,
     LogAllotmentRestore,
     LogQuarantineChange,
+    LogReachability,
     ProbeConnection,
     SendReport,
     VmLeaving,
@@ -189,6 +190,7 @@
         self._runtime.register_handler(WriteAllotmentRecord, self._writer.enqueue)
         self._runtime.register_handler(WriteQuarantineRecord, self._writer.enqueue)
         self._runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
+        self._runtime.register_handler(LogReachability, self._log_reachability)
 
     def _time_left_ms(self) -> int | None:
         """Return the time left to answer a new request, in milliseconds; None if not limited.
@@ -244,6 +246,15 @@
             outcome=action.outcome,
         )
 
+    def _log_reachability(self, action: LogReachability) -> None:
+        self._log.info(
+            LogEvent.REACHABILITY_CHANGED,
+            service=action.service,
+            reachable=action.reachable,
+            upstreams=action.upstreams,
+            live_peers=action.live_peers,
+        )
+
     def _close_idle_connections(self) -> None:
         while True:
             time.sleep(_IDLE_CHECK_INTERVAL_S)
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -99,6 +99,17 @@
     outcome: str
 
 
+@dataclass(frozen=True)
+class LogReachability(Action):
+    """Log that this VM can connect to no upstream of a service, or to some again."""
+
+    service: str
+    #: Number of the service's upstreams that this VM can connect to.
+    reachable: int
+    upstreams: int
+    live_peers: int
+
+
 @dataclass(frozen=True)
 class LogAllotmentRestore(Action):
     """Log which allotment usage was restored from before this process started."""
--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -113,3 +113,8 @@
             state = UpstreamState(run)
             self.put(run[0], state)
         return state
+
+    def is_unreachable(self, run: UpstreamRun) -> bool:
+        """Return whether the last attempt to connect to a run of an upstream failed."""
+        state = self.get(run[0])
+        return state is not None and state.run == run and state.is_unreachable
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -9,6 +9,7 @@
 from azureturn.gateway.decisions.controllers._moves import MoveController
 from azureturn.gateway.decisions.controllers._placement import PlacementController
 from azureturn.gateway.decisions.controllers._quarantine import QuarantineController
+from azureturn.gateway.decisions.controllers._reachability import ReachabilityController
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
 from azureturn.gateway.decisions.controllers._reports import ReportController
 from azureturn.gateway.decisions.controllers._request_limits import RequestLimitController
@@ -23,6 +24,7 @@
     "MoveController",
     "PlacementController",
     "QuarantineController",
+    "ReachabilityController",
     "ReportController",
     "RequestLimitController",
     "ViewController",
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -103,9 +103,8 @@
             return
         self._probed_at_ms = context.now_ms
         states = self.board.read(UpstreamStateTable)
-        for name, upstream in self.board.read(ViewTable).current().upstreams.items():
-            state = states.get(name)
-            if state is not None and state.is_unreachable and state.run == upstream.run:
+        for upstream in self.board.read(ViewTable).current().upstreams.values():
+            if states.is_unreachable(upstream.run):
                 context.act(ProbeConnection(upstream))
 
     @on(RequestClosed)
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -162,10 +162,7 @@
         unreachable: set[str] = set()
         reachable: set[str] = set()
         for upstream in self.board.read(ViewTable).current().upstreams.values():
-            state = states.get(upstream.name)
-            is_unreachable = (
-                state is not None and state.run == upstream.run and state.is_unreachable
-            )
+            is_unreachable = states.is_unreachable(upstream.run)
             (unreachable if is_unreachable else reachable).add(upstream.availability_zone)
         return dead_zones & (unreachable - reachable)
 
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -19,6 +19,7 @@
     FetchView,
     FirstEventReceived,
     LogQuarantineChange,
+    LogReachability,
     PeerReportReceived,
     ProbeConnection,
     RequestClosed,
@@ -249,8 +250,8 @@
         elif isinstance(action, ReturnLastResult):
             self._close(number, action.request_id)
         else:
-            # A view that a peer is asked for does not arrive.
-            assert isinstance(action, AwaitPlacement | FetchView), action
+            # Log lines are not kept, and a view that a peer is asked for does not arrive.
+            assert isinstance(action, AwaitPlacement | FetchView | LogReachability), action
 
     def _write_quarantine(self, number: int, record: QuarantineRecord) -> None:
         if number not in self.vms_without_store:
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -34,6 +34,7 @@
     UPSTREAM_CHANGED = "upstream_changed"
     UPSTREAM_REACHED = "upstream_reached"
     UPSTREAM_ENDED = "upstream_ended"
+    REACHABILITY_CHANGED = "reachability_changed"
     DOCUMENT_REFUSED = "document_refused"
     KEY_VALUE_REGAINED = "key_value_regained"
     STORE_HISTORY_LOST = "store_history_lost"
@@ -206,6 +207,10 @@
             "The use of allotments before this process started was read, or has to be estimated.",
             ("processes", "age_ms", "outcome"),
         ),
+        LogEvent.REACHABILITY_CHANGED: LogEventDefinition(
+            "This VM can connect to no upstream of a service any more, or to some again.",
+            ("service", "reachable", "upstreams", "live_peers"),
+        ),
         LogEvent.QUARANTINE_CHANGED: LogEventDefinition(
             "Requests with these traits are now refused, or accepted again.",
             ("traits", "source", "crashes", "outcome"),
@@ -283,6 +288,9 @@
         "longest_pause_ms": "Longest time between two events of a stream.",
         "prompt_parts": "Ids of parts of prompts, separated by commas.",
         "crashes": "Number of runs that ended under the traits, as far as this VM knows.",
+        "reachable": "Number of the service's upstreams that this VM can connect to.",
+        "upstreams": "Number of the service's upstreams.",
+        "live_peers": "Number of peers that have reported recently.",
         "traits": "Ids of prompt parts, or `digest:` and the digest of one request.",
         "request_digest": "Digest of organisation, method, host, target and body; the same when "
         "the request is sent again.",
