--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -9,10 +9,12 @@
 
 import heapq
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
-from azureturn.framework import Action, AwaitPlacement, Refuse, Tick
+from azureturn.framework import Action, AwaitPlacement, Event, Refuse, Tick
 from azureturn.gateway.decisions import (
     AttemptEnded,
     AttemptResult,
@@ -55,6 +57,26 @@
 _LAPSE_MS = 2_500
 _RESTART_MS = 3_000
 _PART_TOKENS = 100
+_CONNECT_TIMEOUT_MS = 150
+#: When a request on a connection that hangs is given up.
+_SILENCE_TIMEOUT_MS = 1_600
+#: Slots of an upstream, as the harness registers it.
+_SLOTS = 4
+_MS_PER_S = 1_000
+
+
+class Cut(Enum):
+    """What happens to the connections of VMs that are cut off from the upstreams."""
+
+    #: All connections hang, new ones too.
+    HANG = auto()
+    #: All connections are reset, and new ones refused.
+    RESET = auto()
+    #: Connections live on, and new ones are refused.
+    REFUSE_NEW = auto()
+
+
+_UNREACHABLE = AttemptResult.UNREACHABLE
 
 
 @dataclass(frozen=True)
@@ -93,6 +115,20 @@
     is_up: bool = True
     limit_per_s: float | None = None
     attempts: list[_EngineAttempt] = field(default_factory=list)
+    #: Rejections in a second above which it falls over; None if it rejects nothing.
+    brittle_limit: int | None = None
+    rejected_at_ms: deque[int] = field(default_factory=deque)
+
+    def rejects(self) -> bool:
+        """Return whether a brittle engine has no room for another request."""
+        return self.brittle_limit is not None and len(self.attempts) >= _SLOTS
+
+    def falls_after_rejection(self, now_ms: int) -> bool:
+        """Record a rejection, and return whether it is one too many."""
+        self.rejected_at_ms.append(now_ms)
+        while self.rejected_at_ms[0] <= now_ms - _MS_PER_S:
+            self.rejected_at_ms.popleft()
+        return len(self.rejected_at_ms) > (self.brittle_limit or 0)
 
 
 @dataclass(frozen=True)
@@ -133,6 +169,10 @@
         self.vms_without_peers: set[int] = set()
         #: VMs that receive no changes of the store.
         self.vms_without_store: set[int] = set()
+        #: VMs that are cut off from all upstreams.
+        self._cut_vms: dict[int, Cut] = {}
+        #: Rejections in a second above which upstreams fall over; None if they reject nothing.
+        self._brittle_limit: int | None = None
         self.now_ms = 1_000
         #: Times at which callers sent requests, by request id.
         self.sent_at_ms: dict[str, int] = {}
@@ -178,6 +218,31 @@
         for engine in self._random.sample(running, min(count, len(running))):
             self._crash(engine)
 
+    def cut_off(self, cut: Cut, *vms: int) -> None:
+        """Cut VMs off from all upstreams."""
+        self._cut_vms.update(dict.fromkeys(vms, cut))
+        if cut is Cut.REFUSE_NEW:
+            return
+        for engine in self._engines.values():
+            for attempt in [attempt for attempt in engine.attempts if attempt.vm in vms]:
+                engine.attempts.remove(attempt)
+                attempt.is_over = True
+                hangs = cut is Cut.HANG
+                result = AttemptResult.SILENT if hangs else AttemptResult.BROKEN
+                ended = AttemptEnded(attempt.request_id, result)
+                delay_ms = _SILENCE_TIMEOUT_MS if hangs else _MESSAGE_MS
+                self._after(delay_ms, self._handling(attempt.vm, ended))
+
+    def reconnect(self) -> None:
+        """Let all VMs reach the upstreams again."""
+        self._cut_vms.clear()
+
+    def make_brittle(self, limit: int) -> None:
+        """Let upstreams keep no request waiting, and fall over after more rejections a second."""
+        self._brittle_limit = limit
+        for engine in self._engines.values():
+            engine.brittle_limit = limit
+
     def limit_engine(self, name: str, limit_per_s: float | None) -> None:
         """Let an engine name a limit in its answers from now on; None to name none."""
         self._engines[name].limit_per_s = limit_per_s
@@ -232,10 +297,7 @@
 
     def _carry_out(self, number: int, action: Action) -> None:
         if isinstance(action, SendAttempt):
-            self._after(
-                _MESSAGE_MS,
-                lambda: self._arrive(number, action.upstream.name, action.request_id),
-            )
+            self._send(number, action)
         elif isinstance(action, SendReport):
             self._after(_MESSAGE_MS, lambda: self._deliver(number, action))
         elif isinstance(action, ProbeConnection):
@@ -253,6 +315,22 @@
             # Log lines are not kept, and a view that a peer is asked for does not arrive.
             assert isinstance(action, AwaitPlacement | FetchView | LogReachability), action
 
+    def _send(self, number: int, action: SendAttempt) -> None:
+        if number in self._cut_vms:
+            self._fail_to_connect(number, AttemptEnded(action.request_id, _UNREACHABLE))
+            return
+        self._after(
+            _MESSAGE_MS,
+            lambda: self._arrive(number, action.upstream.name, action.request_id),
+        )
+
+    def _fail_to_connect(self, number: int, event: Event) -> None:
+        hangs = self._cut_vms[number] is Cut.HANG
+        self._after(_CONNECT_TIMEOUT_MS if hangs else _MESSAGE_MS, self._handling(number, event))
+
+    def _handling(self, number: int, event: Event) -> Callable[[], None]:
+        return lambda: self._handle(number, event)
+
     def _write_quarantine(self, number: int, record: QuarantineRecord) -> None:
         if number not in self.vms_without_store:
             self._quarantine_record = record
@@ -267,6 +345,12 @@
                 self._handle(number, PeerReportReceived(action.report))
 
     def _probe(self, number: int, action: ProbeConnection) -> None:
+        cut = self._cut_vms.get(number)
+        if cut is Cut.HANG:
+            return
+        if cut is not None:
+            self._handle(number, UpstreamProcessEnded(action.upstream.run))
+            return
         if self._engines[action.upstream.name].is_up:
             self._handle(number, UpstreamReconnected(action.upstream.name))
         else:
@@ -275,7 +359,12 @@
     def _arrive(self, number: int, engine_name: str, request_id: str) -> None:
         engine = self._engines[engine_name]
         if not engine.is_up:
-            self._handle(number, AttemptEnded(request_id, AttemptResult.UNREACHABLE))
+            self._handle(number, AttemptEnded(request_id, _UNREACHABLE))
+            return
+        if engine.rejects():
+            self._handle(number, AttemptEnded(request_id, AttemptResult.REJECTED))
+            if engine.falls_after_rejection(self.now_ms):
+                self._crash(engine)
             return
         sent = self._requests[request_id]
         self.arrivals.append(
@@ -355,7 +444,7 @@
         self._publish()
 
     def _start_engine(self) -> None:
-        engine = _Engine(f"e-{len(self._engines)}")
+        engine = _Engine(f"e-{len(self._engines)}", brittle_limit=self._brittle_limit)
         self._engines[engine.name] = engine
         self._registered[engine.name] = None
         self._publish()
