--- a/azureturn/_socket_options.py
+++ b/azureturn/_socket_options.py
@@ -1,6 +1,7 @@
-"""Socket options by which a connection that has gone silent is found."""
+"""Socket options: how a silent connection is found, and how a connection is reset."""
 
 import socket
+import struct
 
 _KEEP_ALIVE_IDLE_S = 5
 _KEEP_ALIVE_INTERVAL_S = 2
@@ -16,3 +17,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
 )
+
+#: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -6,10 +6,11 @@
 from azureturn.gateway.daemon._threads import run_forever
 from azureturn.gateway.decisions import (
     ProbeConnection,
+    UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
 )
-from azureturn.gateway.exchange import CONNECT_TIMEOUT_MS, UpstreamConnection
+from azureturn.gateway.exchange import UpstreamConnector
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
 
@@ -20,8 +21,9 @@
 class ConnectionProbes:
     """Threads that open and close a connection to an upstream, without risking a request on it."""
 
-    def __init__(self, runtime: CoreRuntime, log: EventLog) -> None:
+    def __init__(self, runtime: CoreRuntime, connector: UpstreamConnector, log: EventLog) -> None:
         self._runtime = runtime
+        self._connector = connector
         self._log = log
         self._queue: queue.Queue[ProbeConnection] = queue.Queue(_QUEUE_LIMIT)
 
@@ -39,17 +41,20 @@
         while True:
             action = self._queue.get()
             upstream = action.upstream
+            relay_host = action.relay.host if action.relay else ""
             try:
-                connection = UpstreamConnection.open(
-                    upstream.host, upstream.port, timeout_ms=CONNECT_TIMEOUT_MS
-                )
+                connection = self._connector.connect(upstream, relay_host)
             except UpstreamUnreachableError as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):
                     if action.after_broken_answer:
                         self._log.info(LogEvent.UPSTREAM_ENDED, upstream=upstream.name)
                     self._runtime.submit(UpstreamProcessEnded(upstream.run))
+                elif not relay_host:
+                    self._runtime.submit(UpstreamConnectionFailed(upstream.run))
                 continue
             connection.close()
+            if relay_host:
+                continue
             if not action.after_broken_answer:
                 self._log.info(LogEvent.UPSTREAM_REACHED, upstream=upstream.name)
             self._runtime.submit(UpstreamReconnected(upstream.name))
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -22,19 +22,24 @@
     LogReachability,
     ProbeConnection,
     SendReport,
+    UpstreamConnectionFailed,
+    UpstreamProcessEnded,
     VmLeaving,
     WriteAllotmentRecord,
     WriteMoveStatus,
     WriteQuarantineRecord,
 )
 from azureturn.gateway.exchange import (
+    CONNECT_TIMEOUT_MS,
     ExchangeServices,
     GatewayServer,
     StatusPage,
     StatusServer,
+    UpstreamConnector,
 )
+from azureturn.gateway.relay import RelayClient, RelayServer
 from azureturn.gateway.settings import GatewaySettings
-from azureturn.gateway.site import Dialect, DocumentCodec
+from azureturn.gateway.site import Dialect, DocumentCodec, UpstreamRun
 from azureturn.observability import (
     PROMETHEUS_CONTENT_TYPE,
     EventLog,
@@ -84,6 +89,17 @@
             ),
             unfinished=self._requests_in_flight,
         )
+        vm = settings.vm
+        signer = EnvelopeSigner(limits.peer_secret, vm.name, clock_s=time.monotonic)
+        connector = UpstreamConnector(RelayClient(vm.name, signer, port=vm.relay_port))
+        self._relay_server = RelayServer(
+            (vm.host, vm.relay_port),
+            signer,
+            log,
+            find_upstream=lambda name: self._view_holder.view.upstreams.get(name),
+            report_failure=self._report_relay_failure,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        )
         self._services = ExchangeServices(
             settings=lambda: self._settings,
             runtime=self._runtime,
@@ -95,9 +111,8 @@
                 self._stop.stage is not StopStage.SERVING or self._strain_detector.is_strained()
             ),
             time_left_ms=self._time_left_ms,
+            connector=connector,
         )
-        vm = settings.vm
-        signer = EnvelopeSigner(limits.peer_secret, vm.name, clock_s=time.monotonic)
         self._report_socket = ReportSocket(vm.host, vm.peer_port, self._runtime, log)
         self._view_fetcher = ViewFetcher(
             PeerClient(signer), self._view_holder, log, peer_port=vm.peer_port
@@ -123,7 +138,7 @@
         if limits.metrics_port:
             metrics = {_METRICS_PATH: self._metrics_page}
             self._servers["metrics"] = StatusServer(vm.host, limits.metrics_port, log, metrics)
-        self._probes = ConnectionProbes(self._runtime, log)
+        self._probes = ConnectionProbes(self._runtime, connector, log)
         self._register_handlers()
 
     @property
@@ -139,6 +154,7 @@
         self._view_fetcher.start()
         self._probes.start()
         self._peer_server.start()
+        self._relay_server.start()
         self._runtime.start()
         for name, server in self._servers.items():
             server.prepare()
@@ -211,7 +227,12 @@
         self._runtime.submit(VmLeaving())
 
     def _requests_in_flight(self) -> int:
-        return max(self._server.requests_in_flight, self._runtime.requests_in_progress)
+        own_requests = max(self._server.requests_in_flight, self._runtime.requests_in_progress)
+        return own_requests + self._relay_server.open_relays
+
+    def _report_relay_failure(self, run: UpstreamRun, refused: bool) -> None:
+        event = UpstreamProcessEnded(run) if refused else UpstreamConnectionFailed(run)
+        self._runtime.submit(event)
 
     def _is_ready(self) -> bool:
         if self._stop.stage is not StopStage.SERVING or self._strain_detector.is_strained():
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -81,6 +81,7 @@
         quarantined=[
             QuarantineSeen(sorted(row.traits), row.since_unix_ms) for row in report.quarantined
         ],
+        unreachable=sorted(report.unreachable),
         limits=[LimitSeen(*limit.run, limit.limit_per_s, limit.age_ms) for limit in report.limits],
     )
 
@@ -133,6 +134,7 @@
             QuarantinedTraits(frozenset(row.traits), row.since_unix_ms)
             for row in wire.quarantined or ()
         ),
+        unreachable=frozenset(wire.unreachable or ()),
         limits=tuple(
             LimitReport((row.upstream, row.started_unix_ms), row.limit_per_s, row.age_ms)
             for row in wire.limits or ()
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -4,6 +4,7 @@
 
 from azureturn.framework import Action, RequestAction
 from azureturn.gateway.decisions._peers import PeerReport
+from azureturn.gateway.decisions._requests import Relay
 from azureturn.gateway.site import (
     AllotmentRecord,
     MoveStatus,
@@ -19,6 +20,8 @@
     upstream: RegisteredUpstream
     #: Logged with the attempt.
     reason: "PlacementReason"
+    #: The peer that relays the connection; None for a direct connection.
+    relay: Relay | None = None
 
 
 @dataclass(frozen=True)
@@ -125,10 +128,13 @@
 class ProbeConnection(Action):
     """Try to connect to an upstream.
 
-    A success is reported by :class:`UpstreamReconnected`, and a refused connection by
-    :class:`UpstreamProcessEnded`.
+    A success is reported by :class:`UpstreamReconnected`, a refused connection by
+    :class:`UpstreamProcessEnded`, and another failure by :class:`UpstreamConnectionFailed`. Through
+    a relay, only a refused connection is reported.
     """
 
     upstream: RegisteredUpstream
     #: Whether it has just broken off an answer; otherwise it could not be reached before.
     after_broken_answer: bool = False
+    #: The peer that relays the connection; None for a direct connection.
+    relay: Relay | None = None
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -41,6 +41,8 @@
     #: the expected loss through failures.
     cost_ms: float
     has_capacity: bool
+    #: Whether this VM sends to the upstream through a peer.
+    is_relayed: bool = False
     #: Whether the prefill of this prompt would pause concurrent answers beyond the route's limit.
     exceeds_pause_limit: bool = False
 
@@ -56,6 +58,8 @@
     prefix_cache: PrefixCacheEstimate | None
     #: Whether a limit of requests that the upstream states lets this VM send one now.
     may_send: bool = True
+    #: Whether this VM sends to it through a peer.
+    is_relayed: bool = False
     #: Estimated number of requests at the upstream, from all VMs.
     requests: int = 0
     #: Number of further requests that may be placed on it: of any tier, and of the most urgent
@@ -146,6 +150,7 @@
         expected_ms,
         cost_ms,
         has_capacity,
+        upstream_snapshot.is_relayed,
     )
 
 
@@ -197,6 +202,7 @@
         expected_ms,
         cost_ms,
         capacity > 0,
+        upstream_snapshot.is_relayed,
         exceeds_limit,
     )
 
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -63,6 +63,13 @@
     run: UpstreamRun
 
 
+@dataclass(frozen=True)
+class UpstreamConnectionFailed(Event):
+    """A connection probe, or a connection for a peer, failed without being refused."""
+
+    run: UpstreamRun
+
+
 @dataclass(frozen=True)
 class RequestReceived(Event):
     """A caller's request was read completely and validated."""
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -145,6 +145,8 @@
     #: since then.
     cleared_traits_ms: dict[str, int] = field(default_factory=dict)
     quarantined: tuple[QuarantinedTraits, ...] = ()
+    #: Names of the upstreams that the VM cannot connect to.
+    unreachable: frozenset[str] = frozenset()
     #: Limits of requests that upstreams stated recently, and ends of such limits.
     limits: tuple[LimitReport, ...] = ()
 
@@ -197,6 +199,16 @@
         """Return the peers whose latest report is recent."""
         return [peer for peer in self.rows() if peer.is_live(now_ms)]
 
+    def reaching(self, upstream: str, now_ms: int) -> list[Peer]:
+        """Return the live peers that can connect to an upstream, as far as they have reported.
+
+        Peers that are short of CPU time are left out if there are others.
+        """
+        reaching = [
+            peer for peer in self.live_peers(now_ms) if upstream not in peer.report.unreachable
+        ]
+        return [peer for peer in reaching if not peer.report.strained] or reaching
+
     def unix_ms(self, now_ms: int) -> int:
         """Return the wall-clock time, derived from the monotonic clock of this process."""
         return self.started_unix_ms + now_ms - self.started_at_ms
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -28,6 +28,14 @@
     SENT = "sent"
 
 
+@dataclass(frozen=True)
+class Relay:
+    """A peer through which this VM connects to upstreams that it cannot reach itself."""
+
+    vm: str
+    host: str
+
+
 @dataclass(frozen=True)
 class GatewayRequest:
     """A request and its attempts; bodies and sockets are kept by the adapters.
@@ -63,11 +71,15 @@
     #: Name of the upstream that it was sent to; empty while it is queued.
     upstream: str = ""
     upstream_run: UpstreamRun = ("", 0)
+    #: The peer that relays the current attempt, or the last one; None if it is direct.
+    relay: Relay | None = None
     version: str = ""
     #: Number of ended attempts in which the upstream ran the request, or may have run it.
     run_attempts: int = 0
     #: Number of ended attempts in which the upstream did not run the request.
     unrun_attempts: int = 0
+    #: Number of ended attempts in which no connection to the upstream could be opened.
+    failed_connections: int = 0
     #: Names of the upstreams of all attempts so far.
     tried_upstreams: tuple[str, ...] = ()
     sent_at_ms: int = 0
@@ -116,7 +128,12 @@
         return changed(self, is_late=True)
 
     def with_sent(
-        self, upstream: RegisteredUpstream, *, now_ms: int, pending_tokens: int
+        self,
+        upstream: RegisteredUpstream,
+        relay: Relay | None,
+        *,
+        now_ms: int,
+        pending_tokens: int,
     ) -> "GatewayRequest":
         """Return a copy that has been sent to an upstream."""
         return changed(
@@ -124,6 +141,7 @@
             stage=Stage.SENT,
             upstream=upstream.name,
             upstream_run=upstream.run,
+            relay=relay,
             version=upstream.version,
             sent_at_ms=now_ms,
             first_event_at_ms=0,
@@ -135,7 +153,7 @@
         """Return a copy whose prompt has been prefilled."""
         return changed(self, first_event_at_ms=now_ms, pending_tokens=0)
 
-    def with_requeued(self, *, ran: bool) -> "GatewayRequest":
+    def with_requeued(self, *, ran: bool, connected: bool) -> "GatewayRequest":
         """Return a copy that is queued again after an unsuccessful attempt."""
         return changed(
             self,
@@ -145,6 +163,7 @@
             first_event_at_ms=0,
             run_attempts=self.run_attempts + (1 if ran else 0),
             unrun_attempts=self.unrun_attempts + (0 if ran else 1),
+            failed_connections=self.failed_connections + (0 if connected else 1),
         )
 
 
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -8,7 +8,9 @@
     AttemptResult,
     FirstEventReceived,
     PlacementRequested,
+    ReportRequested,
     RequestClosed,
+    UpstreamConnectionFailed,
     UpstreamReconnected,
 )
 from azureturn.gateway.decisions._moves import MoveTable
@@ -79,7 +81,8 @@
         if refusal:
             self._finish(request, event.result, refusal, context)
             return
-        requeued = request.with_requeued(ran=ran)
+        connected = event.result is not AttemptResult.UNREACHABLE
+        requeued = request.with_requeued(ran=ran, connected=connected)
         self.board.write(GatewayRequestTable).put(request.request_id, requeued)
         self.board.write(GatewayQueueTable).of(request.service).push(
             QueuedRequest(requeued, cost_tokens=0.0, weight=1.0, give_up_at_ms=request.ends_at_ms)
@@ -96,6 +99,16 @@
         if upstream is not None:
             context.post(PlacementRequested(upstream.service))
 
+    @on(UpstreamConnectionFailed)
+    def _on_connection_failed(self, event: UpstreamConnectionFailed, context: Context) -> None:
+        upstream = self.board.read(ViewTable).current().upstreams.get(event.run[0])
+        if upstream is None or upstream.run != event.run:
+            return
+        states = self.board.write(UpstreamStateTable)
+        if not states.is_unreachable(event.run):
+            states.put(upstream.name, states.of(event.run).with_reachable(False))
+            context.post(ReportRequested())
+
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         """Probe unreachable upstreams, so that no request has to be sent to test them."""
@@ -183,7 +196,7 @@
         self, state: UpstreamState, request: GatewayRequest, event: AttemptEnded, now_ms: int
     ) -> UpstreamState:
         if event.result is AttemptResult.UNREACHABLE:
-            return state.with_reachable(False)
+            return state if request.relay else state.with_reachable(False)
         if event.result is AttemptResult.REJECTED:
             return state.with_outcome(failed=True, now_ms=now_ms)
         if event.result is not AttemptResult.ABANDONED:
--- a/azureturn/gateway/decisions/controllers/_crashes.py
+++ b/azureturn/gateway/decisions/controllers/_crashes.py
@@ -112,7 +112,7 @@
         if upstream is None or upstream.run != request.upstream_run:
             self._confirm(request.upstream_run, context)
         elif self.board.write(CrashTable).take_probe(upstream.run, context.now_ms):
-            context.act(ProbeConnection(upstream, after_broken_answer=True))
+            context.act(ProbeConnection(upstream, after_broken_answer=True, relay=request.relay))
 
     def _confirm(self, run: UpstreamRun, context: Context) -> None:
         if self.board.write(CrashTable).confirm(self.settings.vm.name, run, context.now_ms):
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -1,5 +1,7 @@
 """Places each queued request on an upstream as soon as one has capacity for it."""
 
+from collections.abc import Callable
+
 from azureturn.framework import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
@@ -14,19 +16,22 @@
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable, SentPrompt
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
-from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable
+from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Relay
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import EngineCapacity
+from azureturn.gateway.site import EngineCapacity, RegisteredUpstream
 
 #: Number of requests at the head of a tier for which an upstream is sought.
 _HEADS_PER_TIER = 4
 #: Candidates whose costs differ by less than this are treated as equal and chosen at random.
 _COST_TOLERANCE_MS = 4.0
+#: After so many failed connections a request is sent through a peer, though this VM may still reach
+#: other upstreams.
+_RELAY_AFTER_FAILED_CONNECTIONS = 2
 #: Capacity is left to more urgent requests at peers only if there are fewer peers than this.
 _YIELD_PEERS_LIMIT = 32
 
@@ -61,11 +66,12 @@
         A request for which no upstream has capacity blocks all requests behind it. One that only
         has to avoid a long pause of running answers does not: the next one is tried.
         """
-        snapshot = self._snapshot(service, context)
-        if not any(upstream.urgent_capacity_left > 0 for upstream in snapshot.upstreams):
+        snapshots = _Snapshots(lambda relayed: self._snapshot(service, context, relayed=relayed))
+        if not snapshots.have_capacity:
             return False
         for rank in queue.waiting_ranks():
             for request in queue.heads(rank, _HEADS_PER_TIER):
+                snapshot = snapshots.of(request)
                 candidates = self._candidates(request, snapshot, context)
                 with_capacity = [candidate for candidate in candidates if candidate.has_capacity]
                 if candidates and not with_capacity:
@@ -114,8 +120,8 @@
             for upstream_snapshot in version_snapshots
         ]
 
-    def _snapshot(self, service: str, context: Context) -> PlacementSnapshot:
-        """Return the current state of a service's upstreams."""
+    def _snapshot(self, service: str, context: Context, *, relayed: bool) -> PlacementSnapshot:
+        """Return the state of a service's upstreams that this VM, or a peer, can connect to."""
         peers = self.board.read(PeerTable)
         states = self.board.write(UpstreamStateTable)
         prefix_caches = self.board.write(PrefixCacheTable)
@@ -125,7 +131,11 @@
         snapshots = []
         for upstream in self.board.read(ViewTable).serving_upstreams(service, context.now_ms):
             state = states.of(upstream.run)
-            if not state.is_unreachable:
+            if relayed:
+                is_reachable = bool(peers.reaching(upstream.name, context.now_ms))
+            else:
+                is_reachable = not state.is_unreachable
+            if is_reachable:
                 prefix_cache = (
                     prefix_caches.of(upstream.run, engine.memory_tokens) if engine else None
                 )
@@ -135,6 +145,7 @@
                     peers.work_at(upstream.name),
                     prefix_cache,
                     may_send=limits.may_send(upstream.run, known_vms, context.now_ms),
+                    is_relayed=relayed,
                 )
                 snapshots.append(snapshot)
         vm_count = peers.vm_count_outside(self._partitioned_zones(context.now_ms), context.now_ms)
@@ -211,8 +222,9 @@
             # Each further attempt is charged like a separate request.
             window = self.board.write(AllotmentTable).of(request.organisation)
             window.record_admitted(request.allotment_units, context.now_ms)
+        relay = self._choose_relay(upstream, context) if chosen.is_relayed else None
         sent_request = request.with_sent(
-            upstream, now_ms=context.now_ms, pending_tokens=chosen.pending_tokens
+            upstream, relay, now_ms=context.now_ms, pending_tokens=chosen.pending_tokens
         )
         self.board.write(GatewayRequestTable).put(request.request_id, sent_request)
         context.act(
@@ -220,9 +232,18 @@
                 request.request_id,
                 upstream,
                 self._reason(request, chosen, candidate_count, context),
+                relay,
             )
         )
 
+    def _choose_relay(self, upstream: RegisteredUpstream, context: Context) -> Relay:
+        """Return a peer that can connect to an upstream, if possible in this VM's zone."""
+        peers = self.board.read(PeerTable).reaching(upstream.name, context.now_ms)
+        zone = self.settings.vm.availability_zone
+        nearby = [peer for peer in peers if peer.report.availability_zone == zone]
+        report = context.random.choice(nearby or peers).report
+        return Relay(report.vm, report.host)
+
     def _reason(
         self, request: GatewayRequest, chosen: Candidate, candidate_count: int, context: Context
     ) -> PlacementReason:
@@ -244,6 +265,32 @@
         return None if service is None else service.engine
 
 
+class _Snapshots:
+    """The upstreams that a request can be sent to: directly, or through peers.
+
+    Each snapshot is made when it is needed, which for the one through peers is seldom.
+    """
+
+    def __init__(self, make: Callable[[bool], PlacementSnapshot]) -> None:
+        self._make = make
+        self._direct = make(False)
+        self._relayed: PlacementSnapshot | None = None
+
+    @property
+    def have_capacity(self) -> bool:
+        """Return whether an upstream may have capacity for a request of the most urgent tier."""
+        direct = self._direct.upstreams
+        return not direct or any(upstream.urgent_capacity_left > 0 for upstream in direct)
+
+    def of(self, request: GatewayRequest) -> PlacementSnapshot:
+        """Return the snapshot for a request."""
+        if self._direct.upstreams and request.failed_connections < _RELAY_AFTER_FAILED_CONNECTIONS:
+            return self._direct
+        if self._relayed is None:
+            self._relayed = self._make(True)
+        return self._relayed if self._relayed.upstreams else self._direct
+
+
 def _suitable(candidates: list[Candidate], with_capacity: list[Candidate]) -> list[Candidate]:
     """Return the candidates with capacity within the pause limit.
 
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -165,9 +165,17 @@
                 quarantine.all_traits(), self._sent_at_ms
             ),
             quarantined=tuple(quarantine.rows()),
+            unreachable=self._unreachable_upstreams(),
             limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
         )
 
+    def _unreachable_upstreams(self) -> frozenset[str]:
+        states = self.board.read(UpstreamStateTable)
+        upstreams = self.board.read(ViewTable).current().upstreams.values()
+        return frozenset(
+            upstream.name for upstream in upstreams if states.is_unreachable(upstream.run)
+        )
+
     def _waiting(self) -> dict[str, QueueReport]:
         reports: dict[str, QueueReport] = {}
         for service, queue in self.board.read(GatewayQueueTable).items():
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -178,7 +178,16 @@
         seed: int = 1,
     ) -> None:
         vm = GatewayVm(
-            vm_name, "a", "10.0.1.1", "10.0.1.1", 1, "10.0.1.1", 2, 3, is_first_start=is_first_start
+            vm_name,
+            "a",
+            "10.0.1.1",
+            "10.0.1.1",
+            1,
+            "10.0.1.1",
+            2,
+            3,
+            4,
+            is_first_start=is_first_start,
         )
         bounds = GatewayBounds(
             stop_limit_ms=8_000,
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -29,6 +29,7 @@
     ReturnLastResult,
     SendAttempt,
     SendReport,
+    UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
     ViewChanged,
@@ -181,6 +182,8 @@
         self.told_at_ms: dict[tuple[str, int], int] = {}
         self.quarantine_changes: list[LogQuarantineChange] = []
         self.crashes: list[EngineCrash] = []
+        #: Attempts that were sent through a peer.
+        self.relayed: list[SendAttempt] = []
         #: Attempts made for each answered request.
         self.answered: dict[str, int] = {}
         self.refused: dict[str, Refuse] = {}
@@ -316,17 +319,24 @@
             assert isinstance(action, AwaitPlacement | FetchView | LogReachability), action
 
     def _send(self, number: int, action: SendAttempt) -> None:
-        if number in self._cut_vms:
-            self._fail_to_connect(number, AttemptEnded(action.request_id, _UNREACHABLE))
+        sender = number if action.relay is None else self._number_of(action.relay.vm)
+        if action.relay is not None:
+            self.relayed.append(action)
+        if sender in self._cut_vms:
+            delay_ms = _CONNECT_TIMEOUT_MS if self._cut_vms[sender] is Cut.HANG else _MESSAGE_MS
+            unreachable = AttemptEnded(action.request_id, _UNREACHABLE)
+            self._after(delay_ms, self._handling(number, unreachable))
+            if sender != number:
+                failed = UpstreamConnectionFailed(action.upstream.run)
+                self._after(delay_ms, self._handling(sender, failed))
             return
         self._after(
             _MESSAGE_MS,
             lambda: self._arrive(number, action.upstream.name, action.request_id),
         )
 
-    def _fail_to_connect(self, number: int, event: Event) -> None:
-        hangs = self._cut_vms[number] is Cut.HANG
-        self._after(_CONNECT_TIMEOUT_MS if hangs else _MESSAGE_MS, self._handling(number, event))
+    def _number_of(self, vm_name: str) -> int:
+        return int(vm_name.removeprefix("vm-"))
 
     def _handling(self, number: int, event: Event) -> Callable[[], None]:
         return lambda: self._handle(number, event)
@@ -345,14 +355,19 @@
                 self._handle(number, PeerReportReceived(action.report))
 
     def _probe(self, number: int, action: ProbeConnection) -> None:
-        cut = self._cut_vms.get(number)
+        if action.relay is not None:
+            cut = self._cut_vms.get(self._number_of(action.relay.vm))
+        else:
+            cut = self._cut_vms.get(number)
         if cut is Cut.HANG:
+            self._handle(number, UpstreamConnectionFailed(action.upstream.run))
             return
         if cut is not None:
             self._handle(number, UpstreamProcessEnded(action.upstream.run))
             return
         if self._engines[action.upstream.name].is_up:
-            self._handle(number, UpstreamReconnected(action.upstream.name))
+            if action.relay is None:
+                self._handle(number, UpstreamReconnected(action.upstream.name))
         else:
             self._handle(number, UpstreamProcessEnded(action.upstream.run))
 
--- a/azureturn/gateway/exchange/__init__.py
+++ b/azureturn/gateway/exchange/__init__.py
@@ -9,6 +9,7 @@
     ConnectionPool,
     UpstreamConnection,
 )
+from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.exchange._server import GatewayServer, StatusPage, StatusServer
 from azureturn.gateway.exchange._services import ExchangeServices
 
@@ -20,4 +21,5 @@
     "StatusPage",
     "StatusServer",
     "UpstreamConnection",
+    "UpstreamConnector",
 ]
--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -9,8 +9,10 @@
 from azureturn.gateway.exchange._connections import (
     CONNECT_TIMEOUT_MS,
     ConnectionPool,
+    PoolKey,
     UpstreamConnection,
 )
+from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.exchange._framing import BodyFraming
 from azureturn.gateway.site import Dialect, RegisteredUpstream, ResponseFacts
 from azureturn.serving import now_ms
@@ -73,10 +75,18 @@
     """Sends a request on a pooled or new connection and reads the response."""
 
     def __init__(
-        self, upstream: RegisteredUpstream, pool: ConnectionPool, dialect: Dialect
+        self,
+        upstream: RegisteredUpstream,
+        pool: ConnectionPool,
+        connector: UpstreamConnector,
+        dialect: Dialect,
+        *,
+        relay_host: str = "",
     ) -> None:
         self._upstream = upstream
+        self._relay_host = relay_host
         self._pool = pool
+        self._connector = connector
         self._dialect = dialect
         self._connection: UpstreamConnection | None = None
         self._request_id = ""
@@ -87,9 +97,9 @@
         self.was_sent = False
 
     @property
-    def _pool_key(self) -> tuple[str, int, str, int]:
+    def _pool_key(self) -> PoolKey:
         upstream = self._upstream
-        return (*upstream.run, upstream.host, upstream.port)
+        return PoolKey(upstream.run, upstream.host, upstream.port, self._relay_host)
 
     def send(self, message: UpstreamRequest, *, unrepeatable: bool, ends_at_ms: int) -> None:
         """Send the request once, on a pooled connection if there is a reusable one.
@@ -100,9 +110,8 @@
         connection = self._pool.acquire(self._pool_key, unrepeatable=unrepeatable)
         if connection is None:
             timeout_ms = max(1, min(CONNECT_TIMEOUT_MS, ends_at_ms - now_ms()))
-            upstream = self._upstream
-            connection = UpstreamConnection.open(
-                upstream.host, upstream.port, timeout_ms=timeout_ms
+            connection = self._connector.connect(
+                self._upstream, self._relay_host, timeout_ms=timeout_ms
             )
         self._connection = connection
         if self._aborted:
--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -5,13 +5,14 @@
 import threading
 from collections import deque
 from contextlib import suppress
+from dataclasses import dataclass
 
 import h11
 
-from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
+from azureturn.errors import ErrorKind, UpstreamError
 from azureturn.gateway.exchange._body_budget import BodyBudget
+from azureturn.gateway.site import UpstreamRun
 from azureturn.serving import now_ms
-from azureturn.store import SOCKET_OPTIONS
 
 _MS_PER_S = 1_000
 _READ_BYTES = 65_536
@@ -38,20 +39,6 @@
         self.idle_since_ms = 0
         self._aborted = False
 
-    @classmethod
-    def open(cls, host: str, port: int, *, timeout_ms: int) -> "UpstreamConnection":
-        """Open a connection; raises :class:`UpstreamUnreachableError` if that fails."""
-        try:
-            connection_socket = socket.create_connection(
-                (host, port), timeout=timeout_ms / _MS_PER_S
-            )
-            for level, name, value in SOCKET_OPTIONS:
-                connection_socket.setsockopt(level, name, value)
-        except OSError as error:
-            kind = ErrorKind.UPSTREAM_UNREACHABLE
-            raise UpstreamUnreachableError(kind, type(error).__name__) from error
-        return cls(connection_socket)
-
     def send(self, request: h11.Request, body: bytes, *, timeout_ms: int) -> None:
         """Send a whole request.
 
@@ -150,18 +137,27 @@
         return bool(data)
 
 
+@dataclass(frozen=True)
+class PoolKey:
+    """What connections that may stand for each other have in common."""
+
+    run: UpstreamRun
+    host: str
+    port: int
+    #: Host of the peer that relays the connections; empty if they are direct.
+    relay_host: str
+
+
 class ConnectionPool:
-    """Idle connections, keyed by run, host and port of the upstream."""
+    """Idle connections."""
 
     def __init__(self) -> None:
         #: Memory for the response bodies that are buffered as a whole, on all connections.
         self.body_budget = BodyBudget(_MAX_BUFFERED_BYTES)
-        self._idle: dict[tuple[str, int, str, int], deque[UpstreamConnection]] = {}
+        self._idle: dict[PoolKey, deque[UpstreamConnection]] = {}
         self._lock = threading.Lock()
 
-    def acquire(
-        self, key: tuple[str, int, str, int], *, unrepeatable: bool
-    ) -> UpstreamConnection | None:
+    def acquire(self, key: PoolKey, *, unrepeatable: bool) -> UpstreamConnection | None:
         """Return a reusable idle connection, or None if there is none."""
         max_idle_ms = _MAX_IDLE_UNREPEATABLE_MS if unrepeatable else _MAX_IDLE_MS
         while True:
@@ -174,7 +170,7 @@
                 return connection
             connection.close()
 
-    def release(self, key: tuple[str, int, str, int], connection: UpstreamConnection) -> None:
+    def release(self, key: PoolKey, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         if not connection.is_reusable():
             connection.close()
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -194,7 +194,13 @@
         self._attempt_count += 1
         self._upstream = action.upstream.name
         self._reporter.report_placement(request, action)
-        attempt = Attempt(action.upstream, self._services.pool, self._services.dialect)
+        attempt = Attempt(
+            action.upstream,
+            self._services.pool,
+            self._services.connector,
+            self._services.dialect,
+            relay_host=action.relay.host if action.relay else "",
+        )
         self._attempt = attempt
         progress = ResponseProgress()
         attempt_started_at_ms = now_ms()
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -41,6 +41,7 @@
             organisation=request.organisation,
             units=request.allotment_units,
             upstream=action.upstream.name,
+            relay=action.relay.vm if action.relay else "",
             candidates=reason.candidates,
             expected_ms=reason.expected_ms,
             outstanding=reason.outstanding,
--- a/azureturn/gateway/exchange/_services.py
+++ b/azureturn/gateway/exchange/_services.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from azureturn.gateway.exchange._connections import ConnectionPool
+from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.settings import GatewaySettings
 from azureturn.gateway.site import Dialect, SiteView
 from azureturn.observability import EventLog, Metrics
@@ -27,5 +28,6 @@
     closes_connections: Callable[[], bool]
     #: Returns the time left to answer new requests; None unless a planned stop limits it.
     time_left_ms: Callable[[], int | None]
+    connector: UpstreamConnector
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     caller_watch: CallerWatch = field(default_factory=CallerWatch)
--- a/azureturn/gateway/exchange/tests/test_attempt.py
+++ b/azureturn/gateway/exchange/tests/test_attempt.py
@@ -5,6 +5,7 @@
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
 from azureturn.gateway.exchange._attempt import Attempt, UpstreamRequest
 from azureturn.gateway.exchange._connections import ConnectionPool
+from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.exchange.tests.plain_dialect import PlainDialect
 from azureturn.gateway.exchange.tests.scripted_upstream import (
     Script,
@@ -39,7 +40,7 @@
         """
         port = self.upstream.port
         upstream = RegisteredUpstream("u", "s", "127.0.0.1", port, "a", "v1", slots=4)
-        attempt = Attempt(upstream, self.pool, PlainDialect())
+        attempt = Attempt(upstream, self.pool, UpstreamConnector(), PlainDialect())
         headers = (("Host", "site.example"), ("Request", request_id))
         body = b"" if method == "GET" else b"paid"
         request = UpstreamRequest(method, "/path?x=1", headers, body, request_id)
--- /dev/null
+++ b/azureturn/gateway/relay/_client.py
@@ -0,0 +1,52 @@
+"""Opens connections to upstreams through a peer."""
+
+import socket
+
+from azureturn._socket_options import SOCKET_OPTIONS
+from azureturn.errors import AzureturnError
+from azureturn.gateway.relay._messages import receive_message, relay_request, send_message
+from azureturn.gateway.site import UpstreamRun
+from azureturn.peers import EnvelopeSigner, RelayAnswer, RelayOutcome
+
+_MS_PER_S = 1_000
+
+
+class RelayRefusedError(OSError):
+    """The peer could not connect to the upstream, or did not want to."""
+
+
+class RelayClient:
+    """Asks peers to relay connections."""
+
+    def __init__(self, vm: str, signer: EnvelopeSigner, *, port: int) -> None:
+        self._vm = vm
+        self._signer = signer
+        self._port = port
+
+    def connect(self, host: str, run: UpstreamRun, *, timeout_ms: int) -> socket.socket:
+        """Return a socket whose bytes the peer at ``host`` passes on to and from the upstream.
+
+        ``timeout_ms`` applies to each of the two connections. Raises ``ConnectionRefusedError`` if
+        no process accepts connections at the upstream, and another ``OSError`` if either connection
+        cannot be opened otherwise.
+        """
+        timeout_s = timeout_ms / _MS_PER_S
+        connection = socket.create_connection((host, self._port), timeout=timeout_s)
+        try:
+            for level, name, value in SOCKET_OPTIONS:
+                connection.setsockopt(level, name, value)
+            send_message(connection, relay_request(run, self._vm, self._signer))
+            connection.settimeout(2 * timeout_s)
+            answer = receive_message(connection, RelayAnswer)
+        except AzureturnError as error:
+            connection.close()
+            raise RelayRefusedError(error.message) from error
+        except OSError:
+            connection.close()
+            raise
+        if answer.outcome == RelayOutcome.CONNECTED:
+            return connection
+        connection.close()
+        if answer.outcome == RelayOutcome.REFUSED:
+            raise ConnectionRefusedError("the upstream refused the peer's connection")
+        raise RelayRefusedError(f"relay outcome {answer.outcome}")
--- /dev/null
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -0,0 +1,167 @@
+"""Connections that a peer relays, against upstreams that echo, end or reset."""
+
+import io
+import socket
+import struct
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, suppress
+
+import pytest
+
+from azureturn.gateway.relay import RelayClient, RelayRefusedError, RelayServer
+from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
+from azureturn.observability import EventLog
+from azureturn.peers import EnvelopeSigner
+
+_HOST = "127.0.0.1"
+_TIMEOUT_MS = 2_000
+_RUN = ("u", 17)
+
+_Behaviour = Callable[[socket.socket], None]
+
+
+def _echo(connection: socket.socket) -> None:
+    while data := connection.recv(1_024):
+        connection.sendall(data)
+
+
+def _end_after_reading(connection: socket.socket) -> None:
+    connection.recv(1_024)
+    connection.sendall(b"part")
+
+
+def _reset_after_reading(connection: socket.socket) -> None:
+    connection.recv(1_024)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+class _Site:
+    """An upstream with a given behaviour, and a peer that relays connections to it."""
+
+    def __init__(self, behaviour: _Behaviour) -> None:
+        self._behaviour = behaviour
+        self._listener = socket.create_server((_HOST, 0))
+        self.upstream = RegisteredUpstream(
+            "u", "s", _HOST, self._listener.getsockname()[1], "a", "v1", 4, started_unix_ms=17
+        )
+        #: Set when the upstream's side of a connection has ended.
+        self.ended = threading.Event()
+        self.failures: list[tuple[UpstreamRun, bool]] = []
+        with socket.create_server((_HOST, 0)) as probe:
+            self._port = probe.getsockname()[1]
+        self.server = RelayServer(
+            (_HOST, self._port),
+            EnvelopeSigner("secret", "vm-1", clock_s=lambda: 0.0),
+            EventLog.to_stream(io.StringIO(), vm="vm-1"),
+            find_upstream={"u": self.upstream}.get,
+            report_failure=lambda run, refused: self.failures.append((run, refused)),
+            connect_timeout_ms=_TIMEOUT_MS,
+        )
+        self.server.start()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self) -> None:
+        self.server.stop()
+        self.stop_upstream()
+
+    def stop_upstream(self) -> None:
+        """Close the upstream's port, so that it refuses connections."""
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def connect(self, run: UpstreamRun = _RUN, *, secret: str = "secret") -> socket.socket:
+        signer = EnvelopeSigner(secret, "vm-2", clock_s=lambda: 0.0)
+        client = RelayClient("vm-2", signer, port=self._port)
+        return client.connect(_HOST, run, timeout_ms=_TIMEOUT_MS)
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection:
+                self._behaviour(connection)
+            self.ended.set()
+
+
+@pytest.fixture
+def sites() -> Iterator[Callable[[_Behaviour], _Site]]:
+    """Return a function that starts a site; all sites are closed after the test."""
+    with ExitStack() as stack:
+
+        def start(behaviour: _Behaviour) -> _Site:
+            site = _Site(behaviour)
+            stack.callback(site.close)
+            return site
+
+        yield start
+
+
+def test_bytes_are_passed_on_in_both_directions(sites: Callable[[_Behaviour], _Site]) -> None:
+    with sites(_echo).connect() as connection:
+        for data in (b"first", b"second" * 1_000):
+            connection.sendall(data)
+            received = b""
+            while len(received) < len(data):
+                received += connection.recv(65_536)
+            assert received == data
+
+
+def test_the_upstreams_connection_ends_with_that_of_the_peer(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    site = sites(_echo)
+    site.connect().close()
+    assert site.ended.wait(_TIMEOUT_MS / 1_000)
+
+
+def test_the_peers_connection_ends_after_the_last_bytes_of_the_upstream(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    with sites(_end_after_reading).connect() as connection:
+        connection.sendall(b"request")
+        assert (connection.recv(10), connection.recv(10)) == (b"part", b"")
+
+
+def test_a_reset_by_the_upstream_does_not_look_like_an_orderly_end(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    with sites(_reset_after_reading).connect() as connection:
+        connection.sendall(b"request")
+        with pytest.raises(ConnectionResetError):
+            connection.recv(10)
+
+
+def test_an_upstream_that_refuses_connections_is_reported_to_both_vms(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    site = sites(_echo)
+    site.stop_upstream()
+    with pytest.raises(ConnectionRefusedError):
+        site.connect()
+    assert site.failures == [(_RUN, True)]
+
+
+@pytest.mark.parametrize(
+    ("run", "secret"),
+    [(("other", 17), "secret"), (("u", 18), "secret"), (_RUN, "forged")],
+    ids=["unknown upstream", "another run", "wrong signature"],
+)
+def test_a_request_is_denied(
+    sites: Callable[[_Behaviour], _Site], run: UpstreamRun, secret: str
+) -> None:
+    with pytest.raises(RelayRefusedError):
+        sites(_echo).connect(run, secret=secret)
+
+
+def test_a_peer_that_sends_no_valid_request_is_disconnected(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    site = sites(_echo)
+    with socket.create_connection((_HOST, site.server._address[1]), timeout=2) as connection:
+        connection.sendall(b"\xff\xff")
+        assert connection.recv(10) == b""
+    assert not site.failures
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -41,6 +41,8 @@
     readiness_port: int
     #: Port for peers, the same on every VM: Thrift calls over TCP, reports over UDP.
     peer_port: int
+    #: Port at which peers have connections to upstreams relayed, the same on every VM.
+    relay_port: int
     #: Hosts of some VMs of the site; they report the hosts of the others.
     seed_hosts: tuple[str, ...] = ()
     #: Whether the whole site starts for the first time, so that no VM has had an earlier process.
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -34,6 +34,8 @@
     UPSTREAM_CHANGED = "upstream_changed"
     UPSTREAM_REACHED = "upstream_reached"
     UPSTREAM_ENDED = "upstream_ended"
+    RELAY_OPENED = "relay_opened"
+    RELAY_FAILED = "relay_failed"
     REACHABILITY_CHANGED = "reachability_changed"
     DOCUMENT_REFUSED = "document_refused"
     KEY_VALUE_REGAINED = "key_value_regained"
@@ -130,6 +132,7 @@
                 "organisation",
                 "units",
                 "upstream",
+                "relay",
                 "candidates",
                 "expected_ms",
                 "outstanding",
@@ -207,6 +210,13 @@
             "The use of allotments before this process started was read, or has to be estimated.",
             ("processes", "age_ms", "outcome"),
         ),
+        LogEvent.RELAY_OPENED: LogEventDefinition(
+            "A peer asked for a connection to an upstream that it cannot reach itself.",
+            ("upstream", "peer", "outcome", "relays"),
+        ),
+        LogEvent.RELAY_FAILED: _error_definition(
+            "A peer's request for a relayed connection could not be read or answered.", "error"
+        ),
         LogEvent.REACHABILITY_CHANGED: LogEventDefinition(
             "This VM can connect to no upstream of a service any more, or to some again.",
             ("service", "reachable", "upstreams", "live_peers"),
@@ -288,6 +298,9 @@
         "longest_pause_ms": "Longest time between two events of a stream.",
         "prompt_parts": "Ids of parts of prompts, separated by commas.",
         "crashes": "Number of runs that ended under the traits, as far as this VM knows.",
+        "relay": "Name of the VM through which the upstream is connected; empty if directly.",
+        "peer": "Name of another VM.",
+        "relays": "Number of connections that this VM relays.",
         "reachable": "Number of the service's upstreams that this VM can connect to.",
         "upstreams": "Number of the service's upstreams.",
         "live_peers": "Number of peers that have reported recently.",
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -28,6 +28,9 @@
     Refusal,
     Refusals,
     RefusalsArgument,
+    RelayAnswer,
+    RelayOutcome,
+    RelayRequest,
     ServiceLevelArgument,
     ServiceLevelCell,
     ServiceLevelPoint,
@@ -48,6 +51,9 @@
 )
 
 __all__ = [
+    "RelayAnswer",
+    "RelayOutcome",
+    "RelayRequest",
     "AllotmentSpent",
     "LimitSeen",
     "CrashSeen",
--- a/azureturn/peers/_authentication.py
+++ b/azureturn/peers/_authentication.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from itsdangerous import BadData, TimestampSigner
+from itsdangerous import BadData, Signer, TimestampSigner
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.TSerialization import TTransport
 
@@ -91,6 +91,20 @@
         self._register_nonce(f"{call_name}/{text}")
         return text
 
+    def signature(self, call_name: str, data: bytes) -> bytes:
+        """Return a signature of ``data`` that does not expire and may be used again.
+
+        It suits a request that gives a replaying sender nothing, and needs no common clock.
+        """
+        return self._plain_signer(call_name).get_signature(data)
+
+    def is_signed(self, call_name: str, data: bytes, signature: bytes) -> bool:
+        """Return whether :meth:`signature` returned this signature of ``data``."""
+        return self._plain_signer(call_name).verify_signature(data, signature)
+
+    def _plain_signer(self, call_name: str) -> Signer:
+        return Signer(self._secret, salt=f"azureturn.peers.{call_name}")
+
     def _signer(self, call_name: str) -> TimestampSigner:
         return TimestampSigner(self._secret, salt=f"azureturn.peers.{call_name}")
 
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -346,6 +346,30 @@
   18: list<TraitCleared> cleared_traits,
   19: list<QuarantineSeen> quarantined,
   20: list<LimitSeen> limits,
+  // Names of the upstreams that the sender cannot connect to.
+  21: list<string> unreachable,
+}
+
+// The first message on a relayed connection: the upstream that the peer is to connect to.
+struct RelayRequest {
+  1: string sender_vm,
+  2: string upstream,
+  3: i64 started_unix_ms,
+  4: binary signature,
+}
+
+enum RelayOutcome {
+  // All further bytes are those of the upstream's connection.
+  CONNECTED = 1,
+  // No process accepts connections at the upstream's address.
+  REFUSED = 2,
+  UNREACHABLE = 3,
+  // The signature is not valid, the peer does not know the upstream, or it has too many relays.
+  DENIED = 4,
+}
+
+struct RelayAnswer {
+  1: RelayOutcome outcome,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -37,6 +37,27 @@
     }
 
 
+class RelayOutcome(object):
+    CONNECTED = 1
+    REFUSED = 2
+    UNREACHABLE = 3
+    DENIED = 4
+
+    _VALUES_TO_NAMES = {
+        1: "CONNECTED",
+        2: "REFUSED",
+        3: "UNREACHABLE",
+        4: "DENIED",
+    }
+
+    _NAMES_TO_VALUES = {
+        "CONNECTED": 1,
+        "REFUSED": 2,
+        "UNREACHABLE": 3,
+        "DENIED": 4,
+    }
+
+
 class Message(object):
     """
     Attributes:
@@ -4435,6 +4456,7 @@
      - cleared_traits
      - quarantined
      - limits
+     - unreachable
 
     """
 
@@ -4458,10 +4480,11 @@
         'cleared_traits',
         'quarantined',
         'limits',
+        'unreachable',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4481,6 +4504,7 @@
         self.cleared_traits = cleared_traits
         self.quarantined = quarantined
         self.limits = limits
+        self.unreachable = unreachable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4652,6 +4676,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.unreachable = []
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unreachable.append(_elem197)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4689,43 +4723,43 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter192 in self.work:
-                iter192.write(oprot)
+            for iter198 in self.work:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter193 in self.spent:
-                iter193.write(oprot)
+            for iter199 in self.spent:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompts is not None:
             oprot.writeFieldBegin('prompts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.prompts))
-            for iter194 in self.prompts:
-                iter194.write(oprot)
+            for iter200 in self.prompts:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter195 in self.versions:
-                iter195.write(oprot)
+            for iter201 in self.versions:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.moves is not None:
             oprot.writeFieldBegin('moves', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.moves))
-            for iter196 in self.moves:
-                iter196.write(oprot)
+            for iter202 in self.moves:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.peers))
-            for iter197 in self.peers:
-                iter197.write(oprot)
+            for iter203 in self.peers:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.strained is not None:
@@ -4739,36 +4773,43 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.waiting))
-            for iter198 in self.waiting:
-                iter198.write(oprot)
+            for iter204 in self.waiting:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter199 in self.crashes:
-                iter199.write(oprot)
+            for iter205 in self.crashes:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_traits is not None:
             oprot.writeFieldBegin('cleared_traits', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.cleared_traits))
-            for iter200 in self.cleared_traits:
-                iter200.write(oprot)
+            for iter206 in self.cleared_traits:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter201 in self.quarantined:
-                iter201.write(oprot)
+            for iter207 in self.quarantined:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter202 in self.limits:
-                iter202.write(oprot)
+            for iter208 in self.limits:
+                iter208.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRING, len(self.unreachable))
+            for iter209 in self.unreachable:
+                oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4796,6 +4837,178 @@
         return not (self == other)
 
 
+class RelayRequest(object):
+    """
+    Attributes:
+     - sender_vm
+     - upstream
+     - started_unix_ms
+     - signature
+
+    """
+
+    __slots__ = (
+        'sender_vm',
+        'upstream',
+        'started_unix_ms',
+        'signature',
+    )
+
+
+    def __init__(self, sender_vm=None, upstream=None, started_unix_ms=None, signature=None,):
+        self.sender_vm = sender_vm
+        self.upstream = upstream
+        self.started_unix_ms = started_unix_ms
+        self.signature = signature
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender_vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.started_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.signature = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayRequest')
+        if self.sender_vm is not None:
+            oprot.writeFieldBegin('sender_vm', TType.STRING, 1)
+            oprot.writeString(self.sender_vm.encode('utf-8') if sys.version_info[0] == 2 else self.sender_vm)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.started_unix_ms is not None:
+            oprot.writeFieldBegin('started_unix_ms', TType.I64, 3)
+            oprot.writeI64(self.started_unix_ms)
+            oprot.writeFieldEnd()
+        if self.signature is not None:
+            oprot.writeFieldBegin('signature', TType.STRING, 4)
+            oprot.writeBinary(self.signature)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayAnswer(object):
+    """
+    Attributes:
+     - outcome
+
+    """
+
+    __slots__ = (
+        'outcome',
+    )
+
+
+    def __init__(self, outcome=None,):
+        self.outcome = outcome
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.outcome = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayAnswer')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.I32, 1)
+            oprot.writeI32(self.outcome)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerRefused(TException):
     """
     Attributes:
@@ -5240,6 +5453,20 @@
     (18, TType.LIST, 'cleared_traits', (TType.STRUCT, [TraitCleared, None], False), None, ),  # 18
     (19, TType.LIST, 'quarantined', (TType.STRUCT, [QuarantineSeen, None], False), None, ),  # 19
     (20, TType.LIST, 'limits', (TType.STRUCT, [LimitSeen, None], False), None, ),  # 20
+    (21, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 21
+)
+all_structs.append(RelayRequest)
+RelayRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender_vm', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'started_unix_ms', None, None, ),  # 3
+    (4, TType.STRING, 'signature', 'BINARY', None, ),  # 4
+)
+all_structs.append(RelayAnswer)
+RelayAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'outcome', None, None, ),  # 1
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -2,7 +2,6 @@
 
 import _pyio  # type: ignore[import-not-found]
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -14,6 +13,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Server
 
+from azureturn._socket_options import RESET_AT_CLOSE
 from azureturn.errors import ERROR_RESPONSES, AzureturnError, ErrorKind, RunState
 
 _MS_PER_S = 1_000
@@ -29,9 +29,6 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 30_000),
 )
 
-#: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
-_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
-
 #: Limits on draining a connection, that is, reading and discarding the rest of a refused request.
 DRAIN_LIMIT_MS = 300
 DRAIN_LIMIT_BYTES = 4 << 20
@@ -177,7 +174,7 @@
             return
         # Without a shutdown before it, a close with a linger time of 0 resets the connection.
         with suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
 
     def _drain(self) -> None:
         # Closing a socket with unread bytes would reset the connection, and the caller could lose
