--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -12,7 +12,7 @@
     Suspect,
     VersionCount,
 )
-from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits
+from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits, StatedLimits
 from azureturn.peers import (
     AllotmentSpent,
     CrashSeen,
@@ -82,7 +82,7 @@
             QuarantineSeen(sorted(row.traits), row.since_unix_ms) for row in report.quarantined
         ],
         unreachable=sorted(report.unreachable),
-        limits=[LimitSeen(*limit.run, limit.limit_per_s, limit.age_ms) for limit in report.limits],
+        limits=[_limits_to_wire(row) for row in report.limits],
     )
 
 
@@ -135,13 +135,26 @@
             for row in wire.quarantined or ()
         ),
         unreachable=frozenset(wire.unreachable or ()),
-        limits=tuple(
-            LimitReport((row.upstream, row.started_unix_ms), row.limit_per_s, row.age_ms)
-            for row in wire.limits or ()
-        ),
+        limits=tuple(_limits_from_wire(row) for row in wire.limits or ()),
+    )
+
+
+def _limits_to_wire(report: LimitReport) -> LimitSeen:
+    name, started_unix_ms = report.run
+    return LimitSeen(
+        upstream=name,
+        started_unix_ms=started_unix_ms,
+        requests_per_s=report.limits.requests_per_s,
+        rejections_per_s=report.limits.rejections_per_s,
+        age_ms=report.age_ms,
     )
 
 
+def _limits_from_wire(row: LimitSeen) -> LimitReport:
+    limits = StatedLimits(row.requests_per_s, row.rejections_per_s)
+    return LimitReport((row.upstream, row.started_unix_ms), limits, row.age_ms)
+
+
 def _crash_from_wire(row: CrashSeen) -> CrashReport:
     suspects = tuple(
         Suspect(frozenset(suspect.traits), suspect.sent_before_ms) for suspect in row.suspects or ()
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -60,6 +60,8 @@
     may_send: bool = True
     #: Whether this VM sends to it through a peer.
     is_relayed: bool = False
+    #: Whether it falls over if it has to reject many requests.
+    is_brittle: bool = False
     #: Estimated number of requests at the upstream, from all VMs.
     requests: int = 0
     #: Number of further requests that may be placed on it: of any tier, and of the most urgent
@@ -107,6 +109,11 @@
                 # A VM may always use its own share, even if peers exceed theirs.
                 if snapshot.state.requests < math.ceil(slots / vm_count):
                     urgent_capacity += math.ceil(policy.ahead_requests)
+            if snapshot.is_brittle:
+                # No request may wait there, and the VMs' shares bound what reports miss.
+                own_share = math.ceil(slots / vm_count)
+                capacity = min(capacity, slots - requests, own_share - snapshot.state.requests)
+                urgent_capacity = min(urgent_capacity, capacity)
             if not snapshot.may_send:
                 capacity = urgent_capacity = 0
             with_capacity.append(
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -6,7 +6,7 @@
 from azureturn.framework import Event
 from azureturn.gateway.decisions._peers import PeerReport
 from azureturn.gateway.decisions._requests import GatewayRequest
-from azureturn.gateway.site import SiteView, UpstreamRun
+from azureturn.gateway.site import SiteView, StatedLimits, UpstreamRun
 
 
 class AttemptResult(StrEnum):
@@ -89,9 +89,8 @@
     """The first event of the response stream to a request was received from the upstream."""
 
     request_id: str
-    #: Requests per second that the upstream takes from all VMs, as stated in the head of its
-    #: response; None if it states no limit.
-    limit_per_s: float | None = None
+    #: What the head of the response states.
+    limits: StatedLimits = StatedLimits()
 
 
 @dataclass(frozen=True)
@@ -108,8 +107,8 @@
     is_resumable: bool = True
     #: Time from the head of the response to the end of the attempt; None if there was no head.
     answering_ms: int | None = None
-    #: The same limit as in :class:`FirstEventReceived`.
-    limit_per_s: float | None = None
+    #: What the head of the response states.
+    limits: StatedLimits = StatedLimits()
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -129,7 +129,10 @@
         known_vms = peers.vms(context.now_ms)
         engine = self._engine_of(service)
         snapshots = []
-        for upstream in self.board.read(ViewTable).serving_upstreams(service, context.now_ms):
+        upstreams = self.board.read(ViewTable).serving_upstreams(service, context.now_ms)
+        # An upstream that has just started has stated nothing yet, but is like the others.
+        is_brittle = any(limits.is_brittle(upstream.run) for upstream in upstreams)
+        for upstream in upstreams:
             state = states.of(upstream.run)
             if relayed:
                 is_reachable = bool(peers.reaching(upstream.name, context.now_ms))
@@ -146,6 +149,7 @@
                     prefix_cache,
                     may_send=limits.may_send(upstream.run, known_vms, context.now_ms),
                     is_relayed=relayed,
+                    is_brittle=is_brittle,
                 )
                 snapshots.append(snapshot)
         vm_count = peers.vm_count_outside(self._partitioned_zones(context.now_ms), context.now_ms)
--- a/azureturn/gateway/decisions/controllers/_request_limits.py
+++ b/azureturn/gateway/decisions/controllers/_request_limits.py
@@ -1,8 +1,9 @@
-"""Learns the limits of requests that upstreams state in their answers."""
+"""Learns the limits that upstreams state in their answers."""
 
 from azureturn.framework import Context, on
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
+    AttemptResult,
     FirstEventReceived,
     PeerReportReceived,
     ViewChanged,
@@ -15,13 +16,14 @@
     GatewayController,
     gateway_controller,
 )
+from azureturn.gateway.site import StatedLimits
 
 
 @gateway_controller("request_limits")
 class RequestLimitController(GatewayController):
-    """Applies the limit that each answer states, and those that peers report.
+    """Applies the limits that each answer states, and those that peers report.
 
-    An answer without a limit ends the upstream's limit.
+    An answer that states no limit ends the upstream's limits.
     """
 
     reads = (ViewTable, PeerTable, GatewayRequestTable)
@@ -30,13 +32,17 @@
 
     @on(FirstEventReceived)
     def _on_first_event(self, event: FirstEventReceived, context: Context) -> None:
-        self._observe_answer(event.request_id, event.limit_per_s, 0, context)
+        self._observe_answer(event.request_id, event.limits, 0, context)
 
     @on(AttemptEnded)
     def _on_attempt_ended(self, event: AttemptEnded, context: Context) -> None:
         if event.answering_ms is not None:
-            answering_ms = event.answering_ms
-            self._observe_answer(event.request_id, event.limit_per_s, answering_ms, context)
+            self._observe_answer(event.request_id, event.limits, event.answering_ms, context)
+        request = self.board.read(GatewayRequestTable).get(event.request_id)
+        if event.result is AttemptResult.REJECTED and request is not None:
+            vm_count = self.board.read(PeerTable).vms(context.now_ms)
+            limits = self.board.write(RequestLimitTable)
+            limits.record_rejected(request.upstream_run, vm_count, context.now_ms)
 
     @on(PeerReportReceived)
     def _on_peer_report(self, event: PeerReportReceived, context: Context) -> None:
@@ -53,11 +59,11 @@
             limits.remove(name)
 
     def _observe_answer(
-        self, request_id: str, limit_per_s: float | None, age_ms: int, context: Context
+        self, request_id: str, limits: StatedLimits, age_ms: int, context: Context
     ) -> None:
         request = self.board.read(GatewayRequestTable).get(request_id)
         if request is not None and request.stage is Stage.SENT:
-            self._observe(LimitReport(request.upstream_run, limit_per_s, age_ms), context)
+            self._observe(LimitReport(request.upstream_run, limits, age_ms), context)
 
     def _observe(self, report: LimitReport, context: Context) -> None:
         self.board.write(RequestLimitTable).observe(
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -43,7 +43,7 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import Prompt, PromptPart, QuarantineRecord, SiteView
+from azureturn.gateway.site import Prompt, PromptPart, QuarantineRecord, SiteView, StatedLimits
 
 _TICK_MS = 50
 _MESSAGE_MS = 5
@@ -106,7 +106,7 @@
     request_id: str
     parts: tuple[str, ...]
     head_at_ms: int
-    limit_per_s: float | None = None
+    limits: StatedLimits = StatedLimits()
     is_over: bool = False
 
 
@@ -120,6 +120,11 @@
     brittle_limit: int | None = None
     rejected_at_ms: deque[int] = field(default_factory=deque)
 
+    @property
+    def stated_limits(self) -> StatedLimits:
+        """Return what its answers state."""
+        return StatedLimits(self.limit_per_s, self.brittle_limit)
+
     def rejects(self) -> bool:
         """Return whether a brittle engine has no room for another request."""
         return self.brittle_limit is not None and len(self.attempts) >= _SLOTS
@@ -377,7 +382,10 @@
             self._handle(number, AttemptEnded(request_id, _UNREACHABLE))
             return
         if engine.rejects():
-            self._handle(number, AttemptEnded(request_id, AttemptResult.REJECTED))
+            rejected = AttemptEnded(
+                request_id, AttemptResult.REJECTED, answering_ms=0, limits=engine.stated_limits
+            )
+            self._handle(number, rejected)
             if engine.falls_after_rejection(self.now_ms):
                 self._crash(engine)
             return
@@ -404,10 +412,10 @@
     def _first_event(self, engine: _Engine, attempt: _EngineAttempt) -> None:
         if attempt.is_over:
             return
-        attempt.limit_per_s = engine.limit_per_s
+        attempt.limits = engine.stated_limits
         if engine.limit_per_s is not None:
             self.told_at_ms.setdefault((engine.name, attempt.vm), self.now_ms)
-        event = FirstEventReceived(attempt.request_id, attempt.limit_per_s)
+        event = FirstEventReceived(attempt.request_id, attempt.limits)
         self._handle(attempt.vm, event)
 
     def _answer(self, engine: _Engine, attempt: _EngineAttempt) -> None:
@@ -417,6 +425,7 @@
         attempt.is_over = True
         attempts = sum(row.request_id == attempt.request_id for row in self.arrivals)
         is_stream = not self._is_plain
+        attempt.limits = engine.stated_limits
         self.answered[attempt.request_id] = attempts
         answering_ms = self.now_ms - attempt.head_at_ms
         self._handle(
@@ -427,7 +436,7 @@
                 event_count=5 if is_stream else 0,
                 streamed_ms=answering_ms if is_stream else 0,
                 answering_ms=max(0, answering_ms),
-                limit_per_s=attempt.limit_per_s,
+                limits=attempt.limits,
             ),
         )
         self._close(attempt.vm, attempt.request_id)
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -25,7 +25,7 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits
+from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits, StatedLimits
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
 
@@ -49,7 +49,10 @@
             ),
         ),
         cleared_traits_ms={"q": 30},
-        limits=(LimitReport(("u1", 17), 3.5, 20), LimitReport(("u2", 0), None, 30)),
+        limits=(
+            LimitReport(("u1", 17), StatedLimits(3.5, 2.0), 20),
+            LimitReport(("u2", 0), StatedLimits(), 30),
+        ),
         quarantined=(QuarantinedTraits(frozenset({"p"}), 1_780_000_000_000),),
     )
     data = encode_struct(report_to_wire(report))
--- a/azureturn/gateway/decisions/tests/test_request_limits.py
+++ b/azureturn/gateway/decisions/tests/test_request_limits.py
@@ -21,6 +21,7 @@
     view,
 )
 from azureturn.gateway.decisions.tests.simulated_site import Arrival, SimulatedSite
+from azureturn.gateway.site import StatedLimits
 
 _RUN = ("e-1", 7)
 
@@ -109,9 +110,8 @@
 def _observe(
     table: RequestLimitTable, limit_per_s: float | None, *, now_ms: int, age_ms: int = 0
 ) -> None:
-    table.observe(
-        LimitReport(_RUN, limit_per_s, age_ms), vm_count=2, now_ms=now_ms, random=Random(1)
-    )
+    report = LimitReport(_RUN, StatedLimits(limit_per_s), age_ms)
+    table.observe(report, vm_count=2, now_ms=now_ms, random=Random(1))
 
 
 def _sent_ms(table: RequestLimitTable, from_ms: int, until_ms: int) -> list[int]:
@@ -157,12 +157,12 @@
     _observe(table, 0.0, now_ms=0)
     assert not table.may_send(_RUN, 2, 1)
     assert table.may_send((_RUN[0], 8), 2, 1)
-    assert table.reports(0) == (LimitReport(_RUN, 0.0, 0),)
+    assert table.reports(0) == (LimitReport(_RUN, StatedLimits(0.0), 0),)
 
 
 def test_a_vm_learns_of_a_limit_from_its_peers() -> None:
     harness = GatewayCoreHarness(view(upstream("e-1"), upstream("e-2")))
-    report = peer_report("vm-2", limits=(LimitReport(("e-1", 0), 0.5, 10),))
+    report = peer_report("vm-2", limits=(LimitReport(("e-1", 0), StatedLimits(0.5), 10),))
     harness.handle_event(PeerReportReceived(report))
     sent = of_type(
         tuple(action for n in range(4) for action in harness.submit_request(f"r{n}")), SendAttempt
@@ -173,7 +173,7 @@
 def test_a_request_waits_if_all_upstreams_are_limited() -> None:
     harness = GatewayCoreHarness(view(upstream("e-1")))
     harness.submit_request("r1")
-    harness.handle_event(FirstEventReceived("r1", limit_per_s=1.0))
+    harness.handle_event(FirstEventReceived("r1", StatedLimits(1.0)))
     harness.submit_request("r2")
     harness.submit_request("r3")
     actions = [action for at in range(1_050, 2_000, 50) for action in harness.tick(at)]
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -240,7 +240,7 @@
                 progress.streamed_ms,
                 self._stream_relay.is_resumable,
                 progress.answering_ms(now_ms()),
-                progress.limit_per_s,
+                progress.limits,
             )
         )
         if result is AttemptResult.ABANDONED:
@@ -263,8 +263,7 @@
         if self._caller_disconnected:
             return AttemptResult.ABANDONED
         head = attempt.read_head(ends_at_ms=self._head_deadline_ms(request))
-        limit_per_s = head.facts.limit_per_s
-        progress.record_head(head.framing, now_ms(), limit_per_s=limit_per_s)
+        progress.record_head(head.framing, now_ms(), head.facts.limits)
         if head.facts.not_executed or head.status == _MISDIRECTED_REQUEST:
             discard_until_ms = min(request.ends_at_ms, now_ms() + _DISCARD_TIMEOUT_MS)
             attempt.discard_body(wait_ms=_DISCARD_TIMEOUT_MS, ends_at_ms=discard_until_ms)
@@ -306,7 +305,7 @@
             relay.feed(part)
             if progress.event_count and not had_events:
                 self._services.runtime.submit(
-                    FirstEventReceived(request.request_id, progress.limit_per_s)
+                    FirstEventReceived(request.request_id, progress.limits)
                 )
         relay.finish()
         self._outcome = "answered"
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -79,7 +79,8 @@
             events=progress.event_count,
             framing=progress.framing.value if progress.framing else "",
             partial_event_bytes=progress.partial_event_bytes,
-            limit_per_s=-1 if progress.limit_per_s is None else progress.limit_per_s,
+            limit_per_s=_number_or_minus_one(progress.limits.requests_per_s),
+            rejection_limit_per_s=_number_or_minus_one(progress.limits.rejections_per_s),
             longest_pause_ms=progress.longest_pause_ms,
             took_ms=took_ms,
             error=detail,
@@ -117,3 +118,7 @@
         metrics.time(Metric.REQUEST_TIME, took_ms, route=route)
         if result.refused_kind:
             metrics.count(Metric.REQUESTS_REFUSED, kind=result.refused_kind)
+
+
+def _number_or_minus_one(value: float | None) -> float:
+    return -1 if value is None else value
--- a/azureturn/gateway/exchange/_response_progress.py
+++ b/azureturn/gateway/exchange/_response_progress.py
@@ -1,6 +1,7 @@
 """What has been received of one response: its framing, and the count and timing of its events."""
 
 from azureturn.gateway.exchange._framing import BodyFraming
+from azureturn.gateway.site import StatedLimits
 
 
 class ResponseProgress:
@@ -9,8 +10,8 @@
     def __init__(self) -> None:
         #: How the end of the body is marked; None until the head has been received.
         self.framing: BodyFraming | None = None
-        #: Requests per second that the upstream takes from all VMs; None if it stated no limit.
-        self.limit_per_s: float | None = None
+        #: What the head of the response states.
+        self.limits = StatedLimits()
         self._head_at_ms = 0
         self.event_count = 0
         #: Size of the received part of an event that is not complete yet.
@@ -24,12 +25,10 @@
         """Return the time from the first event to the last one so far."""
         return self._last_event_at_ms - self.first_event_at_ms
 
-    def record_head(
-        self, framing: BodyFraming, at_ms: int, *, limit_per_s: float | None = None
-    ) -> None:
+    def record_head(self, framing: BodyFraming, at_ms: int, limits: StatedLimits) -> None:
         """Record that the head of the response was received at ``at_ms``."""
         self.framing = framing
-        self.limit_per_s = limit_per_s
+        self.limits = limits
         self._head_at_ms = at_ms
 
     def answering_ms(self, at_ms: int) -> int | None:
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -37,6 +37,7 @@
     PromptPart,
     RequestFacts,
     ResponseFacts,
+    StatedLimits,
 )
 from azureturn.gateway.site._view import SiteView, StoredDocument
 
@@ -69,6 +70,7 @@
     "Service",
     "SiteConfiguration",
     "SiteView",
+    "StatedLimits",
     "StoredDocument",
     "UpstreamRun",
     "digest_trait",
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -63,6 +63,21 @@
     last_event_number: int | None
 
 
+@dataclass(frozen=True)
+class StatedLimits:
+    """What an upstream's response states of its limits; None where it states nothing."""
+
+    #: Requests per second that the upstream takes from all VMs together.
+    requests_per_s: float | None = None
+    #: Rejections per second, for lack of room, above which the upstream falls over.
+    rejections_per_s: float | None = None
+
+    @property
+    def is_brittle(self) -> bool:
+        """Return whether the upstream falls over if it has to reject too many requests."""
+        return self.rejections_per_s is not None
+
+
 @dataclass(frozen=True)
 class ResponseFacts:
     """Information in the headers of an upstream's response."""
@@ -74,5 +89,4 @@
     #: Whether the response carries the seal: a header by which an upstream marks a response as its
     #: own. A successful response without it is not relayed.
     is_sealed: bool
-    #: Requests per second that the upstream takes from all VMs together; None if it states none.
-    limit_per_s: float | None = None
+    limits: StatedLimits = StatedLimits()
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -149,6 +149,7 @@
                 "request_digest",
                 "prompt_parts",
                 "limit_per_s",
+                "rejection_limit_per_s",
                 "answering_ms",
                 "first_event_ms",
                 "longest_pause_ms",
@@ -310,6 +311,8 @@
         "quarantines": "Number of quarantines.",
         "limit_per_s": "Requests per second that the upstream takes from all VMs together, as its "
         "response states; -1 if it states no limit.",
+        "rejection_limit_per_s": "Rejections per second above which the upstream falls over, as "
+        "its response states; -1 if it states none.",
         "answering_ms": "Time from the head of the response to the end of the attempt; -1 if there "
         "was no head.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -315,12 +315,13 @@
   2: i64 since_unix_ms,
 }
 
-// The limit of requests per second that an upstream's latest answer to the sender stated.
+// The limits that an upstream's latest answer to the sender stated.
 struct LimitSeen {
   1: string upstream,
   2: i64 started_unix_ms,
-  // Absent if the answer stated no limit any more.
-  3: optional double limit_per_s,
+  // Absent if the answer stated no such limit any more.
+  3: optional double requests_per_s,
+  5: optional double rejections_per_s,
   4: i32 age_ms,
 }
 
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -4335,7 +4335,8 @@
     Attributes:
      - upstream
      - started_unix_ms
-     - limit_per_s
+     - requests_per_s
+     - rejections_per_s
      - age_ms
 
     """
@@ -4343,15 +4344,17 @@
     __slots__ = (
         'upstream',
         'started_unix_ms',
-        'limit_per_s',
+        'requests_per_s',
         'age_ms',
+        'rejections_per_s',
     )
 
 
-    def __init__(self, upstream=None, started_unix_ms=None, limit_per_s=None, age_ms=None,):
+    def __init__(self, upstream=None, started_unix_ms=None, requests_per_s=None, rejections_per_s=None, age_ms=None,):
         self.upstream = upstream
         self.started_unix_ms = started_unix_ms
-        self.limit_per_s = limit_per_s
+        self.requests_per_s = requests_per_s
+        self.rejections_per_s = rejections_per_s
         self.age_ms = age_ms
 
     def read(self, iprot):
@@ -4375,7 +4378,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.DOUBLE:
-                    self.limit_per_s = iprot.readDouble()
+                    self.requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.rejections_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -4401,14 +4409,18 @@
             oprot.writeFieldBegin('started_unix_ms', TType.I64, 2)
             oprot.writeI64(self.started_unix_ms)
             oprot.writeFieldEnd()
-        if self.limit_per_s is not None:
-            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
-            oprot.writeDouble(self.limit_per_s)
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.requests_per_s)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.rejections_per_s is not None:
+            oprot.writeFieldBegin('rejections_per_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.rejections_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5427,8 +5439,9 @@
     None,  # 0
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I64, 'started_unix_ms', None, None, ),  # 2
-    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+    (3, TType.DOUBLE, 'requests_per_s', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'rejections_per_s', None, None, ),  # 5
 )
 all_structs.append(GatewayReport)
 GatewayReport.thrift_spec = (
