--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -40,8 +40,9 @@
 #: a multiple of the route's objective.
 _MIN_FIRST_EVENT_TIMEOUT_MS = 1_000
 _FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.0
-#: The same for the time between two parts of a stream, as a multiple of the route's pause limit.
-_MIN_PAUSE_TIMEOUT_MS = 600
+#: The same for the time between two parts of a stream, as a multiple of the route's pause limit. A
+#: sound upstream may be silent for about a second; another one would have to read the prompt again.
+_MIN_PAUSE_TIMEOUT_MS = 1_600
 _PAUSE_TIMEOUT_LIMITS = 2.0
 #: The same for the head of a plain response, as a multiple of the route's objective.
 _MIN_RESPONSE_TIMEOUT_MS = 150
