--- a/azureturn/_socket_options.py
+++ b/azureturn/_socket_options.py
@@ -3,19 +3,40 @@
 import socket
 import struct
 
-_KEEP_ALIVE_IDLE_S = 5
-_KEEP_ALIVE_INTERVAL_S = 2
-_KEEP_ALIVE_PROBES = 3
-#: Sent data that is not acknowledged for this long breaks the connection.
-_USER_TIMEOUT_MS = 10_000
+_MS_PER_S = 1_000
 
+SocketOption = tuple[int, int, int]
+
+
+def keep_alive_options(*, idle_s: int, interval_s: int, probes: int) -> tuple[SocketOption, ...]:
+    """Return the options that break a connection whose other end has not answered for a time.
+
+    That time is ``idle_s`` and then ``probes`` times ``interval_s``, for keep-alive probes as well
+    as for sent data that is not acknowledged: TCP_USER_TIMEOUT sets both, whatever the number of
+    probes.
+
+    >>> keep_alive_options(idle_s=5, interval_s=2, probes=3)[-1] == (
+    ...     socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 11_000
+    ... )
+    True
+    """
+    return (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _MS_PER_S * (idle_s + interval_s * probes),
+        ),
+    )
+
+
+#: Options of connections to the store, to upstreams and to peers that relay.
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    *keep_alive_options(idle_s=5, interval_s=2, probes=3),
 )
 
 #: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -13,7 +13,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Server
 
-from azureturn._socket_options import RESET_AT_CLOSE
+from azureturn._socket_options import RESET_AT_CLOSE, keep_alive_options
 from azureturn.errors import ERROR_RESPONSES, AzureturnError, ErrorKind, RunState
 
 _MS_PER_S = 1_000
@@ -21,13 +21,7 @@
 CALLER_WRITE_TIMEOUT_S = 30.0
 #: Keep-alive probes detect a caller whose machine has disappeared after about 30 s, even while
 #: it waits for an answer.
-_CALLER_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 10),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 5),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 4),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 30_000),
-)
+_CALLER_SOCKET_OPTIONS = keep_alive_options(idle_s=10, interval_s=5, probes=4)
 
 #: Limits on draining a connection, that is, reading and discarding the rest of a refused request.
 DRAIN_LIMIT_MS = 300
