--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -20,7 +20,7 @@
 #: How long a peer may take to send its request.
 _REQUEST_TIMEOUT_S = 1.0
 #: How long either side may read nothing of what the other sends.
-_WRITE_TIMEOUT_S = 10.0
+_WRITE_TIMEOUT_S = 30.0
 _READ_BYTES = 65_536
 
 
@@ -95,6 +95,7 @@
 
     def _open(self, connection: socket.socket) -> socket.socket | None:
         """Read the peer's request, connect to the upstream, and answer the peer."""
+        _set_options(connection)
         connection.settimeout(_REQUEST_TIMEOUT_S)
         request = receive_message(connection, RelayRequest)
         upstream = self._find_upstream(request.upstream or "")
@@ -126,11 +127,15 @@
             refused = isinstance(error, ConnectionRefusedError)
             self._report_failure(upstream.run, refused)
             return RelayOutcome.REFUSED if refused else RelayOutcome.UNREACHABLE, None
-        for level, name, value in SOCKET_OPTIONS:
-            connection.setsockopt(level, name, value)
+        _set_options(connection)
         return RelayOutcome.CONNECTED, connection
 
 
+def _set_options(connection: socket.socket) -> None:
+    for level, name, value in SOCKET_OPTIONS:
+        connection.setsockopt(level, name, value)
+
+
 def _pass_on(peer: socket.socket, upstream: socket.socket) -> None:
     """Pass bytes on in both directions until one side ends the connection.
 
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -118,6 +118,24 @@
     assert site.ended.wait(_TIMEOUT_MS / 1_000)
 
 
+def test_parts_are_passed_on_without_waiting_for_more(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    accepted: list[socket.socket] = []
+    site = sites(_echo)
+    serve = site.server._open
+
+    def record(connection: socket.socket) -> socket.socket | None:
+        accepted.append(connection)
+        return serve(connection)
+
+    site.server._open = record  # type: ignore[method-assign]
+    with site.connect():
+        (connection,) = accepted
+        assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+
 def test_the_peers_connection_ends_after_the_last_bytes_of_the_upstream(
     sites: Callable[[_Behaviour], _Site],
 ) -> None:
