--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -64,6 +64,8 @@
 #: Slots of an upstream, as the harness registers it.
 _SLOTS = 4
 _MS_PER_S = 1_000
+#: Time in which sound requests are answered.
+_ANSWERED_WITHIN_MS = 2_000
 
 
 class Cut(Enum):
@@ -268,6 +270,20 @@
         """Return the arrivals of requests with this part that came later than ``after_ms``."""
         return [row for row in self.arrivals if part in row.parts and row.at_ms > after_ms]
 
+    def first_attempt_share(self, id_prefix: str, from_ms: int) -> float:
+        """Return the share of requests since ``from_ms`` that their first attempt answered.
+
+        Only requests whose ids begin with ``id_prefix`` count, and not the last ones, which may
+        still be under way.
+        """
+        until_ms = self.now_ms - _ANSWERED_WITHIN_MS
+        sent = [
+            request_id
+            for request_id, at_ms in self.sent_at_ms.items()
+            if request_id.startswith(id_prefix) and from_ms <= at_ms < until_ms
+        ]
+        return sum(self.answered.get(request_id) == 1 for request_id in sent) / len(sent)
+
     def arrivals_of(self, digest: str) -> list[Arrival]:
         """Return the arrivals of requests with this digest."""
         return [row for row in self.arrivals if row.digest == digest]
--- a/azureturn/gateway/decisions/tests/test_crashing_prompts.py
+++ b/azureturn/gateway/decisions/tests/test_crashing_prompts.py
@@ -14,7 +14,6 @@
 #: requests with the part may reach engines, and after twice this time sound requests are answered
 #: by their first attempt at least half as often as before.
 _CONTACT_MS = 3_000
-_ANSWERED_WITHIN_MS = 2_000
 _MAX_LATER_ARRIVALS = 3
 _MIN_FIRST_ATTEMPT_RATIO = 0.5
 
@@ -45,19 +44,6 @@
     return site.crashes[:_COUNTED_CRASHES][-1].at_ms
 
 
-def _first_attempt_share(site: SimulatedSite, from_ms: int) -> float:
-    """Return the share of sound requests since ``from_ms`` that their first attempt answered.
-
-    The last ones are left out, since they may still be under way.
-    """
-    sound = [
-        request_id
-        for request_id, at_ms in site.sent_at_ms.items()
-        if request_id.startswith("sound") and from_ms <= at_ms < site.now_ms - _ANSWERED_WITHIN_MS
-    ]
-    return sum(site.answered.get(request_id) == 1 for request_id in sound) / len(sound)
-
-
 @pytest.mark.parametrize("vm_count", [1, 6])
 @pytest.mark.parametrize("crashing_parts", _CRASHING_PROMPTS, ids="+".join)
 def test_a_prompt_part_that_ended_five_engines_ends_no_more_of_them(
@@ -65,12 +51,12 @@
 ) -> None:
     site = SimulatedSite(vm_count=vm_count, engine_count=9, crashing_part="crashing")
     _play(site, _CALM_MS)
-    calm_share = _first_attempt_share(site, 0)
+    calm_share = site.first_attempt_share("sound", 0)
     _play(site, _CRASHING_MS, *crashing_parts)
     limit_from_ms = _fifth_crash_ms(site) + _CONTACT_MS
     later = site.arrivals_with("crashing", after_ms=limit_from_ms)
     assert len(later) <= _MAX_LATER_ARRIVALS
-    share = _first_attempt_share(site, limit_from_ms + _CONTACT_MS)
+    share = site.first_attempt_share("sound", limit_from_ms + _CONTACT_MS)
     assert share >= _MIN_FIRST_ATTEMPT_RATIO * calm_share
     assert {change.traits for change in site.quarantine_changes} == {frozenset({"crashing"})}
 
--- a/azureturn/gateway/decisions/tests/test_crashing_requests.py
+++ b/azureturn/gateway/decisions/tests/test_crashing_requests.py
@@ -16,7 +16,6 @@
 #: Sound requests are to be answered by their first attempt at least half as often as before, from
 #: twice the contact time after the third crash on.
 _MIN_FIRST_ATTEMPT_RATIO = 0.5
-_ANSWERED_WITHIN_MS = 2_000
 
 
 class _Callers:
@@ -59,15 +58,6 @@
     return sum(row.at_ms > limit_from_ms for row in site.arrivals_of(digest))
 
 
-def _first_attempt_share(site: SimulatedSite, from_ms: int) -> float:
-    sound = [
-        request_id
-        for request_id, at_ms in site.sent_at_ms.items()
-        if request_id.startswith("sound") and from_ms <= at_ms < site.now_ms - _ANSWERED_WITHIN_MS
-    ]
-    return sum(site.answered.get(request_id) == 1 for request_id in sound) / len(sound)
-
-
 def _site(*digests: str, vm_count: int, is_plain: bool, seed: int = 1) -> SimulatedSite:
     return SimulatedSite(
         vm_count=vm_count,
@@ -87,11 +77,11 @@
     site = _site("bad", vm_count=vm_count, is_plain=is_plain, seed=seed)
     callers = _Callers(site)
     callers.play(_CALM_MS)
-    calm_share = _first_attempt_share(site, 0)
+    calm_share = site.first_attempt_share("sound", 0)
     callers.play(_CRASHING_MS, "bad")
     assert _late_arrivals(site, "bad") <= _MAX_LATER_ARRIVALS
     settled_from_ms = site.now_ms - _CRASHING_MS + 3 * _CONTACT_MS
-    share = _first_attempt_share(site, settled_from_ms)
+    share = site.first_attempt_share("sound", settled_from_ms)
     assert share >= _MIN_FIRST_ATTEMPT_RATIO * calm_share
 
 
