--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -21,6 +21,8 @@
 _REQUEST_TIMEOUT_S = 1.0
 #: How long either side may read nothing of what the other sends.
 _WRITE_TIMEOUT_S = 30.0
+#: Delay after a connection could not be accepted.
+_ACCEPT_RETRY_S = 0.1
 _READ_BYTES = 65_536
 
 
@@ -51,6 +53,7 @@
         self._lock = threading.Lock()
         self._open_relays = 0
         self._listener: socket.socket | None = None
+        self._is_stopped = threading.Event()
 
     @property
     def open_relays(self) -> int:
@@ -64,6 +67,7 @@
 
     def stop(self) -> None:
         """Accept no more connections; those that are open are relayed further."""
+        self._is_stopped.set()
         if self._listener is not None:
             with suppress(OSError):
                 self._listener.shutdown(socket.SHUT_RDWR)
@@ -71,13 +75,14 @@
 
     def _accept_forever(self) -> None:
         assert self._listener is not None
-        while True:
+        while not self._is_stopped.is_set():
             try:
                 connection, _ = self._listener.accept()
-            except OSError:
-                # The listener was closed by stop().
-                return
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+            except (OSError, RuntimeError) as error:
+                # No descriptor or thread is left, or stop() has closed the listener.
+                if not self._is_stopped.wait(_ACCEPT_RETRY_S):
+                    self._log.error(LogEvent.RELAY_FAILED, error=describe_error(error))
 
     def _serve(self, connection: socket.socket) -> None:
         with self._lock:
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Connections that a peer relays, against upstreams that echo, end or reset."""
 
+import errno
 import io
 import socket
 import struct
@@ -153,6 +154,37 @@
             connection.recv(10)
 
 
+class _ListenerThatFailsOnce:
+    """A listening socket that has no descriptor left for the first connection."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self._listener = listener
+        self._has_failed = False
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._listener, name)
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if not self._has_failed:
+            self._has_failed = True
+            raise OSError(errno.EMFILE, "too many open files")
+        return self._listener.accept()
+
+
+def test_connections_are_relayed_after_one_could_not_be_accepted(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    site = sites(_echo)
+    listener = site.server._listener
+    assert listener is not None
+    # The server still waits at the listener itself for its first connection.
+    site.server._listener = _ListenerThatFailsOnce(listener)  # type: ignore[assignment]
+    site.connect().close()
+    with site.connect() as connection:
+        connection.sendall(b"x")
+        assert connection.recv(1) == b"x"
+
+
 def test_an_upstream_that_refuses_connections_is_reported_to_both_vms(
     sites: Callable[[_Behaviour], _Site],
 ) -> None:
