The gateway serves requests as tasks of one loop instead of threads

Change: azureturn.tasks (on greenlet) suspends a request while it waits; cheroot and h11 keep the framing and use non-blocking sockets that wait in a task, or in a thread where there is no loop. Status pages, probes, relays, peer calls and ticks run on the loop too. The limits count requests (requests_in_progress, requests_waiting, by the order of tiers) and connections that are being read (caller_connections); the removed keys are named by the validation. Metrics: waiting requests, connections, tasks, threads, lag of the loop.

Changed: the harness's limits and the relay test's server and sockets, as their constructors changed; nothing weakened. A connection refused unread is no longer said not to have run: it may repeat a call that ran.

Ruled out by trial: gevent, edge-triggered polling, an on-demand pool (docs/DESIGN.md).

--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -40,7 +40,7 @@
             (settings.vm.host, settings.vm.port),
             application,
             ServerLimits(
-                threads=limits.caller_threads,
+                requests=limits.caller_threads,
                 accept_backlog=limits.accept_backlog,
                 header_bytes=limits.header_limit_bytes,
                 header_timeout_ms=limits.header_timeout_ms,
--- a/azureturn/daemon/_request_flow.py
+++ b/azureturn/daemon/_request_flow.py
@@ -1,6 +1,5 @@
 """Processes one request: admission by the core, dispatch to an upstream, and the answer."""
 
-import queue
 import socket
 from dataclasses import dataclass
 
@@ -33,6 +32,7 @@
 from azureturn.framework import AwaitPlacement, Refuse, RequestAction
 from azureturn.serving import next_action, now_ms
 from azureturn.settings import UpstreamKind
+from azureturn.tasks import Mailbox
 from azureturn.upstreams import (
     INCOMPLETE_AT_DEADLINE,
     AnswerAssembler,
@@ -115,7 +115,7 @@
             self._record_end(None, status=answer.status)
         return answer
 
-    def _run_until_answered(self, mailbox: "queue.SimpleQueue[RequestAction]") -> CallerAnswer:
+    def _run_until_answered(self, mailbox: Mailbox[RequestAction]) -> CallerAnswer:
         while True:
             try:
                 return self._handle_next_action(mailbox)
@@ -123,7 +123,7 @@
                 if not self._is_requeued:
                     raise
 
-    def _handle_next_action(self, mailbox: "queue.SimpleQueue[RequestAction]") -> CallerAnswer:
+    def _handle_next_action(self, mailbox: Mailbox[RequestAction]) -> CallerAnswer:
         self._is_requeued = False
         wait_ms = self._request.deadline_ms - now_ms() + DEADLINE_GRACE_MS
         action = next_action(mailbox, self._request.request_id, wait_ms=wait_ms)
--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -1,6 +1,6 @@
 """Checks whether upstreams accept connections."""
 
-import queue
+from contextlib import suppress
 
 from azureturn.errors import UpstreamUnreachableError
 from azureturn.gateway.daemon._threads import run_forever
@@ -13,29 +13,33 @@
 from azureturn.gateway.exchange import UpstreamConnector
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
+from azureturn.tasks import Mailbox, MailboxFullError, TaskLoop
 
-_THREADS = 4
+_TASKS = 4
 _QUEUE_LIMIT = 32
 
 
 class ConnectionProbes:
-    """Threads that open and close a connection to an upstream, without risking a request on it."""
+    """Tasks that open and close a connection to an upstream, without risking a request on it."""
 
-    def __init__(self, runtime: CoreRuntime, connector: UpstreamConnector, log: EventLog) -> None:
+    def __init__(
+        self, runtime: CoreRuntime, connector: UpstreamConnector, log: EventLog, loop: TaskLoop
+    ) -> None:
         self._runtime = runtime
         self._connector = connector
         self._log = log
-        self._queue: queue.Queue[ProbeConnection] = queue.Queue(_QUEUE_LIMIT)
+        self._loop = loop
+        self._queue: Mailbox[ProbeConnection] = Mailbox(limit=_QUEUE_LIMIT)
 
     def start(self) -> None:
-        """Start the threads."""
-        for number in range(_THREADS):
-            run_forever(self._probe_forever, f"trials-{number}", self._log)
+        """Start the tasks."""
+        for number in range(_TASKS):
+            run_forever(self._probe_forever, f"probes-{number}", self._log, loop=self._loop)
 
     def enqueue(self, action: ProbeConnection) -> None:
         """Queue a probe; drop it if the queue is full, as the controllers request it again."""
-        if not self._queue.full():
-            self._queue.put_nowait(action)
+        with suppress(MailboxFullError):
+            self._queue.put(action)
 
     def _probe_forever(self) -> None:
         while True:
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -16,6 +16,7 @@
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     FetchView,
+    GatewayQueueTable,
     GatewayStarted,
     LogAllotmentRestore,
     LogQuarantineChange,
@@ -47,10 +48,12 @@
     Metric,
     Metrics,
     PrometheusMetrics,
+    describe_error,
 )
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
 from azureturn.serving import BoundedServer, CoreRuntime, PlannedStop, StopLimits, StopStage, now_ms
 from azureturn.store import WatchedStore
+from azureturn.tasks import TaskLoop, sleep
 
 #: How long before the process is killed a planned stop aborts the requests still in flight.
 _STOP_MARGIN_MS = 700
@@ -76,6 +79,7 @@
         self._log = log
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
+        self._loop = TaskLoop("task-loop", self._report_task_error)
         self._runtime = CoreRuntime(core, tick_interval_ms=settings.limits.tick_interval_ms)
         self._prometheus_metrics = PrometheusMetrics()
         self._metrics = Metrics(None, self._prometheus_metrics)
@@ -96,6 +100,7 @@
             (vm.host, vm.relay_port),
             signer,
             log,
+            self._loop,
             find_upstream=lambda name: self._view_holder.view.upstreams.get(name),
             report_failure=self._report_relay_failure,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
@@ -118,7 +123,7 @@
             PeerClient(signer), self._view_holder, log, peer_port=vm.peer_port
         )
         self._peer_server = PeerServer(
-            vm.host, vm.peer_port, GatewayPeerHandler(self._view_holder), signer
+            vm.host, vm.peer_port, GatewayPeerHandler(self._view_holder), signer, loop=self._loop
         )
         self._writer = StoreWriter(adapter.store, self._view_holder, adapter.documents, log)
         self._watcher = StoreWatcher(
@@ -129,16 +134,20 @@
             wait_ms=limits.watch_wait_ms,
             vm_count=lambda: len(self._view_holder.view.vms),
         )
-        self._server = GatewayServer(self._services)
+        self._server = GatewayServer(self._services, self._loop)
         readiness = {adapter.dialect.readiness_path: self._readiness_page}
         self._servers: dict[str, BoundedServer] = {
-            "readiness": StatusServer(vm.readiness_host, vm.readiness_port, log, readiness),
+            "readiness": StatusServer(
+                (vm.readiness_host, vm.readiness_port), log, readiness, self._loop
+            ),
             "callers": self._server,
         }
         if limits.metrics_port:
             metrics = {_METRICS_PATH: self._metrics_page}
-            self._servers["metrics"] = StatusServer(vm.host, limits.metrics_port, log, metrics)
-        self._probes = ConnectionProbes(self._runtime, connector, log)
+            self._servers["metrics"] = StatusServer(
+                (vm.host, limits.metrics_port), log, metrics, self._loop
+            )
+        self._probes = ConnectionProbes(self._runtime, connector, log, self._loop)
         self._register_handlers()
 
     @property
@@ -147,7 +156,8 @@
         return self._settings
 
     def start(self) -> None:
-        """Start all threads and servers; return once the ports are open."""
+        """Start the loop, all threads and servers; return once the ports are open."""
+        self._loop.start()
         self._runtime.submit(GatewayStarted(self._settings.vm.name, unix_now_ms()))
         self._watcher.start()
         self._report_socket.start()
@@ -155,14 +165,12 @@
         self._probes.start()
         self._peer_server.start()
         self._relay_server.start()
-        self._runtime.start()
+        self._runtime.start(self._loop)
         for name, server in self._servers.items():
             server.prepare()
             threading.Thread(target=server.serve, name=name, daemon=True).start()
         self._writer.start(self._settings.vm)
-        threading.Thread(
-            target=self._close_idle_connections, name="housekeeping", daemon=True
-        ).start()
+        self._loop.spawn(self._close_idle_connections)
         vm = self._settings.vm
         self._log.info(
             LogEvent.DAEMON_STARTED,
@@ -243,7 +251,15 @@
         return StatusPage(200, b"ready\n") if self._is_ready() else StatusPage(503, b"not ready\n")
 
     def _metrics_page(self) -> StatusPage:
+        waiting = self._runtime.inspect(
+            lambda core: core.board.table(GatewayQueueTable).waiting_count()
+        )
         self._metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
+        self._metrics.set(Metric.REQUESTS_WAITING, waiting)
+        self._metrics.set(Metric.CALLER_CONNECTIONS, self._server.open_connections)
+        self._metrics.set(Metric.TASKS, self._loop.task_count)
+        self._metrics.set(Metric.THREADS, threading.active_count())
+        self._metrics.set(Metric.LOOP_LAG, round(self._runtime.lateness_ms))
         return StatusPage(200, self._prometheus_metrics.render(), PROMETHEUS_CONTENT_TYPE)
 
     def _send_report(self, action: SendReport) -> None:
@@ -267,6 +283,9 @@
             outcome=action.outcome,
         )
 
+    def _report_task_error(self, error: Exception) -> None:
+        self._log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
+
     def _log_reachability(self, action: LogReachability) -> None:
         self._log.info(
             LogEvent.REACHABILITY_CHANGED,
@@ -278,5 +297,5 @@
 
     def _close_idle_connections(self) -> None:
         while True:
-            time.sleep(_IDLE_CHECK_INTERVAL_S)
+            sleep(_IDLE_CHECK_INTERVAL_S)
             self._services.pool.close_idle()
--- a/azureturn/gateway/daemon/tests/test_run.py
+++ b/azureturn/gateway/daemon/tests/test_run.py
@@ -14,7 +14,7 @@
 from azureturn.gateway.settings import GatewaySettings
 
 _INITIAL = GatewayCoreHarness(view(upstream("u1"))).settings
-_CHANGED = replace(_INITIAL, limits=replace(_INITIAL.limits, caller_threads=7))
+_CHANGED = replace(_INITIAL, limits=replace(_INITIAL.limits, requests_waiting=7))
 _INVALID = SettingsError(ErrorKind.MALFORMED_REQUEST, "zone: is missing")
 
 
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -84,6 +84,11 @@
     service: str
 
 
+@dataclass(frozen=True)
+class RequestQueued(Event):
+    """A request was queued and placed if there was capacity (posted by controllers)."""
+
+
 @dataclass(frozen=True)
 class FirstEventReceived(Event):
     """The first event of the response stream to a request was received from the upstream."""
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -70,3 +70,20 @@
             queue = RequestQueue()
             self.put(service, queue)
         return queue
+
+    def waiting_count(self) -> int:
+        """Return the number of requests in all queues."""
+        return sum(len(queue) for queue in self.rows())
+
+    def pop_least_urgent(self, *, below_rank: int) -> GatewayRequest | None:
+        """Remove and return the request to refuse first, of all services.
+
+        Return None if no request that waits is less urgent than the tier of ``below_rank``.
+        """
+        last_ranks = {
+            service: queue.waiting_ranks()[-1] for service, queue in self.items() if len(queue)
+        }
+        service = max(last_ranks, key=last_ranks.__getitem__, default=None)
+        if service is None or last_ranks[service] <= below_rank:
+            return None
+        return self.of(service).pop_least_urgent()
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -9,6 +9,7 @@
     PlacementRequested,
     ReportRequested,
     RequestClosed,
+    RequestQueued,
     RequestReceived,
     TraitsQuarantined,
 )
@@ -29,6 +30,8 @@
 #: A queued request is refused this long before its time limit, so that the refusal can still be
 #: sent.
 _ANSWER_MARGIN_MS = 20
+#: A tier rank above those of all requests.
+_ABOVE_ALL_RANKS = -1
 #: Maximum Retry-After of a request in quarantine; the quarantine may end early.
 _MAX_QUARANTINE_RETRY_MS = 60_000
 
@@ -72,18 +75,31 @@
         if wait_ms > self.settings.policy.refusal_objectives * request.route.objective_ms:
             self._refuse(request, ErrorKind.OVERLOADED, int(wait_ms), context)
             return
+        if not self._make_room(request, context):
+            self._refuse(request, ErrorKind.OVERLOADED, int(wait_ms), context)
+            return
         self.board.write(GatewayRequestTable).put(request.request_id, request)
         give_up_at_ms = self._give_up_at_ms(request)
         self.board.write(GatewayQueueTable).of(request.service).push(
             QueuedRequest(request, cost_tokens=1.0, weight=1.0, give_up_at_ms=give_up_at_ms)
         )
         context.post(PlacementRequested(request.service))
+        context.post(RequestQueued())
+
+    @on(RequestQueued)
+    def _on_request_queued(self, event: RequestQueued, context: Context) -> None:
+        """Refuse the least urgent requests if too many still wait after the placement."""
+        queues = self.board.write(GatewayQueueTable)
+        while queues.waiting_count() > self.settings.limits.requests_waiting:
+            request = queues.pop_least_urgent(below_rank=_ABOVE_ALL_RANKS)
+            assert request is not None
+            self._end_unserved(request, ErrorKind.OVERLOADED, context)
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         for service, queue in self.board.write(GatewayQueueTable).items():
             for request in queue.pop_expired(context.now_ms):
-                self._end_expired(request, context)
+                self._end_unserved(request, ErrorKind.DEADLINE_UNREACHABLE, context)
             self._demote_late(queue, context.now_ms)
             drains = self.board.write(DrainTable)
             drain = drains.of(service).with_time(context.now_ms, backlogged=len(queue) > 0)
@@ -219,13 +235,24 @@
         self._refund(request, context)
         self._refuse_quarantined(request, quarantined, context)
 
-    def _end_expired(self, request: GatewayRequest, context: Context) -> None:
-        """End a request that cannot be answered in time any more."""
+    def _make_room(self, request: GatewayRequest, context: Context) -> bool:
+        """Return whether another request may be in progress; a less urgent one may have to end."""
+        if len(self.board.read(GatewayRequestTable)) < self.settings.limits.requests_in_progress:
+            return True
+        queues = self.board.write(GatewayQueueTable)
+        replaced = queues.pop_least_urgent(below_rank=request.tier_rank)
+        if replaced is None:
+            return False
+        self._end_unserved(replaced, ErrorKind.OVERLOADED, context)
+        return True
+
+    def _end_unserved(self, request: GatewayRequest, kind: ErrorKind, context: Context) -> None:
+        """End a request that was taken out of its queue because it can't be served in time."""
         if request.run_attempts:
             self._return_last_result(request, "no capacity for another attempt in time", context)
             return
         wait_ms = int(self._wait_ms(request))
-        self._refuse(request, ErrorKind.DEADLINE_UNREACHABLE, wait_ms, context)
+        self._refuse(request, kind, wait_ms, context)
 
     def _return_last_result(self, request: GatewayRequest, reason: str, context: Context) -> None:
         """End a request that has run, so that it must not be refused as not run."""
--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -13,6 +13,7 @@
 from azureturn.gateway.exchange._body_budget import BodyBudget
 from azureturn.gateway.site import UpstreamRun
 from azureturn.serving import now_ms
+from azureturn.tasks import receive, send_all
 
 _MS_PER_S = 1_000
 _READ_BYTES = 65_536
@@ -33,6 +34,7 @@
     """One HTTP/1.1 connection to an upstream; h11 validates the framing."""
 
     def __init__(self, connection_socket: socket.socket) -> None:
+        connection_socket.setblocking(False)
         self._socket = connection_socket
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEADER_LIMIT_BYTES)
         self._last_request: h11.Request | None = None
@@ -48,9 +50,8 @@
             self._http.start_next_cycle()
         self._last_request = request
         data = self._serialise(request, body)
-        self._socket.settimeout(max(1, timeout_ms) / _MS_PER_S)
         try:
-            self._socket.sendall(data)
+            send_all(self._socket, data, max(1, timeout_ms) / _MS_PER_S)
         except OSError as error:
             if not self._receive_early_response():
                 raise _connection_broken(error) from error
@@ -71,8 +72,7 @@
                 remaining_ms = deadline_ms - now_ms()
                 if remaining_ms <= 0:
                     raise TimeoutError
-                self._socket.settimeout(remaining_ms / _MS_PER_S)
-                data = self._socket.recv(_READ_BYTES)
+                data = receive(self._socket, _READ_BYTES, remaining_ms / _MS_PER_S)
                 if not data and self._aborted:
                     # Only the peer's close may end a body that has neither a length nor chunks.
                     raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection aborted")
@@ -90,7 +90,7 @@
         return event
 
     def abort(self) -> None:
-        """Shut the connection down, so that a read that blocks in another thread fails."""
+        """Shut the connection down, so that a read that waits in another task fails."""
         self._aborted = True
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
@@ -128,7 +128,6 @@
         An upstream may respond before it has read the whole request. The data is passed to h11.
         """
         try:
-            self._socket.settimeout(0.0)
             data = self._socket.recv(_READ_BYTES)
         except OSError:
             return False
--- a/azureturn/gateway/exchange/_connector.py
+++ b/azureturn/gateway/exchange/_connector.py
@@ -7,6 +7,7 @@
 from azureturn.gateway.relay import RelayClient
 from azureturn.gateway.site import RegisteredUpstream
 from azureturn.store import SOCKET_OPTIONS
+from azureturn.tasks import connect
 
 _MS_PER_S = 1_000
 
@@ -42,8 +43,7 @@
 
 
 def _open_socket(upstream: RegisteredUpstream, timeout_ms: int) -> socket.socket:
-    address = (upstream.host, upstream.port)
-    connection = socket.create_connection(address, timeout=timeout_ms / _MS_PER_S)
+    connection = connect((upstream.host, upstream.port), timeout_ms / _MS_PER_S)
     for level, name, value in SOCKET_OPTIONS:
         connection.setsockopt(level, name, value)
     return connection
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -1,7 +1,6 @@
 """Serves one request: reads it, makes attempts at upstreams, and relays the response."""
 
 import json
-import queue
 
 from azureturn.errors import (
     ERROR_RESPONSES,
@@ -32,6 +31,7 @@
 from azureturn.gateway.exchange._stream_relay import StreamRelay
 from azureturn.gateway.site import AttemptHeaders, RequestKind
 from azureturn.serving import next_action, now_ms
+from azureturn.tasks import Mailbox
 
 #: How long to wait for an action of the core beyond the request's time limit; after that, its
 #: absence is an error.
@@ -68,7 +68,7 @@
 
 
 class Exchange:
-    """Serves one request on the caller's thread."""
+    """Serves one request, in a task of its own."""
 
     def __init__(self, services: ExchangeServices, caller: CallerChannel) -> None:
         self._services = services
@@ -154,9 +154,7 @@
         answer_ms = tokens * policy.ms_per_token + request.route.objective_ms
         return time_left_ms > _STOP_TIME_FACTOR * answer_ms
 
-    def _run_actions(
-        self, request: GatewayRequest, mailbox: "queue.SimpleQueue[RequestAction]"
-    ) -> None:
+    def _run_actions(self, request: GatewayRequest, mailbox: Mailbox[RequestAction]) -> None:
         """Carry out the core's actions for the request until it has been answered."""
         while True:
             wait_ms = max(1, request.ends_at_ms - now_ms()) + _CORE_ACTION_GRACE_MS
--- a/azureturn/gateway/exchange/_server.py
+++ b/azureturn/gateway/exchange/_server.py
@@ -13,6 +13,7 @@
 from azureturn.gateway.exchange._services import ExchangeServices
 from azureturn.observability import EventLog, LogEvent, describe_error
 from azureturn.serving import BoundedServer, RefusalMessage, ServerLimits
+from azureturn.tasks import TaskLoop
 
 #: Limits that the HTTP library enforces. They apply even before the configuration is known, and
 #: regardless of the limits in it.
@@ -21,14 +22,13 @@
 _BODY_TIMEOUT_MS = 15_000
 #: Longer than callers keep an idle connection open.
 _IDLE_TIMEOUT_MS = 60_000
-_STATUS_THREADS = 2
-_STATUS_BACKLOG = 16
+_STATUS_REQUESTS = 16
 
 
 class GatewayServer(BoundedServer):
     """HTTP server for callers; handles each request as an :class:`Exchange`."""
 
-    def __init__(self, services: ExchangeServices) -> None:
+    def __init__(self, services: ExchangeServices, loop: TaskLoop) -> None:
         settings = services.settings()
         vm, limits = settings.vm, settings.limits
 
@@ -40,8 +40,7 @@
             (vm.caller_host, vm.caller_port),
             None,
             ServerLimits(
-                threads=limits.caller_threads,
-                accept_backlog=limits.accept_backlog,
+                requests=limits.caller_connections,
                 header_bytes=_HEADER_LIMIT_BYTES,
                 header_timeout_ms=_HEADER_TIMEOUT_MS,
                 body_timeout_ms=_BODY_TIMEOUT_MS,
@@ -58,10 +57,17 @@
                 kind=error.kind.value,
                 run_state=error.run_state.value,
             ),
+            loop=loop,
         )
         self.services = services
         self.gateway = _ExchangeGateway
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections on which a request is being read or served."""
+        open_connections: int = self.requests.open_connections
+        return open_connections
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log errors that the library could not handle, except connections aborted on purpose."""
         if not msg.startswith(ExchangeAbortedError.__name__):
@@ -93,14 +99,17 @@
     """HTTP server for status pages of this VM, such as readiness and metrics, on its own port."""
 
     def __init__(
-        self, host: str, port: int, log: EventLog, pages: Mapping[str, Callable[[], StatusPage]]
+        self,
+        address: tuple[str, int],
+        log: EventLog,
+        pages: Mapping[str, Callable[[], StatusPage]],
+        loop: TaskLoop,
     ) -> None:
         super().__init__(
-            (host, port),
+            address,
             None,
             ServerLimits(
-                threads=_STATUS_THREADS,
-                accept_backlog=_STATUS_BACKLOG,
+                requests=_STATUS_REQUESTS,
                 header_bytes=_HEADER_LIMIT_BYTES,
                 header_timeout_ms=_HEADER_TIMEOUT_MS,
                 body_timeout_ms=_BODY_TIMEOUT_MS,
@@ -112,6 +121,7 @@
                 LogEvent.INTERNAL_ERROR, error=describe_error(sys.exception())
             ),
             report_refusal=lambda request_id, error: None,
+            loop=loop,
         )
         self.pages = pages
         self.gateway = _StatusGateway
--- a/azureturn/gateway/relay/_client.py
+++ b/azureturn/gateway/relay/_client.py
@@ -7,6 +7,7 @@
 from azureturn.gateway.relay._messages import receive_message, relay_request, send_message
 from azureturn.gateway.site import UpstreamRun
 from azureturn.peers import EnvelopeSigner, RelayAnswer, RelayOutcome
+from azureturn.tasks import connect
 
 _MS_PER_S = 1_000
 
@@ -24,20 +25,19 @@
         self._port = port
 
     def connect(self, host: str, run: UpstreamRun, *, timeout_ms: int) -> socket.socket:
-        """Return a socket whose bytes the peer at ``host`` passes on to and from the upstream.
+        """Return a non-blocking socket; the peer at ``host`` relays its bytes to the upstream.
 
         ``timeout_ms`` applies to each of the two connections. Raises ``ConnectionRefusedError`` if
         no process accepts connections at the upstream, and another ``OSError`` if either connection
         cannot be opened otherwise.
         """
         timeout_s = timeout_ms / _MS_PER_S
-        connection = socket.create_connection((host, self._port), timeout=timeout_s)
+        connection = connect((host, self._port), timeout_s)
         try:
             for level, name, value in SOCKET_OPTIONS:
                 connection.setsockopt(level, name, value)
-            send_message(connection, relay_request(run, self._vm, self._signer))
-            connection.settimeout(2 * timeout_s)
-            answer = receive_message(connection, RelayAnswer)
+            send_message(connection, relay_request(run, self._vm, self._signer), timeout_s)
+            answer = receive_message(connection, RelayAnswer, 2 * timeout_s)
         except AzureturnError as error:
             connection.close()
             raise RelayRefusedError(error.message) from error
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -1,10 +1,9 @@
 """Relays connections to upstreams for peers that cannot reach them."""
 
-import select
 import socket
-import threading
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 from azureturn._socket_options import RESET_AT_CLOSE, SOCKET_OPTIONS
 from azureturn.errors import AzureturnError
@@ -12,10 +11,19 @@
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 from azureturn.observability import EventLog, LogEvent, describe_error
 from azureturn.peers import EnvelopeSigner, RelayAnswer, RelayOutcome, RelayRequest
+from azureturn.tasks import (
+    READABLE,
+    TaskLoop,
+    accept,
+    connect,
+    send_all,
+    sleep,
+    wait_until_ready,
+)
 
 _MS_PER_S = 1_000
 _BACKLOG = 128
-#: Maximum number of relayed connections, each of which has a thread.
+#: Maximum number of relayed connections.
 _MAX_RELAYS = 512
 #: How long a peer may take to send its request.
 _REQUEST_TIMEOUT_S = 1.0
@@ -27,7 +35,7 @@
 
 
 class RelayServer:
-    """Connects peers with upstreams, one thread for each connection.
+    """Connects peers with upstreams, in one task of ``loop`` for each connection.
 
     ``find_upstream`` returns the current registration of an upstream; peers name upstreams and not
     addresses, so that they can be connected with nothing else. ``report_failure`` is called with
@@ -39,6 +47,7 @@
         address: tuple[str, int],
         signer: EnvelopeSigner,
         log: EventLog,
+        loop: TaskLoop,
         *,
         find_upstream: Callable[[str], RegisteredUpstream | None],
         report_failure: Callable[[UpstreamRun, bool], None],
@@ -47,13 +56,13 @@
         self._address = address
         self._signer = signer
         self._log = log
+        self._loop = loop
         self._find_upstream = find_upstream
         self._report_failure = report_failure
         self._connect_timeout_s = connect_timeout_ms / _MS_PER_S
-        self._lock = threading.Lock()
         self._open_relays = 0
         self._listener: socket.socket | None = None
-        self._is_stopped = threading.Event()
+        self._is_stopped = False
 
     @property
     def open_relays(self) -> int:
@@ -61,13 +70,14 @@
         return self._open_relays
 
     def start(self) -> None:
-        """Open the port and start the thread that accepts connections."""
+        """Open the port and start the task that accepts connections."""
         self._listener = socket.create_server(self._address, backlog=_BACKLOG)
-        threading.Thread(target=self._accept_forever, name="relay", daemon=True).start()
+        self._listener.setblocking(False)
+        self._loop.spawn(self._accept_forever)
 
     def stop(self) -> None:
         """Accept no more connections; those that are open are relayed further."""
-        self._is_stopped.set()
+        self._is_stopped = True
         if self._listener is not None:
             with suppress(OSError):
                 self._listener.shutdown(socket.SHUT_RDWR)
@@ -75,18 +85,19 @@
 
     def _accept_forever(self) -> None:
         assert self._listener is not None
-        while not self._is_stopped.is_set():
+        while not self._is_stopped:
             try:
-                connection, _ = self._listener.accept()
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-            except (OSError, RuntimeError) as error:
-                # No descriptor or thread is left, or stop() has closed the listener.
-                if not self._is_stopped.wait(_ACCEPT_RETRY_S):
+                connection = accept(self._listener)
+            except OSError as error:
+                # No descriptor is left, or stop() has closed the listener.
+                if not self._is_stopped:
                     self._log.error(LogEvent.RELAY_FAILED, error=describe_error(error))
+                    sleep(_ACCEPT_RETRY_S)
+                continue
+            self._loop.spawn(partial(self._serve, connection))
 
     def _serve(self, connection: socket.socket) -> None:
-        with self._lock:
-            self._open_relays += 1
+        self._open_relays += 1
         try:
             upstream_connection = self._open(connection)
             if upstream_connection is not None:
@@ -95,14 +106,12 @@
             self._log.error(LogEvent.RELAY_FAILED, error=describe_error(error))
         finally:
             connection.close()
-            with self._lock:
-                self._open_relays -= 1
+            self._open_relays -= 1
 
     def _open(self, connection: socket.socket) -> socket.socket | None:
         """Read the peer's request, connect to the upstream, and answer the peer."""
         _set_options(connection)
-        connection.settimeout(_REQUEST_TIMEOUT_S)
-        request = receive_message(connection, RelayRequest)
+        request = receive_message(connection, RelayRequest, _REQUEST_TIMEOUT_S)
         upstream = self._find_upstream(request.upstream or "")
         is_known = upstream is not None and upstream.run[1] == request.started_unix_ms
         upstream_connection = None
@@ -117,7 +126,7 @@
             outcome=RelayOutcome._VALUES_TO_NAMES[outcome].lower(),
             relays=self._open_relays,
         )
-        send_message(connection, RelayAnswer(outcome))
+        send_message(connection, RelayAnswer(outcome), _REQUEST_TIMEOUT_S)
         return upstream_connection
 
     def _may_relay(self, request: RelayRequest) -> bool:
@@ -125,9 +134,7 @@
 
     def _connect(self, upstream: RegisteredUpstream) -> tuple[int, socket.socket | None]:
         try:
-            connection = socket.create_connection(
-                (upstream.host, upstream.port), timeout=self._connect_timeout_s
-            )
+            connection = connect((upstream.host, upstream.port), self._connect_timeout_s)
         except OSError as error:
             refused = isinstance(error, ConnectionRefusedError)
             self._report_failure(upstream.run, refused)
@@ -147,20 +154,15 @@
     If the upstream's connection is reset, so is the peer's, since an orderly end could make an
     incomplete response look complete.
     """
+    directions = {peer.fileno(): (peer, upstream), upstream.fileno(): (upstream, peer)}
     try:
-        for connection in (peer, upstream):
-            connection.settimeout(_WRITE_TIMEOUT_S)
-        poller = select.poll()
-        other_end = {peer.fileno(): upstream, upstream.fileno(): peer}
-        by_descriptor = {peer.fileno(): peer, upstream.fileno(): upstream}
-        for descriptor in other_end:
-            poller.register(descriptor, select.POLLIN)
         while True:
-            for descriptor, _ in poller.poll():
-                data = by_descriptor[descriptor].recv(_READ_BYTES)
+            for descriptor in wait_until_ready(dict.fromkeys(directions, READABLE), None):
+                source, destination = directions[descriptor]
+                data = source.recv(_READ_BYTES)
                 if not data:
                     return
-                other_end[descriptor].sendall(data)
+                send_all(destination, data, _WRITE_TIMEOUT_S)
     except OSError:
         # A reset of either side, or a side that reads nothing more.
         peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -14,6 +14,7 @@
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 from azureturn.observability import EventLog
 from azureturn.peers import EnvelopeSigner
+from azureturn.tasks import TaskLoop
 
 _HOST = "127.0.0.1"
 _TIMEOUT_MS = 2_000
@@ -37,6 +38,15 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def _started_loop() -> TaskLoop:
+    def fail(error: Exception) -> None:
+        raise error
+
+    loop = TaskLoop("relay-test", fail)
+    loop.start()
+    return loop
+
+
 class _Site:
     """An upstream with a given behaviour, and a peer that relays connections to it."""
 
@@ -55,6 +65,7 @@
             (_HOST, self._port),
             EnvelopeSigner("secret", "vm-1", clock_s=lambda: 0.0),
             EventLog.to_stream(io.StringIO(), vm="vm-1"),
+            _started_loop(),
             find_upstream={"u": self.upstream}.get,
             report_failure=lambda run, refused: self.failures.append((run, refused)),
             connect_timeout_ms=_TIMEOUT_MS,
@@ -75,7 +86,9 @@
     def connect(self, run: UpstreamRun = _RUN, *, secret: str = "secret") -> socket.socket:
         signer = EnvelopeSigner(secret, "vm-2", clock_s=lambda: 0.0)
         client = RelayClient("vm-2", signer, port=self._port)
-        return client.connect(_HOST, run, timeout_ms=_TIMEOUT_MS)
+        connection = client.connect(_HOST, run, timeout_ms=_TIMEOUT_MS)
+        connection.settimeout(_TIMEOUT_MS / 1_000)
+        return connection
 
     def _serve(self) -> None:
         while True:
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -4,11 +4,11 @@
 limits and the policy.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from functools import cache
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
@@ -129,10 +129,15 @@
 class GatewayLimits(_StrictSettings):
     """Limits, intervals and ports of one process."""
 
-    #: Number of threads that serve callers; each serves one request at a time.
-    caller_threads: Count = 200
-    #: Connections that may wait for a thread before further ones are refused as ``overloaded``.
-    accept_backlog: Count = 64
+    #: Callers' connections on which a request is being read or served; further ones are refused as
+    #: ``overloaded`` unread. It exceeds ``requests_in_progress``, so that a request's tier is known
+    #: before it is refused.
+    caller_connections: Count = 1_000
+    #: Requests in progress at the same time; beyond them the least urgent one that waits, or else
+    #: the new one, is refused as ``overloaded``.
+    requests_in_progress: Count = 400
+    #: The same for requests that wait for an upstream.
+    requests_waiting: Count = 250
     #: Interval at which the core receives ticks.
     tick_interval_ms: Annotated[int, Field(ge=5, le=1_000)] = 50
     #: Shortest interval at which a VM sends status reports to its peers.
@@ -166,6 +171,23 @@
     policy: GatewayPolicy = field(default_factory=GatewayPolicy)
 
 
+#: Limits that no longer exist, and those that replace them.
+_REMOVED_LIMITS = {
+    "caller_threads": "requests_in_progress and requests_waiting",
+    "accept_backlog": "caller_connections",
+}
+
+
+def _removed_limit_mistakes(merged: Mapping[str, Any]) -> list[str]:
+    limits = merged.get("limits")
+    names = limits if isinstance(limits, Mapping) else {}
+    return [
+        f"limits.{name}: was removed, since requests no longer have threads; use limits.{successor}"
+        for name, successor in _REMOVED_LIMITS.items()
+        if name in names
+    ]
+
+
 @cache
 def _type_adapter() -> TypeAdapter[JsonSettings]:
     return TypeAdapter(JsonSettings)
@@ -180,8 +202,9 @@
     try:
         return _type_adapter().validate_python(merged)
     except ValidationError as error:
-        mistakes = [
+        mistakes = _removed_limit_mistakes(merged) + [
             ".".join(str(part) for part in mistake["loc"]) + ": " + mistake["msg"]
             for mistake in error.errors(include_url=False)
+            if mistake["loc"][-1] not in _REMOVED_LIMITS
         ]
         raise SettingsError(ErrorKind.MALFORMED_REQUEST, "\n".join(mistakes)) from error
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -39,6 +39,11 @@
     QUEUE_TIME = "attempts.{service}.queued_ms"
     LONGEST_PAUSE_TIME = "attempts.{service}.longest_pause_ms"
     STRAINED = "strained"
+    REQUESTS_WAITING = "requests.waiting"
+    CALLER_CONNECTIONS = "callers.connections"
+    TASKS = "process.tasks"
+    THREADS = "process.threads"
+    LOOP_LAG = "process.loop_lag_ms"
 
     @property
     def tags(self) -> tuple[str, ...]:
@@ -88,6 +93,25 @@
         Metric.STRAINED: MetricDefinition(
             MetricKind.GAUGE, "yes or no", "1 while this VM lacks processor time, else 0."
         ),
+        Metric.REQUESTS_WAITING: MetricDefinition(
+            MetricKind.GAUGE, "requests", "Requests that wait for an upstream (gateways only)."
+        ),
+        Metric.CALLER_CONNECTIONS: MetricDefinition(
+            MetricKind.GAUGE,
+            "connections",
+            "Callers' connections on which a request is being read or served (gateways only).",
+        ),
+        Metric.TASKS: MetricDefinition(
+            MetricKind.GAUGE, "tasks", "Tasks of the process that have not ended (gateways only)."
+        ),
+        Metric.THREADS: MetricDefinition(
+            MetricKind.GAUGE, "threads", "Threads of the process (gateways only)."
+        ),
+        Metric.LOOP_LAG: MetricDefinition(
+            MetricKind.GAUGE,
+            "ms",
+            "Average time by which the loop that serves requests is late (gateways only).",
+        ),
     }
 )
 
--- a/azureturn/peers/_server.py
+++ b/azureturn/peers/_server.py
@@ -10,6 +10,7 @@
 
 from azureturn.errors import AzureturnError
 from azureturn.peers._authentication import EnvelopeSigner
+from azureturn.peers._task_server import TaskServer
 from azureturn.peers.gen.Peer import Processor
 from azureturn.peers.gen.ttypes import (
     ConfigurationAnswer,
@@ -25,7 +26,9 @@
     PeerRefused,
     TicketedCall,
 )
+from azureturn.tasks import TaskLoop
 
+_MS_PER_S = 1_000
 PEER_THREADS = 32
 #: Maximum time without data on a peer's connection before it is closed.
 IDLE_TIMEOUT_MS = 30_000
@@ -99,29 +102,57 @@
         return connection
 
 
+class _ThreadServer(TThreadPoolServer):  # type: ignore[misc]
+    """Serves peers with :data:`PEER_THREADS` threads."""
+
+    def start(self) -> None:
+        self.setNumThreads(PEER_THREADS)
+        threading.Thread(target=self.serve, name="peer-server", daemon=True).start()
+
+    def stop(self) -> None:
+        self.serverTransport.close()
+
+
 class PeerServer:
-    """Serves peers with a fixed number of threads."""
+    """Serves peers, in tasks of ``loop`` if there is one, or else on threads."""
 
     def __init__(
-        self, host: str, peer_port: int, handler: PeerHandler, signer: EnvelopeSigner
+        self,
+        host: str,
+        peer_port: int,
+        handler: PeerHandler,
+        signer: EnvelopeSigner,
+        *,
+        loop: TaskLoop | None = None,
     ) -> None:
-        self._socket = _ServerSocket(host, peer_port)
-        factory = TCompactProtocolAcceleratedFactory(
+        processor = Processor(_SignedHandler(handler, signer))
+        transport_factory = TBufferedTransportFactory()
+        protocol_factory = TCompactProtocolAcceleratedFactory(
             string_length_limit=MESSAGE_LIMIT_BYTES, container_length_limit=MESSAGE_LIMIT_BYTES
         )
-        self._server = TThreadPoolServer(
-            Processor(_SignedHandler(handler, signer)),
-            self._socket,
-            TBufferedTransportFactory(),
-            factory,
-            daemon=True,
-        )
-        self._server.setNumThreads(PEER_THREADS)
+        self._server: TaskServer | _ThreadServer
+        if loop is not None:
+            self._server = TaskServer(
+                (host, peer_port),
+                loop,
+                processor,
+                transport_factory,
+                protocol_factory,
+                timeout_s=IDLE_TIMEOUT_MS / _MS_PER_S,
+            )
+        else:
+            self._server = _ThreadServer(
+                processor,
+                _ServerSocket(host, peer_port),
+                transport_factory,
+                protocol_factory,
+                daemon=True,
+            )
 
     def start(self) -> None:
-        """Start serving on background threads."""
-        threading.Thread(target=self._server.serve, name="peer-server", daemon=True).start()
+        """Start serving."""
+        self._server.start()
 
     def stop(self) -> None:
         """Stop accepting connections."""
-        self._socket.close()
+        self._server.stop()
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -7,14 +7,22 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Literal
 
-from cheroot.makefile import MakeFile, StreamReader
+from cheroot.makefile import StreamReader, StreamWriter
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Server
 
 from azureturn._socket_options import RESET_AT_CLOSE, keep_alive_options
-from azureturn.errors import ERROR_RESPONSES, AzureturnError, ErrorKind, RunState
+from azureturn.errors import (
+    DEFAULT_RETRY_AFTER_MS,
+    ERROR_RESPONSES,
+    AzureturnError,
+    ErrorKind,
+    RunState,
+)
+from azureturn.serving._task_pool import TaskPool
+from azureturn.tasks import TaskLoop, receive, receive_into, send_all
 
 _MS_PER_S = 1_000
 #: Maximum time for which the caller may read nothing of its answer.
@@ -43,11 +51,14 @@
 }
 
 
-class _DeadlineSocketIO(socket.SocketIO):
-    """Socket reader with a deadline for all reads together, instead of a timeout per read."""
+class _CallerSocketIO(socket.SocketIO):
+    """Reads from and writes to a non-blocking socket, with time limits.
 
-    def __init__(self, sock: socket.socket) -> None:
-        super().__init__(sock, "rb")
+    All reads of one message together have a deadline, instead of a timeout per read.
+    """
+
+    def __init__(self, sock: socket.socket, mode: Literal["rb", "wb"]) -> None:
+        super().__init__(sock, mode)
         self._socket = sock
         self._deadline_s: float | None = None
 
@@ -56,28 +67,37 @@
         self._deadline_s = time.monotonic() + timeout_ms / _MS_PER_S
 
     def clear_deadline(self) -> None:
-        """Remove the deadline and set the timeout for writes."""
+        """Remove the deadline of reads."""
         self._deadline_s = None
-        self._socket.settimeout(CALLER_WRITE_TIMEOUT_S)
 
     def readinto(self, buffer: Any) -> int | None:
         """Read available bytes, or raise ``TimeoutError`` after the deadline."""
-        if self._deadline_s is not None:
-            left_s = self._deadline_s - time.monotonic()
-            if left_s <= 0:
-                raise TimeoutError("timed out")
-            self._socket.settimeout(left_s)
-        return super().readinto(buffer)
+        left_s = None if self._deadline_s is None else self._deadline_s - time.monotonic()
+        if left_s is not None and left_s <= 0:
+            raise TimeoutError("timed out")
+        return receive_into(self._socket, buffer, left_s)
+
+    def write(self, data: Any) -> int:
+        """Write all bytes; raise ``TimeoutError`` if the caller does not read them."""
+        size_bytes = len(data)
+        send_all(self._socket, data, CALLER_WRITE_TIMEOUT_S)
+        return size_bytes
 
 
 class _DeadlineReader(StreamReader):
     def __init__(self, sock: socket.socket, bufsize: int) -> None:
-        _pyio.BufferedReader.__init__(self, _DeadlineSocketIO(sock), bufsize)
+        _pyio.BufferedReader.__init__(self, _CallerSocketIO(sock, "rb"), bufsize)
         self.bytes_read = 0
 
 
+class _TimeoutWriter(StreamWriter):
+    def __init__(self, sock: socket.socket, bufsize: int) -> None:
+        _pyio.BufferedWriter.__init__(self, _CallerSocketIO(sock, "wb"), bufsize)
+        self.bytes_written = 0
+
+
 def _make_file(sock: socket.socket, mode: str, bufsize: int) -> Any:
-    return _DeadlineReader(sock, bufsize) if "r" in mode else MakeFile(sock, mode, bufsize)
+    return _DeadlineReader(sock, bufsize) if "r" in mode else _TimeoutWriter(sock, bufsize)
 
 
 class _CallerRequest(HTTPRequest):
@@ -153,6 +173,7 @@
         self.drains_on_close = False
         #: Whether to reset the connection, so that an incomplete response does not look complete.
         self.resets_on_close = False
+        sock.setblocking(False)
         for level, name, value in _CALLER_SOCKET_OPTIONS:
             sock.setsockopt(level, name, value)
 
@@ -178,8 +199,7 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
             while left_bytes > 0 and (left_s := deadline_s - time.monotonic()) > 0:
-                self.socket.settimeout(left_s)
-                piece = self.socket.recv(_DRAIN_PIECE_BYTES)
+                piece = receive(self.socket, _DRAIN_PIECE_BYTES, left_s)
                 if not piece:
                     return
                 left_bytes -= len(piece)
@@ -199,9 +219,8 @@
 class ServerLimits:
     """Limits of a server and its connections."""
 
-    threads: int
-    #: Accepted connections that may wait for a thread.
-    accept_backlog: int
+    #: Requests that are read or served at the same time.
+    requests: int
     header_bytes: int
     header_timeout_ms: int
     body_timeout_ms: int
@@ -209,13 +228,16 @@
     idle_timeout_ms: int
     #: Maximum number of idle connections that are kept open.
     idle_connections: int = _IDLE_CONNECTIONS
+    #: Accepted connections that may wait for a thread, if the server has threads.
+    accept_backlog: int = 1
 
 
 class BoundedServer(Server):
     """CherryPy's HTTP server with azureturn's limits.
 
-    If all threads are busy and ``accept_backlog`` connections wait for one, a dedicated thread
-    refuses further connections as ``overloaded``.
+    With a ``loop``, each request is served by a task. Without, it is served by one of as many
+    threads as there may be requests at the same time, and ``accept_backlog`` connections may wait
+    for a thread. Connections beyond the limits are refused as ``overloaded``.
     """
 
     ConnectionClass = _CallerConnection
@@ -231,12 +253,14 @@
         report_error: Callable[[str], None],
         report_refusal: Callable[[str, AzureturnError], None],
         refusal_marker: str = "",
+        loop: TaskLoop | None = None,
     ) -> None:
+        threads = limits.requests if loop is None else 1
         super().__init__(
             address,
             application,
-            numthreads=limits.threads,
-            max=limits.threads,
+            numthreads=threads,
+            max=threads,
             request_queue_size=BACKLOG_LIMIT,
             timeout=-(-limits.idle_timeout_ms // _MS_PER_S),
             shutdown_timeout=1,
@@ -258,6 +282,11 @@
         self._report_error = report_error
         self._in_flight = 0
         self._in_flight_lock = threading.Lock()
+        self._uses_threads = loop is None
+        if loop is not None:
+            self.requests = TaskPool(
+                self, loop, limit=limits.requests, refuse=self._refuse_as_overloaded
+            )
 
     @property
     def requests_in_flight(self) -> int:
@@ -281,7 +310,6 @@
                 caller_socket, _address = listening_socket.accept()
             except OSError:
                 return
-            caller_socket.settimeout(DRAIN_LIMIT_MS / _MS_PER_S)
             connection = _CallerConnection(self, caller_socket)
             # The unread request may repeat a call that ran, so "not run" must not be reported.
             error = AzureturnError(ErrorKind.STOPPING, run_state=RunState.UNKNOWN)
@@ -289,13 +317,23 @@
             connection.close()
 
     def _serve_unservicable(self) -> None:
-        while self.ready:
+        """Refuse the connections that no thread can serve; called on a thread of its own."""
+        while self.ready and self._uses_threads:
             connection = self._unservicable_conns.get()  # type: ignore[attr-defined]
             if not isinstance(connection, HTTPConnection):
                 return
-            _CallerRequest(self, connection).simple_response("503 Service Unavailable")
-            connection.linger = True
-            connection.close()
+            self._refuse_as_overloaded(connection)
+
+    def _refuse_as_overloaded(self, connection: HTTPConnection) -> None:
+        # The unread request may repeat a call that ran, so "not run" must not be reported.
+        error = AzureturnError(
+            ErrorKind.OVERLOADED,
+            run_state=RunState.UNKNOWN,
+            retry_after_ms=DEFAULT_RETRY_AFTER_MS,
+        )
+        _CallerRequest(self, connection).refuse(error)
+        connection.linger = True
+        connection.close()
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Pass an error that cheroot could not handle to ``report_error``."""
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -3,7 +3,6 @@
 The core decides which actions follow from an event, and does no I/O itself.
 """
 
-import queue
 import threading
 import time
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 
 from azureturn.errors import ErrorKind, RunState
 from azureturn.framework import Action, Core, Event, Refuse, RequestAction, Tick
+from azureturn.tasks import Mailbox, TaskLoop, sleep
 
 _MS_PER_S = 1_000
 #: Weight of the latest tick in the exponential moving average of the lateness.
@@ -28,9 +28,9 @@
 
 
 class CoreRuntime:
-    """Makes the core usable from many threads.
+    """Makes the core usable from many threads and tasks.
 
-    Each request opens a mailbox, a queue in which it waits for its actions. An action is passed to
+    Each request opens a mailbox, in which it waits for its actions. An action is passed to
     the function registered for its type, or else, if it belongs to a request, to that request's
     mailbox. Actions are executed after the lock on the core has been released.
     """
@@ -38,7 +38,7 @@
     def __init__(self, core: Core, *, tick_interval_ms: int) -> None:
         self.core = core
         self._lock = threading.Lock()
-        self._mailboxes: dict[str, queue.SimpleQueue[RequestAction]] = {}
+        self._mailboxes: dict[str, Mailbox[RequestAction]] = {}
         self._handlers: dict[type[Action], Callable[..., None]] = {}
         self._tick_interval_s = tick_interval_ms / _MS_PER_S
         self._stopped = threading.Event()
@@ -55,9 +55,9 @@
         """Register the function that executes actions of a type; it must not block."""
         self._handlers[action_type] = handler
 
-    def open_mailbox(self, request_id: str) -> "queue.SimpleQueue[RequestAction]":
-        """Create and return the queue for this request's actions."""
-        mailbox: queue.SimpleQueue[RequestAction] = queue.SimpleQueue()
+    def open_mailbox(self, request_id: str) -> Mailbox[RequestAction]:
+        """Create and return the mailbox for this request's actions."""
+        mailbox: Mailbox[RequestAction] = Mailbox()
         self._mailboxes[request_id] = mailbox
         return mailbox
 
@@ -93,9 +93,12 @@
         with self._lock:
             return reader(self.core)
 
-    def start(self) -> None:
-        """Start sending ticks to the core."""
-        threading.Thread(target=self._tick_loop, name="core-ticks", daemon=True).start()
+    def start(self, loop: TaskLoop | None = None) -> None:
+        """Start sending ticks to the core, from a task of ``loop`` or else from a thread."""
+        if loop is not None:
+            loop.spawn(self._tick_loop)
+        else:
+            threading.Thread(target=self._tick_loop, name="core-ticks", daemon=True).start()
 
     def stop(self) -> None:
         """Stop sending ticks."""
@@ -111,18 +114,17 @@
 
     def _tick_loop(self) -> None:
         due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
-        while not self._stopped.wait(self._tick_interval_s):
+        while not self._stopped.is_set():
+            sleep(self._tick_interval_s)
             tick_lateness_ms = min(_LATENESS_LIMIT_MS, max(0.0, now_ms() - due_at_ms))
             self._lateness_ms += _LATENESS_WEIGHT * (tick_lateness_ms - self._lateness_ms)
             self.submit(Tick())
             due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
 
 
-def next_action(
-    mailbox: "queue.SimpleQueue[RequestAction]", request_id: str, *, wait_ms: int
-) -> RequestAction:
+def next_action(mailbox: Mailbox[RequestAction], request_id: str, *, wait_ms: int) -> RequestAction:
     """Return the request's next action, or a refusal of kind ``internal`` after ``wait_ms``."""
     try:
-        return mailbox.get(timeout=wait_ms / _MS_PER_S)
-    except queue.Empty:
+        return mailbox.get(timeout_s=wait_ms / _MS_PER_S)
+    except TimeoutError:
         return Refuse(request_id, ErrorKind.INTERNAL, 0, RunState.UNKNOWN)
--- /dev/null
+++ b/azureturn/tasks/__init__.py
@@ -0,0 +1,33 @@
+"""Cooperative tasks: many requests and connections served on one thread."""
+
+from azureturn.tasks._loop import READABLE, WRITABLE, Task, TaskLoop, current_task
+from azureturn.tasks._mailbox import Mailbox, MailboxFullError
+from azureturn.tasks._signals import Signal, new_signal
+from azureturn.tasks._sockets import (
+    accept,
+    connect,
+    receive,
+    receive_into,
+    send_all,
+    wait_until_ready,
+)
+from azureturn.tasks._timing import sleep
+
+__all__ = [
+    "Mailbox",
+    "MailboxFullError",
+    "READABLE",
+    "Signal",
+    "Task",
+    "TaskLoop",
+    "WRITABLE",
+    "accept",
+    "connect",
+    "current_task",
+    "new_signal",
+    "receive",
+    "receive_into",
+    "send_all",
+    "sleep",
+    "wait_until_ready",
+]
