A planned stop counts accepted connections whose task has not run; no error ends the loop

Cause: with threads, accepted connections waited in a queue that a planned stop counted. With tasks a connection that was just accepted was counted only once its request had been read, so a loop that is late by more than the 160 ms of idle polls could end the process with a request received and not answered. And a task that raised something else than an Exception ended the loop's thread.

Change: TaskPool.qsize counts connections until their task runs; the loop reports any error of a task.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -283,7 +283,7 @@
             outcome=action.outcome,
         )
 
-    def _report_task_error(self, error: Exception) -> None:
+    def _report_task_error(self, error: BaseException) -> None:
         self._log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
 
     def _log_reachability(self, action: LogReachability) -> None:
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -39,7 +39,7 @@
 
 
 def _started_loop() -> TaskLoop:
-    def fail(error: Exception) -> None:
+    def fail(error: BaseException) -> None:
         raise error
 
     loop = TaskLoop("relay-test", fail)
--- a/azureturn/serving/_task_pool.py
+++ b/azureturn/serving/_task_pool.py
@@ -3,6 +3,7 @@
 import sys
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from azureturn.tasks import TaskLoop
@@ -27,11 +28,15 @@
         self._refuse = refuse
         self._lock = threading.Lock()
         self._open = 0
+        self._not_started = 0
 
     @property
     def qsize(self) -> int:
-        """Return the number of connections that wait for a worker: none."""
-        return 0
+        """Return the number of accepted connections whose task has not run yet.
+
+        A planned stop waits for them, as the request of each may already have been received.
+        """
+        return self._not_started
 
     @property
     def open_connections(self) -> int:
@@ -49,8 +54,14 @@
         with self._lock:
             is_accepted = self._open < self._limit
             self._open += 1 if is_accepted else 0
+            self._not_started += 1
         serve = self._serve if is_accepted else self._refuse
-        self._loop.spawn(lambda: serve(connection))
+        self._loop.spawn(partial(self._start, serve, connection))
+
+    def _start(self, serve: Callable[[Any], None], connection: Any) -> None:
+        with self._lock:
+            self._not_started -= 1
+        serve(connection)
 
     def _serve(self, connection: Any) -> None:
         """Serve one request, then return the connection to the server or close it."""
--- a/azureturn/tasks/_loop.py
+++ b/azureturn/tasks/_loop.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from itertools import count
 
-from greenlet import getcurrent, greenlet
+from greenlet import GreenletExit, getcurrent, greenlet
 
 READABLE = select.EPOLLIN | select.EPOLLRDHUP
 WRITABLE = select.EPOLLOUT
@@ -48,7 +48,7 @@
     an error that a task did not handle; the error ends only that task.
     """
 
-    def __init__(self, name: str, report_error: Callable[[Exception], None]) -> None:
+    def __init__(self, name: str, report_error: Callable[[BaseException], None]) -> None:
         self._name = name
         self._report_error = report_error
         self._poll = select.epoll()
@@ -208,7 +208,11 @@
         def run() -> None:
             try:
                 function()
-            except Exception as error:  # noqa: BLE001
+            except GreenletExit:
+                # The interpreter ends.
+                pass
+            except BaseException as error:  # noqa: BLE001
+                # Whatever a task raises would otherwise end the loop, and with it all tasks.
                 self._report_error(error)
             finally:
                 self._tasks.discard(task)
--- a/azureturn/tasks/tests/test_loop.py
+++ b/azureturn/tasks/tests/test_loop.py
@@ -33,7 +33,7 @@
     """A loop whose tasks' results and errors a test can wait for."""
 
     def __init__(self) -> None:
-        self.errors: queue.SimpleQueue[Exception] = queue.SimpleQueue()
+        self.errors: queue.SimpleQueue[BaseException] = queue.SimpleQueue()
         self.loop = TaskLoop("test-loop", self.errors.put)
         self.loop.start()
 
@@ -208,12 +208,13 @@
     assert runner.run(lambda: receive(near, 10, _WAIT_S)) == b""
 
 
-def test_an_error_ends_only_its_task(runner: _Runner) -> None:
+@pytest.mark.parametrize("error_type", [ValueError, SystemExit, KeyboardInterrupt])
+def test_an_error_ends_only_its_task(runner: _Runner, error_type: type[BaseException]) -> None:
     def fail() -> None:
-        raise ValueError("unexpected")
+        raise error_type("unexpected")
 
     runner.loop.spawn(fail)
-    assert isinstance(runner.errors.get(timeout=_WAIT_S), ValueError)
+    assert isinstance(runner.errors.get(timeout=_WAIT_S), error_type)
     assert runner.run(lambda: "still running") == "still running"
 
 
