A stream counts as stalled until a whole event arrives, however many bytes do

Cause: the pause limit of a stream that can go on elsewhere applied to each part received, so an upstream that sent a byte of a comment or of an unfinished event now and then held the request until the caller's time limit, and the stream was then cut.

Change: the time by which the next part must arrive counts from the last whole event. After a slow caller it counts anew, so that a sound upstream is not blamed for the caller's pace. Ruled out: a limit for streams that cannot go on elsewhere; those still have their whole time limit.

--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt at one upstream: sends the request once and reads the response."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import h11
@@ -134,18 +134,17 @@
             self._skip_response(ends_at_ms)
         raise UpstreamError(ErrorKind.ANSWER_MISMATCHED)
 
-    def iter_body(self, *, wait_ms: int, ends_at_ms: int) -> Iterator[bytes]:
+    def iter_body(self, deadline_ms: Callable[[], int]) -> Iterator[bytes]:
         """Yield parts of the body as they arrive, until it is complete.
 
-        ``wait_ms`` is the longest wait for each part. Raises ``TimeoutError`` if it is exceeded,
-        and :class:`UpstreamError` if the body is incomplete or larger than
-        :data:`MAX_STREAM_BYTES`.
+        ``deadline_ms`` is called before each part and returns the time by which that part must
+        arrive. Raises ``TimeoutError`` if it does not, and :class:`UpstreamError` if the body is
+        incomplete or larger than :data:`MAX_STREAM_BYTES`.
         """
         assert self._connection is not None
         received_bytes = 0
         while True:
-            timeout_ms = min(wait_ms, ends_at_ms - now_ms())
-            event = self._connection.next_event(timeout_ms=timeout_ms)
+            event = self._connection.next_event(timeout_ms=deadline_ms() - now_ms())
             if isinstance(event, h11.EndOfMessage):
                 self._release_connection()
                 return
@@ -155,24 +154,24 @@
                 raise _body_too_large()
             yield bytes(event.data)
 
-    def read_body(self, *, wait_ms: int, ends_at_ms: int) -> bytes:
+    def read_body(self, *, ends_at_ms: int) -> bytes:
         """Return the whole body.
 
         Raises :class:`UpstreamError` if it is larger than :data:`MAX_RESPONSE_BYTES`, or if the
         bodies that all attempts buffer are too large together.
         """
         body = bytearray()
-        for part in self.iter_body(wait_ms=wait_ms, ends_at_ms=ends_at_ms):
+        for part in self.iter_body(lambda: ends_at_ms):
             body += part
             if len(body) > MAX_RESPONSE_BYTES or not self._reserve(len(part)):
                 raise _body_too_large()
         return bytes(body)
 
-    def discard_body(self, *, wait_ms: int, ends_at_ms: int) -> None:
+    def discard_body(self, *, ends_at_ms: int) -> None:
         """Read a body that is of no interest; close the connection if it does not end soon."""
         read_bytes = 0
         try:
-            for part in self.iter_body(wait_ms=wait_ms, ends_at_ms=ends_at_ms):
+            for part in self.iter_body(lambda: ends_at_ms):
                 read_bytes += len(part)
                 if read_bytes > _MAX_DISCARDED_BYTES:
                     break
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -265,16 +265,14 @@
         progress.record_head(head.framing, now_ms(), head.facts.limits)
         if head.facts.not_executed or head.status == _MISDIRECTED_REQUEST:
             discard_until_ms = min(request.ends_at_ms, now_ms() + _DISCARD_TIMEOUT_MS)
-            attempt.discard_body(wait_ms=_DISCARD_TIMEOUT_MS, ends_at_ms=discard_until_ms)
+            attempt.discard_body(ends_at_ms=discard_until_ms)
             return AttemptResult.REJECTED
         if head.status < 300 and not head.facts.is_sealed:
             raise UpstreamError(ErrorKind.ANSWER_MISMATCHED, "successful response without a seal")
         if request.route.kind is RequestKind.STREAM and head.status == 200:
             self._relay_stream(request, attempt, head, progress)
             return AttemptResult.ANSWERED
-        body = attempt.read_body(
-            wait_ms=request.ends_at_ms - now_ms(), ends_at_ms=request.ends_at_ms
-        )
+        body = attempt.read_body(ends_at_ms=request.ends_at_ms)
         if head.failed:
             self._failure_response = (head, body)
             return AttemptResult.FAILED
@@ -299,10 +297,19 @@
         relay = self._stream_relay
         relay.begin_attempt(progress, write)
         pause_timeout_ms = self._pause_timeout_ms(request)
-        for part in attempt.iter_body(wait_ms=pause_timeout_ms, ends_at_ms=request.ends_at_ms):
-            had_events = bool(progress.event_count)
+
+        def deadline_ms() -> int:
+            # Only whole events count, so that an upstream which sends a byte now and then is left.
+            return min(request.ends_at_ms, progress.waiting_since_ms + pause_timeout_ms)
+
+        progress.waiting_since_ms = now_ms()
+        for part in attempt.iter_body(deadline_ms):
+            event_count = progress.event_count
             relay.feed(part)
-            if progress.event_count and not had_events:
+            if progress.event_count == event_count:
+                continue
+            progress.waiting_since_ms = now_ms()
+            if not event_count:
                 self._services.runtime.submit(
                     FirstEventReceived(request.request_id, progress.limits)
                 )
--- a/azureturn/gateway/exchange/_response_progress.py
+++ b/azureturn/gateway/exchange/_response_progress.py
@@ -18,6 +18,9 @@
         self.partial_event_bytes = 0
         self.first_event_at_ms = 0
         self.longest_pause_ms = 0
+        #: When the wait for the next event began, that is, when the head or the last event had been
+        #: passed on to the caller.
+        self.waiting_since_ms = 0
         self._last_event_at_ms = 0
 
     @property
