Reports list the known VMs for three receivers in turn instead of for all of them

Cause: one report in ten listed all VMs known to the sender, for each receiver.

Change: three receivers at a time get the list, in turn; a VM that reports for the first time gets it at once from the three VMs that follow it in the order of names, so a new VM knows the others sooner than before and is not sent a list by each of them. Evidence: test_reports.py: few lists a report at 8, 67 and 194 peers, every VM in turn, new VMs at once; they fail without the change. Some 146 bytes a report at 195 VMs, worked out, not measured. Ruled out: lists only from the store, which VMs that start during an outage cannot read. 101 tests of reports, allotments and the gateway pass.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -264,7 +264,7 @@
 
     def _send_report(self, action: SendReport) -> None:
         report = action.report.with_strained(self._strain_detector.is_strained())
-        self._report_socket.send(SendReport(report, action.hosts))
+        self._report_socket.send(replace(action, report=report))
 
     def _log_allotment_restore(self, action: LogAllotmentRestore) -> None:
         self._log.info(
--- a/azureturn/gateway/daemon/_peer_reports.py
+++ b/azureturn/gateway/daemon/_peer_reports.py
@@ -1,11 +1,12 @@
 """Sends reports to peers and receives theirs, over UDP."""
 
 import socket
+from collections.abc import Iterable
 
 from azureturn.errors import AzureturnError
 from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import PeerReportReceived, SendReport
+from azureturn.gateway.decisions import PeerReport, PeerReportReceived, SendReport
 from azureturn.observability import EventLog, LogEvent, describe_error
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 from azureturn.serving import CoreRuntime
@@ -29,11 +30,16 @@
 
     def send(self, action: SendReport) -> None:
         """Send a report to every host without blocking."""
-        data = encode_struct(report_to_wire(action.report))
+        self._send(action.report.without_peers(), set(action.hosts) - action.informed_hosts)
+        if action.informed_hosts:
+            self._send(action.report, action.informed_hosts)
+
+    def _send(self, report: PeerReport, hosts: Iterable[str]) -> None:
+        data = encode_struct(report_to_wire(report))
         if len(data) > _DATAGRAM_LIMIT_BYTES:
             self._log.error(LogEvent.INTERNAL_ERROR, error="report is too large for one datagram")
             return
-        for host in action.hosts:
+        for host in hosts:
             try:
                 self._socket.sendto(data, socket.MSG_DONTWAIT, (host, self._port))
             except OSError as error:
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -53,6 +53,8 @@
 
     report: PeerReport
     hosts: tuple[str, ...]
+    #: The only hosts to which the list of known VMs in the report is sent as well.
+    informed_hosts: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -154,6 +154,10 @@
         """Return a copy with the given value of ``strained``."""
         return changed(self, strained=strained)
 
+    def without_peers(self) -> "PeerReport":
+        """Return a copy without the hosts of other VMs."""
+        return changed(self, peers={})
+
     def is_not_older_than(self, other: "PeerReport") -> bool:
         """Return whether ``other`` is from the same process and was not sent later."""
         return self.boot == other.boot and self.sequence >= other.sequence
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -1,10 +1,13 @@
 """Sends this VM's status reports to its peers, and applies the reports received from them."""
 
+from bisect import bisect
+
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._crashes import CrashTable
 from azureturn.gateway.decisions._events import (
+    GatewayStarted,
     PeerReportReceived,
     PlacementRequested,
     ReportRequested,
@@ -30,9 +33,12 @@
     gateway_controller,
 )
 
-#: One report in this many lists all VMs known to the sender, and is also sent to the hosts of VMs
-#: that have not reported yet.
+#: One report in this many is also sent to the hosts of VMs that have not reported yet, and lists
+#: all VMs known to the sender for some of its receivers.
 _MEMBERSHIP_INTERVAL = 10
+#: Number of peers that are sent the list each time. Every peer gets it in turn, so the bytes that a
+#: VM sends for it do not grow with the square of the number of VMs.
+_MEMBERSHIP_FANOUT = 3
 #: How long this VM waits for a newer view from the store before it fetches the view from a peer.
 _VIEW_LAG_LIMIT_MS = 300
 _FETCH_INTERVAL_MS = 400
@@ -63,6 +69,12 @@
     #: Since when a peer has a newer view than this VM; 0 if none has.
     _behind_since_ms = 0
     _fetched_at_ms = 0
+    #: Hosts of VMs that have reported for the first time and have not been told of the others yet.
+    _new_hosts: list[str]
+
+    @on(GatewayStarted)
+    def _on_gateway_started(self, event: GatewayStarted, context: Context) -> None:
+        self._new_hosts = []
 
     @on(VmLeaving)
     def _on_vm_leaving(self, event: VmLeaving, context: Context) -> None:
@@ -90,7 +102,8 @@
         self._sent_at_ms = context.now_ms
         self.board.write(PeerTable).recompute_work(context.now_ms)
         self._sequence += 1
-        context.act(SendReport(self._report(), self._hosts()))
+        hosts = self._hosts()
+        context.act(SendReport(self._report(), hosts, self._hosts_to_inform(hosts)))
 
     @on(PeerReportReceived)
     def _on_peer_report(self, event: PeerReportReceived, context: Context) -> None:
@@ -106,6 +119,8 @@
             peers.recompute_work(context.now_ms)
             self._apply_usage(report, context.now_ms)
             return
+        if peer is None and self._is_to_inform(report.vm):
+            self._new_hosts.append(report.host)
         previous = peer.report if peer is not None and peer.is_live(context.now_ms) else None
         window_ms = self.settings.bounds.allotment.window_ms
         own_units = self.board.read(AllotmentTable).own_units(context.now_ms, window_ms)
@@ -123,9 +138,6 @@
         prefix_caches = self.board.write(PrefixCacheTable)
         reported_prompts = tuple(prefix_caches.unreported_prompts[-_PROMPT_LIMIT:])
         prefix_caches.unreported_prompts.clear()
-        peers = {}
-        if self._sequence % _MEMBERSHIP_INTERVAL == 1:
-            peers = {name: peer.report.host for name, peer in self.board.read(PeerTable).items()}
         moves = self.board.read(MoveTable)
         configuration = self.board.read(ViewTable).current().configuration
         peer_table = self.board.read(PeerTable)
@@ -157,7 +169,7 @@
                 )
                 for service, move in moves.items()
             },
-            peers=peers,
+            peers={name: peer.report.host for name, peer in peer_table.items()},
             availability_zone=self.settings.vm.availability_zone,
             waiting=self._waiting(),
             crashes=crashes.reported_crashes(peer_table.own_name, self._sent_at_ms),
@@ -197,6 +209,34 @@
         hosts.discard(self.settings.vm.host)
         return tuple(sorted(hosts))
 
+    def _hosts_to_inform(self, hosts: tuple[str, ...]) -> frozenset[str]:
+        """Return the hosts to which this report lists all known VMs.
+
+        They are those of VMs that have just reported for the first time, and some others in turn.
+        """
+        # When all VMs start together, they learn of each other from their first reports anyway.
+        informed = self._new_hosts[-_MEMBERSHIP_FANOUT:]
+        self._new_hosts.clear()
+        if self._sequence % _MEMBERSHIP_INTERVAL == 1 and hosts:
+            first = self._sequence // _MEMBERSHIP_INTERVAL * _MEMBERSHIP_FANOUT
+            # VMs begin at different hosts, so that they do not all inform the same one.
+            first += bisect(hosts, self.settings.vm.host)
+            informed += [hosts[(first + n) % len(hosts)] for n in range(_MEMBERSHIP_FANOUT)]
+        return frozenset(informed).intersection(hosts)
+
+    def _is_to_inform(self, new_vm: str) -> bool:
+        """Return whether a VM that reports for the first time is to be told of the others here.
+
+        The known VMs that follow it in the order of names do so. Every VM receives its report, and
+        one list is enough.
+        """
+        own_name = self.settings.vm.name
+        known = {name for name, _ in self.board.read(PeerTable).items()}
+        names = sorted((known | {own_name}) - {new_vm})
+        first = bisect(names, new_vm)
+        followers = [names[(first + n) % len(names)] for n in range(_MEMBERSHIP_FANOUT)]
+        return own_name in followers
+
     def _apply_prompts(self, report: PeerReport) -> None:
         view = self.board.read(ViewTable).current()
         for prompt in report.prompts:
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -1,5 +1,9 @@
 """Status reports that VMs send to each other."""
 
+from dataclasses import replace
+
+import pytest
+
 from azureturn.framework import Tick
 from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
 from azureturn.gateway.decisions import (
@@ -8,6 +12,7 @@
     LimitReport,
     MoveReport,
     OutstandingWork,
+    PeerReport,
     PeerReportReceived,
     PeerTable,
     QueueReport,
@@ -28,6 +33,9 @@
 from azureturn.gateway.site import AllotmentUsage, PromptPart, QuarantinedTraits, StatedLimits
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
+#: Number of peers that are sent the list of VMs each time.
+_FANOUT = 3
+
 
 def test_report_round_trips_through_the_codec() -> None:
     report = peer_report(
@@ -73,6 +81,73 @@
     assert any("10.0.1.3" in hosts for hosts in host_lists)
 
 
+def _sent_reports(harness: GatewayCoreHarness, until_ms: int) -> list[SendReport]:
+    reports: list[SendReport] = []
+    for at_ms in range(harness.now_ms, until_ms, 50):
+        reports += [action for action in harness.tick(at_ms) if isinstance(action, SendReport)]
+    return reports
+
+
+def test_a_vm_that_reports_for_the_first_time_is_told_of_the_others_at_once() -> None:
+    harness = GatewayCoreHarness(view(upstream("u1")))
+    harness.handle_event(PeerReportReceived(peer_report("vm-2", host="10.0.1.2")))
+    _sent_reports(harness, 1_500)
+    harness.handle_event(PeerReportReceived(peer_report("vm-3", host="10.0.1.3")))
+    report = _sent_reports(harness, 1_700)[0]
+    assert report.informed_hosts == {"10.0.1.3"}
+    assert report.report.peers == {"vm-2": "10.0.1.2", "vm-3": "10.0.1.3"}
+
+
+def _site_with_peers(peer_count: int) -> tuple[GatewayCoreHarness, list[PeerReport]]:
+    """Return a VM that comes first in the order of names, and the first reports of its peers."""
+    harness = GatewayCoreHarness(view(upstream("u1")), vm_name="vm-0000")
+    reports = [
+        peer_report(f"vm-{number:04}", host=f"10.0.{2 + number // 250}.{number % 250}")
+        for number in range(1, peer_count + 1)
+    ]
+    for report in reports:
+        harness.handle_event(PeerReportReceived(report))
+    return harness, reports
+
+
+@pytest.mark.parametrize("peer_count", [8, 67, 194])
+def test_a_report_lists_the_known_vms_for_few_of_its_receivers(peer_count: int) -> None:
+    harness, reports = _site_with_peers(peer_count)
+    sent = _sent_reports(harness, 20_000)
+    assert all(len(action.hosts) == peer_count for action in sent)
+    lists = sum(len(action.informed_hosts) for action in sent)
+    # Those that come in turn, and those for VMs that reported for the first time.
+    assert lists <= 0.1 * _FANOUT * len(sent) + 2 * _FANOUT
+    assert all(len(action.informed_hosts) <= 2 * _FANOUT for action in sent)
+
+
+def test_every_vm_gets_the_list_in_turn() -> None:
+    harness, reports = _site_with_peers(12)
+    informed: set[str] = set()
+    for sequence, at_ms in enumerate(range(1_050, 7_000, 50), start=2):
+        for report in reports:
+            event = PeerReportReceived(replace(report, sequence=sequence))
+            harness.handle_event(event, at_ms=at_ms)
+        for action in harness.tick(at_ms):
+            if isinstance(action, SendReport):
+                informed |= action.informed_hosts
+    assert informed == {report.host for report in reports}
+
+
+@pytest.mark.parametrize(
+    ("new_vm", "is_told"),
+    [("vm-0004x", False), ("vm-0011x", True), ("vm-0012x", True), ("a", True), ("z", True)],
+)
+def test_a_new_vm_is_told_by_those_that_follow_it_in_the_order_of_names(
+    new_vm: str, is_told: bool
+) -> None:
+    harness, _ = _site_with_peers(12)
+    _sent_reports(harness, 1_500)
+    harness.handle_event(PeerReportReceived(peer_report(new_vm, host="10.9.9.9")))
+    first, *_ = [action for action in _sent_reports(harness, 1_700) if action.hosts]
+    assert ("10.9.9.9" in first.informed_hosts) is is_told
+
+
 def test_outdated_reports_of_the_same_process_are_ignored() -> None:
     harness = GatewayCoreHarness(view(upstream("u1")))
     harness.handle_event(
