A view that stays old is replaced from a peer, whatever other peers report

Change: the wait counts from the first report of a newer view for as long as this VM's revision stays the same, and is longer than the delay of the watch, so that peers are not asked while the store answers: 305 ms with one VM, 340 with 8, 700 from 80 on. The delay has a module of its own, which the watcher uses too. Ruled out: a flat longer wait, which would make small sites slower for nothing.

--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -12,7 +12,7 @@
 
 from azureturn.errors import PlatformError
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import StoreRecovered, ViewChanged
+from azureturn.gateway.decisions import StoreRecovered, ViewChanged, watch_delay_ms
 from azureturn.gateway.site import DocumentCodec, SiteView, StoredDocument
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
@@ -21,10 +21,6 @@
 _INITIAL_BACKOFF_MS = 100
 _MAX_BACKOFF_MS = 1_000
 _MS_PER_S = 1_000
-#: Delay before each watch call, per VM of the site: each change wakes the watches of all VMs, so
-#: the load on the store grows with their number.
-_WATCH_DELAY_PER_VM_MS = 5
-_MAX_WATCH_DELAY_MS = 400
 
 
 class ViewHolder:
@@ -200,7 +196,7 @@
 
         With many VMs the call is delayed, so that it returns several changes at once.
         """
-        time.sleep(min(_MAX_WATCH_DELAY_MS, _WATCH_DELAY_PER_VM_MS * self._vm_count()) / _MS_PER_S)
+        time.sleep(watch_delay_ms(self._vm_count()) / _MS_PER_S)
         base_revision = self._view_holder.view.revision
         changes = self._store.changes(
             self._prefix, after_revision=base_revision, wait_ms=self._wait_ms
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -45,6 +45,7 @@
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
+from azureturn.gateway.decisions._view_lag import watch_delay_ms
 from azureturn.gateway.decisions.controllers import GATEWAY_CONTROLLERS
 
 __all__ = [
@@ -94,4 +95,5 @@
     "WriteAllotmentRecord",
     "WriteMoveStatus",
     "WriteQuarantineRecord",
+    "watch_delay_ms",
 ]
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -28,6 +28,7 @@
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
+from azureturn.gateway.decisions._view_lag import view_lag_limit_ms
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
@@ -39,8 +40,6 @@
 #: Number of peers that are sent the list each time. Every peer gets it in turn, so the bytes that a
 #: VM sends for it do not grow with the square of the number of VMs.
 _MEMBERSHIP_FANOUT = 3
-#: How long this VM waits for a newer view from the store before it fetches the view from a peer.
-_VIEW_LAG_LIMIT_MS = 300
 _FETCH_INTERVAL_MS = 400
 #: Maximum number of prompts in one report, so that it fits into a datagram.
 _PROMPT_LIMIT = 40
@@ -66,8 +65,9 @@
     _leaving = False
     #: Whether a report is to be sent before the interval has elapsed.
     _is_requested = False
-    #: Since when a peer has a newer view than this VM; 0 if none has.
+    #: Since when a peer has a newer view than this VM's, which is still of this revision.
     _behind_since_ms = 0
+    _behind_revision = -1
     _fetched_at_ms = 0
     #: Hosts of VMs that have reported for the first time and have not been told of the others yet.
     _new_hosts: list[str]
@@ -272,13 +272,13 @@
         """Fetch a peer's view if the store does not deliver one as new in time."""
         own_revision = self.board.read(ViewTable).current().revision
         if report.view_revision <= own_revision:
-            if report.view_revision == own_revision:
-                self._behind_since_ms = 0
             return
-        if not self._behind_since_ms:
+        if self._behind_revision != own_revision:
+            self._behind_revision = own_revision
             self._behind_since_ms = context.now_ms
         waited_ms = context.now_ms - self._behind_since_ms
-        if own_revision and waited_ms < _VIEW_LAG_LIMIT_MS:
+        vm_count = self.board.read(PeerTable).vms(context.now_ms)
+        if own_revision and waited_ms < view_lag_limit_ms(vm_count):
             return
         if context.now_ms - self._fetched_at_ms < _FETCH_INTERVAL_MS:
             return
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -21,7 +21,9 @@
     StreamPace,
     Suspect,
     VersionCount,
+    ViewChanged,
     VmLeaving,
+    watch_delay_ms,
 )
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     GatewayCoreHarness,
@@ -237,3 +239,20 @@
                 of_type(harness.handle_event(PeerReportReceived(report), at_ms=at_ms), FetchView)
             )
     assert fetches
+
+
+@pytest.mark.parametrize("vm_count", [2, 68, 195])
+def test_no_view_is_fetched_from_peers_while_the_store_answers(vm_count: int) -> None:
+    """Peers are ahead by up to one watch call, whose delay grows with the number of VMs."""
+    names = tuple(f"vm-{number:04}" for number in range(1, vm_count))
+    harness = GatewayCoreHarness(view(upstream("u1"), revision=10, vms=names))
+    fetches = 0
+    revision, changed_at_ms = 10, 1_000
+    for sequence, at_ms in enumerate(range(1_000, 8_000, 50)):
+        if at_ms - changed_at_ms >= watch_delay_ms(vm_count):
+            revision, changed_at_ms = revision + 1, at_ms
+            harness.handle_event(ViewChanged(view(upstream("u1"), revision=revision, vms=names)))
+        ahead = peer_report("vm-0001", sequence=sequence, view_revision=revision + 1)
+        actions = harness.handle_event(PeerReportReceived(ahead), at_ms=at_ms)
+        fetches += len(of_type(actions, FetchView))
+    assert not fetches
