The core's ticks have a thread of their own again

Cause: the lateness of ticks tells a VM that it lacks processor time, above 10 ms. On the loop, a tick also waits for the other tasks that are ready, so VMs in a burst called themselves strained, closed their callers' connections and reported themselves as not ready. Change: the thread as it was; the loop's lag is measured by a task that wakes up twice a second. Ruled out: another threshold, which would hide a VM that is really slow.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -58,6 +58,7 @@
 #: How long before the process is killed a planned stop aborts the requests still in flight.
 _STOP_MARGIN_MS = 700
 _IDLE_CHECK_INTERVAL_S = 0.5
+_MS_PER_S = 1_000
 _METRICS_PATH = "/metrics"
 
 
@@ -76,6 +77,7 @@
     def __init__(self, settings: GatewaySettings, adapter: PlatformAdapter, log: EventLog) -> None:
         self._settings = settings
         self._stop_started_at_ms: int | None = None
+        self._loop_lag_ms = 0.0
         self._log = log
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
@@ -165,7 +167,7 @@
         self._probes.start()
         self._peer_server.start()
         self._relay_server.start()
-        self._runtime.start(self._loop)
+        self._runtime.start()
         for name, server in self._servers.items():
             server.prepare()
             threading.Thread(target=server.serve, name=name, daemon=True).start()
@@ -259,7 +261,7 @@
         self._metrics.set(Metric.CALLER_CONNECTIONS, self._server.open_connections)
         self._metrics.set(Metric.TASKS, self._loop.task_count)
         self._metrics.set(Metric.THREADS, threading.active_count())
-        self._metrics.set(Metric.LOOP_LAG, round(self._runtime.lateness_ms))
+        self._metrics.set(Metric.LOOP_LAG, round(self._loop_lag_ms))
         return StatusPage(200, self._prometheus_metrics.render(), PROMETHEUS_CONTENT_TYPE)
 
     def _send_report(self, action: SendReport) -> None:
@@ -297,5 +299,7 @@
 
     def _close_idle_connections(self) -> None:
         while True:
+            due_at_s = time.monotonic() + _IDLE_CHECK_INTERVAL_S
             sleep(_IDLE_CHECK_INTERVAL_S)
+            self._loop_lag_ms = _MS_PER_S * max(0.0, time.monotonic() - due_at_s)
             self._services.pool.close_idle()
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -110,7 +110,7 @@
         Metric.LOOP_LAG: MetricDefinition(
             MetricKind.GAUGE,
             "ms",
-            "Average time by which the loop that serves requests is late (gateways only).",
+            "How late the loop that serves requests last resumed a task (gateways only).",
         ),
     }
 )
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -10,7 +10,7 @@
 
 from azureturn.errors import ErrorKind, RunState
 from azureturn.framework import Action, Core, Event, Refuse, RequestAction, Tick
-from azureturn.tasks import Mailbox, TaskLoop, sleep
+from azureturn.tasks import Mailbox
 
 _MS_PER_S = 1_000
 #: Weight of the latest tick in the exponential moving average of the lateness.
@@ -93,12 +93,13 @@
         with self._lock:
             return reader(self.core)
 
-    def start(self, loop: TaskLoop | None = None) -> None:
-        """Start sending ticks to the core, from a task of ``loop`` or else from a thread."""
-        if loop is not None:
-            loop.spawn(self._tick_loop)
-        else:
-            threading.Thread(target=self._tick_loop, name="core-ticks", daemon=True).start()
+    def start(self) -> None:
+        """Start sending ticks to the core.
+
+        They have a thread of their own, whose lateness shows a lack of processor time; on a loop
+        it would also show how many tasks are ready at the same time.
+        """
+        threading.Thread(target=self._tick_loop, name="core-ticks", daemon=True).start()
 
     def stop(self) -> None:
         """Stop sending ticks."""
@@ -114,8 +115,7 @@
 
     def _tick_loop(self) -> None:
         due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
-        while not self._stopped.is_set():
-            sleep(self._tick_interval_s)
+        while not self._stopped.wait(self._tick_interval_s):
             tick_lateness_ms = min(_LATENESS_LIMIT_MS, max(0.0, now_ms() - due_at_ms))
             self._lateness_ms += _LATENESS_WEIGHT * (tick_lateness_ms - self._lateness_ms)
             self.submit(Tick())
