A watch waits as long as contact_ms allows

Change: it waits contact_ms less 1.5 s, and at least limits.watch_wait_ms as before: 3.5 s where contact_ms is 5 s, 2.5 s at 4 s, 2 s at 3 s. A connection that has gone silent is still noticed within contact_ms. Ruled out: far longer waits, with which a silent connection to the store hides changes for as long. Test: test_a_watch_ends_before_a_silent_connection_must_have_been_noticed.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -133,7 +133,7 @@
             self._view_holder,
             adapter.documents,
             log,
-            wait_ms=limits.watch_wait_ms,
+            wait_ms=settings.watch_wait_ms,
             vm_count=lambda: len(self._view_holder.view.vms),
         )
         self._server = GatewayServer(self._services, self._loop)
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -89,6 +89,8 @@
 
     #: Time from the stop signal until the platform kills the process.
     stop_limit_ms: int
+    #: Time that a VM has after its connections broke before the bounds on its knowledge apply.
+    contact_ms: int
     retry: RetryBounds
     allotment: AllotmentBounds
     move: MoveBounds
@@ -142,7 +144,7 @@
     tick_interval_ms: Annotated[int, Field(ge=5, le=1_000)] = 50
     #: Shortest interval at which a VM sends status reports to its peers.
     report_interval_ms: Annotated[int, Field(ge=20, le=10_000)] = 100
-    #: Maximum time that one call waits at the store for changes.
+    #: How long one call waits at the store for changes, unless ``bounds.contact_ms`` allows more.
     watch_wait_ms: Annotated[int, Field(ge=100, le=30_000)] = 2_000
     #: How long a stopping VM still accepts every new request, since the load balancer may not have
     #: noticed yet. After that it accepts only requests that are expected to finish in time.
@@ -161,6 +163,11 @@
     policy: GatewayPolicy = field(default_factory=GatewayPolicy)
 
 
+#: How long before the end of ``contact_ms`` a watch must have ended, so that a connection that has
+#: gone silent is noticed and replaced in time.
+_SILENT_WATCH_MARGIN_MS = 1_500
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """All settings of a gateway process."""
@@ -170,6 +177,14 @@
     limits: GatewayLimits = field(default_factory=GatewayLimits)
     policy: GatewayPolicy = field(default_factory=GatewayPolicy)
 
+    @property
+    def watch_wait_ms(self) -> int:
+        """Return how long one call waits at the store for changes.
+
+        The longer it waits, the fewer calls a quiet store gets from all VMs.
+        """
+        return max(self.limits.watch_wait_ms, self.bounds.contact_ms - _SILENT_WATCH_MARGIN_MS)
+
 
 #: Limits that no longer exist, and those that replace them.
 _REMOVED_LIMITS = {
--- a/azureturn/gateway/settings/tests/test_json_settings.py
+++ b/azureturn/gateway/settings/tests/test_json_settings.py
@@ -1,11 +1,13 @@
 """Tests of reading azureturn's own JSON settings."""
 
 import json
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from azureturn.errors import SettingsError
+from azureturn.gateway.decisions.tests.gateway_core_harness import GatewayCoreHarness, view
 from azureturn.gateway.settings import GatewayLimits, load_json_settings
 
 
@@ -33,3 +35,16 @@
     assert removed.startswith(f"limits.{name}: was removed")
     assert successor in removed
     assert invalid.startswith("limits.tick_interval_ms")
+
+
+@pytest.mark.parametrize(
+    ("contact_ms", "wait_ms"),
+    [(3_000, 2_000), (5_000, 3_500), (0, 2_000)],
+    ids=["as the limit says", "as long as contact_ms allows", "no contact_ms"],
+)
+def test_a_watch_ends_before_a_silent_connection_must_have_been_noticed(
+    contact_ms: int, wait_ms: int
+) -> None:
+    settings = GatewayCoreHarness(view()).settings
+    bounds = replace(settings.bounds, contact_ms=contact_ms)
+    assert replace(settings, bounds=bounds).watch_wait_ms == wait_ms
