The gateway's daemon is split: decision log, process metrics, construction by part

DecisionLog and ProcessMetrics are modules of their own, servers, services and the relay server are built by methods; who is told which VMs there are is a module of pure functions with examples (decisions/_membership.py). No behaviour changes.

--- /dev/null
+++ b/azureturn/gateway/daemon/_decision_log.py
@@ -0,0 +1,48 @@
+"""Logs what the core decided, where nothing else is to be carried out."""
+
+from azureturn.gateway.decisions import (
+    LogAllotmentRestore,
+    LogQuarantineChange,
+    LogReachability,
+)
+from azureturn.observability import EventLog, LogEvent
+from azureturn.serving import CoreRuntime
+
+
+class DecisionLog:
+    """Writes a line for each action of the core that is only to be logged."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+
+    def register(self, runtime: CoreRuntime) -> None:
+        """Receive the actions of a core."""
+        runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
+        runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
+        runtime.register_handler(LogReachability, self._log_reachability)
+
+    def _log_allotment_restore(self, action: LogAllotmentRestore) -> None:
+        self._log.info(
+            LogEvent.ALLOTMENTS_RECALLED,
+            processes=action.processes,
+            age_ms=action.age_ms,
+            outcome="relied on" if action.record_used else "guessed",
+        )
+
+    def _log_quarantine_change(self, action: LogQuarantineChange) -> None:
+        self._log.info(
+            LogEvent.QUARANTINE_CHANGED,
+            traits=",".join(sorted(action.traits)),
+            source=action.source,
+            crashes=action.crashes,
+            outcome=action.outcome,
+        )
+
+    def _log_reachability(self, action: LogReachability) -> None:
+        self._log.info(
+            LogEvent.REACHABILITY_CHANGED,
+            service=action.service,
+            reachable=action.reachable,
+            upstreams=action.upstreams,
+            live_peers=action.live_peers,
+        )
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -8,19 +8,17 @@
 from azureturn._time_of_day import unix_now_ms
 from azureturn.framework import Core
 from azureturn.gateway.daemon._connection_probes import ConnectionProbes
+from azureturn.gateway.daemon._decision_log import DecisionLog
 from azureturn.gateway.daemon._peer_calls import GatewayPeerHandler, ViewFetcher
 from azureturn.gateway.daemon._peer_reports import ReportSocket
+from azureturn.gateway.daemon._process_metrics import ProcessMetrics
 from azureturn.gateway.daemon._store_watcher import StoreWatcher, ViewHolder
 from azureturn.gateway.daemon._store_writer import StoreWriter
 from azureturn.gateway.daemon._strain_detector import StrainDetector
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     FetchView,
-    GatewayQueueTable,
     GatewayStarted,
-    LogAllotmentRestore,
-    LogQuarantineChange,
-    LogReachability,
     ProbeConnection,
     SendReport,
     UpstreamConnectionFailed,
@@ -42,12 +40,8 @@
 from azureturn.gateway.settings import GatewaySettings
 from azureturn.gateway.site import Dialect, DocumentCodec, UpstreamRun
 from azureturn.observability import (
-    PROMETHEUS_CONTENT_TYPE,
     EventLog,
     LogEvent,
-    Metric,
-    Metrics,
-    PrometheusMetrics,
     describe_error,
 )
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
@@ -58,7 +52,6 @@
 #: How long before the process is killed a planned stop aborts the requests still in flight.
 _STOP_MARGIN_MS = 700
 _IDLE_CHECK_INTERVAL_S = 0.5
-_MS_PER_S = 1_000
 _METRICS_PATH = "/metrics"
 
 
@@ -77,15 +70,13 @@
     def __init__(self, settings: GatewaySettings, adapter: PlatformAdapter, log: EventLog) -> None:
         self._settings = settings
         self._stop_started_at_ms: int | None = None
-        self._loop_lag_ms = 0.0
         self._log = log
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
         self._loop = TaskLoop("task-loop", self._report_task_error)
         self._runtime = CoreRuntime(core, tick_interval_ms=settings.limits.tick_interval_ms)
-        self._prometheus_metrics = PrometheusMetrics()
-        self._metrics = Metrics(None, self._prometheus_metrics)
-        self._strain_detector = StrainDetector(self._runtime, log, self._metrics)
+        self._process_metrics = ProcessMetrics(self._runtime, self._loop)
+        self._strain_detector = StrainDetector(self._runtime, log, self._process_metrics.metrics)
         self._view_holder = ViewHolder(self._runtime, adapter.documents, log)
         limits = settings.limits
         self._stop = PlannedStop(
@@ -98,28 +89,8 @@
         vm = settings.vm
         signer = EnvelopeSigner(limits.peer_secret, vm.name, clock_s=time.monotonic)
         connector = UpstreamConnector(RelayClient(vm.name, signer, port=vm.relay_port))
-        self._relay_server = RelayServer(
-            (vm.host, vm.relay_port),
-            signer,
-            log,
-            self._loop,
-            find_upstream=lambda name: self._view_holder.view.upstreams.get(name),
-            report_failure=self._report_relay_failure,
-            connect_timeout_ms=CONNECT_TIMEOUT_MS,
-        )
-        self._services = ExchangeServices(
-            settings=lambda: self._settings,
-            runtime=self._runtime,
-            dialect=adapter.dialect,
-            log=log,
-            metrics=self._metrics,
-            view=lambda: self._view_holder.view,
-            closes_connections=lambda: (
-                self._stop.stage is not StopStage.SERVING or self._strain_detector.is_strained()
-            ),
-            time_left_ms=self._time_left_ms,
-            connector=connector,
-        )
+        self._relay_server = self._new_relay_server(signer)
+        self._services = self._new_services(adapter.dialect, connector)
         self._report_socket = ReportSocket(vm.host, vm.peer_port, self._runtime, log)
         self._view_fetcher = ViewFetcher(
             PeerClient(signer), self._view_holder, log, peer_port=vm.peer_port
@@ -137,20 +108,51 @@
             vm_count=lambda: len(self._view_holder.view.vms),
         )
         self._server = GatewayServer(self._services, self._loop)
-        readiness = {adapter.dialect.readiness_path: self._readiness_page}
-        self._servers: dict[str, BoundedServer] = {
-            "readiness": StatusServer(
-                (vm.readiness_host, vm.readiness_port), log, readiness, self._loop
+        self._servers = self._new_servers(adapter.dialect.readiness_path)
+        self._probes = ConnectionProbes(self._runtime, connector, log, self._loop)
+        self._register_handlers()
+
+    def _new_relay_server(self, signer: EnvelopeSigner) -> RelayServer:
+        vm = self._settings.vm
+        return RelayServer(
+            (vm.host, vm.relay_port),
+            signer,
+            self._log,
+            self._loop,
+            find_upstream=lambda name: self._view_holder.view.upstreams.get(name),
+            report_failure=self._report_relay_failure,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        )
+
+    def _new_services(self, dialect: Dialect, connector: UpstreamConnector) -> ExchangeServices:
+        return ExchangeServices(
+            settings=lambda: self._settings,
+            runtime=self._runtime,
+            dialect=dialect,
+            log=self._log,
+            metrics=self._process_metrics.metrics,
+            view=lambda: self._view_holder.view,
+            closes_connections=lambda: (
+                self._stop.stage is not StopStage.SERVING or self._strain_detector.is_strained()
             ),
+            time_left_ms=self._time_left_ms,
+            connector=connector,
+        )
+
+    def _new_servers(self, readiness_path: str) -> dict[str, BoundedServer]:
+        """Return the HTTP servers by name, in the order in which they start."""
+        vm, metrics_port = self._settings.vm, self._settings.limits.metrics_port
+        readiness_address = (vm.readiness_host, vm.readiness_port)
+        readiness = {readiness_path: self._readiness_page}
+        servers: dict[str, BoundedServer] = {
+            "readiness": StatusServer(readiness_address, self._log, readiness, self._loop),
             "callers": self._server,
         }
-        if limits.metrics_port:
-            metrics = {_METRICS_PATH: self._metrics_page}
-            self._servers["metrics"] = StatusServer(
-                (vm.host, limits.metrics_port), log, metrics, self._loop
-            )
-        self._probes = ConnectionProbes(self._runtime, connector, log, self._loop)
-        self._register_handlers()
+        if metrics_port:
+            pages = {_METRICS_PATH: lambda: self._process_metrics.page(self._server)}
+            address = (vm.host, metrics_port)
+            servers["metrics"] = StatusServer(address, self._log, pages, self._loop)
+        return servers
 
     @property
     def settings(self) -> GatewaySettings:
@@ -172,6 +174,7 @@
             server.prepare()
             threading.Thread(target=server.serve, name=name, daemon=True).start()
         self._writer.start(self._settings.vm)
+        self._process_metrics.start()
         self._loop.spawn(self._close_idle_connections)
         vm = self._settings.vm
         self._log.info(
@@ -207,16 +210,14 @@
         self._log.error(LogEvent.SETTINGS_RELOADED, outcome="not valid", error=error)
 
     def _register_handlers(self) -> None:
-        """Connect the core's actions to the threads that carry them out."""
+        """Connect the core's actions to the parts that carry them out."""
+        DecisionLog(self._log).register(self._runtime)
         self._runtime.register_handler(ProbeConnection, self._probes.enqueue)
         self._runtime.register_handler(SendReport, self._send_report)
-        self._runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
         self._runtime.register_handler(FetchView, self._view_fetcher.enqueue)
         self._runtime.register_handler(WriteMoveStatus, self._writer.enqueue)
         self._runtime.register_handler(WriteAllotmentRecord, self._writer.enqueue)
         self._runtime.register_handler(WriteQuarantineRecord, self._writer.enqueue)
-        self._runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
-        self._runtime.register_handler(LogReachability, self._log_reachability)
 
     def _time_left_ms(self) -> int | None:
         """Return the time left to answer a new request, in milliseconds; None if not limited.
@@ -252,54 +253,14 @@
     def _readiness_page(self) -> StatusPage:
         return StatusPage(200, b"ready\n") if self._is_ready() else StatusPage(503, b"not ready\n")
 
-    def _metrics_page(self) -> StatusPage:
-        waiting = self._runtime.inspect(
-            lambda core: core.board.table(GatewayQueueTable).waiting_count()
-        )
-        self._metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
-        self._metrics.set(Metric.REQUESTS_WAITING, waiting)
-        self._metrics.set(Metric.CALLER_CONNECTIONS, self._server.open_connections)
-        self._metrics.set(Metric.TASKS, self._loop.task_count)
-        self._metrics.set(Metric.THREADS, threading.active_count())
-        self._metrics.set(Metric.LOOP_LAG, round(self._loop_lag_ms))
-        return StatusPage(200, self._prometheus_metrics.render(), PROMETHEUS_CONTENT_TYPE)
-
     def _send_report(self, action: SendReport) -> None:
         report = action.report.with_strained(self._strain_detector.is_strained())
         self._report_socket.send(replace(action, report=report))
 
-    def _log_allotment_restore(self, action: LogAllotmentRestore) -> None:
-        self._log.info(
-            LogEvent.ALLOTMENTS_RECALLED,
-            processes=action.processes,
-            age_ms=action.age_ms,
-            outcome="relied on" if action.record_used else "guessed",
-        )
-
-    def _log_quarantine_change(self, action: LogQuarantineChange) -> None:
-        self._log.info(
-            LogEvent.QUARANTINE_CHANGED,
-            traits=",".join(sorted(action.traits)),
-            source=action.source,
-            crashes=action.crashes,
-            outcome=action.outcome,
-        )
-
     def _report_task_error(self, error: BaseException) -> None:
         self._log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
 
-    def _log_reachability(self, action: LogReachability) -> None:
-        self._log.info(
-            LogEvent.REACHABILITY_CHANGED,
-            service=action.service,
-            reachable=action.reachable,
-            upstreams=action.upstreams,
-            live_peers=action.live_peers,
-        )
-
     def _close_idle_connections(self) -> None:
         while True:
-            due_at_s = time.monotonic() + _IDLE_CHECK_INTERVAL_S
             sleep(_IDLE_CHECK_INTERVAL_S)
-            self._loop_lag_ms = _MS_PER_S * max(0.0, time.monotonic() - due_at_s)
             self._services.pool.close_idle()
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -1,7 +1,5 @@
 """Sends this VM's status reports to its peers, and applies the reports received from them."""
 
-from bisect import bisect
-
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
@@ -13,6 +11,11 @@
     ReportRequested,
     VmLeaving,
 )
+from azureturn.gateway.decisions._membership import (
+    LIST_FANOUT,
+    hosts_in_turn,
+    informs_new_vm,
+)
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import (
     URGENT_INTERVAL_MS,
@@ -37,9 +40,6 @@
 #: One report in this many is also sent to the hosts of VMs that have not reported yet, and lists
 #: all VMs known to the sender for some of its receivers.
 _MEMBERSHIP_INTERVAL = 10
-#: Number of peers that are sent the list each time. Every peer gets it in turn, so the bytes that a
-#: VM sends for it do not grow with the square of the number of VMs.
-_MEMBERSHIP_FANOUT = 3
 _FETCH_INTERVAL_MS = 400
 #: Shortest interval between two placements that peers' reports cause. Reports of one peer are at
 #: least as far apart.
@@ -124,8 +124,10 @@
             peers.recompute_work(context.now_ms)
             self._apply_usage(report, context.now_ms)
             return
-        if peer is None and self._is_to_inform(report.vm):
-            self._new_hosts.append(report.host)
+        if peer is None:
+            known_vms = [name for name, _ in peers.items()]
+            if informs_new_vm(report.vm, known_vms, self.settings.vm.name):
+                self._new_hosts.append(report.host)
         previous = peer.report if peer is not None and peer.is_live(context.now_ms) else None
         window_ms = self.settings.bounds.allotment.window_ms
         own_units = self.board.read(AllotmentTable).own_units(context.now_ms, window_ms)
@@ -227,33 +229,15 @@
         return tuple(sorted(hosts))
 
     def _hosts_to_inform(self, hosts: tuple[str, ...]) -> frozenset[str]:
-        """Return the hosts to which this report lists all known VMs.
-
-        They are those of VMs that have just reported for the first time, and some others in turn.
-        """
+        """Return the hosts to which this report lists all known VMs."""
         # When all VMs start together, they learn of each other from their first reports anyway.
-        informed = self._new_hosts[-_MEMBERSHIP_FANOUT:]
+        informed = self._new_hosts[-LIST_FANOUT:]
         self._new_hosts.clear()
-        if self._sequence % _MEMBERSHIP_INTERVAL == 1 and hosts:
-            first = self._sequence // _MEMBERSHIP_INTERVAL * _MEMBERSHIP_FANOUT
-            # VMs begin at different hosts, so that they do not all inform the same one.
-            first += bisect(hosts, self.settings.vm.host)
-            informed += [hosts[(first + n) % len(hosts)] for n in range(_MEMBERSHIP_FANOUT)]
+        if self._sequence % _MEMBERSHIP_INTERVAL == 1:
+            turn = self._sequence // _MEMBERSHIP_INTERVAL
+            informed += hosts_in_turn(hosts, self.settings.vm.host, turn)
         return frozenset(informed).intersection(hosts)
 
-    def _is_to_inform(self, new_vm: str) -> bool:
-        """Return whether a VM that reports for the first time is to be told of the others here.
-
-        The known VMs that follow it in the order of names do so. Every VM receives its report, and
-        one list is enough.
-        """
-        own_name = self.settings.vm.name
-        known = {name for name, _ in self.board.read(PeerTable).items()}
-        names = sorted((known | {own_name}) - {new_vm})
-        first = bisect(names, new_vm)
-        followers = [names[(first + n) % len(names)] for n in range(_MEMBERSHIP_FANOUT)]
-        return own_name in followers
-
     def _apply_prompts(self, report: PeerReport) -> None:
         view = self.board.read(ViewTable).current()
         for prompt in report.prompts:
