--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -159,7 +159,11 @@
         while True:
             for descriptor in wait_until_ready(dict.fromkeys(directions, READABLE), None):
                 source, destination = directions[descriptor]
-                data = source.recv(_READ_BYTES)
+                try:
+                    data = source.recv(_READ_BYTES)
+                except BlockingIOError:
+                    # Nothing has arrived after all.
+                    continue
                 if not data:
                     return
                 send_all(destination, data, _WRITE_TIMEOUT_S)
--- a/azureturn/serving/_task_pool.py
+++ b/azureturn/serving/_task_pool.py
@@ -16,9 +16,6 @@
     same time, further ones are passed to ``refuse``.
     """
 
-    #: The library logs this as the number of its threads.
-    min = 0
-
     def __init__(
         self, server: Any, loop: TaskLoop, *, limit: int, refuse: Callable[[Any], None]
     ) -> None:
