--- a/azureturn/gateway/daemon/_process_metrics.py
+++ b/azureturn/gateway/daemon/_process_metrics.py
@@ -32,16 +32,13 @@
         waiting = self._runtime.inspect(
             lambda core: core.board.table(GatewayQueueTable).waiting_count()
         )
-        gauges = {
-            Metric.REQUESTS_IN_PROGRESS: self._runtime.requests_in_progress,
-            Metric.REQUESTS_WAITING: waiting,
-            Metric.CALLER_CONNECTIONS: server.open_connections,
-            Metric.TASKS: self._loop.task_count,
-            Metric.THREADS: threading.active_count(),
-            Metric.LOOP_LAG: round(self._loop_lag_ms),
-        }
-        for metric, value in gauges.items():
-            self.metrics.set(metric, value)
+        metrics = self.metrics
+        metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
+        metrics.set(Metric.REQUESTS_WAITING, waiting)
+        metrics.set(Metric.CALLER_CONNECTIONS, server.open_connections)
+        metrics.set(Metric.TASKS, self._loop.task_count)
+        metrics.set(Metric.THREADS, threading.active_count())
+        metrics.set(Metric.LOOP_LAG, round(self._loop_lag_ms))
         return StatusPage(200, self._prometheus.render(), PROMETHEUS_CONTENT_TYPE)
 
     def _measure_lag(self) -> None:
