--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -30,6 +30,8 @@
 #: Plain requests a second while their cost is measured, and for how long.
 _PLAIN_PER_S = 100.0
 _PLAIN_S = 4.0
+#: A plain request without an answer for this long counts as unanswered.
+_CALL_TIMEOUT_S = 5.0
 _WARM_UP_S = 2.0
 _REST_S = 3.0
 _CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -63,6 +65,7 @@
     plain_p50_ms: float
     plain_p95_ms: float
     plain_p99_ms: float
+    plain_unanswered: int
 
 
 class _Load:
@@ -71,6 +74,7 @@
     def __init__(self) -> None:
         self.event_delays_ms: list[float] = []
         self.plain_times_ms: list[float] = []
+        self.unanswered_calls = 0
         self._ended = False
         self._request_count = 0
 
@@ -123,9 +127,13 @@
         started_ns = time.monotonic_ns()
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(self._request("/a/b/x"))
-        await reader.readuntil(b"body")
-        writer.close()
-        self.plain_times_ms.append((time.monotonic_ns() - started_ns) / _NS_PER_MS)
+        try:
+            await asyncio.wait_for(reader.readuntil(b"body"), _CALL_TIMEOUT_S)
+            self.plain_times_ms.append((time.monotonic_ns() - started_ns) / _NS_PER_MS)
+        except TimeoutError:
+            self.unanswered_calls += 1
+        finally:
+            writer.close()
 
     def _request(self, path: str) -> bytes:
         self._request_count += 1
@@ -202,6 +210,7 @@
         plain_p50_ms=_percentile(load.plain_times_ms, 0.5),
         plain_p95_ms=_percentile(load.plain_times_ms, 0.95),
         plain_p99_ms=_percentile(load.plain_times_ms, 0.99),
+        plain_unanswered=load.unanswered_calls,
     )
 
 
