--- a/azureturn/gateway/daemon/_decision_log.py
+++ b/azureturn/gateway/daemon/_decision_log.py
@@ -4,6 +4,8 @@
     LogAllotmentRestore,
     LogQuarantineChange,
     LogReachability,
+    LogRetainedUpstreams,
+    LogSilentUpstreams,
 )
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
@@ -20,6 +22,8 @@
         runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
         runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
         runtime.register_handler(LogReachability, self._log_reachability)
+        runtime.register_handler(LogRetainedUpstreams, self._log_retained_upstreams)
+        runtime.register_handler(LogSilentUpstreams, self._log_silent_upstreams)
 
     def _log_allotment_restore(self, action: LogAllotmentRestore) -> None:
         self._log.info(
@@ -46,3 +50,20 @@
             upstreams=action.upstreams,
             live_peers=action.live_peers,
         )
+
+    def _log_retained_upstreams(self, action: LogRetainedUpstreams) -> None:
+        self._log.info(
+            LogEvent.UPSTREAMS_RETAINED,
+            names=",".join(action.names),
+            outage_ms=action.outage_ms,
+            outcome=action.outcome,
+        )
+
+    def _log_silent_upstreams(self, action: LogSilentUpstreams) -> None:
+        self._log.info(
+            LogEvent.UPSTREAMS_SILENT,
+            waiting=action.attempts,
+            upstreams=action.upstreams,
+            silent_ms=action.silent_ms,
+            live_peers=action.live_peers,
+        )
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -15,7 +15,7 @@
 from azureturn.gateway.decisions import StoreRecovered, ViewChanged, watch_delay_ms
 from azureturn.gateway.site import DocumentCodec, SiteView, StoredDocument
 from azureturn.observability import EventLog, LogEvent
-from azureturn.serving import CoreRuntime
+from azureturn.serving import CoreRuntime, now_ms
 from azureturn.store import HistoryLostError, StoreChange, WatchedStore
 
 _INITIAL_BACKOFF_MS = 100
@@ -38,10 +38,12 @@
         """Return the current view."""
         return self._view
 
-    def report_store_recovered(self) -> None:
+    def report_store_recovered(self, outage_ms: int) -> None:
         """Inform the controllers that the store is available again."""
-        self._runtime.submit(StoreRecovered())
-        self._log.info(LogEvent.KEY_VALUE_REGAINED, revision=self._view.revision)
+        self._runtime.submit(StoreRecovered(outage_ms))
+        self._log.info(
+            LogEvent.KEY_VALUE_REGAINED, revision=self._view.revision, outage_ms=outage_ms
+        )
 
     def apply_snapshot(self, entries: Iterable[StoreChange], revision: int, source: str) -> bool:
         """Replace the view by all entries of the store; return whether ``revision`` was newer."""
@@ -162,6 +164,7 @@
         self._wait_ms = wait_ms
         self._vm_count = vm_count
         self._is_store_unavailable = False
+        self._answered_at_ms = now_ms()
 
     def start(self) -> None:
         """Start the thread."""
@@ -212,6 +215,8 @@
             self._log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error=error.message)
 
     def _mark_store_available(self) -> None:
+        outage_ms = now_ms() - self._answered_at_ms
+        self._answered_at_ms = now_ms()
         if self._is_store_unavailable:
             self._is_store_unavailable = False
-            self._view_holder.report_store_recovered()
+            self._view_holder.report_store_recovered(outage_ms)
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -115,6 +115,30 @@
     live_peers: int
 
 
+@dataclass(frozen=True)
+class LogSilentUpstreams(Action):
+    """Log that attempts wait and nothing is heard from any upstream over direct connections."""
+
+    #: Direct attempts that have waited for long.
+    attempts: int
+    #: Number of upstreams that they were sent to.
+    upstreams: int
+    #: Time since an upstream last responded.
+    silent_ms: int
+    live_peers: int
+
+
+@dataclass(frozen=True)
+class LogRetainedUpstreams(Action):
+    """Log that upstreams are used although their registrations are missing, or no longer so."""
+
+    #: Names of the upstreams.
+    names: tuple[str, ...]
+    #: Duration of the outage of the store, as this VM saw it.
+    outage_ms: int
+    outcome: str
+
+
 @dataclass(frozen=True)
 class LogAllotmentRestore(Action):
     """Log which allotment usage was restored from before this process started."""
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -48,6 +48,9 @@
 class StoreRecovered(Event):
     """The store is available again after an outage."""
 
+    #: Time between the last response before the outage and the first one after it.
+    outage_ms: int = 0
+
 
 @dataclass(frozen=True)
 class UpstreamReconnected(Event):
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -51,14 +51,19 @@
             for upstream in view.upstreams.values()
             if upstream.service == service and not upstream.is_leaving
         ]
-        if self._lapsed and now_ms < self._lapsed_until_ms:
-            serving.extend(
-                upstream
-                for name, upstream in self._lapsed.items()
-                if upstream.service == service and name not in view.upstreams
-            )
+        serving.extend(
+            self._lapsed[name]
+            for name in self.retained_names(now_ms)
+            if self._lapsed[name].service == service
+        )
         return serving
 
+    def retained_names(self, now_ms: int) -> set[str]:
+        """Return the names of the upstreams that are used although they are not registered."""
+        if now_ms >= self._lapsed_until_ms:
+            return set()
+        return self._lapsed.keys() - self.current().upstreams.keys()
+
 
 class GatewayQueueTable(Table[str, "RequestQueue[GatewayRequest]"]):
     """Request queues, keyed by service."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -7,6 +7,7 @@
 from azureturn.gateway.decisions.controllers._attempts import AttemptController
 from azureturn.gateway.decisions.controllers._crashes import CrashController
 from azureturn.gateway.decisions.controllers._moves import MoveController
+from azureturn.gateway.decisions.controllers._paths import PathController
 from azureturn.gateway.decisions.controllers._placement import PlacementController
 from azureturn.gateway.decisions.controllers._quarantine import QuarantineController
 from azureturn.gateway.decisions.controllers._reachability import ReachabilityController
@@ -22,6 +23,7 @@
     "AttemptController",
     "CrashController",
     "MoveController",
+    "PathController",
     "PlacementController",
     "QuarantineController",
     "ReachabilityController",
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -50,7 +50,7 @@
         RetryBudgetTable,
         MoveTable,
     )
-    after = ("admission", "crashes", "request_limits")
+    after = ("admission", "crashes", "request_limits", "paths")
 
     _probed_at_ms = 0
 
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -1,6 +1,7 @@
 """Replaces this VM's view by newer ones, and updates the tables that depend on it."""
 
 from azureturn.framework import Context, Tick, on
+from azureturn.gateway.decisions._actions import LogRetainedUpstreams
 from azureturn.gateway.decisions._events import (
     GatewayStarted,
     PlacementRequested,
@@ -27,6 +28,9 @@
     reads = (GatewayQueueTable,)
     writes = (ViewTable, PeerTable, UpstreamStateTable)
 
+    #: Duration of the latest outage of the store.
+    _outage_ms = 0
+
     @on(GatewayStarted)
     def _on_gateway_started(self, event: GatewayStarted, context: Context) -> None:
         peers = self.board.write(PeerTable)
@@ -38,6 +42,7 @@
     @on(StoreRecovered)
     def _on_store_recovered(self, event: StoreRecovered, context: Context) -> None:
         self.board.write(ViewTable).record_store_recovery(context.now_ms)
+        self._outage_ms = event.outage_ms
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
@@ -52,8 +57,14 @@
 
     @on(ViewChanged)
     def _on_view_changed(self, event: ViewChanged, context: Context) -> None:
-        if not self.board.write(ViewTable).accept(event.view, now_ms=context.now_ms):
+        views = self.board.write(ViewTable)
+        retained_before = views.retained_names(context.now_ms)
+        if not views.accept(event.view, now_ms=context.now_ms):
             return
+        retained = views.retained_names(context.now_ms) - retained_before
+        if retained:
+            names = tuple(sorted(retained))
+            context.act(LogRetainedUpstreams(names, self._outage_ms, "retained"))
         self.board.write(PeerTable).registered_vms = frozenset(event.view.vms)
         for service, queue in self.board.read(GatewayQueueTable).items():
             if len(queue):
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -22,6 +22,7 @@
     FirstEventReceived,
     LogQuarantineChange,
     LogReachability,
+    LogSilentUpstreams,
     PeerReportReceived,
     ProbeConnection,
     RequestClosed,
@@ -80,6 +81,7 @@
 
 
 _UNREACHABLE = AttemptResult.UNREACHABLE
+_LOG_ACTIONS = LogReachability | LogSilentUpstreams
 
 
 @dataclass(frozen=True)
@@ -337,7 +339,7 @@
             self._close(number, action.request_id)
         else:
             # Log lines are not kept, and a view that a peer is asked for does not arrive.
-            assert isinstance(action, AwaitPlacement | FetchView | LogReachability), action
+            assert isinstance(action, AwaitPlacement | FetchView | _LOG_ACTIONS), action
 
     def _send(self, number: int, action: SendAttempt) -> None:
         sender = number if action.relay is None else self._number_of(action.relay.vm)
--- a/azureturn/gateway/decisions/tests/test_placement.py
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -7,6 +7,7 @@
 from azureturn.gateway.decisions import (
     AttemptEnded,
     AttemptResult,
+    LogRetainedUpstreams,
     OutstandingWork,
     PeerReportReceived,
     ProbeConnection,
@@ -146,6 +147,13 @@
     assert bool(_sent_to(harness.submit_request("r1"))) is serves
 
 
+def test_upstreams_that_are_retained_after_an_outage_are_logged() -> None:
+    harness = GatewayCoreHarness(view(upstream("u1"), upstream("u2")))
+    harness.handle_event(StoreRecovered(outage_ms=4_000))
+    actions = harness.handle_event(ViewChanged(view(upstream("u2"), revision=11)))
+    assert LogRetainedUpstreams(("u1",), 4_000, "retained") in actions
+
+
 def test_upstream_whose_registration_lapses_without_an_outage_is_dropped() -> None:
     harness = GatewayCoreHarness(view(upstream("u1")))
     harness.handle_event(ViewChanged(view(revision=11)))
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -34,6 +34,8 @@
     UPSTREAM_CHANGED = "upstream_changed"
     UPSTREAM_REACHED = "upstream_reached"
     UPSTREAM_ENDED = "upstream_ended"
+    UPSTREAMS_RETAINED = "upstreams_retained"
+    UPSTREAMS_SILENT = "upstreams_silent"
     RELAY_OPENED = "relay_opened"
     RELAY_FAILED = "relay_failed"
     REACHABILITY_CHANGED = "reachability_changed"
@@ -189,11 +191,21 @@
             "An upstream refuses connections after it broke off an answer: its process has ended.",
             ("upstream",),
         ),
+        LogEvent.UPSTREAMS_RETAINED: LogEventDefinition(
+            "Upstreams are used although their registrations are missing since an outage of the "
+            "key-value service; see `outcome`.",
+            ("names", "outage_ms", "outcome"),
+        ),
+        LogEvent.UPSTREAMS_SILENT: LogEventDefinition(
+            "Requests wait for upstreams, and none has responded over a direct connection for "
+            "some time.",
+            ("waiting", "upstreams", "silent_ms", "live_peers"),
+        ),
         LogEvent.DOCUMENT_REFUSED: _error_definition(
             "A document in the store cannot be read and was ignored.", "key", "error"
         ),
         LogEvent.KEY_VALUE_REGAINED: LogEventDefinition(
-            "The key-value service responds again.", ("revision",)
+            "The key-value service responds again.", ("revision", "outage_ms")
         ),
         LogEvent.STORE_HISTORY_LOST: _error_definition(
             "The key-value service has discarded its history; all documents are read again.",
@@ -303,7 +315,12 @@
         "peer": "Name of another VM.",
         "relays": "Number of connections that this VM relays.",
         "reachable": "Number of the service's upstreams that this VM can connect to.",
-        "upstreams": "Number of the service's upstreams.",
+        "upstreams": "Number of upstreams: those of the service, or those that requests wait for.",
+        "names": "Names of upstreams, separated by commas.",
+        "outage_ms": "Time from the last response of the key-value service before it was out of "
+        "reach to the first one after that.",
+        "waiting": "Number of attempts that have waited for long and are not relayed.",
+        "silent_ms": "Time since any upstream last responded over a direct connection.",
         "live_peers": "Number of peers that have reported recently.",
         "traits": "Ids of prompt parts, or `digest:` and the digest of one request.",
         "request_digest": "Digest of organisation, method, host, target and body; the same when "
