--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -176,10 +176,11 @@
         vm_name: str = "vm-1",
         now_ms: int = _FIRST_MS,
         seed: int = 1,
+        availability_zone: str = "a",
     ) -> None:
         vm = GatewayVm(
             vm_name,
-            "a",
+            availability_zone,
             "10.0.1.1",
             "10.0.1.1",
             1,
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -22,6 +22,7 @@
     FirstEventReceived,
     LogQuarantineChange,
     LogReachability,
+    LogRetainedUpstreams,
     LogSilentUpstreams,
     PeerReportReceived,
     ProbeConnection,
@@ -30,6 +31,7 @@
     ReturnLastResult,
     SendAttempt,
     SendReport,
+    StoreRecovered,
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
@@ -60,11 +62,14 @@
 _RESTART_MS = 3_000
 _PART_TOKENS = 100
 _CONNECT_TIMEOUT_MS = 150
-#: When a request on a connection that hangs is given up.
+#: When a request on a connection that hangs is given up, unless its time is over before.
 _SILENCE_TIMEOUT_MS = 1_600
+_PLAIN_SILENCE_TIMEOUT_MS = 250
 #: Slots of an upstream, as the harness registers it.
 _SLOTS = 4
 _MS_PER_S = 1_000
+#: How long the store was out of reach of VMs that are reconnected to it.
+_STORE_OUTAGE_MS = 5_000
 #: Time in which sound requests are answered.
 _ANSWERED_WITHIN_MS = 2_000
 
@@ -78,10 +83,12 @@
     RESET = auto()
     #: Connections live on, and new ones are refused.
     REFUSE_NEW = auto()
+    #: Connections open and requests arrive, but nothing comes back on any connection.
+    SILENT = auto()
 
 
 _UNREACHABLE = AttemptResult.UNREACHABLE
-_LOG_ACTIONS = LogReachability | LogSilentUpstreams
+_LOG_ACTIONS = LogReachability | LogRetainedUpstreams | LogSilentUpstreams
 
 
 @dataclass(frozen=True)
@@ -159,9 +166,12 @@
         crashing_digests: tuple[str, ...] = (),
         is_plain: bool = False,
         answer_ms: tuple[int, int] = (100, 1_500),
+        zones: tuple[str, ...] = ("a",),
         seed: int = 1,
     ) -> None:
         self._random = random.Random(seed)
+        #: Availability zones, which the VMs are in by turns.
+        self._zones = zones
         #: Shortest and longest time from the first event to the end of an answer.
         self._answer_ms = answer_ms
         self._crashing_part = crashing_part
@@ -239,7 +249,7 @@
             for attempt in [attempt for attempt in engine.attempts if attempt.vm in vms]:
                 engine.attempts.remove(attempt)
                 attempt.is_over = True
-                hangs = cut is Cut.HANG
+                hangs = cut in (Cut.HANG, Cut.SILENT)
                 result = AttemptResult.SILENT if hangs else AttemptResult.BROKEN
                 ended = AttemptEnded(attempt.request_id, result)
                 delay_ms = _SILENCE_TIMEOUT_MS if hangs else _MESSAGE_MS
@@ -249,6 +259,22 @@
         """Let all VMs reach the upstreams again."""
         self._cut_vms.clear()
 
+    def cut_off_from_store(self, *vms: int) -> None:
+        """Let VMs receive no changes of the store, until they are reconnected."""
+        self.vms_without_store.update(vms)
+
+    def reconnect_to_store(self, *vms: int) -> None:
+        """Let VMs that were cut off from the store read it again."""
+        self.vms_without_store.difference_update(vms)
+        for number in vms:
+            self._handle(number, StoreRecovered(_STORE_OUTAGE_MS))
+            self._handle(number, ViewChanged(self._view()))
+
+    def unregister(self, engine_name: str) -> None:
+        """Remove an engine's registration; it goes on serving."""
+        del self._registered[engine_name]
+        self._publish()
+
     def make_brittle(self, limit: int) -> None:
         """Let upstreams keep no request waiting, and fall over after more rejections a second."""
         self._brittle_limit = limit
@@ -297,6 +323,7 @@
             vm_name=f"vm-{number}",
             now_ms=self.now_ms,
             seed=self._random.getrandbits(32),
+            availability_zone=self._zones[number % len(self._zones)],
         )
 
     def _view(self) -> SiteView:
@@ -345,6 +372,14 @@
         sender = number if action.relay is None else self._number_of(action.relay.vm)
         if action.relay is not None:
             self.relayed.append(action)
+        if self._cut_vms.get(sender) is Cut.SILENT:
+            self._after(
+                _MESSAGE_MS,
+                lambda: self._arrive(
+                    number, action.upstream.name, action.request_id, answers=False
+                ),
+            )
+            return
         if sender in self._cut_vms:
             delay_ms = _CONNECT_TIMEOUT_MS if self._cut_vms[sender] is Cut.HANG else _MESSAGE_MS
             unreachable = AttemptEnded(action.request_id, _UNREACHABLE)
@@ -385,7 +420,7 @@
         if cut is Cut.HANG:
             self._handle(number, UpstreamConnectionFailed(action.upstream.run))
             return
-        if cut is not None:
+        if cut in (Cut.RESET, Cut.REFUSE_NEW):
             self._handle(number, UpstreamProcessEnded(action.upstream.run))
             return
         if self._engines[action.upstream.name].is_up:
@@ -394,7 +429,10 @@
         else:
             self._handle(number, UpstreamProcessEnded(action.upstream.run))
 
-    def _arrive(self, number: int, engine_name: str, request_id: str) -> None:
+    def _arrive(
+        self, number: int, engine_name: str, request_id: str, *, answers: bool = True
+    ) -> None:
+        """Let a request arrive; with ``answers``, the response reaches the VM."""
         engine = self._engines[engine_name]
         if not engine.is_up:
             self._handle(number, AttemptEnded(request_id, _UNREACHABLE))
@@ -414,6 +452,10 @@
         head_ms = _PLAIN_ANSWER_MS[1] if self._is_plain else _HEAD_MS
         attempt = _EngineAttempt(number, request_id, sent.parts, self.now_ms + head_ms)
         engine.attempts.append(attempt)
+        if not answers:
+            timeout_ms = _PLAIN_SILENCE_TIMEOUT_MS if self._is_plain else _SILENCE_TIMEOUT_MS
+            self._after(timeout_ms, lambda: self._give_up(engine, attempt))
+            return
         if self._crashing_part in sent.parts or sent.digest in self._crashing_digests:
             crash_ms = _PLAIN_CRASH_MS if self._is_plain else _HEAD_MS + _CRASH_MS
             self._after(crash_ms, lambda: self._crash(engine))
@@ -427,6 +469,14 @@
         answer_ms = first_event_ms + self._random.randint(*self._answer_ms)
         self._after(answer_ms, lambda: self._answer(engine, attempt))
 
+    def _give_up(self, engine: _Engine, attempt: _EngineAttempt) -> None:
+        """End an attempt without a response; the upstream sees that its connection closes."""
+        if attempt.is_over:
+            return
+        engine.attempts.remove(attempt)
+        attempt.is_over = True
+        self._handle(attempt.vm, AttemptEnded(attempt.request_id, AttemptResult.SILENT))
+
     def _first_event(self, engine: _Engine, attempt: _EngineAttempt) -> None:
         if attempt.is_over:
             return
@@ -470,7 +520,7 @@
             attempt.is_over = True
             answering_ms = self.now_ms - attempt.head_at_ms
             self._after(_MESSAGE_MS, self._broken(attempt, answering_ms))
-        self._after(_LAPSE_MS, lambda: self._unregister(engine))
+        self._after(_LAPSE_MS, lambda: self.unregister(engine.name))
         self._after(_RESTART_MS, self._start_engine)
 
     def _broken(self, attempt: _EngineAttempt, answering_ms: int) -> Callable[[], None]:
@@ -481,10 +531,6 @@
         )
         return lambda: self._handle(attempt.vm, event)
 
-    def _unregister(self, engine: _Engine) -> None:
-        del self._registered[engine.name]
-        self._publish()
-
     def _start_engine(self) -> None:
         engine = _Engine(f"e-{len(self._engines)}", brittle_limit=self._brittle_limit)
         self._engines[engine.name] = engine
--- a/azureturn/gateway/decisions/tests/test_unreachable_upstreams.py
+++ b/azureturn/gateway/decisions/tests/test_unreachable_upstreams.py
@@ -65,6 +65,20 @@
     assert others > 0
 
 
+@pytest.mark.parametrize("cut", list(Cut))
+def test_a_zone_that_reaches_none_of_many_upstreams_serves_callers(cut: Cut) -> None:
+    """Few requests and many upstreams: most are not tried during the cut."""
+    site = SimulatedSite(vm_count=30, engine_count=50, answer_ms=(50, 300), zones=("a", "b", "c"))
+    zone_a = set(range(0, 30, 3))
+    _play(site, _CALM_MS)
+    site.cut_off(cut, *zone_a)
+    from_ms, until_ms = site.now_ms + _CONTACT_MS, site.now_ms + _CUT_MS
+    _play(site, _CUT_MS + _ANSWERED_WITHIN_MS)
+    served = _served_share(site, zone_a, from_ms, until_ms)
+    others = _served_share(site, set(range(30)) - zone_a, from_ms, until_ms)
+    assert served >= _MIN_SERVED_RATIO * others
+
+
 @pytest.mark.parametrize("cut", list(Cut))
 def test_vms_that_reach_upstreams_again_serve_callers(cut: Cut) -> None:
     site = _site(6, is_plain=False)
