A VM that was cut off from the store drops upstreams that left meanwhile

Cause: after any failed call to the store a VM assumed an outage in which registrations lapse, and used missing upstreams for 2.3 s. A VM that was itself cut off, or turned away, can't tell.

Ruled out: a late view (13.8 s: all three had read that it is gone).

Change: reports say for how long the store has answered the sender (optional field, older builds ignore it and say nothing); a VM drops missing upstreams once a peer has had the store for 2 s, the time of a renewal. Otherwise it uses them for drain_ms less 200 ms.

The test of the retention after an outage asked for service at 2.2 s, past the 2.0 s that an upstream may drain for; it asks now for service at 1.75 s and for none at 1.9 s, which is the stricter bound.

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -83,6 +83,7 @@
         ],
         unreachable=sorted(report.unreachable),
         limits=[_limits_to_wire(row) for row in report.limits],
+        store_contact_ms=report.store_contact_ms,
     )
 
 
@@ -136,6 +137,7 @@
         ),
         unreachable=frozenset(wire.unreachable or ()),
         limits=tuple(_limits_from_wire(row) for row in wire.limits or ()),
+        store_contact_ms=wire.store_contact_ms,
     )
 
 
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -9,10 +9,11 @@
 import time
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 
 from azureturn.errors import PlatformError
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import StoreRecovered, ViewChanged, watch_delay_ms
+from azureturn.gateway.decisions import StoreLost, StoreReached, ViewChanged, watch_delay_ms
 from azureturn.gateway.site import DocumentCodec, SiteView, StoredDocument
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime, now_ms
@@ -38,12 +39,18 @@
         """Return the current view."""
         return self._view
 
-    def report_store_recovered(self, outage_ms: int) -> None:
-        """Inform the controllers that the store is available again."""
-        self._runtime.submit(StoreRecovered(outage_ms))
-        self._log.info(
-            LogEvent.KEY_VALUE_REGAINED, revision=self._view.revision, outage_ms=outage_ms
-        )
+    def report_store_reached(self, outage_ms: int) -> None:
+        """Inform the controllers that the store answers; ``outage_ms`` is 0 if no call failed."""
+        self._runtime.submit(StoreReached(outage_ms))
+        if outage_ms:
+            self._log.info(
+                LogEvent.KEY_VALUE_REGAINED, revision=self._view.revision, outage_ms=outage_ms
+            )
+
+    def report_store_lost(self, error: PlatformError) -> None:
+        """Inform the controllers that a call to the store failed."""
+        self._runtime.submit(StoreLost())
+        self._log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error=error.message)
 
     def apply_snapshot(self, entries: Iterable[StoreChange], revision: int, source: str) -> bool:
         """Replace the view by all entries of the store; return whether ``revision`` was newer."""
@@ -144,6 +151,14 @@
                 )
 
 
+class _Contact(Enum):
+    """Whether the store answers this VM."""
+
+    UNKNOWN = auto()
+    REACHED = auto()
+    LOST = auto()
+
+
 class StoreWatcher:
     """A thread that reads the whole store once and then watches it for changes."""
 
@@ -163,7 +178,7 @@
         self._log = log
         self._wait_ms = wait_ms
         self._vm_count = vm_count
-        self._is_store_unavailable = False
+        self._contact = _Contact.UNKNOWN
         self._answered_at_ms = now_ms()
 
     def start(self) -> None:
@@ -210,13 +225,15 @@
         )
 
     def _mark_store_unavailable(self, error: PlatformError) -> None:
-        if not self._is_store_unavailable:
-            self._is_store_unavailable = True
-            self._log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error=error.message)
+        if self._contact is not _Contact.LOST:
+            self._contact = _Contact.LOST
+            self._view_holder.report_store_lost(error)
 
     def _mark_store_available(self) -> None:
-        outage_ms = now_ms() - self._answered_at_ms
+        was_lost, was_reached = self._contact is _Contact.LOST, self._contact is _Contact.REACHED
+        # An outage of the store has a duration, however short.
+        outage_ms = max(1, now_ms() - self._answered_at_ms) if was_lost else 0
         self._answered_at_ms = now_ms()
-        if self._is_store_unavailable:
-            self._is_store_unavailable = False
-            self._view_holder.report_store_recovered(outage_ms)
+        self._contact = _Contact.REACHED
+        if not was_reached:
+            self._view_holder.report_store_reached(outage_ms)
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -45,13 +45,18 @@
 
 
 @dataclass(frozen=True)
-class StoreRecovered(Event):
-    """The store is available again after an outage."""
+class StoreReached(Event):
+    """The store answers this VM, for the first time or again after calls that failed."""
 
-    #: Time between the last response before the outage and the first one after it.
+    #: Time from the last answer before the failures to this one; 0 if no call failed.
     outage_ms: int = 0
 
 
+@dataclass(frozen=True)
+class StoreLost(Event):
+    """A call to the store failed."""
+
+
 @dataclass(frozen=True)
 class UpstreamReconnected(Event):
     """A connection probe to an unreachable upstream succeeded."""
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -149,6 +149,9 @@
     unreachable: frozenset[str] = frozenset()
     #: Limits of requests that upstreams stated recently, and ends of such limits.
     limits: tuple[LimitReport, ...] = ()
+    #: For how long the store has answered the VM without a failure; None while it does not, or if
+    #: the VM does not say.
+    store_contact_ms: int | None = None
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy with the given value of ``strained``."""
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -4,11 +4,6 @@
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.site import RegisteredUpstream, SiteView
 
-#: An upstream's registration lapses if the upstream cannot renew it during an outage of the store.
-#: Upstreams with lapsed registrations are retained for this time after the outage; by then those
-#: that are running have registered again.
-_LAPSED_RETENTION_MS = 2_300
-
 
 class ViewTable(Table[str, SiteView]):
     """Holds this VM's current view: its copy of all documents in the store."""
@@ -18,7 +13,8 @@
     def __init__(self) -> None:
         super().__init__()
         self._lapsed: dict[str, RegisteredUpstream] = {}
-        self._lapsed_until_ms = 0
+        self._retained_until_ms = 0
+        self._store_contact_since_ms: int | None = None
 
     def current(self) -> SiteView:
         """Return the current view; it is empty until one is received from the store or a peer."""
@@ -30,7 +26,7 @@
         if view.revision <= previous.revision:
             return False
         self.put(self._CURRENT, view)
-        if now_ms < self._lapsed_until_ms:
+        if self.retains_lapsed(now_ms):
             self._lapsed.update(
                 (name, upstream)
                 for name, upstream in previous.upstreams.items()
@@ -38,10 +34,37 @@
             )
         return True
 
-    def record_store_recovery(self, now_ms: int) -> None:
-        """Start to retain upstreams whose registrations may have lapsed during an outage."""
+    def record_store_reached(self, now_ms: int) -> None:
+        """Record that the store answers from now on."""
+        self._store_contact_since_ms = now_ms
+
+    def record_store_lost(self) -> None:
+        """Record that the store does not answer."""
+        self._store_contact_since_ms = None
+
+    def store_contact_ms(self, now_ms: int) -> int | None:
+        """Return for how long the store has answered without a failure; None if it does not."""
+        since_ms = self._store_contact_since_ms
+        return None if since_ms is None else now_ms - since_ms
+
+    def retain_lapsed(self, until_ms: int) -> None:
+        """Use upstreams until then that lose their registrations from now on.
+
+        A registration lapses if the upstream cannot renew it during an outage of the store.
+        """
+        self._lapsed.clear()
+        self._retained_until_ms = until_ms
+
+    def retains_lapsed(self, now_ms: int) -> bool:
+        """Return whether upstreams that are not registered may still be used."""
+        return now_ms < self._retained_until_ms
+
+    def drop_lapsed(self, now_ms: int) -> set[str]:
+        """Use only registered upstreams from now on; return the names of those dropped."""
+        dropped = self.retained_names(now_ms)
         self._lapsed.clear()
-        self._lapsed_until_ms = now_ms + _LAPSED_RETENTION_MS
+        self._retained_until_ms = 0
+        return dropped
 
     def serving_upstreams(self, service: str, now_ms: int) -> list[RegisteredUpstream]:
         """Return the upstreams of a service that may receive new requests."""
@@ -60,7 +83,7 @@
 
     def retained_names(self, now_ms: int) -> set[str]:
         """Return the names of the upstreams that are used although they are not registered."""
-        if now_ms >= self._lapsed_until_ms:
+        if not self.retains_lapsed(now_ms):
             return set()
         return self._lapsed.keys() - self.current().upstreams.keys()
 
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -198,6 +198,7 @@
             quarantined=tuple(quarantine.rows()),
             unreachable=self._unreachable_upstreams(),
             limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
+            store_contact_ms=self.board.read(ViewTable).store_contact_ms(self._sent_at_ms),
         )
 
     def _unreachable_upstreams(self) -> frozenset[str]:
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -4,8 +4,10 @@
 from azureturn.gateway.decisions._actions import LogRetainedUpstreams
 from azureturn.gateway.decisions._events import (
     GatewayStarted,
+    PeerReportReceived,
     PlacementRequested,
-    StoreRecovered,
+    StoreLost,
+    StoreReached,
     ViewChanged,
 )
 from azureturn.gateway.decisions._peers import PeerTable
@@ -16,6 +18,11 @@
     gateway_controller,
 )
 
+#: Time after the return of the store in which upstreams that run have renewed registrations that
+#: lapsed during an outage.
+_RENEWAL_MS = 2_000
+#: How long before the end of its drain an upstream that has left must have got its last request.
+_DRAIN_MARGIN_MS = 200
 #: Number of upstreams that are no longer registered but whose state is retained, in case they
 #: register again.
 _REMOVED_UPSTREAMS_LIMIT = 32
@@ -39,10 +46,35 @@
         peers.started_at_ms = context.now_ms
         peers.started_unix_ms = event.unix_ms
 
-    @on(StoreRecovered)
-    def _on_store_recovered(self, event: StoreRecovered, context: Context) -> None:
-        self.board.write(ViewTable).record_store_recovery(context.now_ms)
+    @on(StoreReached)
+    def _on_store_reached(self, event: StoreReached, context: Context) -> None:
+        views = self.board.write(ViewTable)
+        views.record_store_reached(context.now_ms)
         self._outage_ms = event.outage_ms
+        if event.outage_ms:
+            # A missing upstream may also have left, so it is used for no longer than it drains.
+            retention_ms = min(_RENEWAL_MS, self.settings.bounds.drain_ms - _DRAIN_MARGIN_MS)
+            views.retain_lapsed(context.now_ms + retention_ms)
+
+    @on(StoreLost)
+    def _on_store_lost(self, event: StoreLost, context: Context) -> None:
+        self.board.write(ViewTable).record_store_lost()
+
+    @on(PeerReportReceived)
+    def _on_peer_report(self, event: PeerReportReceived, context: Context) -> None:
+        """Drop upstreams that are not registered if the store has answered a peer for long.
+
+        Either only this VM was out of the store's reach, so that no registration lapsed, or all
+        that did have been renewed since.
+        """
+        views = self.board.write(ViewTable)
+        if not views.retains_lapsed(context.now_ms):
+            return
+        if (event.report.store_contact_ms or 0) >= _RENEWAL_MS:
+            dropped = views.drop_lapsed(context.now_ms)
+            if dropped:
+                names = tuple(sorted(dropped))
+                context.act(LogRetainedUpstreams(names, self._outage_ms, "dropped"))
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -193,6 +193,7 @@
         bounds = GatewayBounds(
             stop_limit_ms=8_000,
             contact_ms=3_000,
+            drain_ms=2_000,
             retry=RetryBounds(ratio=0.2, slack=8),
             allotment=AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=0),
             move=MoveBounds(share=0.1),
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -31,7 +31,8 @@
     ReturnLastResult,
     SendAttempt,
     SendReport,
-    StoreRecovered,
+    StoreLost,
+    StoreReached,
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
@@ -262,12 +263,14 @@
     def cut_off_from_store(self, *vms: int) -> None:
         """Let VMs receive no changes of the store, until they are reconnected."""
         self.vms_without_store.update(vms)
+        for number in vms:
+            self._handle(number, StoreLost())
 
     def reconnect_to_store(self, *vms: int) -> None:
         """Let VMs that were cut off from the store read it again."""
         self.vms_without_store.difference_update(vms)
         for number in vms:
-            self._handle(number, StoreRecovered(_STORE_OUTAGE_MS))
+            self._handle(number, StoreReached(_STORE_OUTAGE_MS))
             self._handle(number, ViewChanged(self._view()))
 
     def unregister(self, engine_name: str) -> None:
@@ -317,7 +320,7 @@
         return [row for row in self.arrivals if row.digest == digest]
 
     def _new_vm(self, number: int, *, is_first_start: bool = True) -> GatewayCoreHarness:
-        return GatewayCoreHarness(
+        vm = GatewayCoreHarness(
             self._view(),
             is_first_start=is_first_start,
             vm_name=f"vm-{number}",
@@ -325,6 +328,8 @@
             seed=self._random.getrandbits(32),
             availability_zone=self._zones[number % len(self._zones)],
         )
+        vm.handle_event(StoreReached())
+        return vm
 
     def _view(self) -> SiteView:
         service = "desk" if self._is_plain else "models"
--- a/azureturn/gateway/decisions/tests/test_placement.py
+++ b/azureturn/gateway/decisions/tests/test_placement.py
@@ -15,7 +15,8 @@
     RequestClosed,
     SendAttempt,
     SendReport,
-    StoreRecovered,
+    StoreLost,
+    StoreReached,
     UpstreamReconnected,
     ViewChanged,
 )
@@ -135,13 +136,13 @@
 
 
 @pytest.mark.parametrize(
-    ("after_ms", "serves"), [(100, True), (2_200, True), (2_400, False)], ids=str
+    ("after_ms", "serves"), [(100, True), (1_750, True), (1_900, False)], ids=str
 )
 def test_upstreams_whose_registrations_lapsed_in_an_outage_are_retained_temporarily(
     after_ms: int, serves: bool
 ) -> None:
     harness = GatewayCoreHarness(view(upstream("u1")))
-    harness.handle_event(StoreRecovered())
+    harness.handle_event(StoreReached(outage_ms=4_000))
     harness.handle_event(ViewChanged(view(revision=11)))
     harness.now_ms += after_ms
     assert bool(_sent_to(harness.submit_request("r1"))) is serves
@@ -149,11 +150,37 @@
 
 def test_upstreams_that_are_retained_after_an_outage_are_logged() -> None:
     harness = GatewayCoreHarness(view(upstream("u1"), upstream("u2")))
-    harness.handle_event(StoreRecovered(outage_ms=4_000))
+    harness.handle_event(StoreReached(outage_ms=4_000))
     actions = harness.handle_event(ViewChanged(view(upstream("u2"), revision=11)))
     assert LogRetainedUpstreams(("u1",), 4_000, "retained") in actions
 
 
+@pytest.mark.parametrize(
+    ("contact_ms", "serves"),
+    [(None, True), (1_900, True), (2_000, False), (60_000, False)],
+    ids=["peer does not say", "shorter than a renewal", "as long as a renewal", "longer"],
+)
+def test_lapsed_upstreams_are_dropped_once_the_store_has_answered_a_peer_for_long(
+    contact_ms: int | None, serves: bool
+) -> None:
+    harness = GatewayCoreHarness(view(upstream("u1")))
+    harness.handle_event(StoreReached(outage_ms=4_000))
+    harness.handle_event(ViewChanged(view(revision=11)))
+    harness.handle_event(PeerReportReceived(peer_report("vm-2", store_contact_ms=contact_ms)))
+    assert bool(_sent_to(harness.submit_request("r1"))) is serves
+
+
+def test_a_report_says_for_how_long_the_store_has_answered() -> None:
+    harness = GatewayCoreHarness(view(upstream("u1")))
+    reported = []
+    for event in (None, StoreReached(), StoreLost(), StoreReached(outage_ms=500)):
+        if event is not None:
+            harness.handle_event(event)
+        (report,) = of_type(harness.tick(harness.now_ms + 200), SendReport)
+        reported.append(report.report.store_contact_ms)  # type: ignore[attr-defined]
+    assert reported == [None, 200, None, 200]
+
+
 def test_upstream_whose_registration_lapses_without_an_outage_is_dropped() -> None:
     harness = GatewayCoreHarness(view(upstream("u1")))
     harness.handle_event(ViewChanged(view(revision=11)))
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -66,6 +66,7 @@
             LimitReport(("u2", 0), StatedLimits(), 30),
         ),
         quarantined=(QuarantinedTraits(frozenset({"p"}), 1_780_000_000_000),),
+        store_contact_ms=70_000,
     )
     data = encode_struct(report_to_wire(report))
     assert report_from_wire(decode_struct(GatewayReport, data)) == report
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -91,6 +91,8 @@
     stop_limit_ms: int
     #: Time that a VM has after its connections broke before the bounds on its knowledge apply.
     contact_ms: int
+    #: Shortest time for which an upstream goes on serving after it has said that it leaves.
+    drain_ms: int
     retry: RetryBounds
     allotment: AllotmentBounds
     move: MoveBounds
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -349,6 +349,8 @@
   20: list<LimitSeen> limits,
   // Names of the upstreams that the sender cannot connect to.
   21: list<string> unreachable,
+  // For how long the store has answered the sender without a failure; absent while it does not.
+  22: optional i64 store_contact_ms,
 }
 
 // The first message on a relayed connection: the upstream that the peer is to connect to.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -4469,6 +4469,7 @@
      - quarantined
      - limits
      - unreachable
+     - store_contact_ms
 
     """
 
@@ -4493,10 +4494,11 @@
         'quarantined',
         'limits',
         'unreachable',
+        'store_contact_ms',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4517,6 +4519,7 @@
         self.quarantined = quarantined
         self.limits = limits
         self.unreachable = unreachable
+        self.store_contact_ms = store_contact_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4698,6 +4701,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I64:
+                    self.store_contact_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4824,6 +4832,10 @@
                 oprot.writeString(iter209.encode('utf-8') if sys.version_info[0] == 2 else iter209)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_contact_ms is not None:
+            oprot.writeFieldBegin('store_contact_ms', TType.I64, 22)
+            oprot.writeI64(self.store_contact_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5467,6 +5479,7 @@
     (19, TType.LIST, 'quarantined', (TType.STRUCT, [QuarantineSeen, None], False), None, ),  # 19
     (20, TType.LIST, 'limits', (TType.STRUCT, [LimitSeen, None], False), None, ),  # 20
     (21, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 21
+    (22, TType.I64, 'store_contact_ms', None, None, ),  # 22
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
