A VM that three upstreams in a row fail takes its paths for the cause, and uses its peers

Cause: a VM learnt upstream by upstream that it reaches none. With dozens of upstreams and two requests a second most are untried during the whole cut; each request fails twice directly, and then through a peer of the zone that is cut off too and has not said so of this upstream.

Ruled out: too few peers (30 others).

Change: upstreams that fail one after another, with no response from any in between, are counted; from three on a VM reports all as unreachable at once and sends through peers, until one responds.

--- a/azureturn/gateway/decisions/controllers/_paths.py
+++ b/azureturn/gateway/decisions/controllers/_paths.py
@@ -1,4 +1,4 @@
-"""Watches whether upstreams respond over this VM's own connections."""
+"""Watches whether upstreams can be connected, and respond, over this VM's own connections."""
 
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import LogSilentUpstreams
@@ -6,10 +6,13 @@
     AttemptEnded,
     AttemptResult,
     FirstEventReceived,
+    ReportRequested,
+    UpstreamConnectionFailed,
     UpstreamReconnected,
 )
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
+from azureturn.gateway.decisions._tables import ViewTable
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
@@ -28,7 +31,7 @@
 class PathController(GatewayController):
     """Notices when nothing is heard from upstreams any more, although requests wait for them."""
 
-    reads = (GatewayRequestTable, PeerTable)
+    reads = (GatewayRequestTable, PeerTable, ViewTable)
     writes = (UpstreamPathTable,)
 
     _checked_at_ms = 0
@@ -40,8 +43,17 @@
 
     @on(AttemptEnded)
     def _on_attempt_ended(self, event: AttemptEnded, context: Context) -> None:
-        if event.result in _RESPONSES and self._direct_attempt(event.request_id) is not None:
+        request = self._direct_attempt(event.request_id)
+        if request is None:
+            return
+        if event.result in _RESPONSES:
             self.board.write(UpstreamPathTable).record_heard(context.now_ms)
+        elif event.result is AttemptResult.UNREACHABLE:
+            self._record_failure(request.upstream, context)
+
+    @on(UpstreamConnectionFailed)
+    def _on_connection_failed(self, event: UpstreamConnectionFailed, context: Context) -> None:
+        self._record_failure(event.run[0], context)
 
     @on(UpstreamReconnected)
     def _on_upstream_reconnected(self, event: UpstreamReconnected, context: Context) -> None:
@@ -65,6 +77,15 @@
             live_peers = len(self.board.read(PeerTable).live_peers(context.now_ms))
             context.act(LogSilentUpstreams(len(waiting), len(upstreams), silent_ms, live_peers))
 
+    def _record_failure(self, upstream: str, context: Context) -> None:
+        paths = self.board.write(UpstreamPathTable)
+        upstream_count = len(self.board.read(ViewTable).current().upstreams)
+        was_isolated = paths.is_isolated(upstream_count)
+        paths.put(upstream, context.now_ms)
+        if paths.is_isolated(upstream_count) and not was_isolated:
+            # Peers that are cut off too must not be asked to relay.
+            context.post(ReportRequested())
+
     def _direct_attempt(self, request_id: str) -> GatewayRequest | None:
         """Return the request if its current attempt is not relayed."""
         request = self.board.read(GatewayRequestTable).get(request_id)
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -18,6 +18,7 @@
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Relay
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
+from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
@@ -40,7 +41,7 @@
 class PlacementController(GatewayController):
     """Places requests of the most urgent tier first, each on the upstream of least cost."""
 
-    reads = (ViewTable, PeerTable, MoveTable)
+    reads = (ViewTable, PeerTable, MoveTable, UpstreamPathTable)
     writes = (
         GatewayRequestTable,
         GatewayQueueTable,
@@ -50,7 +51,7 @@
         AllotmentTable,
         RequestLimitTable,
     )
-    after = ("admission", "attempts", "request_limits")
+    after = ("admission", "attempts", "request_limits", "paths")
 
     @on(PlacementRequested)
     def _on_requested(self, event: PlacementRequested, context: Context) -> None:
@@ -66,7 +67,10 @@
         A request for which no upstream has capacity blocks all requests behind it. One that only
         has to avoid a long pause of running answers does not: the next one is tried.
         """
-        snapshots = _Snapshots(lambda relayed: self._snapshot(service, context, relayed=relayed))
+        snapshots = _Snapshots(
+            lambda relayed: self._snapshot(service, context, relayed=relayed),
+            is_isolated=self._is_isolated(),
+        )
         if not snapshots.have_capacity:
             return False
         for rank in queue.waiting_ranks():
@@ -163,6 +167,11 @@
             now_ms=context.now_ms,
         )
 
+    def _is_isolated(self) -> bool:
+        """Return whether this VM is to be taken for cut off from all upstreams."""
+        upstream_count = len(self.board.read(ViewTable).current().upstreams)
+        return self.board.read(UpstreamPathTable).is_isolated(upstream_count)
+
     def _partitioned_zones(self, now_ms: int) -> frozenset[str]:
         """Return the zones of which no VM is live and no upstream is reachable.
 
@@ -272,11 +281,13 @@
 class _Snapshots:
     """The upstreams that a request can be sent to: directly, or through peers.
 
-    Each snapshot is made when it is needed, which for the one through peers is seldom.
+    Each snapshot is made when it is needed, which for the one through peers is seldom. A VM that is
+    isolated prefers its peers, also for upstreams that it has not tried.
     """
 
-    def __init__(self, make: Callable[[bool], PlacementSnapshot]) -> None:
+    def __init__(self, make: Callable[[bool], PlacementSnapshot], *, is_isolated: bool) -> None:
         self._make = make
+        self._is_isolated = is_isolated
         self._direct = make(False)
         self._relayed: PlacementSnapshot | None = None
 
@@ -284,11 +295,16 @@
     def have_capacity(self) -> bool:
         """Return whether an upstream may have capacity for a request of the most urgent tier."""
         direct = self._direct.upstreams
-        return not direct or any(upstream.urgent_capacity_left > 0 for upstream in direct)
+        if not direct or self._is_isolated:
+            return True
+        return any(upstream.urgent_capacity_left > 0 for upstream in direct)
 
     def of(self, request: GatewayRequest) -> PlacementSnapshot:
         """Return the snapshot for a request."""
-        if self._direct.upstreams and request.failed_connections < _RELAY_AFTER_FAILED_CONNECTIONS:
+        prefers_direct = (
+            not self._is_isolated and request.failed_connections < _RELAY_AFTER_FAILED_CONNECTIONS
+        )
+        if self._direct.upstreams and prefers_direct:
             return self._direct
         if self._relayed is None:
             self._relayed = self._make(True)
--- a/azureturn/gateway/decisions/controllers/_reachability.py
+++ b/azureturn/gateway/decisions/controllers/_reachability.py
@@ -6,6 +6,7 @@
 from azureturn.gateway.decisions._actions import LogReachability
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._tables import ViewTable
+from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
@@ -19,7 +20,7 @@
 class ReachabilityController(GatewayController):
     """Compares the upstreams of each service that this VM can connect to with all of them."""
 
-    reads = (ViewTable, UpstreamStateTable, PeerTable)
+    reads = (ViewTable, UpstreamStateTable, PeerTable, UpstreamPathTable)
     after = ("attempts",)
 
     _checked_at_ms = 0
@@ -32,8 +33,11 @@
         self._checked_at_ms = context.now_ms
         states = self.board.read(UpstreamStateTable)
         reachable: defaultdict[str, list[bool]] = defaultdict(list)
-        for upstream in self.board.read(ViewTable).current().upstreams.values():
-            reachable[upstream.service].append(not states.is_unreachable(upstream.run))
+        upstreams = self.board.read(ViewTable).current().upstreams
+        is_isolated = self.board.read(UpstreamPathTable).is_isolated(len(upstreams))
+        for upstream in upstreams.values():
+            is_unreachable = is_isolated or states.is_unreachable(upstream.run)
+            reachable[upstream.service].append(not is_unreachable)
         unreachable = frozenset(service for service, row in reachable.items() if not any(row))
         for service in sorted(unreachable ^ self._unreachable_services):
             live_peers = len(self.board.read(PeerTable).live_peers(context.now_ms))
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -30,6 +30,7 @@
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
+from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import view_lag_limit_ms
 from azureturn.gateway.decisions.controllers._registry import (
@@ -59,6 +60,7 @@
         CrashTable,
         QuarantineTable,
         RequestLimitTable,
+        UpstreamPathTable,
     )
     writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable)
     after = ("views", "moves")
@@ -203,9 +205,11 @@
 
     def _unreachable_upstreams(self) -> frozenset[str]:
         states = self.board.read(UpstreamStateTable)
-        upstreams = self.board.read(ViewTable).current().upstreams.values()
+        upstreams = self.board.read(ViewTable).current().upstreams
+        if self.board.read(UpstreamPathTable).is_isolated(len(upstreams)):
+            return frozenset(upstreams)
         return frozenset(
-            upstream.name for upstream in upstreams if states.is_unreachable(upstream.run)
+            name for name, upstream in upstreams.items() if states.is_unreachable(upstream.run)
         )
 
     def _waiting(self) -> dict[str, QueueReport]:
