A VM that hears nothing from upstreams asks some for their status, and uses peers if none responds

Cause: only a connection that fails made an upstream unreachable. On a path that lets connections open and holds responses back, every upstream stayed reachable, and no peer was asked.

Evidence: the eight tests of silent paths failed before (none in 100 served), pass now; so does the one of a whole zone. With two gateways and real connections on which nothing comes back the end-to-end test of relays passes too. Ruled out: slow upstreams (peers get responses from the same ones).

Change: if requests wait and nothing has been heard over direct connections for 0.6 s, three upstreams are asked for their status (an engine's report needs no slot); one that does not respond in 0.4 s counts as failed, and is unreachable until it does.

--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -1,26 +1,30 @@
-"""Checks whether upstreams accept connections."""
+"""Checks whether upstreams accept connections and respond."""
 
 from contextlib import suppress
 
-from azureturn.errors import UpstreamUnreachableError
+from azureturn.errors import UpstreamError, UpstreamUnreachableError
+from azureturn.framework import Event
 from azureturn.gateway.daemon._threads import run_forever
 from azureturn.gateway.decisions import (
     ProbeConnection,
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
+    UpstreamSilent,
 )
-from azureturn.gateway.exchange import UpstreamConnector
+from azureturn.gateway.exchange import UpstreamConnector, request_status
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
 from azureturn.tasks import Mailbox, MailboxFullError, TaskLoop
 
 _TASKS = 4
 _QUEUE_LIMIT = 32
+#: How long an upstream may take to report its status.
+_STATUS_TIMEOUT_MS = 400
 
 
 class ConnectionProbes:
-    """Tasks that open and close a connection to an upstream, without risking a request on it."""
+    """Tasks that connect to upstreams, and ask for their status, without risking a request."""
 
     def __init__(
         self, runtime: CoreRuntime, connector: UpstreamConnector, log: EventLog, loop: TaskLoop
@@ -43,22 +47,33 @@
 
     def _probe_forever(self) -> None:
         while True:
-            action = self._queue.get()
-            upstream = action.upstream
-            relay_host = action.relay.host if action.relay else ""
-            try:
-                connection = self._connector.connect(upstream, relay_host)
-            except UpstreamUnreachableError as error:
-                if isinstance(error.__cause__, ConnectionRefusedError):
-                    if action.after_broken_answer:
-                        self._log.info(LogEvent.UPSTREAM_ENDED, upstream=upstream.name)
-                    self._runtime.submit(UpstreamProcessEnded(upstream.run))
-                elif not relay_host:
-                    self._runtime.submit(UpstreamConnectionFailed(upstream.run))
-                continue
+            event = self._probe(self._queue.get())
+            if event is not None:
+                self._runtime.submit(event)
+
+    def _probe(self, action: ProbeConnection) -> Event | None:
+        """Make one probe; return what it shows, or None if that is nothing."""
+        upstream = action.upstream
+        relay_host = action.relay.host if action.relay else ""
+        try:
+            connection = self._connector.connect(upstream, relay_host)
+        except UpstreamUnreachableError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                if action.after_broken_answer:
+                    self._log.info(LogEvent.UPSTREAM_ENDED, upstream=upstream.name)
+                return UpstreamProcessEnded(upstream.run)
+            return None if relay_host else UpstreamConnectionFailed(upstream.run)
+        try:
+            if action.status_path:
+                request_status(
+                    connection, upstream, action.status_path, timeout_ms=_STATUS_TIMEOUT_MS
+                )
+        except (TimeoutError, UpstreamError):
+            return UpstreamSilent(upstream.run)
+        finally:
             connection.close()
-            if relay_host:
-                continue
-            if not action.after_broken_answer:
-                self._log.info(LogEvent.UPSTREAM_REACHED, upstream=upstream.name)
-            self._runtime.submit(UpstreamReconnected(upstream.name))
+        if relay_host:
+            return None
+        if not action.after_broken_answer:
+            self._log.info(LogEvent.UPSTREAM_REACHED, upstream=upstream.name)
+        return UpstreamReconnected(upstream.name, has_responded=bool(action.status_path))
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -31,6 +31,7 @@
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
+    UpstreamSilent,
     ViewChanged,
     VmLeaving,
 )
@@ -92,6 +93,7 @@
     "UpstreamConnectionFailed",
     "UpstreamProcessEnded",
     "UpstreamReconnected",
+    "UpstreamSilent",
     "UpstreamState",
     "UpstreamStateTable",
     "StreamPace",
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -152,11 +152,12 @@
 
 @dataclass(frozen=True)
 class ProbeConnection(Action):
-    """Try to connect to an upstream.
+    """Try to connect to an upstream, and ask it for its status if ``status_path`` is not empty.
 
     A success is reported by :class:`UpstreamReconnected`, a refused connection by
-    :class:`UpstreamProcessEnded`, and another failure by :class:`UpstreamConnectionFailed`. Through
-    a relay, only a refused connection is reported.
+    :class:`UpstreamProcessEnded`, another failure to connect by :class:`UpstreamConnectionFailed`,
+    and a missing response by :class:`UpstreamSilent`. Through a relay, only a refused connection is
+    reported.
     """
 
     upstream: RegisteredUpstream
@@ -164,3 +165,5 @@
     after_broken_answer: bool = False
     #: The peer that relays the connection; None for a direct connection.
     relay: Relay | None = None
+    #: Path of the upstream's status page; empty if connecting is enough.
+    status_path: str = ""
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -59,9 +59,18 @@
 
 @dataclass(frozen=True)
 class UpstreamReconnected(Event):
-    """A connection probe to an unreachable upstream succeeded."""
+    """A probe of an upstream over a direct connection succeeded."""
 
     upstream: str
+    #: Whether it responded to a request for its status, and did not only accept the connection.
+    has_responded: bool = False
+
+
+@dataclass(frozen=True)
+class UpstreamSilent(Event):
+    """An upstream accepted the connection of a probe, but did not respond."""
+
+    run: UpstreamRun
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -36,8 +36,10 @@
     #: Mean time of a plain answer; 0 before the first one.
     answer_ms: float = 0.0
     answered_at_ms: int = 0
-    #: Whether the last attempt to connect to it failed.
+    #: Whether the last attempt to connect to it failed, or it did not respond to a probe.
     is_unreachable: bool = False
+    #: Whether it did not respond to a probe, although it could be connected.
+    is_silent: bool = False
 
     def with_sent(self, pending_tokens: int) -> "UpstreamState":
         """Return a copy with one more request, which has this many tokens to prefill."""
@@ -83,7 +85,11 @@
 
     def with_reachable(self, reachable: bool) -> "UpstreamState":
         """Return a copy that is marked as reachable or unreachable."""
-        return changed(self, is_unreachable=not reachable)
+        return changed(self, is_unreachable=not reachable, is_silent=False)
+
+    def with_silent(self) -> "UpstreamState":
+        """Return a copy that is marked as unreachable until it responds to a probe."""
+        return changed(self, is_unreachable=True, is_silent=True)
 
     def expected_failure_share(self, now_ms: int) -> float:
         """Return the share of answers that are expected to fail; it decays without samples."""
@@ -115,6 +121,11 @@
         return state
 
     def is_unreachable(self, run: UpstreamRun) -> bool:
-        """Return whether the last attempt to connect to a run of an upstream failed."""
+        """Return whether a run of an upstream could not be connected, or did not respond."""
         state = self.get(run[0])
         return state is not None and state.run == run and state.is_unreachable
+
+    def is_silent(self, run: UpstreamRun) -> bool:
+        """Return whether a run of an upstream could be connected, but did not respond."""
+        state = self.get(run[0])
+        return state is not None and state.run == run and state.is_silent
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -12,6 +12,7 @@
     RequestClosed,
     UpstreamConnectionFailed,
     UpstreamReconnected,
+    UpstreamSilent,
 )
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
@@ -109,6 +110,16 @@
             states.put(upstream.name, states.of(event.run).with_reachable(False))
             context.post(ReportRequested())
 
+    @on(UpstreamSilent)
+    def _on_upstream_silent(self, event: UpstreamSilent, context: Context) -> None:
+        upstream = self.board.read(ViewTable).current().upstreams.get(event.run[0])
+        if upstream is None or upstream.run != event.run:
+            return
+        states = self.board.write(UpstreamStateTable)
+        if not states.is_silent(event.run):
+            states.put(upstream.name, states.of(event.run).with_silent())
+            context.post(ReportRequested())
+
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         """Probe unreachable upstreams, so that no request has to be sent to test them."""
@@ -116,9 +127,12 @@
             return
         self._probed_at_ms = context.now_ms
         states = self.board.read(UpstreamStateTable)
-        for upstream in self.board.read(ViewTable).current().upstreams.values():
+        view = self.board.read(ViewTable).current()
+        for upstream in view.upstreams.values():
             if states.is_unreachable(upstream.run):
-                context.act(ProbeConnection(upstream))
+                is_silent = states.is_silent(upstream.run)
+                status_path = view.status_path(upstream.service) if is_silent else ""
+                context.act(ProbeConnection(upstream, status_path=status_path))
 
     @on(RequestClosed)
     def _on_request_closed(self, event: RequestClosed, context: Context) -> None:
--- a/azureturn/gateway/decisions/controllers/_paths.py
+++ b/azureturn/gateway/decisions/controllers/_paths.py
@@ -1,7 +1,7 @@
-"""Watches whether upstreams can be connected, and respond, over this VM's own connections."""
+"""Finds out when this VM hears nothing from upstreams any more over its own connections."""
 
 from azureturn.framework import Context, Tick, on
-from azureturn.gateway.decisions._actions import LogSilentUpstreams
+from azureturn.gateway.decisions._actions import LogSilentUpstreams, ProbeConnection
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
     AttemptResult,
@@ -9,32 +9,42 @@
     ReportRequested,
     UpstreamConnectionFailed,
     UpstreamReconnected,
+    UpstreamSilent,
 )
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import ViewTable
-from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
+from azureturn.gateway.decisions._upstream_paths import ISOLATING_FAILURES, UpstreamPathTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
 )
+from azureturn.gateway.site import RegisteredUpstream
 
-#: Time without any response from an upstream, and age of an attempt that waits for one, after
-#: which the VM's paths to the upstreams are in doubt. Sound upstreams seldom take so long.
-_SILENCE_MS = 800
-_CHECK_INTERVAL_MS = 250
+#: Time without any response, although requests wait for one, after which upstreams are probed.
+#: Some sound upstream nearly always responds earlier.
+_SILENCE_MS = 600
+#: Attempts that end earlier without a response say nothing about the path.
+_MIN_UNANSWERED_MS = 150
+_CHECK_INTERVAL_MS = 100
+_PROBE_INTERVAL_MS = 250
 
 _RESPONSES = (AttemptResult.ANSWERED, AttemptResult.FAILED, AttemptResult.REJECTED)
+_WITHOUT_END = (AttemptResult.SILENT, AttemptResult.ABANDONED)
 
 
 @gateway_controller("paths")
 class PathController(GatewayController):
-    """Notices when nothing is heard from upstreams any more, although requests wait for them."""
+    """Probes upstreams when none responds, and records which ones fail.
+
+    A connection that opens does not show that responses come back, so the probes ask for one.
+    """
 
     reads = (GatewayRequestTable, PeerTable, ViewTable)
     writes = (UpstreamPathTable,)
 
     _checked_at_ms = 0
+    _probed_at_ms = 0
 
     @on(FirstEventReceived)
     def _on_first_event(self, event: FirstEventReceived, context: Context) -> None:
@@ -46,36 +56,60 @@
         request = self._direct_attempt(event.request_id)
         if request is None:
             return
+        paths = self.board.write(UpstreamPathTable)
         if event.result in _RESPONSES:
-            self.board.write(UpstreamPathTable).record_heard(context.now_ms)
+            paths.record_heard(context.now_ms)
         elif event.result is AttemptResult.UNREACHABLE:
             self._record_failure(request.upstream, context)
+        elif event.result in _WITHOUT_END and _is_unanswered(request, context.now_ms):
+            paths.record_unanswered(request.sent_at_ms)
+
+    @on(UpstreamReconnected)
+    def _on_upstream_reconnected(self, event: UpstreamReconnected, context: Context) -> None:
+        paths = self.board.write(UpstreamPathTable)
+        if event.has_responded:
+            paths.record_heard(context.now_ms)
+        else:
+            paths.remove(event.upstream)
 
     @on(UpstreamConnectionFailed)
     def _on_connection_failed(self, event: UpstreamConnectionFailed, context: Context) -> None:
         self._record_failure(event.run[0], context)
 
-    @on(UpstreamReconnected)
-    def _on_upstream_reconnected(self, event: UpstreamReconnected, context: Context) -> None:
-        self.board.write(UpstreamPathTable).record_heard(context.now_ms)
+    @on(UpstreamSilent)
+    def _on_upstream_silent(self, event: UpstreamSilent, context: Context) -> None:
+        self._record_failure(event.run[0], context)
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         if context.now_ms - self._checked_at_ms < _CHECK_INTERVAL_MS:
             return
         self._checked_at_ms = context.now_ms
-        silent_ms = self.board.read(UpstreamPathTable).silent_ms(context.now_ms)
-        if silent_ms < _SILENCE_MS:
+        paths = self.board.write(UpstreamPathTable)
+        if paths.heard_ago_ms(context.now_ms) < _SILENCE_MS or len(paths) >= ISOLATING_FAILURES:
             return
-        waiting = [
-            request
-            for request in self.board.read(GatewayRequestTable).rows()
-            if _waits_for_upstream(request, context.now_ms)
-        ]
-        if waiting:
-            upstreams = {request.upstream for request in waiting}
-            live_peers = len(self.board.read(PeerTable).live_peers(context.now_ms))
-            context.act(LogSilentUpstreams(len(waiting), len(upstreams), silent_ms, live_peers))
+        waiting = self._unanswered_attempts(context.now_ms)
+        for request in waiting:
+            paths.record_unanswered(request.sent_at_ms)
+        if paths.silent_ms(context.now_ms) < _SILENCE_MS:
+            return
+        if context.now_ms - self._probed_at_ms >= _PROBE_INTERVAL_MS:
+            self._probed_at_ms = context.now_ms
+            self._probe(waiting, context)
+
+    def _probe(self, waiting: list[GatewayRequest], context: Context) -> None:
+        """Ask some upstreams for a response, first those that requests wait for."""
+        paths = self.board.read(UpstreamPathTable)
+        live_peers = len(self.board.read(PeerTable).live_peers(context.now_ms))
+        awaited = {request.upstream for request in waiting}
+        silent_ms = paths.silent_ms(context.now_ms)
+        context.act(LogSilentUpstreams(len(waiting), len(awaited), silent_ms, live_peers))
+        view = self.board.read(ViewTable).current()
+        untried = [upstream for name, upstream in view.upstreams.items() if name not in paths]
+        context.random.shuffle(untried)
+        untried.sort(key=lambda upstream: upstream.name not in awaited)
+        for upstream in untried[:ISOLATING_FAILURES]:
+            context.act(ProbeConnection(upstream, status_path=self._status_path(upstream)))
 
     def _record_failure(self, upstream: str, context: Context) -> None:
         paths = self.board.write(UpstreamPathTable)
@@ -86,6 +120,9 @@
             # Peers that are cut off too must not be asked to relay.
             context.post(ReportRequested())
 
+    def _status_path(self, upstream: RegisteredUpstream) -> str:
+        return self.board.read(ViewTable).current().status_path(upstream.service)
+
     def _direct_attempt(self, request_id: str) -> GatewayRequest | None:
         """Return the request if its current attempt is not relayed."""
         request = self.board.read(GatewayRequestTable).get(request_id)
@@ -93,12 +130,17 @@
             return None
         return request
 
+    def _unanswered_attempts(self, now_ms: int) -> list[GatewayRequest]:
+        return [
+            request
+            for request in self.board.read(GatewayRequestTable).rows()
+            if request.stage is Stage.SENT
+            and request.relay is None
+            and _is_unanswered(request, now_ms)
+        ]
+
 
-def _waits_for_upstream(request: GatewayRequest, now_ms: int) -> bool:
-    """Return whether a direct attempt has been without any response for long."""
-    return (
-        request.stage is Stage.SENT
-        and request.relay is None
-        and not request.first_event_at_ms
-        and now_ms - request.sent_at_ms >= _SILENCE_MS
-    )
+def _is_unanswered(request: GatewayRequest, now_ms: int) -> bool:
+    """Return whether the current attempt has waited for a response for a while."""
+    waited_ms = now_ms - request.sent_at_ms
+    return not request.first_event_at_ms and waited_ms >= _MIN_UNANSWERED_MS
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -84,7 +84,10 @@
     return SiteConfiguration(
         version=version,
         routes=(STREAM_ROUTE, BOOKING_ROUTE, STATUS_ROUTE),
-        services=(Service("models", engine=ENGINE), Service("desk")),
+        services=(
+            Service("models", status_path="/status", engine=ENGINE),
+            Service("desk", status_path="/status"),
+        ),
         organisations=(
             Organisation("kuiseb", frozenset({"kuiseb-key"}), allotment=ALLOTMENT),
             Organisation("burdekin", frozenset({"burdekin-key"}), rank=1),
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -36,6 +36,7 @@
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
     UpstreamReconnected,
+    UpstreamSilent,
     ViewChanged,
     WriteQuarantineRecord,
 )
@@ -63,6 +64,7 @@
 _RESTART_MS = 3_000
 _PART_TOKENS = 100
 _CONNECT_TIMEOUT_MS = 150
+_STATUS_TIMEOUT_MS = 400
 #: When a request on a connection that hangs is given up, unless its time is over before.
 _SILENCE_TIMEOUT_MS = 1_600
 _PLAIN_SILENCE_TIMEOUT_MS = 250
@@ -428,9 +430,16 @@
         if cut in (Cut.RESET, Cut.REFUSE_NEW):
             self._handle(number, UpstreamProcessEnded(action.upstream.run))
             return
+        if cut is Cut.SILENT and action.status_path:
+            silent = UpstreamSilent(action.upstream.run)
+            self._after(_STATUS_TIMEOUT_MS, self._handling(number, silent))
+            return
         if self._engines[action.upstream.name].is_up:
             if action.relay is None:
-                self._handle(number, UpstreamReconnected(action.upstream.name))
+                reconnected = UpstreamReconnected(
+                    action.upstream.name, has_responded=bool(action.status_path)
+                )
+                self._handle(number, reconnected)
         else:
             self._handle(number, UpstreamProcessEnded(action.upstream.run))
 
--- a/azureturn/gateway/exchange/__init__.py
+++ b/azureturn/gateway/exchange/__init__.py
@@ -12,6 +12,7 @@
 from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.exchange._server import GatewayServer, StatusPage, StatusServer
 from azureturn.gateway.exchange._services import ExchangeServices
+from azureturn.gateway.exchange._status_request import request_status
 
 __all__ = [
     "CONNECT_TIMEOUT_MS",
@@ -22,4 +23,5 @@
     "StatusServer",
     "UpstreamConnection",
     "UpstreamConnector",
+    "request_status",
 ]
--- a/azureturn/gateway/site/_configuration.py
+++ b/azureturn/gateway/site/_configuration.py
@@ -79,8 +79,8 @@
     """One service: a set of interchangeable upstreams, and their common properties."""
 
     name: str
-    #: Path of its upstreams' health check; empty if they have none.
-    health_path: str = ""
+    #: Path at which its upstreams report their status; empty if they do not.
+    status_path: str = ""
     #: Connections that one upstream accepts from all its clients together.
     connection_limit: int = 0
     #: None for a service that is not a model service.
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -98,6 +98,11 @@
         """Return the revision of the record of quarantined traits; 0 if there is none."""
         return self._revision_of_type(QuarantineRecord)
 
+    def status_path(self, service_name: str) -> str:
+        """Return the path of the status page of a service's upstreams; empty if unknown."""
+        service = None if self.configuration is None else self.configuration.service(service_name)
+        return "" if service is None else service.status_path
+
     def revision_of(self, kind: type[DocumentContent], service: str) -> int:
         """Return the revision of a service's move order or status; 0 if there is none."""
         for stored in self.stored_documents.values():
