One request with a huge number of tokens no longer ends a VM's ticks

What callers could see: a request with X-Token-Count of 3,000,000,000 at an engine that has not begun to answer made each report of the VM fail (OverflowError), in the thread of the core's ticks, which ended with it: no request timed out any more, and the peers took the VM for gone.

Cause: reports hold 32-bit numbers of tokens, headers any number; and an error in an action of a tick ended all ticks.

--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -112,13 +112,21 @@
         """Return a daemon with these settings, not yet started."""
         seed = settings.daemon.random_seed
         core = Core.from_settings(settings, seed=secrets.randbits(64) if seed is None else seed)
-        runtime = CoreRuntime(core, tick_interval_ms=settings.daemon.tick_interval_ms)
+        log = EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name)
+
+        def report_error(error: Exception) -> None:
+            log.error(LogEvent.INTERNAL_ERROR, error=describe_error(error))
+
+        runtime = CoreRuntime(
+            core,
+            tick_interval_ms=settings.daemon.tick_interval_ms,
+            report_error=report_error,
+        )
         boot_id = secrets.token_hex(_BOOT_ID_BYTES)
         runtime.submit(Started(Configuration(0, settings.shared), boot_id))
         signer = EnvelopeSigner(
             settings.daemon.peer_secret, settings.vm.name, clock_s=time.monotonic
         )
-        log = EventLog.from_path(settings.daemon.log_path, vm=settings.vm.name)
         metrics = Metrics.from_settings(settings.daemon)
         context = DaemonContext(
             settings=settings,
--- a/azureturn/daemon/tests/test_accounting.py
+++ b/azureturn/daemon/tests/test_accounting.py
@@ -27,7 +27,9 @@
 
 class AccountingRecorder:
     def __init__(self) -> None:
-        runtime = CoreRuntime(Core.from_settings(SETTINGS, seed=1), tick_interval_ms=1_000)
+        self.errors: list[Exception] = []
+        core = Core.from_settings(SETTINGS, seed=1)
+        runtime = CoreRuntime(core, tick_interval_ms=1_000, report_error=self.errors.append)
         runtime.submit(Started(Configuration(0, SETTINGS.shared)))
         self.stream = io.StringIO()
         log = EventLog(JsonLinesHandler(self.stream), vm="vm-1")
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -74,7 +74,11 @@
         seed = secrets.randbits(64)
         core = Core.from_controllers(GATEWAY_CONTROLLERS, settings, seed=seed)
         self._loop = TaskLoop("task-loop", self._report_task_error)
-        self._runtime = CoreRuntime(core, tick_interval_ms=settings.limits.tick_interval_ms)
+        self._runtime = CoreRuntime(
+            core,
+            tick_interval_ms=settings.limits.tick_interval_ms,
+            report_error=self._report_task_error,
+        )
         self._process_metrics = ProcessMetrics(self._runtime, self._loop)
         self._strain_detector = StrainDetector(self._runtime, log, self._process_metrics.metrics)
         self._view_holder = ViewHolder(self._runtime, adapter.documents, log)
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -29,6 +29,8 @@
     VmAddressSeen,
 )
 
+_MAX_I32 = 2**31 - 1
+
 
 def report_to_wire(report: PeerReport) -> GatewayReport:
     """Return a report as a Thrift struct."""
@@ -40,7 +42,7 @@
         leaving=report.leaving,
         view_revision=report.view_revision,
         work=[
-            UpstreamWork(name, work.requests, work.pending_tokens)
+            UpstreamWork(name, work.requests, min(work.pending_tokens, _MAX_I32))
             for name, work in report.work.items()
         ],
         spent=[
--- a/azureturn/gateway/decisions/tests/test_reports.py
+++ b/azureturn/gateway/decisions/tests/test_reports.py
@@ -72,6 +72,13 @@
     assert report_from_wire(decode_struct(GatewayReport, data)) == report
 
 
+def test_outstanding_work_that_is_too_large_for_a_report_is_reported_as_its_maximum() -> None:
+    report = peer_report("vm-2", work={"u1": OutstandingWork(requests=3, pending_tokens=2**40)})
+    data = encode_struct(report_to_wire(report))
+    work = report_from_wire(decode_struct(GatewayReport, data)).work["u1"]
+    assert work == OutstandingWork(requests=3, pending_tokens=2**31 - 1)
+
+
 def test_an_empty_struct_is_an_empty_report() -> None:
     assert report_from_wire(GatewayReport()).work == {}
 
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -35,8 +35,11 @@
     mailbox. Actions are executed after the lock on the core has been released.
     """
 
-    def __init__(self, core: Core, *, tick_interval_ms: int) -> None:
+    def __init__(
+        self, core: Core, *, tick_interval_ms: int, report_error: Callable[[Exception], None]
+    ) -> None:
         self.core = core
+        self._report_error = report_error
         self._lock = threading.Lock()
         self._mailboxes: dict[str, Mailbox[RequestAction]] = {}
         self._handlers: dict[type[Action], Callable[..., None]] = {}
@@ -118,7 +121,11 @@
         while not self._stopped.wait(self._tick_interval_s):
             tick_lateness_ms = min(_LATENESS_LIMIT_MS, max(0.0, now_ms() - due_at_ms))
             self._lateness_ms += _LATENESS_WEIGHT * (tick_lateness_ms - self._lateness_ms)
-            self.submit(Tick())
+            try:
+                self.submit(Tick())
+            except Exception as error:  # noqa: BLE001
+                # Without ticks no request times out and no peer hears of this VM.
+                self._report_error(error)
             due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
 
 
