On a reused connection a response that names no request is not taken for the current one's

What other operators saw: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that it had run (REFUSED), or the request ran at a second replica (TWICE).

It can happen here if the refusal names no request; one that names the earlier request was skipped.

Change: a response without an id counts only on a connection that carries its first request; on others it is skipped, as one with another id is.

--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -89,6 +89,8 @@
         self._connector = connector
         self._dialect = dialect
         self._connection: UpstreamConnection | None = None
+        #: Whether the connection has carried other requests before.
+        self._is_reused = False
         self._request_id = ""
         self._method = ""
         self._aborted = False
@@ -108,6 +110,7 @@
         have been idle for a short time.
         """
         connection = self._pool.acquire(self._pool_key, unrepeatable=unrepeatable)
+        self._is_reused = connection is not None
         if connection is None:
             timeout_ms = max(1, min(CONNECT_TIMEOUT_MS, ends_at_ms - now_ms()))
             connection = self._connector.connect(
@@ -126,10 +129,15 @@
         connection.send(request, message.body, timeout_ms=ends_at_ms - now_ms())
 
     def read_head(self, *, ends_at_ms: int) -> ResponseHead:
-        """Return the head of the response to this request; skip responses to other requests."""
+        """Return the head of the response to this request; skip responses to other requests.
+
+        On a reused connection a response that names no request may be an extra one to an earlier
+        request.
+        """
+        own_ids = (self._request_id,) if self._is_reused else (self._request_id, "")
         for _ in range(_MAX_RESPONSES_READ):
             head = self._next_head(ends_at_ms)
-            if head.facts.request_id in ("", self._request_id):
+            if head.facts.request_id in own_ids:
                 return head
             self._skip_response(ends_at_ms)
         raise UpstreamError(ErrorKind.ANSWER_MISMATCHED)
--- a/azureturn/gateway/exchange/tests/test_attempt.py
+++ b/azureturn/gateway/exchange/tests/test_attempt.py
@@ -20,7 +20,9 @@
 
 def _response(request_id: str, body: bytes, *, with_length: bool = True) -> bytes:
     length = b"Content-Length: %d\r\n" % len(body) if with_length else b"Connection: close\r\n"
-    head = b"HTTP/1.1 200 OK\r\nRequest: %s\r\nSeal: s\r\n" % request_id.encode()
+    head = b"HTTP/1.1 200 OK\r\nSeal: s\r\n"
+    if request_id:
+        head += b"Request: %s\r\n" % request_id.encode()
     return head + length + b"\r\n" + body
 
 
@@ -77,8 +79,9 @@
     assert client.send("r2") == b"two"
 
 
-def test_a_late_response_to_an_earlier_request_is_skipped() -> None:
-    late_and_own_response = _response("r1", b"one") + _response("r2", b"two")
+@pytest.mark.parametrize("named", ["r1", ""], ids=["names it", "names no request"])
+def test_a_late_response_to_an_earlier_request_is_skipped(named: str) -> None:
+    late_and_own_response = _response(named, b"one") + _response("r2", b"two")
     client = _AttemptClient(
         respond_with(_response("r1", b"one")), respond_with(late_and_own_response)
     )
