An error after a response has begun cuts it, instead of writing a refusal into it

What other operators saw: after a stream broke off and the next replica answered with an error, clients found the error's text, at times its whole head, in their stream, or it ended as if complete (ORDER, MIXED).

But an error of azureturn's own between two attempts did: its head and body were written as parts of the stream, which then ended with the last chunk.

By reading no decision raises one there today.

Change: once a response has begun, any error of azureturn aborts it, so that it looks incomplete.

--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -101,6 +101,10 @@
         except ExchangeAbortedError:
             raise
         except AzureturnError as error:
+            if self._caller.response_started:
+                # A refusal would become part of the response.
+                self._outcome, self._detail = "cut", error.message
+                raise ExchangeAbortedError(error.kind.value) from error
             self._refuse(error)
         finally:
             result = ExchangeResult(
