A request that was given up is not delivered later by the operating system

What users could see: a request that reached an upstream long after its VM had given it up, and after the upstream had said that it leaves (DRAIN) or its caller had gone (GONE).

Cause: connections were closed in order, so that bytes which a cut had held up were sent when the path was back; a relay closed the upstream's connection in order as well when the peer's was reset.

Evidence: test_a_request_that_was_given_up_does_not_arrive_later and test_a_reset_by_the_peer_resets_the_upstreams_connection failed before.

Change: a connection whose response is not complete is reset, and a relay passes resets on both ways.

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from azureturn._socket_options import RESET_AT_CLOSE
 from azureturn.errors import ErrorKind, UpstreamError
 from azureturn.gateway.exchange._body_budget import BodyBudget
 from azureturn.gateway.site import UpstreamRun
@@ -26,6 +27,8 @@
 _MAX_IDLE_UNREPEATABLE_MS = 400
 _HEADER_LIMIT_BYTES = 65_536
 _MAX_BUFFERED_BYTES = 32 << 20
+#: States of the upstream's side in which no response is awaited.
+_NOTHING_AWAITED = (h11.IDLE, h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 #: Timeout for opening a connection.
 CONNECT_TIMEOUT_MS = 150
 
@@ -96,8 +99,14 @@
             self._socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Close the connection, which tells the upstream that its response is not awaited."""
+        """Close the connection, which tells the upstream that its response is not awaited.
+
+        Without a complete response the connection is reset. A request that was held up on its way
+        would otherwise still arrive, long after it was given up.
+        """
         with suppress(OSError):
+            if self._http.their_state not in _NOTHING_AWAITED:
+                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             self._socket.close()
 
     def is_reusable(self) -> bool:
--- a/azureturn/gateway/exchange/tests/test_attempt.py
+++ b/azureturn/gateway/exchange/tests/test_attempt.py
@@ -1,5 +1,7 @@
 """Tests of :class:`Attempt` against correct and faulty upstreams."""
 
+import socket
+
 import pytest
 
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
@@ -16,6 +18,7 @@
 from azureturn.serving import now_ms
 
 _WAIT_MS = 2_000
+_SHORT_WAIT_MS = 100
 
 
 def _response(request_id: str, body: bytes, *, with_length: bool = True) -> bytes:
@@ -146,3 +149,20 @@
     )
     assert client.send("r1", method="POST") == b"early"
     assert client.send("r2") == b"two"
+
+
+def test_a_request_that_was_given_up_does_not_arrive_later() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        port = listener.getsockname()[1]
+        upstream = RegisteredUpstream("u", "s", "127.0.0.1", port, "a", "v1", slots=4)
+        attempt = Attempt(upstream, ConnectionPool(), UpstreamConnector(), PlainDialect())
+        request = UpstreamRequest("POST", "/", (("Host", "a"),), bytes(1 << 16), "r1")
+        with pytest.raises((UpstreamError, TimeoutError)):
+            attempt.send(request, unrepeatable=True, ends_at_ms=now_ms() + _SHORT_WAIT_MS)
+            attempt.read_head(ends_at_ms=now_ms() + _SHORT_WAIT_MS)
+        attempt.close()
+        connection, _ = listener.accept()
+        with connection, pytest.raises(ConnectionResetError):
+            while connection.recv(65_536):
+                pass
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -151,8 +151,8 @@
 def _pass_on(peer: socket.socket, upstream: socket.socket) -> None:
     """Pass bytes on in both directions until one side ends the connection.
 
-    If the upstream's connection is reset, so is the peer's, since an orderly end could make an
-    incomplete response look complete.
+    If either connection is reset, so is the other. An orderly end could make an incomplete response
+    look complete, and would deliver a request that the peer has given up.
     """
     directions = {peer.fileno(): (peer, upstream), upstream.fileno(): (upstream, peer)}
     try:
@@ -169,6 +169,7 @@
                 send_all(destination, data, _WRITE_TIMEOUT_S)
     except OSError:
         # A reset of either side, or a side that reads nothing more.
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        for connection in (peer, upstream):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
     finally:
         upstream.close()
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -58,6 +58,8 @@
         )
         #: Set when the upstream's side of a connection has ended.
         self.ended = threading.Event()
+        #: Whether it ended with a reset.
+        self.was_reset = False
         self.failures: list[tuple[UpstreamRun, bool]] = []
         with socket.create_server((_HOST, 0)) as probe:
             self._port = probe.getsockname()[1]
@@ -97,7 +99,10 @@
             except OSError:
                 return
             with connection:
-                self._behaviour(connection)
+                try:
+                    self._behaviour(connection)
+                except ConnectionResetError:
+                    self.was_reset = True
             self.ended.set()
 
 
@@ -132,6 +137,17 @@
     assert site.ended.wait(_TIMEOUT_MS / 1_000)
 
 
+def test_a_reset_by_the_peer_resets_the_upstreams_connection(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    site = sites(_echo)
+    connection = site.connect()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+    assert site.ended.wait(_TIMEOUT_MS / 1_000)
+    assert site.was_reset
+
+
 def test_parts_are_passed_on_without_waiting_for_more(
     sites: Callable[[_Behaviour], _Site],
 ) -> None:
