A VM relays no new connection to an upstream that it knows to leave

What users could see: a request at an upstream that the relaying VM had read to be leaving, sent on for a peer whose view is older (DRAIN). Before, a relay asked only whether the upstream is registered.

Evidence: test_a_request_is_denied[leaving upstream] failed before. The peer takes the denial for a failed connection and tries another upstream.

--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -113,9 +113,8 @@
         _set_options(connection)
         request = receive_message(connection, RelayRequest, _REQUEST_TIMEOUT_S)
         upstream = self._find_upstream(request.upstream or "")
-        is_known = upstream is not None and upstream.run[1] == request.started_unix_ms
         upstream_connection = None
-        if upstream is None or not is_known or not self._may_relay(request):
+        if upstream is None or not _may_connect(upstream, request) or not self._may_relay(request):
             outcome = RelayOutcome.DENIED
         else:
             outcome, upstream_connection = self._connect(upstream)
@@ -143,6 +142,14 @@
         return RelayOutcome.CONNECTED, connection
 
 
+def _may_connect(upstream: RegisteredUpstream, request: RelayRequest) -> bool:
+    """Return whether an upstream is the one asked for, and has not said that it leaves.
+
+    The peer may not know yet that it does.
+    """
+    return upstream.run[1] == request.started_unix_ms and not upstream.is_leaving
+
+
 def _set_options(connection: socket.socket) -> None:
     for level, name, value in SOCKET_OPTIONS:
         connection.setsockopt(level, name, value)
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, suppress
+from dataclasses import replace
 
 import pytest
 
@@ -56,6 +57,7 @@
         self.upstream = RegisteredUpstream(
             "u", "s", _HOST, self._listener.getsockname()[1], "a", "v1", 4, started_unix_ms=17
         )
+        leaving = replace(self.upstream, name="leaving", is_leaving=True)
         #: Set when the upstream's side of a connection has ended.
         self.ended = threading.Event()
         #: Whether it ended with a reset.
@@ -68,7 +70,7 @@
             EnvelopeSigner("secret", "vm-1", clock_s=lambda: 0.0),
             EventLog.to_stream(io.StringIO(), vm="vm-1"),
             _started_loop(),
-            find_upstream={"u": self.upstream}.get,
+            find_upstream={"u": self.upstream, "leaving": leaving}.get,
             report_failure=lambda run, refused: self.failures.append((run, refused)),
             connect_timeout_ms=_TIMEOUT_MS,
         )
@@ -226,8 +228,13 @@
 
 @pytest.mark.parametrize(
     ("run", "secret"),
-    [(("other", 17), "secret"), (("u", 18), "secret"), (_RUN, "forged")],
-    ids=["unknown upstream", "another run", "wrong signature"],
+    [
+        (("other", 17), "secret"),
+        (("u", 18), "secret"),
+        (("leaving", 17), "secret"),
+        (_RUN, "forged"),
+    ],
+    ids=["unknown upstream", "another run", "leaving upstream", "wrong signature"],
 )
 def test_a_request_is_denied(
     sites: Callable[[_Behaviour], _Site], run: UpstreamRun, secret: str
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -367,7 +367,8 @@
   // No process accepts connections at the upstream's address.
   REFUSED = 2,
   UNREACHABLE = 3,
-  // The signature is not valid, the peer does not know the upstream, or it has too many relays.
+  // The signature is not valid, the peer does not know the upstream or knows that it leaves, or it
+  // has too many relays.
   DENIED = 4,
 }
 
