A report whose prompts are too large for a datagram is sent without them

What callers could see: after requests whose prompts have thousands of parts a VM sent no report at all, so that its peers took it for gone.

Evidence: test_a_report_whose_prompts_fit_into_no_datagram_is_sent_without_them[10000-False] failed before.

--- a/azureturn/gateway/daemon/_peer_reports.py
+++ b/azureturn/gateway/daemon/_peer_reports.py
@@ -35,16 +35,24 @@
             self._send(action.report, action.informed_hosts)
 
     def _send(self, report: PeerReport, hosts: Iterable[str]) -> None:
-        data = encode_struct(report_to_wire(report))
-        if len(data) > _DATAGRAM_LIMIT_BYTES:
-            self._log.error(LogEvent.INTERNAL_ERROR, error="report is too large for one datagram")
-            return
+        data = self._encode(report)
         for host in hosts:
             try:
                 self._socket.sendto(data, socket.MSG_DONTWAIT, (host, self._port))
             except OSError as error:
                 self._log.error(LogEvent.PEER_UNREACHABLE, vm_host=host, error=str(error))
 
+    def _encode(self, report: PeerReport) -> bytes:
+        """Return an encoded report, without the prompts if it is too large for one datagram.
+
+        Callers determine how large prompts are; they must not keep a VM from being heard.
+        """
+        data = encode_struct(report_to_wire(report))
+        if len(data) <= _DATAGRAM_LIMIT_BYTES:
+            return data
+        self._log.error(LogEvent.INTERNAL_ERROR, error="report is too large for one datagram")
+        return encode_struct(report_to_wire(report.without_prompts()))
+
     def _receive_forever(self) -> None:
         while True:
             try:
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -161,6 +161,10 @@
         """Return a copy without the hosts of other VMs."""
         return changed(self, peers={})
 
+    def without_prompts(self) -> "PeerReport":
+        """Return a copy without the prompts that were sent."""
+        return changed(self, prompts=())
+
     def is_not_older_than(self, other: "PeerReport") -> bool:
         """Return whether ``other`` is from the same process and was not sent later."""
         return self.boot == other.boot and self.sequence >= other.sequence
