--- /dev/null
+++ b/azureturn/gateway/daemon/tests/test_earlier_builds.py
@@ -0,0 +1,27 @@
+"""What earlier builds report, since builds run side by side during an upgrade."""
+
+from base64 import b64decode
+
+from azureturn.gateway.daemon._report_codec import report_from_wire
+from azureturn.gateway.decisions import OutstandingWork
+from azureturn.gateway.decisions.tests.gateway_core_harness import peer_report
+from azureturn.gateway.site import QuarantinedTraits
+from azureturn.peers import GatewayReport, decode_struct
+
+#: A report as the build of commit 5707ed4 encodes it.
+_REPORT_OF_5707ED4 = (
+    "GAR2bS05GAgxMC4wLjEuMhYKFgISFhQZHBgBdRUCFQQAGQwZDBkMGQwZDCIYABkMGQwZDBkcGRgBcBYKABkM"
+    "GSgBYQFiAA=="
+)
+
+
+def test_a_report_of_an_earlier_build_is_read() -> None:
+    report = report_from_wire(decode_struct(GatewayReport, b64decode(_REPORT_OF_5707ED4)))
+    assert report == peer_report(
+        "vm-9",
+        work={"u": OutstandingWork(requests=1, pending_tokens=2)},
+        unreachable=frozenset({"a", "b"}),
+        quarantined=(QuarantinedTraits(frozenset({"p"}), 5),),
+    )
+    # An earlier build does not say for how long the store has answered it.
+    assert report.store_contact_ms is None
