--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -9,10 +9,8 @@
 
 import heapq
 import random
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum, auto
+from dataclasses import dataclass
 
 from azureturn.framework import Action, AwaitPlacement, Event, Refuse, Tick
 from azureturn.gateway.decisions import (
@@ -48,7 +46,14 @@
     upstream,
     view,
 )
-from azureturn.gateway.site import Prompt, PromptPart, QuarantineRecord, SiteView, StatedLimits
+from azureturn.gateway.decisions.tests.simulated_upstreams import (
+    Arrival,
+    Cut,
+    Engine,
+    EngineAttempt,
+    EngineCrash,
+)
+from azureturn.gateway.site import Prompt, PromptPart, QuarantineRecord, SiteView
 
 _TICK_MS = 50
 _MESSAGE_MS = 5
@@ -68,89 +73,16 @@
 #: When a request on a connection that hangs is given up, unless its time is over before.
 _SILENCE_TIMEOUT_MS = 1_600
 _PLAIN_SILENCE_TIMEOUT_MS = 250
-#: Slots of an upstream, as the harness registers it.
-_SLOTS = 4
-_MS_PER_S = 1_000
 #: How long the store was out of reach of VMs that are reconnected to it.
 _STORE_OUTAGE_MS = 5_000
 #: Time in which sound requests are answered.
 _ANSWERED_WITHIN_MS = 2_000
 
 
-class Cut(Enum):
-    """What happens to the connections of VMs that are cut off from the upstreams."""
-
-    #: All connections hang, new ones too.
-    HANG = auto()
-    #: All connections are reset, and new ones refused.
-    RESET = auto()
-    #: Connections live on, and new ones are refused.
-    REFUSE_NEW = auto()
-    #: Connections open and requests arrive, but nothing comes back on any connection.
-    SILENT = auto()
-
-
 _UNREACHABLE = AttemptResult.UNREACHABLE
 _LOG_ACTIONS = LogReachability | LogRetainedUpstreams | LogSilentUpstreams
 
 
-@dataclass(frozen=True)
-class Arrival:
-    """A request that reached an engine."""
-
-    at_ms: int
-    vm: int
-    upstream: str
-    request_id: str
-    parts: tuple[str, ...]
-    digest: str
-
-
-@dataclass(frozen=True)
-class EngineCrash:
-    """The end of an engine, and the digests of the requests that it had then."""
-
-    at_ms: int
-    digests: frozenset[str]
-
-
-@dataclass
-class _EngineAttempt:
-    vm: int
-    request_id: str
-    parts: tuple[str, ...]
-    head_at_ms: int
-    limits: StatedLimits = StatedLimits()
-    is_over: bool = False
-
-
-@dataclass
-class _Engine:
-    name: str
-    is_up: bool = True
-    limit_per_s: float | None = None
-    attempts: list[_EngineAttempt] = field(default_factory=list)
-    #: Rejections in a second above which it falls over; None if it rejects nothing.
-    brittle_limit: int | None = None
-    rejected_at_ms: deque[int] = field(default_factory=deque)
-
-    @property
-    def stated_limits(self) -> StatedLimits:
-        """Return what its answers state."""
-        return StatedLimits(self.limit_per_s, self.brittle_limit)
-
-    def rejects(self) -> bool:
-        """Return whether a brittle engine has no room for another request."""
-        return self.brittle_limit is not None and len(self.attempts) >= _SLOTS
-
-    def falls_after_rejection(self, now_ms: int) -> bool:
-        """Record a rejection, and return whether it is one too many."""
-        self.rejected_at_ms.append(now_ms)
-        while self.rejected_at_ms[0] <= now_ms - _MS_PER_S:
-            self.rejected_at_ms.popleft()
-        return len(self.rejected_at_ms) > (self.brittle_limit or 0)
-
-
 @dataclass(frozen=True)
 class _SentRequest:
     parts: tuple[str, ...]
@@ -183,7 +115,7 @@
         self._is_plain = is_plain
         self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
         self._schedule_count = 0
-        self._engines = {f"e-{n}": _Engine(f"e-{n}") for n in range(engine_count)}
+        self._engines = {f"e-{n}": Engine(f"e-{n}") for n in range(engine_count)}
         self._registered = dict.fromkeys(self._engines)
         self._revision = 10
         self._quarantine_record: QuarantineRecord | None = None
@@ -464,7 +396,7 @@
             Arrival(self.now_ms, number, engine_name, request_id, sent.parts, sent.digest)
         )
         head_ms = _PLAIN_ANSWER_MS[1] if self._is_plain else _HEAD_MS
-        attempt = _EngineAttempt(number, request_id, sent.parts, self.now_ms + head_ms)
+        attempt = EngineAttempt(number, request_id, sent.parts, self.now_ms + head_ms)
         engine.attempts.append(attempt)
         if not answers:
             timeout_ms = _PLAIN_SILENCE_TIMEOUT_MS if self._is_plain else _SILENCE_TIMEOUT_MS
@@ -483,7 +415,7 @@
         answer_ms = first_event_ms + self._random.randint(*self._answer_ms)
         self._after(answer_ms, lambda: self._answer(engine, attempt))
 
-    def _give_up(self, engine: _Engine, attempt: _EngineAttempt) -> None:
+    def _give_up(self, engine: Engine, attempt: EngineAttempt) -> None:
         """End an attempt without a response; the upstream sees that its connection closes."""
         if attempt.is_over:
             return
@@ -491,7 +423,7 @@
         attempt.is_over = True
         self._handle(attempt.vm, AttemptEnded(attempt.request_id, AttemptResult.SILENT))
 
-    def _first_event(self, engine: _Engine, attempt: _EngineAttempt) -> None:
+    def _first_event(self, engine: Engine, attempt: EngineAttempt) -> None:
         if attempt.is_over:
             return
         attempt.limits = engine.stated_limits
@@ -500,7 +432,7 @@
         event = FirstEventReceived(attempt.request_id, attempt.limits)
         self._handle(attempt.vm, event)
 
-    def _answer(self, engine: _Engine, attempt: _EngineAttempt) -> None:
+    def _answer(self, engine: Engine, attempt: EngineAttempt) -> None:
         if attempt.is_over:
             return
         engine.attempts.remove(attempt)
@@ -523,7 +455,7 @@
         )
         self._close(attempt.vm, attempt.request_id)
 
-    def _crash(self, engine: _Engine) -> None:
+    def _crash(self, engine: Engine) -> None:
         if not engine.is_up:
             return
         engine.is_up = False
@@ -537,7 +469,7 @@
         self._after(_LAPSE_MS, lambda: self.unregister(engine.name))
         self._after(_RESTART_MS, self._start_engine)
 
-    def _broken(self, attempt: _EngineAttempt, answering_ms: int) -> Callable[[], None]:
+    def _broken(self, attempt: EngineAttempt, answering_ms: int) -> Callable[[], None]:
         event = AttemptEnded(
             attempt.request_id,
             AttemptResult.BROKEN,
@@ -546,7 +478,7 @@
         return lambda: self._handle(attempt.vm, event)
 
     def _start_engine(self) -> None:
-        engine = _Engine(f"e-{len(self._engines)}", brittle_limit=self._brittle_limit)
+        engine = Engine(f"e-{len(self._engines)}", brittle_limit=self._brittle_limit)
         self._engines[engine.name] = engine
         self._registered[engine.name] = None
         self._publish()
--- a/azureturn/gateway/decisions/tests/test_request_limits.py
+++ b/azureturn/gateway/decisions/tests/test_request_limits.py
@@ -20,7 +20,8 @@
     upstream,
     view,
 )
-from azureturn.gateway.decisions.tests.simulated_site import Arrival, SimulatedSite
+from azureturn.gateway.decisions.tests.simulated_site import SimulatedSite
+from azureturn.gateway.decisions.tests.simulated_upstreams import Arrival
 from azureturn.gateway.site import StatedLimits
 
 _RUN = ("e-1", 7)
--- a/azureturn/gateway/decisions/tests/test_unreachable_upstreams.py
+++ b/azureturn/gateway/decisions/tests/test_unreachable_upstreams.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from azureturn.gateway.decisions.tests.simulated_site import Cut, SimulatedSite
+from azureturn.gateway.decisions.tests.simulated_site import SimulatedSite
+from azureturn.gateway.decisions.tests.simulated_upstreams import Cut
 
 _REQUEST_INTERVAL_MS = 20
 _CALM_MS = 3_000
