--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -29,6 +29,7 @@
     VmAddressSeen,
 )
 
+#: Largest number of tokens that a report can hold.
 _MAX_I32 = 2**31 - 1
 
 
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -230,10 +230,12 @@
             self._view_holder.report_store_lost(error)
 
     def _mark_store_available(self) -> None:
-        was_lost, was_reached = self._contact is _Contact.LOST, self._contact is _Contact.REACHED
-        # An outage of the store has a duration, however short.
-        outage_ms = max(1, now_ms() - self._answered_at_ms) if was_lost else 0
-        self._answered_at_ms = now_ms()
+        previous_contact = self._contact
+        silent_ms = now_ms() - self._answered_at_ms
         self._contact = _Contact.REACHED
-        if not was_reached:
-            self._view_holder.report_store_reached(outage_ms)
+        self._answered_at_ms = now_ms()
+        if previous_contact is _Contact.LOST:
+            # 0 would stand for no outage at all.
+            self._view_holder.report_store_reached(max(1, silent_ms))
+        elif previous_contact is _Contact.UNKNOWN:
+            self._view_holder.report_store_reached(0)
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -123,7 +123,7 @@
     attempts: int
     #: Number of upstreams that they were sent to.
     upstreams: int
-    #: Time since an upstream last responded.
+    #: Time for which requests have been without any response.
     silent_ms: int
     live_peers: int
 
--- a/azureturn/gateway/decisions/_upstream_paths.py
+++ b/azureturn/gateway/decisions/_upstream_paths.py
@@ -10,7 +10,8 @@
 class UpstreamPathTable(Table[str, int]):
     """Upstreams that failed since one last responded over a direct connection, and when.
 
-    An upstream fails if it cannot be connected, or does not respond to a probe.
+    They are keyed by name. An upstream fails if it cannot be connected, or does not respond to a
+    probe.
     """
 
     def __init__(self) -> None:
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -320,7 +320,7 @@
         "outage_ms": "Time from the last response of the key-value service before it was out of "
         "reach to the first one after that.",
         "waiting": "Number of attempts that have waited for long and are not relayed.",
-        "silent_ms": "Time since any upstream last responded over a direct connection.",
+        "silent_ms": "Time for which requests have been without any response from upstreams.",
         "live_peers": "Number of peers that have reported recently.",
         "traits": "Ids of prompt parts, or `digest:` and the digest of one request.",
         "request_digest": "Digest of organisation, method, host, target and body; the same when "
