An isolated VM asks upstreams that have not failed for their status, so that it finds its way back

What callers could see: all requests of a VM sent through its peers for good, although it reaches most upstreams.

Cause: since a VM that three upstreams in a row failed sends nothing directly until one responds. If the three have ended for good and are no longer registered, nothing is probed, and nothing can respond.

Evidence: test_an_isolated_vm_asks_upstreams_that_have_not_failed_for_their_status failed before.

Change: while a VM is isolated, one upstream that has not failed is asked for its status every 0.25 s.

--- a/azureturn/gateway/decisions/controllers/_paths.py
+++ b/azureturn/gateway/decisions/controllers/_paths.py
@@ -30,7 +30,7 @@
 _PROBE_INTERVAL_MS = 250
 
 _RESPONSES = (AttemptResult.ANSWERED, AttemptResult.FAILED, AttemptResult.REJECTED)
-_WITHOUT_END = (AttemptResult.SILENT, AttemptResult.ABANDONED)
+_GIVEN_UP = (AttemptResult.SILENT, AttemptResult.ABANDONED)
 
 
 @gateway_controller("paths")
@@ -61,7 +61,7 @@
             paths.record_heard(context.now_ms)
         elif event.result is AttemptResult.UNREACHABLE:
             self._record_failure(request.upstream, context)
-        elif event.result in _WITHOUT_END and _is_unanswered(request, context.now_ms):
+        elif event.result in _GIVEN_UP and _is_unanswered(request, context.now_ms):
             paths.record_unanswered(request.sent_at_ms)
 
     @on(UpstreamReconnected)
@@ -86,7 +86,10 @@
             return
         self._checked_at_ms = context.now_ms
         paths = self.board.write(UpstreamPathTable)
-        if paths.heard_ago_ms(context.now_ms) < _SILENCE_MS or len(paths) >= ISOLATING_FAILURES:
+        if paths.is_isolated(self._upstream_count()):
+            self._probe_while_isolated(context)
+            return
+        if paths.heard_ago_ms(context.now_ms) < _SILENCE_MS:
             return
         waiting = self._unanswered_attempts(context.now_ms)
         for request in waiting:
@@ -97,6 +100,18 @@
             self._probed_at_ms = context.now_ms
             self._probe(waiting, context)
 
+    def _probe_while_isolated(self, context: Context) -> None:
+        """Ask one upstream at a time for its status, as no request is sent to any directly.
+
+        Those that failed may have ended for good, so that they never end the isolation.
+        """
+        if context.now_ms - self._probed_at_ms < _PROBE_INTERVAL_MS:
+            return
+        self._probed_at_ms = context.now_ms
+        untried = self._untried_upstreams(context)
+        if untried:
+            self._request_status(untried[0], context)
+
     def _probe(self, waiting: list[GatewayRequest], context: Context) -> None:
         """Ask some upstreams for a response, first those that requests wait for."""
         paths = self.board.read(UpstreamPathTable)
@@ -104,24 +119,34 @@
         awaited = {request.upstream for request in waiting}
         silent_ms = paths.silent_ms(context.now_ms)
         context.act(LogSilentUpstreams(len(waiting), len(awaited), silent_ms, live_peers))
-        view = self.board.read(ViewTable).current()
-        untried = [upstream for name, upstream in view.upstreams.items() if name not in paths]
-        context.random.shuffle(untried)
+        untried = self._untried_upstreams(context)
         untried.sort(key=lambda upstream: upstream.name not in awaited)
         for upstream in untried[:ISOLATING_FAILURES]:
-            context.act(ProbeConnection(upstream, status_path=self._status_path(upstream)))
+            self._request_status(upstream, context)
+
+    def _untried_upstreams(self, context: Context) -> list[RegisteredUpstream]:
+        """Return the upstreams that have not failed since one responded, in random order."""
+        paths = self.board.read(UpstreamPathTable)
+        upstreams = self.board.read(ViewTable).current().upstreams
+        untried = [upstream for name, upstream in upstreams.items() if name not in paths]
+        context.random.shuffle(untried)
+        return untried
+
+    def _request_status(self, upstream: RegisteredUpstream, context: Context) -> None:
+        status_path = self.board.read(ViewTable).current().status_path(upstream.service)
+        context.act(ProbeConnection(upstream, status_path=status_path))
 
     def _record_failure(self, upstream: str, context: Context) -> None:
         paths = self.board.write(UpstreamPathTable)
-        upstream_count = len(self.board.read(ViewTable).current().upstreams)
+        upstream_count = self._upstream_count()
         was_isolated = paths.is_isolated(upstream_count)
         paths.put(upstream, context.now_ms)
         if paths.is_isolated(upstream_count) and not was_isolated:
             # Peers that are cut off too must not be asked to relay.
             context.post(ReportRequested())
 
-    def _status_path(self, upstream: RegisteredUpstream) -> str:
-        return self.board.read(ViewTable).current().status_path(upstream.service)
+    def _upstream_count(self) -> int:
+        return len(self.board.read(ViewTable).current().upstreams)
 
     def _direct_attempt(self, request_id: str) -> GatewayRequest | None:
         """Return the request if its current attempt is not relayed."""
--- a/azureturn/gateway/decisions/tests/test_reachability.py
+++ b/azureturn/gateway/decisions/tests/test_reachability.py
@@ -12,8 +12,10 @@
     ProbeConnection,
     SendAttempt,
     SendReport,
+    UpstreamConnectionFailed,
     UpstreamReconnected,
     UpstreamSilent,
+    ViewChanged,
 )
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     GatewayCoreHarness,
@@ -81,6 +83,21 @@
     assert _is_relayed(harness.submit_request("r1")) is not has_responded
 
 
+def test_an_isolated_vm_asks_upstreams_that_have_not_failed_for_their_status() -> None:
+    """Three upstreams that end for good must not keep a VM from the others."""
+    harness = _harness_of_five()
+    harness.handle_event(PeerReportReceived(peer_report("vm-2")))
+    for number in range(3):
+        harness.handle_event(UpstreamConnectionFailed((f"e-{number}", 0)))
+    assert _is_relayed(harness.submit_request("r1"))
+    harness.handle_event(ViewChanged(view(upstream("e-3"), upstream("e-4"), revision=11)))
+    (probe,) = of_type(harness.tick(harness.now_ms + 300), ProbeConnection)
+    assert isinstance(probe, ProbeConnection)
+    assert (probe.upstream.name in ("e-3", "e-4"), probe.status_path) == (True, "/status")
+    harness.handle_event(UpstreamReconnected(probe.upstream.name, has_responded=True))
+    assert not _is_relayed(harness.submit_request("r2"))
+
+
 def _harness_of_five() -> GatewayCoreHarness:
     return GatewayCoreHarness(view(*(upstream(f"e-{number}") for number in range(5))))
 
