Logs state what upstreams say of their availability in their answers

The log could not tell hypothesis 1 (what an upstream says in its answers is not read) from 2 (its registration is followed late) and 3 (requests held up on the way): nothing showed Server-Leaving or an upstream's Retry-After. No decision reads them yet. Under 1 an attempt_ended with leaving is followed by attempt_placed of the same upstream; under 2 upstreams_retained or a late upstream_changed names it; under 3 attempt_placed comes before.

--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -266,7 +266,7 @@
         if self._caller_disconnected:
             return AttemptResult.ABANDONED
         head = attempt.read_head(ends_at_ms=self._head_deadline_ms(request))
-        progress.record_head(head.framing, now_ms(), head.facts.limits)
+        progress.record_head(head.framing, now_ms(), head.facts)
         if head.facts.not_executed or head.status == _MISDIRECTED_REQUEST:
             discard_until_ms = min(request.ends_at_ms, now_ms() + _DISCARD_TIMEOUT_MS)
             attempt.discard_body(ends_at_ms=discard_until_ms)
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -81,6 +81,8 @@
             partial_event_bytes=progress.partial_event_bytes,
             limit_per_s=_number_or_minus_one(progress.limits.requests_per_s),
             rejection_limit_per_s=_number_or_minus_one(progress.limits.rejections_per_s),
+            leaving=progress.availability.is_leaving,
+            retry_after_ms=_number_or_minus_one(progress.availability.retry_after_ms),
             longest_pause_ms=progress.longest_pause_ms,
             took_ms=took_ms,
             error=detail,
--- a/azureturn/gateway/exchange/_response_progress.py
+++ b/azureturn/gateway/exchange/_response_progress.py
@@ -1,7 +1,7 @@
 """What has been received of one response: its framing, and the count and timing of its events."""
 
 from azureturn.gateway.exchange._framing import BodyFraming
-from azureturn.gateway.site import StatedLimits
+from azureturn.gateway.site import ResponseFacts, StatedAvailability, StatedLimits
 
 
 class ResponseProgress:
@@ -12,6 +12,7 @@
         self.framing: BodyFraming | None = None
         #: What the head of the response states.
         self.limits = StatedLimits()
+        self.availability = StatedAvailability()
         self._head_at_ms = 0
         self.event_count = 0
         #: Size of the received part of an event that is not complete yet.
@@ -28,10 +29,11 @@
         """Return the time from the first event to the last one so far."""
         return self._last_event_at_ms - self.first_event_at_ms
 
-    def record_head(self, framing: BodyFraming, at_ms: int, limits: StatedLimits) -> None:
+    def record_head(self, framing: BodyFraming, at_ms: int, facts: ResponseFacts) -> None:
         """Record that the head of the response was received at ``at_ms``."""
         self.framing = framing
-        self.limits = limits
+        self.limits = facts.limits
+        self.availability = facts.availability
         self._head_at_ms = at_ms
 
     def answering_ms(self, at_ms: int) -> int | None:
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -37,6 +37,7 @@
     PromptPart,
     RequestFacts,
     ResponseFacts,
+    StatedAvailability,
     StatedLimits,
 )
 from azureturn.gateway.site._view import SiteView, StoredDocument
@@ -70,6 +71,7 @@
     "Service",
     "SiteConfiguration",
     "SiteView",
+    "StatedAvailability",
     "StatedLimits",
     "StoredDocument",
     "UpstreamRun",
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -78,6 +78,18 @@
         return self.rejections_per_s is not None
 
 
+@dataclass(frozen=True)
+class StatedAvailability:
+    """What an upstream's response states of whether it takes further requests."""
+
+    #: Whether the upstream is draining: it completes its requests and must get no new ones.
+    is_leaving: bool = False
+    #: Time for which it wants no further request from this VM; None if it states none.
+    retry_after_ms: int | None = None
+    #: Beginning of a stated time that cannot be read; empty if there is none.
+    invalid_retry_after: str = ""
+
+
 @dataclass(frozen=True)
 class ResponseFacts:
     """Information in the headers of an upstream's response."""
@@ -90,3 +102,4 @@
     #: own. A successful response without it is not relayed.
     is_sealed: bool
     limits: StatedLimits = StatedLimits()
+    availability: StatedAvailability = StatedAvailability()
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -152,6 +152,8 @@
                 "prompt_parts",
                 "limit_per_s",
                 "rejection_limit_per_s",
+                "leaving",
+                "retry_after_ms",
                 "answering_ms",
                 "first_event_ms",
                 "longest_pause_ms",
@@ -330,6 +332,9 @@
         "response states; -1 if it states no limit.",
         "rejection_limit_per_s": "Rejections per second above which the upstream falls over, as "
         "its response states; -1 if it states none.",
+        "leaving": "Whether the response states that the upstream leaves.",
+        "retry_after_ms": "Time for which the upstream wants no request from this VM, as its "
+        "response states; -1 if it states none.",
         "answering_ms": "Time from the head of the response to the end of the attempt; -1 if there "
         "was no head.",
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
