An upstream that asks for a pause gets no request until the end of that time

What callers saw: an upstream refused with 503 and Retry-After and got 19 to 106 requests from one VM in that time (2 are allowed); a caller was told 1 s where all upstreams wanted 3 s. Cause: an upstream's Retry-After was not read; a rejection only raised its share of failures, which a load that needs all upstreams overrides, and which kept a single one out for over 5 s. Change: PauseTable holds the end of each run's pause. Placement, retries, status checks and relays for peers leave the upstream out; the peer that relayed the answer is told in the report and pauses as well, and VMs that have to pause are not asked to relay. A rejection that names its time does not count as a failure, so the upstream is known to be back at its end. If all upstreams of a service pause, requests are refused at once as not run, those that wait too, with the time until the first one takes requests, plus up to a quarter of it (0.2 to 1.5 s) so that callers do not return together.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -248,7 +248,7 @@
         return own_requests + self._relay_server.open_relays
 
     def _may_send(self, upstream: RegisteredUpstream) -> bool:
-        return self._runtime.inspect(lambda core: may_send(core.board, upstream))
+        return self._runtime.inspect(lambda core: may_send(core.board, upstream, now_ms()))
 
     def _find_available_upstream(self, name: str) -> RegisteredUpstream | None:
         """Return the upstream that a peer asks for, unless it may be sent no request now."""
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -90,7 +90,8 @@
         limits=[_limits_to_wire(row) for row in report.limits],
         store_contact_ms=report.store_contact_ms,
         availability=[
-            AvailabilitySeen(*row.run, leaving=row.is_leaving) for row in report.availability
+            AvailabilitySeen(*row.run, row.is_leaving, row.pause_ms, row.relay_vm)
+            for row in report.availability
         ],
     )
 
@@ -147,7 +148,12 @@
         limits=tuple(_limits_from_wire(row) for row in wire.limits or ()),
         store_contact_ms=wire.store_contact_ms,
         availability=tuple(
-            AvailabilityReport((row.upstream, row.started_unix_ms), bool(row.leaving))
+            AvailabilityReport(
+                (row.upstream, row.started_unix_ms),
+                bool(row.leaving),
+                row.pause_ms or 0,
+                row.relay_vm or "",
+            )
             for row in wire.availability or ()
         ),
     )
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -99,6 +99,15 @@
     relay_vm: str = ""
 
 
+@dataclass(frozen=True)
+class ServicePaused(Event):
+    """All upstreams of a service want no requests for a while (posted by controllers)."""
+
+    service: str
+    #: Time until the first of them takes requests again.
+    wait_ms: int
+
+
 @dataclass(frozen=True)
 class RequestReceived(Event):
     """A caller's request was read completely and validated."""
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -189,6 +189,13 @@
         """Return whether the report is recent enough to be used."""
         return now_ms - self.received_at_ms <= _MISSED_REPORTS_LIMIT * self.interval_ms
 
+    def is_paused(self, upstream: str, now_ms: int) -> bool:
+        """Return whether an upstream wants no request from the peer at this time."""
+        age_ms = now_ms - self.received_at_ms
+        return any(
+            row.run[0] == upstream and age_ms < row.pause_ms for row in self.report.availability
+        )
+
 
 class PeerTable(Table[str, Peer]):
     """Peers keyed by VM name, and the sum of their outstanding work at each upstream."""
@@ -216,10 +223,14 @@
     def reaching(self, upstream: str, now_ms: int) -> list[Peer]:
         """Return the live peers that can connect to an upstream, as far as they have reported.
 
+        Those that the upstream wants no request from are left out.
+
         Peers that are short of CPU time are left out if there are others.
         """
         reaching = [
-            peer for peer in self.live_peers(now_ms) if upstream not in peer.report.unreachable
+            peer
+            for peer in self.live_peers(now_ms)
+            if upstream not in peer.report.unreachable and not peer.is_paused(upstream, now_ms)
         ]
         return [peer for peer in reaching if not peer.report.strained] or reaching
 
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -4,6 +4,7 @@
 from azureturn.framework import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
 from azureturn.gateway.decisions._actions import ReturnLastResult
 from azureturn.gateway.decisions._allotments import AllotmentTable, LiveVms
+from azureturn.gateway.decisions._availability import PauseTable, spread_retry_after_ms
 from azureturn.gateway.decisions._caller_timeouts import CallerTimeoutTable
 from azureturn.gateway.decisions._events import (
     PlacementRequested,
@@ -11,6 +12,7 @@
     RequestClosed,
     RequestQueued,
     RequestReceived,
+    ServicePaused,
     TraitsQuarantined,
 )
 from azureturn.gateway.decisions._peers import URGENT_INTERVAL_MS, PeerTable
@@ -40,7 +42,7 @@
 class AdmissionController(GatewayController):
     """Queues requests that are within their allotment and can be served; refuses the others."""
 
-    reads = (ViewTable, PeerTable)
+    reads = (ViewTable, PeerTable, PauseTable)
     writes = (
         QuarantineTable,
         GatewayRequestTable,
@@ -50,7 +52,7 @@
         RetryBudgetTable,
         DrainTable,
     )
-    after = ("views",)
+    after = ("views", "availability")
 
     @on(RequestReceived)
     def _on_request_received(self, event: RequestReceived, context: Context) -> None:
@@ -65,9 +67,14 @@
         vm_count = self.board.read(PeerTable).vms(context.now_ms)
         budget = retries.of(request.service).with_request(self.settings.bounds.retry, vm_count)
         retries.put(request.service, budget)
-        if not self.board.read(ViewTable).serving_upstreams(request.service, context.now_ms):
+        views = self.board.read(ViewTable)
+        serving = views.serving_upstreams(request.service, context.now_ms)
+        if not serving:
             self._refuse(request, ErrorKind.NO_UPSTREAM, DEFAULT_RETRY_AFTER_MS, context)
             return
+        if pause_ms := self.board.read(PauseTable).wait_ms(serving, context.now_ms):
+            self._refuse_paused(request, pause_ms, context)
+            return
         drains = self.board.write(DrainTable)
         drain = drains.of(request.service).with_arrived(request.tier_rank, 1.0)
         drains.put(request.service, drain)
@@ -117,6 +124,17 @@
                     queue.remove(request)
                     self._end_quarantined(request, quarantined, context)
 
+    @on(ServicePaused)
+    def _on_service_paused(self, event: ServicePaused, context: Context) -> None:
+        """End the requests that wait for upstreams which all want none for a while."""
+        queue = self.board.write(GatewayQueueTable).of(event.service)
+        for request in list(queue.requests()):
+            queue.remove(request)
+            if request.run_attempts:
+                self._return_last_result(request, "all upstreams ask for a pause", context)
+            else:
+                self._refuse_paused(request, event.wait_ms, context)
+
     @on(RequestClosed)
     def _on_request_closed(self, event: RequestClosed, context: Context) -> None:
         request = self.board.read(GatewayRequestTable).get(event.request_id)
@@ -276,6 +294,14 @@
             )
         )
 
+    def _refuse_paused(self, request: GatewayRequest, pause_ms: int, context: Context) -> None:
+        """Refuse a request because all upstreams of its service ask for a pause."""
+        self.board.write(GatewayRequestTable).remove(request.request_id)
+        self._refund(request, context)
+        retry_after_ms = spread_retry_after_ms(pause_ms, context.random)
+        detail = f"all upstreams ask for a pause of {pause_ms} ms"
+        context.act(Refuse(request.request_id, ErrorKind.OVERLOADED, retry_after_ms, detail=detail))
+
     def _refuse(
         self, request: GatewayRequest, kind: ErrorKind, wait_ms: int, context: Context
     ) -> None:
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -3,6 +3,7 @@
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.framework import AwaitPlacement, Context, QueuedRequest, Refuse, Tick, on
 from azureturn.gateway.decisions._actions import ProbeConnection, ReturnLastResult
+from azureturn.gateway.decisions._availability import PauseTable, spread_retry_after_ms
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
     AttemptResult,
@@ -44,7 +45,7 @@
 class AttemptController(GatewayController):
     """Retries a request unless it may have run already and its route forbids a second run."""
 
-    reads = (ViewTable, QuarantineTable)
+    reads = (ViewTable, QuarantineTable, PauseTable)
     writes = (
         GatewayRequestTable,
         GatewayQueueTable,
@@ -129,7 +130,10 @@
         self._probed_at_ms = context.now_ms
         states = self.board.read(UpstreamStateTable)
         view = self.board.read(ViewTable).current()
+        pauses = self.board.read(PauseTable)
         for upstream in view.upstreams.values():
+            if pauses.is_paused(upstream.run, context.now_ms):
+                continue
             if states.is_unreachable(upstream.run):
                 is_silent = states.is_silent(upstream.run)
                 status_path = view.status_path(upstream.service) if is_silent else ""
@@ -172,7 +176,12 @@
 
     def _has_untried_upstream(self, request: GatewayRequest, now_ms: int) -> bool:
         serving_upstreams = self.board.read(ViewTable).serving_upstreams(request.service, now_ms)
-        return any(upstream.name not in request.tried_upstreams for upstream in serving_upstreams)
+        pauses = self.board.read(PauseTable)
+        return any(
+            upstream.name not in request.tried_upstreams
+            and not pauses.is_paused(upstream.run, now_ms)
+            for upstream in serving_upstreams
+        )
 
     def _finish(
         self, request: GatewayRequest, result: AttemptResult, reason: str, context: Context
@@ -180,10 +189,19 @@
         self.board.write(GatewayRequestTable).remove(request.request_id)
         if result in _NOT_RUN and request.run_attempts == 0:
             kind = ErrorKind.OVERLOADED
-            context.act(Refuse(request.request_id, kind, DEFAULT_RETRY_AFTER_MS))
+            retry_after_ms = self._retry_after_ms(request, context)
+            context.act(Refuse(request.request_id, kind, retry_after_ms, detail=reason))
             return
         context.act(ReturnLastResult(request.request_id, reason))
 
+    def _retry_after_ms(self, request: GatewayRequest, context: Context) -> int:
+        views = self.board.read(ViewTable)
+        serving = views.serving_upstreams(request.service, context.now_ms)
+        pause_ms = self.board.read(PauseTable).wait_ms(serving, context.now_ms)
+        if not pause_ms:
+            return DEFAULT_RETRY_AFTER_MS
+        return spread_retry_after_ms(pause_ms, context.random)
+
     def _release(self, request: GatewayRequest, event: AttemptEnded, now_ms: int) -> None:
         state = self._state_of(request)
         if state is None:
@@ -214,6 +232,10 @@
             return state if request.relay else state.with_reachable(False)
         if event.result is AttemptResult.WITHHELD:
             return state
+        is_paused = self.board.read(PauseTable).is_paused(state.run, now_ms)
+        if event.result is AttemptResult.REJECTED and is_paused:
+            # It has said when it takes requests again; there is no need to expect more rejections.
+            return state
         if event.result is AttemptResult.REJECTED:
             return state.with_outcome(failed=True, now_ms=now_ms)
         if event.result is not AttemptResult.ABANDONED:
--- a/azureturn/gateway/decisions/controllers/_paths.py
+++ b/azureturn/gateway/decisions/controllers/_paths.py
@@ -2,6 +2,7 @@
 
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import LogSilentUpstreams, ProbeConnection
+from azureturn.gateway.decisions._availability import PauseTable
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
     AttemptResult,
@@ -40,7 +41,7 @@
     A connection that opens does not show that responses come back, so the probes ask for one.
     """
 
-    reads = (GatewayRequestTable, PeerTable, ViewTable)
+    reads = (GatewayRequestTable, PeerTable, ViewTable, PauseTable)
     writes = (UpstreamPathTable,)
 
     _checked_at_ms = 0
@@ -125,10 +126,18 @@
             self._request_status(upstream, context)
 
     def _untried_upstreams(self, context: Context) -> list[RegisteredUpstream]:
-        """Return the upstreams that have not failed since one responded, in random order."""
+        """Return the upstreams that have not failed since one responded, in random order.
+
+        Those that ask for a pause are left out: a request for the status is a request, too.
+        """
+        pauses = self.board.read(PauseTable)
         paths = self.board.read(UpstreamPathTable)
         upstreams = self.board.read(ViewTable).current().upstreams
-        untried = [upstream for name, upstream in upstreams.items() if name not in paths]
+        untried = [
+            upstream
+            for name, upstream in upstreams.items()
+            if name not in paths and not pauses.is_paused(upstream.run, context.now_ms)
+        ]
         context.random.shuffle(untried)
         return untried
 
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -5,6 +5,7 @@
 from azureturn.framework import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
+from azureturn.gateway.decisions._availability import PauseTable
 from azureturn.gateway.decisions._estimates import (
     Candidate,
     PlacementSnapshot,
@@ -41,7 +42,7 @@
 class PlacementController(GatewayController):
     """Places requests of the most urgent tier first, each on the upstream of least cost."""
 
-    reads = (ViewTable, PeerTable, MoveTable, UpstreamPathTable)
+    reads = (ViewTable, PeerTable, MoveTable, UpstreamPathTable, PauseTable)
     writes = (
         GatewayRequestTable,
         GatewayQueueTable,
@@ -130,6 +131,7 @@
         states = self.board.write(UpstreamStateTable)
         prefix_caches = self.board.write(PrefixCacheTable)
         limits = self.board.read(RequestLimitTable)
+        pauses = self.board.read(PauseTable)
         known_vms = peers.vms(context.now_ms)
         engine = self._engine_of(service)
         snapshots = []
@@ -151,7 +153,8 @@
                     state,
                     peers.work_at(upstream.name),
                     prefix_cache,
-                    may_send=limits.may_send(upstream.run, known_vms, context.now_ms),
+                    may_send=not pauses.is_paused(upstream.run, context.now_ms)
+                    and limits.may_send(upstream.run, known_vms, context.now_ms),
                     is_relayed=relayed,
                     is_brittle=is_brittle,
                 )
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -3,7 +3,7 @@
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
-from azureturn.gateway.decisions._availability import AvailabilityReport
+from azureturn.gateway.decisions._availability import AvailabilityReport, PauseTable
 from azureturn.gateway.decisions._crashes import CrashTable
 from azureturn.gateway.decisions._events import (
     GatewayStarted,
@@ -62,6 +62,7 @@
         QuarantineTable,
         RequestLimitTable,
         UpstreamPathTable,
+        PauseTable,
     )
     writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable)
     after = ("views", "moves")
@@ -206,8 +207,13 @@
         )
 
     def _availability(self) -> tuple[AvailabilityReport, ...]:
+        now_ms = self._sent_at_ms
         leaving = self.board.read(ViewTable).unregistered_leaving_runs()
-        return tuple(AvailabilityReport(run, is_leaving=True) for run in leaving)
+        reports = [AvailabilityReport(run, is_leaving=True) for run in leaving]
+        for pause in self.board.read(PauseTable).running(now_ms):
+            pause_ms = pause.until_ms - now_ms
+            reports.append(AvailabilityReport(pause.run, False, pause_ms, pause.relay_vm))
+        return tuple(reports)
 
     def _unreachable_upstreams(self) -> frozenset[str]:
         states = self.board.read(UpstreamStateTable)
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -330,6 +330,10 @@
   1: string upstream,
   2: i64 started_unix_ms,
   3: bool leaving,
+  // How much longer it wants no request from the sender; 0 if it does not say so.
+  4: i32 pause_ms,
+  // Name of the VM that relayed the answer; empty if none did.
+  5: string relay_vm,
 }
 
 // One datagram, sent to every peer many times a second.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -4452,6 +4452,8 @@
      - upstream
      - started_unix_ms
      - leaving
+     - pause_ms
+     - relay_vm
 
     """
 
@@ -4459,13 +4461,17 @@
         'upstream',
         'started_unix_ms',
         'leaving',
+        'pause_ms',
+        'relay_vm',
     )
 
 
-    def __init__(self, upstream=None, started_unix_ms=None, leaving=None,):
+    def __init__(self, upstream=None, started_unix_ms=None, leaving=None, pause_ms=None, relay_vm=None,):
         self.upstream = upstream
         self.started_unix_ms = started_unix_ms
         self.leaving = leaving
+        self.pause_ms = pause_ms
+        self.relay_vm = relay_vm
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4491,6 +4497,16 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.pause_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.relay_vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4513,6 +4529,14 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 3)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.pause_ms is not None:
+            oprot.writeFieldBegin('pause_ms', TType.I32, 4)
+            oprot.writeI32(self.pause_ms)
+            oprot.writeFieldEnd()
+        if self.relay_vm is not None:
+            oprot.writeFieldBegin('relay_vm', TType.STRING, 5)
+            oprot.writeString(self.relay_vm.encode('utf-8') if sys.version_info[0] == 2 else self.relay_vm)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5574,6 +5598,8 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I64, 'started_unix_ms', None, None, ),  # 2
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
+    (4, TType.I32, 'pause_ms', None, None, ),  # 4
+    (5, TType.STRING, 'relay_vm', 'UTF8', None, ),  # 5
 )
 all_structs.append(GatewayReport)
 GatewayReport.thrift_spec = (
