A revision says something only with its era: a store that comes back from a copy

What callers saw (the users' record): after the store had come back from a copy, a change written at once was not in force 2.2 s after its ack and later: a key taken away went on working, an added route got 404 (CONFIG). Cause: revisions go back and are given out again; the VM went on watching from the one it had read, and so missed what was written below it. The class: a number that one side gave is compared with one of another origin. Evidence: four end-to-end tests failed before (key taken away, route added, older configuration in the copy, lost registration of the VM); they pass now. The tests of the core and of RestorableStore need the new type, so they could not be run on the code before. Changes of a new era lead to a whole read; a write decided on in an earlier era is not sent; answers of an earlier era are refused and logged. The configuration with the higher version stays in force. Registrations that the copy lacks are kept as after an outage, and peers that have not noticed the new era do not end that. An order that is written again does not begin its move anew; an ended move stays so and its status is written again; VMs register again. Ruled out: reading everything at intervals; it would be late and costs reads. Open: a write in flight while the store is restored can meet its expected revision on another change (no guard key yet), and a VM that starts in that moment.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -12,6 +12,7 @@
 from azureturn.gateway.daemon._peer_calls import GatewayPeerHandler, ViewFetcher
 from azureturn.gateway.daemon._peer_reports import ReportSocket
 from azureturn.gateway.daemon._process_metrics import ProcessMetrics
+from azureturn.gateway.daemon._restorable_store import RestorableStore
 from azureturn.gateway.daemon._store_watcher import StoreWatcher, ViewHolder
 from azureturn.gateway.daemon._store_writer import StoreWriter
 from azureturn.gateway.daemon._strain_detector import StrainDetector
@@ -103,9 +104,10 @@
         self._peer_server = PeerServer(
             vm.host, vm.peer_port, GatewayPeerHandler(self._view_holder), signer, loop=self._loop
         )
-        self._writer = StoreWriter(adapter.store, self._view_holder, adapter.documents, log)
+        store = RestorableStore(adapter.store, log)
+        self._writer = StoreWriter(store, self._view_holder, adapter.documents, log)
         self._watcher = StoreWatcher(
-            adapter.store,
+            store,
             self._view_holder,
             adapter.documents,
             log,
--- /dev/null
+++ b/azureturn/gateway/daemon/_restorable_store.py
@@ -0,0 +1,109 @@
+"""A store that may come back from a copy, seen as one whose revisions only increase."""
+
+import threading
+from dataclasses import replace
+
+from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
+from azureturn.gateway.site import era_of, join_revision, revision_in_era
+from azureturn.observability import EventLog, LogEvent
+from azureturn.store import (
+    HistoryLostError,
+    KeyValueEntry,
+    StoreChanges,
+    StoreSnapshot,
+    WatchedStore,
+)
+
+
+class RestorableStore:
+    """Joins each revision with its era, and refuses what belongs to an earlier era.
+
+    Changes of a new era are not taken as a continuation of what was read before: the caller has to
+    read everything again. A conditional write that was decided on in an earlier era is not sent,
+    as the store may have given its expected revision to another change.
+    """
+
+    def __init__(self, store: WatchedStore, log: EventLog) -> None:
+        self._store = store
+        self._log = log
+        self._era = 0
+        self._lock = threading.Lock()
+
+    @property
+    def era(self) -> int:
+        """Return the latest era that the store has named; 0 if it has named none."""
+        return self._era
+
+    def read(self, key: str) -> KeyValueEntry | None:
+        """Return the entry at ``key``, whose revision is of the latest era that is known."""
+        entry = self._store.read(key)
+        return None if entry is None else _with_era(entry, self._era)
+
+    def read_all(self, prefix: str) -> StoreSnapshot:
+        """Return all entries below ``prefix``."""
+        snapshot = self._store.read_all(prefix)
+        era = self._observe(snapshot.era)
+        entries = tuple(_with_era(entry, era) for entry in snapshot.entries)
+        return StoreSnapshot(entries, join_revision(era, snapshot.revision), era)
+
+    def changes(self, prefix: str, *, after_revision: int, wait_ms: int) -> StoreChanges:
+        """Wait up to ``wait_ms`` for changes after a revision, and return them.
+
+        Raises :class:`HistoryLostError` if the store has come back from a copy since then.
+        """
+        with self._lock:
+            # A peer may have read the new era first.
+            self._era = max(self._era, era_of(after_revision))
+        if era_of(after_revision) < self._era:
+            raise _new_era()
+        changes = self._store.changes(
+            prefix, after_revision=revision_in_era(after_revision), wait_ms=wait_ms
+        )
+        era = self._observe(changes.era)
+        if era != era_of(after_revision):
+            raise _new_era()
+        written = tuple(
+            replace(change, revision=join_revision(era, change.revision))
+            for change in changes.changes
+        )
+        return StoreChanges(written, join_revision(era, changes.revision), era)
+
+    def compare_and_swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        """Write ``value`` if the key is at ``expected_revision``, which is of the latest era."""
+        era = self._era
+        if expected_revision and era_of(expected_revision) != era:
+            raise CompareFailedError(
+                ErrorKind.CONFLICT, f"{key} was read before the store came back from a copy"
+            )
+        revision = self._store.compare_and_swap(
+            key, value, expected_revision=revision_in_era(expected_revision)
+        )
+        return join_revision(era, revision)
+
+    def _observe(self, era: int | None) -> int:
+        """Take note of the era that a response names, and return the era of the response.
+
+        A response without a valid era is taken to be of the latest one. Raises
+        :class:`KeyValueUnavailableError` for a response of an earlier era.
+        """
+        with self._lock:
+            known = self._era
+            if era is None:
+                if known:
+                    error = "a response names no valid era"
+                    self._log.error(LogEvent.STORE_ERA_INVALID, era=known, error=error)
+                return known
+            if era < known:
+                error = f"a response is of the earlier era {era}"
+                self._log.error(LogEvent.STORE_ERA_INVALID, era=known, error=error)
+                raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, error)
+            self._era = era
+            return era
+
+
+def _with_era(entry: KeyValueEntry, era: int) -> KeyValueEntry:
+    return KeyValueEntry(entry.key, entry.value, join_revision(era, entry.revision))
+
+
+def _new_era() -> HistoryLostError:
+    return HistoryLostError(ErrorKind.KEY_VALUE_UNAVAILABLE, "the store has come back from a copy")
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -116,11 +116,25 @@
             old_view = self._view
             if view.revision <= old_view.revision:
                 return False
+            view = view.with_newer_configuration(old_view)
             self._view = view
             self._runtime.submit(ViewChanged(view))
+        if old_view.revision and view.era > old_view.era:
+            self._log_restore(old_view, view, source)
         self._log_change(old_view, view, source)
         return True
 
+    def _log_restore(self, old_view: SiteView, view: SiteView, source: str) -> None:
+        old_documents, documents = old_view.stored_documents, view.stored_documents
+        self._log.info(
+            LogEvent.STORE_RESTORED,
+            era=view.era,
+            old_era=old_view.era,
+            documents=len(documents),
+            missing=len(old_documents.keys() - documents.keys()),
+            source=source,
+        )
+
     def _log_change(self, old_view: SiteView, new_view: SiteView, source: str) -> None:
         old, new = old_view.configuration, new_view.configuration
         if new is not None and (old is None or old.version != new.version):
--- a/azureturn/gateway/daemon/_store_writer.py
+++ b/azureturn/gateway/daemon/_store_writer.py
@@ -110,11 +110,11 @@
         return "written"
 
     def _register(self, vm: GatewayVm) -> None:
+        """Keep this VM registered; a store that comes back from a copy may have lost the entry."""
         key, value = self._documents.encode_vm(RegisteredVm(vm.name, vm.host, vm.peer_port))
         while True:
             document = self._view_holder.view.stored_documents.get(key)
-            if document is not None and document.value == value:
-                return
-            if self._view_holder.view.revision:
+            is_registered = document is not None and document.value == value
+            if self._view_holder.view.revision and not is_registered:
                 self._write(key, value, document.revision if document else 0)
             time.sleep(_REGISTRATION_RETRY_S)
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -38,6 +38,7 @@
     ViewChanged,
     VmLeaving,
 )
+from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import (
     MoveReport,
     OutstandingWork,
@@ -78,6 +79,7 @@
     "LogRetainedUpstreams",
     "LogSilentUpstreams",
     "MoveReport",
+    "MoveTable",
     "OutstandingWork",
     "PeerReport",
     "PeerReportReceived",
--- a/azureturn/gateway/decisions/_moves.py
+++ b/azureturn/gateway/decisions/_moves.py
@@ -10,6 +10,7 @@
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._peers import StreamPace, VersionCount
+from azureturn.gateway.site import MoveOrder, era_of
 
 #: Minimum number of answers of a version, and of streams for its pace, before it is evaluated.
 _MIN_ANSWERS = 8
@@ -50,6 +51,8 @@
     ended: bool = False
     #: Whether its status in the store is complete.
     completed: bool = False
+    #: Whether the order may be written once more, since the store has come back from a copy.
+    awaits_same_order: bool = False
     #: Last time at which this VM requested a write of the status; 0 before the first.
     write_requested_at_ms: int = 0
 
@@ -81,6 +84,27 @@
         """Return a copy whose new version receives no more requests, for the first reason given."""
         return changed(self, condemned_reason=self.condemned_reason or reason)
 
+    def is_ordered_by(self, order: MoveOrder, revision: int) -> bool:
+        """Return whether an order at ``revision`` is the one that demands this move.
+
+        After the store has come back from a copy, operators write the same order once more, also
+        if the copy has it.
+        """
+        if self.order_revision == revision:
+            return True
+        is_same = (order.version, order.duration_ms) == (self.version, self.duration_ms)
+        return is_same and (self.awaits_same_order or self._is_of_earlier_era_than(revision))
+
+    def with_order_revision(self, revision: int) -> "Move":
+        """Return a copy whose order is at this revision, which may be of a later era."""
+        if revision == self.order_revision:
+            return self
+        awaits_same_order = self._is_of_earlier_era_than(revision)
+        return changed(self, order_revision=revision, awaits_same_order=awaits_same_order)
+
+    def _is_of_earlier_era_than(self, revision: int) -> bool:
+        return era_of(self.order_revision) < era_of(revision)
+
     def with_end(self, *, completed: bool) -> "Move":
         """Return a copy that has ended according to the store."""
         return changed(self, ended=True, completed=completed)
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -73,6 +73,11 @@
         """Record that the store answers from now on."""
         self._store_contact_since_ms = now_ms
 
+    def record_store_restored(self, now_ms: int) -> None:
+        """Record that the store has come back from a copy, so that entries may lack for a while."""
+        if self._store_contact_since_ms is not None:
+            self._store_contact_since_ms = now_ms
+
     def record_store_lost(self) -> None:
         """Record that the store does not answer."""
         self._store_contact_since_ms = None
--- a/azureturn/gateway/decisions/controllers/_moves.py
+++ b/azureturn/gateway/decisions/controllers/_moves.py
@@ -10,7 +10,7 @@
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import MoveOrder, MoveState, MoveStatus, SiteView
+from azureturn.gateway.site import MoveOrder, MoveState, MoveStatus, SiteView, era_of
 
 #: Additional delay of a VM's status write for each live VM whose name sorts before its own, so that
 #: usually only one VM writes.
@@ -36,19 +36,19 @@
         for service, order in view.orders.items():
             revision = view.revision_of(MoveOrder, service)
             move = moves.get(service)
-            if move is None or move.order_revision != revision:
+            if move is None or not move.is_ordered_by(order, revision):
                 move = Move(service, order.version, order.duration_ms, revision, context.now_ms)
-            moves.put(service, _with_status(move, view))
-        for service in [name for name, _ in moves.items() if name not in view.orders]:
-            moves.remove(service)
+            moves.put(service, _with_status(move.with_order_revision(revision), view))
+        for service, move in list(moves.items()):
+            # After a return from a copy the order may be missing until it is written again.
+            if service not in view.orders and era_of(move.order_revision) == view.era:
+                moves.remove(service)
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
         moves = self.board.write(MoveTable)
         for service, move in list(moves.items()):
-            if move.ended:
-                continue
-            if not move.condemned:
+            if not move.ended and not move.condemned:
                 move = move.with_condemned(self._regression_reason(move))
             state = self._target_state(move, context.now_ms)
             if self._may_write(move, state, context.now_ms):
@@ -60,6 +60,8 @@
             moves.put(service, move)
 
     def _target_state(self, move: Move, now_ms: int) -> MoveState:
+        if move.ended:
+            return MoveState.COMPLETE if move.completed else MoveState.ROLLED_BACK
         if move.condemned:
             return MoveState.ROLLED_BACK
         if move.elapsed_fraction(now_ms) >= COMPLETE_AT and self._has_upstreams(move):
@@ -73,6 +75,9 @@
         target = MoveStatus(move.service, move.version, state)
         if status == target and view.revision_of(MoveStatus, move.service) > move.order_revision:
             return False
+        if move.service not in view.orders:
+            # The operator has not written the order again yet.
+            return False
         vms_ahead = self.board.read(PeerTable).vms_ahead(now_ms)
         since_ms = now_ms - max(move.write_requested_at_ms, move.began_at_ms)
         if move.write_requested_at_ms:
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -17,6 +17,7 @@
     GatewayController,
     gateway_controller,
 )
+from azureturn.gateway.site import era_of
 
 #: Time after the return of the store in which upstreams that run have renewed registrations that
 #: lapsed during an outage.
@@ -52,9 +53,12 @@
         views.record_store_reached(context.now_ms)
         self._outage_ms = event.outage_ms
         if event.outage_ms:
-            # A missing upstream may also have left, so it is used for no longer than it drains.
-            retention_ms = min(_RENEWAL_MS, self.settings.bounds.drain_ms - _DRAIN_MARGIN_MS)
-            views.retain_lapsed(context.now_ms + retention_ms)
+            self._retain_lapsed(context)
+
+    def _retain_lapsed(self, context: Context) -> None:
+        # A missing upstream may also have left, so it is used for no longer than it drains.
+        retention_ms = min(_RENEWAL_MS, self.settings.bounds.drain_ms - _DRAIN_MARGIN_MS)
+        self.board.write(ViewTable).retain_lapsed(context.now_ms + retention_ms)
 
     @on(StoreLost)
     def _on_store_lost(self, event: StoreLost, context: Context) -> None:
@@ -70,6 +74,9 @@
         views = self.board.write(ViewTable)
         if not views.retains_lapsed(context.now_ms):
             return
+        if era_of(event.report.view_revision) < views.current().era:
+            # The peer has not noticed yet that the store came back from a copy.
+            return
         if (event.report.store_contact_ms or 0) >= _RENEWAL_MS:
             dropped = views.drop_lapsed(context.now_ms)
             if dropped:
@@ -90,6 +97,9 @@
     @on(ViewChanged)
     def _on_view_changed(self, event: ViewChanged, context: Context) -> None:
         views = self.board.write(ViewTable)
+        if views.current().revision and event.view.era > views.current().era:
+            views.record_store_restored(context.now_ms)
+            self._retain_lapsed(context)
         retained_before = views.retained_names(context.now_ms)
         if not views.accept(event.view, now_ms=context.now_ms):
             return
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -40,6 +40,7 @@
     StatedAvailability,
     StatedLimits,
 )
+from azureturn.gateway.site._revisions import era_of, join_revision, revision_in_era
 from azureturn.gateway.site._view import SiteView, StoredDocument
 
 __all__ = [
@@ -77,4 +78,7 @@
     "UpstreamRun",
     "digest_trait",
     "is_digest_trait",
+    "era_of",
+    "join_revision",
+    "revision_in_era",
 ]
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -15,6 +15,7 @@
     RegisteredVm,
 )
 from azureturn.gateway.site._quarantine import QuarantineRecord
+from azureturn.gateway.site._revisions import era_of
 
 _ContentType = TypeVar("_ContentType")
 
@@ -34,8 +35,8 @@
 class SiteView:
     """All documents in the store as of one revision.
 
-    The revision of the store increases with every write. A VM replaces its view as a whole, and
-    never by one with a lower revision.
+    The revision of the store increases with every write, and with every return from a copy. A VM
+    replaces its view as a whole, and never by one with a lower revision.
     """
 
     revision: int = 0
@@ -53,6 +54,26 @@
             stored_documents[stored.key] = stored
         return SiteView(revision, stored_documents)
 
+    @property
+    def era(self) -> int:
+        """Return how often the store had come back from a copy."""
+        return era_of(self.revision)
+
+    def with_newer_configuration(self, other: "SiteView") -> "SiteView":
+        """Return the view with the configuration of ``other`` if that has a higher version.
+
+        A store that has come back from a copy may hold an older one for a while.
+        """
+        newer, own = other.configuration, self.configuration
+        if newer is None or (own is not None and own.version >= newer.version):
+            return self
+        kept = [
+            stored
+            for stored in other.stored_documents.values()
+            if isinstance(stored.content, SiteConfiguration)
+        ]
+        return self.with_changes(written=kept, removed=(), revision=self.revision)
+
     @cached_property
     def configuration(self) -> SiteConfiguration | None:
         """Return the configuration, or None if the store holds none yet."""
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -43,6 +43,8 @@
     DOCUMENT_REFUSED = "document_refused"
     KEY_VALUE_REGAINED = "key_value_regained"
     STORE_HISTORY_LOST = "store_history_lost"
+    STORE_RESTORED = "store_restored"
+    STORE_ERA_INVALID = "store_era_invalid"
     MOVE_STATUS_WRITTEN = "move_status_written"
     ALLOTMENT_RECORD_WRITTEN = "allotment_record_written"
     ALLOTMENTS_RECALLED = "allotments_recalled"
@@ -214,6 +216,15 @@
             "The key-value service has discarded its history; all documents are read again.",
             "error",
         ),
+        LogEvent.STORE_RESTORED: LogEventDefinition(
+            "The key-value service has come back from a copy; all documents were read again.",
+            ("era", "old_era", "documents", "missing", "source"),
+        ),
+        LogEvent.STORE_ERA_INVALID: _error_definition(
+            "A response of the key-value service names no valid era, or an earlier one.",
+            "era",
+            "error",
+        ),
         LogEvent.MOVE_STATUS_WRITTEN: LogEventDefinition(
             "The status of a move was written, or another VM wrote first; see `outcome`.",
             ("service", "version", "state", "reason", "revision", "outcome"),
@@ -328,6 +339,10 @@
         "reach to the first one after that.",
         "waiting": "Number of attempts that have waited for long and are not relayed.",
         "pause_ms": "Time for which the upstream is sent no request; -1 if not limited.",
+        "era": "Number of times that the key-value service came back from a copy.",
+        "old_era": "The era known before.",
+        "documents": "Number of documents that were read.",
+        "missing": "Number of documents known before that the copy lacks.",
         "silent_ms": "Time for which requests have been without any response from upstreams.",
         "live_peers": "Number of peers that have reported recently.",
         "traits": "Ids of prompt parts, or `digest:` and the digest of one request.",
--- a/azureturn/store/_protocols.py
+++ b/azureturn/store/_protocols.py
@@ -22,6 +22,8 @@
     entries: tuple[KeyValueEntry, ...]
     #: ``entries`` contains at least every change up to this revision.
     revision: int
+    #: Number of times that the service came back from a copy; None if it does not say.
+    era: int | None = None
 
 
 @dataclass(frozen=True)
@@ -32,6 +34,8 @@
     changes: tuple["StoreChange", ...]
     #: The revision up to which ``changes`` is complete.
     revision: int
+    #: Number of times that the service came back from a copy; None if it does not say.
+    era: int | None = None
 
 
 @dataclass(frozen=True)
