A VM that starts while the store holds an older copy gets the configuration from a peer

Cause: a VM that starts reads the copy, whose revision is not lower than its peers', so it never asked them, and served by the older desired state until the operator wrote the newer one again. Change: reports name the version of the configuration in force; a VM with an older one fetches the peer's view at once and takes over its configuration, though its revision is not higher. Not done: the VM serves by the older one until the first report of a peer has arrived (0.1 to 1 s).

--- a/azureturn/gateway/daemon/_peer_calls.py
+++ b/azureturn/gateway/daemon/_peer_calls.py
@@ -33,10 +33,11 @@
 
     def fetch_configuration(self, query: ConfigurationQuery) -> ConfigurationAnswer:
         """Return this VM's view if it is newer than the one of the calling peer."""
-        revision = self._view_holder.view.revision
-        if revision <= (query.newer_than_revision or 0):
+        view = self._view_holder.view
+        is_newer = view.revision > (query.newer_than_revision or 0)
+        if not is_newer and view.configuration_version <= (query.newer_than_version or 0):
             return ConfigurationAnswer(revision=0, document=b"")
-        return ConfigurationAnswer(revision=revision, document=self._view_holder.encode())
+        return ConfigurationAnswer(revision=view.revision, document=self._view_holder.encode())
 
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Not supported: the gateway has no claims."""
@@ -83,10 +84,15 @@
     def _fetch_forever(self) -> None:
         while True:
             action = self._queue.get()
-            if self._view_holder.view.revision > action.newer_than_revision:
+            view = self._view_holder.view
+            has_configuration = view.configuration_version >= action.configuration_version
+            if view.revision > action.newer_than_revision and has_configuration:
                 continue
             try:
-                query = ConfigurationQuery(newer_than_revision=action.newer_than_revision)
+                query = ConfigurationQuery(
+                    newer_than_revision=view.revision,
+                    newer_than_version=view.configuration_version,
+                )
                 address = PeerAddress(action.host, self._peer_port)
                 answer = self._client.fetch_configuration(address, query)
                 if answer.revision:
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -89,6 +89,7 @@
         unreachable=sorted(report.unreachable),
         limits=[_limits_to_wire(row) for row in report.limits],
         store_contact_ms=report.store_contact_ms,
+        configuration_version=report.configuration_version,
         availability=[
             AvailabilitySeen(*row.run, row.is_leaving, row.pause_ms, row.relay_vm)
             for row in report.availability
@@ -147,6 +148,7 @@
         unreachable=frozenset(wire.unreachable or ()),
         limits=tuple(_limits_from_wire(row) for row in wire.limits or ()),
         store_contact_ms=wire.store_contact_ms,
+        configuration_version=wire.configuration_version or 0,
         availability=tuple(
             AvailabilityReport(
                 (row.upstream, row.started_unix_ms),
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -114,9 +114,9 @@
     def _replace_view(self, view: SiteView, source: str) -> bool:
         with self._lock:
             old_view = self._view
-            if view.revision <= old_view.revision:
+            view = _latest(old_view, view)
+            if view is old_view:
                 return False
-            view = view.with_newer_configuration(old_view)
             self._view = view
             self._runtime.submit(ViewChanged(view))
         if old_view.revision and view.era > old_view.era:
@@ -165,6 +165,13 @@
                 )
 
 
+def _latest(old_view: SiteView, view: SiteView) -> SiteView:
+    """Return the view of the higher revision, with the configuration of the higher version."""
+    if view.revision > old_view.revision:
+        return view.with_newer_configuration(old_view)
+    return old_view.with_newer_configuration(view)
+
+
 class _Contact(Enum):
     """Whether the store answers this VM."""
 
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -59,11 +59,13 @@
 
 @dataclass(frozen=True)
 class FetchView(Action):
-    """Fetch from a peer a view of the store that is newer than the given revision."""
+    """Fetch from a peer a view that is newer than a revision, or has a newer configuration."""
 
     vm: str
     host: str
     newer_than_revision: int
+    #: Version of the configuration that the peer has.
+    configuration_version: int = 0
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -155,6 +155,8 @@
     #: For how long the store has answered the VM without a failure; None while it does not, or if
     #: the VM does not say.
     store_contact_ms: int | None = None
+    #: Version of the configuration in force at the VM; 0 if it has none.
+    configuration_version: int = 0
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy with the given value of ``strained``."""
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -26,9 +26,13 @@
         return self.get(self._CURRENT) or SiteView()
 
     def accept(self, view: SiteView, *, now_ms: int) -> bool:
-        """Replace the current view if ``view`` has a higher revision; return whether it has."""
+        """Replace the current view if ``view`` is newer; return whether it is.
+
+        It has a higher revision, or the same one and a configuration of a higher version.
+        """
         previous = self.current()
-        if view.revision <= previous.revision:
+        version = (view.revision, view.configuration_version)
+        if version <= (previous.revision, previous.configuration_version):
             return False
         self.put(self._CURRENT, view)
         for upstream in view.upstreams.values():
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -203,6 +203,7 @@
             unreachable=self._unreachable_upstreams(),
             limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
             availability=self._availability(),
+            configuration_version=configuration.version if configuration else 0,
             store_contact_ms=self.board.read(ViewTable).store_contact_ms(self._sent_at_ms),
         )
 
@@ -288,8 +289,14 @@
 
     def _fetch_newer_view(self, report: PeerReport, context: Context) -> None:
         """Fetch a peer's view if the store does not deliver one as new in time."""
-        own_revision = self.board.read(ViewTable).current().revision
-        if report.view_revision <= own_revision:
+        view = self.board.read(ViewTable).current()
+        own_revision = view.revision
+        if report.configuration_version > view.configuration_version:
+            if report.view_revision <= own_revision:
+                # This VM has read an older one from a store that came back from a copy.
+                self._fetch(report, own_revision, context)
+                return
+        elif report.view_revision <= own_revision:
             return
         if self._behind_revision != own_revision:
             self._behind_revision = own_revision
@@ -298,7 +305,10 @@
         vm_count = self.board.read(PeerTable).vms(context.now_ms)
         if own_revision and waited_ms < view_lag_limit_ms(vm_count):
             return
+        self._fetch(report, own_revision, context)
+
+    def _fetch(self, report: PeerReport, own_revision: int, context: Context) -> None:
         if context.now_ms - self._fetched_at_ms < _FETCH_INTERVAL_MS:
             return
         self._fetched_at_ms = context.now_ms
-        context.act(FetchView(report.vm, report.host, own_revision))
+        context.act(FetchView(report.vm, report.host, own_revision, report.configuration_version))
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -79,6 +79,11 @@
         """Return the configuration, or None if the store holds none yet."""
         return next(iter(self._contents_of_type(SiteConfiguration)), None)
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration; 0 if there is none."""
+        return 0 if self.configuration is None else self.configuration.version
+
     @cached_property
     def upstreams(self) -> Mapping[str, RegisteredUpstream]:
         """Return the upstreams by name."""
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -102,6 +102,8 @@
 
 struct ConfigurationQuery {
   1: i64 newer_than_revision,
+  // Version of the caller's configuration, where views and configurations are counted separately.
+  2: i64 newer_than_version,
 }
 
 // Revision 0 means that the peer has no newer configuration.
@@ -363,6 +365,7 @@
   // For how long the store has answered the sender without a failure; absent while it does not.
   22: optional i64 store_contact_ms,
   23: list<AvailabilitySeen> availability,
+  24: i64 configuration_version,
 }
 
 // The first message on a relayed connection: the upstream that the peer is to connect to.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -1248,16 +1248,19 @@
     """
     Attributes:
      - newer_than_revision
+     - newer_than_version
 
     """
 
     __slots__ = (
         'newer_than_revision',
+        'newer_than_version',
     )
 
 
-    def __init__(self, newer_than_revision=None,):
+    def __init__(self, newer_than_revision=None, newer_than_version=None,):
         self.newer_than_revision = newer_than_revision
+        self.newer_than_version = newer_than_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1273,6 +1276,11 @@
                     self.newer_than_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.newer_than_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1287,6 +1295,10 @@
             oprot.writeFieldBegin('newer_than_revision', TType.I64, 1)
             oprot.writeI64(self.newer_than_revision)
             oprot.writeFieldEnd()
+        if self.newer_than_version is not None:
+            oprot.writeFieldBegin('newer_than_version', TType.I64, 2)
+            oprot.writeI64(self.newer_than_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4587,6 +4599,7 @@
      - unreachable
      - store_contact_ms
      - availability
+     - configuration_version
 
     """
 
@@ -4613,10 +4626,11 @@
         'unreachable',
         'store_contact_ms',
         'availability',
+        'configuration_version',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None, availability=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None, availability=None, configuration_version=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4639,6 +4653,7 @@
         self.unreachable = unreachable
         self.store_contact_ms = store_contact_ms
         self.availability = availability
+        self.configuration_version = configuration_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4836,6 +4851,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4973,6 +4993,10 @@
                 iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 24)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5360,6 +5384,7 @@
 ConfigurationQuery.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'newer_than_revision', None, None, ),  # 1
+    (2, TType.I64, 'newer_than_version', None, None, ),  # 2
 )
 all_structs.append(ConfigurationAnswer)
 ConfigurationAnswer.thrift_spec = (
@@ -5627,6 +5652,7 @@
     (21, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 21
     (22, TType.I64, 'store_contact_ms', None, None, ),  # 22
     (23, TType.LIST, 'availability', (TType.STRUCT, [AvailabilitySeen, None], False), None, ),  # 23
+    (24, TType.I64, 'configuration_version', None, None, ),  # 24
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
