A single failed answer is no verdict on a new version

Cause: the margin alone decides, and with few answers one failure exceeds it. Evidence: test_one_failed_answer_among_the_first_eight_is_no_verdict failed every time; it passes now. Change: at least two failures are asked for.

--- a/azureturn/gateway/decisions/_moves.py
+++ b/azureturn/gateway/decisions/_moves.py
@@ -18,6 +18,8 @@
 #: many standard errors if that is larger, is rolled back.
 _FAILURE_MARGIN = 0.12
 _STANDARD_ERRORS = 2.0
+#: A single failure is no evidence: among the first answers it alone exceeds the margin.
+_MIN_FAILURES = 2
 #: A new version that is slower than the old one by more than this factor is rolled back: in the
 #: time to the first event or plain answer, or in the pace of its streams.
 _SLOWDOWN_LIMIT = 2.2
@@ -148,7 +150,7 @@
 
 
 def _more_failures_reason(new: VersionCount, old: VersionCount) -> str:
-    if new.answers < _MIN_ANSWERS:
+    if new.answers < _MIN_ANSWERS or new.failures < _MIN_FAILURES:
         return ""
     old_share = old.failures / max(1, old.answers)
     spread = math.sqrt(max(old_share, 0.02) / new.answers)
