--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -90,10 +90,7 @@
         limits=[_limits_to_wire(row) for row in report.limits],
         store_contact_ms=report.store_contact_ms,
         configuration_version=report.configuration_version,
-        availability=[
-            AvailabilitySeen(*row.run, row.is_leaving, row.pause_ms, row.relay_vm)
-            for row in report.availability
-        ],
+        availability=[_availability_to_wire(row) for row in report.availability],
     )
 
 
@@ -114,17 +111,7 @@
             row.organisation: AllotmentUsage(row.units, row.late_units or 0)
             for row in wire.spent or ()
         },
-        prompts=tuple(
-            SentPrompt(
-                row.upstream,
-                row.model,
-                tuple(
-                    PromptPart(part_id, tokens)
-                    for part_id, tokens in zip(row.part_ids, row.part_tokens, strict=False)
-                ),
-            )
-            for row in wire.prompts or ()
-        ),
+        prompts=tuple(_prompt_from_wire(row) for row in wire.prompts or ()),
         versions={
             (row.service_name, row.version): _version_from_wire(row) for row in wire.versions or ()
         },
@@ -149,18 +136,33 @@
         limits=tuple(_limits_from_wire(row) for row in wire.limits or ()),
         store_contact_ms=wire.store_contact_ms,
         configuration_version=wire.configuration_version or 0,
-        availability=tuple(
-            AvailabilityReport(
-                (row.upstream, row.started_unix_ms),
-                bool(row.leaving),
-                row.pause_ms or 0,
-                row.relay_vm or "",
-            )
-            for row in wire.availability or ()
-        ),
+        availability=tuple(_availability_from_wire(row) for row in wire.availability or ()),
+    )
+
+
+def _prompt_from_wire(row: PromptSent) -> SentPrompt:
+    parts = zip(row.part_ids, row.part_tokens, strict=False)
+    return SentPrompt(
+        row.upstream, row.model, tuple(PromptPart(part_id, tokens) for part_id, tokens in parts)
     )
 
 
+def _availability_to_wire(report: AvailabilityReport) -> AvailabilitySeen:
+    name, started_unix_ms = report.run
+    return AvailabilitySeen(
+        upstream=name,
+        started_unix_ms=started_unix_ms,
+        leaving=report.is_leaving,
+        pause_ms=report.pause_ms,
+        relay_vm=report.relay_vm,
+    )
+
+
+def _availability_from_wire(row: AvailabilitySeen) -> AvailabilityReport:
+    run = (row.upstream, row.started_unix_ms)
+    return AvailabilityReport(run, bool(row.leaving), row.pause_ms or 0, row.relay_vm or "")
+
+
 def _limits_to_wire(report: LimitReport) -> LimitSeen:
     name, started_unix_ms = report.run
     return LimitSeen(
