Each era of the store guards its writes: none in flight meets its revision on another change

Cause: a conditional write names the revision of its key. After the store has come back from a copy it may have given that revision to another change, and the write, sent before, replaces it: a completed move could be rolled back. Ruled out: one guard key per era with a fixed name (a late second write of it could get the same revision); a guard of each VM (removing 195 of them exceeds the 32 entries of one call). Change: the first writer of an era writes a guard with a random part in its key and removes the earlier ones in the same call; all writes have it as a further condition.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -48,7 +48,7 @@
 )
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
 from azureturn.serving import BoundedServer, CoreRuntime, PlannedStop, StopLimits, StopStage, now_ms
-from azureturn.store import WatchedStore
+from azureturn.store import TransactionalStore
 from azureturn.tasks import TaskLoop, sleep
 
 #: How long before the process is killed a planned stop aborts the requests still in flight.
@@ -61,7 +61,7 @@
 class PlatformAdapter:
     """The objects that an adapter to a platform provides."""
 
-    store: WatchedStore
+    store: TransactionalStore
     documents: DocumentCodec
     dialect: Dialect
 
@@ -104,7 +104,7 @@
         self._peer_server = PeerServer(
             vm.host, vm.peer_port, GatewayPeerHandler(self._view_holder), signer, loop=self._loop
         )
-        store = RestorableStore(adapter.store, log)
+        store = RestorableStore(adapter.store, log, guard_prefix=adapter.documents.era_guard_prefix)
         self._writer = StoreWriter(store, self._view_holder, adapter.documents, log)
         self._watcher = StoreWatcher(
             store,
--- a/azureturn/gateway/daemon/_restorable_store.py
+++ b/azureturn/gateway/daemon/_restorable_store.py
@@ -1,5 +1,6 @@
 """A store that may come back from a copy, seen as one whose revisions only increase."""
 
+import secrets
 import threading
 from dataclasses import replace
 
@@ -8,12 +9,17 @@
 from azureturn.observability import EventLog, LogEvent
 from azureturn.store import (
     HistoryLostError,
+    KeyCondition,
     KeyValueEntry,
     StoreChanges,
     StoreSnapshot,
-    WatchedStore,
+    TransactionalStore,
 )
 
+_GUARD_BYTES = 8
+#: The store takes at most 32 entries in one write.
+_MAX_REMOVED_GUARDS = 28
+
 
 class RestorableStore:
     """Joins each revision with its era, and refuses what belongs to an earlier era.
@@ -21,12 +27,22 @@
     Changes of a new era are not taken as a continuation of what was read before: the caller has to
     read everything again. A conditional write that was decided on in an earlier era is not sent,
     as the store may have given its expected revision to another change.
+
+    A write may also arrive after the store has come back. So each era has an entry of its own, the
+    guard, and every write has the guard of its era as a further condition. A guard is written
+    together with the removal of all earlier ones, before any other write of its era. Its key
+    contains a random number, so that no guard is ever written twice.
     """
 
-    def __init__(self, store: WatchedStore, log: EventLog) -> None:
+    def __init__(self, store: TransactionalStore, log: EventLog, *, guard_prefix: str) -> None:
         self._store = store
         self._log = log
+        self._guard_prefix = guard_prefix
         self._era = 0
+        #: The guard of an era, at the revision that the store itself has given it.
+        self._guard: tuple[int, KeyCondition] | None = None
+        #: Keys of the guards of earlier eras that the store still has.
+        self._earlier_guards: tuple[str, ...] = ()
         self._lock = threading.Lock()
 
     @property
@@ -43,6 +59,7 @@
         """Return all entries below ``prefix``."""
         snapshot = self._store.read_all(prefix)
         era = self._observe(snapshot.era)
+        self._find_guards(snapshot, era)
         entries = tuple(_with_era(entry, era) for entry in snapshot.entries)
         return StoreSnapshot(entries, join_revision(era, snapshot.revision), era)
 
@@ -75,10 +92,43 @@
             raise CompareFailedError(
                 ErrorKind.CONFLICT, f"{key} was read before the store came back from a copy"
             )
-        revision = self._store.compare_and_swap(
-            key, value, expected_revision=revision_in_era(expected_revision)
+        conditions = [KeyCondition(key, revision_in_era(expected_revision))]
+        if era:
+            conditions.append(self._guard_of(era))
+        written = self._store.transact(key, value, conditions=conditions)
+        return join_revision(era, written.revision)
+
+    def _guard_of(self, era: int) -> KeyCondition:
+        """Return the guard of an era; write one if the store has none yet."""
+        guard = self._guard
+        if guard is not None and guard[0] == era:
+            return guard[1]
+        key = f"{self._guard_prefix}{era}-{secrets.token_hex(_GUARD_BYTES)}"
+        written = self._store.transact(
+            key,
+            str(era).encode(),
+            conditions=[KeyCondition(key, 0)],
+            removed=self._earlier_guards[:_MAX_REMOVED_GUARDS],
+        )
+        if written.era != era:
+            raise CompareFailedError(
+                ErrorKind.CONFLICT, "the store has come back from a copy meanwhile"
+            )
+        condition = KeyCondition(key, written.revision)
+        self._guard = (era, condition)
+        return condition
+
+    def _find_guards(self, snapshot: StoreSnapshot, era: int) -> None:
+        """Take over the guard of this era from a snapshot, and those of earlier eras."""
+        guards = sorted(
+            (entry.key, entry.revision)
+            for entry in snapshot.entries
+            if entry.key.startswith(self._guard_prefix)
         )
-        return join_revision(era, revision)
+        own_prefix = f"{self._guard_prefix}{era}-"
+        own = [KeyCondition(*guard) for guard in guards if guard[0].startswith(own_prefix)]
+        self._earlier_guards = tuple(key for key, _ in guards if not key.startswith(own_prefix))
+        self._guard = (era, own[0]) if own else None
 
     def _observe(self, era: int | None) -> int:
         """Take note of the era that a response names, and return the era of the response.
--- a/azureturn/gateway/daemon/tests/test_restorable_store.py
+++ b/azureturn/gateway/daemon/tests/test_restorable_store.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+from collections.abc import Sequence
 
 import pytest
 
@@ -11,10 +12,12 @@
 from azureturn.observability import EventLog
 from azureturn.store import (
     HistoryLostError,
+    KeyCondition,
     KeyValueEntry,
     StoreChange,
     StoreChanges,
     StoreSnapshot,
+    StoreWrite,
 )
 
 
@@ -38,9 +41,21 @@
         self.watched_after.append(after_revision)
         return StoreChanges((StoreChange("a", self.revision, b""),), self.revision, self.era)
 
+    def transact(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        conditions: Sequence[KeyCondition],
+        removed: Sequence[str] = (),
+    ) -> StoreWrite:
+        if not key.startswith("guards/"):
+            self.writes.append(conditions[0].revision)
+        return StoreWrite(self.revision, self.era)
+
     def compare_and_swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
-        self.writes.append(expected_revision)
-        return self.revision
+        condition = KeyCondition(key, expected_revision)
+        return self.transact(key, value, conditions=[condition]).revision
 
 
 @pytest.fixture
@@ -51,7 +66,9 @@
 @pytest.fixture
 def sites(log_text: io.StringIO) -> tuple[_Store, RestorableStore]:
     store = _Store()
-    restorable = RestorableStore(store, EventLog.to_stream(log_text, vm="vm-1"))
+    restorable = RestorableStore(
+        store, EventLog.to_stream(log_text, vm="vm-1"), guard_prefix="guards/"
+    )
     assert restorable.read_all("").revision == join_revision(1, 500)
     return store, restorable
 
@@ -111,5 +128,7 @@
 def test_revisions_of_a_store_that_names_no_era_stay_as_they_are() -> None:
     store = _Store()
     store.era = None
-    restorable = RestorableStore(store, EventLog.to_stream(io.StringIO(), vm="vm-1"))
+    restorable = RestorableStore(
+        store, EventLog.to_stream(io.StringIO(), vm="vm-1"), guard_prefix="guards/"
+    )
     assert restorable.read_all("").revision == 500
--- a/azureturn/gateway/site/_ports.py
+++ b/azureturn/gateway/site/_ports.py
@@ -16,6 +16,8 @@
 
     #: Key prefix of all documents that the gateway watches.
     watched_prefix: str
+    #: Key prefix of the entries that mark the present era of the store; they are no documents.
+    era_guard_prefix: str
 
     def decode(self, key: str, value: bytes) -> DocumentContent | None:
         """Return the decoded document, or None if its key belongs to no known kind.
--- a/azureturn/store/__init__.py
+++ b/azureturn/store/__init__.py
@@ -6,10 +6,13 @@
 from azureturn.store._protocols import (
     ConditionalStore,
     HistoryLostError,
+    KeyCondition,
     StoreChange,
     StoreChanges,
     StoreRefusedError,
     StoreSnapshot,
+    StoreWrite,
+    TransactionalStore,
     WatchedStore,
 )
 from azureturn.store._vm_list import ListedVm, VmListClient
@@ -18,6 +21,7 @@
     "SOCKET_OPTIONS",
     "ConditionalStore",
     "HistoryLostError",
+    "KeyCondition",
     "KeyValueClient",
     "KeyValueEntry",
     "ListedVm",
@@ -25,6 +29,8 @@
     "StoreChanges",
     "StoreRefusedError",
     "StoreSnapshot",
+    "StoreWrite",
+    "TransactionalStore",
     "VmListClient",
     "WatchedStore",
 ]
--- a/azureturn/store/_protocols.py
+++ b/azureturn/store/_protocols.py
@@ -1,5 +1,6 @@
 """Interface to key-value services, independent of the service's own protocol."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -47,6 +48,23 @@
     value: bytes | None
 
 
+@dataclass(frozen=True)
+class KeyCondition:
+    """A condition of a write: a key is at this revision; 0 stands for an absent key."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True)
+class StoreWrite:
+    """A write that took effect."""
+
+    revision: int
+    #: Number of times that the service came back from a copy; None if it does not say.
+    era: int | None = None
+
+
 class ConditionalStore(Protocol):
     """Reads and compare-and-swap, which every key-value service provides."""
 
@@ -72,3 +90,21 @@
 
         :class:`HistoryLostError` means that the service no longer has all of the changes.
         """
+
+
+class TransactionalStore(WatchedStore, Protocol):
+    """A store with writes under several conditions."""
+
+    def transact(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        conditions: Sequence[KeyCondition],
+        removed: Sequence[str] = (),
+    ) -> StoreWrite:
+        """Write ``value`` and remove keys, all or nothing, if all conditions hold.
+
+        ``CompareFailedError`` means that nothing was written; after ``KeyValueUnavailableError``
+        the result is not known.
+        """
