The guard of an era has a type; no pauses cost nothing

Reading the diff: a tuple of era and condition gets a data class, an unused property goes, and requests are not compared with pauses while there are none.

--- a/azureturn/gateway/daemon/_restorable_store.py
+++ b/azureturn/gateway/daemon/_restorable_store.py
@@ -2,7 +2,7 @@
 
 import secrets
 import threading
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
 from azureturn.gateway.site import era_of, join_revision, revision_in_era
@@ -21,6 +21,15 @@
 _MAX_REMOVED_GUARDS = 28
 
 
+@dataclass(frozen=True)
+class _EraGuard:
+    """The guard of an era, as a condition of the era's writes."""
+
+    era: int
+    #: Key and revision as the store itself knows them.
+    condition: KeyCondition
+
+
 class RestorableStore:
     """Joins each revision with its era, and refuses what belongs to an earlier era.
 
@@ -38,18 +47,13 @@
         self._store = store
         self._log = log
         self._guard_prefix = guard_prefix
+        #: The latest era that the store, or a peer, has named; 0 if none was.
         self._era = 0
-        #: The guard of an era, at the revision that the store itself has given it.
-        self._guard: tuple[int, KeyCondition] | None = None
+        self._guard: _EraGuard | None = None
         #: Keys of the guards of earlier eras that the store still has.
         self._earlier_guards: tuple[str, ...] = ()
         self._lock = threading.Lock()
 
-    @property
-    def era(self) -> int:
-        """Return the latest era that the store has named; 0 if it has named none."""
-        return self._era
-
     def read(self, key: str) -> KeyValueEntry | None:
         """Return the entry at ``key``, whose revision is of the latest era that is known."""
         entry = self._store.read(key)
@@ -101,8 +105,8 @@
     def _guard_of(self, era: int) -> KeyCondition:
         """Return the guard of an era; write one if the store has none yet."""
         guard = self._guard
-        if guard is not None and guard[0] == era:
-            return guard[1]
+        if guard is not None and guard.era == era:
+            return guard.condition
         key = f"{self._guard_prefix}{era}-{secrets.token_hex(_GUARD_BYTES)}"
         written = self._store.transact(
             key,
@@ -114,21 +118,20 @@
             raise CompareFailedError(
                 ErrorKind.CONFLICT, "the store has come back from a copy meanwhile"
             )
-        condition = KeyCondition(key, written.revision)
-        self._guard = (era, condition)
-        return condition
+        guard = _EraGuard(era, KeyCondition(key, written.revision))
+        self._guard = guard
+        return guard.condition
 
     def _find_guards(self, snapshot: StoreSnapshot, era: int) -> None:
         """Take over the guard of this era from a snapshot, and those of earlier eras."""
         guards = sorted(
-            (entry.key, entry.revision)
-            for entry in snapshot.entries
-            if entry.key.startswith(self._guard_prefix)
+            (entry for entry in snapshot.entries if entry.key.startswith(self._guard_prefix)),
+            key=lambda entry: entry.key,
         )
         own_prefix = f"{self._guard_prefix}{era}-"
-        own = [KeyCondition(*guard) for guard in guards if guard[0].startswith(own_prefix)]
-        self._earlier_guards = tuple(key for key, _ in guards if not key.startswith(own_prefix))
-        self._guard = (era, own[0]) if own else None
+        own = [entry for entry in guards if entry.key.startswith(own_prefix)]
+        self._earlier_guards = tuple(entry.key for entry in guards if entry not in own)
+        self._guard = _EraGuard(era, KeyCondition(own[0].key, own[0].revision)) if own else None
 
     def _observe(self, era: int | None) -> int:
         """Take note of the era that a response names, and return the era of the response.
--- a/azureturn/gateway/decisions/_availability.py
+++ b/azureturn/gateway/decisions/_availability.py
@@ -59,6 +59,8 @@
 
     def wait_ms(self, upstreams: Iterable[RegisteredUpstream], now_ms: int) -> int:
         """Return the time until the first of these upstreams takes requests; 0 if one does now."""
+        if not len(self):
+            return 0
         waits_ms = []
         for upstream in upstreams:
             pause = self.get(upstream.run)
