A caller is not taken for one that left before with the same descriptor

Cause: the watch reads an event of epoll, the connection it belongs to is closed, and the next one gets the same descriptor before the event is handled; the new request is then aborted as caller_gone, and the library answers 500. The class: a number that is given out again names another thing (as with the revisions of the store). Change: an event counts only if the connection that has the descriptor now has really been closed.

--- a/azureturn/serving/_caller_watch.py
+++ b/azureturn/serving/_caller_watch.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 
 _DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+_DISCONNECT_STATES = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 #: With EPOLLONESHOT, each connection is reported once.
 _WATCH_EVENTS = select.EPOLLRDHUP | select.EPOLLONESHOT
 
@@ -55,5 +56,13 @@
     def _notify(self, descriptor: int) -> None:
         with self._lock:
             callback = self._callbacks.get(descriptor)
-        if callback is not None:
-            callback()
+            # The event may be that of an earlier connection with the same descriptor.
+            if callback is None or not _has_disconnected(descriptor):
+                return
+        callback()
+
+
+def _has_disconnected(descriptor: int) -> bool:
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP)
+    return any(mask & _DISCONNECT_STATES for _, mask in poller.poll(0))
