--- a/azureturn/tasks/tests/test_loop.py
+++ b/azureturn/tasks/tests/test_loop.py
@@ -273,3 +273,24 @@
     """Raise a result that is an error."""
     if isinstance(result, Exception):
         raise result
+
+
+def test_what_arrived_while_the_loop_was_busy_is_not_taken_for_a_timeout(
+    runner: _Runner, sockets: tuple[socket.socket, socket.socket]
+) -> None:
+    near, far = sockets
+    results: queue.SimpleQueue[object] = queue.SimpleQueue()
+    start: Mailbox[None] = Mailbox()
+
+    def be_busy() -> None:
+        start.get()
+        far.send(b"data")
+        time.sleep(20 * _SHORT_S)
+
+    def wait() -> None:
+        start.put(None)
+        results.put(result_of(receive, near, 10, 10 * _SHORT_S))
+
+    runner.loop.spawn(be_busy)
+    runner.loop.spawn(wait)
+    assert results.get(timeout=_WAIT_S) == b"data"
