A port that was handed out is kept until a process of the site listens on it

Cause: free_port() bound, closed and handed the number on; until a process listened on it, another test process could get the same one. That this was the cause of those failures is likely, not shown. Change: the socket is kept, bound and not listening; servers bind beside it, as both allow reuse.

--- a/standins/site.py
+++ b/standins/site.py
@@ -9,8 +9,8 @@
 import sys
 import tempfile
 import time
+from collections import deque
 from collections.abc import Iterator
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -26,6 +26,8 @@
 _FIRST_PORT = 10_000
 _PORT_RANGES = 180
 _PORTS_IN_RANGE = 120
+#: More than one test process has in use at the same time, and few beside its descriptors.
+_MAX_RESERVATIONS = 100
 
 ORGANISATION = "call-centre"
 TOKEN = "kuiseb-call-centre-token"
@@ -41,14 +43,24 @@
 
 
 _CANDIDATE_PORTS = _candidate_ports()
+#: Sockets that keep ports which were handed out from other processes. A process of this site can
+#: bind such a port, as both sockets allow its reuse and this one does not listen.
+_RESERVATIONS: deque[socket.socket] = deque(maxlen=_MAX_RESERVATIONS)
 
 
 def free_port() -> int:
-    """Return an unused port of the loopback address."""
+    """Return an unused port of the loopback address; no other caller gets it for a while."""
     for port in _CANDIDATE_PORTS:
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((LOOPBACK, port))
-            return port
+        reservation = socket.socket()
+        try:
+            # Without reuse, which another reservation would allow.
+            reservation.bind((LOOPBACK, port))
+        except OSError:
+            reservation.close()
+            continue
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _RESERVATIONS.append(reservation)
+        return port
     raise AssertionError("unreachable: the iterator of ports is infinite")
 
 
