All work of a VM is done on one thread, what keeps it informed first

Callers saw: 404 for routes confirmed seconds before (CONFIG); answers long after they had left (GONE). Cause: a gateway had 13 threads and one interpreter lock. A system call gives the lock away; to get it back, a thread waits for a scheduling turn of the one that computes. The watch of the store makes about ten calls a poll, so that it ended by time-outs; connections waited to be accepted; callers that left were noticed late. Ruled out: the store and its path, which took the same VMs' records all the time. Change: the loop also runs the ticks, the watch and the writes of the store, reports, calls of peers, and the servers; urllib3 and thrift get sockets whose waits suspend the task. Of several reports of a peer only the latest is read. Callers that leave are noticed by the poll, and a request whose caller has left is not read at all.

--- a/azureturn/daemon/_context.py
+++ b/azureturn/daemon/_context.py
@@ -10,7 +10,7 @@
 from azureturn.errors import ErrorKind, RefusedError
 from azureturn.observability import EventLog, Metrics
 from azureturn.peers import EnvelopeSigner, PeerClient
-from azureturn.serving import CallerWatch, CoreRuntime
+from azureturn.serving import CallerWatch, CoreRuntime, ThreadCallerWatch
 from azureturn.settings import Settings, UpstreamKind, UpstreamSettings
 from azureturn.store import KeyValueClient, VmListClient
 from azureturn.upstreams import UpstreamClient
@@ -49,7 +49,7 @@
     metrics: Metrics
     accounting: Accounting
     upstreams: UpstreamClients = field(default_factory=UpstreamClients)
-    caller_watch: CallerWatch = field(default_factory=CallerWatch)
+    caller_watch: CallerWatch = field(default_factory=ThreadCallerWatch)
 
     def new_request_id(self) -> str:
         """Return a request id that is unique over all VMs."""
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -1,7 +1,6 @@
 """Builds a gateway process from its settings and a platform adapter."""
 
 import secrets
-import threading
 import time
 from dataclasses import dataclass, replace
 
@@ -47,9 +46,17 @@
     describe_error,
 )
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
-from azureturn.serving import BoundedServer, CoreRuntime, PlannedStop, StopLimits, StopStage, now_ms
+from azureturn.serving import (
+    BoundedServer,
+    CoreRuntime,
+    LoopCallerWatch,
+    PlannedStop,
+    StopLimits,
+    StopStage,
+    now_ms,
+)
 from azureturn.store import TransactionalStore
-from azureturn.tasks import TaskLoop, sleep
+from azureturn.tasks import Priority, TaskLoop, sleep
 
 #: How long before the process is killed a planned stop aborts the requests still in flight.
 _STOP_MARGIN_MS = 700
@@ -97,15 +104,15 @@
         connector = UpstreamConnector(RelayClient(vm.name, signer, port=vm.relay_port))
         self._relay_server = self._new_relay_server(signer)
         self._services = self._new_services(adapter.dialect, connector)
-        self._report_socket = ReportSocket(vm.host, vm.peer_port, self._runtime, log)
+        self._report_socket = ReportSocket(vm.host, vm.peer_port, self._runtime, log, self._loop)
         self._view_fetcher = ViewFetcher(
-            PeerClient(signer), self._view_holder, log, peer_port=vm.peer_port
+            PeerClient(signer), self._view_holder, log, peer_port=vm.peer_port, loop=self._loop
         )
         self._peer_server = PeerServer(
             vm.host, vm.peer_port, GatewayPeerHandler(self._view_holder), signer, loop=self._loop
         )
         store = RestorableStore(adapter.store, log, guard_prefix=adapter.documents.era_guard_prefix)
-        self._writer = StoreWriter(store, self._view_holder, adapter.documents, log)
+        self._writer = StoreWriter(store, self._view_holder, adapter.documents, log, self._loop)
         self._watcher = StoreWatcher(
             store,
             self._view_holder,
@@ -113,6 +120,7 @@
             log,
             wait_ms=settings.watch_wait_ms,
             vm_count=lambda: len(self._view_holder.view.vms),
+            loop=self._loop,
         )
         self._server = GatewayServer(self._services, self._loop)
         self._servers = self._new_servers(adapter.dialect.readiness_path)
@@ -145,6 +153,7 @@
             time_left_ms=self._time_left_ms,
             may_send=self._may_send,
             connector=connector,
+            caller_watch=LoopCallerWatch(self._loop),
         )
 
     def _new_servers(self, readiness_path: str) -> dict[str, BoundedServer]:
@@ -168,7 +177,7 @@
         return self._settings
 
     def start(self) -> None:
-        """Start the loop, all threads and servers; return once the ports are open."""
+        """Start the loop with all tasks and servers; return once the ports are open."""
         self._loop.start()
         self._runtime.submit(GatewayStarted(self._settings.vm.name, unix_now_ms()))
         self._watcher.start()
@@ -177,13 +186,12 @@
         self._probes.start()
         self._peer_server.start()
         self._relay_server.start()
-        self._runtime.start()
-        for name, server in self._servers.items():
+        self._runtime.start(self._loop)
+        for server in self._servers.values():
             server.prepare()
-            threading.Thread(target=server.serve, name=name, daemon=True).start()
         self._writer.start(self._settings.vm)
         self._process_metrics.start()
-        self._loop.spawn(self._close_idle_connections)
+        self._loop.spawn(self._close_idle_connections, priority=Priority.CONTROL)
         vm = self._settings.vm
         self._log.info(
             LogEvent.DAEMON_STARTED,
--- a/azureturn/gateway/daemon/_peer_calls.py
+++ b/azureturn/gateway/daemon/_peer_calls.py
@@ -1,6 +1,6 @@
 """Thrift calls between VMs of the gateway: fetches a peer's view if it is newer."""
 
-import queue
+from contextlib import suppress
 
 from azureturn.errors import AzureturnError, ErrorKind
 from azureturn.gateway.daemon._store_watcher import ViewHolder
@@ -21,6 +21,7 @@
     PeerClient,
     TicketedCall,
 )
+from azureturn.tasks import Mailbox, MailboxFullError, TaskLoop
 
 _QUEUE_LIMIT = 4
 
@@ -61,25 +62,32 @@
 
 
 class ViewFetcher:
-    """A thread that fetches the views of peers."""
+    """A task that fetches the views of peers."""
 
     def __init__(
-        self, client: PeerClient, view_holder: ViewHolder, log: EventLog, *, peer_port: int
+        self,
+        client: PeerClient,
+        view_holder: ViewHolder,
+        log: EventLog,
+        *,
+        peer_port: int,
+        loop: TaskLoop,
     ) -> None:
         self._client = client
         self._view_holder = view_holder
         self._log = log
         self._peer_port = peer_port
-        self._queue: queue.Queue[FetchView] = queue.Queue(_QUEUE_LIMIT)
+        self._loop = loop
+        self._queue: Mailbox[FetchView] = Mailbox(limit=_QUEUE_LIMIT)
 
     def start(self) -> None:
-        """Start the thread."""
-        run_forever(self._fetch_forever, "view-fetcher", self._log)
+        """Start the task."""
+        run_forever(self._fetch_forever, "view-fetcher", self._log, loop=self._loop)
 
     def enqueue(self, action: FetchView) -> None:
         """Queue a fetch; drop it if the queue is full, as the controllers request it again."""
-        if not self._queue.full():
-            self._queue.put_nowait(action)
+        with suppress(MailboxFullError):
+            self._queue.put(action)
 
     def _fetch_forever(self) -> None:
         while True:
--- a/azureturn/gateway/daemon/_peer_reports.py
+++ b/azureturn/gateway/daemon/_peer_reports.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterable
+from contextlib import suppress
 
 from azureturn.errors import AzureturnError
 from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
@@ -10,6 +11,7 @@
 from azureturn.observability import EventLog, LogEvent, describe_error
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
 from azureturn.serving import CoreRuntime
+from azureturn.tasks import READABLE, TaskLoop, wait_until_ready
 
 _DATAGRAM_LIMIT_BYTES = 60_000
 
@@ -17,16 +19,20 @@
 class ReportSocket:
     """One UDP socket for all peers; a lost report is superseded by the next one."""
 
-    def __init__(self, host: str, port: int, runtime: CoreRuntime, log: EventLog) -> None:
+    def __init__(
+        self, host: str, port: int, runtime: CoreRuntime, log: EventLog, loop: TaskLoop
+    ) -> None:
         self._port = port
+        self._loop = loop
         self._runtime = runtime
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
+        self._socket.setblocking(False)
 
     def start(self) -> None:
-        """Start the thread that receives reports."""
-        run_forever(self._receive_forever, "peer-reports", self._log)
+        """Start the task that receives reports."""
+        run_forever(self._receive_forever, "peer-reports", self._log, loop=self._loop)
 
     def send(self, action: SendReport) -> None:
         """Send a report to every host without blocking."""
@@ -56,12 +62,28 @@
     def _receive_forever(self) -> None:
         while True:
             try:
-                data = self._socket.recv(_DATAGRAM_LIMIT_BYTES)
-                report = report_from_wire(decode_struct(GatewayReport, data))
+                wait_until_ready({self._socket.fileno(): READABLE}, None)
+                datagrams = self._receive_latest()
             except OSError as error:
                 self._log.error(LogEvent.PEER_UNREACHABLE, error=describe_error(error))
                 continue
-            except (AzureturnError, TypeError) as error:
-                self._log.error(LogEvent.PEER_REPORT_REFUSED, error=describe_error(error))
-                continue
-            self._runtime.submit(PeerReportReceived(report))
+            for data in datagrams:
+                self._apply(data)
+
+    def _receive_latest(self) -> list[bytes]:
+        """Return the latest datagram of each sender; those before it are superseded."""
+        datagrams: dict[object, bytes] = {}
+        with suppress(BlockingIOError):
+            while True:
+                data, sender = self._socket.recvfrom(_DATAGRAM_LIMIT_BYTES)
+                datagrams.pop(sender, None)
+                datagrams[sender] = data
+        return list(datagrams.values())
+
+    def _apply(self, data: bytes) -> None:
+        try:
+            report = report_from_wire(decode_struct(GatewayReport, data))
+        except (AzureturnError, TypeError) as error:
+            self._log.error(LogEvent.PEER_REPORT_REFUSED, error=describe_error(error))
+            return
+        self._runtime.submit(PeerReportReceived(report))
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -6,7 +6,6 @@
 import json
 import random
 import threading
-import time
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
 from enum import Enum, auto
@@ -18,6 +17,7 @@
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime, now_ms
 from azureturn.store import HistoryLostError, StoreChange, WatchedStore
+from azureturn.tasks import TaskLoop, sleep
 
 _INITIAL_BACKOFF_MS = 100
 _MAX_BACKOFF_MS = 1_000
@@ -33,6 +33,8 @@
         self._log = log
         self._lock = threading.Lock()
         self._view = SiteView()
+        #: The view that was encoded last, and its encoding.
+        self._encoded: tuple[SiteView | None, bytes] = (None, b"")
 
     @property
     def view(self) -> SiteView:
@@ -77,12 +79,16 @@
         return self._replace_view(view, "watch") or revision == base_revision
 
     def encode(self) -> bytes:
-        """Return the view encoded for a peer."""
-        rows = [
-            [document.key, document.revision, b64encode(document.value).decode()]
-            for document in self._view.stored_documents.values()
-        ]
-        return json.dumps(rows).encode()
+        """Return the view encoded for a peer; the result is kept for the peers that ask next."""
+        view, (encoded_view, encoded) = self._view, self._encoded
+        if encoded_view is not view:
+            rows = [
+                [document.key, document.revision, b64encode(document.value).decode()]
+                for document in view.stored_documents.values()
+            ]
+            encoded = json.dumps(rows).encode()
+            self._encoded = (view, encoded)
+        return encoded
 
     def apply_peer_view(self, revision: int, data: bytes) -> bool:
         """Replace the view by a peer's encoded view; return whether the peer's was newer."""
@@ -181,7 +187,7 @@
 
 
 class StoreWatcher:
-    """A thread that reads the whole store once and then watches it for changes."""
+    """A task that reads the whole store once and then watches it for changes."""
 
     def __init__(
         self,
@@ -192,6 +198,7 @@
         *,
         wait_ms: int,
         vm_count: Callable[[], int],
+        loop: TaskLoop | None = None,
     ) -> None:
         self._store = store
         self._view_holder = view_holder
@@ -199,12 +206,18 @@
         self._log = log
         self._wait_ms = wait_ms
         self._vm_count = vm_count
+        self._loop = loop
         self._contact = _Contact.UNKNOWN
         self._answered_at_ms = now_ms()
 
+    @property
+    def answered_at_ms(self) -> int:
+        """Return when the store last answered, so that the view was the latest one."""
+        return self._answered_at_ms
+
     def start(self) -> None:
-        """Start the thread."""
-        run_forever(self._watch_forever, "store-follower", self._log)
+        """Start the task."""
+        run_forever(self._watch_forever, "store-follower", self._log, loop=self._loop)
 
     def _watch_forever(self) -> None:
         backoff_ms = _INITIAL_BACKOFF_MS
@@ -219,7 +232,7 @@
                 self._log.error(LogEvent.STORE_HISTORY_LOST, error=error.message)
             except PlatformError as error:
                 self._mark_store_unavailable(error)
-                time.sleep(random.uniform(0.5, 1.0) * backoff_ms / _MS_PER_S)
+                sleep(random.uniform(0.5, 1.0) * backoff_ms / _MS_PER_S)
                 backoff_ms = min(_MAX_BACKOFF_MS, 2 * backoff_ms)
 
     def _read_all(self) -> None:
@@ -235,7 +248,7 @@
 
         With many VMs the call is delayed, so that it returns several changes at once.
         """
-        time.sleep(watch_delay_ms(self._vm_count()) / _MS_PER_S)
+        sleep(watch_delay_ms(self._vm_count()) / _MS_PER_S)
         base_revision = self._view_holder.view.revision
         changes = self._store.changes(
             self._prefix, after_revision=base_revision, wait_ms=self._wait_ms
--- a/azureturn/gateway/daemon/_store_writer.py
+++ b/azureturn/gateway/daemon/_store_writer.py
@@ -1,8 +1,6 @@
 """Writes to the store: this VM's address, statuses of version moves, and shared records."""
 
-import queue
-import threading
-import time
+from functools import partial
 
 from azureturn.errors import CompareFailedError, PlatformError
 from azureturn.gateway.daemon._store_watcher import ViewHolder
@@ -16,16 +14,16 @@
 from azureturn.gateway.site import DocumentCodec, RegisteredVm
 from azureturn.observability import EventLog, LogEvent
 from azureturn.store import ConditionalStore
+from azureturn.tasks import Mailbox, MailboxFullError, TaskLoop, sleep
 
 _QUEUE_LIMIT = 64
 _REGISTRATION_RETRY_S = 2.0
-_MS_PER_S = 1_000
 
 _Write = WriteMoveStatus | WriteAllotmentRecord | WriteQuarantineRecord
 
 
 class StoreWriter:
-    """A thread that makes conditional writes; a write without a response is never sent again.
+    """A task that makes conditional writes; a write without a response is never sent again.
 
     The view, which is updated from the store, shows whether such a write took effect. If it did
     not, the controllers request the write again, with the revision in the view.
@@ -37,23 +35,25 @@
         view_holder: ViewHolder,
         documents: DocumentCodec,
         log: EventLog,
+        loop: TaskLoop,
     ) -> None:
         self._store = store
         self._view_holder = view_holder
         self._documents = documents
         self._log = log
-        self._queue: queue.Queue[_Write] = queue.Queue(_QUEUE_LIMIT)
+        self._loop = loop
+        self._queue: Mailbox[_Write] = Mailbox(limit=_QUEUE_LIMIT)
 
     def start(self, vm: GatewayVm) -> None:
         """Start writing, and register this VM's address."""
-        run_forever(self._write_forever, "store-writer", self._log)
-        threading.Thread(target=self._register, args=(vm,), name="register", daemon=True).start()
+        run_forever(self._write_forever, "store-writer", self._log, loop=self._loop)
+        run_forever(partial(self._register, vm), "register", self._log, loop=self._loop)
 
     def enqueue(self, action: _Write) -> None:
         """Queue the write of a document without blocking."""
         try:
-            self._queue.put_nowait(action)
-        except queue.Full:
+            self._queue.put(action)
+        except MailboxFullError:
             # The controllers request the write again.
             self._log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error="write queue is full")
 
@@ -117,4 +117,4 @@
             is_registered = document is not None and document.value == value
             if self._view_holder.view.revision and not is_registered:
                 self._write(key, value, document.revision if document else 0)
-            time.sleep(_REGISTRATION_RETRY_S)
+            sleep(_REGISTRATION_RETRY_S)
--- a/azureturn/gateway/daemon/_threads.py
+++ b/azureturn/gateway/daemon/_threads.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from azureturn.observability import EventLog, LogEvent, describe_error
-from azureturn.tasks import TaskLoop, sleep
+from azureturn.tasks import Priority, TaskLoop, sleep
 
 #: Delay before a failed function is called again, so that a recurring error does not use up the
 #: processor.
@@ -29,6 +29,6 @@
                 sleep(_RESTART_DELAY_S)
 
     if loop is not None:
-        loop.spawn(run)
+        loop.spawn(run, priority=Priority.CONTROL)
     else:
         threading.Thread(target=run, name=name, daemon=True).start()
--- a/azureturn/gateway/daemon/tests/test_peer_reports.py
+++ b/azureturn/gateway/daemon/tests/test_peer_reports.py
@@ -1,6 +1,7 @@
 """Reports on their way to peers."""
 
 import io
+import socket
 
 import pytest
 
@@ -13,6 +14,7 @@
 from azureturn.observability import EventLog
 from azureturn.peers import GatewayReport, decode_struct
 from azureturn.serving import CoreRuntime
+from azureturn.tasks import TaskLoop
 
 _HOST = "127.0.0.1"
 _PEER = "127.0.0.2"
@@ -32,7 +34,8 @@
     runtime = CoreRuntime(
         Core.from_controllers({}, None, seed=1), tick_interval_ms=50, report_error=_fail
     )
-    report_socket = ReportSocket(_HOST, 0, runtime, EventLog.to_stream(io.StringIO(), vm="vm-1"))
+    log = EventLog.to_stream(io.StringIO(), vm="vm-1")
+    report_socket = ReportSocket(_HOST, 0, runtime, log, TaskLoop("test-loop", lambda _error: None))
     report_socket._socket.close()
     datagrams = report_socket._socket = _Datagrams()  # type: ignore[assignment]
     report_socket.send(SendReport(report, (_PEER,)))
@@ -53,3 +56,20 @@
     received = _sent_report(report)
     assert received.view_revision == 12
     assert bool(received.prompts) is has_prompts
+
+
+def test_only_the_latest_datagram_of_each_peer_is_read() -> None:
+    """A VM that is late does not work through what its peers said before."""
+    runtime = CoreRuntime(
+        Core.from_controllers({}, None, seed=1), tick_interval_ms=50, report_error=_fail
+    )
+    log = EventLog.to_stream(io.StringIO(), vm="vm-1")
+    receiver = ReportSocket(_HOST, 0, runtime, log, TaskLoop("test-loop", lambda _error: None))
+    address = receiver._socket.getsockname()
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as first,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as second,
+    ):
+        for data, sender in ((b"1", first), (b"2", second), (b"3", first)):
+            sender.sendto(data, address)
+        assert receiver._receive_latest() == [b"2", b"3"]
--- a/azureturn/gateway/exchange/_server.py
+++ b/azureturn/gateway/exchange/_server.py
@@ -11,9 +11,9 @@
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange import Exchange, ExchangeAbortedError
 from azureturn.gateway.exchange._services import ExchangeServices
-from azureturn.observability import EventLog, LogEvent, describe_error
+from azureturn.observability import EventLog, LogEvent, Metric, describe_error
 from azureturn.serving import BoundedServer, RefusalMessage, ServerLimits
-from azureturn.tasks import TaskLoop
+from azureturn.tasks import Priority, TaskLoop
 
 #: Limits that the HTTP library enforces. They apply even before the configuration is known, and
 #: regardless of the limits in it.
@@ -61,6 +61,12 @@
         )
         self.services = services
         self.gateway = _ExchangeGateway
+        self.drops_left_callers = True
+
+    def report_left_caller(self, had_sent_request: bool) -> None:
+        """Count a request that is not read, since its caller has left."""
+        if had_sent_request:
+            self.services.metrics.count(Metric.REQUESTS_UNREAD)
 
     @property
     def open_connections(self) -> int:
@@ -122,6 +128,7 @@
             ),
             report_refusal=lambda request_id, error: None,
             loop=loop,
+            priority=Priority.CONTROL,
         )
         self.pages = pages
         self.gateway = _StatusGateway
--- a/azureturn/gateway/exchange/_services.py
+++ b/azureturn/gateway/exchange/_services.py
@@ -31,5 +31,5 @@
     #: Returns whether an upstream may be sent a request now, as far as it has said.
     may_send: Callable[[RegisteredUpstream], bool]
     connector: UpstreamConnector
+    caller_watch: CallerWatch
     pool: ConnectionPool = field(default_factory=ConnectionPool)
-    caller_watch: CallerWatch = field(default_factory=CallerWatch)
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -13,6 +13,7 @@
 from azureturn.peers import EnvelopeSigner, RelayAnswer, RelayOutcome, RelayRequest
 from azureturn.tasks import (
     READABLE,
+    Priority,
     TaskLoop,
     accept,
     connect,
@@ -73,7 +74,7 @@
         """Open the port and start the task that accepts connections."""
         self._listener = socket.create_server(self._address, backlog=_BACKLOG)
         self._listener.setblocking(False)
-        self._loop.spawn(self._accept_forever)
+        self._loop.spawn(self._accept_forever, priority=Priority.CONTROL)
 
     def stop(self) -> None:
         """Accept no more connections; those that are open are relayed further."""
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -32,6 +32,8 @@
 
     REQUESTS_ENDED = "requests.{route}.{ended}"
     REQUEST_TIME = "requests.{route}.time_ms"
+    UNREAD_TIME = "requests.{route}.unread_ms"
+    REQUESTS_UNREAD = "requests.unread"
     REQUESTS_IN_PROGRESS = "requests.in_progress"
     REQUESTS_REFUSED = "refused.{kind}"
     ATTEMPTS_ENDED = "attempts.{service}.{result}"
@@ -70,6 +72,17 @@
         Metric.REQUEST_TIME: MetricDefinition(
             MetricKind.TIMER, "ms", "From a request's arrival to its end, by route."
         ),
+        Metric.UNREAD_TIME: MetricDefinition(
+            MetricKind.TIMER,
+            "ms",
+            "From the arrival of a request's first bytes, as early as it may have been, to its "
+            "reading (gateways only).",
+        ),
+        Metric.REQUESTS_UNREAD: MetricDefinition(
+            MetricKind.COUNTER,
+            "requests",
+            "Requests that were not read, since their callers had left (gateways only).",
+        ),
         Metric.REQUESTS_IN_PROGRESS: MetricDefinition(
             MetricKind.GAUGE, "requests", "Requests that this VM has queued or under way."
         ),
--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -26,6 +26,7 @@
     PeerRefused,
     TicketedCall,
 )
+from azureturn.tasks import TaskSocket
 
 #: Time allowed for a call in addition to the wait that the call itself asks for.
 CALL_TIMEOUT_MS = 1_000
@@ -48,11 +49,18 @@
     peer_port: int
 
 
+class _TaskTransport(TSocket):  # type: ignore[misc]
+    """A transport whose waits suspend the current task, if there is one."""
+
+    def _do_open(self, family: int, socktype: int) -> TaskSocket:
+        return TaskSocket(family, socktype)
+
+
 class _Connection:
     """One open connection to a peer."""
 
     def __init__(self, address: PeerAddress) -> None:
-        self._socket = TSocket(address.host, address.peer_port)
+        self._socket = _TaskTransport(address.host, address.peer_port)
         self._transport = TBufferedTransport(self._socket)
         self.client = Client(TCompactProtocol(self._transport))
         self._opened_at_s = 0.0
--- a/azureturn/peers/_task_server.py
+++ b/azureturn/peers/_task_server.py
@@ -8,7 +8,7 @@
 from thrift.server.TServer import TThreadPoolServer
 from thrift.transport.TTransport import TTransportBase, TTransportException
 
-from azureturn.tasks import TaskLoop, accept, receive, send_all, sleep
+from azureturn.tasks import Priority, TaskLoop, accept, receive, send_all, sleep
 
 _BACKLOG = 128
 #: Maximum number of open connections; a further one is closed at once.
@@ -72,7 +72,7 @@
         """Open the port and start the task that accepts connections."""
         self._listener = socket.create_server(self._address, backlog=_BACKLOG)
         self._listener.setblocking(False)
-        self._loop.spawn(self.serve)
+        self._loop.spawn(self.serve, priority=Priority.CONTROL)
 
     def stop(self) -> None:
         """Accept no more connections."""
@@ -96,7 +96,8 @@
             if self._open_connections >= _MAX_CONNECTIONS:
                 connection.close()
                 continue
-            self._loop.spawn(partial(self._serve_connection, connection))
+            serve = partial(self._serve_connection, connection)
+            self._loop.spawn(serve, priority=Priority.CONTROL)
 
     def _serve_connection(self, connection: socket.socket) -> None:
         self._open_connections += 1
--- a/azureturn/serving/__init__.py
+++ b/azureturn/serving/__init__.py
@@ -9,7 +9,12 @@
     RefusalMessage,
     ServerLimits,
 )
-from azureturn.serving._caller_watch import CallerWatch
+from azureturn.serving._caller_watch import (
+    CallerWatch,
+    LoopCallerWatch,
+    ThreadCallerWatch,
+    has_disconnected,
+)
 from azureturn.serving._runtime import CoreRuntime, next_action, now_ms
 from azureturn.serving._stop import IDLE_POLLS, PlannedStop, StopLimits, StopStage
 
@@ -21,11 +26,14 @@
     "DRAIN_LIMIT_BYTES",
     "DRAIN_LIMIT_MS",
     "IDLE_POLLS",
+    "LoopCallerWatch",
     "PlannedStop",
     "RefusalMessage",
     "ServerLimits",
     "StopLimits",
     "StopStage",
+    "ThreadCallerWatch",
+    "has_disconnected",
     "next_action",
     "now_ms",
     "read_whole_body",
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -21,8 +21,10 @@
     ErrorKind,
     RunState,
 )
+from azureturn.serving._caller_watch import has_disconnected
+from azureturn.serving._loop_connections import LoopConnections
 from azureturn.serving._task_pool import TaskPool
-from azureturn.tasks import TaskLoop, receive, receive_into, send_all
+from azureturn.tasks import Priority, TaskLoop, receive, receive_into, send_all
 
 _MS_PER_S = 1_000
 #: Maximum time for which the caller may read nothing of its answer.
@@ -61,6 +63,22 @@
         super().__init__(sock, mode)
         self._socket = sock
         self._deadline_s: float | None = None
+        #: When the first bytes of the request that is read next may have arrived, at the earliest.
+        self.arrived_since_s = time.monotonic()
+        self._awaits_request = True
+
+    @property
+    def has_unread_request(self) -> bool:
+        """Return whether bytes have been received and not read."""
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def set_arrival(self, arrived_since_s: float) -> None:
+        """Record that a request may have arrived since a time, and is read next."""
+        self.arrived_since_s = arrived_since_s
+        self._awaits_request = True
 
     def set_deadline(self, timeout_ms: int) -> None:
         """Set the deadline of reads to ``timeout_ms`` from now."""
@@ -75,7 +93,11 @@
         left_s = None if self._deadline_s is None else self._deadline_s - time.monotonic()
         if left_s is not None and left_s <= 0:
             raise TimeoutError("timed out")
-        return receive_into(self._socket, buffer, left_s)
+        received = receive_into(self._socket, buffer, left_s)
+        if received.has_waited and self._awaits_request:
+            self.arrived_since_s = received.arrived_since_s
+        self._awaits_request = False
+        return received.size_bytes
 
     def write(self, data: Any) -> int:
         """Write all bytes; raise ``TimeoutError`` if the caller does not read them."""
@@ -177,6 +199,24 @@
         for level, name, value in _CALLER_SOCKET_OPTIONS:
             sock.setsockopt(level, name, value)
 
+    def communicate(self) -> bool:
+        """Read and serve the next request, unless its caller has left; return whether to go on."""
+        if self.server.drops_left_callers and has_disconnected(self.socket.fileno()):
+            self.server.report_left_caller(self.rfile.raw.has_unread_request)
+            return False
+        goes_on: bool = super().communicate()  # type: ignore[no-untyped-call]
+        return goes_on
+
+    def set_request_arrival(self, arrived_since_s: float) -> None:
+        """Record when the next request may have arrived, in seconds of the monotonic clock."""
+        self.rfile.raw.set_arrival(arrived_since_s)
+
+    @property
+    def request_age_s(self) -> float:
+        """Return how long ago the request that was read last may have arrived, at most."""
+        age_s: float = time.monotonic() - self.rfile.raw.arrived_since_s
+        return age_s
+
     def close(self) -> None:
         """Close the connection, after draining it if the caller may still be sending."""
         if self.drains_on_close:
@@ -235,7 +275,8 @@
 class BoundedServer(Server):
     """CherryPy's HTTP server with azureturn's limits.
 
-    With a ``loop``, each request is served by a task. Without, it is served by one of as many
+    With a ``loop``, each request is served by a task of ``priority``, and :meth:`prepare` is all
+    that has to be called. Without, it is served by one of as many
     threads as there may be requests at the same time, and ``accept_backlog`` connections may wait
     for a thread. Connections beyond the limits are refused as ``overloaded``.
     """
@@ -254,6 +295,7 @@
         report_refusal: Callable[[str, AzureturnError], None],
         refusal_marker: str = "",
         loop: TaskLoop | None = None,
+        priority: Priority = Priority.REQUEST,
     ) -> None:
         threads = limits.requests if loop is None else 1
         super().__init__(
@@ -279,21 +321,38 @@
         #: unread bytes.
         self.refusal_marker = refusal_marker.encode()
         self.report_refusal = report_refusal
+        #: Whether a request is not even read if its caller has left before.
+        self.drops_left_callers = False
         self._report_error = report_error
         self._in_flight = 0
         self._in_flight_lock = threading.Lock()
-        self._uses_threads = loop is None
+        self._loop = loop
         if loop is not None:
             self.requests = TaskPool(
-                self, loop, limit=limits.requests, refuse=self._refuse_as_overloaded
+                self,
+                loop,
+                limit=limits.requests,
+                refuse=self._refuse_as_overloaded,
+                priority=priority,
             )
 
+    def prepare(self) -> None:
+        """Open the port; with a loop, connections are accepted from now on."""
+        super().prepare()
+        if self._loop is not None:
+            self._connections.close()  # type: ignore[has-type]
+            self._connections = LoopConnections(self, self._loop)
+            self._connections.start()
+
     @property
     def requests_in_flight(self) -> int:
         """Return how many requests wait for a thread or have not been answered completely."""
         queued: int = self.requests.qsize
         return self._in_flight + queued
 
+    def report_left_caller(self, had_sent_request: bool) -> None:
+        """Note that a caller left before its next request was read, if it had sent one."""
+
     def count_in_flight(self, change: int) -> None:
         """Add to the number of requests in flight: 1 at the start of a request, -1 at its end."""
         with self._in_flight_lock:
@@ -318,7 +377,7 @@
 
     def _serve_unservicable(self) -> None:
         """Refuse the connections that no thread can serve; called on a thread of its own."""
-        while self.ready and self._uses_threads:
+        while self.ready:
             connection = self._unservicable_conns.get()  # type: ignore[attr-defined]
             if not isinstance(connection, HTTPConnection):
                 return
--- a/azureturn/serving/_caller_watch.py
+++ b/azureturn/serving/_caller_watch.py
@@ -5,6 +5,9 @@
 import threading
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Protocol
+
+from azureturn.tasks import HUNG_UP, TaskLoop
 
 _DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 _DISCONNECT_STATES = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -12,13 +15,51 @@
 _WATCH_EVENTS = select.EPOLLRDHUP | select.EPOLLONESHOT
 
 
-class CallerWatch:
-    """Watches the connections of all requests in progress on one thread.
+class CallerWatch(Protocol):
+    """Watches the connections of all requests in progress.
 
     A caller that shuts down its sending side is taken to have disconnected, because HTTP clients
     do not half-close a connection and then wait for the answer.
     """
 
+    def watch(self, connection: socket.socket, on_disconnected: Callable[[], None]) -> int:
+        """Call ``on_disconnected`` once if the caller closes the connection.
+
+        Return the file descriptor to pass to :meth:`unwatch`. If this process has already closed
+        the connection, ``on_disconnected`` is called at once.
+        """
+
+    def unwatch(self, descriptor: int) -> None:
+        """Stop watching; call this before the connection is closed or serves its next request."""
+
+
+class LoopCallerWatch:
+    """Watches the connections on the loop whose tasks serve them.
+
+    Callers that leave are noticed by each poll of the loop, so that this takes no longer when the
+    loop is busy than anything else that it does.
+    """
+
+    def __init__(self, loop: TaskLoop) -> None:
+        self._loop = loop
+
+    def watch(self, connection: socket.socket, on_disconnected: Callable[[], None]) -> int:
+        """Call ``on_disconnected`` on the loop, where it must not wait."""
+        descriptor = connection.fileno()
+        if descriptor < 0 or has_disconnected(descriptor):
+            on_disconnected()
+        else:
+            self._loop.watch(descriptor, HUNG_UP, on_disconnected)
+        return descriptor
+
+    def unwatch(self, descriptor: int) -> None:
+        """Stop watching a connection."""
+        self._loop.unwatch(descriptor)
+
+
+class ThreadCallerWatch:
+    """Watches the connections on a thread of its own."""
+
     def __init__(self) -> None:
         self._poll = select.epoll()
         self._lock = threading.Lock()
@@ -26,11 +67,7 @@
         threading.Thread(target=self._poll_loop, name="caller-watch", daemon=True).start()
 
     def watch(self, connection: socket.socket, on_disconnected: Callable[[], None]) -> int:
-        """Call ``on_disconnected`` once if the caller closes the connection.
-
-        Return the file descriptor to pass to :meth:`unwatch`. If this process has already closed
-        the connection, ``on_disconnected`` is called at once.
-        """
+        """Call ``on_disconnected`` on the thread of the watch."""
         descriptor = connection.fileno()
         if descriptor < 0:
             on_disconnected()
@@ -41,7 +78,7 @@
         return descriptor
 
     def unwatch(self, descriptor: int) -> None:
-        """Stop watching; call this before the connection is closed or serves its next request."""
+        """Stop watching a connection."""
         with self._lock:
             if self._callbacks.pop(descriptor, None) is not None:
                 with suppress(OSError):
@@ -57,12 +94,13 @@
         with self._lock:
             callback = self._callbacks.get(descriptor)
             # The event may be that of an earlier connection with the same descriptor.
-            if callback is None or not _has_disconnected(descriptor):
+            if callback is None or not has_disconnected(descriptor):
                 return
         callback()
 
 
-def _has_disconnected(descriptor: int) -> bool:
+def has_disconnected(descriptor: int) -> bool:
+    """Return whether the other end of a connection has closed it, or it has failed."""
     poller = select.poll()
     poller.register(descriptor, select.POLLRDHUP)
     return any(mask & _DISCONNECT_STATES for _, mask in poller.poll(0))
--- a/azureturn/serving/_runtime.py
+++ b/azureturn/serving/_runtime.py
@@ -6,11 +6,12 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import TypeVar
 
 from azureturn.errors import ErrorKind, RunState
 from azureturn.framework import Action, Core, Event, Refuse, RequestAction, Tick
-from azureturn.tasks import Mailbox
+from azureturn.tasks import Mailbox, Priority, TaskLoop, sleep
 
 _MS_PER_S = 1_000
 #: Weight of the latest tick in the exponential moving average of the lateness.
@@ -49,7 +50,10 @@
 
     @property
     def lateness_ms(self) -> float:
-        """Return the average lateness of recent ticks, which is high on an overloaded VM."""
+        """Return the average lateness of recent ticks, which is high on an overloaded VM.
+
+        On a loop, it includes the shortest time that a ready task of a request waited.
+        """
         return self._lateness_ms
 
     def register_handler(
@@ -96,13 +100,12 @@
         with self._lock:
             return reader(self.core)
 
-    def start(self) -> None:
-        """Start sending ticks to the core.
-
-        They have a thread of their own, whose lateness shows a lack of processor time; on a loop
-        it would also show how many tasks are ready at the same time.
-        """
-        threading.Thread(target=self._tick_loop, name="core-ticks", daemon=True).start()
+    def start(self, loop: TaskLoop | None = None) -> None:
+        """Start sending ticks to the core, in a task of ``loop`` or else on a thread."""
+        if loop is None:
+            threading.Thread(target=self._tick_loop, name="core-ticks", daemon=True).start()
+        else:
+            loop.spawn(partial(self._tick_loop, loop), priority=Priority.CONTROL)
 
     def stop(self) -> None:
         """Stop sending ticks."""
@@ -116,18 +119,27 @@
         if isinstance(action, RequestAction):
             self.deliver(action)
 
-    def _tick_loop(self) -> None:
+    def _tick_loop(self, loop: TaskLoop | None = None) -> None:
         due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
-        while not self._stopped.wait(self._tick_interval_s):
-            tick_lateness_ms = min(_LATENESS_LIMIT_MS, max(0.0, now_ms() - due_at_ms))
-            self._lateness_ms += _LATENESS_WEIGHT * (tick_lateness_ms - self._lateness_ms)
+        while not self._stopped.is_set():
+            sleep(self._tick_interval_s)
+            lateness_ms = max(0.0, now_ms() - due_at_ms)
+            lag_ms, delay_ms = int(lateness_ms), 0
+            if loop is not None:
+                delay_ms = int(_MS_PER_S * (loop.lag.take_shortest_delay_s() or 0.0))
+                lag_ms += int(_MS_PER_S * loop.longest_wait_s)
+            self._record_lateness(lateness_ms + delay_ms)
             try:
-                self.submit(Tick())
+                self.submit(Tick(lag_ms, delay_ms))
             except Exception as error:  # noqa: BLE001
                 # Without ticks no request times out and no peer hears of this VM.
                 self._report_error(error)
             due_at_ms = now_ms() + self._tick_interval_s * _MS_PER_S
 
+    def _record_lateness(self, lateness_ms: float) -> None:
+        limited_ms = min(_LATENESS_LIMIT_MS, lateness_ms)
+        self._lateness_ms += _LATENESS_WEIGHT * (limited_ms - self._lateness_ms)
+
 
 def next_action(mailbox: Mailbox[RequestAction], request_id: str, *, wait_ms: int) -> RequestAction:
     """Return the request's next action, or a refusal of kind ``internal`` after ``wait_ms``."""
--- a/azureturn/serving/_task_pool.py
+++ b/azureturn/serving/_task_pool.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Any
 
-from azureturn.tasks import TaskLoop
+from azureturn.tasks import Priority, TaskLoop
 
 
 class TaskPool:
@@ -17,12 +17,19 @@
     """
 
     def __init__(
-        self, server: Any, loop: TaskLoop, *, limit: int, refuse: Callable[[Any], None]
+        self,
+        server: Any,
+        loop: TaskLoop,
+        *,
+        limit: int,
+        refuse: Callable[[Any], None],
+        priority: Priority = Priority.REQUEST,
     ) -> None:
         self._server = server
         self._loop = loop
         self._limit = limit
         self._refuse = refuse
+        self._priority = priority
         self._lock = threading.Lock()
         self._open = 0
         self._not_started = 0
@@ -53,7 +60,7 @@
             self._open += 1 if is_accepted else 0
             self._not_started += 1
         serve = self._serve if is_accepted else self._refuse
-        self._loop.spawn(partial(self._start, serve, connection))
+        self._loop.spawn(partial(self._start, serve, connection), priority=self._priority)
 
     def _start(self, serve: Callable[[Any], None], connection: Any) -> None:
         with self._lock:
--- a/azureturn/store/__init__.py
+++ b/azureturn/store/__init__.py
@@ -15,6 +15,7 @@
     TransactionalStore,
     WatchedStore,
 )
+from azureturn.store._task_pool import task_pool_manager
 from azureturn.store._vm_list import ListedVm, VmListClient
 
 __all__ = [
@@ -33,4 +34,5 @@
     "TransactionalStore",
     "VmListClient",
     "WatchedStore",
+    "task_pool_manager",
 ]
--- a/azureturn/tasks/__init__.py
+++ b/azureturn/tasks/__init__.py
@@ -1,6 +1,15 @@
 """Cooperative tasks: many requests and connections served on one thread."""
 
-from azureturn.tasks._loop import READABLE, WRITABLE, Task, TaskLoop, current_task
+from azureturn.tasks._lag import LagMeter
+from azureturn.tasks._loop import (
+    HUNG_UP,
+    READABLE,
+    WRITABLE,
+    Priority,
+    Task,
+    TaskLoop,
+    current_task,
+)
 from azureturn.tasks._mailbox import Mailbox, MailboxFullError
 from azureturn.tasks._signals import Signal, new_signal
 from azureturn.tasks._sockets import (
@@ -11,15 +20,20 @@
     send_all,
     wait_until_ready,
 )
+from azureturn.tasks._task_socket import TaskSocket
 from azureturn.tasks._timing import sleep
 
 __all__ = [
+    "HUNG_UP",
+    "LagMeter",
     "Mailbox",
     "MailboxFullError",
+    "Priority",
     "READABLE",
     "Signal",
     "Task",
     "TaskLoop",
+    "TaskSocket",
     "WRITABLE",
     "accept",
     "connect",
--- a/azureturn/tasks/_sockets.py
+++ b/azureturn/tasks/_sockets.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from azureturn.tasks._loop import READABLE, WRITABLE, current_task
@@ -48,17 +49,28 @@
             continue
 
 
-def receive_into(connection: socket.socket, buffer: Any, timeout_s: float | None) -> int:
-    """Receive into a buffer and return the number of bytes, 0 at the end of the connection.
+@dataclass(frozen=True)
+class Received:
+    """What was received into a buffer."""
 
-    Raises ``TimeoutError`` if nothing is received in time.
-    """
+    #: 0 at the end of the connection.
+    size_bytes: int
+    #: Whether nothing had arrived yet at the time of the call.
+    has_waited: bool
+    #: If so, when it may have arrived, at the earliest.
+    arrived_since_s: float
+
+
+def receive_into(connection: socket.socket, buffer: Any, timeout_s: float | None) -> Received:
+    """Receive into a buffer; raises ``TimeoutError`` if nothing is received in time."""
     deadline_s = _deadline_s(timeout_s)
+    has_waited = False
     while True:
         try:
-            return connection.recv_into(buffer)
+            return Received(connection.recv_into(buffer), has_waited, _arrived_since_s())
         except BlockingIOError:
             wait_until_ready({connection.fileno(): READABLE}, _left_s(deadline_s))
+            has_waited = True
 
 
 def send_all(connection: socket.socket, data: bytes, timeout_s: float | None) -> None:
@@ -80,18 +92,25 @@
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         connection.setblocking(False)
-        error = connection.connect_ex(address)
-        if error == errno.EINPROGRESS:
-            wait_until_ready({connection.fileno(): WRITABLE}, timeout_s)
-            error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if error:
-            raise OSError(error, os.strerror(error))
+        finish_connecting(connection, connection.connect_ex(address), timeout_s)
     except BaseException:
         connection.close()
         raise
     return connection
 
 
+def finish_connecting(connection: socket.socket, error: int, timeout_s: float | None) -> None:
+    """Wait until a connection is open, of which ``connect_ex`` has returned ``error``.
+
+    Raises an ``OSError`` if it cannot be opened.
+    """
+    if error == errno.EINPROGRESS:
+        wait_until_ready({connection.fileno(): WRITABLE}, timeout_s)
+        error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
+
 def accept(listener: socket.socket) -> socket.socket:
     """Return the next connection to a listening socket, in non-blocking mode.
 
@@ -115,6 +134,11 @@
     return [descriptor for descriptor, _ in poller.poll(timeout_ms)]
 
 
+def _arrived_since_s() -> float:
+    task = current_task()
+    return time.monotonic() if task is None else task.loop.arrived_since_s
+
+
 def _deadline_s(timeout_s: float | None) -> float | None:
     return None if timeout_s is None else time.monotonic() + timeout_s
 
--- a/azureturn/tasks/tests/test_loop.py
+++ b/azureturn/tasks/tests/test_loop.py
@@ -6,13 +6,16 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
+from functools import partial
 
 import pytest
 
 from azureturn.tasks import (
+    HUNG_UP,
     READABLE,
     Mailbox,
     MailboxFullError,
+    Priority,
     TaskLoop,
     connect,
     current_task,
@@ -27,6 +30,7 @@
 _WAIT_S = 10.0
 #: A timeout that is certain to pass.
 _SHORT_S = 0.01
+_REQUESTS = 20
 
 
 class _Runner:
@@ -294,3 +298,73 @@
     runner.loop.spawn(be_busy)
     runner.loop.spawn(wait)
     assert results.get(timeout=_WAIT_S) == b"data"
+
+
+def test_ready_tasks_of_control_are_resumed_first(runner: _Runner) -> None:
+    order: list[str] = []
+    goes_on = threading.Event()
+    runner.loop.spawn(goes_on.wait)
+    for name in ("first", "second"):
+        runner.loop.spawn(partial(order.append, name))
+    runner.loop.spawn(partial(order.append, "control"), priority=Priority.CONTROL)
+    goes_on.set()
+    runner.run(lambda: None)
+    assert order == ["control", "first", "second"]
+
+
+def test_a_task_of_control_does_not_wait_for_all_ready_tasks(
+    runner: _Runner, sockets: tuple[socket.socket, socket.socket]
+) -> None:
+    near, far = sockets
+    order: list[str] = []
+
+    def follow() -> None:
+        receive(near, 10, _WAIT_S)
+        order.append("control")
+
+    def compute() -> None:
+        time.sleep(_SHORT_S)
+        order.append("request")
+
+    goes_on = threading.Event()
+    runner.loop.spawn(follow, priority=Priority.CONTROL)
+    runner.loop.spawn(goes_on.wait)
+    runner.loop.spawn(partial(far.send, b"change"))
+    for _ in range(_REQUESTS):
+        runner.loop.spawn(compute)
+    goes_on.set()
+    runner.run(lambda: None)
+    assert order.index("control") < _REQUESTS / 2
+
+
+def test_a_callback_is_called_once_while_a_task_waits_for_the_same_descriptor(
+    runner: _Runner, sockets: tuple[socket.socket, socket.socket]
+) -> None:
+    near, far = sockets
+    order: list[str] = []
+
+    def wait() -> list[str]:
+        runner.loop.watch(near.fileno(), HUNG_UP, partial(order.append, "hung up"))
+        far.send(b"data")
+        order.append(receive(near, 10, _WAIT_S).decode())
+        far.shutdown(socket.SHUT_RDWR)
+        sleep(_SHORT_S)
+        return order
+
+    assert runner.run(wait) == ["data", "hung up"]
+
+
+def test_a_callback_that_is_not_wanted_any_more_is_not_called(
+    runner: _Runner, sockets: tuple[socket.socket, socket.socket]
+) -> None:
+    near, far = sockets
+    calls: list[str] = []
+
+    def wait() -> list[str]:
+        runner.loop.watch(near.fileno(), HUNG_UP, partial(calls.append, "hung up"))
+        runner.loop.unwatch(near.fileno())
+        far.shutdown(socket.SHUT_RDWR)
+        sleep(_SHORT_S)
+        return calls
+
+    assert runner.run(wait) == []
