After a failed call the watch of the store goes on from the revision that it has

Cause: after any error the watcher read the whole store again, in several pages, which costs most just where time lacks; a watch from the known revision gives all that was missed. Failed calls after the first were not logged. Change: only a lost history, or changes that do not fit, make it read everything; each failed call is logged with the number of failures, the time without an answer and the revision.

--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -49,10 +49,9 @@
                 LogEvent.KEY_VALUE_REGAINED, revision=self._view.revision, outage_ms=outage_ms
             )
 
-    def report_store_lost(self, error: PlatformError) -> None:
+    def report_store_lost(self) -> None:
         """Inform the controllers that a call to the store failed."""
         self._runtime.submit(StoreLost())
-        self._log.error(LogEvent.KEY_VALUE_UNAVAILABLE, error=error.message)
 
     def apply_snapshot(self, entries: Iterable[StoreChange], revision: int, source: str) -> bool:
         """Replace the view by all entries of the store; return whether ``revision`` was newer."""
@@ -209,6 +208,8 @@
         self._loop = loop
         self._contact = _Contact.UNKNOWN
         self._answered_at_ms = now_ms()
+        #: Calls that have failed since the last one that did not.
+        self._failures = 0
 
     @property
     def answered_at_ms(self) -> int:
@@ -221,16 +222,18 @@
 
     def _watch_forever(self) -> None:
         backoff_ms = _INITIAL_BACKOFF_MS
+        is_continuous = False
         while True:
             try:
-                self._read_all()
-                while True:
-                    if not self._watch_once():
-                        self._read_all()
-                    backoff_ms = _INITIAL_BACKOFF_MS
+                if not is_continuous:
+                    self._read_all()
+                is_continuous = self._watch_once()
+                backoff_ms = _INITIAL_BACKOFF_MS
             except HistoryLostError as error:
+                is_continuous = False
                 self._log.error(LogEvent.STORE_HISTORY_LOST, error=error.message)
             except PlatformError as error:
+                # A watch goes on from the same revision: the store still has the changes since.
                 self._mark_store_unavailable(error)
                 sleep(random.uniform(0.5, 1.0) * backoff_ms / _MS_PER_S)
                 backoff_ms = min(_MAX_BACKOFF_MS, 2 * backoff_ms)
@@ -259,15 +262,24 @@
         )
 
     def _mark_store_unavailable(self, error: PlatformError) -> None:
+        self._failures += 1
+        self._log.error(
+            LogEvent.KEY_VALUE_UNAVAILABLE,
+            failures=self._failures,
+            silent_ms=now_ms() - self._answered_at_ms,
+            revision=self._view_holder.view.revision,
+            error=error.message,
+        )
         if self._contact is not _Contact.LOST:
             self._contact = _Contact.LOST
-            self._view_holder.report_store_lost(error)
+            self._view_holder.report_store_lost()
 
     def _mark_store_available(self) -> None:
         previous_contact = self._contact
         silent_ms = now_ms() - self._answered_at_ms
         self._contact = _Contact.REACHED
         self._answered_at_ms = now_ms()
+        self._failures = 0
         if previous_contact is _Contact.LOST:
             # 0 would stand for no outage at all.
             self._view_holder.report_store_reached(max(1, silent_ms))
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -128,7 +128,11 @@
             "The platform's VM list did not respond.", "error"
         ),
         LogEvent.KEY_VALUE_UNAVAILABLE: _error_definition(
-            "The platform's key-value service did not respond.", "error"
+            "The platform's key-value service did not respond; a watch goes on from `revision`.",
+            "failures",
+            "silent_ms",
+            "revision",
+            "error",
         ),
         LogEvent.ATTEMPT_PLACED: LogEventDefinition(
             "The gateway is about to send a request to an upstream.",
@@ -322,6 +326,7 @@
         "expected_ms": "Expected time to the first event, or to a response that is not streamed.",
         "outstanding": "Estimated number of requests at the upstream from all VMs.",
         "queued_ms": "Time since the request's arrival.",
+        "failures": "Calls that have failed since the last one that did not.",
         "processes": "Number of processes whose use the record contains.",
         "age_ms": "Age of the record that was read; -1 if there was none.",
         "report_age_ms": "Age of the oldest peer report used for the estimate; -1 without peers.",
