Time limits count from a request's arrival, and callers that left are looked for before each send

Callers saw: answers 0.5 s and more past their time limit, and work for those that had left. Cause: what a request waits before it is read was counted by nothing (users' record: 3.5 s unread, queued_ms 2). A request was sent without a look at its connection. Change: a request arrives when the loop could have found it at the earliest; objective, patience and time limit count from then, and one that has waited too long is refused as not run. Before each send the connection is looked at. What may have arrived unread is no silence of upstreams. New log field unread_ms, new metric requests.unread_ms.

--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -56,6 +56,12 @@
 
     @on(RequestReceived)
     def _on_request_received(self, event: RequestReceived, context: Context) -> None:
+        if context.now_ms >= self._give_up_at_ms(event.request):
+            # It has waited too long to be read.
+            detail = f"read {context.now_ms - event.request.arrived_at_ms} ms after its arrival"
+            kind = ErrorKind.DEADLINE_UNREACHABLE
+            context.act(Refuse(event.request.request_id, kind, _MIN_RETRY_AFTER_MS, detail=detail))
+            return
         request = self._with_prior_wait(event.request, context.now_ms)
         quarantined = self.board.read(QuarantineTable).match(request.traits)
         if quarantined is not None and not self._may_try(quarantined, context.now_ms):
--- a/azureturn/gateway/decisions/controllers/_paths.py
+++ b/azureturn/gateway/decisions/controllers/_paths.py
@@ -95,7 +95,8 @@
         waiting = self._unanswered_attempts(context.now_ms)
         for request in waiting:
             paths.record_unanswered(request.sent_at_ms)
-        if paths.silent_ms(context.now_ms) < _SILENCE_MS:
+        if paths.silent_ms(context.now_ms) - event.lag_ms < _SILENCE_MS:
+            # A response may have arrived that this VM has not read yet.
             return
         if context.now_ms - self._probed_at_ms >= _PROBE_INTERVAL_MS:
             self._probed_at_ms = context.now_ms
--- a/azureturn/gateway/exchange/_caller.py
+++ b/azureturn/gateway/exchange/_caller.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 from azureturn.errors import CallerError
-from azureturn.serving import read_whole_body
+from azureturn.serving import has_disconnected, now_ms, read_whole_body
+
+_MS_PER_S = 1_000
 
 
 class CallerChannel:
@@ -25,6 +27,17 @@
         #: Whether the head of the response has been sent.
         self.response_started = False
 
+    @property
+    def arrived_at_ms(self) -> int:
+        """Return when the request may have arrived, at the earliest; it may have waited unread."""
+        age_s: float = self._request.conn.request_age_s
+        return now_ms() - int(_MS_PER_S * age_s)
+
+    def has_disconnected(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        descriptor = self.socket.fileno()
+        return descriptor < 0 or has_disconnected(descriptor)
+
     @property
     def path(self) -> str:
         """Return the path without the query."""
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -35,9 +35,15 @@
 from azureturn.gateway.exchange._routing import route_request
 from azureturn.gateway.exchange._services import ExchangeServices
 from azureturn.gateway.exchange._stream_relay import StreamRelay
-from azureturn.gateway.site import AttemptHeaders, RequestKind, StatedAvailability
+from azureturn.gateway.site import (
+    AttemptHeaders,
+    RequestFacts,
+    RequestKind,
+    SiteConfiguration,
+    StatedAvailability,
+)
 from azureturn.serving import next_action, now_ms
-from azureturn.tasks import Mailbox
+from azureturn.tasks import Mailbox, Priority, current_task
 
 #: How long to wait for an action of the core beyond the request's time limit; after that, its
 #: absence is an error.
@@ -84,9 +90,10 @@
         #: Response of the latest attempt to which the upstream responded with a server error.
         self._failure_response: tuple[ResponseHead, bytes] | None = None
         self._attempt_count = 0
-        self._started_at_ms = now_ms()
+        self._arrived_at_ms = caller.arrived_at_ms
+        self._task = current_task()
         request_id = caller.header_values.get("x-request-id", "")
-        self._reporter = ExchangeReporter(services, request_id, self._started_at_ms)
+        self._reporter = ExchangeReporter(services, request_id, self._arrived_at_ms)
         self._outcome = "internal"
         self._upstream = ""
         #: The error kind of a refusal; empty otherwise.
@@ -126,14 +133,7 @@
             facts = self._services.dialect.decode_request_headers(self._caller.header_values)
         except ValueError as error:
             raise CallerError(ErrorKind.BAD_HEADER, str(error)) from error
-        request = route_request(
-            facts,
-            self._caller,
-            configuration,
-            self._services.runtime,
-            body=self._body,
-            now_ms=self._started_at_ms,
-        )
+        request = self._route(facts, configuration)
         if not self._fits_before_stop(request):
             raise RefusedError(ErrorKind.STOPPING, retry_after_ms=_STOPPING_RETRY_AFTER_MS)
         self._request = request
@@ -142,6 +142,8 @@
         mailbox = runtime.open_mailbox(request.request_id)
         watch = self._services.caller_watch.watch(self._caller.socket, self._on_caller_disconnected)
         try:
+            if self._caller_disconnected:
+                self._abort_for_disconnected_caller()
             runtime.submit(RequestReceived(request))
             self._run_actions(request, mailbox)
         finally:
@@ -149,6 +151,17 @@
             runtime.submit(RequestClosed(request.request_id))
             runtime.close_mailbox(request.request_id)
 
+    def _route(self, facts: RequestFacts, configuration: SiteConfiguration) -> GatewayRequest:
+        """Return the routed request."""
+        return route_request(
+            facts,
+            self._caller,
+            configuration,
+            self._services.runtime,
+            body=self._body,
+            arrived_at_ms=self._arrived_at_ms,
+        )
+
     def _fits_before_stop(self, request: GatewayRequest) -> bool:
         """Return whether the request is answered, or over its time limit, before a stop ends.
 
@@ -261,7 +274,7 @@
             services.dialect,
             relay_host=relay.host if relay else "",
             report_availability=report_availability,
-            may_send=lambda: services.may_send(upstream),
+            may_send=lambda: not self._has_caller_left() and services.may_send(upstream),
         )
 
     def _run_attempt(
@@ -381,9 +394,18 @@
         may_continue = request.may_repeat and self._stream_relay.is_resumable
         return may_continue and self._attempt_count < request.route.attempts
 
+    def _has_caller_left(self) -> bool:
+        """Return whether the caller has disconnected, even if that was not reported yet."""
+        if not self._caller_disconnected and self._caller.has_disconnected():
+            self._caller_disconnected = True
+        return self._caller_disconnected
+
     def _on_caller_disconnected(self) -> None:
-        """Abort the exchange; called from the thread that watches the callers' sockets."""
+        """Abort the exchange; called while callers' sockets are watched, so it must not wait."""
         self._caller_disconnected = True
+        if self._task is not None:
+            # What is still done for the caller ends before other requests go on.
+            self._task.priority = Priority.CONTROL
         if self._attempt is not None:
             self._attempt.abort()
         if self._request is not None:
--- a/azureturn/gateway/exchange/_exchange_reporter.py
+++ b/azureturn/gateway/exchange/_exchange_reporter.py
@@ -27,10 +27,11 @@
 class ExchangeReporter:
     """Logs and counts the placements, attempts and the result of one exchange."""
 
-    def __init__(self, services: ExchangeServices, request_id: str, started_at_ms: int) -> None:
+    def __init__(self, services: ExchangeServices, request_id: str, arrived_at_ms: int) -> None:
         self._services = services
         self._request_id = request_id
-        self._started_at_ms = started_at_ms
+        self._arrived_at_ms = arrived_at_ms
+        self._unread_ms = now_ms() - arrived_at_ms
 
     def report_placement(self, request: GatewayRequest, action: SendAttempt) -> None:
         """Log the upstream that a request is placed on, and the inputs of the decision."""
@@ -63,7 +64,7 @@
     ) -> None:
         """Log and count the result of an attempt."""
         first_event_ms = (
-            progress.first_event_at_ms - self._started_at_ms if progress.event_count else -1
+            progress.first_event_at_ms - self._arrived_at_ms if progress.event_count else -1
         )
         answering_ms = progress.answering_ms(now_ms())
         prompt_parts = request.prompt.part_ids if request.prompt else ()
@@ -97,7 +98,7 @@
     def report_result(self, request: GatewayRequest | None, result: ExchangeResult) -> None:
         """Log and count the result of the exchange; ``request`` is None if it was not routed."""
         caller_timeout_ms = None if request is None else request.caller_timeout_ms
-        took_ms = now_ms() - self._started_at_ms
+        took_ms = now_ms() - self._arrived_at_ms
         configuration = self._services.view().configuration
         self._services.log.info(
             LogEvent.EXCHANGE_ENDED,
@@ -112,12 +113,14 @@
             attempts=result.attempts,
             configuration=configuration.version if configuration else 0,
             error=result.detail,
+            unread_ms=self._unread_ms,
             took_ms=took_ms,
         )
         metrics = self._services.metrics
         route = request.route.name if request else "none"
         metrics.count(Metric.REQUESTS_ENDED, route=route, ended=result.outcome)
         metrics.time(Metric.REQUEST_TIME, took_ms, route=route)
+        metrics.time(Metric.UNREAD_TIME, self._unread_ms, route=route)
         if result.refused_kind:
             metrics.count(Metric.REQUESTS_REFUSED, kind=result.refused_kind)
 
--- a/azureturn/gateway/exchange/_routing.py
+++ b/azureturn/gateway/exchange/_routing.py
@@ -22,7 +22,7 @@
     runtime: CoreRuntime,
     *,
     body: bytes,
-    now_ms: int,
+    arrived_at_ms: int,
 ) -> GatewayRequest:
     """Return the request in the form in which the controllers handle it.
 
@@ -45,9 +45,9 @@
         route=route,
         service=_choose_service(route, facts.request_id),
         urgency_rank=_urgency_rank(route, organisation),
-        arrived_at_ms=now_ms,
-        deadline_ms=now_ms + route.objective_ms,
-        ends_at_ms=now_ms + timeout_ms,
+        arrived_at_ms=arrived_at_ms,
+        deadline_ms=arrived_at_ms + route.objective_ms,
+        ends_at_ms=arrived_at_ms + timeout_ms,
         prompt=facts.prompt,
         caller_timeout_ms=facts.caller_timeout_ms,
         digest=_digest(caller, host, organisation.name if organisation else "", body),
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -185,6 +185,7 @@
                 "ended",
                 "attempts",
                 "configuration",
+                "unread_ms",
                 "took_ms",
                 "error",
             ),
@@ -326,6 +327,8 @@
         "expected_ms": "Expected time to the first event, or to a response that is not streamed.",
         "outstanding": "Estimated number of requests at the upstream from all VMs.",
         "queued_ms": "Time since the request's arrival.",
+        "unread_ms": "Time from the request's arrival, as early as it may have been, to its "
+        "reading.",
         "failures": "Calls that have failed since the last one that did not.",
         "processes": "Number of processes whose use the record contains.",
         "age_ms": "Age of the record that was read; -1 if there was none.",
