A route or key that a configuration does not know is refused for good only while it is confirmed

Callers saw: 404 for a route that had been added 4 s before, from VMs that had not heard of the store for seconds. Change: unless the store, or a peer that it answers, has confirmed the configuration within contact_ms, such a request is refused as configuration_outdated: 503, not run, with a time to come back.

--- a/azureturn/errors/_kinds.py
+++ b/azureturn/errors/_kinds.py
@@ -44,6 +44,7 @@
     SHED = "shed"
     OVER_ALLOTMENT = "over_allotment"
     CONFIGURATION_UNKNOWN = "configuration_unknown"
+    CONFIGURATION_OUTDATED = "configuration_outdated"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     NO_UPSTREAM = "no_upstream"
--- a/azureturn/errors/_table.py
+++ b/azureturn/errors/_table.py
@@ -90,6 +90,12 @@
         ErrorKind.CONFIGURATION_UNKNOWN: ErrorResponse(
             503, _NOT_RUN, True, "This VM has not received the configuration yet."
         ),
+        ErrorKind.CONFIGURATION_OUTDATED: ErrorResponse(
+            503,
+            _NOT_RUN,
+            True,
+            "The route or credential is unknown to a configuration that may not be the latest.",
+        ),
         ErrorKind.DEADLINE_UNREACHABLE: ErrorResponse(
             503, _NOT_RUN, True, "The request cannot be answered by its deadline."
         ),
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -23,6 +23,7 @@
     SendReport,
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
+    ViewTable,
     VmLeaving,
     WriteAllotmentRecord,
     WriteMoveStatus,
@@ -152,6 +153,7 @@
             ),
             time_left_ms=self._time_left_ms,
             may_send=self._may_send,
+            configuration_age_ms=self._configuration_age_ms,
             connector=connector,
             caller_watch=LoopCallerWatch(self._loop),
         )
@@ -260,6 +262,17 @@
     def _may_send(self, upstream: RegisteredUpstream) -> bool:
         return self._runtime.inspect(lambda core: may_send(core.board, upstream, now_ms()))
 
+    def _configuration_age_ms(self) -> int:
+        """Return the time since the store, or a peer that it answers, had no later configuration.
+
+        The peer may have heard that when its own call to the store began to wait.
+        """
+        by_peer_at_ms = self._runtime.inspect(
+            lambda core: core.board.table(ViewTable).confirmed_by_peer_at_ms
+        )
+        peer_knew_at_ms = by_peer_at_ms - self._settings.watch_wait_ms
+        return now_ms() - max(self._watcher.answered_at_ms, peer_knew_at_ms)
+
     def _find_available_upstream(self, name: str) -> RegisteredUpstream | None:
         """Return the upstream that a peer asks for, unless it may be sent no request now."""
         upstream = self._view_holder.view.upstreams.get(name)
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -110,6 +110,7 @@
     "VersionCount",
     "ViewChanged",
     "ViewTable",
+    "ViewTable",
     "VmLeaving",
     "WriteAllotmentRecord",
     "WriteMoveStatus",
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -18,6 +18,8 @@
         self._lapsed: dict[str, RegisteredUpstream] = {}
         self._retained_until_ms = 0
         self._store_contact_since_ms: int | None = None
+        #: When a peer whose store answers last had no newer configuration.
+        self.confirmed_by_peer_at_ms = 0
         #: Runs that are known to leave, in the order in which this VM learned of them.
         self._leaving_runs: dict[UpstreamRun, None] = {}
 
@@ -25,6 +27,10 @@
         """Return the current view; it is empty until one is received from the store or a peer."""
         return self.get(self._CURRENT) or SiteView()
 
+    def is_older_than(self, configuration_version: int) -> bool:
+        """Return whether the configuration of the current view is older than a version."""
+        return self.current().configuration_version < configuration_version
+
     def accept(self, view: SiteView, *, now_ms: int) -> bool:
         """Replace the current view if ``view`` is newer; return whether it is.
 
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -66,12 +66,17 @@
 
     @on(PeerReportReceived)
     def _on_peer_report(self, event: PeerReportReceived, context: Context) -> None:
-        """Drop upstreams that are not registered if the store has answered a peer for long.
+        """Note whether the peer knows better, and drop upstreams that are not registered.
+
+        They are dropped if the store has answered the peer for long.
 
         Either only this VM was out of the store's reach, so that no registration lapsed, or all
         that did have been renewed since.
         """
         views = self.board.write(ViewTable)
+        is_in_contact = event.report.store_contact_ms is not None
+        if is_in_contact and not views.is_older_than(event.report.configuration_version):
+            views.confirmed_by_peer_at_ms = context.now_ms
         if not views.retains_lapsed(context.now_ms):
             return
         if era_of(event.report.view_revision) < views.current().era:
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -152,15 +152,26 @@
             runtime.close_mailbox(request.request_id)
 
     def _route(self, facts: RequestFacts, configuration: SiteConfiguration) -> GatewayRequest:
-        """Return the routed request."""
-        return route_request(
-            facts,
-            self._caller,
-            configuration,
-            self._services.runtime,
-            body=self._body,
-            arrived_at_ms=self._arrived_at_ms,
-        )
+        """Return the routed request.
+
+        A configuration that may be outdated does not show that a route or an organisation is
+        unknown.
+        """
+        try:
+            return route_request(
+                facts,
+                self._caller,
+                configuration,
+                self._services.runtime,
+                body=self._body,
+                arrived_at_ms=self._arrived_at_ms,
+            )
+        except CallerError as error:
+            age_ms = self._services.configuration_age_ms()
+            if age_ms <= self._services.settings().bounds.contact_ms:
+                raise
+            detail = f"{error.kind.value} by a configuration last confirmed {age_ms} ms ago"
+            raise RefusedError(ErrorKind.CONFIGURATION_OUTDATED, detail) from error
 
     def _fits_before_stop(self, request: GatewayRequest) -> bool:
         """Return whether the request is answered, or over its time limit, before a stop ends.
--- a/azureturn/gateway/exchange/_services.py
+++ b/azureturn/gateway/exchange/_services.py
@@ -30,6 +30,8 @@
     time_left_ms: Callable[[], int | None]
     #: Returns whether an upstream may be sent a request now, as far as it has said.
     may_send: Callable[[RegisteredUpstream], bool]
+    #: Returns for how long the configuration in force has not been confirmed to be the latest.
+    configuration_age_ms: Callable[[], int]
     connector: UpstreamConnector
     caller_watch: CallerWatch
     pool: ConnectionPool = field(default_factory=ConnectionPool)
