A VM takes up only as many requests as it can work on in time

Cause: nothing bounded what a VM works on by what it can do. Beyond that each further request delays all others, and the work goes into requests whose callers leave: 90 a second were served when 90 were offered, 25 when 220 were. Change: each tick reports by how much all tasks of requests were delayed; the number of requests in progress shrinks by a share while that is over 30 ms, and grows by one at a time while it is not and the number is used up. The others wait in the queue by tier, where the estimate of the wait, the patience and the time limits that exist refuse them as not run. Shared by all services, the most urgent first. Logged as processing_limit_changed.

--- a/azureturn/gateway/daemon/_decision_log.py
+++ b/azureturn/gateway/daemon/_decision_log.py
@@ -3,6 +3,7 @@
 from azureturn.gateway.decisions import (
     LogAllotmentRestore,
     LogAvailability,
+    LogProcessingLimit,
     LogQuarantineChange,
     LogReachability,
     LogRetainedUpstreams,
@@ -22,6 +23,7 @@
         """Receive the actions of a core."""
         runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
         runtime.register_handler(LogAvailability, self._log_availability)
+        runtime.register_handler(LogProcessingLimit, self._log_processing_limit)
         runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
         runtime.register_handler(LogReachability, self._log_reachability)
         runtime.register_handler(LogRetainedUpstreams, self._log_retained_upstreams)
@@ -44,6 +46,15 @@
             outcome=action.outcome,
         )
 
+    def _log_processing_limit(self, action: LogProcessingLimit) -> None:
+        self._log.info(
+            LogEvent.PROCESSING_LIMIT_CHANGED,
+            limit=action.limit,
+            in_progress=action.in_progress,
+            queued=action.waiting,
+            delay_ms=action.delay_ms,
+        )
+
     def _log_quarantine_change(self, action: LogQuarantineChange) -> None:
         self._log.info(
             LogEvent.QUARANTINE_CHANGED,
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -130,6 +130,17 @@
     live_peers: int
 
 
+@dataclass(frozen=True)
+class LogProcessingLimit(Action):
+    """Log that the number of requests that this VM works on at the same time was changed."""
+
+    limit: int
+    in_progress: int
+    waiting: int
+    #: By how much the tasks of all requests were delayed.
+    delay_ms: int
+
+
 @dataclass(frozen=True)
 class LogRetainedUpstreams(Action):
     """Log that upstreams are used although their registrations are missing, or no longer so."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -10,6 +10,7 @@
 from azureturn.gateway.decisions.controllers._moves import MoveController
 from azureturn.gateway.decisions.controllers._paths import PathController
 from azureturn.gateway.decisions.controllers._placement import PlacementController
+from azureturn.gateway.decisions.controllers._processing_limit import ProcessingLimitController
 from azureturn.gateway.decisions.controllers._quarantine import QuarantineController
 from azureturn.gateway.decisions.controllers._reachability import ReachabilityController
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
@@ -27,6 +28,7 @@
     "MoveController",
     "PathController",
     "PlacementController",
+    "ProcessingLimitController",
     "QuarantineController",
     "ReachabilityController",
     "ReportController",
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -16,6 +16,7 @@
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable, SentPrompt
+from azureturn.gateway.decisions._processing_limit import ProcessingLimitTable
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Relay
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -42,7 +43,7 @@
 class PlacementController(GatewayController):
     """Places requests of the most urgent tier first, each on the upstream of least cost."""
 
-    reads = (ViewTable, PeerTable, MoveTable, UpstreamPathTable, PauseTable)
+    reads = (ViewTable, PeerTable, MoveTable, UpstreamPathTable, PauseTable, ProcessingLimitTable)
     writes = (
         GatewayRequestTable,
         GatewayQueueTable,
@@ -56,9 +57,28 @@
 
     @on(PlacementRequested)
     def _on_requested(self, event: PlacementRequested, context: Context) -> None:
-        queue = self.board.write(GatewayQueueTable).of(event.service)
-        while len(queue) and self._place_next(queue, event.service, context):
-            pass
+        for service in self._services_in_turn(event.service):
+            queue = self.board.write(GatewayQueueTable).of(service)
+            while len(queue) and self._may_process_another():
+                if not self._place_next(queue, service, context):
+                    break
+
+    def _services_in_turn(self, service: str) -> list[str]:
+        """Return the services to place requests of, those with the most urgent ones first.
+
+        Usually upstreams bound what is placed, and each service has its own. What this VM can
+        process is shared by all.
+        """
+        if self.board.read(ProcessingLimitTable).current() is None:
+            return [service]
+        queues = self.board.read(GatewayQueueTable)
+        waiting = [(queue.waiting_ranks()[0], name) for name, queue in queues.items() if len(queue)]
+        return [name for _, name in sorted(waiting)]
+
+    def _may_process_another(self) -> bool:
+        waiting = self.board.read(GatewayQueueTable).waiting_count()
+        in_progress = len(self.board.read(GatewayRequestTable)) - waiting
+        return self.board.read(ProcessingLimitTable).allows_another(in_progress)
 
     def _place_next(
         self, queue: "RequestQueue[GatewayRequest]", service: str, context: Context
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -48,6 +48,7 @@
     MOVE_STATUS_WRITTEN = "move_status_written"
     ALLOTMENT_RECORD_WRITTEN = "allotment_record_written"
     ALLOTMENTS_RECALLED = "allotments_recalled"
+    PROCESSING_LIMIT_CHANGED = "processing_limit_changed"
     QUARANTINE_CHANGED = "quarantine_changed"
     QUARANTINE_RECORD_WRITTEN = "quarantine_record_written"
     PEER_UNREACHABLE = "peer_unreachable"
@@ -211,6 +212,11 @@
             "some time.",
             ("waiting", "upstreams", "silent_ms", "live_peers"),
         ),
+        LogEvent.PROCESSING_LIMIT_CHANGED: LogEventDefinition(
+            "This VM works on more or fewer requests at the same time, since tasks are delayed or "
+            "are not any more.",
+            ("limit", "in_progress", "queued", "delay_ms"),
+        ),
         LogEvent.DOCUMENT_REFUSED: _error_definition(
             "A document in the store cannot be read and was ignored.", "key", "error"
         ),
@@ -329,6 +335,10 @@
         "queued_ms": "Time since the request's arrival.",
         "unread_ms": "Time from the request's arrival, as early as it may have been, to its "
         "reading.",
+        "limit": "Number of requests that this VM works on at the same time.",
+        "in_progress": "Requests that have been sent to an upstream and have not ended.",
+        "queued": "Requests that wait to be sent.",
+        "delay_ms": "By how much the tasks of all requests were delayed.",
         "failures": "Calls that have failed since the last one that did not.",
         "processes": "Number of processes whose use the record contains.",
         "age_ms": "Age of the record that was read; -1 if there was none.",
