The delay of tasks counts from when the loop knows that they are ready

Cause: the delay was counted from when an event may have happened, at the earliest; time in which the process did not run is no sign of too many requests. Change: the delay counts from the poll that found the event; a request's arrival is still the earliest one.

--- a/azureturn/tasks/_lag.py
+++ b/azureturn/tasks/_lag.py
@@ -12,6 +12,8 @@
     def __init__(self, now_s: float) -> None:
         #: What happened until this time was found by the latest poll, or by one before it.
         self.polled_s = now_s
+        #: When the latest poll ended, and its events became known.
+        self.found_s = now_s
         #: When the events that the latest poll found may have happened, at the earliest.
         self.arrived_since_s = now_s
         self._poll_began_s = now_s
@@ -28,6 +30,7 @@
 
     def end_poll(self, now_s: float, *, found_events: bool) -> None:
         """Record that a poll has ended."""
+        self.found_s = now_s
         if self._poll_timeout_s == 0.0:
             self.arrived_since_s = self.polled_s
         elif self._poll_timeout_s is None:
@@ -37,7 +40,10 @@
         self.polled_s = self._poll_began_s if found_events else now_s
 
     def record_delay(self, delay_s: float) -> None:
-        """Record how long a task of a request was ready before it was resumed."""
+        """Record how long a task of a request was known to be ready before it was resumed.
+
+        Time in which the process did not run before it knew is no sign of too many requests.
+        """
         if self._shortest_delay_s is None or delay_s < self._shortest_delay_s:
             self._shortest_delay_s = delay_s
 
--- a/azureturn/tasks/_loop.py
+++ b/azureturn/tasks/_loop.py
@@ -53,7 +53,7 @@
         self.deadline_s: float | None = None
         #: Due time of the task's valid entry among the timers.
         self.timer_at_s: float | None = None
-        #: When what the task waits for may have happened; None unless it is about to be resumed.
+        #: Since when the task is known to be ready; None unless it is about to be resumed.
         self.ready_since_s: float | None = None
 
 
@@ -255,7 +255,7 @@
             entry.task_events = 0
             if isinstance(task.awaited, list):
                 task.awaited.append(descriptor)
-                self._add_ready(task, self._lag.arrived_since_s)
+                self._add_ready(task, self._lag.found_s)
         if entry.events:
             with suppress(OSError):
                 self._arm(descriptor, entry)
@@ -309,7 +309,7 @@
             if task.awaited is None or task.deadline_s is None:
                 continue
             if task.deadline_s <= polled_s:
-                self._add_ready(task, task.deadline_s)
+                self._add_ready(task, self._lag.found_s)
             else:
                 self._set_timer(task, task.deadline_s)
 
