A descriptor is kept until the task that waits for it has been resumed

Found by reading: if the callback for a caller that leaves was given up after a poll had found data for the task that waits for the same descriptor, and before the task ran, the task ended with a KeyError. The test fails with KeyError(16) before.

--- a/azureturn/tasks/_loop.py
+++ b/azureturn/tasks/_loop.py
@@ -154,7 +154,7 @@
         entry = self._descriptors.get(descriptor)
         if entry is not None:
             entry.callback, entry.callback_events = None, 0
-            self._forget_unawaited(descriptor, entry)
+            self._forget_unused(descriptor, entry)
 
     def suspend(self, task: Task, awaited: object, timeout_s: float | None) -> None:
         """Suspend the running task until it is woken for ``awaited`` or the time is over."""
@@ -187,7 +187,7 @@
             for descriptor in events_by_descriptor:
                 entry = self._descriptors[descriptor]
                 entry.task, entry.task_events = None, 0
-                self._forget_unawaited(descriptor, entry)
+                self._forget_unused(descriptor, entry)
         return ready
 
     def _arm(self, descriptor: int, entry: _Descriptor) -> None:
@@ -199,8 +199,8 @@
             # The first wait for this descriptor since it was opened.
             self._poll.register(descriptor, mask)
 
-    def _forget_unawaited(self, descriptor: int, entry: _Descriptor) -> None:
-        if not entry.events:
+    def _forget_unused(self, descriptor: int, entry: _Descriptor) -> None:
+        if entry.task is None and entry.callback is None:
             self._descriptors.pop(descriptor, None)
 
     def _run_forever(self) -> None:
@@ -259,8 +259,7 @@
         if entry.events:
             with suppress(OSError):
                 self._arm(descriptor, entry)
-        elif entry.task is None:
-            self._descriptors.pop(descriptor, None)
+        self._forget_unused(descriptor, entry)
         return callback
 
     def _poll_timeout_s(self) -> float | None:
--- a/azureturn/tasks/tests/test_loop.py
+++ b/azureturn/tasks/tests/test_loop.py
@@ -368,3 +368,29 @@
         return calls
 
     assert runner.run(wait) == []
+
+
+def test_a_task_gets_its_data_if_the_callback_is_given_up_before_it_is_resumed(
+    runner: _Runner, sockets: tuple[socket.socket, socket.socket]
+) -> None:
+    near, far = sockets
+    goes_on = threading.Event()
+    results: queue.SimpleQueue[object] = queue.SimpleQueue()
+
+    def wait() -> None:
+        runner.loop.watch(near.fileno(), HUNG_UP, lambda: None)
+        runner.loop.spawn(send)
+        results.put(result_of(receive, near, 10, _WAIT_S))
+
+    def send() -> None:
+        far.send(b"data")
+        # A control task runs between the poll that finds the data and the task that waits for it.
+        runner.loop.spawn(give_up, priority=Priority.CONTROL)
+        goes_on.wait(_SHORT_S)
+
+    def give_up() -> None:
+        runner.loop.unwatch(near.fileno())
+
+    runner.loop.spawn(wait)
+    assert results.get(timeout=_WAIT_S) == b"data"
+    assert runner.errors.empty()
