Before a request is placed its connection is looked at, so that no connection is opened for nobody

A caller that left while its request waited in the queue was noticed after a connection to the upstream had been opened for it. Found by reading the diff; the look before each send stays, as opening one takes a while.

--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -186,7 +186,7 @@
         while True:
             wait_ms = max(1, request.ends_at_ms - now_ms()) + _CORE_ACTION_GRACE_MS
             action = next_action(mailbox, request.request_id, wait_ms=wait_ms)
-            if self._caller_disconnected:
+            if self._has_caller_left():
                 self._abort_for_disconnected_caller()
                 return
             if isinstance(action, AwaitPlacement):
