A poll that was interrupted does not show that nothing has happened

Traced: SIGCONT interrupts epoll_wait, and Python then returns no events without another look if the timeout is over; the next poll, which found the request, took it to have arrived since then. Such a poll now vouches for the time until it was to end, no longer. The new case of test_lag.py fails before.

--- a/azureturn/tasks/_lag.py
+++ b/azureturn/tasks/_lag.py
@@ -31,13 +31,13 @@
     def end_poll(self, now_s: float, *, found_events: bool) -> None:
         """Record that a poll has ended."""
         self.found_s = now_s
-        if self._poll_timeout_s == 0.0:
-            self.arrived_since_s = self.polled_s
-        elif self._poll_timeout_s is None:
-            self.arrived_since_s = now_s
-        else:
-            self.arrived_since_s = min(now_s, self._poll_began_s + self._poll_timeout_s)
-        self.polled_s = self._poll_began_s if found_events else now_s
+        due_s = now_s
+        if self._poll_timeout_s is not None:
+            due_s = min(now_s, self._poll_began_s + self._poll_timeout_s)
+        self.arrived_since_s = self.polled_s if self._poll_timeout_s == 0.0 else due_s
+        # A poll that ends late and without events may have been interrupted by a signal, and then
+        # has not looked for them.
+        self.polled_s = self._poll_began_s if found_events else due_s
 
     def record_delay(self, delay_s: float) -> None:
         """Record how long a task of a request was known to be ready before it was resumed.
--- a/azureturn/tasks/tests/test_lag.py
+++ b/azureturn/tasks/tests/test_lag.py
@@ -29,6 +29,16 @@
     assert lag.arrived_since_s == pytest.approx(expected_s)
 
 
+def test_a_late_poll_without_events_does_not_show_that_nothing_has_happened() -> None:
+    """A signal interrupts it, for instance when a stopped process is continued."""
+    lag = LagMeter(8.0)
+    lag.begin_poll(10.0, 0.05)
+    lag.end_poll(12.0, found_events=False)
+    lag.begin_poll(12.0, 0.0)
+    lag.end_poll(12.0, found_events=True)
+    assert lag.arrived_since_s == pytest.approx(10.05)
+
+
 @pytest.mark.parametrize(
     ("delays_s", "was_idle", "expected_s"),
     [([], False, None), ([0.3, 0.2, 0.4], False, 0.2), ([0.3], True, 0.0)],
