--- a/azureturn/tasks/_loop.py
+++ b/azureturn/tasks/_loop.py
@@ -101,6 +101,7 @@
         self._ready: dict[Priority, deque[Task]] = {priority: deque() for priority in Priority}
         self._tasks: set[Task] = set()
         self._is_polling = False
+        self._is_stopped = False
         self._scheduler: greenlet | None = None
         self._lag = LagMeter(time.monotonic())
 
@@ -130,6 +131,11 @@
         """Start the loop's thread."""
         threading.Thread(target=self._run_forever, name=self._name, daemon=True).start()
 
+    def stop(self) -> None:
+        """End the loop's thread after its current turn; tasks that wait are not resumed."""
+        self._is_stopped = True
+        self._interrupt_poll()
+
     def spawn(self, function: Callable[[], None], *, priority: Priority = Priority.REQUEST) -> None:
         """Run a function as a new task; may be called from any thread."""
         self._new_functions.append((function, priority))
@@ -205,7 +211,7 @@
 
     def _run_forever(self) -> None:
         self._scheduler = getcurrent()
-        while True:
+        while not self._is_stopped:
             try:
                 self._run_once()
             except Exception as error:  # noqa: BLE001
@@ -214,6 +220,8 @@
 
     def _run_once(self) -> None:
         self._find_events()
+        if self._is_stopped:
+            return
         self._add_woken()
         self._add_timed_out()
         self._resume_ready()
@@ -263,7 +271,7 @@
         return callback
 
     def _poll_timeout_s(self) -> float | None:
-        if self._woken or self._new_functions or any(self._ready.values()):
+        if self._is_stopped or self._woken or self._new_functions or any(self._ready.values()):
             return 0.0
         if not self._timers:
             return None
@@ -316,7 +324,7 @@
         """Resume ready tasks, those of higher priority first, until it is time for a poll."""
         poll_at_s = time.monotonic() + _POLL_INTERVAL_S
         # A task that has not started yet counts as false.
-        while (task := self._next_ready()) is not None:
+        while not self._is_stopped and (task := self._next_ready()) is not None:
             assert task.ready_since_s is not None
             now_s = time.monotonic()
             if task.priority is Priority.REQUEST:
--- a/azureturn/tasks/tests/test_loop.py
+++ b/azureturn/tasks/tests/test_loop.py
@@ -394,3 +394,20 @@
     runner.loop.spawn(wait)
     assert results.get(timeout=_WAIT_S) == b"data"
     assert runner.errors.empty()
+
+
+def test_a_loop_that_is_stopped_resumes_no_task(runner: _Runner) -> None:
+    resumed: list[str] = []
+    goes_on: Mailbox[None] = Mailbox()
+
+    def wait() -> None:
+        goes_on.get()
+        resumed.append("resumed")
+
+    runner.loop.spawn(wait)
+    thread = runner.run(threading.current_thread)
+    assert isinstance(thread, threading.Thread)
+    runner.loop.stop()
+    goes_on.put(None)
+    thread.join(_WAIT_S)
+    assert (thread.is_alive(), resumed) == (False, [])
