A caller that leaves is not refused as by an internal error

Cause: an exchange that is aborted because its caller has left raises an error, which the HTTP library answers with a 500. What ended the request is logged as exchange_ended; a refusal has no reader.

--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -163,6 +163,10 @@
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Write the refusal for an error that cheroot detected, and close the connection."""
         code = str(status)[:3]
+        if code == "500" and has_disconnected(self.conn.socket.fileno()):
+            # What ended the request is logged by the application, and nobody reads a refusal.
+            self.close_connection = True
+            return
         kind = _KIND_BY_STATUS.get(code, ErrorKind.MALFORMED_REQUEST)
         if code == "413" and not self.ready:
             kind = ErrorKind.HEADERS_TOO_LARGE
