Ports of a site do not run out while many are kept

Cause: with the change that keeps the sockets of ports, 100 of the 120 ports that a test process looks through are kept, and the rest can be in use. Change: the search goes on through all ports below the ephemeral range; what other processes keep, it can't get. The new test fails before (120 different ports of 500).

--- a/standins/site.py
+++ b/standins/site.py
@@ -35,11 +35,11 @@
 
 
 def _candidate_ports() -> Iterator[int]:
-    """Yield ports below the kernel's ephemeral range, from a range chosen by the process id."""
-    first = _FIRST_PORT + os.getpid() % _PORT_RANGES * _PORTS_IN_RANGE
+    """Yield ports below the kernel's ephemeral range, beginning at one chosen by the process id."""
+    first = os.getpid() % _PORT_RANGES * _PORTS_IN_RANGE
     offset = time.monotonic_ns() % _PORTS_IN_RANGE
     for number in itertools.count():
-        yield first + (offset + number) % _PORTS_IN_RANGE
+        yield _FIRST_PORT + (first + offset + number) % (_PORT_RANGES * _PORTS_IN_RANGE)
 
 
 _CANDIDATE_PORTS = _candidate_ports()
--- a/standins/tests/test_ports.py
+++ b/standins/tests/test_ports.py
@@ -1,5 +1,6 @@
 """Ports that are handed out to processes of a site."""
 
+import itertools
 import socket
 
 import pytest
@@ -7,6 +8,9 @@
 from standins import site
 from standins.site import LOOPBACK, free_port
 
+#: More than a test process uses at the same time, and than are kept for it.
+_PORTS = 500
+
 
 def test_a_port_is_not_handed_out_twice_before_a_process_listens_on_it(
     monkeypatch: pytest.MonkeyPatch,
@@ -23,3 +27,8 @@
         with socket.create_server((LOOPBACK, port)) as server:
             socket.create_connection((LOOPBACK, port)).close()
             server.accept()[0].close()
+
+
+def test_ports_do_not_run_out_while_many_are_in_use() -> None:
+    candidates = list(itertools.islice(site._candidate_ports(), _PORTS))
+    assert len(set(candidates)) == _PORTS
