--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -450,7 +450,7 @@
 bounds.ack_ms=4000
 bounds.catch_up_s=4
 bounds.drain_ms=2000
-bounds.grace_s=8
+bounds.grace_s={grace_s}
 bounds.loss_slack_ms=200
 bounds.config_apply_ms=2000
 bounds.downgrade_slack_ms=250
@@ -502,12 +502,13 @@
         ports: Ports | None = None,
         site_size: int = 1,
         memory_mb: int = 300,
+        grace_s: int = 8,
     ) -> None:
         self.name = f"edge-a-{number + 1}"
         self.host = vm_host(number)
         self.ports = ports or Ports()
         seeds = ",".join(f"{vm_host(other)}:{self.ports.control}" for other in range(site_size))
-        settings = _SETTINGS.format(
+        self._fields = dict(
             name=self.name,
             host=self.host,
             caller_port=self.ports.caller,
@@ -519,8 +520,8 @@
             store_port=store_port,
             memory_mb=memory_mb,
         )
-        settings_path = folder / f"{self.name}.conf"
-        settings_path.write_text(settings, encoding="utf-8")
+        self._settings_path = folder / f"{self.name}.conf"
+        self.write_settings(grace_s)
         self.log_path = folder / f"{self.name}.log"
         command = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         environment = {
@@ -528,7 +529,7 @@
             "HOME": os.environ.get("HOME", "/tmp"),
             "LANG": os.environ.get("LANG", "C.UTF-8"),
             "PYTHONPATH": f"{ROOT / 'target/deps'}:{ROOT}",
-            "AZURETURN_CONFIG": str(settings_path),
+            "AZURETURN_CONFIG": str(self._settings_path),
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
@@ -539,6 +540,13 @@
                 stderr=log,
             )
 
+    def write_settings(self, grace_s: int) -> None:
+        """Write the settings file, as the platform does."""
+        text = _SETTINGS.format(grace_s=grace_s, **self._fields)
+        path = self._settings_path.with_suffix(".new")
+        path.write_text(text, encoding="utf-8")
+        path.replace(self._settings_path)
+
     def wait_until_ready(self) -> None:
         """Wait until the gateway says that it is ready."""
         ends_at_s = time.monotonic() + READY_TIMEOUT_S
