--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -508,18 +508,18 @@
         self.host = vm_host(number)
         self.ports = ports or Ports()
         seeds = ",".join(f"{vm_host(other)}:{self.ports.control}" for other in range(site_size))
-        self._fields = dict(
-            name=self.name,
-            host=self.host,
-            caller_port=self.ports.caller,
-            ready_port=self.ports.ready,
-            control_port=self.ports.control,
-            first_port=self.ports.first,
-            last_port=self.ports.last,
-            seeds=seeds,
-            store_port=store_port,
-            memory_mb=memory_mb,
-        )
+        self._fields = {
+            "name": self.name,
+            "host": self.host,
+            "caller_port": self.ports.caller,
+            "ready_port": self.ports.ready,
+            "control_port": self.ports.control,
+            "first_port": self.ports.first,
+            "last_port": self.ports.last,
+            "seeds": seeds,
+            "store_port": store_port,
+            "memory_mb": memory_mb,
+        }
         self._settings_path = folder / f"{self.name}.conf"
         self.write_settings(grace_s)
         self.log_path = folder / f"{self.name}.log"
