--- a/review/2/case.py
+++ b/review/2/case.py
@@ -224,7 +224,7 @@
         {"name": "desk", "health_path": "/healthz", "max_conns": 110},
     ]
     store.put("op/config", desired_state([report], services))
-    ports = Ports()
+    ports = Ports.free()
     gateways: list[Gateway] = []
     relayed = 0
     with tempfile.TemporaryDirectory() as folder, cut_path() as cut_address:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -16,7 +16,7 @@
 import tomllib
 from collections.abc import Callable, Iterator
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -56,11 +56,13 @@
             self._file.flush()
 
 
-def free_port() -> int:
-    """Return a free TCP port."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        port: int = server.getsockname()[1]
-        return port
+def free_ports(count: int) -> list[int]:
+    """Return so many different free TCP ports."""
+    servers = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [int(server.getsockname()[1]) for server in servers]
+    for server in servers:
+        server.close()
+    return ports
 
 
 def vm_host(number: int) -> str:
@@ -68,6 +70,11 @@
     return f"127.{64 + (os.getpid() >> 14 & 0x1F)}.{os.getpid() >> 6 & 0xFF}.{1 + number}"
 
 
+class _QuietServer(ThreadingHTTPServer):
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Say nothing of a channel that a killed gateway has left."""
+
+
 class Store:
     """The platform's store; it loses nothing and answers at once."""
 
@@ -84,9 +91,7 @@
         ``seen_addresses`` maps the address of a replica to the address at which the machine that
         uses this port reaches it, as a network address translation does.
         """
-        server = ThreadingHTTPServer(
-            ("127.0.0.1", 0), _store_handler(self, dict(seen_addresses or {}))
-        )
+        server = _QuietServer(("127.0.0.1", 0), _store_handler(self, dict(seen_addresses or {})))
         server.daemon_threads = True
         self._servers.append(server)
         threading.Thread(target=server.serve_forever, daemon=True).start()
@@ -479,15 +484,20 @@
 """
 
 
-@dataclass
+@dataclass(frozen=True)
 class Ports:
     """The ports that all machines of a site have in common."""
 
-    caller: int = field(default_factory=free_port)
-    ready: int = field(default_factory=free_port)
-    control: int = field(default_factory=free_port)
-    first: int = field(default_factory=free_port)
-    last: int = field(default_factory=free_port)
+    caller: int
+    ready: int
+    control: int
+    first: int
+    last: int
+
+    @classmethod
+    def free(cls) -> "Ports":
+        """Return five free ports."""
+        return cls(*free_ports(5))
 
 
 class Gateway:
@@ -506,7 +516,7 @@
     ) -> None:
         self.name = f"edge-a-{number + 1}"
         self.host = vm_host(number)
-        self.ports = ports or Ports()
+        self.ports = ports or Ports.free()
         seeds = ",".join(f"{vm_host(other)}:{self.ports.control}" for other in range(site_size))
         self._fields = {
             "name": self.name,
@@ -552,7 +562,8 @@
         ends_at_s = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < ends_at_s:
             if self.process.poll() is not None:
-                raise NotRunError(f"{self.name} ended with {self.process.returncode}")
+                tail = self.log_path.read_text(encoding="utf-8", errors="replace")[-800:]
+                raise NotRunError(f"{self.name} ended with {self.process.returncode}: {tail}")
             with suppress(OSError):
                 if self.is_ready():
                     return
