A relay says when the upstream has ended a connection

Cause: a relay passed bare bytes on, so that the end of the relaying process and that of the upstream's connection looked the same to the VM that serves the caller; the operating system ends both in order. A body with neither a length nor chunks is then complete.

Ruled out: the check for the inside of an event (the streams stood between two), and resets, which were passed on.

Change: a relay sends the upstream's bytes in frames and an empty frame at their end. Without it the connection was broken off: a stream is resumed or visibly cut, a plain response fails. Earlier builds neither ask for frames nor send them; through such a relay no unframed response is complete.

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -12,6 +12,7 @@
 from azureturn._socket_options import RESET_AT_CLOSE
 from azureturn.errors import ErrorKind, UpstreamError
 from azureturn.gateway.exchange._body_budget import BodyBudget
+from azureturn.gateway.relay import DirectBytes, UpstreamBytes
 from azureturn.gateway.site import UpstreamRun
 from azureturn.serving import now_ms
 from azureturn.tasks import receive, send_all
@@ -34,11 +35,18 @@
 
 
 class UpstreamConnection:
-    """One HTTP/1.1 connection to an upstream; h11 validates the framing."""
+    """One HTTP/1.1 connection to an upstream; h11 validates the framing.
 
-    def __init__(self, connection_socket: socket.socket) -> None:
+    ``upstream_bytes`` finds the upstream's bytes in what is received; by default they are all that
+    is received.
+    """
+
+    def __init__(
+        self, connection_socket: socket.socket, upstream_bytes: UpstreamBytes | None = None
+    ) -> None:
         connection_socket.setblocking(False)
         self._socket = connection_socket
+        self._upstream_bytes = upstream_bytes or DirectBytes()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEADER_LIMIT_BYTES)
         self._last_request: h11.Request | None = None
         self.idle_since_ms = 0
@@ -75,11 +83,7 @@
                 remaining_ms = deadline_ms - now_ms()
                 if remaining_ms <= 0:
                     raise TimeoutError
-                data = receive(self._socket, _READ_BYTES, remaining_ms / _MS_PER_S)
-                if not data and self._aborted:
-                    # Only the peer's close may end a body that has neither a length nor chunks.
-                    raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection aborted")
-                self._http.receive_data(data)
+                self._receive(remaining_ms / _MS_PER_S)
         except TimeoutError:
             raise
         except OSError as error:
@@ -112,10 +116,13 @@
     def is_reusable(self) -> bool:
         """Return whether the last response is complete, so that another request may be sent."""
         is_complete = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        return is_complete and not self._aborted and not self._http.trailing_data[0]
+        has_more = self._http.trailing_data[0] or not self._upstream_bytes.is_between_parts
+        return is_complete and not self._aborted and not has_more
 
     def is_still_idle(self) -> bool:
         """Return whether the upstream has neither closed the connection nor sent data on it."""
+        if self._upstream_bytes.has_ended:
+            return False
         poller = select.poll()
         poller.register(self._socket, select.POLLIN | select.POLLHUP | select.POLLERR)
         return not poller.poll(0)
@@ -131,13 +138,29 @@
             data += self._http.send(h11.Data(data=body)) or b""
         return data + (self._http.send(h11.EndOfMessage()) or b"")
 
+    def _receive(self, timeout_s: float) -> None:
+        """Pass received bytes of the upstream to h11, or the end of its connection.
+
+        Without any, nothing is passed: h11 takes an empty part for the end.
+        """
+        if self._upstream_bytes.has_ended:
+            self._http.receive_data(b"")
+            return
+        data = receive(self._socket, _READ_BYTES, timeout_s)
+        if not data and self._aborted:
+            # Only the upstream's close may end a body that has neither a length nor chunks.
+            raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection aborted")
+        part = self._upstream_bytes.feed(data)
+        if part or self._upstream_bytes.has_ended:
+            self._http.receive_data(part)
+
     def _receive_early_response(self) -> bool:
         """Receive data after a failed send, and return whether there was any.
 
         An upstream may respond before it has read the whole request. The data is passed to h11.
         """
         try:
-            data = self._socket.recv(_READ_BYTES)
+            data = self._upstream_bytes.feed(self._socket.recv(_READ_BYTES))
         except OSError:
             return False
         if data:
--- a/azureturn/gateway/exchange/_connector.py
+++ b/azureturn/gateway/exchange/_connector.py
@@ -35,7 +35,7 @@
                 relayed = self._relay_client.connect(
                     relay_host, upstream.run, timeout_ms=timeout_ms
                 )
-                return UpstreamConnection(relayed)
+                return UpstreamConnection(relayed.socket, relayed.upstream_bytes)
             return UpstreamConnection(_open_socket(upstream, timeout_ms))
         except OSError as error:
             kind = ErrorKind.UPSTREAM_UNREACHABLE
--- a/azureturn/gateway/relay/_client.py
+++ b/azureturn/gateway/relay/_client.py
@@ -1,9 +1,11 @@
 """Opens connections to upstreams through a peer."""
 
 import socket
+from dataclasses import dataclass
 
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import AzureturnError
+from azureturn.gateway.relay._frames import FramedBytes, UnframedBytes, UpstreamBytes
 from azureturn.gateway.relay._messages import receive_message, relay_request, send_message
 from azureturn.gateway.site import UpstreamRun
 from azureturn.peers import EnvelopeSigner, RelayAnswer, RelayOutcome
@@ -16,6 +18,16 @@
     """The peer could not connect to the upstream, or did not want to."""
 
 
+@dataclass(frozen=True)
+class RelayedConnection:
+    """A connection to a peer that relays it to an upstream."""
+
+    #: In non-blocking mode.
+    socket: socket.socket
+    #: Finds the upstream's bytes in what is received.
+    upstream_bytes: UpstreamBytes
+
+
 class RelayClient:
     """Asks peers to relay connections."""
 
@@ -24,8 +36,8 @@
         self._signer = signer
         self._port = port
 
-    def connect(self, host: str, run: UpstreamRun, *, timeout_ms: int) -> socket.socket:
-        """Return a non-blocking socket; the peer at ``host`` relays its bytes to the upstream.
+    def connect(self, host: str, run: UpstreamRun, *, timeout_ms: int) -> RelayedConnection:
+        """Return a connection that the peer at ``host`` relays to the upstream.
 
         ``timeout_ms`` applies to each of the two connections. Raises ``ConnectionRefusedError`` if
         no process accepts connections at the upstream, and another ``OSError`` if either connection
@@ -45,7 +57,8 @@
             connection.close()
             raise
         if answer.outcome == RelayOutcome.CONNECTED:
-            return connection
+            received = FramedBytes() if answer.sends_frames else UnframedBytes()
+            return RelayedConnection(connection, received)
         connection.close()
         if answer.outcome == RelayOutcome.REFUSED:
             raise ConnectionRefusedError("the upstream refused the peer's connection")
--- a/azureturn/gateway/relay/_messages.py
+++ b/azureturn/gateway/relay/_messages.py
@@ -20,7 +20,7 @@
 def relay_request(run: UpstreamRun, sender_vm: str, signer: EnvelopeSigner) -> RelayRequest:
     """Return a signed request for a connection to a run of an upstream."""
     name, started_unix_ms = run
-    request = RelayRequest(sender_vm, name, started_unix_ms)
+    request = RelayRequest(sender_vm, name, started_unix_ms, reads_frames=True)
     request.signature = signer.signature(_CALL_NAME, _signed_bytes(request))
     return request
 
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -7,6 +7,7 @@
 
 from azureturn._socket_options import RESET_AT_CLOSE, SOCKET_OPTIONS
 from azureturn.errors import AzureturnError
+from azureturn.gateway.relay._frames import END_FRAME, MAX_PART_BYTES, encode_frame
 from azureturn.gateway.relay._messages import is_signed, receive_message, send_message
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 from azureturn.observability import EventLog, LogEvent, describe_error
@@ -32,7 +33,6 @@
 _WRITE_TIMEOUT_S = 30.0
 #: Delay after a connection could not be accepted.
 _ACCEPT_RETRY_S = 0.1
-_READ_BYTES = 65_536
 
 
 class RelayServer:
@@ -100,16 +100,16 @@
     def _serve(self, connection: socket.socket) -> None:
         self._open_relays += 1
         try:
-            upstream_connection = self._open(connection)
-            if upstream_connection is not None:
-                _pass_on(connection, upstream_connection)
+            relay = self._open(connection)
+            if relay is not None:
+                relay.pass_on()
         except (AzureturnError, OSError) as error:
             self._log.error(LogEvent.RELAY_FAILED, error=describe_error(error))
         finally:
             connection.close()
             self._open_relays -= 1
 
-    def _open(self, connection: socket.socket) -> socket.socket | None:
+    def _open(self, connection: socket.socket) -> "_Relay | None":
         """Read the peer's request, connect to the upstream, and answer the peer."""
         _set_options(connection)
         request = receive_message(connection, RelayRequest, _REQUEST_TIMEOUT_S)
@@ -126,8 +126,12 @@
             outcome=RelayOutcome._VALUES_TO_NAMES[outcome].lower(),
             relays=self._open_relays,
         )
-        send_message(connection, RelayAnswer(outcome), _REQUEST_TIMEOUT_S)
-        return upstream_connection
+        sends_frames = bool(request.reads_frames)
+        answer = RelayAnswer(outcome, sends_frames=sends_frames)
+        send_message(connection, answer, _REQUEST_TIMEOUT_S)
+        if upstream_connection is None:
+            return None
+        return _Relay(connection, upstream_connection, sends_frames=sends_frames)
 
     def _may_relay(self, request: RelayRequest) -> bool:
         return is_signed(request, self._signer) and self._open_relays <= _MAX_RELAYS
@@ -156,28 +160,48 @@
         connection.setsockopt(level, name, value)
 
 
-def _pass_on(peer: socket.socket, upstream: socket.socket) -> None:
-    """Pass bytes on in both directions until one side ends the connection.
+class _Relay:
+    """An open connection of a peer and the one to the upstream that it is relayed to."""
 
-    If either connection is reset, so is the other. An orderly end could make an incomplete response
-    look complete, and would deliver a request that the peer has given up.
-    """
-    directions = {peer.fileno(): (peer, upstream), upstream.fileno(): (upstream, peer)}
-    try:
+    def __init__(self, peer: socket.socket, upstream: socket.socket, *, sends_frames: bool) -> None:
+        self._peer = peer
+        self._upstream = upstream
+        self._sends_frames = sends_frames
+
+    def pass_on(self) -> None:
+        """Pass bytes on in both directions until one side ends the connection.
+
+        If either connection is reset, so is the other. An orderly end could make an incomplete
+        response look complete, and would deliver a request that the peer has given up.
+        """
+        try:
+            self._pass_on_until_end()
+        except OSError:
+            # A reset of either side, or a side that reads nothing more.
+            for connection in (self._peer, self._upstream):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        finally:
+            self._upstream.close()
+
+    def _pass_on_until_end(self) -> None:
+        sources = {connection.fileno(): connection for connection in (self._peer, self._upstream)}
         while True:
-            for descriptor in wait_until_ready(dict.fromkeys(directions, READABLE), None):
-                source, destination = directions[descriptor]
+            for descriptor in wait_until_ready(dict.fromkeys(sources, READABLE), None):
+                source = sources[descriptor]
                 try:
-                    data = source.recv(_READ_BYTES)
+                    data = source.recv(MAX_PART_BYTES)
                 except BlockingIOError:
                     # Nothing has arrived after all.
                     continue
+                if source is self._peer:
+                    send_all(self._upstream, data, _WRITE_TIMEOUT_S)
+                else:
+                    self._send_to_peer(data)
                 if not data:
                     return
-                send_all(destination, data, _WRITE_TIMEOUT_S)
-    except OSError:
-        # A reset of either side, or a side that reads nothing more.
-        for connection in (peer, upstream):
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-    finally:
-        upstream.close()
+
+    def _send_to_peer(self, data: bytes) -> None:
+        """Send bytes of the upstream, or that it has ended its connection if there are none."""
+        if self._sends_frames:
+            data = encode_frame(data) if data else END_FRAME
+        send_all(self._peer, data, _WRITE_TIMEOUT_S)
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -11,10 +11,16 @@
 
 import pytest
 
-from azureturn.gateway.relay import RelayClient, RelayRefusedError, RelayServer
+from azureturn.gateway.relay import (
+    RelayClient,
+    RelayedConnection,
+    RelayRefusedError,
+    RelayServer,
+)
+from azureturn.gateway.relay._messages import receive_message, relay_request, send_message
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 from azureturn.observability import EventLog
-from azureturn.peers import EnvelopeSigner
+from azureturn.peers import EnvelopeSigner, RelayAnswer
 from azureturn.tasks import TaskLoop
 
 _HOST = "127.0.0.1"
@@ -48,6 +54,31 @@
     return loop
 
 
+class _PeerConnection:
+    """A peer's relayed connection, as a blocking socket for the upstream's bytes."""
+
+    def __init__(self, relayed: RelayedConnection) -> None:
+        self._relayed = relayed
+        self.socket = relayed.socket
+        self.sendall = relayed.socket.sendall
+        self.close = relayed.socket.close
+
+    def __enter__(self) -> "_PeerConnection":
+        return self
+
+    def __exit__(self, *arguments: object) -> None:
+        self.close()
+
+    def recv(self, size_bytes: int) -> bytes:
+        """Return bytes of the upstream, or none once it has ended its connection."""
+        received = self._relayed.upstream_bytes
+        while not received.has_ended:
+            data = received.feed(self.socket.recv(size_bytes))
+            if data:
+                return data
+        return b""
+
+
 class _Site:
     """An upstream with a given behaviour, and a peer that relays connections to it."""
 
@@ -87,12 +118,12 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
-    def connect(self, run: UpstreamRun = _RUN, *, secret: str = "secret") -> socket.socket:
+    def connect(self, run: UpstreamRun = _RUN, *, secret: str = "secret") -> "_PeerConnection":
         signer = EnvelopeSigner(secret, "vm-2", clock_s=lambda: 0.0)
         client = RelayClient("vm-2", signer, port=self._port)
-        connection = client.connect(_HOST, run, timeout_ms=_TIMEOUT_MS)
-        connection.settimeout(_TIMEOUT_MS / 1_000)
-        return connection
+        relayed = client.connect(_HOST, run, timeout_ms=_TIMEOUT_MS)
+        relayed.socket.settimeout(_TIMEOUT_MS / 1_000)
+        return _PeerConnection(relayed)
 
     def _serve(self) -> None:
         while True:
@@ -144,7 +175,7 @@
 ) -> None:
     site = sites(_echo)
     connection = site.connect()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     connection.close()
     assert site.ended.wait(_TIMEOUT_MS / 1_000)
     assert site.was_reset
@@ -157,11 +188,11 @@
     site = sites(_echo)
     serve = site.server._open
 
-    def record(connection: socket.socket) -> socket.socket | None:
+    def record(connection: socket.socket) -> object:
         accepted.append(connection)
         return serve(connection)
 
-    site.server._open = record  # type: ignore[method-assign]
+    site.server._open = record  # type: ignore[assignment, method-assign]
     with site.connect():
         (connection,) = accepted
         assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
@@ -185,6 +216,43 @@
             connection.recv(10)
 
 
+def test_the_end_of_the_relaying_vm_does_not_look_like_that_of_the_upstream(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    # Guards against ORDER: a stream without a length looked complete when its relay was killed.
+    accepted: list[socket.socket] = []
+    site = sites(_echo)
+    serve = site.server._open
+
+    def record(connection: socket.socket) -> object:
+        accepted.append(connection)
+        return serve(connection)
+
+    site.server._open = record  # type: ignore[assignment, method-assign]
+    with site.connect() as connection:
+        connection.sendall(b"part")
+        assert connection.recv(10) == b"part"
+        # What the operating system does with the connections of a process that is killed.
+        accepted[0].shutdown(socket.SHUT_RDWR)
+        with pytest.raises(ConnectionAbortedError):
+            connection.recv(10)
+
+
+@pytest.mark.parametrize("reads_frames", [None, False], ids=["earlier build", "no frames"])
+def test_a_peer_that_reads_no_frames_gets_the_bytes_as_they_are(
+    sites: Callable[[_Behaviour], _Site], reads_frames: bool | None
+) -> None:
+    site = sites(_echo)
+    signer = EnvelopeSigner("secret", "vm-2", clock_s=lambda: 0.0)
+    request = relay_request(_RUN, "vm-2", signer)
+    request.reads_frames = reads_frames
+    with socket.create_connection((_HOST, site.server._address[1]), timeout=2) as connection:
+        send_message(connection, request, 2.0)
+        assert not receive_message(connection, RelayAnswer, 2.0).sends_frames
+        connection.sendall(b"bytes")
+        assert connection.recv(10) == b"bytes"
+
+
 class _ListenerThatFailsOnce:
     """A listening socket that has no descriptor left for the first connection."""
 
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -374,10 +374,12 @@
   2: string upstream,
   3: i64 started_unix_ms,
   4: binary signature,
+  // Whether the sender can read frames. Earlier builds do not say so, and cannot.
+  5: optional bool reads_frames,
 }
 
 enum RelayOutcome {
-  // All further bytes are those of the upstream's connection.
+  // All further bytes are those of the upstream's connection, in frames if the answer says so.
   CONNECTED = 1,
   // No process accepts connections at the upstream's address.
   REFUSED = 2,
@@ -389,6 +391,10 @@
 
 struct RelayAnswer {
   1: RelayOutcome outcome,
+  // Whether the upstream's bytes are sent in frames: a part behind its length, as four bytes in
+  // network byte order. An empty part says that the upstream has ended its connection. Bytes to the
+  // upstream are sent as they are.
+  2: optional bool sends_frames,
 }
 
 exception PeerRefused {
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -5029,6 +5029,7 @@
      - upstream
      - started_unix_ms
      - signature
+     - reads_frames
 
     """
 
@@ -5037,14 +5038,16 @@
         'upstream',
         'started_unix_ms',
         'signature',
+        'reads_frames',
     )
 
 
-    def __init__(self, sender_vm=None, upstream=None, started_unix_ms=None, signature=None,):
+    def __init__(self, sender_vm=None, upstream=None, started_unix_ms=None, signature=None, reads_frames=None,):
         self.sender_vm = sender_vm
         self.upstream = upstream
         self.started_unix_ms = started_unix_ms
         self.signature = signature
+        self.reads_frames = reads_frames
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5075,6 +5078,11 @@
                     self.signature = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reads_frames = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5101,6 +5109,10 @@
             oprot.writeFieldBegin('signature', TType.STRING, 4)
             oprot.writeBinary(self.signature)
             oprot.writeFieldEnd()
+        if self.reads_frames is not None:
+            oprot.writeFieldBegin('reads_frames', TType.BOOL, 5)
+            oprot.writeBool(self.reads_frames)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5130,16 +5142,19 @@
     """
     Attributes:
      - outcome
+     - sends_frames
 
     """
 
     __slots__ = (
         'outcome',
+        'sends_frames',
     )
 
 
-    def __init__(self, outcome=None,):
+    def __init__(self, outcome=None, sends_frames=None,):
         self.outcome = outcome
+        self.sends_frames = sends_frames
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5155,6 +5170,11 @@
                     self.outcome = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.sends_frames = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5169,6 +5189,10 @@
             oprot.writeFieldBegin('outcome', TType.I32, 1)
             oprot.writeI32(self.outcome)
             oprot.writeFieldEnd()
+        if self.sends_frames is not None:
+            oprot.writeFieldBegin('sends_frames', TType.BOOL, 2)
+            oprot.writeBool(self.sends_frames)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5661,11 +5685,13 @@
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
     (3, TType.I64, 'started_unix_ms', None, None, ),  # 3
     (4, TType.STRING, 'signature', 'BINARY', None, ),  # 4
+    (5, TType.BOOL, 'reads_frames', None, None, ),  # 5
 )
 all_structs.append(RelayAnswer)
 RelayAnswer.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'outcome', None, None, ),  # 1
+    (2, TType.BOOL, 'sends_frames', None, None, ),  # 2
 )
 all_structs.append(PeerRefused)
 PeerRefused.thrift_spec = (
