A response that only its connection ends is reset with the process

Callers who speak HTTP/1.0 get streams without chunks.

Evidence: both cases of test_a_stream_to_a_caller_without_chunks_is_reset_when_its_vm_ends failed on (DID NOT RAISE ConnectionResetError) and pass now. Responses with a length or chunks were never affected.

Change: while such a response is incomplete, the linger time of its socket is 0, so that every end but the regular one is a reset. That also replaces the reset after an exception.

--- a/azureturn/_socket_options.py
+++ b/azureturn/_socket_options.py
@@ -41,3 +41,5 @@
 
 #: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+#: Value of SO_LINGER (disabled) with which a close sends what is unsent, and then an orderly end.
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -13,7 +13,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Server
 
-from azureturn._socket_options import RESET_AT_CLOSE, keep_alive_options
+from azureturn._socket_options import ORDERLY_CLOSE, RESET_AT_CLOSE, keep_alive_options
 from azureturn.errors import (
     DEFAULT_RETRY_AFTER_MS,
     ERROR_RESPONSES,
@@ -139,17 +139,14 @@
         self.server.count_in_flight(1)
         try:
             super().respond()
-        except Exception:
-            self.conn.resets_on_close = self._ends_by_closing()
-            raise
+            self.conn.set_resets_on_close(False)
         finally:
             self.server.count_in_flight(-1)
 
     def _ends_by_closing(self) -> bool:
-        """Return whether only the close of the connection ends the response that has been begun."""
+        """Return whether only the close of the connection ends the response."""
         names = {name.lower() for name, _ in self.outheaders}
-        has_length = b"content-length" in names
-        return bool(self.sent_headers) and not self.chunked_write and not has_length
+        return self.response_protocol != "HTTP/1.1" and b"content-length" not in names
 
     def send_headers(self) -> None:
         """Send the headers; close the connection after a refusal with an unread request body."""
@@ -158,6 +155,8 @@
         if is_refusal and (self.chunked_read or getattr(self.rfile, "remaining", False)):
             self.close_connection = True
             self.conn.drains_on_close = True
+        # Until the response is complete, also the end of this process must not look like its end.
+        self.conn.set_resets_on_close(self._ends_by_closing())
         super().send_headers()
 
     def simple_response(self, status: Any, msg: str = "") -> None:
@@ -197,8 +196,7 @@
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
         super().__init__(server, sock, _make_file)
         self.drains_on_close = False
-        #: Whether to reset the connection, so that an incomplete response does not look complete.
-        self.resets_on_close = False
+        self._resets_on_close = False
         sock.setblocking(False)
         for level, name, value in _CALLER_SOCKET_OPTIONS:
             sock.setsockopt(level, name, value)
@@ -221,6 +219,19 @@
         age_s: float = time.monotonic() - self.rfile.raw.arrived_since_s
         return age_s
 
+    def set_resets_on_close(self, resets: bool) -> None:
+        """Set whether the end of the connection, or of this process, resets it.
+
+        A reset shows that a response is incomplete which only the end of the connection ends.
+        """
+        if resets == self._resets_on_close:
+            return
+        self._resets_on_close = resets
+        value = RESET_AT_CLOSE if resets else ORDERLY_CLOSE
+        with suppress(OSError):
+            # A connection that has failed needs no reset.
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def close(self) -> None:
         """Close the connection, after draining it if the caller may still be sending."""
         if self.drains_on_close:
@@ -228,12 +239,9 @@
         super().close()
 
     def _close_kernel_socket(self) -> None:
-        if not self.resets_on_close:
-            super()._close_kernel_socket()  # type: ignore[misc]
-            return
         # Without a shutdown before it, a close with a linger time of 0 resets the connection.
-        with suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        if not self._resets_on_close:
+            super()._close_kernel_socket()  # type: ignore[misc]
 
     def _drain(self) -> None:
         # Closing a socket with unread bytes would reset the connection, and the caller could lose
