A connection with an unsent rest of a request is not used again

Cause: send() goes on after a time-out if a response is there already, and whether a connection may be used again was asked of h11, for which a request is sent once it is serialised.

The new test test_a_connection_with_an_unsent_rest_of_a_request_is_not_reused failed in both its cases before (a connection was acquired) and passes now. Ruled out: a time-out without a response (the send fails, the connection is closed), stale responses (ids are compared).

Change: the connection keeps whether part of its last request is unsent; then it is closed with a reset in place of being pooled.

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -49,20 +49,25 @@
         self._upstream_bytes = upstream_bytes or DirectBytes()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEADER_LIMIT_BYTES)
         self._last_request: h11.Request | None = None
+        #: Whether part of the last request has not been sent. h11 does not know.
+        self._has_unsent_bytes = False
         self.idle_since_ms = 0
         self._aborted = False
 
     def send(self, request: h11.Request, body: bytes, *, timeout_ms: int) -> None:
         """Send a whole request.
 
-        If the upstream stops reading but has already responded, this is not an error.
+        If the upstream stops reading but has already responded, this is not an error, but no other
+        request can follow: the upstream would take its bytes for the rest of this one.
         """
         if self._last_request is not None:
             self._http.start_next_cycle()
         self._last_request = request
         data = self._serialise(request, body)
+        self._has_unsent_bytes = True
         try:
             send_all(self._socket, data, max(1, timeout_ms) / _MS_PER_S)
+            self._has_unsent_bytes = False
         except OSError as error:
             if not self._receive_early_response():
                 raise _connection_broken(error) from error
@@ -105,19 +110,22 @@
     def close(self) -> None:
         """Close the connection, which tells the upstream that its response is not awaited.
 
-        Without a complete response the connection is reset. A request that was held up on its way
-        would otherwise still arrive, long after it was given up.
+        If the request or the response is not complete, the connection is reset. A request that was
+        held up on its way would otherwise still arrive, long after it was given up.
         """
         with suppress(OSError):
-            if self._http.their_state not in _NOTHING_AWAITED:
+            if self._has_unsent_bytes or self._http.their_state not in _NOTHING_AWAITED:
                 self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             self._socket.close()
 
     def is_reusable(self) -> bool:
-        """Return whether the last response is complete, so that another request may be sent."""
+        """Return whether another request may be sent.
+
+        The last one must have been sent and its response received, both as a whole.
+        """
         is_complete = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         has_more = self._http.trailing_data[0] or not self._upstream_bytes.is_between_parts
-        return is_complete and not self._aborted and not has_more
+        return is_complete and not (self._aborted or self._has_unsent_bytes or has_more)
 
     def is_still_idle(self) -> bool:
         """Return whether the upstream has neither closed the connection nor sent data on it."""
--- a/azureturn/gateway/exchange/tests/test_attempt.py
+++ b/azureturn/gateway/exchange/tests/test_attempt.py
@@ -1,6 +1,7 @@
 """Tests of :class:`Attempt` against correct and faulty upstreams."""
 
 import socket
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -241,3 +242,32 @@
         with connection, pytest.raises(ConnectionResetError):
             while connection.recv(65_536):
                 pass
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Full"])
+def test_a_connection_with_an_unsent_rest_of_a_request_is_not_reused(status: bytes) -> None:
+    # Guards against UNASKED: the next request was sent where the rest of a long body was due.
+    head = b"HTTP/1.1 " + status + b"\r\nRequest: r1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"
+    pool = ConnectionPool()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        port = listener.getsockname()[1]
+        upstream = RegisteredUpstream("u", "s", "127.0.0.1", port, "a", "v1", slots=4)
+        attempt = Attempt(upstream, pool, UpstreamConnector(), PlainDialect())
+        request = UpstreamRequest("POST", "/", (("Host", "a"),), bytes(4 << 20), "r1")
+        with ThreadPoolExecutor() as threads:
+            sent = threads.submit(
+                attempt.send, request, unrepeatable=False, ends_at_ms=now_ms() + _SHORT_WAIT_MS
+            )
+            connection, _ = listener.accept()
+            # It answers before it has read the body, and does not read on before the time limit.
+            connection.sendall(head)
+            sent.result()
+        attempt.read_head(ends_at_ms=now_ms() + _WAIT_MS)
+        assert attempt.read_body(ends_at_ms=now_ms() + _WAIT_MS) == b""
+        attempt.close()
+        with connection:
+            assert pool.acquire(attempt._pool_key, unrepeatable=False) is None
+            with pytest.raises(ConnectionResetError):
+                while connection.recv(65_536):
+                    pass
