Neither direction of a relay waits for the other

Cause: one task passed on both directions in turns, and waited inside a send.

Change: each direction has at most one part under way, and the task waits for whatever lets either of them go on.

--- /dev/null
+++ b/azureturn/gateway/relay/_relay.py
@@ -0,0 +1,116 @@
+"""One relayed connection: passes bytes on in both directions at the same time."""
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from azureturn._socket_options import RESET_AT_CLOSE
+from azureturn.gateway.relay._frames import END_FRAME, MAX_PART_BYTES, encode_frame
+from azureturn.serving import has_disconnected
+from azureturn.tasks import HUNG_UP, READABLE, WRITABLE, wait_until_ready
+
+#: How long a side may read nothing of what the other one has sent.
+_WRITE_TIMEOUT_S = 30.0
+
+
+class Relay:
+    """A connection of a peer and the one to the upstream that it is relayed to.
+
+    Neither direction waits for the other: an upstream may respond before it has read the whole
+    request, and the peer may give the request up meanwhile.
+    """
+
+    def __init__(self, peer: socket.socket, upstream: socket.socket, *, sends_frames: bool) -> None:
+        self._peer = peer
+        self._upstream = upstream
+        self._to_upstream = _Direction(peer, upstream, encode=bytes)
+        encode = _encode_for_peer if sends_frames else bytes
+        self._to_peer = _Direction(upstream, peer, encode=encode)
+
+    def pass_on(self) -> None:
+        """Pass bytes on until one side ends the connection, and close the upstream's.
+
+        If either connection is reset, so is the other. An orderly end could make an incomplete
+        response look complete, and would deliver a request that the peer has given up.
+        """
+        try:
+            while not (self._to_upstream.has_ended or self._to_peer.has_ended):
+                self._pass_on_once()
+        except OSError:
+            # A reset of either side, or a side that reads nothing more.
+            for connection in (self._peer, self._upstream):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        finally:
+            self._upstream.close()
+
+    def _pass_on_once(self) -> None:
+        """Wait until either direction can go on, and let it."""
+        # The end of the peer's connection counts also while nothing more is read from it. That
+        # of the upstream's does not: what the upstream has sent before is still passed on.
+        events = {self._peer.fileno(): HUNG_UP, self._upstream.fileno(): 0}
+        directions = (self._to_upstream, self._to_peer)
+        for direction in directions:
+            events[direction.awaited.fileno()] |= direction.awaited_event
+        is_sending = any(direction.has_unsent_bytes for direction in directions)
+        is_sending = any(direction.has_unsent_bytes for direction in directions)
+        ready = wait_until_ready(events, _WRITE_TIMEOUT_S if is_sending else None)
+        if self._to_upstream.has_unsent_bytes and has_disconnected(self._peer.fileno()):
+            raise ConnectionAbortedError("the peer left before its request was passed on")
+        ready_directions = [row for row in directions if row.awaited.fileno() in ready]
+        if not ready_directions:
+            raise ConnectionAbortedError("a connection failed of which nothing was awaited")
+        for direction in ready_directions:
+            direction.advance()
+
+
+class _Direction:
+    """Bytes on their way from one connection to the other, one part at a time."""
+
+    def __init__(
+        self,
+        source: socket.socket,
+        destination: socket.socket,
+        *,
+        encode: Callable[[bytes], bytes],
+    ) -> None:
+        self._source = source
+        self._destination = destination
+        #: Returns what is sent for a part, or for the end if the part is empty.
+        self._encode = encode
+        self._unsent = memoryview(b"")
+        self._source_has_ended = False
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether the destination has not taken all of the last part."""
+        return bool(self._unsent)
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the source has ended its connection and all has been passed on."""
+        return self._source_has_ended and not self._unsent
+
+    @property
+    def awaited(self) -> socket.socket:
+        """Return the connection that has to be ready before this direction can go on."""
+        return self._destination if self._unsent else self._source
+
+    @property
+    def awaited_event(self) -> int:
+        """Return the event for which it has to be ready."""
+        return WRITABLE if self._unsent else READABLE
+
+    def advance(self) -> None:
+        """Send the rest of the last part, or receive the next one and begin to send it."""
+        # What is not ready after all is awaited again.
+        with suppress(BlockingIOError):
+            if not self._unsent:
+                part = self._source.recv(MAX_PART_BYTES)
+                self._source_has_ended = not part
+                self._unsent = memoryview(self._encode(part))
+            if self._unsent:
+                self._unsent = self._unsent[self._destination.send(self._unsent) :]
+
+
+def _encode_for_peer(part: bytes) -> bytes:
+    return encode_frame(part) if part else END_FRAME
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -5,22 +5,19 @@
 from contextlib import suppress
 from functools import partial
 
-from azureturn._socket_options import RESET_AT_CLOSE, SOCKET_OPTIONS
+from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import AzureturnError
-from azureturn.gateway.relay._frames import END_FRAME, MAX_PART_BYTES, encode_frame
 from azureturn.gateway.relay._messages import is_signed, receive_message, send_message
+from azureturn.gateway.relay._relay import Relay
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 from azureturn.observability import EventLog, LogEvent, describe_error
 from azureturn.peers import EnvelopeSigner, RelayAnswer, RelayOutcome, RelayRequest
 from azureturn.tasks import (
-    READABLE,
     Priority,
     TaskLoop,
     accept,
     connect,
-    send_all,
     sleep,
-    wait_until_ready,
 )
 
 _MS_PER_S = 1_000
@@ -29,8 +26,6 @@
 _MAX_RELAYS = 512
 #: How long a peer may take to send its request.
 _REQUEST_TIMEOUT_S = 1.0
-#: How long either side may read nothing of what the other sends.
-_WRITE_TIMEOUT_S = 30.0
 #: Delay after a connection could not be accepted.
 _ACCEPT_RETRY_S = 0.1
 
@@ -109,7 +104,7 @@
             connection.close()
             self._open_relays -= 1
 
-    def _open(self, connection: socket.socket) -> "_Relay | None":
+    def _open(self, connection: socket.socket) -> Relay | None:
         """Read the peer's request, connect to the upstream, and answer the peer."""
         _set_options(connection)
         request = receive_message(connection, RelayRequest, _REQUEST_TIMEOUT_S)
@@ -131,7 +126,7 @@
         send_message(connection, answer, _REQUEST_TIMEOUT_S)
         if upstream_connection is None:
             return None
-        return _Relay(connection, upstream_connection, sends_frames=sends_frames)
+        return Relay(connection, upstream_connection, sends_frames=sends_frames)
 
     def _may_relay(self, request: RelayRequest) -> bool:
         return is_signed(request, self._signer) and self._open_relays <= _MAX_RELAYS
@@ -158,50 +153,3 @@
 def _set_options(connection: socket.socket) -> None:
     for level, name, value in SOCKET_OPTIONS:
         connection.setsockopt(level, name, value)
-
-
-class _Relay:
-    """An open connection of a peer and the one to the upstream that it is relayed to."""
-
-    def __init__(self, peer: socket.socket, upstream: socket.socket, *, sends_frames: bool) -> None:
-        self._peer = peer
-        self._upstream = upstream
-        self._sends_frames = sends_frames
-
-    def pass_on(self) -> None:
-        """Pass bytes on in both directions until one side ends the connection.
-
-        If either connection is reset, so is the other. An orderly end could make an incomplete
-        response look complete, and would deliver a request that the peer has given up.
-        """
-        try:
-            self._pass_on_until_end()
-        except OSError:
-            # A reset of either side, or a side that reads nothing more.
-            for connection in (self._peer, self._upstream):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-        finally:
-            self._upstream.close()
-
-    def _pass_on_until_end(self) -> None:
-        sources = {connection.fileno(): connection for connection in (self._peer, self._upstream)}
-        while True:
-            for descriptor in wait_until_ready(dict.fromkeys(sources, READABLE), None):
-                source = sources[descriptor]
-                try:
-                    data = source.recv(MAX_PART_BYTES)
-                except BlockingIOError:
-                    # Nothing has arrived after all.
-                    continue
-                if source is self._peer:
-                    send_all(self._upstream, data, _WRITE_TIMEOUT_S)
-                else:
-                    self._send_to_peer(data)
-                if not data:
-                    return
-
-    def _send_to_peer(self, data: bytes) -> None:
-        """Send bytes of the upstream, or that it has ended its connection if there are none."""
-        if self._sends_frames:
-            data = encode_frame(data) if data else END_FRAME
-        send_all(self._peer, data, _WRITE_TIMEOUT_S)
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, suppress
 from dataclasses import replace
@@ -26,6 +27,10 @@
 _HOST = "127.0.0.1"
 _TIMEOUT_MS = 2_000
 _RUN = ("u", 17)
+#: Longer than any test.
+_LONG_WAIT_S = 60.0
+#: How long a sender waits before it takes the other side for one that does not read.
+_FULL_AFTER_S = 0.3
 
 _Behaviour = Callable[[socket.socket], None]
 
@@ -54,6 +59,13 @@
     return loop
 
 
+def _wait_until(condition: Callable[[], bool]) -> None:
+    ends_at_s = time.monotonic() + _TIMEOUT_MS / 1_000
+    while not condition():
+        assert time.monotonic() < ends_at_s
+        time.sleep(0.01)
+
+
 class _PeerConnection:
     """A peer's relayed connection, as a blocking socket for the upstream's bytes."""
 
@@ -238,6 +250,59 @@
             connection.recv(10)
 
 
+#: More than the sockets and the relay between a peer and an upstream hold.
+_LONG_REQUEST = bytes(16 << 20)
+
+
+def _send_until_full(connection: socket.socket) -> None:
+    """Send until the upstream's not reading holds the sender up."""
+    connection.settimeout(_FULL_AFTER_S)
+    with pytest.raises(TimeoutError):
+        connection.sendall(_LONG_REQUEST)
+    connection.settimeout(_TIMEOUT_MS / 1_000)
+
+
+def test_an_early_response_is_passed_on_before_the_whole_request_is_read(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    # Guards against CONFIG: a request rejected early through a relay was answered by its time-out.
+    may_respond, may_end = threading.Event(), threading.Event()
+
+    def respond_early(connection: socket.socket) -> None:
+        may_respond.wait(_LONG_WAIT_S)
+        connection.sendall(b"rejected")
+        may_end.wait(_LONG_WAIT_S)
+
+    with sites(respond_early).connect() as connection:
+        _send_until_full(connection.socket)
+        may_respond.set()
+        assert connection.recv(100) == b"rejected"
+        may_end.set()
+
+
+def test_a_peer_that_leaves_while_the_upstream_does_not_read_is_noticed(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    # Guards against GONE: the upstream of a relayed request was not told that its caller had left.
+    reads_on = threading.Event()
+
+    def read_late(connection: socket.socket) -> None:
+        reads_on.wait(_LONG_WAIT_S)
+        while connection.recv(65_536):
+            pass
+
+    site = sites(read_late)
+    connection = site.connect()
+    _send_until_full(connection.socket)
+    linger = struct.pack("ii", 1, 0)
+    connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+    _wait_until(lambda: not site.server.open_relays)
+    reads_on.set()
+    assert site.ended.wait(_TIMEOUT_MS / 1_000)
+    assert site.was_reset
+
+
 @pytest.mark.parametrize("reads_frames", [None, False], ids=["earlier build", "no frames"])
 def test_a_peer_that_reads_no_frames_gets_the_bytes_as_they_are(
     sites: Callable[[_Behaviour], _Site], reads_frames: bool | None
