Prompts take up bounded memory, however many parts their callers list

Cause: the estimate of an engine's cache keyed each prefix by the ids of all its parts (n * n in memory and time, on all VMs through reports), and only tokens were limited.

Ruled out: requests in progress (flat with large parts), bodies, logs.

Change: small consecutive parts are combined into segments whose ends depend only on what precedes them; prefixes have chained 64-bit keys; all estimates together have a limit of entries; reports carry segments, and only as many as fit; peers' prompts are not kept; estimates go with upstreams that are gone.

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -56,8 +56,8 @@
             PromptSent(
                 prompt.upstream,
                 prompt.model,
-                [part.part_id for part in prompt.parts],
-                [part.tokens for part in prompt.parts],
+                [segment.part_id for segment in prompt.segments],
+                [segment.tokens for segment in prompt.segments],
             )
             for prompt in report.prompts
         ],
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -172,7 +172,7 @@
     requests = upstream_snapshot.requests
     slowdown = state.expected_slowdown(snapshot.now_ms)
     cached_tokens = (
-        upstream_snapshot.prefix_cache.cached_tokens(prompt)
+        upstream_snapshot.prefix_cache.cached_tokens(prompt.prefixes)
         if upstream_snapshot.prefix_cache
         else 0
     )
--- a/azureturn/gateway/decisions/_prefix_cache.py
+++ b/azureturn/gateway/decisions/_prefix_cache.py
@@ -4,14 +4,21 @@
 prompt.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from collections.abc import Container
 from dataclasses import dataclass
 
 from azureturn.framework import Table
-from azureturn.gateway.site import Prompt, PromptPart, UpstreamRun
+from azureturn.gateway.site import PromptPart, PromptPrefix, UpstreamRun
 
 #: Share of an engine's memory available to cached prefixes; running requests use the rest.
 _PREFIX_CACHE_SHARE = 0.6
+#: Maximum number of prefixes in all estimates together; each takes up about 250 bytes.
+ENTRY_LIMIT = 60_000
+#: Maximum number of prompts in one report, and of segments in all of them, so that it fits into a
+#: datagram.
+_REPORTED_PROMPTS = 40
+_REPORTED_SEGMENTS = 1_500
 
 
 @dataclass(frozen=True)
@@ -20,11 +27,11 @@
 
     upstream: str
     model: str
-    parts: tuple[PromptPart, ...]
+    segments: tuple[PromptPart, ...]
 
 
 class PrefixCacheEstimate:
-    """The prompt parts sent to one run of an upstream, in the order of their last use.
+    """The prefixes sent to one run of an upstream, in the order of their last use.
 
     A run is the time between a start of the upstream's process and its end; the cache is empty at
     its start.
@@ -34,39 +41,47 @@
         self.run = run
         self._capacity_tokens = capacity_tokens * _PREFIX_CACHE_SHARE
         self._total_tokens = 0
-        #: Tokens of each part, keyed by the model and the ids of all parts up to and including it.
-        self._tokens_by_prefix: OrderedDict[tuple[str, ...], int] = OrderedDict()
-
-    def record_prompt(self, model: str, parts: tuple[PromptPart, ...]) -> None:
-        """Record a sent prompt, and evict the least recently used parts beyond the capacity."""
-        prefix: tuple[str, ...] = (model,)
-        for part in parts:
-            prefix = (*prefix, part.part_id)
-            self._total_tokens += part.tokens - self._tokens_by_prefix.pop(prefix, 0)
-            self._tokens_by_prefix[prefix] = part.tokens
+        #: Tokens of the last segment of each prefix, by the prefix's key.
+        self._tokens_by_prefix: OrderedDict[int, int] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._tokens_by_prefix)
+
+    def record_prompt(self, prefixes: tuple[PromptPrefix, ...]) -> None:
+        """Record a sent prompt, and evict the least recently used prefixes beyond the capacity."""
+        for prefix in prefixes:
+            replaced = self._tokens_by_prefix.pop(prefix.key, 0)
+            self._tokens_by_prefix[prefix.key] = prefix.segment_tokens
+            self._total_tokens += prefix.segment_tokens - replaced
         while self._total_tokens > self._capacity_tokens and self._tokens_by_prefix:
-            _, tokens = self._tokens_by_prefix.popitem(last=False)
-            self._total_tokens -= tokens
+            self._evict_oldest()
 
-    def cached_tokens(self, prompt: Prompt) -> int:
+    def limit_entries(self, limit: int) -> None:
+        """Evict the least recently used prefixes beyond a number of them."""
+        while len(self._tokens_by_prefix) > limit:
+            self._evict_oldest()
+
+    def cached_tokens(self, prefixes: tuple[PromptPrefix, ...]) -> int:
         """Return the number of leading tokens of a prompt that are expected to be cached."""
-        prefix: tuple[str, ...] = (prompt.model,)
         cached = 0
-        for part in prompt.parts:
-            prefix = (*prefix, part.part_id)
-            if prefix not in self._tokens_by_prefix:
+        for prefix in prefixes:
+            if prefix.key not in self._tokens_by_prefix:
                 break
-            cached += part.tokens
+            cached += prefix.segment_tokens
         return cached
 
+    def _evict_oldest(self) -> None:
+        _, tokens = self._tokens_by_prefix.popitem(last=False)
+        self._total_tokens -= tokens
+
 
 class PrefixCacheTable(Table[str, PrefixCacheEstimate]):
     """Cache estimates, keyed by upstream name."""
 
     def __init__(self) -> None:
         super().__init__()
-        #: Prompts that this VM has sent but not yet reported to its peers.
-        self.unreported_prompts: list[SentPrompt] = []
+        #: Prompts that this VM has sent but not yet reported to its peers; the latest ones.
+        self._unreported_prompts: deque[SentPrompt] = deque(maxlen=_REPORTED_PROMPTS)
 
     def of(self, run: UpstreamRun, capacity_tokens: int) -> PrefixCacheEstimate:
         """Return the estimate for a run of an upstream; a new run starts empty."""
@@ -74,4 +89,39 @@
         if prefix_cache is None or prefix_cache.run != run:
             prefix_cache = PrefixCacheEstimate(run, capacity_tokens)
             self.put(run[0], prefix_cache)
+            for estimate in self.rows():
+                estimate.limit_entries(self._entries_each)
         return prefix_cache
+
+    def record_prompt(self, run: UpstreamRun, prefixes: tuple[PromptPrefix, ...]) -> None:
+        """Record a prompt that was sent to a run of an upstream, if there is an estimate for it."""
+        prefix_cache = self.get(run[0])
+        if prefix_cache is not None and prefix_cache.run == run:
+            prefix_cache.record_prompt(prefixes)
+            prefix_cache.limit_entries(self._entries_each)
+
+    def keep_only(self, upstreams: Container[str]) -> None:
+        """Remove the estimates for all other upstreams."""
+        for name in [name for name, _ in self.items() if name not in upstreams]:
+            self.remove(name)
+
+    def add_unreported(self, prompt: SentPrompt) -> None:
+        """Keep a prompt for the next report."""
+        self._unreported_prompts.append(prompt)
+
+    def take_unreported(self) -> tuple[SentPrompt, ...]:
+        """Return the latest prompts that fit into a report, and forget all that were kept."""
+        taken: list[SentPrompt] = []
+        segments = 0
+        while self._unreported_prompts:
+            prompt = self._unreported_prompts.pop()
+            segments += len(prompt.segments)
+            if segments > _REPORTED_SEGMENTS:
+                break
+            taken.append(prompt)
+        self._unreported_prompts.clear()
+        return tuple(reversed(taken))
+
+    @property
+    def _entries_each(self) -> int:
+        return ENTRY_LIMIT // len(self)
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -248,11 +248,10 @@
         engine = self._engine_of(request.service)
         if engine is not None and request.prompt is not None and request.prompt.parts:
             prefix_caches = self.board.write(PrefixCacheTable)
-            prefix_caches.of(upstream.run, engine.memory_tokens).record_prompt(
-                request.prompt.model, request.prompt.parts
-            )
-            prefix_caches.unreported_prompts.append(
-                SentPrompt(upstream.name, request.prompt.model, request.prompt.parts)
+            prefix_caches.of(upstream.run, engine.memory_tokens)
+            prefix_caches.record_prompt(upstream.run, request.prompt.prefixes)
+            prefix_caches.add_unreported(
+                SentPrompt(upstream.name, request.prompt.model, request.prompt.segments)
             )
         if request.tried_upstreams and request.allotment_units:
             # Each further attempt is charged like a separate request.
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -38,6 +38,7 @@
     GatewayController,
     gateway_controller,
 )
+from azureturn.gateway.site import combine_parts, prefixes_of
 
 #: One report in this many is also sent to the hosts of VMs that have not reported yet, and lists
 #: all VMs known to the sender for some of its receivers.
@@ -46,8 +47,6 @@
 #: Shortest interval between two placements that peers' reports cause. Reports of one peer are at
 #: least as far apart.
 _PLACEMENT_INTERVAL_MS = URGENT_INTERVAL_MS
-#: Maximum number of prompts in one report, so that it fits into a datagram.
-_PROMPT_LIMIT = 40
 
 
 @gateway_controller("reports")
@@ -135,7 +134,9 @@
         previous = peer.report if peer is not None and peer.is_live(context.now_ms) else None
         window_ms = self.settings.bounds.allotment.window_ms
         own_units = self.board.read(AllotmentTable).own_units(context.now_ms, window_ms)
-        peers.put(report.vm, Peer(report, context.now_ms, own_units, self._interval_ms()))
+        # Its prompts are needed only once, and would take up memory for each peer.
+        kept_report = report.without_prompts() if report.prompts else report
+        peers.put(report.vm, Peer(kept_report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(previous, report)
         self._apply_prompts(report)
         self._apply_usage(report, context.now_ms)
@@ -159,8 +160,7 @@
 
     def _report(self) -> PeerReport:
         prefix_caches = self.board.write(PrefixCacheTable)
-        reported_prompts = tuple(prefix_caches.unreported_prompts[-_PROMPT_LIMIT:])
-        prefix_caches.unreported_prompts.clear()
+        reported_prompts = prefix_caches.take_unreported()
         moves = self.board.read(MoveTable)
         configuration = self.board.read(ViewTable).current().configuration
         peer_table = self.board.read(PeerTable)
@@ -258,19 +258,13 @@
 
     def _apply_prompts(self, report: PeerReport) -> None:
         view = self.board.read(ViewTable).current()
+        prefix_caches = self.board.write(PrefixCacheTable)
         for prompt in report.prompts:
             upstream = view.upstreams.get(prompt.upstream)
-            prefix_cache = (
-                None
-                if upstream is None
-                else self.board.write(PrefixCacheTable).get(prompt.upstream)
-            )
-            if (
-                prefix_cache is not None
-                and upstream is not None
-                and prefix_cache.run == upstream.run
-            ):
-                prefix_cache.record_prompt(prompt.model, prompt.parts)
+            if upstream is not None:
+                # An earlier build reports all parts of a prompt.
+                segments = combine_parts(prompt.segments)
+                prefix_caches.record_prompt(upstream.run, prefixes_of(prompt.model, segments))
 
     def _apply_usage(self, report: PeerReport, now_ms: int) -> None:
         process = (report.vm, report.boot)
--- a/azureturn/gateway/decisions/controllers/_views.py
+++ b/azureturn/gateway/decisions/controllers/_views.py
@@ -11,6 +11,7 @@
     ViewChanged,
 )
 from azureturn.gateway.decisions._peers import PeerTable
+from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
@@ -34,7 +35,7 @@
     """Accepts views of increasing revision only, so that an outdated one never takes effect."""
 
     reads = (GatewayQueueTable,)
-    writes = (ViewTable, PeerTable, UpstreamStateTable)
+    writes = (ViewTable, PeerTable, UpstreamStateTable, PrefixCacheTable)
 
     #: Duration of the latest outage of the store.
     _outage_ms = 0
@@ -96,8 +97,11 @@
         removed = [
             name for name, state in states.items() if name not in upstreams and not state.requests
         ]
-        for name in removed if len(removed) > _REMOVED_UPSTREAMS_LIMIT else ():
+        if len(removed) <= _REMOVED_UPSTREAMS_LIMIT:
+            return
+        for name in removed:
             states.remove(name)
+        self.board.write(PrefixCacheTable).keep_only(upstreams)
 
     @on(ViewChanged)
     def _on_view_changed(self, event: ViewChanged, context: Context) -> None:
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -25,6 +25,13 @@
     UpstreamRun,
 )
 from azureturn.gateway.site._ports import Dialect, DocumentCodec
+from azureturn.gateway.site._prompts import (
+    Prompt,
+    PromptPart,
+    PromptPrefix,
+    combine_parts,
+    prefixes_of,
+)
 from azureturn.gateway.site._quarantine import (
     QuarantinedTraits,
     QuarantineRecord,
@@ -33,8 +40,6 @@
 )
 from azureturn.gateway.site._requests import (
     AttemptHeaders,
-    Prompt,
-    PromptPart,
     RequestFacts,
     ResponseFacts,
     StatedAvailability,
@@ -60,6 +65,7 @@
     "ProcessUsage",
     "Prompt",
     "PromptPart",
+    "PromptPrefix",
     "QuarantineRecord",
     "QuarantinedTraits",
     "RegisteredUpstream",
@@ -76,9 +82,11 @@
     "StatedLimits",
     "StoredDocument",
     "UpstreamRun",
+    "combine_parts",
     "digest_trait",
     "is_digest_trait",
     "era_of",
     "join_revision",
+    "prefixes_of",
     "revision_in_era",
 ]
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -2,37 +2,7 @@
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True)
-class PromptPart:
-    """One part of a prompt. Prompts with equal leading parts have a common prefix."""
-
-    part_id: str
-    tokens: int
-
-
-@dataclass(frozen=True)
-class Prompt:
-    """Size and parts of a prompt, without its text."""
-
-    model: str
-    prompt_tokens: int
-    #: Maximum number of tokens in the response.
-    answer_limit_tokens: int
-    #: The caller's estimate of the tokens in the response; 0 if it gives none.
-    expected_answer_tokens: int = 0
-    #: In the order of the prompt. The last part occurs only in this request or its session.
-    parts: tuple[PromptPart, ...] = ()
-
-    @property
-    def part_ids(self) -> tuple[str, ...]:
-        """Return the ids of the parts, in the order of the prompt."""
-        return tuple(part.part_id for part in self.parts)
-
-    @property
-    def shared_part_ids(self) -> frozenset[str]:
-        """Return the ids of the parts that other prompts may contain too: all but the last."""
-        return frozenset(part.part_id for part in self.parts[:-1])
+from azureturn.gateway.site._prompts import Prompt
 
 
 @dataclass(frozen=True)
