All that is buffered of responses counts for one limit

And once faulty upstreams had used that limit up, sound responses of any size failed.

Cause: a body was counted only while read_body() ran and its attempt was open.

Change: a reservation follows what one exchange buffers, also of an event that has not ended and of a failure that may still be passed on.

--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -6,6 +6,7 @@
 import h11
 
 from azureturn.errors import ErrorKind, UpstreamError, UpstreamUnreachableError
+from azureturn.gateway.exchange._body_budget import BodyReservation
 from azureturn.gateway.exchange._connections import (
     CONNECT_TIMEOUT_MS,
     ConnectionPool,
@@ -108,7 +109,7 @@
         self._request_id = ""
         self._method = ""
         self._aborted = False
-        self._reserved_bytes = 0
+        self._reservation = BodyReservation(pool.body_budget)
         #: Whether part of the request may have been sent.
         self.was_sent = False
 
@@ -188,10 +189,25 @@
         body = bytearray()
         for part in self.iter_body(lambda: ends_at_ms):
             body += part
-            if len(body) > MAX_RESPONSE_BYTES or not self._reserve(len(part)):
+            if len(body) > MAX_RESPONSE_BYTES:
                 raise _body_too_large()
+            self.count_buffered(len(body))
         return bytes(body)
 
+    def count_buffered(self, size_bytes: int) -> None:
+        """Count what is buffered of the body, until the attempt is closed.
+
+        Raises :class:`UpstreamError` if all exchanges together buffer too much.
+        """
+        if not self._reservation.resize(size_bytes):
+            raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "buffered responses exceed the limit")
+
+    def take_reservation(self) -> BodyReservation:
+        """Return the reservation of a body that is still needed after the attempt is closed."""
+        reservation = self._reservation
+        self._reservation = BodyReservation(self._pool.body_budget)
+        return reservation
+
     def discard_body(self, *, ends_at_ms: int) -> None:
         """Read a body that is of no interest; close the connection if it does not end soon."""
         read_bytes = 0
@@ -213,19 +229,11 @@
 
     def close(self) -> None:
         """Close the connection, unless it was returned to the pool after a complete response."""
-        self._pool.body_budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._reservation.release()
         if self._connection is not None:
             self._connection.close()
             self._connection = None
 
-    def _reserve(self, size_bytes: int) -> bool:
-        """Reserve memory for part of a body, until the attempt is closed."""
-        if not self._pool.body_budget.reserve(size_bytes):
-            return False
-        self._reserved_bytes += size_bytes
-        return True
-
     def _release_connection(self) -> None:
         connection, self._connection = self._connection, None
         assert connection is not None
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -29,6 +29,7 @@
     ResponseHead,
     UpstreamRequest,
 )
+from azureturn.gateway.exchange._body_budget import BodyReservation
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange_reporter import ExchangeReporter, ExchangeResult
 from azureturn.gateway.exchange._response_progress import ResponseProgress
@@ -89,6 +90,7 @@
         self._stream_relay = StreamRelay(None)
         #: Response of the latest attempt to which the upstream responded with a server error.
         self._failure_response: tuple[ResponseHead, bytes] | None = None
+        self._failure_reservation = BodyReservation(services.pool.body_budget)
         self._attempt_count = 0
         self._arrived_at_ms = caller.arrived_at_ms
         self._task = current_task()
@@ -117,6 +119,7 @@
                 raise ExchangeAbortedError(error.kind.value) from error
             self._refuse(error)
         finally:
+            self._failure_reservation.release()
             result = ExchangeResult(
                 self._outcome, self._refused_kind, self._detail, self._upstream, self._attempt_count
             )
@@ -315,6 +318,8 @@
             return AttemptResult.ANSWERED
         body = attempt.read_body(ends_at_ms=request.ends_at_ms)
         if head.failed:
+            self._failure_reservation.release()
+            self._failure_reservation = attempt.take_reservation()
             self._failure_response = (head, body)
             return AttemptResult.FAILED
         if self._caller.response_started:
@@ -347,6 +352,7 @@
         for part in attempt.iter_body(deadline_ms):
             event_count = progress.event_count
             relay.feed(part)
+            attempt.count_buffered(progress.partial_event_bytes)
             if progress.event_count == event_count:
                 continue
             progress.waiting_since_ms = now_ms()
