Clients with urllib3 have limits of lines and bodies

Cause: urllib3 reads the line before a chunk and those after the last one without a limit, Python's library skips responses of status 1xx for as long as they come, and the calls for loaded versions and to the platform's store read whole bodies of any size.

Ruled out: calls of other VMs (thrift ends a string above 16 MB), relay messages, reports.

Change: one file with limits of a line and of lines in a row, for all clients; one function that reads a whole body up to a limit, in place of three.

--- a/azureturn/store/_key_value.py
+++ b/azureturn/store/_key_value.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from azureturn._limited_http import limited_pool_manager, read_whole
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.errors import CompareFailedError, ErrorKind, KeyValueUnavailableError
 from azureturn.store._key_value_answers import (
@@ -38,7 +39,7 @@
     def __init__(self, base_url: str, *, timeout_ms: int, key_prefix: str) -> None:
         self._base_url = base_url.rstrip("/")
         self._prefix = key_prefix
-        self._pool = urllib3.PoolManager(
+        self._pool = limited_pool_manager(
             num_pools=1,
             maxsize=_POOL_CONNECTIONS,
             retries=False,
@@ -125,16 +126,9 @@
     def _call(self, path: str, body: dict[str, Any]) -> bytes:
         response = self._post(path, body, preload_content=False)
         try:
-            data: bytes = response.read(ANSWER_LIMIT_BYTES + 1, decode_content=False)
-            if len(data) > ANSWER_LIMIT_BYTES:
-                response.close()
-                message = "the answer of the key-value service exceeds the limit"
-                raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, message)
+            return read_whole(response, limit_bytes=ANSWER_LIMIT_BYTES)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            response.close()
             raise KeyValueUnavailableError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
-        response.release_conn()
-        return data
 
     def _post(self, path: str, body: dict[str, Any], **options: Any) -> Any:
         try:
--- a/azureturn/store/_task_pool.py
+++ b/azureturn/store/_task_pool.py
@@ -4,14 +4,14 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
+from azureturn._limited_http import LimitedConnection, limited_pool_manager
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.tasks import TaskSocket
 
 
-class _TaskConnection(HTTPConnection):
+class _TaskConnection(LimitedConnection):
     def _new_conn(self) -> socket.socket:
         connection = TaskSocket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -37,6 +37,4 @@
 
     ``options`` are those of urllib3's pool manager.
     """
-    manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": _TaskConnectionPool}
-    return manager
+    return limited_pool_manager(pool_class=_TaskConnectionPool, **options)
--- a/azureturn/store/_vm_list.py
+++ b/azureturn/store/_vm_list.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from azureturn._limited_http import limited_pool_manager, read_whole
 from azureturn.errors import ErrorKind, PlatformError
 
 _TIMEOUT_S = 1.0
@@ -29,7 +30,7 @@
 
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
-        self._pool = urllib3.PoolManager(num_pools=1, retries=False, timeout=_TIMEOUT_S)
+        self._pool = limited_pool_manager(num_pools=1, retries=False, timeout=_TIMEOUT_S)
 
     def read(self) -> tuple[ListedVm, ...]:
         """Return the listed VMs, or raise :class:`PlatformError`."""
@@ -37,9 +38,8 @@
             response = self._pool.request(
                 "GET", self._base_url + "/vms", redirect=False, preload_content=False
             )
-            data = response.read(LIST_LIMIT_BYTES, decode_content=False)
-            response.release_conn() if len(data) < LIST_LIMIT_BYTES else response.close()
-        except urllib3.exceptions.HTTPError as error:
+            data = read_whole(response, limit_bytes=LIST_LIMIT_BYTES)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
         return decode_vm_list(data)
 
@@ -48,8 +48,11 @@
         row = {**vars(vm), "state": "leaving" if vm.leaving else "live"}
         row.pop("leaving")
         try:
-            self._pool.request("POST", self._base_url + "/vms", json=row, redirect=False)
-        except urllib3.exceptions.HTTPError as error:
+            response = self._pool.request(
+                "POST", self._base_url + "/vms", json=row, redirect=False, preload_content=False
+            )
+            read_whole(response, limit_bytes=LIST_LIMIT_BYTES)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise PlatformError(ErrorKind.KEY_VALUE_UNAVAILABLE, str(error)) from error
 
 
--- a/azureturn/upstreams/_client.py
+++ b/azureturn/upstreams/_client.py
@@ -12,6 +12,7 @@
 
 import urllib3
 
+from azureturn._limited_http import LimitedConnectionPool, read_whole
 from azureturn._socket_options import SOCKET_OPTIONS
 from azureturn.core import LoadReport
 from azureturn.errors import ErrorKind, RunState, UpstreamError, UpstreamUnreachableError
@@ -161,14 +162,14 @@
         """Cancel a request at a model engine; errors are ignored."""
         # If the cancellation fails, the engine stops by itself once it detects the closed
         # connection.
-        with suppress(urllib3.exceptions.HTTPError):
+        with suppress(urllib3.exceptions.HTTPError, OSError):
             self._control_call("POST", f"/v1/requests/{request_id}/cancel")
 
     def load_report(self, now_ms: int) -> LoadReport | None:
         """Return the upstream's load report, or None if it cannot be read or is invalid."""
         try:
             return parse_load_report(self._control_call("GET", "/load"), now_ms)
-        except urllib3.exceptions.HTTPError:
+        except (urllib3.exceptions.HTTPError, OSError):
             return None
 
     def _control_call(self, method: str, path: str) -> bytes:
@@ -185,16 +186,7 @@
             # If one pooled connection is dead, the others may be as well.
             self._pool = self._new_pool(_POOL_CONNECTIONS)
             raise
-        try:
-            data: bytes = response.read(REPORT_LIMIT_BYTES, decode_content=False)
-        except urllib3.exceptions.HTTPError:
-            response.close()
-            raise
-        if len(data) < REPORT_LIMIT_BYTES:
-            response.release_conn()
-        else:
-            response.close()
-        return data
+        return read_whole(response, limit_bytes=REPORT_LIMIT_BYTES)
 
     def _send(
         self,
@@ -231,9 +223,9 @@
             raise _error_after_dispatch(error) from error
         return self._with_checked_request_id(StreamedAnswer(response, pool), request.request_id)
 
-    def _new_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
+    def _new_pool(self, connections: int) -> LimitedConnectionPool:
         assert self._url.host is not None
-        return urllib3.HTTPConnectionPool(
+        return LimitedConnectionPool(
             self._url.host,
             self._url.port,
             maxsize=connections,
--- a/azureturn/upstreams/_orders.py
+++ b/azureturn/upstreams/_orders.py
@@ -6,11 +6,15 @@
 
 import urllib3
 
+from azureturn._limited_http import limited_pool_manager, read_whole
+
 _MS_PER_S = 1_000
 _VERSIONS_TIMEOUT_S = 1.0
 #: Maximum number of versions of one engine; a longer list is invalid.
 VERSIONS_LIMIT = 1_000
 _VERSION_LIMIT_CHARACTERS = 63
+#: Maximum size of an answer; enough for that many versions.
+ANSWER_LIMIT_BYTES = 1 << 18
 
 
 @dataclass(frozen=True)
@@ -29,7 +33,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(num_pools=1, retries=False)
+        self._pool = limited_pool_manager(num_pools=1, retries=False)
 
     def send(self, order: EngineOrder, *, timeout_ms: int) -> bool:
         """Send an order, and return whether the engine confirmed its completion."""
@@ -59,7 +63,9 @@
                 timeout=urllib3.Timeout(total=timeout_s),
                 retries=False,
                 redirect=False,
+                preload_content=False,
             )
-            return json.loads(response.data) if response.status == 200 else None
-        except (urllib3.exceptions.HTTPError, ValueError):
+            data = read_whole(response, limit_bytes=ANSWER_LIMIT_BYTES)
+            return json.loads(data) if response.status == 200 else None
+        except (urllib3.exceptions.HTTPError, OSError, ValueError):
             return None
