A stop goes by the grace period in force

Cause: the limits of a planned stop were copied when the process started, while whether a new request fits before the stop was decided by the new settings.

Ruled out: the time for a signal to be noticed (with 8 s from the start the same streams are complete).

Change: a planned stop asks for its limits when it needs them, and the watch of the store for how long a call waits, which was copied as well.

--- a/azureturn/daemon/_daemon.py
+++ b/azureturn/daemon/_daemon.py
@@ -63,7 +63,7 @@
         settings = context.settings
         limits = settings.daemon
         self._stop = PlannedStop(
-            StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms),
+            lambda: StopLimits(limits.balancer_lag_ms, limits.stop_limit_ms),
             unfinished=self._count_unfinished,
         )
         self._offers = OfferAdapter(context)
--- a/azureturn/daemon/tests/test_planned_stop.py
+++ b/azureturn/daemon/tests/test_planned_stop.py
@@ -14,11 +14,11 @@
         polled_counts.append(next(counts))
         return polled_counts[-1]
 
-    stop = PlannedStop(StopLimits(1, 10_000), unfinished=unfinished)
+    stop = PlannedStop(lambda: StopLimits(1, 10_000), unfinished=unfinished)
     assert stop.run(announce=lambda: None) == 0
     assert polled_counts[:5] == [0, 0, 3, 2, 1]
 
 
 def test_stop_limit_returns_the_number_of_unfinished_requests() -> None:
-    stop = PlannedStop(StopLimits(1, 1), unfinished=lambda: 2)
+    stop = PlannedStop(lambda: StopLimits(1, 1), unfinished=lambda: 2)
     assert stop.run(announce=lambda: None) == 2
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -92,16 +92,9 @@
         self._process_metrics = ProcessMetrics(self._runtime, self._loop)
         self._strain_detector = StrainDetector(self._runtime, log, self._process_metrics.metrics)
         self._view_holder = ViewHolder(self._runtime, adapter.documents, log)
-        limits = settings.limits
-        self._stop = PlannedStop(
-            StopLimits(
-                limits.balancer_lag_ms,
-                settings.bounds.stop_limit_ms - limits.balancer_lag_ms - _STOP_MARGIN_MS,
-            ),
-            unfinished=self._requests_in_flight,
-        )
+        self._stop = PlannedStop(self._stop_limits, unfinished=self._requests_in_flight)
         vm = settings.vm
-        signer = EnvelopeSigner(limits.peer_secret, vm.name, clock_s=time.monotonic)
+        signer = EnvelopeSigner(settings.limits.peer_secret, vm.name, clock_s=time.monotonic)
         connector = UpstreamConnector(RelayClient(vm.name, signer, port=vm.relay_port))
         self._relay_server = self._new_relay_server(signer)
         self._services = self._new_services(adapter.dialect, connector)
@@ -119,7 +112,7 @@
             self._view_holder,
             adapter.documents,
             log,
-            wait_ms=settings.watch_wait_ms,
+            wait_ms=lambda: self._settings.watch_wait_ms,
             vm_count=lambda: len(self._view_holder.view.vms),
             loop=self._loop,
         )
@@ -237,6 +230,12 @@
         self._runtime.register_handler(WriteAllotmentRecord, self._writer.enqueue)
         self._runtime.register_handler(WriteQuarantineRecord, self._writer.enqueue)
 
+    def _stop_limits(self) -> StopLimits:
+        """Return the limits of a planned stop by the current settings."""
+        lag_ms = self._settings.limits.balancer_lag_ms
+        stop_limit_ms = self._settings.bounds.stop_limit_ms - lag_ms - _STOP_MARGIN_MS
+        return StopLimits(lag_ms, stop_limit_ms)
+
     def _time_left_ms(self) -> int | None:
         """Return the time left to answer a new request, in milliseconds; None if not limited.
 
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -195,7 +195,7 @@
         documents: DocumentCodec,
         log: EventLog,
         *,
-        wait_ms: int,
+        wait_ms: Callable[[], int],
         vm_count: Callable[[], int],
         loop: TaskLoop | None = None,
     ) -> None:
@@ -254,7 +254,7 @@
         sleep(watch_delay_ms(self._vm_count()) / _MS_PER_S)
         base_revision = self._view_holder.view.revision
         changes = self._store.changes(
-            self._prefix, after_revision=base_revision, wait_ms=self._wait_ms
+            self._prefix, after_revision=base_revision, wait_ms=self._wait_ms()
         )
         self._mark_store_available()
         return self._view_holder.apply_changes(
--- a/azureturn/gateway/daemon/tests/test_store_watcher.py
+++ b/azureturn/gateway/daemon/tests/test_store_watcher.py
@@ -76,7 +76,7 @@
         holder,
         _Codec(),  # type: ignore[arg-type]
         log,
-        wait_ms=100,
+        wait_ms=lambda: 100,
         vm_count=lambda: 0,
     )
     with pytest.raises(_StopError):
--- a/azureturn/serving/_stop.py
+++ b/azureturn/serving/_stop.py
@@ -43,14 +43,15 @@
 
     ``unfinished`` returns the amount of unfinished work: requests whose answer has not been sent
     completely, and claims whose outcome is not settled. Only :meth:`skip_wait` or the time limit
-    ends the wait for them; :meth:`run` returns the amount that is still unfinished then.
+    ends the wait for them; :meth:`run` returns the amount that is still unfinished then. ``limits``
+    returns the limits in force, which may change until the stop ends.
 
-    >>> stop = PlannedStop(StopLimits(0, 0), unfinished=lambda: 2)
+    >>> stop = PlannedStop(lambda: StopLimits(0, 0), unfinished=lambda: 2)
     >>> stop.run(announce=lambda: None)
     2
     """
 
-    def __init__(self, limits: StopLimits, *, unfinished: Callable[[], int]) -> None:
+    def __init__(self, limits: Callable[[], StopLimits], *, unfinished: Callable[[], int]) -> None:
         self._limits = limits
         self._count_unfinished = unfinished
         self._wait_skipped = threading.Event()
@@ -69,19 +70,19 @@
         """Run all stages, and return how many requests and claims are still unfinished."""
         self._stage = StopStage.LEAVING
         announce()
-        self._wait_skipped.wait(self._limits.balancer_lag_ms / _MS_PER_S)
+        self._wait_skipped.wait(self._limits().balancer_lag_ms / _MS_PER_S)
         self._stage = StopStage.FINISHING
-        ends_at_ms = now_ms() + self._limits.stop_limit_ms
-        self._wait_until_idle(ends_at_ms)
+        began_at_ms = now_ms()
+        self._wait_until_idle(began_at_ms)
         self._stage = StopStage.CLOSING
-        self._wait_until_idle(ends_at_ms)
+        self._wait_until_idle(began_at_ms)
         unfinished_count = self._count_unfinished()
         self._stage = StopStage.STOPPED
         return unfinished_count
 
-    def _wait_until_idle(self, ends_at_ms: int) -> None:
+    def _wait_until_idle(self, began_at_ms: int) -> None:
         idle_polls = 0
-        while idle_polls < IDLE_POLLS and now_ms() < ends_at_ms:
+        while idle_polls < IDLE_POLLS and now_ms() - began_at_ms < self._limits().stop_limit_ms:
             idle_polls = 0 if self._count_unfinished() else idle_polls + 1
             if self._wait_skipped.wait(_POLL_INTERVAL_S):
                 return
