Reports to peers take up at most an eighth of a VM's link

On the grown sites the share of requests that is answered falls as they are busy (SHORT), and what is still done for callers that left ends late (GONE).

Cause: reports of failed connections filled the links, so that more connections failed. Each failure asks for an urgent report to all peers; each report names all upstreams that cannot be connected; all datagrams of a report are sent at once, in front of whatever a request sends, and a connection that is not open after 150 ms counts as failed.

Ruled out: late tasks (of 516 requests that ended after their caller's deadline two were ended over 0.2 s after it), the upstreams (they answer others).

Change: datagrams are sent as the link's share allows, each host in its turn and with the latest report; the platform states the link's width.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -12,6 +12,7 @@
 from azureturn.gateway.daemon._peer_reports import ReportSocket
 from azureturn.gateway.daemon._process_metrics import ProcessMetrics
 from azureturn.gateway.daemon._restorable_store import RestorableStore
+from azureturn.gateway.daemon._send_budget import SendBudget
 from azureturn.gateway.daemon._store_watcher import StoreWatcher, ViewHolder
 from azureturn.gateway.daemon._store_writer import StoreWriter
 from azureturn.gateway.daemon._strain_detector import StrainDetector
@@ -98,7 +99,14 @@
         connector = UpstreamConnector(RelayClient(vm.name, signer, port=vm.relay_port))
         self._relay_server = self._new_relay_server(signer)
         self._services = self._new_services(adapter.dialect, connector)
-        self._report_socket = ReportSocket(vm.host, vm.peer_port, self._runtime, log, self._loop)
+        self._report_socket = ReportSocket(
+            vm.host,
+            vm.peer_port,
+            self._runtime,
+            log,
+            self._loop,
+            budget=SendBudget(link_mbps=vm.link_mbps, now_s=time.monotonic()),
+        )
         self._view_fetcher = ViewFetcher(
             PeerClient(signer), self._view_holder, log, peer_port=vm.peer_port, loop=self._loop
         )
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -45,6 +45,8 @@
     relay_port: int
     #: Hosts of some VMs of the site; they report the hosts of the others.
     seed_hosts: tuple[str, ...] = ()
+    #: Width of this VM's link.
+    link_mbps: float = 1_000.0
     #: Whether the whole site starts for the first time, so that no VM has had an earlier process.
     is_first_start: bool = False
 
