--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -193,11 +193,9 @@
     assert site.was_reset
 
 
-def test_parts_are_passed_on_without_waiting_for_more(
-    sites: Callable[[_Behaviour], _Site],
-) -> None:
+def _accepted_by(site: _Site) -> list[socket.socket]:
+    """Return a list to which the connections are added that peers open to a site's relay."""
     accepted: list[socket.socket] = []
-    site = sites(_echo)
     serve = site.server._open
 
     def record(connection: socket.socket) -> object:
@@ -205,6 +203,14 @@
         return serve(connection)
 
     site.server._open = record  # type: ignore[assignment, method-assign]
+    return accepted
+
+
+def test_parts_are_passed_on_without_waiting_for_more(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    site = sites(_echo)
+    accepted = _accepted_by(site)
     with site.connect():
         (connection,) = accepted
         assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
@@ -232,15 +238,8 @@
     sites: Callable[[_Behaviour], _Site],
 ) -> None:
     # Guards against ORDER: a stream without a length looked complete when its relay was killed.
-    accepted: list[socket.socket] = []
     site = sites(_echo)
-    serve = site.server._open
-
-    def record(connection: socket.socket) -> object:
-        accepted.append(connection)
-        return serve(connection)
-
-    site.server._open = record  # type: ignore[assignment, method-assign]
+    accepted = _accepted_by(site)
     with site.connect() as connection:
         connection.sendall(b"part")
         assert connection.recv(10) == b"part"
