Benchmark of a gateway: processor time of a request, a refusal and an idle second

Cause: on the site with 73 VMs the VMs used too much processor time, and no benchmark showed what an idle VM, a received report or a refusal costs.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -21,9 +21,21 @@
 sys.path.insert(0, str(_ROOT / "platform"))
 
 from adapter.tests.fake_store import FakeStore  # noqa: E402
-from adapter.tests.gateway_process import GatewayProcess, gateway_process  # noqa: E402
+from adapter.tests.gateway_process import (  # noqa: E402
+    GatewayProcess,
+    ProcessAddress,
+    gateway_process,
+)
 from adapter.tests.test_documents import CONFIGURATION  # noqa: E402
 
+from benchmarks._gateway_costs import (  # noqa: E402
+    Cost,
+    GatewayProbe,
+    measure_costs,
+    requests_to,
+    send_events,
+)
+
 #: Events a second of one stream, and characters of one event.
 _EVENTS_PER_S = 16.0
 _EVENT_CHARACTERS = 60
@@ -35,6 +47,8 @@
 _WARM_UP_S = 2.0
 _REST_S = 3.0
 _CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+#: Slots of the upstreams while costs are measured.
+_COST_SLOTS = 50
 _US_PER_S = 1e6
 _NS_PER_MS = 1e6
 _HEAD = (
@@ -95,7 +109,10 @@
                     writer.write(_PLAIN.format(id=request_id).encode())
                 else:
                     writer.write(_HEAD.format(id=request_id).encode())
-                    await self._send_events(writer)
+                    if head.startswith(b"POST /a/few"):
+                        await send_events(writer)
+                    else:
+                        await self._send_events(writer)
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             # The gateway has closed the connection, or the measurement has ended.
             pass
@@ -115,7 +132,7 @@
     async def read_stream(self, port: int) -> None:
         """Open a stream through the gateway and read it to its end."""
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(self._request("/a/x"))
+        writer.write(self.request("/a/x"))
         while (line := await reader.readline()) and line != b"0\r\n":
             if line.startswith(b"data: "):
                 delay_ns = time.monotonic_ns() - int(line[len(b"data: ") :])
@@ -126,7 +143,7 @@
         """Send a plain request through the gateway and read the response."""
         started_ns = time.monotonic_ns()
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(self._request("/a/b/x"))
+        writer.write(self.request("/a/b/x"))
         try:
             await asyncio.wait_for(reader.readuntil(b"body"), _CALL_TIMEOUT_S)
             self.plain_times_ms.append((time.monotonic_ns() - started_ns) / _NS_PER_MS)
@@ -135,7 +152,8 @@
         finally:
             writer.close()
 
-    def _request(self, path: str) -> bytes:
+    def request(self, path: str) -> bytes:
+        """Return a request with an id of its own."""
         self._request_count += 1
         return (
             f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: q-{self._request_count}"
@@ -222,13 +240,14 @@
     stream_route = {**stream_route, "split": [{"service": "m", "weight": 1}]}
     engine, service = CONFIGURATION["services"]
     engine = {**engine, "max_conns": 2_000, "runtime": {**engine["runtime"], "slots": streams}}
+    refused_route = {**plain_route, "name": "r-3", "prefix": "/a/refused/", "service": "o"}
     store = FakeStore()
     store.put(
         "op/config",
         {
             **CONFIGURATION,
-            "routes": [stream_route, {**plain_route, "timeout_ms": 10_000}],
-            "services": [engine, {**service, "max_conns": 2_000}],
+            "routes": [stream_route, {**plain_route, "timeout_ms": 10_000}, refused_route],
+            "services": [engine, {**service, "max_conns": 2_000}, {**service, "name": "o"}],
             "tenants": [],
         },
     )
@@ -262,20 +281,51 @@
         return await _measure(code, gateway, load, streams)
 
 
+async def _run_costs(code: str, checkout: Path) -> list[Cost]:
+    load = _Load()
+    server = await asyncio.start_server(load.serve, "127.0.0.1", 0)
+    upstream_port = server.sockets[0].getsockname()[1]
+    script = checkout / "platform" / "start.py"
+    address = ProcessAddress.of_single_vm()
+    requests = {
+        "plain request": requests_to(lambda: load.request("/a/b/x"), b"body"),
+        "stream of five events": requests_to(lambda: load.request("/a/few"), b"0\r\n\r\n"),
+        "refusal": requests_to(lambda: load.request("/a/refused/x"), b"}"),
+    }
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _store(upstream_port, _COST_SLOTS) as store,
+        gateway_process(store.port, Path(folder), start_script=script, address=address) as gateway,
+    ):
+        await asyncio.sleep(_REST_S)
+        probe = GatewayProbe(gateway.process_id, Path(folder) / f"{address.name}.log")
+        peer_address = (address.host, address.peer_port)
+        return await measure_costs(code, probe, gateway.caller_port, peer_address, requests)
+
+
 def main() -> None:
     """Measure this checkout, and the baseline if there is one, for each number of streams."""
     parser = argparse.ArgumentParser(prog="scripts/bench gateway")
     parser.add_argument("--streams", type=int, nargs="+", default=[50, 250])
+    parser.add_argument("--costs", action="store_true", help="measure costs instead of streams")
     parser.add_argument("--baseline", type=Path, help="another checkout to measure as well")
     arguments = parser.parse_args()
     checkouts = {"this": _ROOT}
     if arguments.baseline is not None:
         checkouts = {"baseline": arguments.baseline.resolve(), **checkouts}
+    if arguments.costs:
+        for code, checkout in checkouts.items():
+            for cost in asyncio.run(_run_costs(code, checkout)):
+                _write(cost)
+        return
     for streams in arguments.streams:
         for code, checkout in checkouts.items():
-            result = asyncio.run(_run(code, checkout, streams))
-            sys.stdout.write(json.dumps(asdict(result)) + "\n")
-            sys.stdout.flush()
+            _write(asyncio.run(_run(code, checkout, streams)))
+
+
+def _write(result: Cost | Measurement) -> None:
+    sys.stdout.write(json.dumps(asdict(result)) + "\n")
+    sys.stdout.flush()
 
 
 if __name__ == "__main__":
