A tick and a received report skip what there is nothing of

Cause: each of the 20 ticks a second counted the VMs ahead of this one, although no usage was to be recorded, and each report was looked through for prompts, usage and moves that it did not have. Change: both return early; a contact with the store is stated as at most 4 s, twice the longest that receivers ask for.

--- a/azureturn/gateway/decisions/controllers/_allotment_records.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_records.py
@@ -63,7 +63,9 @@
 
     def _may_write(self, now_ms: int) -> bool:
         """Return whether this VM should write now; VMs wait in the order of their names."""
-        if not self._first_view_seen or now_ms - self._write_requested_at_ms < _WRITE_RETRY_MS:
+        if not self._first_view_seen or not len(self.board.read(AllotmentTable)):
+            return False
+        if now_ms - self._write_requested_at_ms < _WRITE_RETRY_MS:
             return False
         record_age_ms = now_ms - self._written_at_ms
         near_limit_at_ms = self.board.read(AllotmentTable).near_limit_at_ms
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -44,9 +44,9 @@
 #: all VMs known to the sender for some of its receivers.
 _MEMBERSHIP_INTERVAL = 10
 _FETCH_INTERVAL_MS = 400
-#: A longer contact with the store is stated as this one, which is several times as long as any that
+#: A longer contact with the store is stated as this one, which is twice as long as the longest that
 #: receivers ask for. A report is then the same as the one before it if nothing has changed.
-_STATED_CONTACT_LIMIT_MS = 10_000
+_STATED_CONTACT_LIMIT_MS = 4_000
 #: Shortest interval between two placements that peers' reports cause. Reports of one peer are at
 #: least as far apart.
 _PLACEMENT_INTERVAL_MS = URGENT_INTERVAL_MS
@@ -144,9 +144,12 @@
         kept_report = report.without_prompts() if report.prompts else report
         peers.put(report.vm, Peer(kept_report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(previous, report)
-        self._apply_prompts(report)
-        self._apply_usage(report, context.now_ms)
-        self._apply_moves(report, context.now_ms)
+        if report.prompts:
+            self._apply_prompts(report)
+        if report.spent:
+            self._apply_usage(report, context.now_ms)
+        if report.moves:
+            self._apply_moves(report, context.now_ms)
         self._fetch_newer_view(report, context)
         self._request_placement(context)
 
