Work of a request: prefill, answer and duration at an upstream of known speed

The length of an answer was one setting; the caller's estimate was parsed and used by no decision. request_work() takes the estimate, or else the setting, at most the stated maximum.

--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -57,6 +57,7 @@
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
+from azureturn.gateway.decisions._work import RequestWork, request_work
 from azureturn.gateway.decisions.controllers import GATEWAY_CONTROLLERS
 
 __all__ = [
@@ -94,6 +95,7 @@
     "RequestClosed",
     "RequestReceived",
     "RequestLimitTable",
+    "RequestWork",
     "ReturnLastResult",
     "SendAttempt",
     "SendReport",
@@ -118,5 +120,6 @@
     "WriteMoveStatus",
     "WriteQuarantineRecord",
     "may_send",
+    "request_work",
     "watch_delay_ms",
 ]
