Limit the requests that all VMs together send a cold upstream

Cause: no part of the gateway knows of cold upstreams; a cold upstream crashes if it gets well above cold_per_s requests a second. Random time slots of each VM, as for stated request limits, sum up to more than the limit in some seconds.

Change: the adapter decodes cold_start_s, cold_per_s, cold_left_ms and X-Cold-Ms, and the two bounds. _cold_limit shares a fixed number of slots of 1.3 s among the VMs by a ranking of their names, so that VMs that know the same VMs never exceed the slots, whatever their clocks say; VMs beyond the number of slots get none. _cold_upstreams keeps which upstreams are taken for cold, from registrations, responses, peers, a start that nothing refutes, and a process that had ended. Placement asks for a slot, and the slot must still be valid when the request is sent; a relayed connection uses up a slot of the relaying VM.

Services without cold_per_s are not affected.

--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -21,7 +21,7 @@
 )
 from azureturn.gateway.site import Dialect, StatedAvailability
 from azureturn.observability import EventLog, LogEvent
-from azureturn.serving import CoreRuntime
+from azureturn.serving import CoreRuntime, now_ms
 from azureturn.tasks import Mailbox, MailboxFullError, TaskLoop
 
 _TASKS = 4
@@ -66,13 +66,16 @@
 
     def _request_status(self, connection: UpstreamConnection, action: ProbeConnection) -> None:
         upstream = action.upstream
+        asked_at_ms = now_ms()
         response = request_status(
             connection, upstream, action.status_path, timeout_ms=_STATUS_TIMEOUT_MS
         )
         availability = read_facts(response, self._dialect).availability
         if availability != StatedAvailability():
             relay_vm = action.relay.vm if action.relay else ""
-            self._runtime.submit(AvailabilityStated(upstream.run, availability, relay_vm))
+            self._runtime.submit(
+                AvailabilityStated(upstream.run, availability, relay_vm, asked_at_ms)
+            )
 
     def _probe(self, action: ProbeConnection) -> Event | None:
         """Make one probe; return what it shows, or None if that is nothing."""
--- a/azureturn/gateway/daemon/_decision_log.py
+++ b/azureturn/gateway/daemon/_decision_log.py
@@ -3,6 +3,7 @@
 from azureturn.gateway.decisions import (
     LogAllotmentRestore,
     LogAvailability,
+    LogColdUpstream,
     LogProcessingLimit,
     LogQuarantineChange,
     LogReachability,
@@ -23,6 +24,7 @@
         """Receive the actions of a core."""
         runtime.register_handler(LogAllotmentRestore, self._log_allotment_restore)
         runtime.register_handler(LogAvailability, self._log_availability)
+        runtime.register_handler(LogColdUpstream, self._log_cold_upstream)
         runtime.register_handler(LogProcessingLimit, self._log_processing_limit)
         runtime.register_handler(LogQuarantineChange, self._log_quarantine_change)
         runtime.register_handler(LogReachability, self._log_reachability)
@@ -46,6 +48,15 @@
             outcome=action.outcome,
         )
 
+    def _log_cold_upstream(self, action: LogColdUpstream) -> None:
+        self._log.info(
+            LogEvent.UPSTREAM_COLD,
+            upstream=action.upstream,
+            source=action.source,
+            cold_left_ms=action.left_ms,
+            outcome=action.outcome,
+        )
+
     def _log_processing_limit(self, action: LogProcessingLimit) -> None:
         self._log.info(
             LogEvent.PROCESSING_LIMIT_CHANGED,
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -29,6 +29,7 @@
     WriteAllotmentRecord,
     WriteMoveStatus,
     WriteQuarantineRecord,
+    may_relay,
     may_send,
 )
 from azureturn.gateway.exchange import (
@@ -266,8 +267,13 @@
         own_requests = max(self._server.requests_in_flight, self._runtime.requests_in_progress)
         return own_requests + self._relay_server.open_relays
 
-    def _may_send(self, upstream: RegisteredUpstream) -> bool:
-        return self._runtime.inspect(lambda core: may_send(core.board, upstream, now_ms()))
+    def _may_send(self, upstream: RegisteredUpstream, request_id: str) -> bool:
+        return self._runtime.inspect(
+            lambda core: may_send(core.board, upstream, now_ms(), request_id)
+        )
+
+    def _may_relay(self, upstream: RegisteredUpstream) -> bool:
+        return self._runtime.inspect(lambda core: may_relay(core.board, upstream, now_ms()))
 
     def _configuration_age_ms(self) -> int:
         """Return the time since the store, or a peer that it answers, had no later configuration.
@@ -283,7 +289,7 @@
     def _find_available_upstream(self, name: str) -> RegisteredUpstream | None:
         """Return the upstream that a peer asks for, unless it may be sent no request now."""
         upstream = self._view_holder.view.upstreams.get(name)
-        if upstream is None or not self._may_send(upstream):
+        if upstream is None or not self._may_relay(upstream):
             return None
         return upstream
 
--- a/azureturn/gateway/daemon/_process_metrics.py
+++ b/azureturn/gateway/daemon/_process_metrics.py
@@ -3,10 +3,10 @@
 import threading
 import time
 
-from azureturn.gateway.decisions import GatewayQueueTable
+from azureturn.gateway.decisions import GatewayQueueTable, cold_upstreams
 from azureturn.gateway.exchange import GatewayServer, StatusPage
 from azureturn.observability import PROMETHEUS_CONTENT_TYPE, Metric, Metrics, PrometheusMetrics
-from azureturn.serving import CoreRuntime
+from azureturn.serving import CoreRuntime, now_ms
 from azureturn.tasks import TaskLoop, sleep
 
 _MS_PER_S = 1_000
@@ -32,7 +32,9 @@
         waiting = self._runtime.inspect(
             lambda core: core.board.table(GatewayQueueTable).waiting_count()
         )
+        cold = self._runtime.inspect(lambda core: cold_upstreams(core.board, now_ms()))
         metrics = self.metrics
+        metrics.set(Metric.COLD_UPSTREAMS, len(cold))
         metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
         metrics.set(Metric.REQUESTS_WAITING, waiting)
         metrics.set(Metric.CALLER_CONNECTIONS, server.open_connections)
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -2,6 +2,7 @@
 
 from azureturn.gateway.decisions import (
     AvailabilityReport,
+    ColdReport,
     CrashReport,
     LimitReport,
     MoveReport,
@@ -17,6 +18,7 @@
 from azureturn.peers import (
     AllotmentSpent,
     AvailabilitySeen,
+    ColdSeen,
     CrashSeen,
     GatewayReport,
     LimitSeen,
@@ -91,6 +93,7 @@
         store_contact_ms=report.store_contact_ms,
         configuration_version=report.configuration_version,
         availability=[_availability_to_wire(row) for row in report.availability],
+        cold=[ColdSeen(*row.run, row.left_ms) for row in report.cold] or None,
     )
 
 
@@ -137,6 +140,7 @@
         store_contact_ms=wire.store_contact_ms,
         configuration_version=wire.configuration_version or 0,
         availability=tuple(_availability_from_wire(row) for row in wire.availability or ()),
+        cold=tuple(_cold_from_wire(row) for row in wire.cold or ()),
     )
 
 
@@ -163,6 +167,10 @@
     return AvailabilityReport(run, bool(row.leaving), row.pause_ms or 0, row.relay_vm or "")
 
 
+def _cold_from_wire(row: ColdSeen) -> ColdReport:
+    return ColdReport((row.upstream, row.started_unix_ms), row.left_ms)
+
+
 def _limits_to_wire(report: LimitReport) -> LimitSeen:
     name, started_unix_ms = report.run
     return LimitSeen(
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -4,6 +4,7 @@
     FetchView,
     LogAllotmentRestore,
     LogAvailability,
+    LogColdUpstream,
     LogProcessingLimit,
     LogQuarantineChange,
     LogReachability,
@@ -19,6 +20,8 @@
     WriteQuarantineRecord,
 )
 from azureturn.gateway.decisions._availability import AvailabilityReport
+from azureturn.gateway.decisions._cold_limit import ColdLimit, KnownVms
+from azureturn.gateway.decisions._cold_upstreams import ColdReport, ColdUpstreamTable
 from azureturn.gateway.decisions._crashes import CrashReport, Suspect
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
@@ -53,7 +56,7 @@
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._request_limits import LimitReport, RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
-from azureturn.gateway.decisions._sending import may_send
+from azureturn.gateway.decisions._sending import cold_upstreams, may_relay, may_send
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
@@ -64,6 +67,9 @@
     "AttemptResult",
     "AvailabilityReport",
     "AvailabilityStated",
+    "ColdLimit",
+    "ColdReport",
+    "ColdUpstreamTable",
     "CrashReport",
     "FetchView",
     "FirstEventReceived",
@@ -72,9 +78,11 @@
     "GatewayRequest",
     "GatewayRequestTable",
     "GatewayStarted",
+    "KnownVms",
     "LimitReport",
     "LogAllotmentRestore",
     "LogAvailability",
+    "LogColdUpstream",
     "LogProcessingLimit",
     "LogQuarantineChange",
     "LogReachability",
@@ -117,6 +125,8 @@
     "WriteAllotmentRecord",
     "WriteMoveStatus",
     "WriteQuarantineRecord",
+    "cold_upstreams",
+    "may_relay",
     "may_send",
     "watch_delay_ms",
 ]
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -164,6 +164,18 @@
     outcome: str
 
 
+@dataclass(frozen=True)
+class LogColdUpstream(Action):
+    """Log that an upstream is taken for cold, or no longer."""
+
+    upstream: str
+    #: What it is known from: the registration, a response, a peer or its start.
+    source: str
+    #: How much longer it stays cold; -1 if that is not known.
+    left_ms: int
+    outcome: str
+
+
 @dataclass(frozen=True)
 class LogAllotmentRestore(Action):
     """Log which allotment usage was restored from before this process started."""
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -97,6 +97,8 @@
     availability: StatedAvailability
     #: Name of the peer that relayed the response; empty if it came directly.
     relay_vm: str = ""
+    #: A time before the request was sent.
+    asked_at_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -7,6 +7,7 @@
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._availability import AvailabilityReport
+from azureturn.gateway.decisions._cold_upstreams import ColdReport
 from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
 from azureturn.gateway.decisions._request_limits import LimitReport
@@ -162,6 +163,8 @@
     store_contact_ms: int | None = None
     #: Version of the configuration in force at the VM; 0 if it has none.
     configuration_version: int = 0
+    #: Upstreams that are cold, as far as the VM does not know it from peers only.
+    cold: tuple[ColdReport, ...] = ()
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy with the given value of ``strained``."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -6,6 +6,7 @@
 )
 from azureturn.gateway.decisions.controllers._attempts import AttemptController
 from azureturn.gateway.decisions.controllers._availability import AvailabilityController
+from azureturn.gateway.decisions.controllers._cold_upstreams import ColdUpstreamController
 from azureturn.gateway.decisions.controllers._crashes import CrashController
 from azureturn.gateway.decisions.controllers._moves import MoveController
 from azureturn.gateway.decisions.controllers._paths import PathController
@@ -24,6 +25,7 @@
     "AllotmentRecordController",
     "AttemptController",
     "AvailabilityController",
+    "ColdUpstreamController",
     "CrashController",
     "MoveController",
     "PathController",
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -53,7 +53,7 @@
         RetryBudgetTable,
         MoveTable,
     )
-    after = ("admission", "crashes", "request_limits", "paths")
+    after = ("admission", "crashes", "request_limits", "paths", "cold_upstreams")
 
     _probed_at_ms = 0
 
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -6,6 +6,7 @@
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._availability import PauseTable
+from azureturn.gateway.decisions._cold_upstreams import ColdUpstreamTable
 from azureturn.gateway.decisions._estimates import (
     Candidate,
     PlacementSnapshot,
@@ -52,8 +53,9 @@
         DrainTable,
         AllotmentTable,
         RequestLimitTable,
+        ColdUpstreamTable,
     )
-    after = ("admission", "attempts", "request_limits", "paths")
+    after = ("admission", "attempts", "request_limits", "paths", "cold_upstreams")
 
     @on(PlacementRequested)
     def _on_requested(self, event: PlacementRequested, context: Context) -> None:
@@ -152,6 +154,7 @@
         prefix_caches = self.board.write(PrefixCacheTable)
         limits = self.board.read(RequestLimitTable)
         pauses = self.board.read(PauseTable)
+        cold = self.board.read(ColdUpstreamTable)
         known_vms = peers.vms(context.now_ms)
         engine = self._engine_of(service)
         snapshots = []
@@ -174,7 +177,8 @@
                     peers.work_at(upstream.name),
                     prefix_cache,
                     may_send=not pauses.is_paused(upstream.run, context.now_ms)
-                    and limits.may_send(upstream.run, known_vms, context.now_ms),
+                    and limits.may_send(upstream.run, known_vms, context.now_ms)
+                    and cold.may_send(upstream, context.now_ms),
                     is_relayed=relayed,
                     is_brittle=is_brittle,
                 )
@@ -245,6 +249,8 @@
         states.put(upstream.name, states.of(upstream.run).with_sent(chosen.pending_tokens))
         vm_count = self.board.read(PeerTable).vms(context.now_ms)
         self.board.write(RequestLimitTable).record_sent(upstream.run, vm_count, context.now_ms)
+        cold = self.board.write(ColdUpstreamTable)
+        cold.record_sent(upstream, request.request_id, context.now_ms)
         engine = self._engine_of(request.service)
         if engine is not None and request.prompt is not None and request.prompt.parts:
             prefix_caches = self.board.write(PrefixCacheTable)
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -4,6 +4,7 @@
 from azureturn.gateway.decisions._actions import FetchView, SendReport
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._availability import AvailabilityReport, PauseTable
+from azureturn.gateway.decisions._cold_upstreams import ColdUpstreamTable
 from azureturn.gateway.decisions._crashes import CrashTable
 from azureturn.gateway.decisions._events import (
     GatewayStarted,
@@ -62,6 +63,7 @@
         RequestLimitTable,
         UpstreamPathTable,
         PauseTable,
+        ColdUpstreamTable,
     )
     writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable)
     after = ("views", "moves")
@@ -206,6 +208,7 @@
             unreachable=self._unreachable_upstreams(),
             limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
             availability=self._availability(),
+            cold=self.board.read(ColdUpstreamTable).reports(self._sent_at_ms),
             configuration_version=configuration.version if configuration else 0,
             store_contact_ms=self.board.read(ViewTable).store_contact_ms(self._sent_at_ms),
         )
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -79,14 +79,17 @@
 ALLOTMENT = Allotment(rate_per_s=1_000, burst=1_000, counts_tokens=True, default_tokens=10)
 
 
-def configuration(version: int = 1) -> SiteConfiguration:
+def configuration(
+    version: int = 1, *, cold_start_ms: int = 0, cold_per_s: float = 0.0
+) -> SiteConfiguration:
     """Return a site configuration with one engine service and one plain service."""
+    cold = {"cold_start_ms": cold_start_ms, "cold_per_s": cold_per_s}
     return SiteConfiguration(
         version=version,
         routes=(STREAM_ROUTE, BOOKING_ROUTE, STATUS_ROUTE),
         services=(
-            Service("models", status_path="/status", engine=ENGINE),
-            Service("desk", status_path="/status"),
+            Service("models", status_path="/status", engine=ENGINE, **cold),
+            Service("desk", status_path="/status", **cold),
         ),
         organisations=(
             Organisation("kuiseb", frozenset({"kuiseb-key"}), allotment=ALLOTMENT),
@@ -115,13 +118,16 @@
     stored_configuration: SiteConfiguration | None = None,
     record: AllotmentRecord | None = None,
     quarantine: QuarantineRecord | None = None,
+    upstream_revision: int = 2,
 ) -> SiteView:
     """Return a view with the given upstreams, VMs, move order and records."""
     stored_documents = {
         "config": StoredDocument("config", 1, b"", stored_configuration or configuration())
     }
     for registered in upstreams:
-        stored_documents[registered.name] = StoredDocument(registered.name, 2, b"", registered)
+        stored_documents[registered.name] = StoredDocument(
+            registered.name, upstream_revision, b"", registered
+        )
     for name in vms:
         stored_documents[f"vm/{name}"] = StoredDocument(
             f"vm/{name}", 2, b"", RegisteredVm(name, "10.0.1.1", 7)
@@ -180,6 +186,7 @@
         now_ms: int = _FIRST_MS,
         seed: int = 1,
         availability_zone: str = "a",
+        clock_offset_ms: int = 0,
     ) -> None:
         vm = GatewayVm(
             vm_name,
@@ -204,7 +211,8 @@
         self.settings = GatewaySettings(vm, bounds)
         self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=seed)
         self.now_ms = now_ms
-        self.handle_event(GatewayStarted(vm_name, STARTED_UNIX_MS + now_ms - _FIRST_MS))
+        unix_ms = STARTED_UNIX_MS + now_ms - _FIRST_MS + clock_offset_ms
+        self.handle_event(GatewayStarted(vm_name, unix_ms))
         self.stored_documents = first_view.stored_documents
         self.handle_event(ViewChanged(first_view))
 
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -276,10 +276,13 @@
     def _new_attempt(self, action: SendAttempt) -> Attempt:
         services = self._services
         upstream, relay = action.upstream, action.relay
+        asked_at_ms = now_ms()
 
         def report_availability(availability: StatedAvailability) -> None:
             relay_vm = relay.vm if relay else ""
-            services.runtime.submit(AvailabilityStated(upstream.run, availability, relay_vm))
+            services.runtime.submit(
+                AvailabilityStated(upstream.run, availability, relay_vm, asked_at_ms)
+            )
 
         return Attempt(
             upstream,
@@ -288,7 +291,9 @@
             services.dialect,
             relay_host=relay.host if relay else "",
             report_availability=report_availability,
-            may_send=lambda: not self._has_caller_left() and services.may_send(upstream),
+            may_send=lambda: (
+                not self._has_caller_left() and services.may_send(upstream, action.request_id)
+            ),
         )
 
     def _run_attempt(
--- a/azureturn/gateway/settings/__init__.py
+++ b/azureturn/gateway/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from azureturn.gateway.settings._types import (
     AllotmentBounds,
+    ColdBounds,
     EnginePolicy,
     GatewayBounds,
     GatewayLimits,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "AllotmentBounds",
+    "ColdBounds",
     "EnginePolicy",
     "GatewayBounds",
     "GatewayLimits",
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -85,6 +85,16 @@
     share: float
 
 
+@dataclass(frozen=True)
+class ColdBounds:
+    """Limit of the requests that all VMs together send a cold upstream in any one second."""
+
+    #: Limit as a multiple of the requests per second that it takes.
+    overshoot: float = 1.5
+    #: Requests allowed in addition to that.
+    slack: float = 5.0
+
+
 @dataclass(frozen=True)
 class GatewayBounds:
     """Bounds set by the operators."""
@@ -98,6 +108,7 @@
     retry: RetryBounds
     allotment: AllotmentBounds
     move: MoveBounds
+    cold: ColdBounds = ColdBounds()
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/site/_configuration.py
+++ b/azureturn/gateway/site/_configuration.py
@@ -85,6 +85,10 @@
     connection_limit: int = 0
     #: None for a service that is not a model service.
     engine: EngineCapacity | None = None
+    #: How long an upstream is cold after its start.
+    cold_start_ms: int = 0
+    #: Requests per second that a cold upstream takes from all VMs together; 0 for no limit.
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/site/_document_types.py
+++ b/azureturn/gateway/site/_document_types.py
@@ -29,6 +29,8 @@
     is_leaving: bool = False
     #: Start time of this run, in ms since 1970; 0 if not stated.
     started_unix_ms: int = 0
+    #: How much longer it stayed cold when it wrote its registration; None if not stated.
+    cold_left_ms: int | None = None
 
     @property
     def run(self) -> UpstreamRun:
--- a/azureturn/gateway/site/_requests.py
+++ b/azureturn/gateway/site/_requests.py
@@ -58,6 +58,8 @@
     retry_after_ms: int | None = None
     #: Beginning of a stated time that cannot be read; empty if there is none.
     invalid_retry_after: str = ""
+    #: How much longer it stays cold; None if it does not say.
+    cold_left_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -89,6 +89,15 @@
         """Return the upstreams by name."""
         return {upstream.name: upstream for upstream in self._contents_of_type(RegisteredUpstream)}
 
+    @cached_property
+    def upstream_revisions(self) -> Mapping[str, int]:
+        """Return the revisions at which upstreams last wrote their registrations, by name."""
+        return {
+            stored.content.name: stored.revision
+            for stored in self.stored_documents.values()
+            if isinstance(stored.content, RegisteredUpstream)
+        }
+
     @cached_property
     def vms(self) -> Mapping[str, RegisteredVm]:
         """Return the gateway's VMs by name."""
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -35,6 +35,7 @@
     UPSTREAM_REACHED = "upstream_reached"
     UPSTREAM_ENDED = "upstream_ended"
     UPSTREAM_AVAILABILITY = "upstream_availability"
+    UPSTREAM_COLD = "upstream_cold"
     UPSTREAMS_RETAINED = "upstreams_retained"
     UPSTREAMS_SILENT = "upstreams_silent"
     RELAY_OPENED = "relay_opened"
@@ -252,6 +253,11 @@
             "An upstream has said in a response that it leaves, or wants no requests for a while.",
             ("upstream", "source", "pause_ms", "outcome"),
         ),
+        LogEvent.UPSTREAM_COLD: LogEventDefinition(
+            "An upstream is taken for cold, so that all VMs together send it few requests a "
+            "second, or is no longer.",
+            ("upstream", "source", "cold_left_ms", "outcome"),
+        ),
         LogEvent.RELAY_OPENED: LogEventDefinition(
             "A peer asked for a connection to an upstream that it cannot reach itself.",
             ("upstream", "peer", "outcome", "relays"),
@@ -357,6 +363,7 @@
         "reach to the first one after that.",
         "waiting": "Number of attempts that have waited for long and are not relayed.",
         "pause_ms": "Time for which the upstream is sent no request; -1 if not limited.",
+        "cold_left_ms": "How much longer the upstream is taken for cold; -1 if not known.",
         "era": "Number of times that the key-value service came back from a copy.",
         "old_era": "The era known before.",
         "documents": "Number of documents that were read.",
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -46,6 +46,7 @@
     TASKS = "process.tasks"
     THREADS = "process.threads"
     LOOP_LAG = "process.loop_lag_ms"
+    COLD_UPSTREAMS = "upstreams.cold"
 
     @property
     def tags(self) -> tuple[str, ...]:
@@ -125,6 +126,12 @@
             "ms",
             "How late the loop that serves requests last resumed a task (gateways only).",
         ),
+        Metric.COLD_UPSTREAMS: MetricDefinition(
+            MetricKind.GAUGE,
+            "upstreams",
+            "Upstreams that this VM takes for cold and sends its share of requests only "
+            "(gateways only).",
+        ),
     }
 )
 
--- a/azureturn/peers/__init__.py
+++ b/azureturn/peers/__init__.py
@@ -6,6 +6,7 @@
 from azureturn.peers.gen.ttypes import (
     AllotmentSpent,
     AvailabilitySeen,
+    ColdSeen,
     ConfigurationAnswer,
     ConfigurationQuery,
     CrashSeen,
@@ -57,6 +58,7 @@
     "RelayRequest",
     "AllotmentSpent",
     "AvailabilitySeen",
+    "ColdSeen",
     "LimitSeen",
     "CrashSeen",
     "TraitCleared",
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -338,6 +338,14 @@
   5: string relay_vm,
 }
 
+// How much longer a run of an upstream stays cold, as far as the sender knows from the upstream or
+// the store, and not from a peer.
+struct ColdSeen {
+  1: string upstream,
+  2: i64 started_unix_ms,
+  3: i64 left_ms,
+}
+
 // One datagram, sent to every peer many times a second.
 struct GatewayReport {
   1: string vm,
@@ -366,6 +374,7 @@
   22: optional i64 store_contact_ms,
   23: list<AvailabilitySeen> availability,
   24: i64 configuration_version,
+  40: optional list<ColdSeen> cold,
 }
 
 // The first message on a relayed connection: the upstream that the peer is to connect to.
