Send nothing to the upstreams of a zone that operators evacuate

Cause: op/evacuate/ZONE in the store is not read, so that an availability zone cannot be taken out of service.

Evidence: the new tests; none of them can pass on the code before, which has no document of that kind.

Change: the order is a document of the view, so that peers pass it on with their views. Upstreams of evacuated zones are left out of those that serve, of probes, and once more just before anything is sent. A relaying VM ends an open relayed connection when the peer begins another request on it. When an order ends, the zone's upstreams are taken for cold until a later registration or a response states otherwise, or cold_start_s has passed.

--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -1,5 +1,6 @@
 """Checks whether upstreams accept connections and respond."""
 
+from collections.abc import Callable
 from contextlib import suppress
 
 from azureturn.errors import UpstreamError, UpstreamUnreachableError
@@ -19,7 +20,7 @@
     read_facts,
     request_status,
 )
-from azureturn.gateway.site import Dialect, StatedAvailability
+from azureturn.gateway.site import Dialect, RegisteredUpstream, StatedAvailability
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime, now_ms
 from azureturn.tasks import Mailbox, MailboxFullError, TaskLoop
@@ -31,7 +32,10 @@
 
 
 class ConnectionProbes:
-    """Tasks that connect to upstreams, and ask for their status, without risking a request."""
+    """Tasks that connect to upstreams, and ask for their status, without risking a request.
+
+    ``may_probe`` returns whether an upstream may be connected now, or be asked for its status.
+    """
 
     def __init__(
         self,
@@ -40,11 +44,14 @@
         dialect: Dialect,
         log: EventLog,
         loop: TaskLoop,
+        *,
+        may_probe: Callable[[RegisteredUpstream, bool], bool],
     ) -> None:
         self._runtime = runtime
         self._dialect = dialect
         self._connector = connector
         self._log = log
+        self._may_probe = may_probe
         self._loop = loop
         self._queue: Mailbox[ProbeConnection] = Mailbox(limit=_QUEUE_LIMIT)
 
@@ -81,6 +88,8 @@
         """Make one probe; return what it shows, or None if that is nothing."""
         upstream = action.upstream
         relay_host = action.relay.host if action.relay else ""
+        if not self._may_probe(upstream, False):
+            return None
         try:
             connection = self._connector.connect(upstream, relay_host)
         except UpstreamUnreachableError as error:
@@ -91,6 +100,8 @@
             return None if relay_host else UpstreamConnectionFailed(upstream.run)
         try:
             if action.status_path:
+                if not self._may_probe(upstream, True):
+                    return None
                 self._request_status(connection, action)
         except (TimeoutError, UpstreamError):
             return UpstreamSilent(upstream.run)
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -29,7 +29,9 @@
     WriteAllotmentRecord,
     WriteMoveStatus,
     WriteQuarantineRecord,
+    may_probe,
     may_relay,
+    may_relay_another,
     may_send,
 )
 from azureturn.gateway.exchange import (
@@ -127,7 +129,14 @@
         )
         self._server = GatewayServer(self._services, self._loop)
         self._servers = self._new_servers(adapter.dialect.readiness_path)
-        self._probes = ConnectionProbes(self._runtime, connector, adapter.dialect, log, self._loop)
+        self._probes = ConnectionProbes(
+            self._runtime,
+            connector,
+            adapter.dialect,
+            log,
+            self._loop,
+            may_probe=self._may_probe,
+        )
         self._register_handlers()
 
     def _new_relay_server(self, signer: EnvelopeSigner) -> RelayServer:
@@ -138,6 +147,7 @@
             self._log,
             self._loop,
             find_upstream=self._find_available_upstream,
+            may_relay_another=self._may_relay_another,
             report_failure=self._report_relay_failure,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
         )
@@ -272,6 +282,14 @@
             lambda core: may_send(core.board, upstream, now_ms(), request_id)
         )
 
+    def _may_probe(self, upstream: RegisteredUpstream, sends_request: bool) -> bool:
+        return self._runtime.inspect(
+            lambda core: may_probe(core.board, upstream, now_ms(), sends_request=sends_request)
+        )
+
+    def _may_relay_another(self, upstream: RegisteredUpstream) -> bool:
+        return self._runtime.inspect(lambda core: may_relay_another(core.board, upstream, now_ms()))
+
     def _may_relay(self, upstream: RegisteredUpstream) -> bool:
         return self._runtime.inspect(lambda core: may_relay(core.board, upstream, now_ms()))
 
--- a/azureturn/gateway/daemon/_process_metrics.py
+++ b/azureturn/gateway/daemon/_process_metrics.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from azureturn.gateway.decisions import GatewayQueueTable, cold_upstreams
+from azureturn.gateway.decisions import GatewayQueueTable, ViewTable, cold_upstreams
 from azureturn.gateway.exchange import GatewayServer, StatusPage
 from azureturn.observability import PROMETHEUS_CONTENT_TYPE, Metric, Metrics, PrometheusMetrics
 from azureturn.serving import CoreRuntime, now_ms
@@ -33,7 +33,11 @@
             lambda core: core.board.table(GatewayQueueTable).waiting_count()
         )
         cold = self._runtime.inspect(lambda core: cold_upstreams(core.board, now_ms()))
+        evacuated = self._runtime.inspect(
+            lambda core: core.board.table(ViewTable).evacuated_zones(now_ms())
+        )
         metrics = self.metrics
+        metrics.set(Metric.EVACUATED_ZONES, len(evacuated))
         metrics.set(Metric.COLD_UPSTREAMS, len(cold))
         metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
         metrics.set(Metric.REQUESTS_WAITING, waiting)
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -144,6 +144,14 @@
         old, new = old_view.configuration, new_view.configuration
         if new is not None and (old is None or old.version != new.version):
             self._log.info(LogEvent.CONFIGURATION_IN_FORCE, revision=new.version, source=source)
+        for zone in sorted(old_view.evacuated_zones ^ new_view.evacuated_zones):
+            self._log.info(
+                LogEvent.ZONE_EVACUATION,
+                zone=zone,
+                outcome="evacuated" if zone in new_view.evacuated_zones else "returned",
+                revision=new_view.revision,
+                source=source,
+            )
         for name, upstream in new_view.upstreams.items():
             old_upstream = old_view.upstreams.get(name)
             if (
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -56,7 +56,13 @@
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._request_limits import LimitReport, RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
-from azureturn.gateway.decisions._sending import cold_upstreams, may_relay, may_send
+from azureturn.gateway.decisions._sending import (
+    cold_upstreams,
+    may_probe,
+    may_relay,
+    may_relay_another,
+    may_send,
+)
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
@@ -126,7 +132,9 @@
     "WriteMoveStatus",
     "WriteQuarantineRecord",
     "cold_upstreams",
+    "may_probe",
     "may_relay",
+    "may_relay_another",
     "may_send",
     "watch_delay_ms",
 ]
--- a/azureturn/gateway/decisions/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/_cold_upstreams.py
@@ -41,6 +41,8 @@
     START = "start"
     #: Its process had ended, so that another one may have started under its name.
     ENDED = "process end"
+    #: Its availability zone has been out of service until now.
+    EVACUATION = "evacuation"
 
 
 @dataclass(frozen=True)
@@ -58,6 +60,8 @@
     until_ms: float
     #: When this VM learned of it.
     noted_at_ms: int
+    #: Revision of the view that it rests on; registrations written later refute it.
+    revision: int = 0
 
 
 @dataclass(frozen=True)
@@ -187,7 +191,16 @@
         self.put(run, row.with_claim(source, ColdClaim(until_ms, now_ms)))
         return not was_cold and now_ms < until_ms
 
-    def record_entry(self, run: UpstreamRun, left_ms: int, now_ms: int) -> bool:
+    def record_evacuation_ended(
+        self, run: UpstreamRun, until_ms: float, *, revision: int, now_ms: int
+    ) -> bool:
+        """Take an upstream for cold whose zone returns; return whether it was not before."""
+        is_new = self.claim(run, ColdSource.EVACUATION, until_ms, now_ms)
+        claim = ColdClaim(until_ms, now_ms, revision)
+        self.put(run, self._rows[run].with_claim(ColdSource.EVACUATION, claim))
+        return is_new
+
+    def record_entry(self, run: UpstreamRun, left_ms: int, *, revision: int, now_ms: int) -> bool:
         """Apply what a registration states; return whether the upstream was not cold before.
 
         It was written some time before it is read, so that the time left, counted from now, ends
@@ -196,6 +209,10 @@
         if left_ms > 0:
             return self.claim(run, ColdSource.ENTRY, now_ms + left_ms, now_ms)
         self._drop(run, ColdSource.ENTRY, ColdSource.START, noted_until_ms=now_ms)
+        row = self.get(run)
+        evacuation = None if row is None else row.claims.get(ColdSource.EVACUATION)
+        if evacuation is not None and revision > evacuation.revision:
+            self._drop(run, ColdSource.EVACUATION, noted_until_ms=now_ms)
         return False
 
     def record_answer(
--- a/azureturn/gateway/decisions/_sending.py
+++ b/azureturn/gateway/decisions/_sending.py
@@ -38,7 +38,28 @@
     return [upstream for upstream in upstreams if cold.is_limited(upstream, now_ms)]
 
 
+def may_relay_another(board: Blackboard, upstream: RegisteredUpstream, now_ms: int) -> bool:
+    """Return whether a peer may send another request on a connection that is relayed for it.
+
+    The peer may not know what has changed since the connection was opened. That an upstream leaves
+    or wants a pause it learns from the upstream's responses.
+    """
+    if board.table(ViewTable).is_evacuated(upstream, now_ms):
+        return False
+    return board.table(ColdUpstreamTable).take_slot(upstream, now_ms)
+
+
+def may_probe(
+    board: Blackboard, upstream: RegisteredUpstream, now_ms: int, *, sends_request: bool
+) -> bool:
+    """Return whether an upstream may be probed now; a request for its status counts as one."""
+    if board.table(ViewTable).is_evacuated(upstream, now_ms):
+        return False
+    return not sends_request or board.table(ColdUpstreamTable).take_slot(upstream, now_ms)
+
+
 def _is_available(board: Blackboard, upstream: RegisteredUpstream, now_ms: int) -> bool:
-    if board.table(ViewTable).is_leaving(upstream):
+    views = board.table(ViewTable)
+    if views.is_leaving(upstream) or views.is_evacuated(upstream, now_ms):
         return False
     return not board.table(PauseTable).is_paused(upstream.run, now_ms)
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -1,6 +1,7 @@
 """Tables that are shared by several controllers."""
 
 from azureturn.framework import RequestQueue, Table
+from azureturn.gateway.decisions._evacuations import EvacuatedZones
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.site import RegisteredUpstream, SiteView, UpstreamRun
 
@@ -22,6 +23,7 @@
         self.confirmed_by_peer_at_ms = 0
         #: Runs that are known to leave, in the order in which this VM learned of them.
         self._leaving_runs: dict[UpstreamRun, None] = {}
+        self._evacuated = EvacuatedZones()
 
     def current(self) -> SiteView:
         """Return the current view; it is empty until one is received from the store or a peer."""
@@ -41,6 +43,7 @@
         if version <= (previous.revision, previous.configuration_version):
             return False
         self.put(self._CURRENT, view)
+        self._evacuated.record_view(previous, view, now_ms)
         for upstream in view.upstreams.values():
             if upstream.is_leaving and upstream.started_unix_ms:
                 self.record_leaving(upstream.run)
@@ -69,6 +72,14 @@
         """Return whether an upstream must get no new requests, since it leaves."""
         return upstream.is_leaving or upstream.run in self._leaving_runs
 
+    def evacuated_zones(self, now_ms: int) -> frozenset[str]:
+        """Return the availability zones whose upstreams get nothing more."""
+        return self._evacuated.zones(self.current(), now_ms)
+
+    def is_evacuated(self, upstream: RegisteredUpstream, now_ms: int) -> bool:
+        """Return whether an upstream is in a zone that operators have taken out of service."""
+        return upstream.availability_zone in self.evacuated_zones(now_ms)
+
     def unregistered_leaving_runs(self) -> list[UpstreamRun]:
         """Return the runs that leave although their registrations do not say so."""
         if not self._leaving_runs:
@@ -129,7 +140,10 @@
             for name in self.retained_names(now_ms)
             if self._lapsed[name].service == service
         )
-        return serving
+        evacuated = self.evacuated_zones(now_ms)
+        if not evacuated:
+            return serving
+        return [upstream for upstream in serving if upstream.availability_zone not in evacuated]
 
     def retained_names(self, now_ms: int) -> set[str]:
         """Return the names of the upstreams that are used although they are not registered."""
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -131,9 +131,12 @@
         states = self.board.read(UpstreamStateTable)
         view = self.board.read(ViewTable).current()
         pauses = self.board.read(PauseTable)
+        evacuated = self.board.read(ViewTable).evacuated_zones(context.now_ms)
         for upstream in view.upstreams.values():
             if pauses.is_paused(upstream.run, context.now_ms):
                 continue
+            if upstream.availability_zone in evacuated:
+                continue
             if states.is_unreachable(upstream.run):
                 is_silent = states.is_silent(upstream.run)
                 status_path = view.status_path(upstream.service) if is_silent else ""
--- a/azureturn/gateway/decisions/controllers/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/controllers/_cold_upstreams.py
@@ -48,6 +48,7 @@
     after = ("views", "admission")
 
     _checked_at_ms = 0
+    _evacuated: frozenset[str] = frozenset()
     #: Revision and time left of the registration of each run that was last applied.
     _entries: dict[UpstreamRun, tuple[int, int | None]]
 
@@ -74,6 +75,7 @@
             if self._entries.get(run) != entry:
                 self._apply_entry(upstream, is_new=run not in self._entries, context=context)
                 self._entries[run] = entry
+        self._update_evacuated(context)
         if len(self._entries) > _ENTRIES_LIMIT:
             for run in self._entries.keys() - limited.keys():
                 del self._entries[run]
@@ -139,6 +141,7 @@
         for run in cold.remove_warm(context.now_ms):
             context.act(LogColdUpstream(run[0], "", 0, "no longer cold"))
         self._update_limits()
+        self._update_evacuated(context)
         cold.keep_only(self.board.read(ViewTable).current().upstreams)
 
     def _update_limits(self) -> None:
@@ -156,11 +159,36 @@
             if upstream.service in limited
         }
 
+    def _update_evacuated(self, context: Context) -> None:
+        """Take the upstreams of zones for cold that have just been returned to service.
+
+        They may have become cold before, and their registrations may not say so yet.
+        """
+        views = self.board.read(ViewTable)
+        cold = self.board.write(ColdUpstreamTable)
+        evacuated = views.evacuated_zones(context.now_ms)
+        returned, self._evacuated = self._evacuated - evacuated, evacuated
+        if not returned:
+            return
+        view = views.current()
+        for upstream in view.upstreams.values():
+            if upstream.availability_zone not in returned or upstream.name not in cold.start_ms:
+                continue
+            start_ms = cold.start_ms[upstream.name]
+            if cold.record_evacuation_ended(
+                upstream.run,
+                context.now_ms + start_ms,
+                revision=view.revision,
+                now_ms=context.now_ms,
+            ):
+                self._log_cold(upstream.run, ColdSource.EVACUATION.value, start_ms, context)
+
     def _apply_entry(self, upstream: RegisteredUpstream, *, is_new: bool, context: Context) -> None:
         cold = self.board.write(ColdUpstreamTable)
         left_ms = upstream.cold_left_ms
         if left_ms is not None:
-            if cold.record_entry(upstream.run, left_ms, context.now_ms):
+            revision = self.board.read(ViewTable).current().upstream_revisions[upstream.name]
+            if cold.record_entry(upstream.run, left_ms, revision=revision, now_ms=context.now_ms):
                 self._log_cold(upstream.run, ColdSource.ENTRY.value, left_ms, context)
             return
         start_ms = cold.start_ms[upstream.name]
--- a/azureturn/gateway/decisions/controllers/_crashes.py
+++ b/azureturn/gateway/decisions/controllers/_crashes.py
@@ -111,6 +111,8 @@
         upstream = self.board.read(ViewTable).current().upstreams.get(request.upstream)
         if upstream is None or upstream.run != request.upstream_run:
             self._confirm(request.upstream_run, context)
+        elif self.board.read(ViewTable).is_evacuated(upstream, context.now_ms):
+            return
         elif self.board.write(CrashTable).take_probe(upstream.run, context.now_ms):
             context.act(ProbeConnection(upstream, after_broken_answer=True, relay=request.relay))
 
--- a/azureturn/gateway/decisions/controllers/_paths.py
+++ b/azureturn/gateway/decisions/controllers/_paths.py
@@ -129,15 +129,19 @@
     def _untried_upstreams(self, context: Context) -> list[RegisteredUpstream]:
         """Return the upstreams that have not failed since one responded, in random order.
 
-        Those that ask for a pause are left out: a request for the status is a request, too.
+        Those that ask for a pause are left out: a request for the status is a request, too. So are
+        those in zones that are out of service.
         """
+        evacuated = self.board.read(ViewTable).evacuated_zones(context.now_ms)
         pauses = self.board.read(PauseTable)
         paths = self.board.read(UpstreamPathTable)
         upstreams = self.board.read(ViewTable).current().upstreams
         untried = [
             upstream
             for name, upstream in upstreams.items()
-            if name not in paths and not pauses.is_paused(upstream.run, context.now_ms)
+            if name not in paths
+            and not pauses.is_paused(upstream.run, context.now_ms)
+            and upstream.availability_zone not in evacuated
         ]
         context.random.shuffle(untried)
         return untried
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -22,6 +22,7 @@
     Allotment,
     AllotmentRecord,
     EngineCapacity,
+    EvacuationOrder,
     MoveOrder,
     Organisation,
     Prompt,
@@ -119,6 +120,7 @@
     record: AllotmentRecord | None = None,
     quarantine: QuarantineRecord | None = None,
     upstream_revision: int = 2,
+    evacuated: tuple[str, ...] = (),
 ) -> SiteView:
     """Return a view with the given upstreams, VMs, move order and records."""
     stored_documents = {
@@ -138,6 +140,9 @@
         stored_documents["record"] = StoredDocument("record", 4, b"", record)
     if quarantine is not None:
         stored_documents["quarantine"] = StoredDocument("quarantine", 5, b"", quarantine)
+    for zone in evacuated:
+        key = f"evacuate/{zone}"
+        stored_documents[key] = StoredDocument(key, 6, b"", EvacuationOrder(zone))
     return SiteView(revision, stored_documents)
 
 
--- a/azureturn/gateway/relay/_relay.py
+++ b/azureturn/gateway/relay/_relay.py
@@ -20,12 +20,27 @@
     request, and the peer may give the request up meanwhile.
     """
 
-    def __init__(self, peer: socket.socket, upstream: socket.socket, *, sends_frames: bool) -> None:
+    def __init__(
+        self,
+        peer: socket.socket,
+        upstream: socket.socket,
+        *,
+        sends_frames: bool,
+        may_begin_request: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._peer = peer
         self._upstream = upstream
-        self._to_upstream = _Direction(peer, upstream, encode=bytes)
+        self._may_begin_request = may_begin_request
+        #: Whether bytes of the upstream have been received since the last ones of the peer, so that
+        #: the peer's next ones begin another request.
+        self._has_response = False
+        self._to_upstream = _Direction(
+            peer, upstream, encode=bytes, on_received=self._on_peer_bytes
+        )
         encode = _encode_for_peer if sends_frames else bytes
-        self._to_peer = _Direction(upstream, peer, encode=encode)
+        self._to_peer = _Direction(
+            upstream, peer, encode=encode, on_received=self._on_upstream_bytes
+        )
 
     def pass_on(self) -> None:
         """Pass bytes on until one side ends the connection, and close the upstream's.
@@ -43,6 +58,14 @@
         finally:
             self._upstream.close()
 
+    def _on_upstream_bytes(self) -> None:
+        self._has_response = True
+
+    def _on_peer_bytes(self) -> None:
+        if self._has_response and not self._may_begin_request():
+            raise ConnectionAbortedError("the upstream must get no further request now")
+        self._has_response = False
+
     def _pass_on_once(self) -> None:
         """Wait until either direction can go on, and let it."""
         # The end of the peer's connection counts also while nothing more is read from it. That
@@ -72,11 +95,14 @@
         destination: socket.socket,
         *,
         encode: Callable[[bytes], bytes],
+        on_received: Callable[[], None],
     ) -> None:
         self._source = source
         self._destination = destination
         #: Returns what is sent for a part, or for the end if the part is empty.
         self._encode = encode
+        #: Called before a part is passed on; may raise an ``OSError``.
+        self._on_received = on_received
         self._unsent = memoryview(b"")
         self._source_has_ended = False
 
@@ -107,6 +133,8 @@
             if not self._unsent:
                 part = self._source.recv(MAX_PART_BYTES)
                 self._source_has_ended = not part
+                if part:
+                    self._on_received()
                 self._unsent = memoryview(self._encode(part))
             if self._unsent:
                 self._unsent = self._unsent[self._destination.send(self._unsent) :]
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -34,8 +34,10 @@
     """Connects peers with upstreams, in one task of ``loop`` for each connection.
 
     ``find_upstream`` returns the current registration of an upstream; peers name upstreams and not
-    addresses, so that they can be connected with nothing else. ``report_failure`` is called with
-    the run of an upstream that this VM could not connect to, and with whether it refused.
+    addresses, so that they can be connected with nothing else. ``may_relay_another`` returns
+    whether a peer may send an upstream another request on an open connection. ``report_failure`` is
+    called with the run of an upstream that this VM could not connect to, and with whether it
+    refused.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         find_upstream: Callable[[str], RegisteredUpstream | None],
         report_failure: Callable[[UpstreamRun, bool], None],
         connect_timeout_ms: int,
+        may_relay_another: Callable[[RegisteredUpstream], bool] = lambda _upstream: True,
     ) -> None:
         self._address = address
         self._signer = signer
@@ -55,6 +58,7 @@
         self._loop = loop
         self._find_upstream = find_upstream
         self._report_failure = report_failure
+        self._may_relay_another = may_relay_another
         self._connect_timeout_s = connect_timeout_ms / _MS_PER_S
         self._open_relays = 0
         self._listener: socket.socket | None = None
@@ -124,9 +128,14 @@
         sends_frames = bool(request.reads_frames)
         answer = RelayAnswer(outcome, sends_frames=sends_frames)
         send_message(connection, answer, _REQUEST_TIMEOUT_S)
-        if upstream_connection is None:
+        if upstream is None or upstream_connection is None:
             return None
-        return Relay(connection, upstream_connection, sends_frames=sends_frames)
+        return Relay(
+            connection,
+            upstream_connection,
+            sends_frames=sends_frames,
+            may_begin_request=partial(self._may_relay_another, upstream),
+        )
 
     def _may_relay(self, request: RelayRequest) -> bool:
         return is_signed(request, self._signer) and self._open_relays <= _MAX_RELAYS
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -105,6 +105,8 @@
         self.ended = threading.Event()
         #: Whether it ended with a reset.
         self.was_reset = False
+        #: Whether the upstream may get another request on an open connection.
+        self.may_relay_another = True
         self.failures: list[tuple[UpstreamRun, bool]] = []
         with socket.create_server((_HOST, 0)) as probe:
             self._port = probe.getsockname()[1]
@@ -116,6 +118,7 @@
             find_upstream={"u": self.upstream, "leaving": leaving}.get,
             report_failure=lambda run, refused: self.failures.append((run, refused)),
             connect_timeout_ms=_TIMEOUT_MS,
+            may_relay_another=lambda _upstream: self.may_relay_another,
         )
         self.server.start()
         threading.Thread(target=self._serve, daemon=True).start()
@@ -174,6 +177,23 @@
             assert received == data
 
 
+def test_no_further_request_is_passed_on_to_an_upstream_that_must_get_none(
+    sites: Callable[[_Behaviour], _Site],
+) -> None:
+    """A peer that does not know of an order must not send requests on an open connection."""
+    site = sites(_echo)
+    with site.connect() as connection:
+        connection.sendall(b"first")
+        assert connection.recv(1_024) == b"first"
+        connection.sendall(b"second")
+        assert connection.recv(1_024) == b"second"
+        site.may_relay_another = False
+        with suppress(OSError):
+            connection.sendall(b"third")
+            assert connection.recv(1_024) == b""
+    assert site.ended.wait(_TIMEOUT_MS / 1_000)
+
+
 def test_the_upstreams_connection_ends_with_that_of_the_peer(
     sites: Callable[[_Behaviour], _Site],
 ) -> None:
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -17,6 +17,7 @@
 )
 from azureturn.gateway.site._document_types import (
     DocumentContent,
+    EvacuationOrder,
     MoveOrder,
     MoveState,
     MoveStatus,
@@ -58,6 +59,7 @@
     "DocumentCodec",
     "DocumentContent",
     "EngineCapacity",
+    "EvacuationOrder",
     "MoveOrder",
     "MoveState",
     "MoveStatus",
--- a/azureturn/gateway/site/_document_types.py
+++ b/azureturn/gateway/site/_document_types.py
@@ -73,9 +73,17 @@
     state: MoveState
 
 
+@dataclass(frozen=True)
+class EvacuationOrder:
+    """An operator's order to send nothing more to the upstreams of an availability zone."""
+
+    zone: str
+
+
 #: Content of any document in the store that the gateway can decode.
 DocumentContent = (
     SiteConfiguration
+    | EvacuationOrder
     | RegisteredUpstream
     | RegisteredVm
     | MoveOrder
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -9,6 +9,7 @@
 from azureturn.gateway.site._configuration import SiteConfiguration
 from azureturn.gateway.site._document_types import (
     DocumentContent,
+    EvacuationOrder,
     MoveOrder,
     MoveStatus,
     RegisteredUpstream,
@@ -108,6 +109,11 @@
         """Return the operators' move orders by service."""
         return {order.service: order for order in self._contents_of_type(MoveOrder)}
 
+    @cached_property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the availability zones that operators have taken out of service."""
+        return frozenset(order.zone for order in self._contents_of_type(EvacuationOrder))
+
     @cached_property
     def statuses(self) -> Mapping[str, MoveStatus]:
         """Return the published move statuses by service."""
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -36,6 +36,7 @@
     UPSTREAM_ENDED = "upstream_ended"
     UPSTREAM_AVAILABILITY = "upstream_availability"
     UPSTREAM_COLD = "upstream_cold"
+    ZONE_EVACUATION = "zone_evacuation"
     UPSTREAMS_RETAINED = "upstreams_retained"
     UPSTREAMS_SILENT = "upstreams_silent"
     RELAY_OPENED = "relay_opened"
@@ -258,6 +259,11 @@
             "second, or is no longer.",
             ("upstream", "source", "cold_left_ms", "outcome"),
         ),
+        LogEvent.ZONE_EVACUATION: LogEventDefinition(
+            "Operators have taken the upstreams of an availability zone out of service, or "
+            "returned them to service.",
+            ("zone", "outcome", "revision", "source"),
+        ),
         LogEvent.RELAY_OPENED: LogEventDefinition(
             "A peer asked for a connection to an upstream that it cannot reach itself.",
             ("upstream", "peer", "outcome", "relays"),
@@ -363,6 +369,7 @@
         "reach to the first one after that.",
         "waiting": "Number of attempts that have waited for long and are not relayed.",
         "pause_ms": "Time for which the upstream is sent no request; -1 if not limited.",
+        "zone": "Name of an availability zone.",
         "cold_left_ms": "How much longer the upstream is taken for cold; -1 if not known.",
         "era": "Number of times that the key-value service came back from a copy.",
         "old_era": "The era known before.",
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -47,6 +47,7 @@
     THREADS = "process.threads"
     LOOP_LAG = "process.loop_lag_ms"
     COLD_UPSTREAMS = "upstreams.cold"
+    EVACUATED_ZONES = "zones.evacuated"
 
     @property
     def tags(self) -> tuple[str, ...]:
@@ -132,6 +133,12 @@
             "Upstreams that this VM takes for cold and sends its share of requests only "
             "(gateways only).",
         ),
+        Metric.EVACUATED_ZONES: MetricDefinition(
+            MetricKind.GAUGE,
+            "zones",
+            "Availability zones whose upstreams get nothing more, by operators' order (gateways "
+            "only).",
+        ),
     }
 )
 
