--- a/azureturn/command/_main.py
+++ b/azureturn/command/_main.py
@@ -15,13 +15,20 @@
 from azureturn.command._slo import SloCommand
 from azureturn.command._upstream import UpstreamCommand
 from azureturn.command._vm import VmCommand
+from azureturn.command._zone import ZoneCommand
 from azureturn.errors import AzureturnError
 
 #: One-line format of usage errors, with a pointer to the help.
 ERROR_FORMAT = "{prog}: {message} (see '{prog} --help')"
 
 Subcommand = (
-    ConfigCommand | MoveCommand | UpstreamCommand | VmCommand | RequestsCommand | SloCommand
+    ConfigCommand
+    | MoveCommand
+    | UpstreamCommand
+    | VmCommand
+    | ZoneCommand
+    | RequestsCommand
+    | SloCommand
 )
 
 
--- a/azureturn/command/tests/test_help.py
+++ b/azureturn/command/tests/test_help.py
@@ -25,6 +25,8 @@
     "upstream return",
     "vm",
     "vm list",
+    "zone",
+    "zone list",
     "requests",
     "requests refused",
     "slo",
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -16,6 +16,7 @@
 from azureturn.gateway.daemon._store_watcher import StoreWatcher, ViewHolder
 from azureturn.gateway.daemon._store_writer import StoreWriter
 from azureturn.gateway.daemon._strain_detector import StrainDetector
+from azureturn.gateway.daemon._zones_page import zones_page
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     FetchView,
@@ -67,6 +68,7 @@
 _STOP_MARGIN_MS = 700
 _IDLE_CHECK_INTERVAL_S = 0.5
 _METRICS_PATH = "/metrics"
+_ZONES_PATH = "/zones"
 
 
 @dataclass(frozen=True)
@@ -180,7 +182,10 @@
             "callers": self._server,
         }
         if metrics_port:
-            pages = {_METRICS_PATH: lambda: self._process_metrics.page(self._server)}
+            pages = {
+                _METRICS_PATH: lambda: self._process_metrics.page(self._server),
+                _ZONES_PATH: self._zones_page,
+            }
             address = (vm.host, metrics_port)
             servers["metrics"] = StatusServer(address, self._log, pages, self._loop)
         return servers
@@ -323,6 +328,10 @@
     def _readiness_page(self) -> StatusPage:
         return StatusPage(200, b"ready\n") if self._is_ready() else StatusPage(503, b"not ready\n")
 
+    def _zones_page(self) -> StatusPage:
+        vm = self._settings.vm.name
+        return self._runtime.inspect(lambda core: zones_page(core, vm, now_ms()))
+
     def _send_report(self, action: SendReport) -> None:
         report = action.report.with_strained(self._strain_detector.is_strained())
         self._report_socket.send(replace(action, report=report))
