--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -16,6 +16,7 @@
 from azureturn.gateway.daemon._store_watcher import StoreWatcher, ViewHolder
 from azureturn.gateway.daemon._store_writer import StoreWriter
 from azureturn.gateway.daemon._strain_detector import StrainDetector
+from azureturn.gateway.daemon._zones_page import zones_page
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     FetchView,
@@ -30,7 +31,9 @@
     WriteAllotmentRecord,
     WriteMoveStatus,
     WriteQuarantineRecord,
+    may_probe,
     may_relay,
+    may_relay_another,
     may_send,
 )
 from azureturn.gateway.exchange import (
@@ -66,6 +69,7 @@
 _STOP_MARGIN_MS = 700
 _IDLE_CHECK_INTERVAL_S = 0.5
 _METRICS_PATH = "/metrics"
+_ZONES_PATH = "/zones"
 
 
 @dataclass(frozen=True)
@@ -129,7 +133,14 @@
         )
         self._server = GatewayServer(self._services, self._loop)
         self._servers = self._new_servers(adapter.dialect.readiness_path)
-        self._probes = ConnectionProbes(self._runtime, connector, adapter.dialect, log, self._loop)
+        self._probes = ConnectionProbes(
+            self._runtime,
+            connector,
+            adapter.dialect,
+            log,
+            self._loop,
+            may_probe=self._may_probe,
+        )
         self._register_handlers()
 
     def _new_relay_server(self, signer: EnvelopeSigner) -> RelayServer:
@@ -140,6 +151,7 @@
             self._log,
             self._loop,
             find_upstream=self._find_available_upstream,
+            may_relay_another=self._may_relay_another,
             report_failure=self._report_relay_failure,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
         )
@@ -172,7 +184,10 @@
             "callers": self._server,
         }
         if metrics_port:
-            pages = {_METRICS_PATH: lambda: self._process_metrics.page(self._server)}
+            pages = {
+                _METRICS_PATH: lambda: self._process_metrics.page(self._server),
+                _ZONES_PATH: self._zones_page,
+            }
             address = (vm.host, metrics_port)
             servers["metrics"] = StatusServer(address, self._log, pages, self._loop)
         return servers
@@ -281,6 +296,14 @@
             lambda core: may_send(core.board, upstream, now_ms(), request_id)
         )
 
+    def _may_probe(self, upstream: RegisteredUpstream, sends_request: bool) -> bool:
+        return self._runtime.inspect(
+            lambda core: may_probe(core.board, upstream, now_ms(), sends_request=sends_request)
+        )
+
+    def _may_relay_another(self, upstream: RegisteredUpstream) -> bool:
+        return self._runtime.inspect(lambda core: may_relay_another(core.board, upstream, now_ms()))
+
     def _may_relay(self, upstream: RegisteredUpstream) -> bool:
         return self._runtime.inspect(lambda core: may_relay(core.board, upstream, now_ms()))
 
@@ -314,6 +337,10 @@
     def _readiness_page(self) -> StatusPage:
         return StatusPage(200, b"ready\n") if self._is_ready() else StatusPage(503, b"not ready\n")
 
+    def _zones_page(self) -> StatusPage:
+        vm = self._settings.vm.name
+        return self._runtime.inspect(lambda core: zones_page(core, vm, now_ms()))
+
     def _send_report(self, action: SendReport) -> None:
         report = action.report.with_strained(self._strain_detector.is_strained())
         self._report_socket.send(replace(action, report=report))
