Quotas: VMs pace what peers do not know of yet

Cause, found with a simulation of the usage tables of 8, 31 and 73 VMs and their reports: (1) every VM saw the same rest of the allotment and admitted from it until it heard of the others, which over-admitted and then refused until a window had passed; (2) usage at peers was extrapolated at the rate of the last 2 s over the nominal report interval, whatever the age of the report, and that of peers on the other side of a partition decayed for 3.2 s; (3) a refund was counted from its own time, so that a window held negative units once the admission had left it; (4) an organisation missing from a report kept its old usage at peers for a whole window, also after its requests had been refused and refunded; (5) a request counted from its admission, also if it was sent seconds later together with others.

Tests changed: the peer in two tests of the record reports every 100 ms, as it does in the product, with unchanged bounds; test_unreported_usage_of_peers_is_ extrapolated pinned the removed extrapolation (270 units in 60 ms) and is replaced by a bound of the total of two VMs and by the simulated surge.

--- a/azureturn/gateway/decisions/_allotment_windows.py
+++ b/azureturn/gateway/decisions/_allotment_windows.py
@@ -9,6 +9,8 @@
 #: Length of the most recent part of the window. The units admitted in it are the late units; they
 #: are the last to leave the window.
 LATE_USAGE_MS = 2_000
+#: Time over which the demand of an organisation's callers at this VM is measured.
+_DEMAND_MS = 1_000
 
 #: Name of a VM and the boot id of one of its processes: a random number drawn when it starts.
 ProcessId = tuple[str, int]
@@ -20,6 +22,8 @@
 
     spent: AllotmentUsage
     reported_at_ms: int
+    #: Whether the process has ended, so that it admits nothing more.
+    has_ended: bool = False
 
     def remaining(self, now_ms: int, window_ms: int) -> AllotmentUsage:
         """Return the units still in the window, assuming no admissions since the report."""
@@ -39,6 +43,9 @@
         self._admitted: deque[tuple[int, int]] = deque()
         self._own_units = 0
         self._reported: dict[ProcessId, ReportedUsage] = {}
+        #: Times and units of the requests received in the last ``_DEMAND_MS``, and their sum.
+        self._requested: deque[tuple[int, int]] = deque()
+        self._recently_requested_units = 0
         #: Units of all requests received since this process started, admitted or refused.
         self.requested_units = 0
         #: Estimate of the units in the window that this VM's previous process admitted; used if
@@ -54,7 +61,27 @@
     def own_usage(self, now_ms: int, window_ms: int) -> AllotmentUsage:
         """Return the same units as :meth:`own_units`, with the late ones stated separately."""
         units = self.own_units(now_ms, window_ms)
-        return AllotmentUsage(units, self._units_since(now_ms - LATE_USAGE_MS))
+        return AllotmentUsage(units, self.units_since(now_ms - LATE_USAGE_MS))
+
+    def record_requested(self, units: int, now_ms: int) -> None:
+        """Count the units of a request that was received, whether it is admitted or not."""
+        self.requested_units += units
+        self._requested.append((now_ms, units))
+        self._recently_requested_units += units
+        while self._requested[0][0] <= now_ms - _DEMAND_MS:
+            self._recently_requested_units -= self._requested.popleft()[1]
+
+    def demand_per_ms(self, expected_per_ms: float, units: int) -> float:
+        """Return the units per ms that callers ask this VM for, as of a request for ``units``.
+
+        It is at least ``expected_per_ms``, what a VM admits on average. One VM gets too few
+        requests to tell a growing demand from chance. Its own count is therefore weighted against
+        the expected value, which counts as much as one request.
+        """
+        if expected_per_ms <= 0.0 or units <= 0:
+            return 0.0
+        measured = units + self._recently_requested_units
+        return max(expected_per_ms, measured / (units / expected_per_ms + _DEMAND_MS))
 
     def reported(self, now_ms: int, window_ms: int) -> Iterator[tuple[ProcessId, AllotmentUsage]]:
         """Yield the units in the window that every other process has reported."""
@@ -67,24 +94,65 @@
     def reported_units(
         self, now_ms: int, window_ms: int, *, live_vms: Container[str]
     ) -> tuple[AllotmentUsage, AllotmentUsage]:
-        """Return two sums: the units of all other processes, and of those on live VMs alone."""
-        total = live_total = AllotmentUsage(0, 0)
-        for (vm, _), spent in self.reported(now_ms, window_ms):
-            total = total.plus(spent)
-            if vm in live_vms:
-                live_total = live_total.plus(spent)
-        return total, live_total
+        """Return two sums: the units of all other processes, and of those on live VMs alone.
+
+        A VM that is live has reported lately, and is assumed to have used as much since then as has
+        left its window.
+        """
+        units = late_units = live_units = live_late_units = 0
+        for process, usage in list(self._reported.items()):
+            if now_ms - usage.reported_at_ms >= window_ms:
+                del self._reported[process]
+                continue
+            is_live = process[0] in live_vms
+            if is_live and not usage.has_ended:
+                spent = usage.spent
+            else:
+                spent = usage.remaining(now_ms, window_ms)
+            units += spent.units
+            late_units += spent.late_units
+            if is_live:
+                live_units += spent.units
+                live_late_units += spent.late_units
+        return AllotmentUsage(units, late_units), AllotmentUsage(live_units, live_late_units)
 
     def record_admitted(self, units: int, now_ms: int) -> None:
-        """Count the units of an admitted request; negative units refund a request never sent."""
+        """Count the units of an admitted request."""
         self._admitted.append((now_ms, units))
         self._own_units += units
 
+    def record_sent(self, units: int, *, admitted_at_ms: int, now_ms: int) -> None:
+        """Count a request from now on that was admitted earlier and has waited since.
+
+        Requests that waited together are sent together: counted from their admission, they would
+        leave the window too early.
+        """
+        self.refund(units, admitted_at_ms=admitted_at_ms)
+        self.record_admitted(units, now_ms)
+
+    def refund(self, units: int, *, admitted_at_ms: int) -> None:
+        """Remove an admitted request that was never sent, unless it has left the window."""
+        entry = (admitted_at_ms, units)
+        if entry in self._admitted:
+            self._admitted.remove(entry)
+            self._own_units -= units
+
     def record_reported(self, process: ProcessId, spent: AllotmentUsage, now_ms: int) -> None:
         """Store the usage that another process reports for its window."""
         self._reported[process] = ReportedUsage(spent, now_ms)
 
-    def _units_since(self, since_ms: int) -> int:
+    def record_ended(self, process: ProcessId) -> None:
+        """Record that another process of the same VM has taken the place of this one."""
+        usage = self._reported.get(process)
+        if usage is not None:
+            self._reported[process] = ReportedUsage(usage.spent, usage.reported_at_ms, True)
+
+    def forget_reported(self, process: ProcessId) -> None:
+        """Drop the usage of a process that reports none any more."""
+        self._reported.pop(process, None)
+
+    def units_since(self, since_ms: int) -> int:
+        """Return the units that this process admitted later than ``since_ms``."""
         units = 0
         for admitted_at_ms, admitted_units in reversed(self._admitted):
             if admitted_at_ms <= since_ms:
--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from azureturn.framework import Table
+from azureturn.gateway.decisions._allotment_pacing import AllotmentPace, LiveVms
 from azureturn.gateway.decisions._allotment_windows import LATE_USAGE_MS, AllotmentWindow, ProcessId
 from azureturn.gateway.settings import AllotmentBounds
 from azureturn.gateway.site import (
@@ -27,10 +28,8 @@
 _MS_PER_S = 1_000.0
 #: Fractions of the configured overshoot and slack that are used; the rest covers units that peers
 #: have admitted but not yet reported.
-_OVERSHOOT_SHARE = 0.4
-_SLACK_SHARE = 0.3
-#: Minimum length of the time just before the present that no peer's report covers yet.
-_MIN_REPORT_LAG_MS = 60
+_OVERSHOOT_SHARE = 0.2
+_SLACK_SHARE = 0.2
 #: While less than this fraction of the limit remains, usage is reported to peers immediately.
 _NEAR_LIMIT_FRACTION = 0.4
 #: Maximum number of organisations in one report, those with the highest usage first, so that the
@@ -59,19 +58,8 @@
     units: float
     #: Whether so little remains that usage has to be reported to peers immediately.
     is_near_limit: bool
-
-
-@dataclass(frozen=True)
-class LiveVms:
-    """The VMs that receive each other's reports, including this one."""
-
-    names: frozenset[str]
-    #: Estimated share of these VMs in the total usage of all VMs.
-    usage_share: float
-    #: Number of all known VMs, live or not.
-    vm_count: int
-    #: Interval of their reports while an organisation is near its limit.
-    report_interval_ms: int = 0
+    #: Chance with which the request may be admitted, if units remain.
+    admitted_share: float = 1.0
 
 
 class AllotmentTable(Table[str, AllotmentWindow]):
@@ -84,6 +72,8 @@
         self.restarted_at_ms: int | None = None
         #: Last time at which an organisation was near its limit.
         self.near_limit_at_ms: int | None = None
+        #: The process of each VM that reported last, and the organisations in its report.
+        self._last_reports: dict[str, tuple[ProcessId, frozenset[str]]] = {}
 
     def of(self, organisation: str) -> AllotmentWindow:
         """Return the window of an organisation, creating it on first use."""
@@ -105,29 +95,36 @@
     ) -> RemainingAllotment:
         """Return the units that this VM may still admit, given a request for ``units``.
 
-        Usage that peers have not reported yet is extrapolated from their most recent usage.
+        Live peers' usage is assumed to stay as they reported it: what has left their windows since
+        then, they have probably admitted again.
         """
         window = self.of(organisation)
-        window.requested_units += units
+        window.record_requested(units, now_ms)
         limit = _limit_units(allotment, bounds)
-        own_units = window.own_units(now_ms, bounds.window_ms)
+        own_usage = window.own_usage(now_ms, bounds.window_ms)
         total, live_total = window.reported_units(now_ms, bounds.window_ms, live_vms=live.names)
         # Units used by VMs on the other side of a partition count against their own share.
         remaining = (
-            min(limit - total.units, limit * live.usage_share - live_total.units) - own_units
-        )
-        remaining -= (
-            live_total.late_units / LATE_USAGE_MS * max(_MIN_REPORT_LAG_MS, live.report_interval_ms)
+            min(limit - total.units, limit * live.usage_share - live_total.units) - own_usage.units
         )
         share = limit / live.vm_count
         window.assumed_prior_units = self._assumed_prior_units(window, share, bounds, now_ms)
         if window.assumed_prior_units:
             # The estimate is too uncertain to let a large request exceed the remaining units.
             remaining -= window.assumed_prior_units + units
-        is_near_limit = remaining < _NEAR_LIMIT_FRACTION * limit
+        late_units = own_usage.late_units + live_total.late_units
+        admitted_per_ms = late_units / LATE_USAGE_MS / len(live.names)
+        pace = AllotmentPace(
+            remaining,
+            live.report_ages,
+            admitted_per_ms,
+            window.demand_per_ms(admitted_per_ms, units),
+            window.units_since(now_ms - live.report_ages.unreported_ms),
+        )
+        is_near_limit = remaining < _NEAR_LIMIT_FRACTION * limit or pace.needs_reports
         if is_near_limit:
             self.near_limit_at_ms = now_ms
-        return RemainingAllotment(remaining, is_near_limit)
+        return RemainingAllotment(remaining, is_near_limit, pace.admitted_share(units))
 
     def usage_to_report(
         self,
@@ -167,9 +164,22 @@
     def record_report(
         self, process: ProcessId, spent: dict[str, AllotmentUsage], now_ms: int
     ) -> None:
-        """Store the usage that a process reports for its window."""
+        """Store the usage that a process reports for its window.
+
+        An organisation that is missing from its report has no usage any more, for example since
+        its requests were refused later. A report of the maximum size does not say so.
+        """
         for organisation, units in spent.items():
             self.of(organisation).record_reported(process, units, now_ms)
+        vm = process[0]
+        last_process, last_organisations = self._last_reports.get(vm, (process, frozenset()))
+        if last_process != process:
+            for organisation in last_organisations:
+                self.of(organisation).record_ended(last_process)
+        elif len(spent) < _REPORTED_ORGANISATIONS_LIMIT:
+            for organisation in last_organisations.difference(spent):
+                self.of(organisation).forget_reported(process)
+        self._last_reports[vm] = (process, frozenset(spent))
 
     def processes(
         self, own_process: ProcessId, window_ms: int, now_ms: int
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -6,6 +6,7 @@
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
+from azureturn.gateway.decisions._allotment_pacing import LiveVms, ReportAges
 from azureturn.gateway.decisions._availability import AvailabilityReport
 from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
@@ -16,6 +17,11 @@
 #: A peer is live, that is, assumed to run and to be reachable, until its last report is older than
 #: this many report intervals.
 _MISSED_REPORTS_LIMIT = 7
+#: A peer reports its usage of allotments in time until its last report is older than this many
+#: intervals, and than this time. What both sides of a partition admit before each uses only its
+#: share depends on it.
+_LATE_REPORTS_LIMIT = 2
+_MIN_LATE_REPORT_MS = 700
 #: Minimum time between two reports, which applies to urgent ones as well.
 URGENT_INTERVAL_MS = 20
 #: Reports that a VM sends in a second at the most while they are urgent: twice as many as
@@ -196,6 +202,11 @@
         """Return whether the report is recent enough to be used."""
         return now_ms - self.received_at_ms <= _MISSED_REPORTS_LIMIT * self.interval_ms
 
+    def reports_in_time(self, now_ms: int) -> bool:
+        """Return whether its usage of allotments is known; it may still be live if not."""
+        limit_ms = max(_MIN_LATE_REPORT_MS, _LATE_REPORTS_LIMIT * self.interval_ms)
+        return now_ms - self.received_at_ms <= limit_ms
+
     def is_paused(self, upstream: str, now_ms: int) -> bool:
         """Return whether an upstream wants no request from the peer at this time."""
         age_ms = now_ms - self.received_at_ms
@@ -249,6 +260,19 @@
         """Return the names of the live VMs, including this one."""
         return frozenset({self.own_name, *(peer.report.vm for peer in self.live_peers(now_ms))})
 
+    def reporting_vms(self, now_ms: int, own_units: int) -> LiveVms:
+        """Return the VMs that report their usage in time, including this one.
+
+        ``own_units`` is the usage of this VM.
+        """
+        peers = [peer for peer in self.rows() if peer.reports_in_time(now_ms)]
+        return LiveVms(
+            frozenset({self.own_name, *(peer.report.vm for peer in peers)}),
+            self.reporting_usage_share(own_units, now_ms),
+            self.vms(now_ms),
+            ReportAges(len(peers), sum(now_ms - peer.received_at_ms for peer in peers)),
+        )
+
     def vms_ahead(self, now_ms: int) -> int:
         """Return the number of live VMs whose names sort before this VM's.
 
@@ -285,10 +309,10 @@
         )
         return self.vms(now_ms) - excluded
 
-    def live_usage_share(self, own_units: int, now_ms: int) -> float:
-        """Return the share of the total usage that live VMs account for, including this one.
+    def reporting_usage_share(self, own_units: int, now_ms: int) -> float:
+        """Return the share of the total usage of the VMs that report in time, and this one.
 
-        The last reported usage of a VM that is not live is compared with this VM's usage when the
+        The last reported usage of a VM that does not is compared with this VM's usage when the
         report was received, so that both sides of a partition compute the same shares. A VM
         that has never reported is assumed to use as much as this one.
         """
@@ -296,7 +320,7 @@
         other_usage = float(self.vms(now_ms) - 1 - len(self))
         for peer in self.rows():
             usage = sum(spent.units for spent in peer.report.spent.values())
-            if peer.is_live(now_ms):
+            if peer.reports_in_time(now_ms):
                 live_usage += _usage_ratio(usage, own_units)
             else:
                 other_usage += _usage_ratio(usage, peer.own_units)
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -67,6 +67,8 @@
     is_late: bool = False
     #: Units charged to the organisation's allotment.
     allotment_units: int = 0
+    #: When they were charged; None if nothing limits the organisation.
+    charged_at_ms: int | None = None
     stage: Stage = Stage.QUEUED
     #: Name of the upstream that it was sent to; empty while it is queued.
     upstream: str = ""
@@ -123,6 +125,10 @@
         """Return a copy whose deadline is earlier by the caller's wait before this request."""
         return changed(self, deadline_ms=self.deadline_ms - prior_wait_ms)
 
+    def with_charge(self, now_ms: int) -> "GatewayRequest":
+        """Return a copy whose units are charged to the organisation's allotment."""
+        return changed(self, charged_at_ms=now_ms)
+
     def with_late(self) -> "GatewayRequest":
         """Return a copy that ranks behind requests that can still meet their objective."""
         return changed(self, is_late=True)
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_admission.py
@@ -3,7 +3,7 @@
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.framework import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
 from azureturn.gateway.decisions._actions import ReturnLastResult
-from azureturn.gateway.decisions._allotments import AllotmentTable, LiveVms
+from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._availability import PauseTable, spread_retry_after_ms
 from azureturn.gateway.decisions._caller_timeouts import CallerTimeoutTable
 from azureturn.gateway.decisions._events import (
@@ -67,8 +67,10 @@
         if quarantined is not None and not self._may_try(quarantined, context.now_ms):
             self._refuse_quarantined(request, quarantined, context)
             return
-        if not self._admit_within_allotment(request, context):
+        admitted = self._within_allotment(request, context)
+        if admitted is None:
             return
+        request = admitted
         retries = self.board.write(RetryBudgetTable)
         vm_count = self.board.read(PeerTable).vms(context.now_ms)
         budget = retries.of(request.service).with_request(self.settings.bounds.retry, vm_count)
@@ -160,20 +162,16 @@
         is_late = now_ms > request.latest_start_ms(self.settings.policy.engine)
         return request.with_late() if is_late else request
 
-    def _admit_within_allotment(self, request: GatewayRequest, context: Context) -> bool:
+    def _within_allotment(self, request: GatewayRequest, context: Context) -> GatewayRequest | None:
+        """Return the request as charged, or None if it was refused."""
         allotment = self._allotment_of(request.organisation)
         if allotment is None or allotment.rate_per_s <= 0:
-            return True
+            return request
         peers = self.board.read(PeerTable)
         table = self.board.write(AllotmentTable)
         window_ms = self.settings.bounds.allotment.window_ms
         own_units = table.own_units(context.now_ms, window_ms)
-        live = LiveVms(
-            names=peers.live_vm_names(context.now_ms),
-            usage_share=peers.live_usage_share(own_units, context.now_ms),
-            vm_count=peers.vms(context.now_ms),
-            report_interval_ms=peers.urgent_interval_ms(),
-        )
+        live = peers.reporting_vms(context.now_ms, own_units)
         remaining = table.remaining(
             request.organisation,
             allotment,
@@ -182,21 +180,25 @@
             live=live,
             now_ms=context.now_ms,
         )
-        if remaining.units > 0:
+        if remaining.units > 0 and (
+            remaining.admitted_share >= 1.0 or context.random.random() < remaining.admitted_share
+        ):
             if remaining.is_near_limit:
                 context.post(ReportRequested())
             table.of(request.organisation).record_admitted(request.allotment_units, context.now_ms)
-            return True
+            return request.with_charge(context.now_ms)
         retry_after_ms = _refill_ms(remaining.units, allotment, request.allotment_units)
         context.act(
             Refuse(
                 request.request_id,
                 ErrorKind.OVER_ALLOTMENT,
                 retry_after_ms,
-                detail=f"units left {remaining.units:.0f}, live use share {live.usage_share:.2f}",
+                detail=f"units left {remaining.units:.0f}, "
+                f"admitted share {remaining.admitted_share:.2f}, "
+                f"live use share {live.usage_share:.2f}",
             )
         )
-        return False
+        return None
 
     def _allotment_of(self, organisation_name: str) -> Allotment | None:
         configuration = self.board.read(ViewTable).current().configuration
@@ -207,9 +209,9 @@
 
     def _refund(self, request: GatewayRequest, context: Context) -> None:
         """Refund the units of a request if it was never sent to an upstream."""
-        if not request.tried_upstreams and request.allotment_units:
+        if not request.tried_upstreams and request.charged_at_ms is not None:
             window = self.board.write(AllotmentTable).of(request.organisation)
-            window.record_admitted(-request.allotment_units, context.now_ms)
+            window.refund(request.allotment_units, admitted_at_ms=request.charged_at_ms)
 
     def _wait_ms(self, request: GatewayRequest) -> float:
         """Return the expected time that a request waits in the queue."""
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -253,10 +253,15 @@
             prefix_caches.add_unreported(
                 SentPrompt(upstream.name, request.prompt.model, request.prompt.segments)
             )
-        if request.tried_upstreams and request.allotment_units:
-            # Each further attempt is charged like a separate request.
+        if request.charged_at_ms is not None:
             window = self.board.write(AllotmentTable).of(request.organisation)
-            window.record_admitted(request.allotment_units, context.now_ms)
+            units = request.allotment_units
+            if request.tried_upstreams:
+                # Each further attempt is charged like a separate request.
+                window.record_admitted(units, context.now_ms)
+            else:
+                admitted_at_ms = request.charged_at_ms
+                window.record_sent(units, admitted_at_ms=admitted_at_ms, now_ms=context.now_ms)
         relay = self._choose_relay(upstream, context) if chosen.is_relayed else None
         sent_request = request.with_sent(
             upstream, relay, now_ms=context.now_ms, pending_tokens=chosen.pending_tokens
--- /dev/null
+++ b/azureturn/gateway/decisions/tests/simulated_allotments.py
@@ -0,0 +1,207 @@
+"""A simulated site for tests of allotments: the usage tables of many VMs, and their reports.
+
+Only one organisation sends requests. Every VM reports as often as the product does; reports arrive
+late or not at all, and the reports of VMs with a narrow link wait. What the VMs admit is counted
+over all of them, as callers and operators see it.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from azureturn.gateway.decisions._allotments import AllotmentTable
+from azureturn.gateway.decisions._peers import Peer, PeerReport, PeerTable
+from azureturn.gateway.decisions.tests.gateway_core_harness import peer_report
+from azureturn.gateway.settings import AllotmentBounds
+from azureturn.gateway.site import Allotment, Organisation
+
+BOUNDS = AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=140_000)
+_ORGANISATION = "kuiseb"
+_REPORT_INTERVAL_MS = 100
+_TICK_MS = 50
+_MESSAGE_MS = (3, 40)
+_MS_PER_S = 1_000.0
+
+
+@dataclass(frozen=True)
+class SimulatedLoad:
+    """What the callers of the organisation send."""
+
+    units_per_s: float
+    #: Factors on the load, each with the time from which it applies.
+    factors: tuple[tuple[int, float], ...] = ((0, 1.0),)
+    mean_units: float = 6_670.0
+    largest_units: int = 32_000
+
+    def factor(self, now_ms: int) -> float:
+        """Return the factor that applies at this time."""
+        return [factor for from_ms, factor in self.factors if from_ms <= now_ms][-1]
+
+
+@dataclass
+class _Vm:
+    number: int
+    table: AllotmentTable = field(default_factory=AllotmentTable)
+    peers: PeerTable = field(default_factory=PeerTable)
+    boot: int = 1
+    sequence: int = 0
+    sent_at_ms: int = -10_000
+    is_urgent: bool = False
+    #: Shortest time between two reports that its link allows for.
+    round_ms: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the name that it reports under."""
+        return f"vm-{self.number:03}"
+
+
+class SimulatedAllotments:
+    """Runs the usage tables of several VMs on one simulated clock."""
+
+    def __init__(
+        self,
+        *,
+        vm_count: int,
+        allotment: Allotment,
+        load: SimulatedLoad,
+        loss: float = 0.02,
+        narrow_share: float = 0.2,
+        seed: int = 1,
+    ) -> None:
+        self._random = random.Random(seed)
+        self._allotment = allotment
+        self._organisation = Organisation(_ORGANISATION, frozenset(), allotment=allotment)
+        self._load = load
+        self._loss = loss
+        self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
+        self._schedule_count = 0
+        self.now_ms = 0
+        #: Numbers of the VMs on one side of a partition.
+        self.separated: frozenset[int] = frozenset()
+        self._window: deque[tuple[int, int]] = deque()
+        self._window_units = 0
+        #: Largest number of units in a window.
+        self.peak_units = 0
+        #: Requests refused while a window had room for them, and requests received, by second.
+        self.wrongly_refused: dict[int, int] = {}
+        self.received: dict[int, int] = {}
+        names = frozenset(f"vm-{number:03}" for number in range(vm_count))
+        self.vms = []
+        for number in range(vm_count):
+            vm = _Vm(number)
+            vm.peers.own_name = vm.name
+            vm.peers.registered_vms = names
+            if self._random.random() < narrow_share:
+                vm.round_ms = int(vm_count * self._random.uniform(3.0, 12.0))
+            self.vms.append(vm)
+            self._after(self._random.randrange(_TICK_MS), partial(self._tick, vm))
+        self._arrive_later()
+
+    @property
+    def limit_units(self) -> float:
+        """Return the units that the configuration allows for in a window."""
+        window_s = BOUNDS.window_ms / _MS_PER_S
+        return self._allotment.rate_per_s * window_s + self._allotment.burst
+
+    @property
+    def bound_units(self) -> float:
+        """Return the units that must not be exceeded in any window."""
+        return self.limit_units * (1.0 + BOUNDS.overshoot) + BOUNDS.slack
+
+    def run_until(self, at_ms: int) -> None:
+        """Advance the clock."""
+        while self._scheduled and self._scheduled[0][0] <= at_ms:
+            self.now_ms, _, callback = heapq.heappop(self._scheduled)
+            callback()
+        self.now_ms = at_ms
+
+    def wrongly_refused_share(self, from_ms: int, until_ms: int) -> float:
+        """Return the share of requests that were refused although they were within the limit."""
+        seconds = range(from_ms // 1_000, until_ms // 1_000)
+        refused = sum(self.wrongly_refused.get(second, 0) for second in seconds)
+        return refused / max(1, sum(self.received.get(second, 0) for second in seconds))
+
+    def _after(self, delay_ms: int, callback: Callable[[], None]) -> None:
+        self._schedule_count += 1
+        heapq.heappush(self._scheduled, (self.now_ms + delay_ms, self._schedule_count, callback))
+
+    def _arrive_later(self) -> None:
+        factor = self._load.factor(self.now_ms)
+        mean_gap_ms = self._load.mean_units * _MS_PER_S / (self._load.units_per_s * factor)
+        gap_ms = round(self._random.expovariate(1.0 / mean_gap_ms))
+        self._after(gap_ms, self._arrive)
+
+    def _arrive(self) -> None:
+        units = self._random.lognormvariate(0.0, 0.9) / 1.5 * self._load.mean_units
+        units = min(self._load.largest_units, 1 + int(units))
+        self._receive(self._random.choice(self.vms), units)
+        self._arrive_later()
+
+    def _receive(self, vm: _Vm, units: int) -> None:
+        self._forget_old()
+        second = self.now_ms // 1_000
+        self.received[second] = self.received.get(second, 0) + 1
+        if not self._admit(vm, units):
+            if self._window_units + units <= self.limit_units:
+                self.wrongly_refused[second] = self.wrongly_refused.get(second, 0) + 1
+            return
+        self._window.append((self.now_ms, units))
+        self._window_units += units
+        if self._window_units > self.peak_units:
+            self.peak_units = self._window_units
+
+    def _forget_old(self) -> None:
+        while self._window and self._window[0][0] <= self.now_ms - BOUNDS.window_ms:
+            self._window_units -= self._window.popleft()[1]
+
+    def _admit(self, vm: _Vm, units: int) -> bool:
+        own_units = vm.table.own_units(self.now_ms, BOUNDS.window_ms)
+        live = vm.peers.reporting_vms(self.now_ms, own_units)
+        remaining = vm.table.remaining(
+            _ORGANISATION, self._allotment, BOUNDS, units=units, live=live, now_ms=self.now_ms
+        )
+        if remaining.units <= 0 or self._random.random() >= remaining.admitted_share:
+            return False
+        vm.table.of(_ORGANISATION).record_admitted(units, self.now_ms)
+        if remaining.is_near_limit:
+            vm.is_urgent = True
+            self._report_if_due(vm)
+        return True
+
+    def _tick(self, vm: _Vm) -> None:
+        self._report_if_due(vm)
+        self._after(_TICK_MS, partial(self._tick, vm))
+
+    def _report_if_due(self, vm: _Vm) -> None:
+        interval_ms = vm.peers.interval_ms(_REPORT_INTERVAL_MS)
+        if vm.is_urgent:
+            interval_ms = min(interval_ms, vm.peers.urgent_interval_ms())
+        if self.now_ms - vm.sent_at_ms < max(interval_ms, vm.round_ms):
+            return
+        vm.sent_at_ms = self.now_ms
+        vm.is_urgent = False
+        vm.sequence += 1
+        vm.peers.recompute_work(self.now_ms)
+        spent = vm.table.usage_to_report(
+            (self._organisation,), BOUNDS, vm_count=vm.peers.vms(self.now_ms), now_ms=self.now_ms
+        )
+        report = peer_report(vm.name, vm.sequence, boot=vm.boot, spent=spent)
+        for receiver in self.vms:
+            is_cut = (receiver.number in self.separated) != (vm.number in self.separated)
+            if receiver is vm or is_cut or self._random.random() < self._loss:
+                continue
+            delay_ms = self._random.randint(*_MESSAGE_MS) + int(vm.round_ms * self._random.random())
+            self._after(delay_ms, partial(self._hear, receiver, report))
+
+    def _hear(self, vm: _Vm, report: PeerReport) -> None:
+        peer = vm.peers.get(report.vm)
+        if peer is not None and peer.report.is_not_older_than(report):
+            return
+        own_units = vm.table.own_units(self.now_ms, BOUNDS.window_ms)
+        interval_ms = vm.peers.interval_ms(_REPORT_INTERVAL_MS)
+        vm.peers.put(report.vm, Peer(report, self.now_ms, own_units, interval_ms))
+        vm.table.record_report((report.vm, report.boot), report.spent, self.now_ms)
--- a/azureturn/gateway/decisions/tests/test_allotments.py
+++ b/azureturn/gateway/decisions/tests/test_allotments.py
@@ -11,6 +11,7 @@
     ViewChanged,
     WriteAllotmentRecord,
 )
+from azureturn.gateway.decisions._allotment_windows import AllotmentWindow
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     BOOKING_ROUTE,
     STARTED_UNIX_MS,
@@ -20,7 +21,12 @@
     upstream,
     view,
 )
+from azureturn.gateway.decisions.tests.simulated_allotments import (
+    SimulatedAllotments,
+    SimulatedLoad,
+)
 from azureturn.gateway.site import (
+    Allotment,
     AllotmentRecord,
     AllotmentUsage,
     ProcessUsage,
@@ -31,15 +37,27 @@
 #: Limit of units in a window: 1,000 units per second over 8 s, a burst of 1,000, and 0.4 of the
 #: allowed overshoot of 0.1.
 _LIMIT_UNITS = 9_000 * 1.04
+_REPORT_INTERVAL_MS = 100
 
 
 def _offer_load(
-    harness: GatewayCoreHarness, units: int, *, until_ms: int, step_ms: int = 10
+    harness: GatewayCoreHarness,
+    units: int,
+    *,
+    until_ms: int,
+    step_ms: int = 10,
+    peer: dict[str, object] | None = None,
 ) -> int:
-    """Submit requests of the organisation with an allotment, and return the admitted units."""
+    """Submit requests of the organisation with an allotment, and return the admitted units.
+
+    A VM with the given fields of its report reports every 100 ms.
+    """
     admitted = 0
     number = 0
     while harness.now_ms < until_ms:
+        if peer is not None and harness.now_ms % _REPORT_INTERVAL_MS == 0:
+            report = peer_report("vm-2", sequence=harness.now_ms, **peer)
+            harness.handle_event(PeerReportReceived(report))
         number += 1
         request_id = f"{harness.now_ms}-{number}"
         actions = harness.submit_request(
@@ -145,8 +163,7 @@
     record: AllotmentRecord, least: float, most: float
 ) -> None:
     harness = _harness(vms=("vm-1", "vm-2"), is_first_start=False, record=record)
-    harness.handle_event(PeerReportReceived(peer_report("vm-2", boot=6)))
-    admitted = _offer_load(harness, 50, until_ms=1_900, step_ms=5)
+    admitted = _offer_load(harness, 50, until_ms=1_900, step_ms=5, peer={"boot": 6})
     assert least * _LIMIT_UNITS <= admitted <= most * _LIMIT_UNITS
 
 
@@ -159,10 +176,9 @@
 def test_record_does_not_count_running_processes_twice() -> None:
     record = _record(("vm-1", 1_000, 0), ("vm-2", 4_000, 0))
     harness = _harness(vms=("vm-1", "vm-2"), is_first_start=False, record=record)
-    harness.handle_event(
-        PeerReportReceived(peer_report("vm-2", boot=5, spent={"kuiseb": AllotmentUsage(4_000)}))
-    )
-    assert _offer_load(harness, 50, until_ms=1_500, step_ms=5) >= 0.4 * _LIMIT_UNITS
+    peer: dict[str, object] = {"boot": 5, "spent": {"kuiseb": AllotmentUsage(4_000)}}
+    admitted = _offer_load(harness, 50, until_ms=1_500, step_ms=5, peer=peer)
+    assert admitted >= 0.4 * _LIMIT_UNITS
 
 
 def test_usage_of_a_peers_previous_process_still_counts() -> None:
@@ -272,10 +288,61 @@
     assert after.report.spent == {"kuiseb": AllotmentUsage(500, 500)}
 
 
-def test_unreported_usage_of_peers_is_extrapolated() -> None:
-    """A VM that has admitted nothing itself derives the rate of use from its peers' reports."""
+def test_vms_that_see_the_same_rest_do_not_use_it_twice() -> None:
+    """Each of two VMs would admit the rest of the window, and both together exceed the limit."""
+    admitted = 9_000
+    for vm, peer in (("vm-1", "vm-2"), ("vm-2", "vm-1")):
+        harness = GatewayCoreHarness(view(upstream("d", "desk")), vm_name=vm)
+        spent = {"kuiseb": AllotmentUsage(9_000, 9_000)}
+        harness.handle_event(PeerReportReceived(peer_report(peer, spent=spent)))
+        # The same usage, of which this VM itself has none.
+        admitted += _offer_load(harness, 50, until_ms=1_100)
+    assert admitted <= 1.1 * 9_000
+
+
+def test_requests_that_are_refused_later_no_longer_count_at_peers() -> None:
+    """Their units were counted for a window's length after they had been refunded."""
     harness = _harness()
     spent = {"kuiseb": AllotmentUsage(9_000, 9_000)}
     harness.handle_event(PeerReportReceived(peer_report("vm-2", spent=spent)))
-    # 4.5 units per ms over 60 ms make 270 of the 360 remaining units.
-    assert _offer_load(harness, 50, until_ms=1_100) <= 150
+    harness.handle_event(PeerReportReceived(peer_report("vm-2", sequence=2)), at_ms=1_100)
+    assert _offer_load(harness, 50, until_ms=1_110) == 50
+    assert _offer_load(harness, 4_000, until_ms=1_130) == 8_000
+
+
+def test_refund_counts_from_the_admission() -> None:
+    """A refund that counted from its own time left less than nothing in the window."""
+    window = AllotmentWindow()
+    window.record_admitted(500, 1_000)
+    window.refund(500, admitted_at_ms=1_000)
+    assert window.own_units(9_500, 8_000) == 0
+
+
+def test_request_that_waited_counts_from_when_it_is_sent() -> None:
+    """Requests that waited for upstreams and are sent together exceed what upstreams may get."""
+    window = AllotmentWindow()
+    window.record_admitted(500, 1_000)
+    window.record_sent(500, admitted_at_ms=1_000, now_ms=3_000)
+    assert window.own_units(10_900, 8_000) == 500
+    assert window.own_units(11_000, 8_000) == 0
+
+
+@pytest.mark.parametrize(
+    ("vm_count", "largest_refused_share"), [(8, 0.05), (31, 0.05), (73, 0.1), (195, 0.15)]
+)
+@pytest.mark.parametrize("is_partitioned", [False, True])
+def test_surge_of_one_organisation_at_many_vms(
+    vm_count: int, largest_refused_share: float, is_partitioned: bool
+) -> None:
+    """73 VMs admitted 1.06 of the bound, 1.29 during a partition, and refused below the limit."""
+    load = SimulatedLoad(units_per_s=225_000, factors=((0, 1.0), (3_000, 14.0)))
+    allotment = Allotment(rate_per_s=450_000, burst=400_000, counts_tokens=True)
+    site = SimulatedAllotments(vm_count=vm_count, allotment=allotment, load=load)
+    site.run_until(4_000)
+    if is_partitioned:
+        site.separated = frozenset(range(0, vm_count, 4))
+    site.run_until(9_000 if vm_count < 100 else 7_000)
+    assert site.peak_units <= site.bound_units
+    assert site.wrongly_refused_share(0, 3_000) <= 0.01
+    if not is_partitioned:
+        assert site.wrongly_refused_share(3_000, 7_000) <= largest_refused_share
