Live peers are found once for each event, and their usage is added up once

Cause: handling one request on a site with 73 VMs looked through all peers some ten times, and added up what each of them reports of every organisation. Change: PeerTable keeps the list of live peers for a time until a peer changes, and Peer the sum of its usage; with all peers live, shares and zones need no look at each.

--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import NamedTuple
 
 from azureturn.framework import Table
@@ -199,6 +200,11 @@
     #: Interval at which the peer sends reports.
     interval_ms: int = 100
 
+    @cached_property
+    def used_units(self) -> int:
+        """Return the peer's usage of all allotments together; each request asks for it."""
+        return sum(spent.units for spent in self.report.spent.values())
+
     def is_live(self, now_ms: int) -> bool:
         """Return whether the report is recent enough to be used."""
         return now_ms - self.received_at_ms <= _MISSED_REPORTS_LIMIT * self.interval_ms
@@ -225,14 +231,28 @@
         self.started_unix_ms = 0
         #: Names of the VMs registered in the store, including this one.
         self.registered_vms: frozenset[str] = frozenset()
+        #: Live peers at a time, until a peer changes; one request asks for them repeatedly.
+        self._live_peers: tuple[int, list[Peer]] | None = None
+
+    def put(self, key: str, row: Peer) -> None:
+        """Insert or replace the peer with this name."""
+        self._live_peers = None
+        super().put(key, row)
+
+    def remove(self, key: str) -> Peer | None:
+        """Remove the peer with this name and return it, or None if there is none."""
+        self._live_peers = None
+        return super().remove(key)
 
     def work_at(self, upstream: str) -> OutstandingWork:
         """Return the outstanding work of all live peers at an upstream."""
         return self._work.get(upstream, _NO_WORK)
 
     def live_peers(self, now_ms: int) -> list[Peer]:
-        """Return the peers whose latest report is recent."""
-        return [peer for peer in self.rows() if peer.is_live(now_ms)]
+        """Return the peers whose latest report is recent; the list must not be changed."""
+        if self._live_peers is None or self._live_peers[0] != now_ms:
+            self._live_peers = (now_ms, [peer for peer in self.rows() if peer.is_live(now_ms)])
+        return self._live_peers[1]
 
     def reaching(self, upstream: str, now_ms: int) -> list[Peer]:
         """Return the live peers that can connect to an upstream, as far as they have reported.
@@ -265,10 +285,9 @@
 
     def vms(self, now_ms: int) -> int:
         """Return the number of known VMs, live or not, including this one."""
-        known = set(self._rows)
         if now_ms - self.started_at_ms < _REGISTRATION_GRACE_MS:
-            known |= self.registered_vms
-        return len(known - {self.own_name}) + 1
+            return len({self.own_name}.union(self._rows, self.registered_vms))
+        return len(self) + (self.own_name not in self)
 
     def interval_ms(self, shortest_ms: int) -> int:
         """Return the report interval of a VM in a site of this size."""
@@ -280,12 +299,16 @@
 
     def zones_without_live_vms(self, now_ms: int) -> frozenset[str]:
         """Return the availability zones with known VMs of which none is live."""
+        if len(self.live_peers(now_ms)) == len(self):
+            return frozenset()
         zones = {peer.report.availability_zone for peer in self.rows()}
         live_zones = {peer.report.availability_zone for peer in self.live_peers(now_ms)}
         return frozenset(zones - live_zones)
 
     def vm_count_outside(self, zones: Container[str], now_ms: int) -> int:
         """Return the number of known VMs, less the VMs in ``zones`` that are not live."""
+        if len(self.live_peers(now_ms)) == len(self):
+            return self.vms(now_ms)
         excluded = sum(
             not peer.is_live(now_ms) and peer.report.availability_zone in zones
             for peer in self.rows()
@@ -301,12 +324,13 @@
         """
         live_usage = 1.0
         other_usage = float(self.vms(now_ms) - 1 - len(self))
+        if other_usage <= 0.0 and len(self.live_peers(now_ms)) == len(self):
+            return 1.0
         for peer in self.rows():
-            usage = sum(spent.units for spent in peer.report.spent.values())
             if peer.is_live(now_ms):
-                live_usage += _usage_ratio(usage, own_units)
+                live_usage += _usage_ratio(peer.used_units, own_units)
             else:
-                other_usage += _usage_ratio(usage, peer.own_units)
+                other_usage += _usage_ratio(peer.used_units, peer.own_units)
         return live_usage / (live_usage + max(0.0, other_usage))
 
     def requests_ahead_at_peers(
