--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -66,6 +66,7 @@
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
+from azureturn.gateway.decisions._work import RequestWork, request_work
 from azureturn.gateway.decisions.controllers import GATEWAY_CONTROLLERS
 
 __all__ = [
@@ -108,6 +109,7 @@
     "RequestClosed",
     "RequestReceived",
     "RequestLimitTable",
+    "RequestWork",
     "ReturnLastResult",
     "SendAttempt",
     "SendReport",
@@ -136,5 +138,6 @@
     "may_relay",
     "may_relay_another",
     "may_send",
+    "request_work",
     "watch_delay_ms",
 ]
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -45,6 +45,9 @@
 #: all VMs known to the sender for some of its receivers.
 _MEMBERSHIP_INTERVAL = 10
 _FETCH_INTERVAL_MS = 400
+#: A longer contact with the store is stated as this one, which is twice as long as the longest that
+#: receivers ask for. A report is then the same as the one before it if nothing has changed.
+_STATED_CONTACT_LIMIT_MS = 4_000
 #: Shortest interval between two placements that peers' reports cause. Reports of one peer are at
 #: least as far apart.
 _PLACEMENT_INTERVAL_MS = URGENT_INTERVAL_MS
@@ -143,9 +146,12 @@
         kept_report = report.without_prompts() if report.prompts else report
         peers.put(report.vm, Peer(kept_report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(previous, report)
-        self._apply_prompts(report)
-        self._apply_usage(report, context.now_ms)
-        self._apply_moves(report, context.now_ms)
+        if report.prompts:
+            self._apply_prompts(report)
+        if report.spent:
+            self._apply_usage(report, context.now_ms)
+        if report.moves:
+            self._apply_moves(report, context.now_ms)
         self._fetch_newer_view(report, context)
         self._request_placement(context)
 
@@ -210,9 +216,13 @@
             availability=self._availability(),
             cold=self.board.read(ColdUpstreamTable).reports(self._sent_at_ms),
             configuration_version=configuration.version if configuration else 0,
-            store_contact_ms=self.board.read(ViewTable).store_contact_ms(self._sent_at_ms),
+            store_contact_ms=self._store_contact_ms(),
         )
 
+    def _store_contact_ms(self) -> int | None:
+        contact_ms = self.board.read(ViewTable).store_contact_ms(self._sent_at_ms)
+        return None if contact_ms is None else min(contact_ms, _STATED_CONTACT_LIMIT_MS)
+
     def _availability(self) -> tuple[AvailabilityReport, ...]:
         now_ms = self._sent_at_ms
         leaving = self.board.read(ViewTable).unregistered_leaving_runs()
