A later run that only a peer knows is cold for the earlier one, too

Cause: a VM without the store knows an upstream by its earlier run, while a peer reports the later run of the same name as cold. The VM sent the later run requests without a limit until it had fetched the newer view.

Evidence: the new test fails without the change for the later run.

--- a/azureturn/gateway/decisions/controllers/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/controllers/_cold_upstreams.py
@@ -104,8 +104,9 @@
             return
         for row in report.cold:
             until_ms = context.now_ms + row.left_ms
-            if cold.claim(row.run, ColdSource.PEER, until_ms, context.now_ms):
-                self._log_cold(row.run, f"peer {report.vm}", row.left_ms, context)
+            for run in self._runs_concerned(row.run):
+                if cold.claim(run, ColdSource.PEER, until_ms, context.now_ms):
+                    self._log_cold(run, f"peer {report.vm}", row.left_ms, context)
 
     @on(UpstreamProcessEnded)
     def _on_process_ended(self, event: UpstreamProcessEnded, context: Context) -> None:
@@ -198,6 +199,18 @@
             if cold.claim(upstream.run, ColdSource.START, until_ms, context.now_ms):
                 self._log_cold(upstream.run, ColdSource.START.value, start_ms, context)
 
+    def _runs_concerned(self, run: UpstreamRun) -> set[UpstreamRun]:
+        """Return the runs that are cold if a peer reports one.
+
+        The peer may know of a later run than this VM, which would send it requests for the earlier
+        one.
+        """
+        name, started_unix_ms = run
+        registered = self.board.read(ViewTable).current().upstreams.get(name)
+        if registered is None or registered.started_unix_ms > started_unix_ms:
+            return {run}
+        return {run, registered.run}
+
     def _record_answer_to(self, request_id: str, context: Context) -> None:
         request = self.board.read(GatewayRequestTable).get(request_id)
         if request is not None and request.stage is Stage.SENT:
--- a/azureturn/gateway/decisions/tests/test_cold_upstreams.py
+++ b/azureturn/gateway/decisions/tests/test_cold_upstreams.py
@@ -342,6 +342,15 @@
     assert not listener.core.board.table(ColdUpstreamTable).reports(5_200)
 
 
+@pytest.mark.parametrize(("started_unix_ms", "is_cold"), [(6, False), (7, True), (8, True)])
+def test_a_later_run_that_only_a_peer_knows_is_cold(started_unix_ms: int, is_cold: bool) -> None:
+    """A VM without the store sends it requests for the earlier run of the same name."""
+    harness = _harness(_DESK)
+    cold = (ColdReport((_DESK.name, started_unix_ms), 2_000),)
+    harness.handle_event(PeerReportReceived(peer_report("vm-2", cold=cold)), at_ms=5_000)
+    assert _is_cold(harness, _DESK, 5_100) is is_cold
+
+
 def test_an_upstream_whose_process_had_ended_is_cold_when_it_responds_again() -> None:
     """While the store is out of reach, its registration does not tell the next run."""
     harness = _harness(_DESK)
