--- a/azureturn/gateway/decisions/controllers/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/controllers/_cold_upstreams.py
@@ -150,6 +150,9 @@
         cold = self.board.write(ColdUpstreamTable)
         services = view.configuration.services if view.configuration else ()
         limited = {service.name: service for service in services if service.cold_per_s > 0}
+        if not limited:
+            cold.limits, cold.start_ms = {}, {}
+            return
         cold.limits = {
             name: ColdLimit.of(service.cold_per_s, self.settings.bounds.cold)
             for name, service in limited.items()
