Fair shares: the expected wait counts what is served before a request

Cause: the expected wait that decides on refusal counted the queued requests of all organisations, though the queue serves them in equal shares, and each request cost the same whatever its length. With one organisation sending 40 times as many requests as another, 49 of the other's 50 were refused.

Admission is split into allotment_admission and the queue's admission, which keeps its name "admission".

--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -122,6 +122,13 @@
     service: str
 
 
+@dataclass(frozen=True)
+class RequestAdmitted(Event):
+    """A request is within its organisation's allotment (posted by controllers)."""
+
+    request: GatewayRequest
+
+
 @dataclass(frozen=True)
 class RequestQueued(Event):
     """A request was queued and placed if there was capacity (posted by controllers)."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -1,6 +1,8 @@
 """The gateway's controllers. Importing this package registers them."""
 
-from azureturn.gateway.decisions.controllers._admission import AdmissionController
+from azureturn.gateway.decisions.controllers._allotment_admission import (
+    AllotmentAdmissionController,
+)
 from azureturn.gateway.decisions.controllers._allotment_records import (
     AllotmentRecordController,
 )
@@ -12,6 +14,7 @@
 from azureturn.gateway.decisions.controllers._placement import PlacementController
 from azureturn.gateway.decisions.controllers._processing_limit import ProcessingLimitController
 from azureturn.gateway.decisions.controllers._quarantine import QuarantineController
+from azureturn.gateway.decisions.controllers._queue_admission import QueueAdmissionController
 from azureturn.gateway.decisions.controllers._reachability import ReachabilityController
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
 from azureturn.gateway.decisions.controllers._reports import ReportController
@@ -20,7 +23,7 @@
 
 __all__ = [
     "GATEWAY_CONTROLLERS",
-    "AdmissionController",
+    "AllotmentAdmissionController",
     "AllotmentRecordController",
     "AttemptController",
     "AvailabilityController",
@@ -30,6 +33,7 @@
     "PlacementController",
     "ProcessingLimitController",
     "QuarantineController",
+    "QueueAdmissionController",
     "ReachabilityController",
     "ReportController",
     "RequestLimitController",
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -237,9 +237,9 @@
         candidate_count: int,
         context: Context,
     ) -> None:
-        queue.take(request)
+        cost = queue.take(request).cost_tokens
         drains = self.board.write(DrainTable)
-        drains.put(request.service, drains.of(request.service).with_placed(1.0))
+        drains.put(request.service, drains.of(request.service).with_placed(cost))
         upstream = chosen.upstream
         states = self.board.write(UpstreamStateTable)
         states.put(upstream.name, states.of(upstream.run).with_sent(chosen.pending_tokens))
--- a/azureturn/gateway/decisions/controllers/_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -1,4 +1,4 @@
-"""Admission control: enforces organisations' allotments and refuses requests under overload."""
+"""Queues requests for an upstream, and refuses them under overload."""
 
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.framework import Context, DrainTable, QueuedRequest, Refuse, RequestQueue, Tick, on
@@ -8,15 +8,15 @@
 from azureturn.gateway.decisions._caller_timeouts import CallerTimeoutTable
 from azureturn.gateway.decisions._events import (
     PlacementRequested,
-    ReportRequested,
+    RequestAdmitted,
     RequestClosed,
     RequestQueued,
-    RequestReceived,
     ServicePaused,
     TraitsQuarantined,
 )
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
+from azureturn.gateway.decisions._queue_cost import queue_cost
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryBudgetTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -24,9 +24,8 @@
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import Allotment, QuarantinedTraits
+from azureturn.gateway.site import QuarantinedTraits
 
-_MS_PER_S = 1_000.0
 _MIN_RETRY_AFTER_MS = 200
 _MAX_RETRY_AFTER_MS = 4_000
 #: A queued request is refused this long before its time limit, so that the refusal can still be
@@ -39,8 +38,8 @@
 
 
 @gateway_controller("admission")
-class AdmissionController(GatewayController):
-    """Queues requests that are within their allotment and can be served; refuses the others."""
+class QueueAdmissionController(GatewayController):
+    """Queues admitted requests that can be served; refuses the others."""
 
     reads = (ViewTable, PeerTable, PauseTable)
     writes = (
@@ -52,12 +51,13 @@
         RetryBudgetTable,
         DrainTable,
     )
-    after = ("views", "availability")
+    after = ("views", "availability", "allotment_admission")
 
-    @on(RequestReceived)
-    def _on_request_received(self, event: RequestReceived, context: Context) -> None:
+    @on(RequestAdmitted)
+    def _on_request_admitted(self, event: RequestAdmitted, context: Context) -> None:
         if context.now_ms >= self._give_up_at_ms(event.request):
             # It has waited too long to be read.
+            self._refund(event.request)
             detail = f"read {context.now_ms - event.request.arrived_at_ms} ms after its arrival"
             kind = ErrorKind.DEADLINE_UNREACHABLE
             context.act(Refuse(event.request.request_id, kind, _MIN_RETRY_AFTER_MS, detail=detail))
@@ -67,10 +67,6 @@
         if quarantined is not None and not self._may_try(quarantined, context.now_ms):
             self._refuse_quarantined(request, quarantined, context)
             return
-        admitted = self._within_allotment(request, context)
-        if admitted is None:
-            return
-        request = admitted
         retries = self.board.write(RetryBudgetTable)
         vm_count = self.board.read(PeerTable).vms(context.now_ms)
         budget = retries.of(request.service).with_request(self.settings.bounds.retry, vm_count)
@@ -84,7 +80,8 @@
             self._refuse_paused(request, pause_ms, context)
             return
         drains = self.board.write(DrainTable)
-        drain = drains.of(request.service).with_arrived(request.tier_rank, 1.0)
+        cost = queue_cost(request, self.settings.policy.engine)
+        drain = drains.of(request.service).with_arrived(request.tier_rank, cost)
         drains.put(request.service, drain)
         wait_ms = self._wait_ms(request)
         if wait_ms > self.settings.policy.refusal_objectives * request.route.objective_ms:
@@ -96,7 +93,7 @@
         self.board.write(GatewayRequestTable).put(request.request_id, request)
         give_up_at_ms = self._give_up_at_ms(request)
         self.board.write(GatewayQueueTable).of(request.service).push(
-            QueuedRequest(request, cost_tokens=1.0, weight=1.0, give_up_at_ms=give_up_at_ms)
+            QueuedRequest(request, cost_tokens=cost, weight=1.0, give_up_at_ms=give_up_at_ms)
         )
         context.post(PlacementRequested(request.service))
         context.post(RequestQueued())
@@ -150,7 +147,7 @@
             return
         self.board.write(GatewayRequestTable).remove(event.request_id)
         self.board.write(GatewayQueueTable).of(request.service).remove(request)
-        self._refund(request, context)
+        self._refund(request)
 
     def _with_prior_wait(self, request: GatewayRequest, now_ms: int) -> GatewayRequest:
         """Return the request with its deadline counted from the caller's first attempt."""
@@ -162,64 +159,23 @@
         is_late = now_ms > request.latest_start_ms(self.settings.policy.engine)
         return request.with_late() if is_late else request
 
-    def _within_allotment(self, request: GatewayRequest, context: Context) -> GatewayRequest | None:
-        """Return the request as charged, or None if it was refused."""
-        allotment = self._allotment_of(request.organisation)
-        if allotment is None or allotment.rate_per_s <= 0:
-            return request
-        peers = self.board.read(PeerTable)
-        table = self.board.write(AllotmentTable)
-        window_ms = self.settings.bounds.allotment.window_ms
-        own_units = table.own_units(context.now_ms, window_ms)
-        live = peers.reporting_vms(context.now_ms, own_units)
-        remaining = table.remaining(
-            request.organisation,
-            allotment,
-            self.settings.bounds.allotment,
-            units=request.allotment_units,
-            live=live,
-            now_ms=context.now_ms,
-        )
-        if remaining.units > 0 and (
-            remaining.admitted_share >= 1.0 or context.random.random() < remaining.admitted_share
-        ):
-            if remaining.is_near_limit:
-                context.post(ReportRequested())
-            table.of(request.organisation).record_admitted(request.allotment_units, context.now_ms)
-            return request.with_charge(context.now_ms)
-        retry_after_ms = _refill_ms(remaining.units, allotment, request.allotment_units)
-        context.act(
-            Refuse(
-                request.request_id,
-                ErrorKind.OVER_ALLOTMENT,
-                retry_after_ms,
-                detail=f"units left {remaining.units:.0f}, "
-                f"admitted share {remaining.admitted_share:.2f}, "
-                f"live use share {live.usage_share:.2f}",
-            )
-        )
-        return None
-
-    def _allotment_of(self, organisation_name: str) -> Allotment | None:
-        configuration = self.board.read(ViewTable).current().configuration
-        if configuration is None:
-            return None
-        organisation = configuration.organisation(organisation_name)
-        return None if organisation is None else organisation.allotment
-
-    def _refund(self, request: GatewayRequest, context: Context) -> None:
+    def _refund(self, request: GatewayRequest) -> None:
         """Refund the units of a request if it was never sent to an upstream."""
         if not request.tried_upstreams and request.charged_at_ms is not None:
             window = self.board.write(AllotmentTable).of(request.organisation)
             window.refund(request.allotment_units, admitted_at_ms=request.charged_at_ms)
 
     def _wait_ms(self, request: GatewayRequest) -> float:
-        """Return the expected time that a request waits in the queue."""
+        """Return the expected time that a request waits in the queue.
+
+        Ahead of it are the more urgent tiers and, of its own tier, what its organisation and the
+        others are served before it in equal shares. The long queue of another organisation does
+        not count.
+        """
         queue = self.board.read(GatewayQueueTable).of(request.service)
-        ranks = [rank for rank in queue.waiting_ranks() if rank <= request.tier_rank]
-        requests_ahead = sum(queue.length_of(rank) for rank in ranks)
+        work_ahead = queue.tokens_ahead(request, 1.0)
         drain = self.board.read(DrainTable).of(request.service)
-        return drain.wait_ms(request.tier_rank, float(requests_ahead))
+        return drain.wait_ms(request.tier_rank, work_ahead)
 
     def _demote_late(self, queue: "RequestQueue[GatewayRequest]", now_ms: int) -> None:
         """Move requests that will miss their objective behind those that can still meet it."""
@@ -234,7 +190,8 @@
             demoted = request.with_late()
             self.board.write(GatewayRequestTable).put(request.request_id, demoted)
             give_up_at_ms = self._give_up_at_ms(demoted)
-            queue.push(QueuedRequest(demoted, 1.0, 1.0, give_up_at_ms))
+            cost = queue_cost(demoted, engine)
+            queue.push(QueuedRequest(demoted, cost, 1.0, give_up_at_ms))
 
     def _give_up_at_ms(self, request: GatewayRequest) -> int:
         queue_limit_ms = self.settings.policy.patience_objectives * request.route.objective_ms
@@ -258,7 +215,6 @@
         if request.run_attempts:
             self._return_last_result(request, "request is in quarantine", context)
             return
-        self._refund(request, context)
         self._refuse_quarantined(request, quarantined, context)
 
     def _make_room(self, request: GatewayRequest, context: Context) -> bool:
@@ -289,6 +245,7 @@
         self, request: GatewayRequest, quarantined: QuarantinedTraits, context: Context
     ) -> None:
         self.board.write(GatewayRequestTable).remove(request.request_id)
+        self._refund(request)
         unix_ms = self.board.read(PeerTable).unix_ms(context.now_ms)
         time_left_ms = self.board.read(QuarantineTable).time_left_ms(quarantined, unix_ms)
         retry_after_ms = min(_MAX_QUARANTINE_RETRY_MS, max(_MIN_RETRY_AFTER_MS, time_left_ms))
@@ -305,7 +262,7 @@
     def _refuse_paused(self, request: GatewayRequest, pause_ms: int, context: Context) -> None:
         """Refuse a request because all upstreams of its service ask for a pause."""
         self.board.write(GatewayRequestTable).remove(request.request_id)
-        self._refund(request, context)
+        self._refund(request)
         retry_after_ms = spread_retry_after_ms(pause_ms, context.random)
         detail = f"all upstreams ask for a pause of {pause_ms} ms"
         context.act(Refuse(request.request_id, ErrorKind.OVERLOADED, retry_after_ms, detail=detail))
@@ -314,16 +271,10 @@
         self, request: GatewayRequest, kind: ErrorKind, wait_ms: int, context: Context
     ) -> None:
         self.board.write(GatewayRequestTable).remove(request.request_id)
-        self._refund(request, context)
+        self._refund(request)
         retry_after_ms = min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, wait_ms))
         context.act(
             Refuse(
                 request.request_id, kind, retry_after_ms, detail=f"expected queue time {wait_ms} ms"
             )
         )
-
-
-def _refill_ms(remaining: float, allotment: Allotment, units: int) -> int:
-    """Return the approximate time until enough units for the request have left the window."""
-    wait_ms = (units - remaining) / allotment.rate_per_s * _MS_PER_S
-    return int(min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, wait_ms)))
