One budget for bodies of callers and upstreams, which follows from the VM's memory

Cause: a body of a request was held until its answer had ended, and copied while it was sent; each caller could hold 4 MiB of it, and a response that is not read 12 MiB, with nothing that limits the sum. A caller that stopped just short of its end kept what it had.

Change: BodyBudget covers requests and responses. Beyond 16 KiB a body is read once there is room for all of it; the most urgent request comes first; a connection below 16 KiB/s, or a less urgent request, loses its room to one that waits. A body is dropped when no further attempt is possible; large bodies are sent and written without copies. The adapter passes limits.memory_mb on; without it responses have 32 MiB as before, and bodies of requests no common limit.

--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -33,6 +33,8 @@
 )
 from azureturn.gateway.exchange import (
     CONNECT_TIMEOUT_MS,
+    BodyBudget,
+    ConnectionPool,
     ExchangeServices,
     GatewayServer,
     StatusPage,
@@ -90,7 +92,8 @@
             tick_interval_ms=settings.limits.tick_interval_ms,
             report_error=self._report_task_error,
         )
-        self._process_metrics = ProcessMetrics(self._runtime, self._loop)
+        self._body_budget = BodyBudget.for_memory(settings.vm.memory_mb)
+        self._process_metrics = ProcessMetrics(self._runtime, self._loop, self._body_budget)
         self._strain_detector = StrainDetector(self._runtime, log, self._process_metrics.metrics)
         self._view_holder = ViewHolder(self._runtime, adapter.documents, log)
         self._stop = PlannedStop(self._stop_limits, unfinished=self._requests_in_flight)
@@ -157,6 +160,7 @@
             configuration_age_ms=self._configuration_age_ms,
             connector=connector,
             caller_watch=LoopCallerWatch(self._loop),
+            pool=ConnectionPool(self._body_budget),
         )
 
     def _new_servers(self, readiness_path: str) -> dict[str, BoundedServer]:
--- a/azureturn/gateway/daemon/_process_metrics.py
+++ b/azureturn/gateway/daemon/_process_metrics.py
@@ -4,7 +4,7 @@
 import time
 
 from azureturn.gateway.decisions import GatewayQueueTable
-from azureturn.gateway.exchange import GatewayServer, StatusPage
+from azureturn.gateway.exchange import BodyBudget, GatewayServer, StatusPage
 from azureturn.observability import PROMETHEUS_CONTENT_TYPE, Metric, Metrics, PrometheusMetrics
 from azureturn.serving import CoreRuntime
 from azureturn.tasks import TaskLoop, sleep
@@ -16,9 +16,10 @@
 class ProcessMetrics:
     """Measures the process, and renders all metrics as text."""
 
-    def __init__(self, runtime: CoreRuntime, loop: TaskLoop) -> None:
+    def __init__(self, runtime: CoreRuntime, loop: TaskLoop, budget: BodyBudget) -> None:
         self._runtime = runtime
         self._loop = loop
+        self._budget = budget
         self._prometheus = PrometheusMetrics()
         self.metrics = Metrics(None, self._prometheus)
         self._loop_lag_ms = 0.0
@@ -36,6 +37,7 @@
         metrics.set(Metric.REQUESTS_IN_PROGRESS, self._runtime.requests_in_progress)
         metrics.set(Metric.REQUESTS_WAITING, waiting)
         metrics.set(Metric.CALLER_CONNECTIONS, server.open_connections)
+        metrics.set(Metric.BODY_BYTES, self._budget.reserved_bytes)
         metrics.set(Metric.TASKS, self._loop.task_count)
         metrics.set(Metric.THREADS, threading.active_count())
         metrics.set(Metric.LOOP_LAG, round(self._loop_lag_ms))
--- a/azureturn/gateway/exchange/__init__.py
+++ b/azureturn/gateway/exchange/__init__.py
@@ -4,6 +4,7 @@
 which sends the request once to one upstream.
 """
 
+from azureturn.gateway.exchange._body_budget import BodyBudget
 from azureturn.gateway.exchange._connections import (
     CONNECT_TIMEOUT_MS,
     ConnectionPool,
@@ -16,6 +17,7 @@
 from azureturn.gateway.exchange._status_request import request_status
 
 __all__ = [
+    "BodyBudget",
     "CONNECT_TIMEOUT_MS",
     "ConnectionPool",
     "ExchangeServices",
--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -30,6 +30,11 @@
 #: faulty upstream may send responses to other requests on the same connection.
 _MAX_RESPONSES_READ = 3
 
+_MS_PER_S = 1_000
+#: How long a response may wait for room before it is given up, and one of which a part is buffered.
+_ROOM_WAIT_S = 10.0
+_PART_WAIT_S = 1.0
+
 #: Response headers that concern only the connection, or that the gateway sets itself.
 _NOT_RELAYED_HEADERS = frozenset(
     {
@@ -110,6 +115,8 @@
         self._method = ""
         self._aborted = False
         self._reservation = BodyReservation(pool.body_budget)
+        #: Size of the body, as its head states it; 0 if it does not.
+        self._announced_bytes = 0
         #: Whether part of the request may have been sent.
         self.was_sent = False
 
@@ -187,19 +194,23 @@
         bodies that all attempts buffer are too large together.
         """
         body = bytearray()
+        if self._announced_bytes <= MAX_RESPONSE_BYTES:
+            # With room for all of it, no body waits for more while it holds some.
+            wait_s = min(_ROOM_WAIT_S, max(0, ends_at_ms - now_ms()) / _MS_PER_S)
+            self.count_buffered(self._announced_bytes, wait_s=wait_s)
         for part in self.iter_body(lambda: ends_at_ms):
             body += part
             if len(body) > MAX_RESPONSE_BYTES:
                 raise _body_too_large()
-            self.count_buffered(len(body))
+            self.count_buffered(max(len(body), self._announced_bytes))
         return bytes(body)
 
-    def count_buffered(self, size_bytes: int) -> None:
+    def count_buffered(self, size_bytes: int, *, wait_s: float = _PART_WAIT_S) -> None:
         """Count what is buffered of the body, until the attempt is closed.
 
         Raises :class:`UpstreamError` if all exchanges together buffer too much.
         """
-        if not self._reservation.resize(size_bytes):
+        if not self._reservation.resize_or_wait(size_bytes, wait_s=wait_s):
             raise UpstreamError(ErrorKind.UPSTREAM_FAILED, "buffered responses exceed the limit")
 
     def take_reservation(self) -> BodyReservation:
@@ -258,6 +269,8 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers.raw_items()
         )
+        # h11 has checked the value.
+        self._announced_bytes = int(dict(response.headers).get(b"content-length", b"0"))
         return ResponseHead(
             status=response.status_code,
             reason=bytes(response.reason).decode("latin-1"),
--- a/azureturn/gateway/exchange/_caller.py
+++ b/azureturn/gateway/exchange/_caller.py
@@ -1,13 +1,16 @@
 """The caller's side of an exchange, on top of the HTTP library."""
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any
 
-from azureturn.errors import CallerError
-from azureturn.serving import has_disconnected, now_ms, read_whole_body
+from azureturn.errors import AzureturnError
+from azureturn.serving import BodyRoom, has_disconnected, now_ms, read_whole_body
 
 _MS_PER_S = 1_000
+#: A large response is written in pieces of this size, so that its progress is known.
+_WRITE_BYTES = 65_536
 
 
 class CallerChannel:
@@ -49,17 +52,41 @@
         connection: socket.socket = self._request.conn.socket
         return connection
 
-    def read_body(self, limit_bytes: int) -> bytes:
-        """Return the whole body.
+    @property
+    def has_body_up_to(self) -> int | None:
+        """Return the stated length of the body; None if none is stated, or it is not valid."""
+        if "transfer-encoding" in self.header_values:
+            return None
+        length = self.header_values.get("content-length", "0")
+        return int(length) if length.isascii() and length.isdecimal() else None
+
+    @property
+    def reading_left_s(self) -> float | None:
+        """Return how long the request may still take to arrive; None if that is not limited."""
+        left_s: float | None = self._request.conn.rfile.left_s
+        return left_s
+
+    def stop_reading(self) -> None:
+        """Let the reading of the body time out."""
+        self._request.conn.rfile.stop()
+
+    def reset(self) -> None:
+        """Break the connection, so that a write that waits fails."""
+        self._request.conn.set_resets_on_close(True)
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def read_body(self, limit_bytes: int, room: BodyRoom | None = None) -> bytes:
+        """Return the whole body, of which no more is held than ``room`` allows.
 
-        Raises :class:`CallerError` if the body is too large or the connection breaks.
+        Raises :class:`AzureturnError` if the body is too large or the connection breaks.
         """
         content_length = self.header_values.get("content-length")
         try:
             return read_whole_body(
-                self._request.rfile.read, content_length, limit_bytes=limit_bytes
+                self._request.rfile.read, content_length, limit_bytes=limit_bytes, room=room
             )
-        except CallerError:
+        except AzureturnError:
             # Without closing, the rest of the body would be parsed as the next request.
             self._request.close_connection = True
             raise
@@ -72,12 +99,21 @@
         body: bytes,
         *,
         close: bool,
+        on_progress: Callable[[int], None] | None = None,
     ) -> None:
         """Send a whole response with a Content-Length."""
         content_length = [("Content-Length", str(len(body)))]
         self._send_head(status, reason, [*headers, *content_length], close=close)
-        if body and self.method != "HEAD":
+        if not body or self.method == "HEAD":
+            return
+        if on_progress is None or len(body) <= _WRITE_BYTES:
             self._request.write(body)
+            return
+        unsent = memoryview(body)
+        while unsent:
+            self._request.write(unsent[:_WRITE_BYTES])
+            on_progress(len(unsent[:_WRITE_BYTES]))
+            unsent = unsent[_WRITE_BYTES:]
 
     def start_stream(
         self, status: int, reason: str, headers: Iterable[tuple[str, str]], *, close: bool
--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -27,7 +27,8 @@
 #: if the upstream closes the idle connection just as the request is sent.
 _MAX_IDLE_UNREPEATABLE_MS = 400
 _HEADER_LIMIT_BYTES = 65_536
-_MAX_BUFFERED_BYTES = 32 << 20
+#: Largest body that is sent in one system call with its head.
+_MAX_JOINED_BYTES = 65_536
 #: States of the upstream's side in which no response is awaited.
 _NOTHING_AWAITED = (h11.IDLE, h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 #: Timeout for opening a connection.
@@ -63,10 +64,15 @@
         if self._last_request is not None:
             self._http.start_next_cycle()
         self._last_request = request
-        data = self._serialise(request, body)
+        deadline_ms = now_ms() + timeout_ms
+        # A large body is not copied behind the head.
+        is_large = len(body) > _MAX_JOINED_BYTES
+        data = self._serialise(request, body, omits_body=is_large)
         self._has_unsent_bytes = True
         try:
             send_all(self._socket, data, max(1, timeout_ms) / _MS_PER_S)
+            if is_large:
+                send_all(self._socket, body, max(1, deadline_ms - now_ms()) / _MS_PER_S)
             self._has_unsent_bytes = False
         except OSError as error:
             if not self._receive_early_response():
@@ -136,14 +142,21 @@
         return not poller.poll(0)
 
     def _serialise(
-        self, request: h11.Request, body: bytes, *, placeholder_body: bool = False
+        self,
+        request: h11.Request,
+        body: bytes,
+        *,
+        placeholder_body: bool = False,
+        omits_body: bool = False,
     ) -> bytes:
+        """Return the bytes of a request; a body that is omitted follows them."""
         data = self._http.send(request) or b""
         if placeholder_body:
             length = dict(request.headers).get(b"content-length", b"0")
             self._http.send(h11.Data(data=bytes(int(length)))) if int(length) else None
         elif body:
-            data += self._http.send(h11.Data(data=body)) or b""
+            sent_body = self._http.send(h11.Data(data=body)) or b""
+            data += b"" if omits_body else sent_body
         return data + (self._http.send(h11.EndOfMessage()) or b"")
 
     def _receive(self, timeout_s: float) -> None:
@@ -190,9 +203,9 @@
 class ConnectionPool:
     """Idle connections."""
 
-    def __init__(self) -> None:
-        #: Memory for the response bodies that are buffered as a whole, on all connections.
-        self.body_budget = BodyBudget(_MAX_BUFFERED_BYTES)
+    def __init__(self, body_budget: BodyBudget | None = None) -> None:
+        #: Memory for the bodies that are buffered, of all callers and upstreams.
+        self.body_budget = body_budget or BodyBudget.for_memory(None)
         self._idle: dict[PoolKey, deque[UpstreamConnection]] = {}
         self._lock = threading.Lock()
 
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -1,8 +1,10 @@
 """Serves one request: reads it, makes attempts at upstreams, and relays the response."""
 
 import json
+from contextlib import suppress
 
 from azureturn.errors import (
+    DEFAULT_RETRY_AFTER_MS,
     ERROR_RESPONSES,
     AzureturnError,
     CallerError,
@@ -29,11 +31,12 @@
     ResponseHead,
     UpstreamRequest,
 )
-from azureturn.gateway.exchange._body_budget import BodyReservation
+from azureturn.gateway.exchange._body_budget import FREE_BYTES, BodyReservation
 from azureturn.gateway.exchange._caller import CallerChannel
 from azureturn.gateway.exchange._exchange_reporter import ExchangeReporter, ExchangeResult
+from azureturn.gateway.exchange._request_room import RequestRoom, RoomReporter
 from azureturn.gateway.exchange._response_progress import ResponseProgress
-from azureturn.gateway.exchange._routing import route_request
+from azureturn.gateway.exchange._routing import LEAST_URGENT_RANK, route_request, urgency_of_head
 from azureturn.gateway.exchange._services import ExchangeServices
 from azureturn.gateway.exchange._stream_relay import StreamRelay
 from azureturn.gateway.site import (
@@ -85,6 +88,12 @@
         self._caller = caller
         self._request: GatewayRequest | None = None
         self._body = b""
+        #: Room for the body; None if it is small enough to need none.
+        self._room: RequestRoom | None = None
+        #: Whether the body is gone, so that no further attempt is possible.
+        self._is_body_released = False
+        #: Attempts that an upstream has executed, as far as it is known.
+        self._runs = 0
         self._attempt: Attempt | None = None
         self._caller_disconnected = False
         self._stream_relay = StreamRelay(None)
@@ -96,6 +105,7 @@
         self._task = current_task()
         request_id = caller.header_values.get("x-request-id", "")
         self._reporter = ExchangeReporter(services, request_id, self._arrived_at_ms)
+        self._room_reporter = RoomReporter(services.log, services.metrics, request_id)
         self._outcome = "internal"
         self._upstream = ""
         #: The error kind of a refusal; empty otherwise.
@@ -120,6 +130,8 @@
             self._refuse(error)
         finally:
             self._failure_reservation.release()
+            if self._room is not None:
+                self._room.release()
             result = ExchangeResult(
                 self._outcome, self._refused_kind, self._detail, self._upstream, self._attempt_count
             )
@@ -128,8 +140,7 @@
     def _serve(self) -> None:
         view = self._services.view()
         configuration = view.configuration
-        body_limit_bytes = configuration.limits.body_bytes if configuration else 4 << 20
-        self._body = self._caller.read_body(body_limit_bytes)
+        self._read_body(configuration)
         if configuration is None:
             raise RefusedError(ErrorKind.CONFIGURATION_UNKNOWN)
         try:
@@ -148,12 +159,51 @@
             if self._caller_disconnected:
                 self._abort_for_disconnected_caller()
             runtime.submit(RequestReceived(request))
+            if self._room is not None:
+                self._room.yield_while_waiting(self._on_room_reclaimed)
             self._run_actions(request, mailbox)
         finally:
             self._services.caller_watch.unwatch(watch)
             runtime.submit(RequestClosed(request.request_id))
             runtime.close_mailbox(request.request_id)
 
+    def _read_body(self, configuration: SiteConfiguration | None) -> None:
+        """Read the body; a large one as soon as there is room for it."""
+        limit_bytes = configuration.limits.body_bytes if configuration else 4 << 20
+        length = self._caller.has_body_up_to
+        if length is not None and length <= FREE_BYTES:
+            self._body = self._caller.read_body(limit_bytes)
+            return
+        rank, timeout_ms = LEAST_URGENT_RANK, None
+        # Invalid headers are reported once the body has been read.
+        with suppress(ValueError):
+            facts = self._services.dialect.decode_request_headers(self._caller.header_values)
+            timeout_ms = facts.caller_timeout_ms
+            if configuration is not None:
+                rank = urgency_of_head(facts, self._caller, configuration)
+        self._room = RequestRoom(
+            self._services.pool.body_budget,
+            self._caller,
+            self._room_reporter,
+            rank=rank,
+            caller_timeout_ms=timeout_ms,
+        )
+        self._body = self._caller.read_body(limit_bytes, self._room)
+        self._room.end_reading(len(self._body))
+
+    def _release_body(self) -> None:
+        """Drop the body, which no further attempt needs or can have."""
+        self._body, self._is_body_released = b"", True
+        if self._room is not None:
+            self._room.release()
+
+    def _on_room_reclaimed(self) -> None:
+        """Refuse the request, which has not been sent; called from another task."""
+        self._release_body()
+        if self._request is not None:
+            refusal = Refuse(self._request.request_id, ErrorKind.SHED, 0, RunState.NOT_RUN)
+            self._services.runtime.deliver(refusal)
+
     def _route(self, facts: RequestFacts, configuration: SiteConfiguration) -> GatewayRequest:
         """Return the routed request.
 
@@ -192,9 +242,12 @@
             if self._has_caller_left():
                 self._abort_for_disconnected_caller()
                 return
+            if self._is_body_released and not self._attempt_count:
+                detail = "a more urgent request needed the room of the body"
+                raise RefusedError(ErrorKind.SHED, detail, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
             if isinstance(action, AwaitPlacement):
                 continue
-            if isinstance(action, SendAttempt):
+            if isinstance(action, SendAttempt) and not self._is_body_released:
                 if self._make_attempt(request, action):
                     return
                 continue
@@ -214,13 +267,15 @@
         if self._failure_response is not None:
             head, body = self._failure_response
             self._outcome = "upstream_failed"
-            self._send_response(head, body)
+            self._send_response(head, body, self._failure_reservation)
             return
         raise UpstreamError(ErrorKind.UPSTREAM_SILENT, getattr(action, "reason", ""))
 
     def _make_attempt(self, request: GatewayRequest, action: SendAttempt) -> bool:
         """Make one attempt; return whether the exchange is finished."""
         self._attempt_count += 1
+        if self._room is not None:
+            self._room.keep()
         self._upstream = action.upstream.name
         self._reporter.report_placement(request, action)
         attempt = self._new_attempt(action)
@@ -311,6 +366,8 @@
             discard_until_ms = min(request.ends_at_ms, now_ms() + _DISCARD_TIMEOUT_MS)
             attempt.discard_body(ends_at_ms=discard_until_ms)
             return AttemptResult.REJECTED
+        self._runs += 1
+        self._give_up_body_if_possible(request)
         if head.status < 300 and not head.facts.is_sealed:
             raise UpstreamError(ErrorKind.ANSWER_MISMATCHED, "successful response without a seal")
         if request.route.kind is RequestKind.STREAM and head.status == 200:
@@ -326,7 +383,11 @@
             message = f"status {head.status} in place of the rest of a stream"
             raise UpstreamError(ErrorKind.ANSWER_MISMATCHED, message)
         self._outcome = "answered"
-        self._send_response(head, body)
+        reservation = attempt.take_reservation()
+        try:
+            self._send_response(head, body, reservation)
+        finally:
+            reservation.release()
         return AttemptResult.ANSWERED
 
     def _relay_stream(
@@ -369,9 +430,36 @@
                 head.status, head.reason, head.headers, close=self._services.closes_connections()
             )
 
-    def _send_response(self, head: ResponseHead, body: bytes) -> None:
-        close = self._services.closes_connections()
-        self._caller.send_response(head.status, head.reason, head.headers, body, close=close)
+    def _give_up_body_if_possible(self, request: GatewayRequest) -> None:
+        """Drop the body if an upstream has it and no further attempt is possible.
+
+        If one is, a more urgent request may still take its room: then there is none.
+        """
+        if self._room is None:
+            return
+        if not request.may_repeat or self._runs >= request.route.attempts:
+            self._release_body()
+        else:
+            self._room.yield_while_kept(self._release_body)
+
+    def _send_response(self, head: ResponseHead, body: bytes, reservation: BodyReservation) -> None:
+        """Send a response whose room another connection may take if the caller reads too slowly."""
+
+        def reclaim(held_bytes: int) -> None:
+            self._room_reporter.report_reclaimed("responding", reservation, held_bytes)
+            self._caller.reset()
+
+        if reservation.counted_bytes:
+            reservation.rank = self._request.urgency_rank if self._request else LEAST_URGENT_RANK
+            reservation.allow_reclaim(reclaim, is_moving=True)
+        self._caller.send_response(
+            head.status,
+            head.reason,
+            head.headers,
+            body,
+            close=self._services.closes_connections(),
+            on_progress=reservation.record_progress,
+        )
 
     def _upstream_request(self, request: GatewayRequest, action: SendAttempt) -> UpstreamRequest:
         attempt = AttemptHeaders(
@@ -408,7 +496,9 @@
         return int(max(_MIN_PAUSE_TIMEOUT_MS, _PAUSE_TIMEOUT_LIMITS * request.route.pause_limit_ms))
 
     def _can_try_another_upstream(self, request: GatewayRequest) -> bool:
-        may_continue = request.may_repeat and self._stream_relay.is_resumable
+        may_continue = (
+            request.may_repeat and not self._is_body_released and self._stream_relay.is_resumable
+        )
         return may_continue and self._attempt_count < request.route.attempts
 
     def _has_caller_left(self) -> bool:
--- a/azureturn/gateway/exchange/_routing.py
+++ b/azureturn/gateway/exchange/_routing.py
@@ -13,6 +13,8 @@
 #: Number of ranks of routes that are distinguished within one rank of organisations.
 _ROUTE_RANKS_PER_ORGANISATION_RANK = 16
 _DIGEST_BYTES = 12
+#: Rank of a request of which nobody knows how urgent it is.
+LEAST_URGENT_RANK = 1 << 30
 
 
 def route_request(
@@ -55,6 +57,17 @@
     )
 
 
+def urgency_of_head(
+    facts: RequestFacts, caller: CallerChannel, configuration: SiteConfiguration
+) -> int:
+    """Return the urgency rank by the head alone, that of the least urgent if nothing matches."""
+    host = caller.header_values.get("host", "").partition(":")[0]
+    route = configuration.find_route(host, caller.path)
+    if route is None:
+        return LEAST_URGENT_RANK
+    return _urgency_rank(route, configuration.find_organisation(facts.api_key))
+
+
 def _digest(caller: CallerChannel, host: str, organisation: str, body: bytes) -> str:
     """Return the digest of what a caller asks for: the organisation, method, target and body.
 
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -47,6 +47,8 @@
     seed_hosts: tuple[str, ...] = ()
     #: Width of this VM's link.
     link_mbps: float = 1_000.0
+    #: Memory of this VM, beyond which its process is killed; None if unknown.
+    memory_mb: float | None = None
     #: Whether the whole site starts for the first time, so that no VM has had an earlier process.
     is_first_start: bool = False
 
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -37,6 +37,7 @@
     UPSTREAM_AVAILABILITY = "upstream_availability"
     UPSTREAMS_RETAINED = "upstreams_retained"
     UPSTREAMS_SILENT = "upstreams_silent"
+    ROOM_RECLAIMED = "room_reclaimed"
     RELAY_OPENED = "relay_opened"
     RELAY_FAILED = "relay_failed"
     REACHABILITY_CHANGED = "reachability_changed"
@@ -252,6 +253,14 @@
             "An upstream has said in a response that it leaves, or wants no requests for a while.",
             ("upstream", "source", "pause_ms", "outcome"),
         ),
+        LogEvent.ROOM_RECLAIMED: _error_definition(
+            "A connection has lost the memory that it held for a body, since it made less progress "
+            "than the least pace, or a more urgent request needed it; `phase` says what for.",
+            "request_id",
+            "phase",
+            "rank",
+            "held_bytes",
+        ),
         LogEvent.RELAY_OPENED: LogEventDefinition(
             "A peer asked for a connection to an upstream that it cannot reach itself.",
             ("upstream", "peer", "outcome", "relays"),
@@ -379,6 +388,9 @@
         "first_event_ms": "Time from the request's arrival to the first event; -1 without one.",
         "events": "Number of events received.",
         "framing": "How the end of the body is marked; empty without a response.",
+        "phase": "What the memory was held for: a body that is read, that waits to be sent or is "
+        "kept for a further attempt, or a response: `reading`, `waiting`, `kept` or `responding`.",
+        "held_bytes": "Bytes that counted for the limit.",
         "partial_event_bytes": "Size of the received part of an incomplete event.",
         "rank": "The tier's rank; 0 is the most urgent.",
         "lateness_ms": "Mean delay of this process's ticks.",
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -43,6 +43,9 @@
     STRAINED = "strained"
     REQUESTS_WAITING = "requests.waiting"
     CALLER_CONNECTIONS = "callers.connections"
+    ROOM_RECLAIMED = "callers.room_reclaimed.{phase}"
+    ROOM_REFUSED = "callers.room_refused"
+    BODY_BYTES = "process.body_bytes"
     TASKS = "process.tasks"
     THREADS = "process.threads"
     LOOP_LAG = "process.loop_lag_ms"
@@ -114,6 +117,24 @@
             "connections",
             "Callers' connections on which a request is being read or served (gateways only).",
         ),
+        Metric.ROOM_RECLAIMED: MetricDefinition(
+            MetricKind.COUNTER,
+            "connections",
+            "Connections that lost the memory that they held to one that makes more progress or is "
+            "more urgent; `phase` is `reading`, `waiting`, `kept` or `responding` (gateways only).",
+        ),
+        Metric.ROOM_REFUSED: MetricDefinition(
+            MetricKind.COUNTER,
+            "requests",
+            "Requests that were refused since there was no memory for their body in time "
+            "(gateways only).",
+        ),
+        Metric.BODY_BYTES: MetricDefinition(
+            MetricKind.GAUGE,
+            "bytes",
+            "Memory that bodies of requests and responses take up, as far as it is limited "
+            "(gateways only).",
+        ),
         Metric.TASKS: MetricDefinition(
             MetricKind.GAUGE, "tasks", "Tasks of the process that have not ended (gateways only)."
         ),
--- a/azureturn/serving/__init__.py
+++ b/azureturn/serving/__init__.py
@@ -1,6 +1,6 @@
 """Parts shared by all serving programs: the core runtime, the HTTP server, the planned stop."""
 
-from azureturn.serving._bodies import read_whole_body
+from azureturn.serving._bodies import BodyRoom, read_whole_body
 from azureturn.serving._bounded_server import (
     BACKLOG_LIMIT,
     DRAIN_LIMIT_BYTES,
@@ -20,6 +20,7 @@
 
 __all__ = [
     "BACKLOG_LIMIT",
+    "BodyRoom",
     "BoundedServer",
     "CallerWatch",
     "CoreRuntime",
--- a/azureturn/serving/_caller_io.py
+++ b/azureturn/serving/_caller_io.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from contextlib import suppress
 
 from azureturn.tasks import receive_available, send_all, yield_to_others
 
@@ -30,6 +31,7 @@
         self.arrived_since_s = time.monotonic()
         self._awaits_request = True
         self._turn_bytes = 0
+        self._is_stopped = False
 
     @property
     def has_unread_request(self) -> bool:
@@ -52,6 +54,12 @@
         """Set the deadline of reads to ``timeout_ms`` from now."""
         self._deadline_s = time.monotonic() + timeout_ms / _MS_PER_S
 
+    def stop(self) -> None:
+        """Let the read that waits in another task, and all further ones, time out."""
+        self._is_stopped = True
+        with suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
     def clear_deadline(self) -> None:
         """Remove the deadline of reads."""
         self._deadline_s = None
@@ -117,12 +125,14 @@
     def _receive(self, size: int) -> bytes:
         """Return what is available, or raise ``TimeoutError`` after the deadline."""
         left_s = self.left_s
-        if left_s is not None and left_s <= 0:
+        if self._is_stopped or (left_s is not None and left_s <= 0):
             raise TimeoutError("timed out")
         if self._turn_bytes > _TURN_BYTES:
             self._turn_bytes = 0
             yield_to_others()
         received = receive_available(self._socket, size, left_s)
+        if self._is_stopped:
+            raise TimeoutError("timed out")
         self._turn_bytes = 0 if received.has_waited else self._turn_bytes + len(received.data)
         if received.has_waited and self._awaits_request:
             self.arrived_since_s = received.arrived_since_s
