An event of a stream is split off and read in one pass

Cause: each event was searched three times for its end, once more after it, and its lines were split twice.

--- a/azureturn/gateway/exchange/_sse_events.py
+++ b/azureturn/gateway/exchange/_sse_events.py
@@ -3,8 +3,9 @@
 import re
 from dataclasses import dataclass
 
-#: An empty line ends an event; lines end with LF, CRLF or CR.
-_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+#: An empty line ends an event; lines end with LF, CRLF or CR. Of two ends that overlap, the one
+#: that begins first also ends first, or both end at the same byte.
+_EVENT_END = re.compile(rb"\n\n|\n\r\n|\r\r")
 _ID_FIELD = b"id:"
 #: A line of an event: a comment, or the name of a field with an optional value.
 _LINE = re.compile(rb"(:.*|[A-Za-z][A-Za-z0-9-]*(:.*)?)?", re.DOTALL)
@@ -58,28 +59,26 @@
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ValueError("event is larger than the limit")
         events: list[SseEvent] = []
-        while (end := _event_end(self._pending)) > 0:
-            event, self._pending = self._pending[:end], self._pending[end:]
-            if not all(_LINE.fullmatch(line) for line in event.splitlines()):
-                raise ValueError("data is no event stream")
+        while self._pending and (end := _EVENT_END.search(self._pending)) is not None:
+            event, self._pending = self._pending[: end.end()], self._pending[end.end() :]
             events.append(SseEvent(event, _event_number(event)))
         return events
 
 
-def _event_end(data: bytes) -> int:
-    """Return the offset just after the first whole event, or 0 if there is none."""
-    ends = [index + len(end) for end in _EVENT_ENDS if (index := data.find(end)) >= 0]
-    return min(ends, default=0)
-
-
 def _is_empty_or_comment(line: bytes) -> bool:
     is_whole_line = line.endswith((b"\n", b"\r"))
     return is_whole_line and (not line.strip(b"\r\n") or line.startswith(b":"))
 
 
 def _event_number(event: bytes) -> int | None:
+    """Return the number of an event, or None if it has none.
+
+    Raises ``ValueError`` if a line of it belongs to no event stream.
+    """
+    number_text: bytes | None = None
     for line in event.splitlines():
-        if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+        if not _LINE.fullmatch(line):
+            raise ValueError("data is no event stream")
+        if number_text is None and line.startswith(_ID_FIELD):
+            number_text = line[len(_ID_FIELD) :].strip()
+    return int(number_text) if number_text is not None and number_text.isdigit() else None
