Test the cold limit while VMs start; log orders that a restore lacks

Cause: the limit right after a start was not tested, and the log called an order removed that only a restored store lacks and that stays in force.

--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -148,7 +148,7 @@
             self._log.info(
                 LogEvent.ZONE_EVACUATION,
                 zone=zone,
-                outcome="evacuated" if zone in new_view.evacuated_zones else "returned",
+                outcome=_evacuation_outcome(zone, old_view, new_view),
                 revision=new_view.revision,
                 source=source,
             )
@@ -178,6 +178,14 @@
                 )
 
 
+def _evacuation_outcome(zone: str, old_view: SiteView, new_view: SiteView) -> str:
+    """Return what a change of the view means for a zone that either view has out of service."""
+    if zone in new_view.evacuated_zones:
+        return "evacuated"
+    # Nobody has removed an order that a restored store lacks.
+    return "kept" if new_view.era > old_view.era else "returned"
+
+
 def _latest(old_view: SiteView, view: SiteView) -> SiteView:
     """Return the view of the higher revision, with the configuration of the higher version."""
     if view.revision > old_view.revision:
--- a/azureturn/gateway/decisions/tests/test_cold_upstreams.py
+++ b/azureturn/gateway/decisions/tests/test_cold_upstreams.py
@@ -79,15 +79,24 @@
 class _BusySite:
     """VMs that always have requests for the only upstream of a service, which answers soon."""
 
-    def __init__(self, vm_count: int, *, registered: Callable[[int], int], seed: int) -> None:
+    def __init__(
+        self,
+        vm_count: int,
+        *,
+        registered: Callable[[int], int],
+        seed: int,
+        desk: RegisteredUpstream = _DESK,
+    ) -> None:
         self._random = Random(seed)
-        self._registered = registered
+        self._desk = desk
+        #: Returns how many of the VMs one knows when it starts or reads the store.
+        self.registered = registered
         self._names = tuple(f"vm-{number}" for number in range(vm_count))
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
         self.now_ms = 0
         self.arrivals: list[_Arrival] = []
-        self._told: set[int] = set()
+        self._told = set(range(vm_count)) if desk.cold_left_ms else set()
         #: Whether reports reach the peers.
         self.delivers_reports = False
         self.vms = [self._new_vm(number) for number in range(vm_count)]
@@ -98,7 +107,7 @@
         """Let a VM read another registration of the upstream."""
         if desk.cold_left_ms != 0:
             self._told.add(number)
-        vms = self._names[: self._registered(number)]
+        vms = self._names[: self.registered(number)]
         self._handle(number, ViewChanged(_view(desk, revision=revision, vms=vms)))
 
     def tell_all(self, desk: RegisteredUpstream, revision: int, *, within_ms: int) -> None:
@@ -114,6 +123,10 @@
             callback()
         self.now_ms = at_ms
 
+    def restart(self, number: int) -> None:
+        """Replace a VM's process by a new one that remembers nothing."""
+        self.vms[number] = self._new_vm(number)
+
     def most_in_a_second(self, from_ms: int = 0) -> int:
         """Return the largest number of requests of VMs that were told in any one second."""
         told_ms = sorted(row.at_ms for row in self.arrivals if row.is_told and row.at_ms >= from_ms)
@@ -124,9 +137,9 @@
     def _new_vm(self, number: int) -> GatewayCoreHarness:
         # Clocks differ by seconds.
         offset_ms = self._random.randint(-4_000, 4_000)
-        vms = self._names[: self._registered(number)]
+        vms = self._names[: self.registered(number)]
         return GatewayCoreHarness(
-            _view(_DESK, vms=vms),
+            _view(self._desk, vms=vms),
             vm_name=self._names[number],
             now_ms=self.now_ms,
             seed=self._random.getrandbits(32),
@@ -197,6 +210,22 @@
     assert len(sent) >= 0.5 * _COLD_PER_S * 4
 
 
+@pytest.mark.parametrize("vm_count", [1, 8, 81])
+def test_the_limit_holds_while_vms_start_and_know_few_others(vm_count: int) -> None:
+    """VMs that start together see the others' registrations only after their own start."""
+    cold = replace(_DESK, cold_left_ms=20_000)
+    site = _BusySite(vm_count, registered=lambda number: number + 1, seed=4, desk=cold)
+    site.run_until(1_000)
+    site.registered = lambda _number: vm_count
+    site.tell_all(cold, 11, within_ms=500)
+    site.run_until(6_000)
+    # What an earlier process has sent must not be followed by the same again.
+    for number in range(0, vm_count, 2):
+        site.restart(number)
+    site.run_until(11_000)
+    assert 0 < site.most_in_a_second() <= _MOST_PER_S
+
+
 @pytest.mark.parametrize("vm_count", [8, 31])
 def test_the_limit_holds_with_reports_between_the_vms(vm_count: int) -> None:
     """What peers report must neither lift the limit nor extend it without end."""
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -261,7 +261,7 @@
         ),
         LogEvent.ZONE_EVACUATION: LogEventDefinition(
             "Operators have taken the upstreams of an availability zone out of service, or "
-            "returned them to service.",
+            "returned them to service; `kept` if only a restored store lacks the order.",
             ("zone", "outcome", "revision", "source"),
         ),
         LogEvent.RELAY_OPENED: LogEventDefinition(
