Refused connections throttle an upstream only where it may have restarted

Cause: a VM takes an upstream that refuses its connections for cold until it responds again, and reported that to its peers. If a partition makes connections fail that way, peers that the upstream serves well would have limited it, and requests through peers would have been limited as long as the partition lasts.

Change: an isolated VM concludes nothing from refused connections; peers are told only once the upstream responds again; after 3 s in which peers reach it, it refuses only this VM; and while the store answers, the registration of a new run is awaited for 1.5 s instead of cold_start_s.

--- a/azureturn/gateway/decisions/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/_cold_upstreams.py
@@ -77,10 +77,18 @@
         """Return the time until which it is taken for cold."""
         return max((claim.until_ms for claim in self.claims.values()), default=0.0)
 
-    def own_until_ms(self) -> float:
-        """Return the same as far as this VM does not know it from peers only."""
-        own = (claim.until_ms for source, claim in self.claims.items() if source != ColdSource.PEER)
-        return max(own, default=0.0)
+    def reported_until_ms(self) -> float:
+        """Return the same as far as this VM does not know it from peers only.
+
+        An upstream that refuses this VM's connections may be well for its peers, so that it is
+        reported only once it responds again.
+        """
+        reported = (
+            claim.until_ms
+            for source, claim in self.claims.items()
+            if source != ColdSource.PEER and not math.isinf(claim.until_ms)
+        )
+        return max(reported, default=0.0)
 
     def with_claim(self, source: ColdSource, claim: ColdClaim) -> "ColdUpstream":
         """Return the row with another claim."""
@@ -261,9 +269,7 @@
         """
         reports = []
         for run, row in self.items():
-            left_ms = row.own_until_ms() - now_ms
-            if math.isinf(left_ms):
-                left_ms = self.start_ms.get(run[0], 0)
+            left_ms = row.reported_until_ms() - now_ms
             if left_ms > 0:
                 reports.append(ColdReport(run, math.ceil(left_ms)))
         reports.sort(key=lambda report: report.left_ms, reverse=True)
--- a/azureturn/gateway/decisions/controllers/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/controllers/_cold_upstreams.py
@@ -24,6 +24,7 @@
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._requests import GatewayRequestTable, Stage
 from azureturn.gateway.decisions._tables import ViewTable
+from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
@@ -31,6 +32,10 @@
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 
 _CHECK_INTERVAL_MS = 250
+#: Time in which the registration of an upstream that has started is known while the store answers.
+_REGISTRATION_MS = 1_500
+#: Time in which peers notice and report that an upstream has ended, if it has for them, too.
+_PEERS_NOTICE_MS = 3_000
 #: Maximum number of runs whose registrations are remembered; a run that was absent for a while is
 #: then known when it comes back.
 _ENTRIES_LIMIT = 1_000
@@ -43,7 +48,7 @@
     Nothing is done for services whose upstreams have no limit while they are cold.
     """
 
-    reads = (ViewTable, PeerTable, GatewayRequestTable)
+    reads = (ViewTable, PeerTable, GatewayRequestTable, UpstreamPathTable)
     writes = (ColdUpstreamTable,)
     after = ("views", "admission")
 
@@ -51,10 +56,13 @@
     _evacuated: frozenset[str] = frozenset()
     #: Revision and time left of the registration of each run that was last applied.
     _entries: dict[UpstreamRun, tuple[int, int | None]]
+    #: When runs first refused a connection, of those that have not accepted one since.
+    _refused_at_ms: dict[UpstreamRun, int]
 
     @on(GatewayStarted)
     def _on_gateway_started(self, event: GatewayStarted, context: Context) -> None:
         self._entries = {}
+        self._refused_at_ms = {}
         cold = self.board.write(ColdUpstreamTable)
         cold.vms.own_name = event.vm
         cold.started_at_ms = context.now_ms
@@ -79,6 +87,7 @@
         if len(self._entries) > _ENTRIES_LIMIT:
             for run in self._entries.keys() - limited.keys():
                 del self._entries[run]
+                self._refused_at_ms.pop(run, None)
 
     @on(AvailabilityStated)
     def _on_availability_stated(self, event: AvailabilityStated, context: Context) -> None:
@@ -110,19 +119,36 @@
 
     @on(UpstreamProcessEnded)
     def _on_process_ended(self, event: UpstreamProcessEnded, context: Context) -> None:
-        """Take whatever serves under the upstream's name next for one that has just started."""
+        """Take whatever serves under the upstream's name next for one that has just started.
+
+        A VM that is cut off from all upstreams learns nothing of them from refused connections.
+        """
         cold = self.board.write(ColdUpstreamTable)
+        upstream_count = len(self.board.read(ViewTable).current().upstreams)
         if event.run[0] not in cold.start_ms:
             return
+        if self.board.read(UpstreamPathTable).is_isolated(upstream_count):
+            return
+        refused_at_ms = self._refused_at_ms.setdefault(event.run, context.now_ms)
+        peers = self.board.read(PeerTable).reaching(event.run[0], context.now_ms)
+        if peers and context.now_ms - refused_at_ms >= _PEERS_NOTICE_MS:
+            # It refuses only this VM. What goes through a peer is limited by what the peer knows.
+            self._record_contact(event.run, context)
+            return
         if cold.claim(event.run, ColdSource.ENDED, math.inf, context.now_ms):
             self._log_cold(event.run, ColdSource.ENDED.value, -1, context)
-            context.post(ReportRequested())
 
     @on(UpstreamReconnected)
     def _on_upstream_reconnected(self, event: UpstreamReconnected, context: Context) -> None:
         upstream = self.board.read(ViewTable).current().upstreams.get(event.upstream)
-        if upstream is not None:
-            self._record_contact(upstream.run, context)
+        if upstream is None:
+            return
+        self._record_contact(upstream.run, context)
+        if self._refused_at_ms.pop(upstream.run, None) is not None:
+            until_ms = self._start_until_ms(upstream.run, context)
+            self.board.write(ColdUpstreamTable).claim(
+                upstream.run, ColdSource.ENDED, until_ms, context.now_ms
+            )
 
     @on(FirstEventReceived)
     def _on_first_event(self, event: FirstEventReceived, context: Context) -> None:
@@ -224,9 +250,15 @@
         self.board.write(ColdUpstreamTable).record_contact(run, until_ms, context.now_ms)
 
     def _start_until_ms(self, run: UpstreamRun, context: Context) -> int:
-        """Return until when an upstream is cold that starts now."""
-        start_ms = self.board.read(ColdUpstreamTable).start_ms
-        return context.now_ms + start_ms.get(run[0], 0)
+        """Return until when an upstream is cold that may have started just now.
+
+        If the store answers, the registration of a new run arrives soon.
+        """
+        start_ms = self.board.read(ColdUpstreamTable).start_ms.get(run[0], 0)
+        contact_ms = self.board.read(ViewTable).store_contact_ms(context.now_ms)
+        if contact_ms is not None and contact_ms >= _REGISTRATION_MS:
+            start_ms = min(start_ms, _REGISTRATION_MS)
+        return context.now_ms + start_ms
 
     def _log_cold(self, run: UpstreamRun, source: str, left_ms: int, context: Context) -> None:
         context.act(LogColdUpstream(run[0], source, left_ms, "cold"))
