Overload: late requests are served if they can be, others refused at once

Cause: a request was refused when its expected wait exceeded its objective, or after twice its objective in the queue, whatever its time limit. After a burst upstreams were idle while callers had been refused: of 60 requests that came at once, one engine served 28. Callers that were refused together were told to return together, some after they had given up. An urgent request was refused on an expectation while less urgent ones stayed queued.

Retry-After is the expected wait, spread, and at most a third of the caller's time. Arrivals that are refused no longer count in the rate at which more urgent work arrives.

After: all 60 of the burst are served.

--- a/azureturn/framework/_drain.py
+++ b/azureturn/framework/_drain.py
@@ -66,12 +66,15 @@
         )
         return DrainRate(placement_rate, arrival_rates, now_ms)
 
-    def wait_ms(self, rank: int, tokens_ahead: float) -> float:
-        """Return the expected wait of a request in a tier, behind ``tokens_ahead`` queued."""
+    def wait_ms(self, rank: int, tokens_ahead: float, *, min_share: float = _MIN_SHARE) -> float:
+        """Return the expected wait of a request in a tier, behind ``tokens_ahead`` queued.
+
+        Within the horizon the tier is assumed to get ``min_share`` of the placement rate at least.
+        """
         if tokens_ahead <= 0.0 or self.placement_rate <= 0.0:
             return 0.0
         rate = max(
-            self.placement_rate - sum(self.arrival_rates[:rank]), _MIN_SHARE * self.placement_rate
+            self.placement_rate - sum(self.arrival_rates[:rank]), min_share * self.placement_rate
         )
         within_horizon = rate * _HORIZON_MS
         if tokens_ahead <= within_horizon:
--- /dev/null
+++ b/azureturn/gateway/decisions/_overload.py
@@ -0,0 +1,62 @@
+"""Until when a request may wait, and when a refused caller should return.
+
+Load pattern: upstreams have too little capacity for some time, and callers retry early and often. A
+late answer is worth less than one in time and more than none. A request that is refused after a
+long wait has cost its caller the time that another attempt needs.
+"""
+
+import random
+
+from azureturn.gateway.decisions._queue_cost import queue_cost
+from azureturn.gateway.decisions._requests import GatewayRequest
+from azureturn.gateway.settings import GatewayPolicy
+
+#: A queued request is refused this long before its time limit, so that the refusal can still be
+#: sent.
+_ANSWER_MARGIN_MS = 20
+#: Time that an upstream needs at least; with less left a request is not really offered to it.
+_MIN_ATTEMPT_MS = 60
+_MIN_RETRY_AFTER_MS = 200
+_MAX_RETRY_AFTER_MS = 4_000
+#: Share of the time left after which callers that were told to return later give up instead.
+_HONOURED_SHARE = 1 / 3
+#: By how much more than the forecast callers are told to wait at most, and how much less if the
+#: forecast exceeds what they honour, so that they do not return at the same moment.
+_SPREAD_SHARE = 0.3
+
+
+def give_up_at_ms(request: GatewayRequest, policy: GatewayPolicy, *, is_brittle: bool) -> int:
+    """Return until when a request may wait for an upstream.
+
+    After that it could not be answered within its time limit. A request whose expected duration
+    exceeds the limit may wait for the configured multiple of its objective, and so may every
+    request of a service whose upstreams fall over if they reject many: the more requests wait at
+    the VMs, the more of them are sent to the same upstream at the moment when it has room.
+    """
+    patience_ms = int(policy.patience_objectives * request.route.objective_ms)
+    patient_until_ms = request.arrived_at_ms + patience_ms
+    answerable_until_ms = request.ends_at_ms - _ANSWER_MARGIN_MS
+    if is_brittle:
+        return min(answerable_until_ms, patient_until_ms)
+    needed_ms = _MIN_ATTEMPT_MS
+    if request.prompt is not None:
+        needed_ms = max(needed_ms, int(queue_cost(request, policy.engine)))
+    return min(answerable_until_ms, max(request.ends_at_ms - needed_ms, patient_until_ms))
+
+
+def overload_retry_after_ms(wait_ms: float, left_ms: float, generator: random.Random) -> int:
+    """Return when a caller should return that would wait for ``wait_ms`` in the queue.
+
+    ``left_ms`` is the time left until its time limit. Callers give up if they are told to return
+    later than after a third of it.
+
+    >>> 1_000 <= overload_retry_after_ms(1_000.0, 12_000.0, random.Random(1)) <= 1_300
+    True
+    >>> 700 <= overload_retry_after_ms(9_000.0, 3_000.0, random.Random(1)) <= 1_000
+    True
+    """
+    longest_ms = min(_MAX_RETRY_AFTER_MS, _HONOURED_SHARE * left_ms)
+    spread_ms = max(_MIN_RETRY_AFTER_MS, wait_ms) * generator.uniform(1.0, 1.0 + _SPREAD_SHARE)
+    if spread_ms > longest_ms:
+        spread_ms = longest_ms * generator.uniform(1.0 - _SPREAD_SHARE, 1.0)
+    return max(_MIN_RETRY_AFTER_MS, int(spread_ms))
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -7,6 +7,7 @@
 from azureturn.gateway.decisions._availability import PauseTable, spread_retry_after_ms
 from azureturn.gateway.decisions._caller_timeouts import CallerTimeoutTable
 from azureturn.gateway.decisions._events import (
+    GatewayStarted,
     PlacementRequested,
     RequestAdmitted,
     RequestClosed,
@@ -14,9 +15,11 @@
     ServicePaused,
     TraitsQuarantined,
 )
+from azureturn.gateway.decisions._overload import give_up_at_ms, overload_retry_after_ms
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._queue_cost import queue_cost
+from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryBudgetTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -27,10 +30,14 @@
 from azureturn.gateway.site import QuarantinedTraits
 
 _MIN_RETRY_AFTER_MS = 200
-_MAX_RETRY_AFTER_MS = 4_000
-#: A queued request is refused this long before its time limit, so that the refusal can still be
-#: sent.
-_ANSWER_MARGIN_MS = 20
+#: Time for which requests must have waited without a break before the measured rate says how fast
+#: upstreams take them: the time constant of its average.
+_MEASURED_BACKLOG_MS = 2_000
+#: Minimum share of the placement rate that late requests are assumed to get until then, since a
+#: burst of more urgent ones may soon be over.
+_LATE_MIN_SHARE = 0.5
+#: Interval at which the expectation for late requests is checked.
+_LATE_CHECK_INTERVAL_MS = 250
 #: A tier rank above those of all requests.
 _ABOVE_ALL_RANKS = -1
 #: Maximum Retry-After of a request in quarantine; the quarantine may end early.
@@ -41,7 +48,7 @@
 class QueueAdmissionController(GatewayController):
     """Queues admitted requests that can be served; refuses the others."""
 
-    reads = (ViewTable, PeerTable, PauseTable)
+    reads = (ViewTable, PeerTable, PauseTable, RequestLimitTable)
     writes = (
         QuarantineTable,
         GatewayRequestTable,
@@ -53,9 +60,17 @@
     )
     after = ("views", "availability", "allotment_admission")
 
+    _checked_at_ms = 0
+    #: Since when requests have waited, by service.
+    _backlogged_since_ms: dict[str, int]
+
+    @on(GatewayStarted)
+    def _on_gateway_started(self, event: GatewayStarted, context: Context) -> None:
+        self._backlogged_since_ms = {}
+
     @on(RequestAdmitted)
     def _on_request_admitted(self, event: RequestAdmitted, context: Context) -> None:
-        if context.now_ms >= self._give_up_at_ms(event.request):
+        if context.now_ms >= self._give_up_at_ms(event.request, context.now_ms):
             # It has waited too long to be read.
             self._refund(event.request)
             detail = f"read {context.now_ms - event.request.arrived_at_ms} ms after its arrival"
@@ -74,26 +89,24 @@
         views = self.board.read(ViewTable)
         serving = views.serving_upstreams(request.service, context.now_ms)
         if not serving:
-            self._refuse(request, ErrorKind.NO_UPSTREAM, DEFAULT_RETRY_AFTER_MS, context)
+            self._refuse(request, ErrorKind.NO_UPSTREAM, context, DEFAULT_RETRY_AFTER_MS)
             return
         if pause_ms := self.board.read(PauseTable).wait_ms(serving, context.now_ms):
             self._refuse_paused(request, pause_ms, context)
             return
-        drains = self.board.write(DrainTable)
+        if not self._can_be_served(request, context.now_ms) or not self._make_room(
+            request, context
+        ):
+            self._refuse(request, ErrorKind.OVERLOADED, context)
+            return
         cost = queue_cost(request, self.settings.policy.engine)
+        drains = self.board.write(DrainTable)
         drain = drains.of(request.service).with_arrived(request.tier_rank, cost)
         drains.put(request.service, drain)
-        wait_ms = self._wait_ms(request)
-        if wait_ms > self.settings.policy.refusal_objectives * request.route.objective_ms:
-            self._refuse(request, ErrorKind.OVERLOADED, int(wait_ms), context)
-            return
-        if not self._make_room(request, context):
-            self._refuse(request, ErrorKind.OVERLOADED, int(wait_ms), context)
-            return
         self.board.write(GatewayRequestTable).put(request.request_id, request)
-        give_up_at_ms = self._give_up_at_ms(request)
+        give_up_ms = self._give_up_at_ms(request, context.now_ms)
         self.board.write(GatewayQueueTable).of(request.service).push(
-            QueuedRequest(request, cost_tokens=cost, weight=1.0, give_up_at_ms=give_up_at_ms)
+            QueuedRequest(request, cost_tokens=cost, weight=1.0, give_up_at_ms=give_up_ms)
         )
         context.post(PlacementRequested(request.service))
         context.post(RequestQueued())
@@ -109,10 +122,19 @@
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
+        is_check_due = context.now_ms - self._checked_at_ms >= _LATE_CHECK_INTERVAL_MS
+        if is_check_due:
+            self._checked_at_ms = context.now_ms
         for service, queue in self.board.write(GatewayQueueTable).items():
             for request in queue.pop_expired(context.now_ms):
                 self._end_unserved(request, ErrorKind.DEADLINE_UNREACHABLE, context)
             self._demote_late(queue, context.now_ms)
+            if not len(queue):
+                self._backlogged_since_ms.pop(service, None)
+            elif is_check_due:
+                self._backlogged_since_ms.setdefault(service, context.now_ms)
+                if self._is_backlog_measured(service, context.now_ms):
+                    self._refuse_unservable(service, queue, context)
             drains = self.board.write(DrainTable)
             drain = drains.of(service).with_time(context.now_ms, backlogged=len(queue) > 0)
             drains.put(service, drain)
@@ -177,26 +199,78 @@
         drain = self.board.read(DrainTable).of(request.service)
         return drain.wait_ms(request.tier_rank, work_ahead)
 
+    def _can_be_served(self, request: GatewayRequest, now_ms: int) -> bool:
+        """Return whether a request is expected to be served in time, or late but within its limit.
+
+        No request is refused on an expectation while less urgent ones of its service wait here.
+        """
+        limit_ms = self.settings.policy.refusal_objectives * request.route.objective_ms
+        if not request.is_late and self._wait_ms(request) <= limit_ms:
+            return True
+        if self._is_brittle(request.service, now_ms):
+            return request.is_late
+        queue = self.board.read(GatewayQueueTable).of(request.service)
+        late = request.with_late()
+        if queue.has_below(late.tier_rank):
+            return True
+        work_ahead = queue.tokens_ahead(late, 1.0)
+        drain = self.board.read(DrainTable).of(request.service)
+        if self._is_backlog_measured(request.service, now_ms):
+            wait_ms = drain.wait_ms(late.tier_rank, work_ahead)
+        else:
+            wait_ms = drain.wait_ms(late.tier_rank, work_ahead, min_share=_LATE_MIN_SHARE)
+        return now_ms + wait_ms <= self._give_up_at_ms(request, now_ms)
+
+    def _is_backlog_measured(self, service: str, now_ms: int) -> bool:
+        since_ms = self._backlogged_since_ms.get(service, now_ms)
+        return now_ms - since_ms >= _MEASURED_BACKLOG_MS
+
+    def _refuse_unservable(
+        self, service: str, queue: "RequestQueue[GatewayRequest]", context: Context
+    ) -> None:
+        """Refuse the latest of the late requests if upstreams do not serve them in time.
+
+        Their callers then have time for another attempt, which they have not at the end.
+        """
+        if self._is_brittle(service, context.now_ms):
+            return
+        late = [
+            request
+            for request in queue.requests()
+            if request.is_late and not request.tried_upstreams
+        ]
+        for request in reversed(late):
+            if not self._can_be_served(request, context.now_ms):
+                queue.remove(request)
+                self._end_unserved(request, ErrorKind.OVERLOADED, context)
+
+    def _give_up_at_ms(self, request: GatewayRequest, now_ms: int) -> int:
+        is_brittle = self._is_brittle(request.service, now_ms)
+        return give_up_at_ms(request, self.settings.policy, is_brittle=is_brittle)
+
+    def _is_brittle(self, service: str, now_ms: int) -> bool:
+        """Return whether upstreams of a service fall over if they reject many requests."""
+        limits = self.board.read(RequestLimitTable)
+        if not len(limits):
+            return False
+        upstreams = self.board.read(ViewTable).serving_upstreams(service, now_ms)
+        return any(limits.is_brittle(upstream.run) for upstream in upstreams)
+
     def _demote_late(self, queue: "RequestQueue[GatewayRequest]", now_ms: int) -> None:
         """Move requests that will miss their objective behind those that can still meet it."""
-        engine = self.settings.policy.engine
+        policy = self.settings.policy
         late = [
             request
             for request in queue.requests()
-            if not request.is_late and now_ms > request.latest_start_ms(engine)
+            if not request.is_late and now_ms > request.latest_start_ms(policy.engine)
         ]
         for request in late:
             queue.remove(request)
             demoted = request.with_late()
             self.board.write(GatewayRequestTable).put(request.request_id, demoted)
-            give_up_at_ms = self._give_up_at_ms(demoted)
-            cost = queue_cost(demoted, engine)
-            queue.push(QueuedRequest(demoted, cost, 1.0, give_up_at_ms))
-
-    def _give_up_at_ms(self, request: GatewayRequest) -> int:
-        queue_limit_ms = self.settings.policy.patience_objectives * request.route.objective_ms
-        queue_until_ms = int(request.arrived_at_ms + queue_limit_ms)
-        return min(request.ends_at_ms - _ANSWER_MARGIN_MS, queue_until_ms)
+            cost = queue_cost(demoted, policy.engine)
+            give_up_ms = self._give_up_at_ms(demoted, now_ms)
+            queue.push(QueuedRequest(demoted, cost, 1.0, give_up_ms))
 
     def _may_try(self, quarantined: QuarantinedTraits, now_ms: int) -> bool:
         """Return whether a request in quarantine may be sent as a trial.
@@ -233,8 +307,7 @@
         if request.run_attempts:
             self._return_last_result(request, "no capacity for another attempt in time", context)
             return
-        wait_ms = int(self._wait_ms(request))
-        self._refuse(request, kind, wait_ms, context)
+        self._refuse(request, kind, context)
 
     def _return_last_result(self, request: GatewayRequest, reason: str, context: Context) -> None:
         """End a request that has run, so that it must not be refused as not run."""
@@ -268,13 +341,18 @@
         context.act(Refuse(request.request_id, ErrorKind.OVERLOADED, retry_after_ms, detail=detail))
 
     def _refuse(
-        self, request: GatewayRequest, kind: ErrorKind, wait_ms: int, context: Context
+        self,
+        request: GatewayRequest,
+        kind: ErrorKind,
+        context: Context,
+        retry_after_ms: int | None = None,
     ) -> None:
+        """Refuse a request; without a stated time its caller is to return as the queue expects."""
         self.board.write(GatewayRequestTable).remove(request.request_id)
         self._refund(request)
-        retry_after_ms = min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, wait_ms))
-        context.act(
-            Refuse(
-                request.request_id, kind, retry_after_ms, detail=f"expected queue time {wait_ms} ms"
-            )
-        )
+        wait_ms = self._wait_ms(request)
+        if retry_after_ms is None:
+            left_ms = request.ends_at_ms - context.now_ms
+            retry_after_ms = overload_retry_after_ms(wait_ms, left_ms, context.random)
+        detail = f"expected queue time {wait_ms:.0f} ms"
+        context.act(Refuse(request.request_id, kind, retry_after_ms, detail=detail))
--- /dev/null
+++ b/azureturn/gateway/decisions/tests/test_overload.py
@@ -0,0 +1,118 @@
+"""Who is refused when upstreams have too little capacity, and when callers are to return."""
+
+from dataclasses import replace
+
+import pytest
+
+from azureturn.errors import RunState
+from azureturn.framework import Refuse
+from azureturn.gateway.decisions import AttemptEnded, AttemptResult, SendAttempt
+from azureturn.gateway.decisions.tests.gateway_core_harness import (
+    STREAM_ROUTE,
+    GatewayCoreHarness,
+    upstream,
+    view,
+)
+
+_ROUTE = replace(STREAM_ROUTE, timeout_ms=6_000)
+
+
+class _OverloadedSite:
+    """A VM with one engine of four slots, which ends a request every 50 ms while it is busy."""
+
+    def __init__(self) -> None:
+        self.vm = GatewayCoreHarness(view(upstream("m-1")))
+        self.sent: list[str] = []
+        self.refused: dict[str, Refuse] = {}
+        self.refused_after_ms: dict[str, int] = {}
+        self.submitted_at_ms: dict[str, int] = {}
+        self._ended = 0
+
+    def submit(self, request_id: str, rank: int = 2) -> None:
+        self.submitted_at_ms[request_id] = self.vm.now_ms
+        self._apply(self.vm.submit_request(request_id, route=_ROUTE, urgency_rank=rank))
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            if len(self.sent) >= self._ended + 4:
+                request_id = self.sent[self._ended]
+                self._ended += 1
+                ended = AttemptEnded(request_id, AttemptResult.ANSWERED)
+                self._apply(self.vm.handle_event(ended))
+            self._apply(self.vm.tick(self.vm.now_ms + 50))
+
+    def _apply(self, actions: tuple[object, ...]) -> None:
+        for action in actions:
+            if isinstance(action, SendAttempt):
+                self.sent.append(action.request_id)
+            elif isinstance(action, Refuse):
+                self.refused[action.request_id] = action
+                waited_ms = self.vm.now_ms - self.submitted_at_ms[action.request_id]
+                self.refused_after_ms[action.request_id] = waited_ms
+
+
+@pytest.fixture(name="site")
+def _site() -> _OverloadedSite:
+    return _OverloadedSite()
+
+
+def test_late_requests_are_served_when_a_burst_is_over(site: _OverloadedSite) -> None:
+    """Requests that missed their objective were refused, and upstreams were idle soon after."""
+    for number in range(60):
+        site.submit(f"r-{number}")
+    site.run(100)
+    assert len(site.sent) == 60
+    assert not site.refused
+
+
+def test_a_request_in_time_goes_before_late_ones(site: _OverloadedSite) -> None:
+    for number in range(60):
+        site.submit(f"late-{number}")
+    site.run(20)
+    site.submit("in-time")
+    already_sent = len(site.sent)
+    site.run(2)
+    assert site.sent[already_sent] == "in-time"
+
+
+def test_sustained_overload_refuses_at_once_and_not_after_a_long_wait(
+    site: _OverloadedSite,
+) -> None:
+    """A caller that is refused after a long wait has no time left for another attempt."""
+    for number in range(400):
+        site.submit(f"a-{number}")
+        site.submit(f"b-{number}")
+        site.submit(f"c-{number}")
+        site.run(1)
+    refusals = list(site.refused.values())
+    assert len(refusals) > 300
+    assert all(refusal.run_state is RunState.NOT_RUN for refusal in refusals)
+    waited_long = [waited for waited in site.refused_after_ms.values() if waited > 2_000]
+    assert len(waited_long) <= 0.05 * len(refusals)
+
+
+def test_callers_are_told_to_return_at_different_times_and_in_time(site: _OverloadedSite) -> None:
+    for number in range(1_200):
+        site.submit(f"r-{number}")
+        if number % 3 == 0:
+            site.run(1)
+    times_ms = [refusal.retry_after_ms for refusal in site.refused.values()]
+    assert len(set(times_ms)) > len(times_ms) / 10
+    assert max(time_ms or 0 for time_ms in times_ms) <= _ROUTE.timeout_ms / 3
+
+
+def test_no_request_is_refused_while_less_urgent_ones_wait(site: _OverloadedSite) -> None:
+    """An urgent request was refused for its expected wait while less urgent ones stayed queued."""
+    for number in range(100):
+        site.submit(f"usual-{number}", rank=3)
+        site.run(1)
+    for number in range(200):
+        site.submit(f"urgent-{number}", rank=1)
+    refused_urgent = [name for name in site.refused if name.startswith("urgent")]
+    assert any(name.startswith("usual") for name in site.sent)
+    waiting_usual = [
+        name
+        for name in site.submitted_at_ms
+        if name.startswith("usual") and name not in site.sent and name not in site.refused
+    ]
+    assert not (refused_urgent and waiting_usual)
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -125,9 +125,12 @@
     ahead_requests: Annotated[float, Field(ge=0)] = 1.0
     #: Slots of an engine that are reserved for the most urgent tier.
     reserved_slots: Annotated[float, Field(ge=0)] = 0.0
-    #: A queued request is refused after this multiple of its objective.
+    #: A queued request waits for at least this multiple of its objective before it is refused, also
+    #: if it is not expected to be answered within its time limit any more.
     patience_objectives: Positive = 2.0
-    #: A new request is refused if its expected wait exceeds this multiple of its objective.
+    #: A new request is not refused while its expected wait is within this multiple of its
+    #: objective. Beyond that it is refused if it is not expected to be answered within its time
+    #: limit.
     refusal_objectives: Positive = 1.0
 
 
