Quotas: a VM that hears all others does not compare their usage

The share of the VMs that report in time summed the usage of all organisations of every peer for each request, though it is 1 if none is missing.

--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -266,10 +266,12 @@
         ``own_units`` is the usage of this VM.
         """
         peers = [peer for peer in self.rows() if peer.reports_in_time(now_ms)]
+        vm_count = self.vms(now_ms)
+        is_complete = len(peers) + 1 == vm_count
         return LiveVms(
             frozenset({self.own_name, *(peer.report.vm for peer in peers)}),
-            self.reporting_usage_share(own_units, now_ms),
-            self.vms(now_ms),
+            1.0 if is_complete else self.reporting_usage_share(own_units, now_ms),
+            vm_count,
             ReportAges(len(peers), sum(now_ms - peer.received_at_ms for peer in peers)),
         )
 
