--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -3,9 +3,12 @@
 import math
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
+from typing import NamedTuple
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
+from azureturn.gateway.decisions._allotment_pacing import LiveVms, ReportAges
 from azureturn.gateway.decisions._availability import AvailabilityReport
 from azureturn.gateway.decisions._cold_upstreams import ColdReport
 from azureturn.gateway.decisions._crashes import CrashReport
@@ -17,6 +20,11 @@
 #: A peer is live, that is, assumed to run and to be reachable, until its last report is older than
 #: this many report intervals.
 _MISSED_REPORTS_LIMIT = 7
+#: A peer reports its usage of allotments in time until its last report is older than this many
+#: intervals, and than this time. What both sides of a partition admit before each uses only its
+#: share depends on it.
+_LATE_REPORTS_LIMIT = 2
+_MIN_LATE_REPORT_MS = 700
 #: Minimum time between two reports, which applies to urgent ones as well.
 URGENT_INTERVAL_MS = 20
 #: Reports that a VM sends in a second at the most while they are urgent: twice as many as
@@ -40,9 +48,11 @@
 _REGISTRATION_GRACE_MS = 10_000
 
 
-@dataclass(frozen=True)
-class OutstandingWork:
-    """Requests of one VM at one upstream, and the prompt tokens still to be prefilled for them."""
+class OutstandingWork(NamedTuple):
+    """Requests of one VM at one upstream, and the prompt tokens still to be prefilled for them.
+
+    A report contains one for each upstream: tuples are created and compared in a third of the time.
+    """
 
     requests: int
     pending_tokens: int
@@ -199,10 +209,20 @@
     #: Interval at which the peer sends reports.
     interval_ms: int = 100
 
+    @cached_property
+    def used_units(self) -> int:
+        """Return the peer's usage of all allotments together; each request asks for it."""
+        return sum(spent.units for spent in self.report.spent.values())
+
     def is_live(self, now_ms: int) -> bool:
         """Return whether the report is recent enough to be used."""
         return now_ms - self.received_at_ms <= _MISSED_REPORTS_LIMIT * self.interval_ms
 
+    def reports_in_time(self, now_ms: int) -> bool:
+        """Return whether its usage of allotments is known; it may still be live if not."""
+        limit_ms = max(_MIN_LATE_REPORT_MS, _LATE_REPORTS_LIMIT * self.interval_ms)
+        return now_ms - self.received_at_ms <= limit_ms
+
     def is_paused(self, upstream: str, now_ms: int) -> bool:
         """Return whether an upstream wants no request from the peer at this time."""
         age_ms = now_ms - self.received_at_ms
@@ -225,14 +245,28 @@
         self.started_unix_ms = 0
         #: Names of the VMs registered in the store, including this one.
         self.registered_vms: frozenset[str] = frozenset()
+        #: Live peers at a time, until a peer changes; one request asks for them repeatedly.
+        self._live_peers: tuple[int, list[Peer]] | None = None
+
+    def put(self, key: str, row: Peer) -> None:
+        """Insert or replace the peer with this name."""
+        self._live_peers = None
+        super().put(key, row)
+
+    def remove(self, key: str) -> Peer | None:
+        """Remove the peer with this name and return it, or None if there is none."""
+        self._live_peers = None
+        return super().remove(key)
 
     def work_at(self, upstream: str) -> OutstandingWork:
         """Return the outstanding work of all live peers at an upstream."""
         return self._work.get(upstream, _NO_WORK)
 
     def live_peers(self, now_ms: int) -> list[Peer]:
-        """Return the peers whose latest report is recent."""
-        return [peer for peer in self.rows() if peer.is_live(now_ms)]
+        """Return the peers whose latest report is recent; the list must not be changed."""
+        if self._live_peers is None or self._live_peers[0] != now_ms:
+            self._live_peers = (now_ms, [peer for peer in self.rows() if peer.is_live(now_ms)])
+        return self._live_peers[1]
 
     def reaching(self, upstream: str, now_ms: int) -> list[Peer]:
         """Return the live peers that can connect to an upstream, as far as they have reported.
@@ -256,6 +290,19 @@
         """Return the names of the live VMs, including this one."""
         return frozenset({self.own_name, *(peer.report.vm for peer in self.live_peers(now_ms))})
 
+    def reporting_vms(self, now_ms: int, own_units: int) -> LiveVms:
+        """Return the VMs that report their usage in time, including this one.
+
+        ``own_units`` is the usage of this VM.
+        """
+        peers = [peer for peer in self.rows() if peer.reports_in_time(now_ms)]
+        return LiveVms(
+            frozenset({self.own_name, *(peer.report.vm for peer in peers)}),
+            self.reporting_usage_share(own_units, now_ms),
+            self.vms(now_ms),
+            ReportAges(len(peers), sum(now_ms - peer.received_at_ms for peer in peers)),
+        )
+
     def vms_ahead(self, now_ms: int) -> int:
         """Return the number of live VMs whose names sort before this VM's.
 
@@ -265,10 +312,9 @@
 
     def vms(self, now_ms: int) -> int:
         """Return the number of known VMs, live or not, including this one."""
-        known = set(self._rows)
         if now_ms - self.started_at_ms < _REGISTRATION_GRACE_MS:
-            known |= self.registered_vms
-        return len(known - {self.own_name}) + 1
+            return len({self.own_name}.union(self._rows, self.registered_vms))
+        return len(self) + (self.own_name not in self)
 
     def interval_ms(self, shortest_ms: int) -> int:
         """Return the report interval of a VM in a site of this size."""
@@ -284,12 +330,16 @@
 
     def zones_without_live_vms(self, now_ms: int) -> frozenset[str]:
         """Return the availability zones with known VMs of which none is live."""
+        if len(self.live_peers(now_ms)) == len(self):
+            return frozenset()
         zones = {peer.report.availability_zone for peer in self.rows()}
         live_zones = {peer.report.availability_zone for peer in self.live_peers(now_ms)}
         return frozenset(zones - live_zones)
 
     def vm_count_outside(self, zones: Container[str], now_ms: int) -> int:
         """Return the number of known VMs, less the VMs in ``zones`` that are not live."""
+        if len(self.live_peers(now_ms)) == len(self):
+            return self.vms(now_ms)
         excluded = sum(
             not peer.is_live(now_ms) and peer.report.availability_zone in zones
             for peer in self.rows()
@@ -307,21 +357,20 @@
             names |= {name for name in self.registered_vms if name not in self._rows}
         return frozenset(names | {self.own_name})
 
-    def live_usage_share(self, own_units: int, now_ms: int) -> float:
-        """Return the share of the total usage that live VMs account for, including this one.
+    def reporting_usage_share(self, own_units: int, now_ms: int) -> float:
+        """Return the share of the total usage of the VMs that report in time, and this one.
 
-        The last reported usage of a VM that is not live is compared with this VM's usage when the
+        The last reported usage of a VM that does not is compared with this VM's usage when the
         report was received, so that both sides of a partition compute the same shares. A VM
         that has never reported is assumed to use as much as this one.
         """
         live_usage = 1.0
         other_usage = float(self.vms(now_ms) - 1 - len(self))
         for peer in self.rows():
-            usage = sum(spent.units for spent in peer.report.spent.values())
-            if peer.is_live(now_ms):
-                live_usage += _usage_ratio(usage, own_units)
+            if peer.reports_in_time(now_ms):
+                live_usage += _usage_ratio(peer.used_units, own_units)
             else:
-                other_usage += _usage_ratio(usage, peer.own_units)
+                other_usage += _usage_ratio(peer.used_units, peer.own_units)
         return live_usage / (live_usage + max(0.0, other_usage))
 
     def requests_ahead_at_peers(
@@ -358,15 +407,16 @@
     def add_work(self, before: PeerReport | None, after: PeerReport) -> None:
         """Update the totals from a peer's previous report to its newer one."""
         old_work = before.work if before else {}
-        new_work = after.work
-        if old_work is new_work:
+        if old_work is after.work:
             return
+        for upstream, work in after.work.items():
+            old = old_work.get(upstream, _NO_WORK)
+            if old != work:
+                requests = work.requests - old.requests
+                _add(self._work, upstream, requests, work.pending_tokens - old.pending_tokens)
         for upstream, work in old_work.items():
-            if new_work.get(upstream) != work:
+            if upstream not in after.work:
                 _add(self._work, upstream, -work.requests, -work.pending_tokens)
-        for upstream, work in new_work.items():
-            if old_work.get(upstream) != work:
-                _add(self._work, upstream, work.requests, work.pending_tokens)
 
 
 _NO_WORK = OutstandingWork(0, 0)
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -148,8 +148,8 @@
         peers.add_work(previous, report)
         if report.prompts:
             self._apply_prompts(report)
-        if report.spent:
-            self._apply_usage(report, context.now_ms)
+        # A report without usage takes back what earlier ones said.
+        self._apply_usage(report, context.now_ms)
         if report.moves:
             self._apply_moves(report, context.now_ms)
         self._fetch_newer_view(report, context)
