--- a/azureturn/gateway/decisions/tests/simulated_allotments.py
+++ b/azureturn/gateway/decisions/tests/simulated_allotments.py
@@ -119,6 +119,17 @@
             callback()
         self.now_ms = at_ms
 
+    def restart(self, number: int) -> None:
+        """Replace a VM's process; the store does not answer, so that no record is read."""
+        old = self.vms[number]
+        vm = _Vm(number, boot=old.boot + 1, round_ms=old.round_ms)
+        vm.table.restarted_at_ms = self.now_ms
+        vm.peers.own_name = vm.name
+        vm.peers.registered_vms = old.peers.registered_vms
+        vm.peers.started_at_ms = self.now_ms
+        self.vms[number] = vm
+        self._tick(vm)
+
     def wrongly_refused_share(self, from_ms: int, until_ms: int) -> float:
         """Return the share of requests that were refused although they were within the limit."""
         seconds = range(from_ms // 1_000, until_ms // 1_000)
@@ -173,6 +184,8 @@
         return True
 
     def _tick(self, vm: _Vm) -> None:
+        if self.vms[vm.number] is not vm:
+            return
         self._report_if_due(vm)
         self._after(_TICK_MS, partial(self._tick, vm))
 
@@ -195,9 +208,10 @@
             if receiver is vm or is_cut or self._random.random() < self._loss:
                 continue
             delay_ms = self._random.randint(*_MESSAGE_MS) + int(vm.round_ms * self._random.random())
-            self._after(delay_ms, partial(self._hear, receiver, report))
+            self._after(delay_ms, partial(self._hear, receiver.number, report))
 
-    def _hear(self, vm: _Vm, report: PeerReport) -> None:
+    def _hear(self, number: int, report: PeerReport) -> None:
+        vm = self.vms[number]
         peer = vm.peers.get(report.vm)
         if peer is not None and peer.report.is_not_older_than(report):
             return
--- a/azureturn/gateway/decisions/tests/test_allotments.py
+++ b/azureturn/gateway/decisions/tests/test_allotments.py
@@ -346,3 +346,16 @@
     assert site.wrongly_refused_share(0, 3_000) <= 0.01
     if not is_partitioned:
         assert site.wrongly_refused_share(3_000, 7_000) <= largest_refused_share
+
+
+@pytest.mark.parametrize("vm_count", [8, 31, 73])
+def test_restarts_during_a_surge_without_a_record(vm_count: int) -> None:
+    """A new process does not know what its VM has admitted, and the store may not answer."""
+    load = SimulatedLoad(units_per_s=225_000, factors=((0, 1.0), (3_000, 14.0)))
+    allotment = Allotment(rate_per_s=450_000, burst=400_000, counts_tokens=True)
+    site = SimulatedAllotments(vm_count=vm_count, allotment=allotment, load=load)
+    site.run_until(4_000)
+    for number in range(0, vm_count, 5):
+        site.restart(number)
+    site.run_until(9_000)
+    assert site.peak_units <= site.bound_units
