Speeds of upstreams are learned by all VMs together

The length of an answer and the time limit played no part in placement.

Change: each VM adds up the time of its answers by run and by level of requests, and reports what was added since its last report (Thrift field 50). Sums are merged in any order and lose half of their weight in 3 s; few answers count as the service's mean, as do small differences. Placement uses the work of the request, prefers fast engines by the length of the answer, keeps their last slot free, does not start an answer where it would exceed its time limit if another engine can end it, and keeps to fewer requests where more serve less.

Evidence: test_speeds.py. Twice during development, with a shorter half-life or without a band that widens with few answers, tests of request limits and of crashing prompts failed; both pass now, unchanged.

--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -9,6 +9,7 @@
     PeerReport,
     QueueReport,
     SentPrompt,
+    SpeedReport,
     StreamPace,
     Suspect,
     VersionCount,
@@ -23,6 +24,7 @@
     MoveSeen,
     PromptSent,
     QuarantineSeen,
+    SpeedSeen,
     SuspectSeen,
     TierWaiting,
     TraitCleared,
@@ -91,6 +93,7 @@
         store_contact_ms=report.store_contact_ms,
         configuration_version=report.configuration_version,
         availability=[_availability_to_wire(row) for row in report.availability],
+        speeds=[_speed_to_wire(row) for row in report.speeds],
     )
 
 
@@ -137,6 +140,7 @@
         store_contact_ms=wire.store_contact_ms,
         configuration_version=wire.configuration_version or 0,
         availability=tuple(_availability_from_wire(row) for row in wire.availability or ()),
+        speeds=tuple(_speed_from_wire(row) for row in wire.speeds or ()),
     )
 
 
@@ -163,6 +167,22 @@
     return AvailabilityReport(run, bool(row.leaving), row.pause_ms or 0, row.relay_vm or "")
 
 
+def _speed_to_wire(report: SpeedReport) -> SpeedSeen:
+    name, started_unix_ms = report.run
+    return SpeedSeen(
+        upstream=name,
+        started_unix_ms=started_unix_ms,
+        level=report.level,
+        assumed_ms=min(report.assumed_ms, _MAX_I32),
+        took_ms=min(report.took_ms, _MAX_I32),
+    )
+
+
+def _speed_from_wire(row: SpeedSeen) -> SpeedReport:
+    run = (row.upstream or "", row.started_unix_ms or 0)
+    return SpeedReport(run, row.level or 0, row.assumed_ms or 0, row.took_ms or 0)
+
+
 def _limits_to_wire(report: LimitReport) -> LimitSeen:
     name, started_unix_ms = report.run
     return LimitSeen(
--- a/azureturn/gateway/daemon/tests/test_earlier_builds.py
+++ b/azureturn/gateway/daemon/tests/test_earlier_builds.py
@@ -2,11 +2,11 @@
 
 from base64 import b64decode
 
-from azureturn.gateway.daemon._report_codec import report_from_wire
-from azureturn.gateway.decisions import OutstandingWork
+from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
+from azureturn.gateway.decisions import OutstandingWork, SpeedReport
 from azureturn.gateway.decisions.tests.gateway_core_harness import peer_report
 from azureturn.gateway.site import QuarantinedTraits
-from azureturn.peers import GatewayReport, decode_struct
+from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
 #: A report as the build of commit 5707ed4 encodes it.
 _REPORT_OF_5707ED4 = (
@@ -25,3 +25,12 @@
     )
     # An earlier build does not say for how long the store has answered it.
     assert report.store_contact_ms is None
+
+
+def test_measured_speeds_are_read_as_they_were_sent_and_absent_in_earlier_builds() -> None:
+    """The field is new: a wrong number in it would be taken for another field by peers."""
+    speeds = (SpeedReport(("e-1", 1_780_000_000_000), 2, 4_000, 11_200),)
+    wire = report_to_wire(peer_report("vm-9", speeds=speeds))
+    assert report_from_wire(decode_struct(GatewayReport, encode_struct(wire))).speeds == speeds
+    earlier = decode_struct(GatewayReport, b64decode(_REPORT_OF_5707ED4))
+    assert report_from_wire(earlier).speeds == ()
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -54,6 +54,7 @@
 from azureturn.gateway.decisions._request_limits import LimitReport, RequestLimitTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._sending import may_send
+from azureturn.gateway.decisions._speeds import SpeedReport, SpeedTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
@@ -100,6 +101,8 @@
     "SendAttempt",
     "SendReport",
     "SentPrompt",
+    "SpeedReport",
+    "SpeedTable",
     "Stage",
     "StoreLost",
     "StoreReached",
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -9,7 +9,9 @@
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheEstimate
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.decisions._slot_sharing import expected_requests
+from azureturn.gateway.decisions._speeds import PLAIN_ANSWER_MS, SpeedEstimate
 from azureturn.gateway.decisions._upstream_state import UpstreamState
+from azureturn.gateway.decisions._work import request_work
 from azureturn.gateway.settings import GatewayPolicy
 from azureturn.gateway.site import EngineCapacity, Prompt, RegisteredUpstream
 
@@ -19,6 +21,12 @@
 _OTHER_ZONE_MS = 3.0
 #: Weight of a prompt's prefill time in the cost, for each answer that the prefill delays.
 _INTERFERENCE_WEIGHT = 0.05
+#: Weight of the time from the first event to the end of the answer in the cost. The objective
+#: counts to the first event, but slots that long answers hold are missing to others.
+_ANSWER_WEIGHT = 0.1
+#: Cost of the last slot, and of each request that waits, at an engine that is much faster than the
+#: usual one. All VMs prefer it, so that it rejects what they send between two reports.
+_CROWDING_MS = 1_000.0
 #: Maximum number of requests at an upstream of a plain service (one that runs no model), as a
 #: multiple of its slots.
 _PLAIN_QUEUE_FACTOR = 3
@@ -46,6 +54,8 @@
     is_relayed: bool = False
     #: Whether the prefill of this prompt would pause concurrent answers beyond the route's limit.
     exceeds_pause_limit: bool = False
+    #: Whether the answer would not end within the time limit of the request.
+    exceeds_timeout: bool = False
 
 
 @dataclass(frozen=True)
@@ -61,6 +71,8 @@
     may_send: bool = True
     #: Whether this VM sends to it through a peer.
     is_relayed: bool = False
+    #: What is known of its speed.
+    speed: SpeedEstimate = SpeedEstimate()
     #: Whether it falls over if it has to reject many requests.
     is_brittle: bool = False
     #: Requests of peers that are expected now.
@@ -72,6 +84,12 @@
     capacity_left: float = 0
     urgent_capacity_left: float = 0
 
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that it runs at the same time without serving less."""
+        slots = max(1, self.upstream.slots)
+        return slots if self.prefix_cache is None else min(slots, self.speed.limit)
+
 
 @dataclass(frozen=True)
 class PlacementSnapshot:
@@ -82,6 +100,8 @@
     engine: EngineCapacity | None
     own_zone: str
     now_ms: int
+    #: Mean slowdown of the upstreams when all their slots are in use.
+    usual_slowdown: float = 1.0
 
     @classmethod
     def of(
@@ -111,7 +131,7 @@
             if has_old_reports:
                 expected = (snapshot.state.requests + snapshot.peer_requests) / live_share
                 requests = max(requests, expected) if snapshot.is_brittle else expected
-            slots = max(1, snapshot.upstream.slots)
+            slots = snapshot.slots
             if engine is None:
                 capacity = urgent_capacity = slots * _PLAIN_QUEUE_FACTOR - requests
             else:
@@ -137,7 +157,9 @@
                     urgent_capacity_left=urgent_capacity,
                 )
             )
-        return cls(tuple(with_capacity), engine, own_zone, now_ms)
+        usual_slowdown = sum(row.speed.slowdowns[-1] for row in with_capacity)
+        usual_slowdown /= max(1, len(with_capacity))
+        return cls(tuple(with_capacity), engine, own_zone, now_ms, usual_slowdown)
 
 
 def _with_renewed_work(
@@ -178,7 +200,7 @@
 
 def _plain_candidate(upstream_snapshot: UpstreamSnapshot, snapshot: PlacementSnapshot) -> Candidate:
     slots = max(1, upstream_snapshot.upstream.slots)
-    answer_ms = max(upstream_snapshot.state.expected_answer_ms(snapshot.now_ms), 1.0)
+    answer_ms = PLAIN_ANSWER_MS * upstream_snapshot.speed.slowdowns[0]
     waiting = max(0, upstream_snapshot.requests + 1 - slots)
     expected_ms = answer_ms * (1.0 + waiting / slots)
     cost_ms = (
@@ -207,26 +229,31 @@
 ) -> Candidate:
     state = upstream_snapshot.state
     requests = upstream_snapshot.requests
-    slowdown = state.expected_slowdown(snapshot.now_ms)
+    slowdown = upstream_snapshot.speed.slowdown(requests, upstream_snapshot.upstream.slots)
     cached_tokens = (
         upstream_snapshot.prefix_cache.cached_tokens(prompt.prefixes)
         if upstream_snapshot.prefix_cache
         else 0
     )
-    uncached_tokens = max(0, prompt.prompt_tokens - cached_tokens)
+    work = request_work(request, policy.engine, cached_tokens)
+    uncached_tokens = work.prefill_tokens
     ms_per_token = slowdown / policy.engine.prefill_tokens_per_ms
     queued_prefill_ms = (
         state.pending_tokens + upstream_snapshot.peer_work.pending_tokens
     ) * ms_per_token
     prefill_ms = uncached_tokens * ms_per_token
-    slots = max(1, upstream_snapshot.upstream.slots)
-    answer_ms = policy.engine.answer_tokens * policy.engine.ms_per_token * slowdown
-    slot_wait_ms = max(0, requests + 1 - slots) / slots * answer_ms
+    slots = upstream_snapshot.slots
+    usual_answer_ms = policy.engine.answer_tokens * policy.engine.ms_per_token * slowdown
+    slot_wait_ms = max(0, requests + 1 - slots) / slots * usual_answer_ms
     expected_ms = (
         queued_prefill_ms + prefill_ms + slot_wait_ms + policy.engine.first_event_ms * slowdown
     )
+    answer_ms = work.answer_ms * slowdown
+    crowding = max(0.0, requests + 2 - slots) * max(0.0, 1.0 - slowdown / snapshot.usual_slowdown)
     cost_ms = (
         expected_ms
+        + _CROWDING_MS * crowding
+        + _ANSWER_WEIGHT * answer_ms
         + _INTERFERENCE_WEIGHT * requests * prefill_ms
         + _common_cost(upstream_snapshot, snapshot)
     )
@@ -237,7 +264,12 @@
     )
     queued_tokens = state.pending_tokens + upstream_snapshot.peer_work.pending_tokens
     exceeds_limit = requests > 0 and _exceeds_pause_limit(
-        request, queued_tokens + uncached_tokens, slowdown, snapshot, policy
+        request,
+        queued_tokens + uncached_tokens,
+        # An answer of this VM shows at once that this engine is slow now.
+        max(slowdown, state.expected_slowdown(snapshot.now_ms)),
+        snapshot,
+        policy,
     )
     return Candidate(
         upstream_snapshot.upstream,
@@ -248,6 +280,7 @@
         capacity > 0,
         upstream_snapshot.is_relayed,
         exceeds_limit,
+        snapshot.now_ms + expected_ms + answer_ms > request.ends_at_ms,
     )
 
 
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -10,6 +10,7 @@
 from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
 from azureturn.gateway.decisions._request_limits import LimitReport
+from azureturn.gateway.decisions._speeds import SpeedReport
 from azureturn.gateway.site import AllotmentUsage, QuarantinedTraits
 
 _MS_PER_S = 1_000
@@ -162,6 +163,8 @@
     store_contact_ms: int | None = None
     #: Version of the configuration in force at the VM; 0 if it has none.
     configuration_version: int = 0
+    #: How long answers of upstreams took that ended since the previous report.
+    speeds: tuple[SpeedReport, ...] = ()
 
     def with_strained(self, strained: bool) -> "PeerReport":
         """Return a copy with the given value of ``strained``."""
@@ -175,6 +178,10 @@
         """Return a copy without the prompts that were sent."""
         return changed(self, prompts=())
 
+    def without_speeds(self) -> "PeerReport":
+        """Return a copy without the measured times."""
+        return changed(self, speeds=())
+
     def is_not_older_than(self, other: "PeerReport") -> bool:
         """Return whether ``other`` is from the same process and was not sent later."""
         return self.boot == other.boot and self.sequence >= other.sequence
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -87,6 +87,8 @@
     first_event_at_ms: int = 0
     #: Estimated prompt tokens that the upstream still has to prefill.
     pending_tokens: int = 0
+    #: Level of the upstream's requests when it was sent, to which its time is attributed.
+    level: int = 0
 
     @property
     def may_repeat(self) -> bool:
@@ -134,6 +136,7 @@
         *,
         now_ms: int,
         pending_tokens: int,
+        level: int = 0,
     ) -> "GatewayRequest":
         """Return a copy that has been sent to an upstream."""
         return changed(
@@ -146,6 +149,7 @@
             sent_at_ms=now_ms,
             first_event_at_ms=0,
             pending_tokens=pending_tokens,
+            level=level,
             tried_upstreams=(*self.tried_upstreams, upstream.name),
         )
 
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -20,6 +20,7 @@
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryBudgetTable
 from azureturn.gateway.decisions._slot_sharing import TurnoverTable
+from azureturn.gateway.decisions._speeds import PLAIN_ANSWER_MS, SpeedReport, SpeedTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions.controllers._registry import (
@@ -54,6 +55,7 @@
         RetryBudgetTable,
         MoveTable,
         TurnoverTable,
+        SpeedTable,
     )
     after = ("admission", "crashes", "request_limits", "paths")
 
@@ -209,6 +211,7 @@
         if state is None:
             return
         state = state.with_ended(request.pending_tokens)
+        self._record_speed(request, event, now_ms)
         state = self._with_result(state, request, event, now_ms)
         self.board.write(UpstreamStateTable).put(request.upstream, state)
         if event.event_count >= _MIN_TIMED_EVENTS:
@@ -229,6 +232,19 @@
                 took_ms=answered_at_ms - request.sent_at_ms,
             )
 
+    def _record_speed(self, request: GatewayRequest, event: AttemptEnded, now_ms: int) -> None:
+        """Record how long an answer took, if that says something about the upstream's speed."""
+        if event.event_count >= _MIN_TIMED_EVENTS:
+            tokens = (event.event_count - 1) * self._tokens_per_event(request.service)
+            assumed_ms = tokens * self.settings.policy.engine.ms_per_token
+            took_ms = event.streamed_ms
+        elif event.result is AttemptResult.ANSWERED and request.prompt is None:
+            assumed_ms, took_ms = PLAIN_ANSWER_MS, now_ms - request.sent_at_ms
+        else:
+            return
+        row = SpeedReport(request.upstream_run, request.level, int(assumed_ms), took_ms)
+        self.board.write(SpeedTable).record(row, now_ms)
+
     def _with_result(
         self, state: UpstreamState, request: GatewayRequest, event: AttemptEnded, now_ms: int
     ) -> UpstreamState:
@@ -248,8 +264,6 @@
             tokens = (event.event_count - 1) * self._tokens_per_event(request.service)
             assumed_ms = tokens * self.settings.policy.engine.ms_per_token
             return state.with_slowdown(event.streamed_ms / assumed_ms, now_ms)
-        if event.result is AttemptResult.ANSWERED and request.prompt is None:
-            return state.with_answer_time(float(now_ms - request.sent_at_ms), now_ms)
         return state
 
     def _tokens_per_event(self, service_name: str) -> int:
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -22,6 +22,7 @@
     SlotDivisionTable,
     TurnoverTable,
 )
+from azureturn.gateway.decisions._speeds import SpeedTable, level_of
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
@@ -55,6 +56,7 @@
         PauseTable,
         ProcessingLimitTable,
         TurnoverTable,
+        SpeedTable,
     )
     writes = (
         GatewayRequestTable,
@@ -141,7 +143,7 @@
         if not peers.has_old_reports(context.now_ms):
             return cheapest(candidates, context)
         vm_names = peers.vm_names_outside(self._partitioned_zones(context.now_ms), context.now_ms)
-        upstreams = tuple((row.upstream.name, row.upstream.slots) for row in snapshot.upstreams)
+        upstreams = tuple((row.upstream.name, row.slots) for row in snapshot.upstreams)
         owned = self.board.write(SlotDivisionTable).owned(
             service, upstreams, vm_names, self.settings.vm.name
         )
@@ -221,6 +223,7 @@
         snapshots = []
         upstreams = self.board.read(ViewTable).serving_upstreams(service, context.now_ms)
         # An upstream that has just started has stated nothing yet, but is like the others.
+        speeds = self.board.read(SpeedTable).estimates(service, upstreams, context.now_ms)
         is_brittle = any(limits.is_brittle(upstream.run) for upstream in upstreams)
         for upstream in upstreams:
             state = states.of(upstream.run)
@@ -241,6 +244,7 @@
                     and limits.may_send(upstream.run, known_vms, context.now_ms),
                     is_relayed=relayed,
                     is_brittle=is_brittle,
+                    speed=speeds[upstream.name],
                 )
                 snapshots.append(snapshot)
         vm_count = peers.vm_count_outside(self._partitioned_zones(context.now_ms), context.now_ms)
@@ -325,7 +329,11 @@
             window.record_admitted(request.allotment_units, context.now_ms)
         relay = self._choose_relay(upstream, context) if chosen.is_relayed else None
         sent_request = request.with_sent(
-            upstream, relay, now_ms=context.now_ms, pending_tokens=chosen.pending_tokens
+            upstream,
+            relay,
+            now_ms=context.now_ms,
+            pending_tokens=chosen.pending_tokens,
+            level=level_of(chosen.requests, upstream.slots),
         )
         self.board.write(GatewayRequestTable).put(request.request_id, sent_request)
         context.act(
--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -57,10 +57,13 @@
 
 
 def suitable(candidates: list[Candidate], with_capacity: list[Candidate]) -> list[Candidate]:
-    """Return the candidates with capacity within the pause limit.
+    """Return the candidates with capacity where the answer ends in time, within the pause limit.
 
-    If no candidate at all is within the limit, it is ignored.
+    If no candidate at all is within one of the limits, that limit is ignored.
     """
+    if not all(candidate.exceeds_timeout for candidate in candidates):
+        with_capacity = [row for row in with_capacity if not row.exceeds_timeout]
+        candidates = [row for row in candidates if not row.exceeds_timeout]
     if all(candidate.exceeds_pause_limit for candidate in candidates):
         return with_capacity
     return [candidate for candidate in with_capacity if not candidate.exceeds_pause_limit]
@@ -97,7 +100,7 @@
         room.
         """
         rows = {row.upstream.name: row for row in self.snapshot.upstreams}
-        slots = sum(row.upstream.slots for row in rows.values())
+        slots = sum(row.slots for row in rows.values())
         requests = sum(row.requests for row in rows.values())
         if slots >= self.vm_count and requests > _FREE_USE_SHARE * slots:
             own = [row for row in candidates if self._has_own_slot(rows[row.upstream.name])]
@@ -112,9 +115,7 @@
         return row.state.requests < self.owned.get(row.upstream.name, 0)
 
     def _may_borrow(self, context: Context) -> bool:
-        free_slots = sum(
-            max(0.0, row.upstream.slots - row.requests) for row in self.snapshot.upstreams
-        )
+        free_slots = sum(max(0.0, row.slots - row.requests) for row in self.snapshot.upstreams)
         return self.loans.may_borrow(
             self.service,
             free_slots / self.vm_count,
@@ -135,7 +136,7 @@
         ]
         least_ms = min(costs_ms)
         weights = [
-            draw_weight(row.upstream.slots - row.requests, share, cost_ms - least_ms)
+            draw_weight(row.slots - row.requests, share, cost_ms - least_ms)
             for row, share, cost_ms in zip(chosen, failure_shares, costs_ms, strict=True)
         ]
         return context.random.choices(candidates, weights)[0]
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -30,6 +30,7 @@
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
+from azureturn.gateway.decisions._speeds import SpeedTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
@@ -63,7 +64,7 @@
         UpstreamPathTable,
         PauseTable,
     )
-    writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable)
+    writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable, SpeedTable)
     after = ("views", "moves")
 
     _sequence = 0
@@ -113,6 +114,9 @@
         self._sent_at_ms = context.now_ms
         self.board.write(PeerTable).recompute_work(context.now_ms)
         self._sequence += 1
+        if self._sequence % _MEMBERSHIP_INTERVAL == 1:
+            upstreams = self.board.read(ViewTable).current().upstreams
+            self.board.write(SpeedTable).forget_except(row.run for row in upstreams.values())
         hosts = self._hosts()
         context.act(SendReport(self._report(), hosts, self._hosts_to_inform(hosts)))
 
@@ -139,11 +143,14 @@
         own_units = self.board.read(AllotmentTable).own_units(context.now_ms, window_ms)
         # Its prompts are needed only once, and would take up memory for each peer.
         kept_report = report.without_prompts() if report.prompts else report
+        if kept_report.speeds:
+            kept_report = kept_report.without_speeds()
         peers.put(report.vm, Peer(kept_report, context.now_ms, own_units, self._interval_ms()))
         peers.add_work(previous, report)
         self._apply_prompts(report)
         self._apply_usage(report, context.now_ms)
         self._apply_moves(report, context.now_ms)
+        self._apply_speeds(report, context.now_ms)
         self._fetch_newer_view(report, context)
         self._request_placement(context)
 
@@ -207,6 +214,7 @@
             limits=self.board.read(RequestLimitTable).reports(self._sent_at_ms),
             availability=self._availability(),
             configuration_version=configuration.version if configuration else 0,
+            speeds=self.board.write(SpeedTable).take_unreported(),
             store_contact_ms=self.board.read(ViewTable).store_contact_ms(self._sent_at_ms),
         )
 
@@ -269,6 +277,13 @@
                 segments = combine_parts(prompt.segments)
                 prefix_caches.record_prompt(upstream.run, prefixes_of(prompt.model, segments))
 
+    def _apply_speeds(self, report: PeerReport, now_ms: int) -> None:
+        upstreams = self.board.read(ViewTable).current().upstreams
+        for row in report.speeds:
+            upstream = upstreams.get(row.run[0])
+            if upstream is not None and upstream.run == row.run:
+                self.board.write(SpeedTable).merge(row, now_ms)
+
     def _apply_usage(self, report: PeerReport, now_ms: int) -> None:
         process = (report.vm, report.boot)
         self.board.write(AllotmentTable).record_report(process, report.spent, now_ms)
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -338,6 +338,17 @@
   5: string relay_vm,
 }
 
+// Time that answers of an upstream took which ended since the sender's last report.
+struct SpeedSeen {
+  1: string upstream,
+  2: i64 started_unix_ms,
+  // Part of the upstream's slots that were in use; 0 is the lowest.
+  3: i32 level,
+  // Time at the configured speed.
+  4: i32 assumed_ms,
+  5: i32 took_ms,
+}
+
 // One datagram, sent to every peer many times a second.
 struct GatewayReport {
   1: string vm,
@@ -366,6 +377,7 @@
   22: optional i64 store_contact_ms,
   23: list<AvailabilitySeen> availability,
   24: i64 configuration_version,
+  50: list<SpeedSeen> speeds,
 }
 
 // The first message on a relayed connection: the upstream that the peer is to connect to.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -4574,6 +4574,122 @@
         return not (self == other)
 
 
+class SpeedSeen(object):
+    """
+    Attributes:
+     - upstream
+     - started_unix_ms
+     - level
+     - assumed_ms
+     - took_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'started_unix_ms',
+        'level',
+        'assumed_ms',
+        'took_ms',
+    )
+
+
+    def __init__(self, upstream=None, started_unix_ms=None, level=None, assumed_ms=None, took_ms=None,):
+        self.upstream = upstream
+        self.started_unix_ms = started_unix_ms
+        self.level = level
+        self.assumed_ms = assumed_ms
+        self.took_ms = took_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.level = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.assumed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.took_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpeedSeen')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.started_unix_ms is not None:
+            oprot.writeFieldBegin('started_unix_ms', TType.I64, 2)
+            oprot.writeI64(self.started_unix_ms)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.I32, 3)
+            oprot.writeI32(self.level)
+            oprot.writeFieldEnd()
+        if self.assumed_ms is not None:
+            oprot.writeFieldBegin('assumed_ms', TType.I32, 4)
+            oprot.writeI32(self.assumed_ms)
+            oprot.writeFieldEnd()
+        if self.took_ms is not None:
+            oprot.writeFieldBegin('took_ms', TType.I32, 5)
+            oprot.writeI32(self.took_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GatewayReport(object):
     """
     Attributes:
@@ -4600,6 +4716,7 @@
      - store_contact_ms
      - availability
      - configuration_version
+     - speeds
 
     """
 
@@ -4627,10 +4744,11 @@
         'store_contact_ms',
         'availability',
         'configuration_version',
+        'speeds',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None, availability=None, configuration_version=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None, availability=None, configuration_version=None, speeds=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4654,6 +4772,7 @@
         self.store_contact_ms = store_contact_ms
         self.availability = availability
         self.configuration_version = configuration_version
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4856,6 +4975,17 @@
                     self.configuration_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 50:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype800, _size801) = iprot.readListBegin()
+                    for _i802 in range(_size801):
+                        _elem803 = SpeedSeen()
+                        _elem803.read(iprot)
+                        self.speeds.append(_elem803)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4997,6 +5127,13 @@
             oprot.writeFieldBegin('configuration_version', TType.I64, 24)
             oprot.writeI64(self.configuration_version)
             oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 50)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter804 in self.speeds:
+                iter804.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5650,6 +5787,15 @@
     (4, TType.I32, 'pause_ms', None, None, ),  # 4
     (5, TType.STRING, 'relay_vm', 'UTF8', None, ),  # 5
 )
+all_structs.append(SpeedSeen)
+SpeedSeen.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_unix_ms', None, None, ),  # 2
+    (3, TType.I32, 'level', None, None, ),  # 3
+    (4, TType.I32, 'assumed_ms', None, None, ),  # 4
+    (5, TType.I32, 'took_ms', None, None, ),  # 5
+)
 all_structs.append(GatewayReport)
 GatewayReport.thrift_spec = (
     None,  # 0
@@ -5677,6 +5823,32 @@
     (22, TType.I64, 'store_contact_ms', None, None, ),  # 22
     (23, TType.LIST, 'availability', (TType.STRUCT, [AvailabilitySeen, None], False), None, ),  # 23
     (24, TType.I64, 'configuration_version', None, None, ),  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    (50, TType.LIST, 'speeds', (TType.STRUCT, [SpeedSeen, None], False), None, ),  # 50
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
