A log line for a limit of requests that was learned for an engine

An engine that gets fewer requests than its slots would look idle for no reason. The simulated site of the tests accepts the new action as a log line.

--- a/azureturn/gateway/daemon/_decision_log.py
+++ b/azureturn/gateway/daemon/_decision_log.py
@@ -8,6 +8,7 @@
     LogReachability,
     LogRetainedUpstreams,
     LogSilentUpstreams,
+    LogUpstreamLimit,
 )
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime
@@ -28,6 +29,7 @@
         runtime.register_handler(LogReachability, self._log_reachability)
         runtime.register_handler(LogRetainedUpstreams, self._log_retained_upstreams)
         runtime.register_handler(LogSilentUpstreams, self._log_silent_upstreams)
+        runtime.register_handler(LogUpstreamLimit, self._log_upstream_limit)
 
     def _log_allotment_restore(self, action: LogAllotmentRestore) -> None:
         self._log.info(
@@ -55,6 +57,15 @@
             delay_ms=action.delay_ms,
         )
 
+    def _log_upstream_limit(self, action: LogUpstreamLimit) -> None:
+        self._log.info(
+            LogEvent.UPSTREAM_LIMIT_CHANGED,
+            upstream=action.upstream,
+            limit=action.limit,
+            slots=action.slots,
+            slowdown=round(action.slowdown, 2),
+        )
+
     def _log_quarantine_change(self, action: LogQuarantineChange) -> None:
         self._log.info(
             LogEvent.QUARANTINE_CHANGED,
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -141,6 +141,18 @@
     delay_ms: int
 
 
+@dataclass(frozen=True)
+class LogUpstreamLimit(Action):
+    """Log that an engine gets fewer requests than it has slots, or as many again."""
+
+    upstream: str
+    #: Number of requests that it gets at most.
+    limit: int
+    slots: int
+    #: Time that it takes for a token with all slots in use, as a multiple of the configured one.
+    slowdown: float
+
+
 @dataclass(frozen=True)
 class LogRetainedUpstreams(Action):
     """Log that upstreams are used although their registrations are missing, or no longer so."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -16,6 +16,7 @@
 from azureturn.gateway.decisions.controllers._registry import GATEWAY_CONTROLLERS
 from azureturn.gateway.decisions.controllers._reports import ReportController
 from azureturn.gateway.decisions.controllers._request_limits import RequestLimitController
+from azureturn.gateway.decisions.controllers._speeds import SpeedController
 from azureturn.gateway.decisions.controllers._views import ViewController
 
 __all__ = [
@@ -33,5 +34,6 @@
     "ReachabilityController",
     "ReportController",
     "RequestLimitController",
+    "SpeedController",
     "ViewController",
 ]
--- a/azureturn/gateway/decisions/tests/simulated_site.py
+++ b/azureturn/gateway/decisions/tests/simulated_site.py
@@ -22,6 +22,7 @@
     LogReachability,
     LogRetainedUpstreams,
     LogSilentUpstreams,
+    LogUpstreamLimit,
     PeerReportReceived,
     ProbeConnection,
     RequestClosed,
@@ -80,7 +81,7 @@
 
 
 _UNREACHABLE = AttemptResult.UNREACHABLE
-_LOG_ACTIONS = LogReachability | LogRetainedUpstreams | LogSilentUpstreams
+_LOG_ACTIONS = LogReachability | LogRetainedUpstreams | LogSilentUpstreams | LogUpstreamLimit
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/tests/test_speeds.py
+++ b/azureturn/gateway/decisions/tests/test_speeds.py
@@ -6,6 +6,7 @@
 import pytest
 
 from azureturn.gateway.decisions import (
+    LogUpstreamLimit,
     OutstandingWork,
     PeerReportReceived,
     SendAttempt,
@@ -171,6 +172,22 @@
     assert _sent_to(harness, 1_500) == ["slow"]
 
 
+def test_a_limit_of_an_engine_and_its_end_are_logged_once() -> None:
+    """An engine that gets fewer requests than its slots would look idle for no reason."""
+    harness, sequence, logged = _harness(), 100, []
+    for slowdowns in ((1.0, 2.5, 4.5), (1.0, 1.0, 1.0)):
+        for _ in range(100):
+            sequence += 1
+            rows = [_report("usual", row, level=level) for level, row in enumerate(slowdowns)]
+            report = peer_report("vm-2", sequence=sequence, speeds=tuple(rows))
+            harness.handle_event(PeerReportReceived(report), at_ms=harness.now_ms + 200)
+            actions = of_type(harness.tick(harness.now_ms), LogUpstreamLimit)
+            logged += [(row.upstream, row.limit) for row in actions]  # type: ignore[attr-defined]
+    assert ("usual", 2) in logged
+    assert logged[-1] == ("usual", 6)
+    assert all(before != after for before, after in itertools.pairwise(logged))
+
+
 def _tokens(generator: random.Random) -> tuple[int, int]:
     return 500, min(1_500, max(10, int(generator.lognormvariate(4.6, 0.8))))
 
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -49,6 +49,7 @@
     ALLOTMENT_RECORD_WRITTEN = "allotment_record_written"
     ALLOTMENTS_RECALLED = "allotments_recalled"
     PROCESSING_LIMIT_CHANGED = "processing_limit_changed"
+    UPSTREAM_LIMIT_CHANGED = "upstream_limit_changed"
     QUARANTINE_CHANGED = "quarantine_changed"
     QUARANTINE_RECORD_WRITTEN = "quarantine_record_written"
     PEER_UNREACHABLE = "peer_unreachable"
@@ -217,6 +218,11 @@
             "are not any more.",
             ("limit", "in_progress", "queued", "delay_ms"),
         ),
+        LogEvent.UPSTREAM_LIMIT_CHANGED: LogEventDefinition(
+            "An engine gets at most `limit` requests at the same time, since with more it serves "
+            "less, or as many as it has slots again.",
+            ("upstream", "limit", "slots", "slowdown"),
+        ),
         LogEvent.DOCUMENT_REFUSED: _error_definition(
             "A document in the store cannot be read and was ignored.", "key", "error"
         ),
@@ -335,7 +341,9 @@
         "queued_ms": "Time since the request's arrival.",
         "unread_ms": "Time from the request's arrival, as early as it may have been, to its "
         "reading.",
-        "limit": "Number of requests that this VM works on at the same time.",
+        "limit": "Number of requests that this VM, or the engine, works on at the same time.",
+        "slots": "Number of requests that the engine could run at the same time.",
+        "slowdown": "Time for a token with all slots in use, as a multiple of the configured one.",
         "in_progress": "Requests that have been sent to an upstream and have not ended.",
         "queued": "Requests that wait to be sent.",
         "delay_ms": "By how much the tasks of all requests were delayed.",
