--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -10,6 +10,7 @@
     PeerReport,
     QueueReport,
     SentPrompt,
+    SpeedReport,
     StreamPace,
     Suspect,
     VersionCount,
@@ -25,6 +26,7 @@
     MoveSeen,
     PromptSent,
     QuarantineSeen,
+    SpeedSeen,
     SuspectSeen,
     TierWaiting,
     TraitCleared,
@@ -94,6 +96,7 @@
         configuration_version=report.configuration_version,
         availability=[_availability_to_wire(row) for row in report.availability],
         cold=[ColdSeen(*row.run, row.left_ms) for row in report.cold] or None,
+        speeds=[_speed_to_wire(row) for row in report.speeds],
     )
 
 
@@ -141,6 +144,7 @@
         configuration_version=wire.configuration_version or 0,
         availability=tuple(_availability_from_wire(row) for row in wire.availability or ()),
         cold=tuple(_cold_from_wire(row) for row in wire.cold or ()),
+        speeds=tuple(_speed_from_wire(row) for row in wire.speeds or ()),
     )
 
 
@@ -171,6 +175,22 @@
     return ColdReport((row.upstream, row.started_unix_ms), row.left_ms)
 
 
+def _speed_to_wire(report: SpeedReport) -> SpeedSeen:
+    name, started_unix_ms = report.run
+    return SpeedSeen(
+        upstream=name,
+        started_unix_ms=started_unix_ms,
+        level=report.level,
+        assumed_ms=min(report.assumed_ms, _MAX_I32),
+        took_ms=min(report.took_ms, _MAX_I32),
+    )
+
+
+def _speed_from_wire(row: SpeedSeen) -> SpeedReport:
+    run = (row.upstream or "", row.started_unix_ms or 0)
+    return SpeedReport(run, row.level or 0, row.assumed_ms or 0, row.took_ms or 0)
+
+
 def _limits_to_wire(report: LimitReport) -> LimitSeen:
     name, started_unix_ms = report.run
     return LimitSeen(
--- a/azureturn/gateway/daemon/tests/test_earlier_builds.py
+++ b/azureturn/gateway/daemon/tests/test_earlier_builds.py
@@ -5,7 +5,7 @@
 import pytest
 
 from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
-from azureturn.gateway.decisions import ColdReport, OutstandingWork
+from azureturn.gateway.decisions import ColdReport, OutstandingWork, SpeedReport
 from azureturn.gateway.decisions.tests.gateway_core_harness import peer_report
 from azureturn.gateway.site import QuarantinedTraits
 from azureturn.peers import GatewayReport, decode_struct, encode_struct
@@ -38,3 +38,12 @@
     wire = report_to_wire(report)
     assert (wire.cold is None) is not bool(cold)
     assert report_from_wire(decode_struct(GatewayReport, encode_struct(wire))) == report
+
+
+def test_measured_speeds_are_read_as_they_were_sent_and_absent_in_earlier_builds() -> None:
+    """The field is new: a wrong number in it would be taken for another field by peers."""
+    speeds = (SpeedReport(("e-1", 1_780_000_000_000), 2, 4_000, 11_200),)
+    wire = report_to_wire(peer_report("vm-9", speeds=speeds))
+    assert report_from_wire(decode_struct(GatewayReport, encode_struct(wire))).speeds == speeds
+    earlier = decode_struct(GatewayReport, b64decode(_REPORT_OF_5707ED4))
+    assert report_from_wire(earlier).speeds == ()
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -10,6 +10,7 @@
     LogReachability,
     LogRetainedUpstreams,
     LogSilentUpstreams,
+    LogUpstreamLimit,
     PlacementReason,
     ProbeConnection,
     ReturnLastResult,
@@ -63,6 +64,7 @@
     may_relay_another,
     may_send,
 )
+from azureturn.gateway.decisions._speeds import SpeedReport, SpeedTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
@@ -95,6 +97,7 @@
     "LogReachability",
     "LogRetainedUpstreams",
     "LogSilentUpstreams",
+    "LogUpstreamLimit",
     "MoveReport",
     "MoveTable",
     "OutstandingWork",
@@ -114,6 +117,8 @@
     "SendAttempt",
     "SendReport",
     "SentPrompt",
+    "SpeedReport",
+    "SpeedTable",
     "Stage",
     "StoreLost",
     "StoreReached",
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -14,6 +14,7 @@
 from azureturn.gateway.decisions._crashes import CrashReport
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
 from azureturn.gateway.decisions._request_limits import LimitReport
+from azureturn.gateway.decisions._speeds import SpeedReport
 from azureturn.gateway.site import AllotmentUsage, QuarantinedTraits
 
 _MS_PER_S = 1_000
@@ -175,6 +176,8 @@
     configuration_version: int = 0
     #: Upstreams that are cold, as far as the VM does not know it from peers only.
     cold: tuple[ColdReport, ...] = ()
+    #: How long answers of upstreams took that ended since the previous report.
+    speeds: tuple[SpeedReport, ...] = ()
 
     def with_sequence(self, sequence: int) -> "PeerReport":
         """Return a copy with another number."""
@@ -192,6 +195,10 @@
         """Return a copy without the prompts that were sent."""
         return changed(self, prompts=())
 
+    def without_speeds(self) -> "PeerReport":
+        """Return a copy without the measured times."""
+        return changed(self, speeds=())
+
     def is_not_older_than(self, other: "PeerReport") -> bool:
         """Return whether ``other`` is from the same process and was not sent later."""
         return self.boot == other.boot and self.sequence >= other.sequence
