--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -28,8 +28,8 @@
 _MS_PER_S = 1_000.0
 #: Fractions of the configured overshoot and slack that are used; the rest covers units that peers
 #: have admitted but not yet reported.
-_OVERSHOOT_SHARE = 0.2
-_SLACK_SHARE = 0.2
+_OVERSHOOT_SHARE = 0.1
+_SLACK_SHARE = 0.1
 #: While less than this fraction of the limit remains, usage is reported to peers immediately.
 _NEAR_LIMIT_FRACTION = 0.4
 #: Maximum number of organisations in one report, those with the highest usage first, so that the
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -18,9 +18,9 @@
 #: this many report intervals.
 _MISSED_REPORTS_LIMIT = 7
 #: A peer reports its usage of allotments in time until its last report is older than this many
-#: intervals, and than this time. What both sides of a partition admit before each uses only its
-#: share depends on it.
-_LATE_REPORTS_LIMIT = 2
+#: intervals, and than this time. Until then both sides of a partition use what remains of an
+#: allotment: with two intervals, 195 VMs exceeded the bound.
+_LATE_REPORTS_LIMIT = 1.25
 _MIN_LATE_REPORT_MS = 700
 #: Minimum time between two reports, which applies to urgent ones as well.
 URGENT_INTERVAL_MS = 20
