--- a/azureturn/gateway/decisions/_speeds.py
+++ b/azureturn/gateway/decisions/_speeds.py
@@ -31,7 +31,7 @@
 #: Share by which fewer concurrent requests have to serve more for the others to be kept away.
 _LIMIT_MARGIN = 0.1
 #: Shortest time between two computations of the estimates, which change slowly.
-_ESTIMATE_INTERVAL_MS = 100
+_ESTIMATE_INTERVAL_MS = 250
 #: Time assumed for a plain answer, as a unit of measurement.
 PLAIN_ANSWER_MS = 100.0
 
@@ -69,10 +69,9 @@
             aged.assumed_ms + added.assumed_ms, aged.took_ms + added.took_ms, aged.at_ms
         )
 
-    def ratio(self, prior: float, now_ms: int) -> float:
+    def ratio(self, prior: float) -> float:
         """Return the measured time as a multiple of the assumed one, with a prior estimate."""
-        aged = self.aged(now_ms)
-        return (aged.took_ms + prior * _PRIOR_MS) / (aged.assumed_ms + _PRIOR_MS)
+        return (self.took_ms + prior * _PRIOR_MS) / (self.assumed_ms + _PRIOR_MS)
 
 
 _NO_SUMS = (AgedSums(),) * LEVELS
@@ -149,7 +148,7 @@
     def estimates(
         self, service: str, upstreams: Iterable[RegisteredUpstream], now_ms: int
     ) -> dict[str, SpeedEstimate]:
-        """Return the estimates for all upstreams of a service, by name, not older than 0.1 s."""
+        """Return the estimates for all upstreams of a service, by name, not older than 0.25 s."""
         rows = list(upstreams)
         runs = [row.run for row in rows]
         cached = self._estimated.get(service)
@@ -188,7 +187,7 @@
     for level in range(LEVELS):
         prior = ratios[-1] if ratios else 1.0
         # Each upstream counts once, however many answers the fast ones give in the same time.
-        known = [row[level].ratio(prior, row[level].at_ms) for row in speeds]
+        known = [row[level].ratio(prior) for row in speeds]
         ratios.append(sum(known) / len(known) if known else prior)
     return tuple(ratios)
 
@@ -200,9 +199,7 @@
     took_ms = sum(sums.took_ms for sums in levels)
     prior_ms = _PRIOR_MS * sum(mean) / LEVELS
     factor = (took_ms + prior_ms) / (usual_took_ms + prior_ms)
-    measured = [
-        sums.ratio(factor * ratio, sums.at_ms) for ratio, sums in zip(mean, levels, strict=True)
-    ]
+    measured = [sums.ratio(factor * ratio) for ratio, sums in zip(mean, levels, strict=True)]
     # The fewer answers there are, the more their times vary by chance.
     equal_share = _EQUAL_SHARE * (1.0 + math.sqrt(_PRIOR_MS / max(1.0, assumed_ms)))
     slowdowns = tuple(
