Quotas: only attempts that ran, or may have run, are charged

Cause: each attempt that an upstream rejected was charged like a separate request, and a request that was refused after rejections kept its charge, though quotas count what upstreams run. With one in four sends rejected, usage was overstated by as much, and requests below the limit were refused. Change: an attempt that did not run leaves its charge to the next one; a request that ends without having run is refunded. test_only_attempts_that_ran_are_charged fails on the code before (the cases with rejections).

--- a/azureturn/gateway/decisions/_allotments.py
+++ b/azureturn/gateway/decisions/_allotments.py
@@ -16,6 +16,7 @@
 from azureturn.framework import Table
 from azureturn.gateway.decisions._allotment_pacing import AllotmentPace, LiveVms
 from azureturn.gateway.decisions._allotment_windows import LATE_USAGE_MS, AllotmentWindow, ProcessId
+from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.settings import AllotmentBounds
 from azureturn.gateway.site import (
     Allotment,
@@ -83,6 +84,26 @@
             self.put(organisation, window)
         return window
 
+    def charge_attempt(self, request: GatewayRequest, now_ms: int) -> None:
+        """Charge the attempt that begins now.
+
+        An attempt that did not run leaves its charge to the next one, and is not counted besides.
+        """
+        assert request.charged_at_ms is not None
+        window = self.of(request.organisation)
+        if request.is_charge_used:
+            window.record_admitted(request.allotment_units, now_ms)
+        else:
+            window.record_sent(
+                request.allotment_units, admitted_at_ms=request.charged_at_ms, now_ms=now_ms
+            )
+
+    def refund(self, request: GatewayRequest) -> None:
+        """Take back the charge of a request that ends, unless an attempt ran for it."""
+        if request.charged_at_ms is not None and not request.is_charge_used:
+            window = self.of(request.organisation)
+            window.refund(request.allotment_units, admitted_at_ms=request.charged_at_ms)
+
     def remaining(
         self,
         organisation: str,
--- a/azureturn/gateway/decisions/_requests.py
+++ b/azureturn/gateway/decisions/_requests.py
@@ -67,8 +67,10 @@
     is_late: bool = False
     #: Units charged to the organisation's allotment.
     allotment_units: int = 0
-    #: When they were charged; None if nothing limits the organisation.
+    #: When they were charged last; None if nothing limits the organisation.
     charged_at_ms: int | None = None
+    #: Whether an ended attempt ran, or may have run, for that charge.
+    is_charge_used: bool = False
     stage: Stage = Stage.QUEUED
     #: Name of the upstream that it was sent to; empty while it is queued.
     upstream: str = ""
@@ -129,7 +131,7 @@
 
     def with_charge(self, now_ms: int) -> "GatewayRequest":
         """Return a copy whose units are charged to the organisation's allotment."""
-        return changed(self, charged_at_ms=now_ms)
+        return changed(self, charged_at_ms=now_ms, is_charge_used=False)
 
     def with_late(self) -> "GatewayRequest":
         """Return a copy that ranks behind requests that can still meet their objective."""
@@ -172,6 +174,7 @@
             pending_tokens=0,
             first_event_at_ms=0,
             run_attempts=self.run_attempts + (1 if ran else 0),
+            is_charge_used=self.is_charge_used or ran,
             unrun_attempts=self.unrun_attempts + (0 if ran else 1),
             failed_connections=self.failed_connections + (0 if connected else 1),
         )
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -3,6 +3,7 @@
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind
 from azureturn.framework import AwaitPlacement, Context, QueuedRequest, Refuse, Tick, on
 from azureturn.gateway.decisions._actions import ProbeConnection, ReturnLastResult
+from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._availability import PauseTable, spread_retry_after_ms
 from azureturn.gateway.decisions._events import (
     AttemptEnded,
@@ -54,6 +55,7 @@
         UpstreamStateTable,
         RetryBudgetTable,
         MoveTable,
+        AllotmentTable,
         TurnoverTable,
         SpeedTable,
     )
@@ -196,6 +198,7 @@
         self.board.write(GatewayRequestTable).remove(request.request_id)
         if result in _NOT_RUN and request.run_attempts == 0:
             kind = ErrorKind.OVERLOADED
+            self.board.write(AllotmentTable).refund(request)
             retry_after_ms = self._retry_after_ms(request, context)
             context.act(Refuse(request.request_id, kind, retry_after_ms, detail=reason))
             return
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -330,14 +330,8 @@
                 SentPrompt(upstream.name, request.prompt.model, request.prompt.segments)
             )
         if request.charged_at_ms is not None:
-            window = self.board.write(AllotmentTable).of(request.organisation)
-            units = request.allotment_units
-            if request.tried_upstreams:
-                # Each further attempt is charged like a separate request.
-                window.record_admitted(units, context.now_ms)
-            else:
-                admitted_at_ms = request.charged_at_ms
-                window.record_sent(units, admitted_at_ms=admitted_at_ms, now_ms=context.now_ms)
+            self.board.write(AllotmentTable).charge_attempt(request, context.now_ms)
+            request = request.with_charge(context.now_ms)
         relay = self._choose_relay(upstream, context) if chosen.is_relayed else None
         sent_request = request.with_sent(
             upstream,
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -182,10 +182,8 @@
         return request.with_late() if is_late else request
 
     def _refund(self, request: GatewayRequest) -> None:
-        """Refund the units of a request if it was never sent to an upstream."""
-        if not request.tried_upstreams and request.charged_at_ms is not None:
-            window = self.board.write(AllotmentTable).of(request.organisation)
-            window.refund(request.allotment_units, admitted_at_ms=request.charged_at_ms)
+        """Refund the units of a queued request, unless an upstream ran it for them."""
+        self.board.write(AllotmentTable).refund(request)
 
     def _wait_ms(self, request: GatewayRequest) -> float:
         """Return the expected time that a request waits in the queue.
--- a/azureturn/gateway/decisions/tests/test_allotments.py
+++ b/azureturn/gateway/decisions/tests/test_allotments.py
@@ -5,6 +5,8 @@
 from azureturn.errors import ErrorKind
 from azureturn.framework import Refuse
 from azureturn.gateway.decisions import (
+    AttemptEnded,
+    AttemptResult,
     PeerReportReceived,
     RequestClosed,
     SendReport,
@@ -12,9 +14,11 @@
     WriteAllotmentRecord,
 )
 from azureturn.gateway.decisions._allotment_windows import AllotmentWindow
+from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     BOOKING_ROUTE,
     STARTED_UNIX_MS,
+    STATUS_ROUTE,
     GatewayCoreHarness,
     of_type,
     peer_report,
@@ -310,6 +314,28 @@
     assert _offer_load(harness, 4_000, until_ms=1_130) == 8_000
 
 
+@pytest.mark.parametrize(
+    ("results", "charged_units"),
+    [
+        ([AttemptResult.REJECTED], 500),
+        ([AttemptResult.REJECTED] * 4, 0),
+        ([AttemptResult.FAILED], 1_000),
+        ([AttemptResult.REJECTED, AttemptResult.FAILED], 1_000),
+    ],
+    ids=["rejected once", "refused after rejections", "failed once", "rejected, then failed"],
+)
+def test_only_attempts_that_ran_are_charged(
+    results: list[AttemptResult], charged_units: int
+) -> None:
+    """Rejected attempts used up the allotment, so that requests below the limit were refused."""
+    harness = GatewayCoreHarness(view(*(upstream(f"d-{number}", "desk") for number in range(6))))
+    harness.submit_request("r", route=STATUS_ROUTE, organisation="kuiseb", allotment_units=500)
+    for result in results:
+        harness.handle_event(AttemptEnded("r", result), at_ms=harness.now_ms + 10)
+    window = harness.core.board.table(AllotmentTable).of("kuiseb")
+    assert window.own_units(harness.now_ms, 8_000) == charged_units
+
+
 def test_refund_counts_from_the_admission() -> None:
     """A refund that counted from its own time left less than nothing in the window."""
     window = AllotmentWindow()
