Quotas: a request counts while it waits, also for longer than the window

A request was charged at its admission and again when it was sent. One that waited for longer than the window had left it in between, so that others were admitted in its place, and all were sent together when upstreams had room.

Units of requests that are not sent stay counted until they are sent or refunded.

--- a/azureturn/gateway/decisions/_allotment_windows.py
+++ b/azureturn/gateway/decisions/_allotment_windows.py
@@ -1,6 +1,6 @@
 """Usage of one organisation's allotment in a sliding window, on this VM and on all others."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Container, Iterator
 from dataclasses import dataclass
 
@@ -42,6 +42,10 @@
     def __init__(self) -> None:
         self._admitted: deque[tuple[int, int]] = deque()
         self._own_units = 0
+        #: Entries of ``_admitted`` whose requests have not been sent yet.
+        self._unsent: Counter[tuple[int, int]] = Counter()
+        #: Entries older than the window whose requests have still not been sent.
+        self._unsent_before_window: Counter[tuple[int, int]] = Counter()
         self._reported: dict[ProcessId, ReportedUsage] = {}
         #: Times and units of the requests received in the last ``_DEMAND_MS``, and their sum.
         self._requested: deque[tuple[int, int]] = deque()
@@ -53,9 +57,16 @@
         self.assumed_prior_units = 0.0
 
     def own_units(self, now_ms: int, window_ms: int) -> int:
-        """Return the units that this process admitted in the window."""
+        """Return the units that this process admitted in the window, or before and not yet sent.
+
+        A request may wait for longer than the window and be sent then.
+        """
         while self._admitted and self._admitted[0][0] <= now_ms - window_ms:
-            self._own_units -= self._admitted.popleft()[1]
+            entry = self._admitted.popleft()
+            if _take(self._unsent, entry):
+                self._unsent_before_window[entry] += 1
+            else:
+                self._own_units -= entry[1]
         return self._own_units
 
     def own_usage(self, now_ms: int, window_ms: int) -> AllotmentUsage:
@@ -116,10 +127,15 @@
                 live_late_units += spent.late_units
         return AllotmentUsage(units, late_units), AllotmentUsage(live_units, live_late_units)
 
-    def record_admitted(self, units: int, now_ms: int) -> None:
-        """Count the units of an admitted request."""
+    def record_admitted(self, units: int, now_ms: int, *, is_sent: bool = True) -> None:
+        """Count the units of an admitted request.
+
+        One that is not sent at once counts until :meth:`record_sent` or :meth:`refund`.
+        """
         self._admitted.append((now_ms, units))
         self._own_units += units
+        if not is_sent:
+            self._unsent[now_ms, units] += 1
 
     def record_sent(self, units: int, *, admitted_at_ms: int, now_ms: int) -> None:
         """Count a request from now on that was admitted earlier and has waited since.
@@ -133,9 +149,12 @@
     def refund(self, units: int, *, admitted_at_ms: int) -> None:
         """Remove an admitted request that was never sent, unless it has left the window."""
         entry = (admitted_at_ms, units)
-        if entry in self._admitted:
+        if _take(self._unsent_before_window, entry):
+            self._own_units -= units
+        elif entry in self._admitted:
             self._admitted.remove(entry)
             self._own_units -= units
+            _take(self._unsent, entry)
 
     def record_reported(self, process: ProcessId, spent: AllotmentUsage, now_ms: int) -> None:
         """Store the usage that another process reports for its window."""
@@ -159,3 +178,13 @@
                 break
             units += admitted_units
         return units
+
+
+def _take(entries: Counter[tuple[int, int]], entry: tuple[int, int]) -> bool:
+    """Remove one occurrence of an entry, and return whether there was one."""
+    if entry not in entries:
+        return False
+    entries[entry] -= 1
+    if not entries[entry]:
+        del entries[entry]
+    return True
--- a/azureturn/gateway/decisions/controllers/_allotment_admission.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_admission.py
@@ -50,7 +50,9 @@
         ):
             if remaining.is_near_limit:
                 context.post(ReportRequested())
-            table.of(request.organisation).record_admitted(request.allotment_units, context.now_ms)
+            table.of(request.organisation).record_admitted(
+                request.allotment_units, context.now_ms, is_sent=False
+            )
             context.post(RequestAdmitted(request.with_charge(context.now_ms)))
             return
         retry_after_ms = _refill_ms(remaining.units, allotment, request.allotment_units)
--- a/azureturn/gateway/decisions/tests/test_allotments.py
+++ b/azureturn/gateway/decisions/tests/test_allotments.py
@@ -5,8 +5,11 @@
 from azureturn.errors import ErrorKind
 from azureturn.framework import Refuse
 from azureturn.gateway.decisions import (
+    AttemptEnded,
+    AttemptResult,
     PeerReportReceived,
     RequestClosed,
+    SendAttempt,
     SendReport,
     ViewChanged,
     WriteAllotmentRecord,
@@ -16,6 +19,7 @@
     BOOKING_ROUTE,
     STARTED_UNIX_MS,
     GatewayCoreHarness,
+    full_work,
     of_type,
     peer_report,
     upstream,
@@ -318,6 +322,37 @@
     assert window.own_units(9_500, 8_000) == 0
 
 
+def test_requests_that_wait_for_longer_than_the_window_still_count() -> None:
+    """They left the window while they waited, others were admitted, and all were sent together."""
+    harness = GatewayCoreHarness(view(upstream("m-1")))
+    sent_units = 0
+    for now_ms in range(1_000, 11_000, 100):
+        work = full_work("m-1") if now_ms < 10_000 else {}
+        report = peer_report("vm-2", sequence=now_ms, work=work)
+        actions = harness.handle_event(PeerReportReceived(report), at_ms=now_ms)
+        fields: dict[str, object] = {"organisation": "kuiseb", "allotment_units": 1_000}
+        actions += harness.submit_request(f"r{now_ms}", **fields)
+        actions += harness.tick(now_ms)
+        while sent := of_type(actions, SendAttempt):
+            sent_units += 1_000 * len(sent)
+            actions = ()
+            for action in sent:
+                assert isinstance(action, SendAttempt)
+                ended = AttemptEnded(action.request_id, AttemptResult.ANSWERED)
+                actions += harness.handle_event(ended)
+    # A request is admitted while any units are left.
+    assert 0 < sent_units <= _LIMIT_UNITS + 1_000
+
+
+def test_request_that_is_given_up_after_the_window_is_refunded() -> None:
+    window = AllotmentWindow()
+    window.record_admitted(500, 1_000, is_sent=False)
+    window.record_admitted(500, 1_000)
+    assert window.own_units(9_000, 8_000) == 500
+    window.refund(500, admitted_at_ms=1_000)
+    assert window.own_units(9_000, 8_000) == 0
+
+
 def test_request_that_waited_counts_from_when_it_is_sent() -> None:
     """Requests that waited for upstreams and are sent together exceed what upstreams may get."""
     window = AllotmentWindow()
