Placement: a request without a slot does not block the VM's own slot

On a site with many VMs a request that has tried the upstreams at which its VM owns slots can only borrow one. Until it could, no request behind it was placed, also not on the VM's own slot: the test leaves that slot free while a second request waits.

The next request is tried instead. A request that has tried no upstream blocks as before.

--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -102,7 +102,8 @@
         """Place one request, and return whether one was placed.
 
         A request for which no upstream has capacity blocks all requests behind it. One that only
-        has to avoid a long pause of running answers does not: the next one is tried.
+        has to avoid a long pause of running answers does not: the next one is tried. Nor does one
+        that has tried the upstreams at which this VM owns slots: others can use those.
         """
         if self._waits_for_own_slot(service, context):
             return False
@@ -125,6 +126,8 @@
                     return False
                 if usable:
                     chosen = self._choose(usable, snapshot, service, context)
+                    if chosen is None and request.tried_upstreams:
+                        continue
                     if chosen is None:
                         return False
                     self._place(queue, request, chosen, len(candidates), context)
--- a/azureturn/gateway/decisions/tests/test_shared_slots.py
+++ b/azureturn/gateway/decisions/tests/test_shared_slots.py
@@ -4,6 +4,20 @@
 
 import pytest
 
+from azureturn.gateway.decisions import (
+    AttemptEnded,
+    AttemptResult,
+    OutstandingWork,
+    PeerReportReceived,
+    SendAttempt,
+)
+from azureturn.gateway.decisions._tables import GatewayQueueTable
+from azureturn.gateway.decisions.tests.gateway_core_harness import (
+    GatewayCoreHarness,
+    peer_report,
+    upstream,
+    view,
+)
 from azureturn.gateway.decisions.tests.simulated_speeds import SimulatedUpstream, SpeedSite
 
 _SLOTS = 6
@@ -52,3 +66,23 @@
 def test_plain_upstreams_reject_few_requests_of_many_vms() -> None:
     """Every VM chose the upstream that was idle by the same reports; 7 in 100 were rejected."""
     assert _played(73, 0, 0.5).rejected_share < 0.03
+
+
+def test_a_request_without_a_slot_does_not_keep_others_from_the_vms_own_slot() -> None:
+    """A request that had tried the VM's own upstream could only borrow; all behind it waited."""
+    names = [f"m-{number:02}" for number in range(20)]
+    view_of_all = view(*(upstream(name, slots=1) for name in names))
+    harness = GatewayCoreHarness(view_of_all, vm_name="vm-00")
+    for number, name in enumerate(names[1:], 1):
+        work = {name: OutstandingWork(1, 0)} if number > 1 else {}
+        report = peer_report(f"vm-{number:02}", work=work)
+        harness.handle_event(PeerReportReceived(report))
+    assert _sent_to(harness.submit_request("first")) == ["m-00"]
+    actions = harness.handle_event(AttemptEnded("first", AttemptResult.WITHHELD))
+    assert not _sent_to(actions)
+    assert _sent_to(harness.submit_request("second")) == ["m-00"]
+    assert "first" in harness.core.board.table(GatewayQueueTable).of("models")
+
+
+def _sent_to(actions: tuple[object, ...]) -> list[str]:
+    return [action.upstream.name for action in actions if isinstance(action, SendAttempt)]
