Overload: the check of late requests looks at the upstreams once

If any upstream has stated a limit, each late request that waits caused two searches of all upstreams for brittle ones, four times a second. The test counts 202 searches in a tick with 100 such requests, and fewer than 10 now.

The check has already found that no upstream is brittle; it asks only whether a request can be served late.

--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -209,6 +209,10 @@
             return True
         if self._is_brittle(request.service, now_ms):
             return request.is_late
+        return self._can_be_served_late(request, now_ms)
+
+    def _can_be_served_late(self, request: GatewayRequest, now_ms: int) -> bool:
+        """Return the same for a late request of a service whose upstreams are not brittle."""
         queue = self.board.read(GatewayQueueTable).of(request.service)
         late = request.with_late()
         if queue.has_below(late.tier_rank):
@@ -219,7 +223,8 @@
             wait_ms = drain.wait_ms(late.tier_rank, work_ahead)
         else:
             wait_ms = drain.wait_ms(late.tier_rank, work_ahead, min_share=_LATE_MIN_SHARE)
-        return now_ms + wait_ms <= self._give_up_at_ms(request, now_ms)
+        policy = self.settings.policy
+        return now_ms + wait_ms <= give_up_at_ms(request, policy, is_brittle=False)
 
     def _is_backlog_measured(self, service: str, now_ms: int) -> bool:
         since_ms = self._backlogged_since_ms.get(service, now_ms)
@@ -240,7 +245,7 @@
             if request.is_late and not request.tried_upstreams
         ]
         for request in reversed(late):
-            if not self._can_be_served(request, context.now_ms):
+            if not self._can_be_served_late(request, context.now_ms):
                 queue.remove(request)
                 self._end_unserved(request, ErrorKind.OVERLOADED, context)
 
--- a/azureturn/gateway/decisions/tests/test_overload.py
+++ b/azureturn/gateway/decisions/tests/test_overload.py
@@ -6,13 +6,23 @@
 
 from azureturn.errors import RunState
 from azureturn.framework import Refuse
-from azureturn.gateway.decisions import AttemptEnded, AttemptResult, SendAttempt
+from azureturn.gateway.decisions import (
+    AttemptEnded,
+    AttemptResult,
+    LimitReport,
+    PeerReportReceived,
+    SendAttempt,
+)
+from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     STREAM_ROUTE,
     GatewayCoreHarness,
+    full_work,
+    peer_report,
     upstream,
     view,
 )
+from azureturn.gateway.site import StatedLimits
 
 _ROUTE = replace(STREAM_ROUTE, timeout_ms=6_000)
 
@@ -116,3 +126,37 @@
         if name.startswith("usual") and name not in site.sent and name not in site.refused
     ]
     assert not (refused_urgent and waiting_usual)
+
+
+def test_a_check_of_late_requests_looks_at_the_upstreams_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """If upstreams stated limits, each late request looked at all of them, four times a second."""
+    registered = upstream("m-1")
+    vm = GatewayCoreHarness(view(registered))
+    limits = (LimitReport(registered.run, StatedLimits(requests_per_s=1_000.0), 0),)
+    work = full_work("m-1")
+    vm.handle_event(PeerReportReceived(peer_report("vm-2", work=work, limits=limits)))
+    route = replace(STREAM_ROUTE, timeout_ms=60_000)
+    for number in range(100):
+        vm.submit_request(f"r-{number}", route=route, urgency_rank=2)
+    looks = 0
+    serving_upstreams = ViewTable.serving_upstreams
+
+    def count_looks(*args: object) -> object:
+        nonlocal looks
+        looks += 1
+        return serving_upstreams(*args)  # type: ignore[arg-type]
+
+    looks_per_tick = []
+    for now_ms in range(1_600, 6_000, 50):
+        if now_ms == 3_600:
+            monkeypatch.setattr(ViewTable, "serving_upstreams", count_looks)
+        report = peer_report("vm-2", sequence=now_ms, work=work, limits=limits)
+        vm.handle_event(PeerReportReceived(report), at_ms=now_ms)
+        before = looks
+        vm.tick(now_ms)
+        looks_per_tick.append(looks - before)
+    queue = vm.core.board.table(GatewayQueueTable).of("models")
+    assert sum(request.is_late for request in queue.requests()) == 100
+    assert 0 < max(looks_per_tick) < 10
