Relayed connections have small buffers in the kernel

Cause: the buffers of a relayed connection grew while one side read nothing. Change: the receive buffer is 64 KiB, and the kernel takes at most 64 KiB that cannot be sent yet.

--- a/azureturn/_socket_options.py
+++ b/azureturn/_socket_options.py
@@ -39,6 +39,13 @@
     *keep_alive_options(idle_s=5, interval_s=2, probes=3),
 )
 
+#: Options that keep the kernel's buffers of a connection small: they would grow to megabytes, which
+#: count for the memory of the VM while one side reads nothing.
+SMALL_BUFFER_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536),
+    (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, 65_536),
+)
+
 #: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 #: Value of SO_LINGER (disabled) with which a close sends what is unsent, and then an orderly end.
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from functools import partial
 
-from azureturn._socket_options import SOCKET_OPTIONS
+from azureturn._socket_options import SMALL_BUFFER_OPTIONS, SOCKET_OPTIONS
 from azureturn.errors import AzureturnError
 from azureturn.gateway.relay._messages import is_signed, receive_message, send_message
 from azureturn.gateway.relay._relay import Relay
@@ -160,5 +160,5 @@
 
 
 def _set_options(connection: socket.socket) -> None:
-    for level, name, value in SOCKET_OPTIONS:
+    for level, name, value in (*SOCKET_OPTIONS, *SMALL_BUFFER_OPTIONS):
         connection.setsockopt(level, name, value)
