--- a/azureturn/gateway/decisions/_queue_cost.py
+++ b/azureturn/gateway/decisions/_queue_cost.py
@@ -5,6 +5,7 @@
 """
 
 from azureturn.gateway.decisions._requests import GatewayRequest
+from azureturn.gateway.decisions._work import request_work
 from azureturn.gateway.settings import EnginePolicy
 
 #: Cost of a request without a prompt. Its service has no others.
@@ -18,11 +19,6 @@
 
     Only proportions between the requests of one service matter.
     """
-    prompt = request.prompt
-    if prompt is None:
+    if request.prompt is None:
         return _PLAIN_COST
-    answer_tokens = prompt.expected_answer_tokens or engine.answer_tokens
-    if prompt.answer_limit_tokens:
-        answer_tokens = min(answer_tokens, prompt.answer_limit_tokens)
-    prefill_ms = prompt.prompt_tokens / engine.prefill_tokens_per_ms
-    return min(_MAX_COST, engine.first_event_ms + prefill_ms + answer_tokens * engine.ms_per_token)
+    return min(_MAX_COST, request_work(request, engine, cached_tokens=0).duration_ms(1.0))
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -206,16 +206,22 @@
         if not request.is_late and self._wait_ms(request) <= limit_ms:
             return True
         if self._is_brittle(request.service, now_ms):
-            return request.is_late
+            queue = self.board.read(GatewayQueueTable).of(request.service)
+            return request.is_late or queue.has_below(request.tier_rank)
         return self._can_be_served_late(request, now_ms)
 
-    def _can_be_served_late(self, request: GatewayRequest, now_ms: int) -> bool:
-        """Return the same for a late request of a service whose upstreams are not brittle."""
+    def _can_be_served_late(
+        self, request: GatewayRequest, now_ms: int, *, queued_cost: float = 0.0
+    ) -> bool:
+        """Return the same for a late request of a service whose upstreams are not brittle.
+
+        ``queued_cost`` is the request's own cost if it is in the queue.
+        """
         queue = self.board.read(GatewayQueueTable).of(request.service)
         late = request.with_late()
         if queue.has_below(late.tier_rank):
             return True
-        work_ahead = queue.tokens_ahead(late, 1.0)
+        work_ahead = max(0.0, queue.tokens_ahead(late, 1.0) - queued_cost)
         drain = self.board.read(DrainTable).of(request.service)
         if self._is_backlog_measured(request.service, now_ms):
             wait_ms = drain.wait_ms(late.tier_rank, work_ahead)
@@ -242,8 +248,10 @@
             for request in queue.requests()
             if request.is_late and not request.tried_upstreams
         ]
-        for request in reversed(late):
-            if not self._can_be_served_late(request, context.now_ms):
+        late.sort(key=lambda request: request.deadline_ms, reverse=True)
+        for request in late:
+            cost = queue_cost(request, self.settings.policy.engine)
+            if not self._can_be_served_late(request, context.now_ms, queued_cost=cost):
                 queue.remove(request)
                 self._end_unserved(request, ErrorKind.OVERLOADED, context)
 
@@ -271,7 +279,8 @@
             queue.remove(request)
             demoted = request.with_late()
             self.board.write(GatewayRequestTable).put(request.request_id, demoted)
-            cost = queue_cost(demoted, policy.engine)
+            # A further attempt costs nothing in the queue, as the first one has been charged.
+            cost = 0.0 if request.tried_upstreams else queue_cost(demoted, policy.engine)
             give_up_ms = self._give_up_at_ms(demoted, now_ms)
             queue.push(QueuedRequest(demoted, cost, 1.0, give_up_ms))
 
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -23,6 +23,7 @@
 from azureturn.serving._caller_watch import has_disconnected
 from azureturn.serving._loop_connections import LoopConnections
 from azureturn.serving._request_bodies import BodyInChunks, BodyWithLength
+from azureturn.serving._request_headers import StrictHeaderReader, framing_mistake
 from azureturn.serving._task_pool import TaskPool
 from azureturn.tasks import Priority, TaskLoop, receive
 
@@ -64,6 +65,8 @@
 class _CallerRequest(HTTPRequest):
     """One HTTP request; refusals by the server itself have the format of all other refusals."""
 
+    header_reader = StrictHeaderReader()
+
     def __init__(self, server: "BoundedServer", conn: HTTPConnection) -> None:
         super().__init__(server, conn, proxy_mode=True)
 
@@ -73,6 +76,16 @@
         super().parse_request()
         self.conn.rfile.set_deadline(self.server.body_timeout_ms)
 
+    def read_request_headers(self) -> bool:
+        """Read the headers; return False after a refusal, which closes the connection."""
+        is_read: bool = super().read_request_headers()  # type: ignore[no-untyped-call]
+        mistake = framing_mistake(self.inheaders, is_http_1_1=self.response_protocol == "HTTP/1.1")
+        if is_read and mistake:
+            self.close_connection = True
+            self.simple_response("400 Bad Request", mistake)
+            return False
+        return is_read
+
     def respond(self) -> None:
         """Serve the request; it counts as in flight until its answer has been sent."""
         self.server.count_in_flight(1)
