Speeds shared by VMs are a setting, which is off

Change: policy.shares_speeds, false by default; without it each VM goes by its own answers, and nothing is measured, reported or limited. Tests of the shared speeds set it.

--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -100,8 +100,9 @@
     engine: EngineCapacity | None
     own_zone: str
     now_ms: int
-    #: Mean slowdown of the upstreams when all their slots are in use.
-    usual_slowdown: float = 1.0
+    #: Mean slowdown of the upstreams when all their slots are in use; None if each VM goes by its
+    #: own answers, which are too few to compare upstreams.
+    usual_slowdown: float | None = None
 
     @classmethod
     def of(
@@ -157,8 +158,10 @@
                     urgent_capacity_left=urgent_capacity,
                 )
             )
-        usual_slowdown = sum(row.speed.slowdowns[-1] for row in with_capacity)
-        usual_slowdown /= max(1, len(with_capacity))
+        usual_slowdown = None
+        if policy.shares_speeds and with_capacity:
+            usual_slowdown = sum(row.speed.slowdowns[-1] for row in with_capacity)
+            usual_slowdown /= len(with_capacity)
         return cls(tuple(with_capacity), engine, own_zone, now_ms, usual_slowdown)
 
 
@@ -198,6 +201,13 @@
     return _engine_candidate(request, request.prompt, upstream_snapshot, snapshot, policy)
 
 
+def own_speed(state: UpstreamState, *, is_engine: bool, now_ms: int) -> SpeedEstimate:
+    """Return the speed of an upstream by the answers that this VM itself got from it."""
+    if is_engine:
+        return SpeedEstimate.constant(state.expected_slowdown(now_ms))
+    return SpeedEstimate.constant(max(1.0, state.expected_answer_ms(now_ms)) / PLAIN_ANSWER_MS)
+
+
 def _plain_candidate(upstream_snapshot: UpstreamSnapshot, snapshot: PlacementSnapshot) -> Candidate:
     slots = max(1, upstream_snapshot.upstream.slots)
     answer_ms = PLAIN_ANSWER_MS * upstream_snapshot.speed.slowdowns[0]
@@ -249,11 +259,9 @@
         queued_prefill_ms + prefill_ms + slot_wait_ms + policy.engine.first_event_ms * slowdown
     )
     answer_ms = work.answer_ms * slowdown
-    crowding = max(0.0, requests + 2 - slots) * max(0.0, 1.0 - slowdown / snapshot.usual_slowdown)
     cost_ms = (
         expected_ms
-        + _CROWDING_MS * crowding
-        + _ANSWER_WEIGHT * answer_ms
+        + _speed_cost(answer_ms, slowdown, requests + 2 - slots, snapshot.usual_slowdown)
         + _INTERFERENCE_WEIGHT * requests * prefill_ms
         + _common_cost(upstream_snapshot, snapshot)
     )
@@ -280,10 +288,21 @@
         capacity > 0,
         upstream_snapshot.is_relayed,
         exceeds_limit,
-        snapshot.now_ms + expected_ms + answer_ms > request.ends_at_ms,
+        snapshot.usual_slowdown is not None
+        and snapshot.now_ms + expected_ms + answer_ms > request.ends_at_ms,
     )
 
 
+def _speed_cost(
+    answer_ms: float, slowdown: float, crowding_requests: float, usual_slowdown: float | None
+) -> float:
+    """Return the part of an engine's cost that depends on how its speed compares with others'."""
+    if usual_slowdown is None:
+        return 0.0
+    crowding = max(0.0, crowding_requests) * max(0.0, 1.0 - slowdown / usual_slowdown)
+    return _CROWDING_MS * crowding + _ANSWER_WEIGHT * answer_ms
+
+
 def _exceeds_pause_limit(
     request: GatewayRequest,
     pending_tokens: int,
--- a/azureturn/gateway/decisions/_slot_sharing.py
+++ b/azureturn/gateway/decisions/_slot_sharing.py
@@ -18,7 +18,7 @@
 #: Weight of a new sample in the mean time of requests.
 _EWMA_WEIGHT = 0.05
 #: Cost that makes an upstream less likely by a factor of e than one that is otherwise equal.
-_COST_SCALE_MS = 60.0
+_COST_SCALE_MS = 20.0
 #: Exponent of the free slots in the weight of an upstream. Reports are noisy, so that nearly full
 #: upstreams are avoided more than in proportion.
 _FREE_SLOTS_EXPONENT = 2.0
--- a/azureturn/gateway/decisions/_speeds.py
+++ b/azureturn/gateway/decisions/_speeds.py
@@ -103,6 +103,11 @@
     #: Number of requests from which one more costs the others more than it brings.
     limit: int = 1_000_000
 
+    @classmethod
+    def constant(cls, slowdown: float) -> "SpeedEstimate":
+        """Return the estimate for an upstream whose speed does not depend on its requests."""
+        return cls((slowdown,) * LEVELS)
+
     def slowdown(self, requests: float, slots: int) -> float:
         """Return the slowdown with so many requests at an upstream."""
         return self.slowdowns[level_of(requests, slots)]
--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -33,6 +33,9 @@
     #: Share of answers that failed, as of ``failed_at_ms``.
     failure_share: float = 0.0
     failed_at_ms: int = 0
+    #: Mean time of a plain answer; 0 before the first one.
+    answer_ms: float = 0.0
+    answered_at_ms: int = 0
     #: Whether the last attempt to connect to it failed, or it did not respond to a probe.
     is_unreachable: bool = False
     #: Whether it did not respond to a probe, although it could be connected.
@@ -67,6 +70,13 @@
             self, slowdown=self.slowdown + weight * (bounded - self.slowdown), slowdown_at_ms=now_ms
         )
 
+    def with_answer_time(self, took_ms: float, now_ms: int) -> "UpstreamState":
+        """Return a copy whose average answer time includes that of one more plain answer."""
+        mean = took_ms
+        if self.answer_ms:
+            mean = self.answer_ms + _EWMA_WEIGHT * (took_ms - self.answer_ms)
+        return changed(self, answer_ms=mean, answered_at_ms=now_ms)
+
     def with_outcome(self, *, failed: bool, now_ms: int) -> "UpstreamState":
         """Return a copy whose failure share includes one more answer."""
         share = self.expected_failure_share(now_ms)
@@ -93,6 +103,11 @@
         age_ms = max(0, now_ms - self.slowdown_at_ms)
         return 1.0 + (self.slowdown - 1.0) * math.exp2(-age_ms / _SLOWDOWN_HALF_LIFE_MS)
 
+    def expected_answer_ms(self, now_ms: int) -> float:
+        """Return the expected time of a plain answer, which decays without new samples."""
+        age_ms = max(0, now_ms - self.answered_at_ms)
+        return self.answer_ms * math.exp2(-age_ms / _SLOWDOWN_HALF_LIFE_MS)
+
 
 class UpstreamStateTable(Table[str, UpstreamState]):
     """Upstream states, keyed by upstream name."""
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -217,7 +217,8 @@
         if state is None:
             return
         state = state.with_ended(request.pending_tokens)
-        self._record_speed(request, event, now_ms)
+        if self.settings.policy.shares_speeds:
+            self._record_speed(request, event, now_ms)
         state = self._with_result(state, request, event, now_ms)
         self.board.write(UpstreamStateTable).put(request.upstream, state)
         if event.event_count >= _MIN_TIMED_EVENTS:
@@ -270,6 +271,8 @@
             tokens = (event.event_count - 1) * self._tokens_per_event(request.service)
             assumed_ms = tokens * self.settings.policy.engine.ms_per_token
             return state.with_slowdown(event.streamed_ms / assumed_ms, now_ms)
+        if event.result is AttemptResult.ANSWERED and request.prompt is None:
+            return state.with_answer_time(float(now_ms - request.sent_at_ms), now_ms)
         return state
 
     def _tokens_per_event(self, service_name: str) -> int:
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -1,5 +1,7 @@
 """Places each queued request on an upstream as soon as one has capacity for it."""
 
+from collections.abc import Iterable
+
 from azureturn.framework import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
@@ -10,6 +12,7 @@
     PlacementSnapshot,
     UpstreamSnapshot,
     estimate_candidate,
+    own_speed,
 )
 from azureturn.gateway.decisions._events import PlacementRequested, ReportRequested
 from azureturn.gateway.decisions._moves import MoveTable
@@ -23,7 +26,7 @@
     SlotDivisionTable,
     TurnoverTable,
 )
-from azureturn.gateway.decisions._speeds import SpeedTable, level_of
+from azureturn.gateway.decisions._speeds import SpeedEstimate, SpeedTable, level_of
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
@@ -229,7 +232,7 @@
         snapshots = []
         upstreams = self.board.read(ViewTable).serving_upstreams(service, context.now_ms)
         # An upstream that has just started has stated nothing yet, but is like the others.
-        speeds = self.board.read(SpeedTable).estimates(service, upstreams, context.now_ms)
+        speeds = self._shared_speeds(service, upstreams, context.now_ms)
         is_brittle = any(limits.is_brittle(upstream.run) for upstream in upstreams)
         for upstream in upstreams:
             state = states.of(upstream.run)
@@ -251,7 +254,8 @@
                     and cold.may_send(upstream, context.now_ms),
                     is_relayed=relayed,
                     is_brittle=is_brittle,
-                    speed=speeds[upstream.name],
+                    speed=speeds.get(upstream.name)
+                    or own_speed(state, is_engine=engine is not None, now_ms=context.now_ms),
                 )
                 snapshots.append(snapshot)
         vm_count = peers.vm_count_outside(self._partitioned_zones(context.now_ms), context.now_ms)
@@ -267,6 +271,14 @@
             remaining_share=self._remaining_share(service, context.now_ms),
         )
 
+    def _shared_speeds(
+        self, service: str, upstreams: Iterable[RegisteredUpstream], now_ms: int
+    ) -> dict[str, SpeedEstimate]:
+        """Return what all VMs have measured, by upstream; empty unless the VMs share that."""
+        if not self.settings.policy.shares_speeds:
+            return {}
+        return self.board.read(SpeedTable).estimates(service, upstreams, now_ms)
+
     def _is_isolated(self) -> bool:
         """Return whether this VM is to be taken for cut off from all upstreams."""
         upstream_count = len(self.board.read(ViewTable).current().upstreams)
--- a/azureturn/gateway/decisions/controllers/_speeds.py
+++ b/azureturn/gateway/decisions/controllers/_speeds.py
@@ -32,6 +32,8 @@
 
     @on(Tick)
     def _on_tick(self, event: Tick, context: Context) -> None:
+        if not self.settings.policy.shares_speeds:
+            return
         if context.now_ms - self._checked_at_ms < _CHECK_INTERVAL_MS:
             return
         self._checked_at_ms = context.now_ms
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -13,6 +13,7 @@
 from azureturn.gateway.settings import (
     AllotmentBounds,
     GatewayBounds,
+    GatewayPolicy,
     GatewaySettings,
     GatewayVm,
     MoveBounds,
@@ -192,6 +193,7 @@
         seed: int = 1,
         availability_zone: str = "a",
         clock_offset_ms: int = 0,
+        policy: GatewayPolicy | None = None,
     ) -> None:
         vm = GatewayVm(
             vm_name,
@@ -213,7 +215,7 @@
             allotment=AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=0),
             move=MoveBounds(share=0.1),
         )
-        self.settings = GatewaySettings(vm, bounds)
+        self.settings = GatewaySettings(vm, bounds, policy=policy or GatewayPolicy())
         self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=seed)
         self.now_ms = now_ms
         unix_ms = STARTED_UNIX_MS + now_ms - _FIRST_MS + clock_offset_ms
--- a/azureturn/gateway/decisions/tests/simulated_speeds.py
+++ b/azureturn/gateway/decisions/tests/simulated_speeds.py
@@ -31,6 +31,7 @@
     upstream,
     view,
 )
+from azureturn.gateway.settings import GatewayPolicy
 from azureturn.gateway.site import Prompt, PromptPart
 
 _TICK_MS = 50
@@ -85,8 +86,10 @@
         vm_count: int,
         upstreams: list[SimulatedUpstream],
         is_plain: bool = False,
+        shares_speeds: bool = False,
         seed: int = 1,
     ) -> None:
+        self._shares_speeds = shares_speeds
         self.random = random.Random(seed)
         self.now_ms = 1_000
         self.upstreams = {row.name: row for row in upstreams}
@@ -145,6 +148,7 @@
             vm_name=f"vm-{number}",
             now_ms=self.now_ms,
             seed=self.random.getrandbits(32),
+            policy=GatewayPolicy(shares_speeds=self._shares_speeds),
         )
 
     def _rows(self) -> list[SimulatedUpstream]:
--- a/azureturn/gateway/decisions/tests/test_speeds.py
+++ b/azureturn/gateway/decisions/tests/test_speeds.py
@@ -22,6 +22,7 @@
     view,
 )
 from azureturn.gateway.decisions.tests.simulated_speeds import SimulatedUpstream, SpeedSite
+from azureturn.gateway.settings import GatewayPolicy
 from azureturn.gateway.site import Prompt
 
 _SPEEDS = {"fast": 0.55, "usual": 1.0, "slow": 2.8}
@@ -135,7 +136,8 @@
 
 def _harness(*busy: str) -> GatewayCoreHarness:
     """Return a VM that has learned the speeds from a peer, with work at some upstreams."""
-    harness = GatewayCoreHarness(view(*_UPSTREAMS))
+    policy = GatewayPolicy(shares_speeds=True)
+    harness = GatewayCoreHarness(view(*_UPSTREAMS), policy=policy)
     for sequence in range(1, 30):
         speeds = tuple(
             _report(name, slowdown, level=level)
@@ -201,7 +203,7 @@
     """Slow engines got as many requests as fast ones, and each VM's report was old."""
     speeds = list(_SPEEDS.values())
     rows = [SimulatedUpstream(f"u-{n}", 6, 2, speeds[n % 3]) for n in range(engine_count)]
-    site = SpeedSite(vm_count=vm_count, upstreams=rows)
+    site = SpeedSite(vm_count=vm_count, upstreams=rows, shares_speeds=True)
     site.lost_share = 0.1
     # An answer takes 0.6 s at the usual speed.
     capacity_per_s = sum(row.slots / row.slowdown for row in rows) / 0.6
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -133,6 +133,9 @@
     """Policy for placing, queueing and refusing requests."""
 
     engine: EnginePolicy = field(default_factory=EnginePolicy)
+    #: Whether the VMs share what they measure of the upstreams' speeds, and place requests by it.
+    #: Otherwise each VM goes by its own answers alone.
+    shares_speeds: bool = False
     #: Number of requests sent to an engine in addition to its slots, so that the next one starts
     #: as soon as a slot becomes free.
     ahead_requests: Annotated[float, Field(ge=0)] = 1.0
