--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -96,7 +96,7 @@
         configuration_version=report.configuration_version,
         availability=[_availability_to_wire(row) for row in report.availability],
         cold=[ColdSeen(*row.run, row.left_ms) for row in report.cold] or None,
-        speeds=[_speed_to_wire(row) for row in report.speeds],
+        speeds=[_speed_to_wire(row) for row in report.speeds] or None,
     )
 
 
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -386,7 +386,7 @@
   23: list<AvailabilitySeen> availability,
   24: i64 configuration_version,
   40: optional list<ColdSeen> cold,
-  50: list<SpeedSeen> speeds,
+  50: optional list<SpeedSeen> speeds,
 }
 
 // The first message on a relayed connection: the upstream that the peer is to connect to.
