Decisions, exchange, serving: shared constants and clearer comments

Cause: the bounds of Retry-After stood in three modules and the socket options for small buffers in two; PeerTable.live_vm_names had no caller; some comments referred to the function before them. Change: one definition each, the unused method removed, comments reworded. BodyBudget's waiters have a typed signal. No change of behaviour. Evidence: mypy, ruff, black; pytest -n 1 of decisions, exchange, serving and observability.

--- a/azureturn/_socket_options.py
+++ b/azureturn/_socket_options.py
@@ -39,11 +39,14 @@
     *keep_alive_options(idle_s=5, interval_s=2, probes=3),
 )
 
+#: Size of the receive buffer, and limit on data that the other end's window does not admit yet.
+_SMALL_BUFFER_BYTES = 65_536
 #: Options that keep the kernel's buffers of a connection small: they would grow to megabytes, which
-#: count for the memory of the VM while one side reads nothing.
+#: count for the memory of the VM while one side reads nothing. Accepted connections inherit them
+#: from the listening socket.
 SMALL_BUFFER_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536),
-    (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, 65_536),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES),
+    (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _SMALL_BUFFER_BYTES),
 )
 
 #: Value of SO_LINGER (enabled, 0 s) with which a close discards unsent data and sends a reset.
--- a/azureturn/gateway/decisions/_allotment_pacing.py
+++ b/azureturn/gateway/decisions/_allotment_pacing.py
@@ -18,8 +18,8 @@
 
 from dataclasses import dataclass
 
-#: Age of peers' reports, in multiples of the mean one, from which on they include what this VM
-#: knows of itself: ages vary between zero and twice their mean.
+#: Time after which all peers have a report of this VM, in multiples of the mean age of their own
+#: reports here: ages vary between zero and twice their mean.
 _UNREPORTED_AGES = 2.0
 #: While less remains than this multiple of the demand since the last reports, VMs report at once.
 _NEAR_LIMIT_DEMANDS = 4.0
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True)
 class LiveVms:
-    """The VMs whose usage this VM knows, including its own."""
+    """The VMs whose reports arrive in time, so that their usage is known, and this VM."""
 
     names: frozenset[str]
     #: Estimated share of these VMs in the total usage of all VMs.
--- a/azureturn/gateway/decisions/_cold_limit.py
+++ b/azureturn/gateway/decisions/_cold_limit.py
@@ -61,7 +61,10 @@
         return self.slots // vm_count + (rank < self.slots % vm_count)
 
     def first_slot_ms(self, rank: int, vm_count: int) -> float:
-        """Return when the first slot of a VM begins, so that the VMs take turns."""
+        """Return the time from the beginning of the limit to the first slot of a VM.
+
+        It depends on the rank, so that the VMs take turns.
+        """
         senders = min(self.slots, vm_count)
         return self.round_ms / max(1, self.share(rank, vm_count)) * rank / senders
 
@@ -122,8 +125,8 @@
         """
         rank = self._ranks.get(upstream)
         if rank is None:
-            own_place = _place(self.own_name, upstream)
-            rank = sum(_place(name, upstream) < own_place for name in self._others)
+            own_key = _rank_key(self.own_name, upstream)
+            rank = sum(_rank_key(name, upstream) < own_key for name in self._others)
             self._ranks[upstream] = rank
         return rank
 
@@ -139,5 +142,6 @@
             self._ranks.clear()
 
 
-def _place(vm: str, upstream: str) -> tuple[int, str]:
+def _rank_key(vm: str, upstream: str) -> tuple[int, str]:
+    """Return the key by which VMs are ordered at an upstream."""
     return xxhash.xxh3_64_intdigest(f"{upstream}\n{vm}".encode()), vm
--- a/azureturn/gateway/decisions/_cold_upstreams.py
+++ b/azureturn/gateway/decisions/_cold_upstreams.py
@@ -29,7 +29,7 @@
 
 
 class ColdSource(StrEnum):
-    """What an upstream is taken for cold by."""
+    """Why an upstream is taken for cold."""
 
     #: Its registration states it.
     ENTRY = "registration"
@@ -78,10 +78,10 @@
         return max((claim.until_ms for claim in self.claims.values()), default=0.0)
 
     def reported_until_ms(self) -> float:
-        """Return the same as far as this VM does not know it from peers only.
+        """Return the time until which peers are told that it is cold.
 
-        An upstream that refuses this VM's connections may be well for its peers, so that it is
-        reported only once it responds again.
+        What is known only from peers is left out. An upstream that refuses this VM's connections
+        may respond to its peers, so that it is reported only once it responds again.
         """
         reported = (
             claim.until_ms
@@ -176,7 +176,7 @@
         return slot is not None and slot.run == upstream.run and now_ms - slot.at_ms <= SLOT_MS
 
     def take_slot(self, upstream: RegisteredUpstream, now_ms: int) -> bool:
-        """Return whether something may be sent right now that is no request of this VM."""
+        """Return whether a probe or a peer's request may be sent now; it uses up a slot if so."""
         if not self.may_send(upstream, now_ms):
             return False
         if upstream.service in self.limits:
--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -170,7 +170,8 @@
 ) -> list[UpstreamSnapshot]:
     """Return the upstreams with the work of peers that is expected since their reports.
 
-    Prefills take less time than reports, so that those in progress are others than reported.
+    The prefills that peers reported have ended before their next reports, so that their tokens are
+    spread over all upstreams.
     """
     rows = list(upstreams)
     at_peers = expected_requests(
--- a/azureturn/gateway/decisions/_overload.py
+++ b/azureturn/gateway/decisions/_overload.py
@@ -16,12 +16,13 @@
 _ANSWER_MARGIN_MS = 20
 #: Time that an upstream needs at least; with less left a request is not really offered to it.
 _MIN_ATTEMPT_MS = 60
-_MIN_RETRY_AFTER_MS = 200
-_MAX_RETRY_AFTER_MS = 4_000
+#: Bounds of the time after which a refused caller is told to return.
+MIN_RETRY_AFTER_MS = 200
+MAX_RETRY_AFTER_MS = 4_000
 #: Share of the time left after which callers that were told to return later give up instead.
 _HONOURED_SHARE = 1 / 3
-#: By how much more than the forecast callers are told to wait at most, and how much less if the
-#: forecast exceeds what they honour, so that they do not return at the same moment.
+#: Maximum share by which the stated time exceeds the forecast, or stays below the longest time that
+#: callers honour if the forecast is longer, so that callers do not return at the same moment.
 _SPREAD_SHARE = 0.3
 
 
@@ -45,7 +46,7 @@
 
 
 def overload_retry_after_ms(wait_ms: float, left_ms: float, generator: random.Random) -> int:
-    """Return when a caller should return that would wait for ``wait_ms`` in the queue.
+    """Return after what time a caller should retry whose expected wait is ``wait_ms``.
 
     ``left_ms`` is the time left until its time limit. Callers give up if they are told to return
     later than after a third of it.
@@ -55,8 +56,8 @@
     >>> 700 <= overload_retry_after_ms(9_000.0, 3_000.0, random.Random(1)) <= 1_000
     True
     """
-    longest_ms = min(_MAX_RETRY_AFTER_MS, _HONOURED_SHARE * left_ms)
-    spread_ms = max(_MIN_RETRY_AFTER_MS, wait_ms) * generator.uniform(1.0, 1.0 + _SPREAD_SHARE)
+    longest_ms = min(MAX_RETRY_AFTER_MS, _HONOURED_SHARE * left_ms)
+    spread_ms = max(MIN_RETRY_AFTER_MS, wait_ms) * generator.uniform(1.0, 1.0 + _SPREAD_SHARE)
     if spread_ms > longest_ms:
         spread_ms = longest_ms * generator.uniform(1.0 - _SPREAD_SHARE, 1.0)
-    return max(_MIN_RETRY_AFTER_MS, int(spread_ms))
+    return max(MIN_RETRY_AFTER_MS, int(spread_ms))
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -293,10 +293,6 @@
         """Return the wall-clock time, derived from the monotonic clock of this process."""
         return self.started_unix_ms + now_ms - self.started_at_ms
 
-    def live_vm_names(self, now_ms: int) -> frozenset[str]:
-        """Return the names of the live VMs, including this one."""
-        return frozenset({self.own_name, *(peer.report.vm for peer in self.live_peers(now_ms))})
-
     def reporting_vms(self, now_ms: int, own_units: int) -> LiveVms:
         """Return the VMs that report their usage in time, including this one.
 
--- a/azureturn/gateway/decisions/_speeds.py
+++ b/azureturn/gateway/decisions/_speeds.py
@@ -7,6 +7,9 @@
 configured speed, and reports what was added since its last report. Sums can be merged in any order,
 and a lost report only means fewer answers. They age, so that an upstream that gets few requests is
 taken for an average one after a while, and is tried again.
+
+Speeds are measured and exchanged only if ``policy.shares_speeds`` is set. Otherwise placement uses
+estimates made from this VM's own answers.
 """
 
 import math
@@ -28,7 +31,7 @@
 _RATIO_BOUNDS = (0.05, 50.0)
 #: The requests at an upstream are counted in so many levels, of equal parts of its slots.
 LEVELS = 3
-#: Share by which fewer concurrent requests have to serve more for the others to be kept away.
+#: Share by which an engine has to serve more with fewer concurrent requests for its limit to fall.
 _LIMIT_MARGIN = 0.1
 #: Shortest time between two computations of the estimates, which change slowly.
 _ESTIMATE_INTERVAL_MS = 250
@@ -153,7 +156,10 @@
     def estimates(
         self, service: str, upstreams: Iterable[RegisteredUpstream], now_ms: int
     ) -> dict[str, SpeedEstimate]:
-        """Return the estimates for all upstreams of a service, by name, not older than 0.25 s."""
+        """Return the estimates for all upstreams of a service, by name.
+
+        They are kept for :data:`_ESTIMATE_INTERVAL_MS`.
+        """
         rows = list(upstreams)
         runs = [row.run for row in rows]
         cached = self._estimated.get(service)
--- a/azureturn/gateway/decisions/controllers/_allotment_admission.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_admission.py
@@ -4,6 +4,7 @@
 from azureturn.framework import Context, Refuse, on
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import ReportRequested, RequestAdmitted, RequestReceived
+from azureturn.gateway.decisions._overload import MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._tables import ViewTable
 from azureturn.gateway.decisions.controllers._registry import (
@@ -13,8 +14,6 @@
 from azureturn.gateway.site import Allotment
 
 _MS_PER_S = 1_000.0
-_MIN_RETRY_AFTER_MS = 200
-_MAX_RETRY_AFTER_MS = 4_000
 
 
 @gateway_controller("allotment_admission")
@@ -78,4 +77,4 @@
 def _refill_ms(remaining: float, allotment: Allotment, units: int) -> int:
     """Return the approximate time until enough units for the request have left the window."""
     wait_ms = (units - remaining) / allotment.rate_per_s * _MS_PER_S
-    return int(min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, wait_ms)))
+    return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -15,7 +15,11 @@
     ServicePaused,
     TraitsQuarantined,
 )
-from azureturn.gateway.decisions._overload import give_up_at_ms, overload_retry_after_ms
+from azureturn.gateway.decisions._overload import (
+    MIN_RETRY_AFTER_MS,
+    give_up_at_ms,
+    overload_retry_after_ms,
+)
 from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._queue_cost import queue_cost
@@ -29,7 +33,6 @@
 )
 from azureturn.gateway.site import QuarantinedTraits
 
-_MIN_RETRY_AFTER_MS = 200
 #: Time for which requests must have waited without a break before the measured rate says how fast
 #: upstreams take them: the time constant of its average.
 _MEASURED_BACKLOG_MS = 2_000
@@ -75,7 +78,7 @@
             self._refund(event.request)
             detail = f"read {context.now_ms - event.request.arrived_at_ms} ms after its arrival"
             kind = ErrorKind.DEADLINE_UNREACHABLE
-            context.act(Refuse(event.request.request_id, kind, _MIN_RETRY_AFTER_MS, detail=detail))
+            context.act(Refuse(event.request.request_id, kind, MIN_RETRY_AFTER_MS, detail=detail))
             return
         request = self._with_prior_wait(event.request, context.now_ms)
         quarantined = self.board.read(QuarantineTable).match(request.traits)
@@ -188,8 +191,8 @@
     def _wait_ms(self, request: GatewayRequest) -> float:
         """Return the expected time that a request waits in the queue.
 
-        Ahead of it are the more urgent tiers and, of its own tier, what its organisation and the
-        others are served before it in equal shares. The long queue of another organisation does
+        Ahead of it are the more urgent tiers and, of its own tier, the requests that equal shares
+        of the organisations place before it. The long queue of another organisation does
         not count.
         """
         queue = self.board.read(GatewayQueueTable).of(request.service)
@@ -213,9 +216,10 @@
     def _can_be_served_late(
         self, request: GatewayRequest, now_ms: int, *, queued_cost: float = 0.0
     ) -> bool:
-        """Return the same for a late request of a service whose upstreams are not brittle.
+        """Return whether a late request is expected to be served within its time limit.
 
-        ``queued_cost`` is the request's own cost if it is in the queue.
+        The upstreams of its service must not be brittle. ``queued_cost`` is the request's own cost
+        if it is in the queue.
         """
         queue = self.board.read(GatewayQueueTable).of(request.service)
         late = request.with_late()
@@ -237,9 +241,10 @@
     def _refuse_unservable(
         self, service: str, queue: "RequestQueue[GatewayRequest]", context: Context
     ) -> None:
-        """Refuse the latest of the late requests if upstreams do not serve them in time.
+        """Refuse late requests that are not expected to be served within their time limits.
 
-        Their callers then have time for another attempt, which they have not at the end.
+        Those with the latest deadlines are checked first. Refused now rather than at their time
+        limits, their callers still have time for another attempt.
         """
         if self._is_brittle(service, context.now_ms):
             return
@@ -333,7 +338,7 @@
         self._refund(request)
         unix_ms = self.board.read(PeerTable).unix_ms(context.now_ms)
         time_left_ms = self.board.read(QuarantineTable).time_left_ms(quarantined, unix_ms)
-        retry_after_ms = min(_MAX_QUARANTINE_RETRY_MS, max(_MIN_RETRY_AFTER_MS, time_left_ms))
+        retry_after_ms = min(_MAX_QUARANTINE_RETRY_MS, max(MIN_RETRY_AFTER_MS, time_left_ms))
         traits = ",".join(sorted(quarantined.traits))
         context.act(
             Refuse(
@@ -359,7 +364,7 @@
         context: Context,
         retry_after_ms: int | None = None,
     ) -> None:
-        """Refuse a request; without a stated time its caller is to return as the queue expects."""
+        """Refuse a request; ``retry_after_ms`` defaults to the expected wait in the queue."""
         self.board.write(GatewayRequestTable).remove(request.request_id)
         self._refund(request)
         wait_ms = self._wait_ms(request)
--- a/azureturn/gateway/decisions/controllers/_speeds.py
+++ b/azureturn/gateway/decisions/controllers/_speeds.py
@@ -1,4 +1,4 @@
-"""Tells operators which upstreams get fewer requests than they have slots."""
+"""Logs which engines get fewer requests than they have slots, if VMs share speeds."""
 
 from azureturn.framework import Context, Tick, on
 from azureturn.gateway.decisions._actions import LogUpstreamLimit
--- a/azureturn/gateway/exchange/_body_budget.py
+++ b/azureturn/gateway/exchange/_body_budget.py
@@ -14,7 +14,7 @@
 from itertools import count
 from typing import Protocol
 
-from azureturn.tasks import new_signal
+from azureturn.tasks import Signal, new_signal
 
 #: Bytes that each reservation has without asking the budget. Bodies of this size are read even
 #: while faulty upstreams or callers have used up the budget.
@@ -54,7 +54,7 @@
     rank: int
     size_bytes: int
     number: int
-    signal: object = field(default=None, compare=False)
+    signal: Signal | None = field(default=None, compare=False)
 
 
 class BodyBudget:
@@ -163,12 +163,12 @@
             self._wake_first()
 
     def _lacks_request_share(self, size_bytes: int) -> bool:
-        """Return whether room that responses hold would be of no use."""
+        """Return whether only the share of requests is used up, not the whole budget."""
         return self._reserved_bytes + size_bytes <= self.limit_bytes
 
     def _wake_first(self) -> None:
         if self._waiting and self._waiting[0].signal is not None:
-            self._waiting[0].signal.set()  # type: ignore[attr-defined]
+            self._waiting[0].signal.set()
 
     def _reclaim_slowest(self, rank: int, *, only_requests: bool) -> bool:
         """Take the room of one connection for a request of a rank; return whether there was one.
@@ -224,7 +224,7 @@
         return self.resize_or_wait(size_bytes, wait_s=None)
 
     def resize_or_wait(self, size_bytes: int, *, wait_s: float | None) -> bool:
-        """Do the same, but wait for room at most for a time; None not to wait."""
+        """Reserve as :meth:`resize` does, but wait up to ``wait_s`` for room; None not to wait."""
         if self.is_for_request and self._budget.request_limit_bytes is None:
             return True
         counted_bytes = max(0, size_bytes - FREE_BYTES)
@@ -251,7 +251,8 @@
     def allow_reclaim(self, on_reclaimed: Reclaimed, *, is_moving: bool) -> None:
         """Let the budget take the room from now on, for a more urgent request.
 
-        If bytes are on their way, also if the connection is slower than the least pace.
+        With ``is_moving``, the budget may also take it for any other request while the connection
+        is slower than the least pace.
         """
         self.is_moving = is_moving
         self._on_reclaimed = on_reclaimed
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -438,7 +438,8 @@
     def _give_up_body_if_possible(self, request: GatewayRequest) -> None:
         """Drop the body if an upstream has it and no further attempt is possible.
 
-        If one is, a more urgent request may still take its room: then there is none.
+        While one is possible, the body is kept, but a more urgent request may take its room. Then
+        no further attempt is made.
         """
         if self._room is None:
             return
--- a/azureturn/gateway/exchange/_routing.py
+++ b/azureturn/gateway/exchange/_routing.py
@@ -13,7 +13,7 @@
 #: Number of ranks of routes that are distinguished within one rank of organisations.
 _ROUTE_RANKS_PER_ORGANISATION_RANK = 16
 _DIGEST_BYTES = 12
-#: Rank of a request of which nobody knows how urgent it is.
+#: Rank of a request whose urgency is unknown.
 LEAST_URGENT_RANK = 1 << 30
 
 
@@ -60,7 +60,7 @@
 def urgency_of_head(
     facts: RequestFacts, caller: CallerChannel, configuration: SiteConfiguration
 ) -> int:
-    """Return the urgency rank by the head alone, that of the least urgent if nothing matches."""
+    """Return the urgency rank by the head alone; the least urgent one if no route matches."""
     host = caller.header_values.get("host", "").partition(":")[0]
     route = configuration.find_route(host, caller.path)
     if route is None:
--- a/azureturn/gateway/exchange/_services.py
+++ b/azureturn/gateway/exchange/_services.py
@@ -28,7 +28,7 @@
     closes_connections: Callable[[], bool]
     #: Returns the time left to answer new requests; None unless a planned stop limits it.
     time_left_ms: Callable[[], int | None]
-    #: Returns whether an upstream may be sent the request of an id now.
+    #: Returns whether the request with this id may be sent to an upstream now.
     may_send: Callable[[RegisteredUpstream, str], bool]
     #: Returns for how long the configuration in force has not been confirmed to be the latest.
     configuration_age_ms: Callable[[], int]
--- a/azureturn/observability/_logs.py
+++ b/azureturn/observability/_logs.py
@@ -248,7 +248,7 @@
             self._report_suppressed(suppressed_counts)
 
     def _handle(self, level: int, event: LogEvent, fields: dict[str, Any]) -> None:
-        """Pass a record to the handler; there is no other one that a logger would have to find."""
+        """Pass a record to the only handler, without a logger's search for handlers."""
         line = {"vm": self._vm, **fields}
         record = logbook.LogRecord(_CHANNEL, level, event.value, kwargs={"fields": line})
         record.heavy_init()
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -11,7 +11,12 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Server
 
-from azureturn._socket_options import ORDERLY_CLOSE, RESET_AT_CLOSE, keep_alive_options
+from azureturn._socket_options import (
+    ORDERLY_CLOSE,
+    RESET_AT_CLOSE,
+    SMALL_BUFFER_OPTIONS,
+    keep_alive_options,
+)
 from azureturn.errors import (
     DEFAULT_RETRY_AFTER_MS,
     ERROR_RESPONSES,
@@ -39,11 +44,6 @@
 BACKLOG_LIMIT = 1_024
 _DRAIN_PIECE_BYTES = 65_536
 _LAST_CHUNK = b"0\r\n\r\n"
-#: Receive buffer of a caller's connection in the kernel, as large as it is before it adapts. It
-#: would adapt up to megabytes, which a caller could fill while nothing is read from it.
-_RECEIVE_BUFFER_BYTES = 65_536
-#: How much of a response the kernel takes before the caller's window allows it to be sent.
-_UNSENT_BYTES = 65_536
 #: Maximum number of idle keep-alive connections.
 _IDLE_CONNECTIONS = 2_000
 
@@ -328,9 +328,8 @@
     def prepare(self) -> None:
         """Open the port; with a loop, connections are accepted from now on."""
         super().prepare()
-        # Accepted connections inherit these options.
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES)
+        for level, name, value in SMALL_BUFFER_OPTIONS:
+            self.socket.setsockopt(level, name, value)
         if self._loop is not None:
             self._connections.close()  # type: ignore[has-type]
             self._connections = LoopConnections(self, self._loop)
