--- a/azureturn/gateway/decisions/_overload.py
+++ b/azureturn/gateway/decisions/_overload.py
@@ -26,7 +26,7 @@
 _SPREAD_SHARE = 0.3
 
 
-def give_up_at_ms(request: GatewayRequest, policy: GatewayPolicy, *, is_brittle: bool) -> int:
+def give_up_at_ms(request: GatewayRequest, policy: GatewayPolicy, *, limits_patience: bool) -> int:
     """Return until when a request may wait for an upstream.
 
     After that it could not be answered within its time limit. A request whose expected duration
@@ -37,7 +37,7 @@
     patience_ms = int(policy.patience_objectives * request.route.objective_ms)
     patient_until_ms = request.arrived_at_ms + patience_ms
     answerable_until_ms = request.ends_at_ms - _ANSWER_MARGIN_MS
-    if is_brittle:
+    if limits_patience:
         return min(answerable_until_ms, patient_until_ms)
     needed_ms = _MIN_ATTEMPT_MS
     if request.prompt is not None:
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -203,14 +203,14 @@
     def _can_be_served(self, request: GatewayRequest, now_ms: int) -> bool:
         """Return whether a request is expected to be served in time, or late but within its limit.
 
-        No request is refused on an expectation while less urgent ones of its service wait here.
+        Where late requests wait until their time limit, none is refused on an expectation while
+        less urgent ones of its service wait here.
         """
         limit_ms = self.settings.policy.refusal_objectives * request.route.objective_ms
         if not request.is_late and self._wait_ms(request) <= limit_ms:
             return True
-        if self._is_brittle(request.service, now_ms):
-            queue = self.board.read(GatewayQueueTable).of(request.service)
-            return request.is_late or queue.has_below(request.tier_rank)
+        if self._limits_patience(request.service, now_ms):
+            return request.is_late
         return self._can_be_served_late(request, now_ms)
 
     def _can_be_served_late(
@@ -232,7 +232,7 @@
         else:
             wait_ms = drain.wait_ms(late.tier_rank, work_ahead, min_share=_LATE_MIN_SHARE)
         policy = self.settings.policy
-        return now_ms + wait_ms <= give_up_at_ms(request, policy, is_brittle=False)
+        return now_ms + wait_ms <= give_up_at_ms(request, policy, limits_patience=False)
 
     def _is_backlog_measured(self, service: str, now_ms: int) -> bool:
         since_ms = self._backlogged_since_ms.get(service, now_ms)
@@ -246,7 +246,7 @@
         Those with the latest deadlines are checked first. Refused now rather than at their time
         limits, their callers still have time for another attempt.
         """
-        if self._is_brittle(service, context.now_ms):
+        if self._limits_patience(service, context.now_ms):
             return
         late = [
             request
@@ -261,8 +261,15 @@
                 self._end_unserved(request, ErrorKind.OVERLOADED, context)
 
     def _give_up_at_ms(self, request: GatewayRequest, now_ms: int) -> int:
-        is_brittle = self._is_brittle(request.service, now_ms)
-        return give_up_at_ms(request, self.settings.policy, is_brittle=is_brittle)
+        limits_patience = self._limits_patience(request.service, now_ms)
+        return give_up_at_ms(request, self.settings.policy, limits_patience=limits_patience)
+
+    def _limits_patience(self, service: str, now_ms: int) -> bool:
+        """Return whether requests of a service wait for a multiple of their objective at most.
+
+        They do if its upstreams fall over when they reject many requests, whatever the policy.
+        """
+        return not self.settings.policy.waits_until_timeout or self._is_brittle(service, now_ms)
 
     def _is_brittle(self, service: str, now_ms: int) -> bool:
         """Return whether upstreams of a service fall over if they reject many requests."""
