Late requests wait while their answers can begin before their callers leave

Cause: a late request waited until its time limit, or not at all (policy.waits_until_timeout), though callers leave a stream without a first event long before. The policy states a share of the time limit instead (late_wait_share, 0 by default), and a route how long its callers wait for a first event.

--- a/azureturn/gateway/decisions/_overload.py
+++ b/azureturn/gateway/decisions/_overload.py
@@ -7,8 +7,8 @@
 
 import random
 
-from azureturn.gateway.decisions._queue_cost import queue_cost
 from azureturn.gateway.decisions._requests import GatewayRequest
+from azureturn.gateway.decisions._work import request_work
 from azureturn.gateway.settings import GatewayPolicy
 
 #: A queued request is refused this long before its time limit, so that the refusal can still be
@@ -29,20 +29,28 @@
 def give_up_at_ms(request: GatewayRequest, policy: GatewayPolicy, *, limits_patience: bool) -> int:
     """Return until when a request may wait for an upstream.
 
-    After that it could not be answered within its time limit. A request whose expected duration
-    exceeds the limit may wait for the configured multiple of its objective, and so may every
-    request of a service whose upstreams fall over if they reject many: the more requests wait at
-    the VMs, the more of them are sent to the same upstream at the moment when it has room.
+    After that its answer could not begin before its caller leaves, or not end within its time
+    limit. It waits for the configured share of its route's time limit, and for the configured
+    multiple of its objective at least. That multiple is the most for requests of a service whose
+    upstreams fall over if they reject many: the more requests wait at the VMs, the more of them
+    are sent to the same upstream at the moment when it has room.
     """
     patience_ms = int(policy.patience_objectives * request.route.objective_ms)
     patient_until_ms = request.arrived_at_ms + patience_ms
     answerable_until_ms = request.ends_at_ms - _ANSWER_MARGIN_MS
     if limits_patience:
         return min(answerable_until_ms, patient_until_ms)
-    needed_ms = _MIN_ATTEMPT_MS
-    if request.prompt is not None:
-        needed_ms = max(needed_ms, int(queue_cost(request, policy.engine)))
-    return min(answerable_until_ms, max(request.ends_at_ms - needed_ms, patient_until_ms))
+    work = request_work(request, policy.engine, cached_tokens=0)
+    needed_ms = max(_MIN_ATTEMPT_MS, int(work.duration_ms(1.0)) if request.prompt else 0)
+    late_until_ms = min(
+        request.ends_at_ms - needed_ms,
+        request.arrived_at_ms + int(policy.late_wait_share * request.route.timeout_ms),
+    )
+    if request.route.first_event_timeout_ms:
+        begins_after_ms = max(_MIN_ATTEMPT_MS, int(work.first_event_ms(1.0)))
+        leaves_at_ms = request.arrived_at_ms + request.route.first_event_timeout_ms
+        late_until_ms = min(late_until_ms, leaves_at_ms - begins_after_ms)
+    return min(answerable_until_ms, max(late_until_ms, patient_until_ms))
 
 
 def overload_retry_after_ms(wait_ms: float, left_ms: float, generator: random.Random) -> int:
--- a/azureturn/gateway/decisions/_work.py
+++ b/azureturn/gateway/decisions/_work.py
@@ -33,12 +33,16 @@
         """Return the time to generate the answer at the configured speed."""
         return self.answer_tokens * self.engine.ms_per_token
 
+    def first_event_ms(self, slowdown: float) -> float:
+        """Return the expected time to the first event at an upstream of this slowdown."""
+        return (self.prefill_ms + self.engine.first_event_ms) * slowdown
+
     def duration_ms(self, slowdown: float) -> float:
         """Return the expected duration at an upstream that is ``slowdown`` times slower.
 
         It never is 0, as no request is free of work.
         """
-        return (self.prefill_ms + self.engine.first_event_ms + self.answer_ms) * slowdown
+        return self.first_event_ms(slowdown) + self.answer_ms * slowdown
 
 
 def request_work(
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -269,7 +269,7 @@
 
         They do if its upstreams fall over when they reject many requests, whatever the policy.
         """
-        return not self.settings.policy.waits_until_timeout or self._is_brittle(service, now_ms)
+        return self.settings.policy.late_wait_share <= 0.0 or self._is_brittle(service, now_ms)
 
     def _is_brittle(self, service: str, now_ms: int) -> bool:
         """Return whether upstreams of a service fall over if they reject many requests."""
--- a/azureturn/gateway/decisions/tests/test_overload.py
+++ b/azureturn/gateway/decisions/tests/test_overload.py
@@ -32,7 +32,7 @@
     """A VM with one engine of four slots, which ends a request every 50 ms while it is busy."""
 
     def __init__(self) -> None:
-        policy = GatewayPolicy(waits_until_timeout=True)
+        policy = GatewayPolicy(late_wait_share=1.0)
         self.vm = GatewayCoreHarness(view(upstream("m-1")), policy=policy)
         self.sent: list[str] = []
         self.refused: dict[str, Refuse] = {}
@@ -81,6 +81,26 @@
     assert not site.refused
 
 
+@pytest.mark.parametrize(
+    ("wait_share", "first_event_timeout_ms", "longest_ms"),
+    [(1.0, 0, 6_000), (1.0, 2_400, 2_400), (0.25, 2_400, 1_500), (0.0, 2_400, 1_200)],
+)
+def test_a_late_request_waits_while_its_answer_can_begin_before_its_caller_leaves(
+    wait_share: float, first_event_timeout_ms: int, longest_ms: int
+) -> None:
+    """Requests that were served after their callers had left took capacity from others."""
+    vm = GatewayCoreHarness(view(upstream("m-1")), policy=GatewayPolicy(late_wait_share=wait_share))
+    vm.handle_event(PeerReportReceived(peer_report("vm-2", work=full_work("m-1"))))
+    route = replace(_ROUTE, first_event_timeout_ms=first_event_timeout_ms)
+    vm.submit_request("waiting", route=route)
+    begin_ms, waited_ms = vm.now_ms, 0
+    while not any(isinstance(action, Refuse) for action in vm.tick(vm.now_ms + 50)):
+        waited_ms = vm.now_ms - begin_ms
+        report = peer_report("vm-2", sequence=vm.now_ms, work=full_work("m-1"))
+        vm.handle_event(PeerReportReceived(report))
+    assert longest_ms - 500 <= waited_ms < longest_ms
+
+
 def test_a_request_in_time_goes_before_late_ones(site: _OverloadedSite) -> None:
     for number in range(60):
         site.submit(f"late-{number}")
@@ -147,7 +167,7 @@
 ) -> None:
     """If upstreams stated limits, each late request looked at all of them, four times a second."""
     registered = upstream("m-1")
-    vm = GatewayCoreHarness(view(registered), policy=GatewayPolicy(waits_until_timeout=True))
+    vm = GatewayCoreHarness(view(registered), policy=GatewayPolicy(late_wait_share=1.0))
     limits = (LimitReport(registered.run, StatedLimits(requests_per_s=1_000.0), 0),)
     work = full_work("m-1")
     vm.handle_event(PeerReportReceived(peer_report("vm-2", work=work, limits=limits)))
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -136,10 +136,10 @@
     #: Whether the VMs share what they measure of the upstreams' speeds, and place requests by it.
     #: Otherwise each VM goes by its own answers alone.
     shares_speeds: bool = False
-    #: Whether a request that misses its objective waits until it could not be answered within its
-    #: time limit; otherwise for ``patience_objectives``. Late requests of a tier then take up the
-    #: capacity for less urgent ones that would be in time.
-    waits_until_timeout: bool = False
+    #: Share of its route's time limit for which a request that misses its objective may wait for an
+    #: upstream, beyond ``patience_objectives``. Late requests of a tier take up the capacity for
+    #: less urgent ones that would be in time. With 0 none waits for longer.
+    late_wait_share: Share = 0.0
     #: Number of requests sent to an engine in addition to its slots, so that the next one starts
     #: as soon as a slot becomes free.
     ahead_requests: Annotated[float, Field(ge=0)] = 1.0
--- a/azureturn/gateway/site/_configuration.py
+++ b/azureturn/gateway/site/_configuration.py
@@ -49,6 +49,9 @@
     is_resumable: bool = False
     #: Maximum pause to aim for between two events of a stream; 0 for none.
     pause_limit_ms: int = 0
+    #: Time without a first event after which callers of a stream disconnect; 0 if they wait until
+    #: their time limit.
+    first_event_timeout_ms: int = 0
 
     @property
     def may_repeat(self) -> bool:
