--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -161,6 +161,8 @@
     answering_ms: int | None = None
     #: What the head of the response states.
     limits: StatedLimits = StatedLimits()
+    #: Interval between events of the stream while nothing delayed them; 0 if it was not measured.
+    pace_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -241,15 +241,18 @@
 
     def _record_speed(self, request: GatewayRequest, event: AttemptEnded, now_ms: int) -> None:
         """Record how long an answer took, if that says something about the upstream's speed."""
-        if event.event_count >= _MIN_TIMED_EVENTS:
-            tokens = (event.event_count - 1) * self._tokens_per_event(request.service)
+        took_ms: float
+        if event.event_count >= _MIN_TIMED_EVENTS and event.pace_ms:
+            # The prefill of other prompts delays events, but says nothing of the engine's speed.
+            intervals = event.event_count - 1
+            tokens = intervals * self._tokens_per_event(request.service)
             assumed_ms = tokens * self.settings.policy.engine.ms_per_token
-            took_ms = event.streamed_ms
+            took_ms = intervals * event.pace_ms
         elif event.result is AttemptResult.ANSWERED and request.prompt is None:
             assumed_ms, took_ms = PLAIN_ANSWER_MS, now_ms - request.sent_at_ms
         else:
             return
-        row = SpeedReport(request.upstream_run, request.level, int(assumed_ms), took_ms)
+        row = SpeedReport(request.upstream_run, request.level, int(assumed_ms), int(took_ms))
         self.board.write(SpeedTable).record(row, now_ms)
 
     def _with_result(
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -321,6 +321,7 @@
                 self._stream_relay.is_resumable,
                 progress.answering_ms(now_ms()),
                 progress.limits,
+                progress.pace_ms,
             )
         )
         if result is AttemptResult.ABANDONED:
