Placement computes rows and estimates only for the upstreams it looks at

A VM of a site with old reports chooses among the upstreams at which it owns slots, about five of 56.

--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -1,10 +1,10 @@
 """Estimates of the latency, cost and free capacity of each upstream for a request."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import cached_property
 
-from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._peers import OutstandingWork
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheEstimate
 from azureturn.gateway.decisions._requests import GatewayRequest
@@ -58,56 +58,59 @@
     exceeds_timeout: bool = False
 
 
+@dataclass(frozen=True)
+class SnapshotBasis:
+    """What a snapshot is computed from; the rows of all lists are those of the same upstreams."""
+
+    upstreams: list[RegisteredUpstream]
+    states: list[UpstreamState]
+    peer_work: list[OutstandingWork]
+    #: Empty for a plain service.
+    prefix_caches: list[PrefixCacheEstimate]
+    #: Whether limits that an upstream states let this VM send a request to it now.
+    may_send: Callable[[int], bool]
+    #: Whether this VM sends to them through a peer.
+    is_relayed: bool
+    #: Whether they fall over if they have to reject many requests.
+    is_brittle: bool
+    #: Speeds that all VMs together have measured, by name; empty if each VM goes by its own.
+    speeds: Mapping[str, SpeedEstimate]
+
+
 @dataclass(frozen=True)
 class UpstreamSnapshot:
-    """An upstream with the part of its state that placement depends on."""
+    """An upstream with the part of its state that its estimates depend on."""
 
     upstream: RegisteredUpstream
     state: UpstreamState
-    peer_work: OutstandingWork
     #: None for a plain service.
     prefix_cache: PrefixCacheEstimate | None
-    #: Whether a limit of requests that the upstream states lets this VM send one now.
-    may_send: bool = True
     #: Whether this VM sends to it through a peer.
-    is_relayed: bool = False
+    is_relayed: bool
     #: What is known of its speed.
-    speed: SpeedEstimate = SpeedEstimate()
-    #: Whether it falls over if it has to reject many requests.
-    is_brittle: bool = False
-    #: Requests of peers that are expected now.
-    peer_requests: float = 0
+    speed: SpeedEstimate
+    #: Number of requests that it runs at the same time without serving less.
+    slots: int
     #: Estimated number of requests at the upstream, from all VMs.
-    requests: float = 0
+    requests: float
+    #: Prompt tokens that it still has to prefill for requests of peers.
+    peer_pending_tokens: int
     #: Number of further requests that may be placed on it: of any tier, and of the most urgent
     #: tier.
-    capacity_left: float = 0
-    urgent_capacity_left: float = 0
+    capacity_left: float
+    urgent_capacity_left: float
 
-    @property
-    def slots(self) -> int:
-        """Return the number of requests that it runs at the same time without serving less."""
-        slots = max(1, self.upstream.slots)
-        return slots if self.prefix_cache is None else min(slots, self.speed.limit)
 
-
-@dataclass(frozen=True)
 class PlacementSnapshot:
-    """The state of all upstreams of one service, as the basis for placing its requests."""
+    """The state of all upstreams of one service, as the basis for placing its requests.
 
-    upstreams: tuple[UpstreamSnapshot, ...]
-    #: None for a plain service.
-    engine: EngineCapacity | None
-    own_zone: str
-    now_ms: int
-    #: Mean slowdown of the upstreams when all their slots are in use; None if each VM goes by its
-    #: own answers, which are too few to compare upstreams.
-    usual_slowdown: float | None = None
-
-    @classmethod
-    def of(
-        cls,
-        upstreams: Iterable[UpstreamSnapshot],
+    An upstream is given by its index. Rows and capacities are computed for the upstreams for which
+    they are asked, since most placements look at few of them.
+    """
+
+    def __init__(
+        self,
+        basis: SnapshotBasis,
         engine: EngineCapacity | None,
         *,
         vm_count: int,
@@ -117,77 +120,129 @@
         now_ms: int,
         has_old_reports: bool = False,
         remaining_share: float = 1.0,
-    ) -> "PlacementSnapshot":
-        """Return the snapshot with the free capacity of each upstream.
+    ) -> None:
+        """Compute the requests at each upstream.
 
         ``live_share`` is the live VMs' share of all VMs; the work of the VMs that are not live is
         extrapolated from it. ``remaining_share`` is the share of the requests reported by peers
         that have not ended since, if their reports are old.
         """
-        with_capacity = []
-        rows = _with_renewed_work(upstreams, remaining_share) if has_old_reports else upstreams
-        for snapshot in rows:
-            reported = snapshot.state.requests + snapshot.peer_work.requests
-            requests: float = round(reported / live_share)
-            if has_old_reports:
-                expected = (snapshot.state.requests + snapshot.peer_requests) / live_share
-                requests = max(requests, expected) if snapshot.is_brittle else expected
-            slots = snapshot.slots
-            if engine is None:
-                capacity = urgent_capacity = slots * _PLAIN_QUEUE_FACTOR - requests
-            else:
-                capacity = math.ceil(slots - policy.reserved_slots - requests)
-                urgent_capacity = math.ceil(slots + policy.ahead_requests - requests)
-                # A VM may always use its own share, even if peers exceed theirs. With many VMs it
-                # owns whole slots instead, as the shares rounded up exceed what there is.
-                own_share = 0 if has_old_reports else math.ceil(slots / vm_count)
-                if snapshot.state.requests < own_share:
-                    urgent_capacity += math.ceil(policy.ahead_requests)
-            if snapshot.is_brittle:
-                # No request may wait there, and the VMs' shares bound what reports miss.
-                own_share = math.ceil(slots / vm_count)
-                capacity = min(capacity, slots - requests, own_share - snapshot.state.requests)
-                urgent_capacity = min(urgent_capacity, capacity)
-            if not snapshot.may_send:
-                capacity = urgent_capacity = 0
-            with_capacity.append(
-                changed(
-                    snapshot,
-                    requests=requests,
-                    capacity_left=capacity,
-                    urgent_capacity_left=urgent_capacity,
-                )
+        self._basis = basis
+        #: None for a plain service.
+        self.engine = engine
+        self.own_zone = own_zone
+        self.now_ms = now_ms
+        self._vm_count = vm_count
+        self._policy = policy
+        self._has_old_reports = has_old_reports
+        self._rows: dict[int, UpstreamSnapshot] = {}
+        self.upstreams = basis.upstreams
+        self.states = basis.states
+        #: Number of requests that each runs at the same time without serving less.
+        self.slots = [max(1, upstream.slots) for upstream in basis.upstreams]
+        if basis.speeds and engine is not None:
+            self.slots = [
+                min(slots, self.speed(index).limit) for index, slots in enumerate(self.slots)
+            ]
+        #: Estimated number of requests at each, from all VMs.
+        self.requests: list[float] = self._requests(live_share, remaining_share)
+        #: Mean slowdown of the upstreams when all their slots are in use; None if each VM goes by
+        #: its own answers, which are too few to compare upstreams.
+        self.usual_slowdown: float | None = None
+        if policy.shares_speeds and self.upstreams:
+            speeds = [self.speed(index) for index in range(len(self.upstreams))]
+            self.usual_slowdown = sum(speed.slowdowns[-1] for speed in speeds) / len(speeds)
+
+    def _requests(self, live_share: float, remaining_share: float) -> list[float]:
+        basis = self._basis
+        own = [state.requests for state in basis.states]
+        at_peers = [work.requests for work in basis.peer_work]
+        reported = zip(own, at_peers, strict=True)
+        if not self._has_old_reports:
+            return [round((mine + others) / live_share) for mine, others in reported]
+        expected = expected_requests(
+            at_peers, [upstream.slots for upstream in basis.upstreams], remaining_share
+        )
+        requests = [
+            (mine + others) / live_share for mine, others in zip(own, expected, strict=True)
+        ]
+        if basis.is_brittle:
+            requests = [
+                max(round((mine + others) / live_share), count)
+                for (mine, others), count in zip(reported, requests, strict=True)
+            ]
+        return requests
+
+    def capacity_left(self, index: int, *, urgent: bool) -> float:
+        """Return the number of further requests that may be placed on an upstream.
+
+        They are of any tier, or only of the most urgent one.
+        """
+        basis = self._basis
+        if not basis.may_send(index):
+            return 0
+        slots, requests = self.slots[index], self.requests[index]
+        own_requests = basis.states[index].requests
+        capacity: float
+        if self.engine is None:
+            capacity = slots * _PLAIN_QUEUE_FACTOR - requests
+        elif urgent:
+            capacity = math.ceil(slots + self._policy.ahead_requests - requests)
+            # A VM may always use its own share, even if peers exceed theirs. With many VMs it owns
+            # whole slots instead, as the shares rounded up exceed what there is.
+            own_share = 0 if self._has_old_reports else math.ceil(slots / self._vm_count)
+            if own_requests < own_share:
+                capacity += math.ceil(self._policy.ahead_requests)
+        else:
+            capacity = math.ceil(slots - self._policy.reserved_slots - requests)
+        if basis.is_brittle:
+            # No request may wait there, and the VMs' shares bound what reports miss.
+            own_share = math.ceil(slots / self._vm_count)
+            capacity = min(capacity, slots - requests, own_share - own_requests)
+            if urgent:
+                capacity = min(capacity, self.capacity_left(index, urgent=False))
+        return capacity
+
+    def row(self, index: int) -> UpstreamSnapshot:
+        """Return an upstream with the part of its state that its estimates depend on."""
+        row = self._rows.get(index)
+        if row is None:
+            basis = self._basis
+            row = self._rows[index] = UpstreamSnapshot(
+                basis.upstreams[index],
+                basis.states[index],
+                basis.prefix_caches[index] if basis.prefix_caches else None,
+                basis.is_relayed,
+                self.speed(index),
+                self.slots[index],
+                self.requests[index],
+                self._pending_tokens_of_peers(index),
+                self.capacity_left(index, urgent=False),
+                self.capacity_left(index, urgent=True),
             )
-        usual_slowdown = None
-        if policy.shares_speeds and with_capacity:
-            usual_slowdown = sum(row.speed.slowdowns[-1] for row in with_capacity)
-            usual_slowdown /= len(with_capacity)
-        return cls(tuple(with_capacity), engine, own_zone, now_ms, usual_slowdown)
+        return row
 
+    def speed(self, index: int) -> SpeedEstimate:
+        """Return what is known of the speed of an upstream."""
+        basis = self._basis
+        return basis.speeds.get(basis.upstreams[index].name) or own_speed(
+            basis.states[index], is_engine=self.engine is not None, now_ms=self.now_ms
+        )
 
-def _with_renewed_work(
-    upstreams: Iterable[UpstreamSnapshot], remaining_share: float
-) -> list[UpstreamSnapshot]:
-    """Return the upstreams with the work of peers that is expected since their reports.
+    @cached_property
+    def _mean_pending_tokens(self) -> int:
+        peer_work = self._basis.peer_work
+        return sum(work.pending_tokens for work in peer_work) // max(1, len(peer_work))
 
-    The prefills that peers reported have ended before their next reports, so that their tokens are
-    spread over all upstreams.
-    """
-    rows = list(upstreams)
-    at_peers = expected_requests(
-        [float(row.peer_work.requests) for row in rows],
-        [row.upstream.slots for row in rows],
-        remaining_share,
-    )
-    pending_tokens = sum(row.peer_work.pending_tokens for row in rows) // max(1, len(rows))
-    return [
-        changed(
-            row,
-            peer_requests=requests,
-            peer_work=OutstandingWork(row.peer_work.requests, pending_tokens),
-        )
-        for row, requests in zip(rows, at_peers, strict=True)
-    ]
+    def _pending_tokens_of_peers(self, index: int) -> int:
+        """Return the prompt tokens that peers' requests still have to prefill at an upstream.
+
+        The prefills that old reports contain have ended before the next reports, so that their
+        tokens are spread over all upstreams.
+        """
+        if self._has_old_reports:
+            return self._mean_pending_tokens
+        return self._basis.peer_work[index].pending_tokens
 
 
 def estimate_candidate(
@@ -250,7 +305,7 @@
     uncached_tokens = work.prefill_tokens
     ms_per_token = slowdown / policy.engine.prefill_tokens_per_ms
     queued_prefill_ms = (
-        state.pending_tokens + upstream_snapshot.peer_work.pending_tokens
+        state.pending_tokens + upstream_snapshot.peer_pending_tokens
     ) * ms_per_token
     prefill_ms = uncached_tokens * ms_per_token
     slots = upstream_snapshot.slots
@@ -271,7 +326,7 @@
         if request.urgency_rank == 0
         else upstream_snapshot.capacity_left
     )
-    queued_tokens = state.pending_tokens + upstream_snapshot.peer_work.pending_tokens
+    queued_tokens = state.pending_tokens + upstream_snapshot.peer_pending_tokens
     exceeds_limit = requests > 0 and _exceeds_pause_limit(
         request,
         queued_tokens + uncached_tokens,
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -1,6 +1,7 @@
 """Places each queued request on an upstream as soon as one has capacity for it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from itertools import compress
 
 from azureturn.framework import Context, DrainTable, RequestQueue, on
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
@@ -10,9 +11,7 @@
 from azureturn.gateway.decisions._estimates import (
     Candidate,
     PlacementSnapshot,
-    UpstreamSnapshot,
-    estimate_candidate,
-    own_speed,
+    SnapshotBasis,
 )
 from azureturn.gateway.decisions._events import PlacementRequested, ReportRequested
 from azureturn.gateway.decisions._moves import MoveTable
@@ -31,10 +30,10 @@
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
 from azureturn.gateway.decisions.controllers._placement_choice import (
+    Options,
     SlotSharing,
     Snapshots,
     cheapest,
-    suitable,
 )
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
@@ -121,49 +120,50 @@
         for rank in queue.waiting_ranks():
             for request in queue.heads(rank, _HEADS_PER_TIER):
                 snapshot = snapshots.of(request)
-                candidates = self._candidates(request, snapshot, context)
-                with_capacity = [candidate for candidate in candidates if candidate.has_capacity]
-                if candidates and not with_capacity:
+                options = self._options(request, snapshot, context)
+                if options.indexes and not options.have_capacity:
                     return False
-                usable = suitable(candidates, with_capacity)
-                if usable and self._should_yield_to_peers(request, snapshot, context):
+                is_usable = options.are_usable
+                if is_usable and self._should_yield_to_peers(request, snapshot, context):
                     context.post(ReportRequested())
                     return False
-                if usable:
-                    chosen = self._choose(usable, snapshot, service, context)
+                if is_usable:
+                    chosen = self._choose(options, service, context)
                     if chosen is None and request.tried_upstreams:
                         continue
                     if chosen is None:
                         return False
-                    self._place(queue, request, chosen, len(candidates), context)
+                    self._place(queue, request, chosen, len(options.indexes), context)
                     return True
         return False
 
     def _choose(
         self,
-        candidates: list[Candidate],
-        snapshot: PlacementSnapshot,
+        options: Options,
         service: str,
         context: Context,
     ) -> Candidate | None:
         """Return the candidate to use; None if the request has to wait for one."""
         peers = self.board.read(PeerTable)
         if not peers.has_old_reports(context.now_ms):
-            return cheapest(candidates, context)
+            return cheapest(options, context)
         vm_names = peers.vm_names_outside(self._partitioned_zones(context.now_ms), context.now_ms)
-        upstreams = tuple((row.upstream.name, row.slots) for row in snapshot.upstreams)
+        snapshot = options.snapshot
+        upstreams = tuple(
+            (upstream.name, slots)
+            for upstream, slots in zip(snapshot.upstreams, snapshot.slots, strict=True)
+        )
         owned = self.board.write(SlotDivisionTable).owned(
             service, upstreams, vm_names, self.settings.vm.name
         )
         sharing = SlotSharing(
             service,
-            snapshot,
             owned,
             vm_count=len(vm_names),
             interval_ms=peers.interval_ms(self.settings.limits.report_interval_ms),
             loans=self.board.write(LoanTable),
         )
-        return sharing.choose(candidates, context)
+        return sharing.choose(options, context)
 
     def _waits_for_own_slot(self, service: str, context: Context) -> bool:
         """Return whether this VM is known to have no slot for a request of a service.
@@ -202,65 +202,29 @@
         )
         if not requests_ahead:
             return False
-        capacity = sum(max(0, upstream.capacity_left) for upstream in snapshot.upstreams)
+        capacity = sum(
+            max(0, snapshot.capacity_left(index, urgent=False))
+            for index in range(len(snapshot.upstreams))
+        )
         return capacity <= requests_ahead
 
-    def _candidates(
+    def _options(
         self, request: GatewayRequest, snapshot: PlacementSnapshot, context: Context
-    ) -> list[Candidate]:
+    ) -> Options:
+        tried = request.tried_upstreams
         untried = [
-            upstream_snapshot
-            for upstream_snapshot in snapshot.upstreams
-            if upstream_snapshot.upstream.name not in request.tried_upstreams
-        ]
-        version_snapshots = self._for_version(request, untried, context)
-        return [
-            estimate_candidate(request, upstream_snapshot, snapshot, self.settings.policy)
-            for upstream_snapshot in version_snapshots
+            index for index, upstream in enumerate(snapshot.upstreams) if upstream.name not in tried
         ]
+        indexes = self._for_version(request, snapshot, untried, context)
+        return Options(request, snapshot, indexes, self.settings.policy)
 
     def _snapshot(self, service: str, context: Context, *, relayed: bool) -> PlacementSnapshot:
         """Return the state of a service's upstreams that this VM, or a peer, can connect to."""
         peers = self.board.read(PeerTable)
-        states = self.board.write(UpstreamStateTable)
-        prefix_caches = self.board.write(PrefixCacheTable)
-        limits = self.board.read(RequestLimitTable)
-        pauses = self.board.read(PauseTable)
-        cold = self.board.read(ColdUpstreamTable)
-        known_vms = peers.vms(context.now_ms)
         engine = self._engine_of(service)
-        snapshots = []
-        upstreams = self.board.read(ViewTable).serving_upstreams(service, context.now_ms)
-        # An upstream that has just started has stated nothing yet, but is like the others.
-        speeds = self._shared_speeds(service, upstreams, context.now_ms)
-        is_brittle = any(limits.is_brittle(upstream.run) for upstream in upstreams)
-        for upstream in upstreams:
-            state = states.of(upstream.run)
-            if relayed:
-                is_reachable = bool(peers.reaching(upstream.name, context.now_ms))
-            else:
-                is_reachable = not state.is_unreachable
-            if is_reachable:
-                prefix_cache = (
-                    prefix_caches.of(upstream.run, engine.memory_tokens) if engine else None
-                )
-                snapshot = UpstreamSnapshot(
-                    upstream,
-                    state,
-                    peers.work_at(upstream.name),
-                    prefix_cache,
-                    may_send=not pauses.is_paused(upstream.run, context.now_ms)
-                    and limits.may_send(upstream.run, known_vms, context.now_ms)
-                    and cold.may_send(upstream, context.now_ms),
-                    is_relayed=relayed,
-                    is_brittle=is_brittle,
-                    speed=speeds.get(upstream.name)
-                    or own_speed(state, is_engine=engine is not None, now_ms=context.now_ms),
-                )
-                snapshots.append(snapshot)
         vm_count = peers.vm_count_outside(self._partitioned_zones(context.now_ms), context.now_ms)
-        return PlacementSnapshot.of(
-            snapshots,
+        return PlacementSnapshot(
+            self._basis(service, engine, context.now_ms, relayed=relayed),
             engine,
             vm_count=vm_count,
             live_share=(len(peers.live_peers(context.now_ms)) + 1) / vm_count,
@@ -271,6 +235,57 @@
             remaining_share=self._remaining_share(service, context.now_ms),
         )
 
+    def _basis(
+        self, service: str, engine: EngineCapacity | None, now_ms: int, *, relayed: bool
+    ) -> SnapshotBasis:
+        peers = self.board.read(PeerTable)
+        limits = self.board.read(RequestLimitTable)
+        serving = self.board.read(ViewTable).serving_upstreams(service, now_ms)
+        states_of = self.board.write(UpstreamStateTable).of
+        states = [states_of(upstream.run) for upstream in serving]
+        if relayed:
+            reachable = [bool(peers.reaching(upstream.name, now_ms)) for upstream in serving]
+        else:
+            reachable = [not state.is_unreachable for state in states]
+        upstreams = list(compress(serving, reachable))
+        prefix_cache_of = self.board.write(PrefixCacheTable).of
+        return SnapshotBasis(
+            upstreams,
+            list(compress(states, reachable)),
+            [peers.work_at(upstream.name) for upstream in upstreams],
+            (
+                [prefix_cache_of(upstream.run, engine.memory_tokens) for upstream in upstreams]
+                if engine
+                else []
+            ),
+            self._may_send_to(upstreams, now_ms),
+            relayed,
+            # An upstream that has just started has stated nothing yet, but is like the others.
+            len(limits) > 0 and any(limits.is_brittle(upstream.run) for upstream in serving),
+            self._shared_speeds(service, serving, now_ms),
+        )
+
+    def _may_send_to(
+        self, upstreams: list[RegisteredUpstream], now_ms: int
+    ) -> Callable[[int], bool]:
+        """Return a function that tells whether limits let this VM send to an upstream now."""
+        pauses = self.board.read(PauseTable)
+        limits = self.board.read(RequestLimitTable)
+        cold = self.board.read(ColdUpstreamTable)
+        if not (len(pauses) or len(limits) or len(cold)):
+            return lambda index: True
+        known_vms = self.board.read(PeerTable).vms(now_ms)
+
+        def may_send(index: int) -> bool:
+            upstream = upstreams[index]
+            return (
+                not pauses.is_paused(upstream.run, now_ms)
+                and limits.may_send(upstream.run, known_vms, now_ms)
+                and cold.may_send(upstream, now_ms)
+            )
+
+        return may_send
+
     def _shared_speeds(
         self, service: str, upstreams: Iterable[RegisteredUpstream], now_ms: int
     ) -> dict[str, SpeedEstimate]:
@@ -303,14 +318,19 @@
         return dead_zones & (unreachable - reachable)
 
     def _for_version(
-        self, request: GatewayRequest, snapshots: list[UpstreamSnapshot], context: Context
-    ) -> list[UpstreamSnapshot]:
+        self,
+        request: GatewayRequest,
+        snapshot: PlacementSnapshot,
+        indexes: list[int],
+        context: Context,
+    ) -> list[int]:
         """Return the upstreams of the version that this request goes to."""
         move = self.board.read(MoveTable).get(request.service)
         if move is None:
-            return snapshots
-        new = [snapshot for snapshot in snapshots if snapshot.upstream.version == move.version]
-        old = [snapshot for snapshot in snapshots if snapshot.upstream.version != move.version]
+            return indexes
+        upstreams = snapshot.upstreams
+        new = [index for index in indexes if upstreams[index].version == move.version]
+        old = [index for index in indexes if upstreams[index].version != move.version]
         share = move.share(context.now_ms, self.settings.bounds.move.share)
         if move.completed:
             return new or old
--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -2,16 +2,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cached_property
 
 from azureturn.framework import Context
 from azureturn.gateway.decisions._estimates import (
     FAILURE_COST_MS,
     Candidate,
     PlacementSnapshot,
-    UpstreamSnapshot,
+    estimate_candidate,
 )
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.decisions._slot_sharing import LoanTable, draw_weight
+from azureturn.gateway.settings import GatewayPolicy
 
 #: Candidates whose costs differ by less than this are treated as equal and chosen at random.
 _COST_TOLERANCE_MS = 4.0
@@ -39,10 +41,12 @@
     @property
     def have_capacity(self) -> bool:
         """Return whether an upstream may have capacity for a request of the most urgent tier."""
-        direct = self._direct.upstreams
-        if not direct or self._is_isolated:
+        direct = self._direct
+        if not direct.upstreams or self._is_isolated:
             return True
-        return any(upstream.urgent_capacity_left > 0 for upstream in direct)
+        return any(
+            direct.capacity_left(index, urgent=True) > 0 for index in range(len(direct.upstreams))
+        )
 
     def of(self, request: GatewayRequest) -> PlacementSnapshot:
         """Return the snapshot for a request."""
@@ -56,21 +60,90 @@
         return self._relayed if self._relayed.upstreams else self._direct
 
 
-def suitable(candidates: list[Candidate], with_capacity: list[Candidate]) -> list[Candidate]:
-    """Return the candidates with capacity where the answer ends in time, within the pause limit.
+class Options:
+    """The upstreams that a request may be placed on, given by their indexes in a snapshot.
 
-    If no candidate at all is within one of the limits, that limit is ignored.
+    Estimates are computed when they are needed. With many VMs that is only for the upstreams at
+    which this VM owns slots.
     """
-    if not all(candidate.exceeds_timeout for candidate in candidates):
-        with_capacity = [row for row in with_capacity if not row.exceeds_timeout]
-        candidates = [row for row in candidates if not row.exceeds_timeout]
-    if all(candidate.exceeds_pause_limit for candidate in candidates):
-        return with_capacity
-    return [candidate for candidate in with_capacity if not candidate.exceeds_pause_limit]
 
+    def __init__(
+        self,
+        request: GatewayRequest,
+        snapshot: PlacementSnapshot,
+        indexes: list[int],
+        policy: GatewayPolicy,
+    ) -> None:
+        self.snapshot = snapshot
+        self.indexes = indexes
+        self._request = request
+        self._policy = policy
+        self._candidates: dict[int, Candidate] = {}
+        self._is_urgent = request.urgency_rank == 0 and request.prompt is not None
+        self._has_pause_limit = bool(
+            request.prompt is not None and snapshot.engine and request.route.pause_limit_ms
+        )
+
+    def candidate(self, index: int) -> Candidate:
+        """Return the estimates for an upstream."""
+        candidate = self._candidates.get(index)
+        if candidate is None:
+            row = self.snapshot.row(index)
+            candidate = self._candidates[index] = estimate_candidate(
+                self._request, row, self.snapshot, self._policy
+            )
+        return candidate
+
+    def has_capacity(self, index: int) -> bool:
+        """Return whether an upstream has capacity for the request."""
+        return self.snapshot.capacity_left(index, urgent=self._is_urgent) > 0
+
+    @property
+    def have_capacity(self) -> bool:
+        """Return whether any of the upstreams has capacity for the request."""
+        return any(self.has_capacity(index) for index in self.indexes)
+
+    @property
+    def are_usable(self) -> bool:
+        """Return whether any of the upstreams is usable."""
+        return any(self.is_usable(index) for index in self.indexes)
+
+    def is_usable(self, index: int) -> bool:
+        """Return whether an upstream has capacity, and its answer ends in time, without a pause.
+
+        If no upstream at all is within one of the limits, that limit is ignored.
+        """
+        return (
+            self.has_capacity(index)
+            and not (self._heeds_timeout and self.candidate(index).exceeds_timeout)
+            and not (self._heeds_pause_limit and self.candidate(index).exceeds_pause_limit)
+        )
+
+    @cached_property
+    def _heeds_timeout(self) -> bool:
+        if self.snapshot.usual_slowdown is None:
+            return False
+        return not all(self.candidate(index).exceeds_timeout for index in self.indexes)
+
+    @cached_property
+    def _heeds_pause_limit(self) -> bool:
+        if not self._has_pause_limit:
+            return False
+        in_time = (
+            candidate
+            for candidate in map(self.candidate, self.indexes)
+            if not (self._heeds_timeout and candidate.exceeds_timeout)
+        )
+        return not all(candidate.exceeds_pause_limit for candidate in in_time)
+
+    def usable(self) -> list[int]:
+        """Return the usable upstreams."""
+        return [index for index in self.indexes if self.is_usable(index)]
 
-def cheapest(candidates: list[Candidate], context: Context) -> Candidate:
+
+def cheapest(options: Options, context: Context) -> Candidate:
     """Return a candidate of least cost."""
+    candidates = [options.candidate(index) for index in options.usable()]
     least_cost_ms = min(candidate.cost_ms for candidate in candidates)
     return context.random.choice(
         [
@@ -86,36 +159,42 @@
     """How a VM of a site with old reports chooses: its own slots first, then borrowed ones."""
 
     service: str
-    snapshot: PlacementSnapshot
     #: Slots that this VM owns, by upstream.
     owned: dict[str, int]
     vm_count: int
     interval_ms: int
     loans: LoanTable
 
-    def choose(self, candidates: list[Candidate], context: Context) -> Candidate | None:
+    def choose(self, options: Options, context: Context) -> Candidate | None:
         """Return the candidate to use; None if this VM has to wait for a slot of its own.
 
         With fewer slots than VMs, nobody waits for a slot: only a rejection tells whether there is
         room.
         """
-        rows = {row.upstream.name: row for row in self.snapshot.upstreams}
-        slots = sum(row.slots for row in rows.values())
-        requests = sum(row.requests for row in rows.values())
-        if slots >= self.vm_count and requests > _FREE_USE_SHARE * slots:
-            own = [row for row in candidates if self._has_own_slot(rows[row.upstream.name])]
-            if not own and not self._may_borrow(context):
+        snapshot = options.snapshot
+        slots = sum(snapshot.slots)
+        if slots >= self.vm_count and sum(snapshot.requests) > _FREE_USE_SHARE * slots:
+            own = [
+                index
+                for index in options.indexes
+                if self._has_own_slot(snapshot, index) and options.is_usable(index)
+            ]
+            if own:
+                return _draw(options, own, context)
+            if not self._may_borrow(snapshot, context):
                 return None
-            candidates = own or candidates
-            if not own:
-                self.loans.record_borrowed(self.service)
-        return self._draw(candidates, rows, context)
+            self.loans.record_borrowed(self.service)
+        return _draw(options, options.usable(), context)
 
-    def _has_own_slot(self, row: UpstreamSnapshot) -> bool:
-        return row.state.requests < self.owned.get(row.upstream.name, 0)
+    def _has_own_slot(self, snapshot: PlacementSnapshot, index: int) -> bool:
+        owned = self.owned.get(snapshot.upstreams[index].name, 0)
+        return snapshot.states[index].requests < owned
 
-    def _may_borrow(self, context: Context) -> bool:
-        free_slots = sum(max(0.0, row.slots - row.requests) for row in self.snapshot.upstreams)
+    def _may_borrow(self, snapshot: PlacementSnapshot, context: Context) -> bool:
+        free_slots = sum(
+            max(0.0, slots - requests)
+            for slots, requests in zip(snapshot.slots, snapshot.requests, strict=True)
+        )
         return self.loans.may_borrow(
             self.service,
             free_slots / self.vm_count,
@@ -124,19 +203,19 @@
             generator=context.random,
         )
 
-    def _draw(
-        self, candidates: list[Candidate], rows: dict[str, UpstreamSnapshot], context: Context
-    ) -> Candidate:
-        chosen = [rows[candidate.upstream.name] for candidate in candidates]
-        failure_shares = [row.state.expected_failure_share(context.now_ms) for row in chosen]
-        # Rejections are part of the failures, and say little about the next request.
-        costs_ms = [
-            candidate.cost_ms - share * FAILURE_COST_MS
-            for candidate, share in zip(candidates, failure_shares, strict=True)
-        ]
-        least_ms = min(costs_ms)
-        weights = [
-            draw_weight(row.slots - row.requests, share, cost_ms - least_ms)
-            for row, share, cost_ms in zip(chosen, failure_shares, costs_ms, strict=True)
-        ]
-        return context.random.choices(candidates, weights)[0]
+
+def _draw(options: Options, indexes: list[int], context: Context) -> Candidate:
+    candidates = [options.candidate(index) for index in indexes]
+    rows = [options.snapshot.row(index) for index in indexes]
+    failure_shares = [row.state.expected_failure_share(context.now_ms) for row in rows]
+    # Rejections are part of the failures, and say little about the next request.
+    costs_ms = [
+        candidate.cost_ms - share * FAILURE_COST_MS
+        for candidate, share in zip(candidates, failure_shares, strict=True)
+    ]
+    least_ms = min(costs_ms)
+    weights = [
+        draw_weight(row.slots - row.requests, share, cost_ms - least_ms)
+        for row, share, cost_ms in zip(rows, failure_shares, costs_ms, strict=True)
+    ]
+    return context.random.choices(candidates, weights)[0]
