--- a/azureturn/gateway/decisions/controllers/_attempts.py
+++ b/azureturn/gateway/decisions/controllers/_attempts.py
@@ -17,6 +17,7 @@
     UpstreamSilent,
 )
 from azureturn.gateway.decisions._moves import MoveTable
+from azureturn.gateway.decisions._prefill_speed import PrefillSpeedTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._requests import GatewayRequest, GatewayRequestTable, Stage
 from azureturn.gateway.decisions._retries import RetryBudgetTable
@@ -58,6 +59,7 @@
         AllotmentTable,
         TurnoverTable,
         SpeedTable,
+        PrefillSpeedTable,
     )
     after = ("admission", "crashes", "request_limits", "paths", "cold_upstreams")
 
@@ -73,8 +75,24 @@
         if state is not None:
             prefilled = state.with_prefilled(request.pending_tokens)
             self.board.write(UpstreamStateTable).put(request.upstream, prefilled)
+        if self.settings.policy.shares_speeds and request.prompt is not None:
+            self._record_prefill(request, context.now_ms)
         requests.put(request.request_id, request.with_first_event(context.now_ms))
 
+    def _record_prefill(self, request: GatewayRequest, now_ms: int) -> None:
+        upstream = self.board.read(ViewTable).current().upstreams.get(request.upstream)
+        if upstream is None:
+            return
+        speeds = self.board.write(SpeedTable)
+        serving = self.board.read(ViewTable).serving_upstreams(request.service, now_ms)
+        estimate = speeds.estimates(request.service, serving, now_ms).get(request.upstream)
+        self.board.write(PrefillSpeedTable).of(request.service).record(
+            request.pending_tokens,
+            now_ms - request.sent_at_ms,
+            self.settings.policy.engine,
+            slowdown=1.0 if estimate is None else estimate.slowdown(1, upstream.slots),
+        )
+
     @on(AttemptEnded)
     def _on_attempt_ended(self, event: AttemptEnded, context: Context) -> None:
         request = self.board.read(GatewayRequestTable).get(event.request_id)
@@ -241,18 +259,18 @@
 
     def _record_speed(self, request: GatewayRequest, event: AttemptEnded, now_ms: int) -> None:
         """Record how long an answer took, if that says something about the upstream's speed."""
-        took_ms: float
-        if event.event_count >= _MIN_TIMED_EVENTS and event.pace_ms:
-            # The prefill of other prompts delays events, but says nothing of the engine's speed.
+        took_ms: int
+        if event.event_count >= _MIN_TIMED_EVENTS:
             intervals = event.event_count - 1
             tokens = intervals * self._tokens_per_event(request.service)
             assumed_ms = tokens * self.settings.policy.engine.ms_per_token
-            took_ms = intervals * event.pace_ms
+            # The prefill of other prompts delays events, but says nothing of the engine's speed.
+            took_ms = intervals * event.pace_ms or event.streamed_ms
         elif event.result is AttemptResult.ANSWERED and request.prompt is None:
             assumed_ms, took_ms = PLAIN_ANSWER_MS, now_ms - request.sent_at_ms
         else:
             return
-        row = SpeedReport(request.upstream_run, request.level, int(assumed_ms), int(took_ms))
+        row = SpeedReport(request.upstream_run, request.level, int(assumed_ms), took_ms)
         self.board.write(SpeedTable).record(row, now_ms)
 
     def _with_result(
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -4,6 +4,7 @@
 from itertools import compress
 
 from azureturn.framework import Context, DrainTable, RequestQueue, on
+from azureturn.framework import changed_row as changed
 from azureturn.gateway.decisions._actions import PlacementReason, SendAttempt
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._availability import PauseTable
@@ -16,6 +17,7 @@
 from azureturn.gateway.decisions._events import PlacementRequested, ReportRequested
 from azureturn.gateway.decisions._moves import MoveTable
 from azureturn.gateway.decisions._peers import PeerTable
+from azureturn.gateway.decisions._prefill_speed import PrefillSpeedTable
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable, SentPrompt
 from azureturn.gateway.decisions._processing_limit import ProcessingLimitTable
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
@@ -39,6 +41,7 @@
     GatewayController,
     gateway_controller,
 )
+from azureturn.gateway.settings import GatewayPolicy
 from azureturn.gateway.site import EngineCapacity, RegisteredUpstream
 
 #: Number of requests at the head of a tier for which an upstream is sought.
@@ -60,6 +63,7 @@
         ProcessingLimitTable,
         TurnoverTable,
         SpeedTable,
+        PrefillSpeedTable,
     )
     writes = (
         GatewayRequestTable,
@@ -216,7 +220,7 @@
             index for index, upstream in enumerate(snapshot.upstreams) if upstream.name not in tried
         ]
         indexes = self._for_version(request, snapshot, untried, context)
-        return Options(request, snapshot, indexes, self.settings.policy)
+        return Options(request, snapshot, indexes, self._policy(request.service))
 
     def _snapshot(self, service: str, context: Context, *, relayed: bool) -> PlacementSnapshot:
         """Return the state of a service's upstreams that this VM, or a peer, can connect to."""
@@ -229,7 +233,7 @@
             vm_count=vm_count,
             live_share=(len(peers.live_peers(context.now_ms)) + 1) / vm_count,
             own_zone=self.settings.vm.availability_zone,
-            policy=self.settings.policy,
+            policy=self._policy(service),
             now_ms=context.now_ms,
             has_old_reports=peers.has_old_reports(context.now_ms),
             remaining_share=self._remaining_share(service, context.now_ms),
@@ -286,6 +290,15 @@
 
         return may_send
 
+    def _policy(self, service: str) -> GatewayPolicy:
+        """Return the policy with the speed of prefill that was measured at a service."""
+        policy = self.settings.policy
+        speed = self.board.read(PrefillSpeedTable).get(service)
+        if speed is None:
+            return policy
+        engine = speed.applied_to(policy.engine)
+        return policy if engine is policy.engine else changed(policy, engine=engine)
+
     def _shared_speeds(
         self, service: str, upstreams: Iterable[RegisteredUpstream], now_ms: int
     ) -> dict[str, SpeedEstimate]:
--- a/azureturn/gateway/exchange/_response_progress.py
+++ b/azureturn/gateway/exchange/_response_progress.py
@@ -3,7 +3,6 @@
 from azureturn.gateway.exchange._framing import BodyFraming
 from azureturn.gateway.site import ResponseFacts, StatedAvailability, StatedLimits
 
-
 #: Quantile of the intervals between events that shows the pace of an upstream which prefills no
 #: other prompt meanwhile. Not the shortest, since events may be received together.
 _PACE_QUANTILE = 0.25
