A request whose upstream was silent waits for another one until its time limit

Cause: after an attempt that ran, a request went back to the queue with its time limit, but the next tick gave it the patience of a new request, counted from its arrival; the time of the silent attempt had used that up, so that it ended unserved at once.

--- a/azureturn/gateway/decisions/tests/test_overload.py
+++ b/azureturn/gateway/decisions/tests/test_overload.py
@@ -11,6 +11,7 @@
     AttemptResult,
     LimitReport,
     PeerReportReceived,
+    ReturnLastResult,
     SendAttempt,
 )
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
@@ -101,6 +102,25 @@
     assert longest_ms - 500 <= waited_ms < longest_ms
 
 
+def test_a_request_whose_upstream_was_silent_waits_for_another_one() -> None:
+    """The time of its first attempt counted as patience, so that it ended in the queue at once."""
+    vm = GatewayCoreHarness(view(upstream("m-1"), upstream("m-2")))
+    vm.handle_event(PeerReportReceived(peer_report("vm-2", work=full_work("m-2"))))
+    vm.submit_request("silent", route=_ROUTE)
+    now_ms = vm.now_ms + 3 * _ROUTE.objective_ms
+    busy = peer_report("vm-2", sequence=2, work=full_work("m-2"))
+    vm.handle_event(PeerReportReceived(busy), at_ms=now_ms)
+    vm.handle_event(AttemptEnded("silent", AttemptResult.SILENT))
+    for step_ms in range(50, 400, 50):
+        ended = [row for row in vm.tick(now_ms + step_ms) if isinstance(row, ReturnLastResult)]
+        assert not ended
+    free = peer_report("vm-2", sequence=3)
+    actions = vm.handle_event(PeerReportReceived(free))
+    assert [action.upstream.name for action in actions if isinstance(action, SendAttempt)] == [
+        "m-2"
+    ]
+
+
 def test_a_request_in_time_goes_before_late_ones(site: _OverloadedSite) -> None:
     for number in range(60):
         site.submit(f"late-{number}")
