Placement: fewer estimates, lists kept between views, cheaper reports of prompts

What costs most after lazy rows: the upstreams of a service were listed anew for each event, the known and the live VMs counted anew for each placement, and each prompt that a peer reports was combined and hashed into objects.

- ViewTable keeps the serving upstreams by service until the view, the leaving runs or the evacuated zones change.
- PeerTable keeps the known VMs, and counts live peers anew only when one of them may have expired or changed.
- States, peers' work and cache estimates are read in one pass.
- The upstreams with slots of this VM are checked first; the others only if none is usable.
- A reported prompt is hashed without intermediate objects, and only if there is an estimate for its upstream.
Segments are not combined again.

--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -1,7 +1,8 @@
 """Status reports that VMs exchange several times a second, and the table of peers."""
 
 import math
-from collections.abc import Container, Iterable
+from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import NamedTuple
@@ -15,7 +16,7 @@
 from azureturn.gateway.decisions._prefix_cache import SentPrompt
 from azureturn.gateway.decisions._request_limits import LimitReport
 from azureturn.gateway.decisions._speeds import SpeedReport
-from azureturn.gateway.site import AllotmentUsage, QuarantinedTraits
+from azureturn.gateway.site import AllotmentUsage, QuarantinedTraits, RegisteredUpstream
 
 _MS_PER_S = 1_000
 #: A peer is live, that is, assumed to run and to be reachable, until its last report is older than
@@ -221,9 +222,14 @@
         """Return the peer's usage of all allotments together; each request asks for it."""
         return sum(spent.units for spent in self.report.spent.values())
 
+    @property
+    def live_until_ms(self) -> int:
+        """Return until when the report is recent enough to be used."""
+        return self.received_at_ms + _MISSED_REPORTS_LIMIT * self.interval_ms
+
     def is_live(self, now_ms: int) -> bool:
         """Return whether the report is recent enough to be used."""
-        return now_ms - self.received_at_ms <= _MISSED_REPORTS_LIMIT * self.interval_ms
+        return now_ms <= self.live_until_ms
 
     def reports_in_time(self, now_ms: int) -> bool:
         """Return whether its usage of allotments is known; it may still be live if not."""
@@ -254,27 +260,65 @@
         self.registered_vms: frozenset[str] = frozenset()
         #: Live peers at a time, until a peer changes; one request asks for them repeatedly.
         self._live_peers: tuple[int, list[Peer]] | None = None
+        #: Names of the peers that are live until ``_live_until_ms`` at least, unless they change.
+        self._live_names: set[str] = set()
+        self._live_until_ms = -math.inf
+        #: Zones without live VMs, until one of the names above changes.
+        self._dead_zones: frozenset[str] | None = None
+        #: Names of all peers, the one whose report is the oldest first.
+        self._by_receipt: OrderedDict[str, None] = OrderedDict()
+        #: The known VMs, the registered ones that they were computed from, and whether they
+        #: include these.
+        self._known_vms: tuple[frozenset[str], frozenset[str], bool] | None = None
 
     def put(self, key: str, row: Peer) -> None:
         """Insert or replace the peer with this name."""
         self._live_peers = None
+        if key not in self._rows:
+            self._known_vms = None
+        if key not in self._live_names:
+            self._live_names.add(key)
+            self._dead_zones = None
+        self._live_until_ms = min(self._live_until_ms, row.live_until_ms)
+        self._by_receipt[key] = None
+        self._by_receipt.move_to_end(key)
         super().put(key, row)
 
     def remove(self, key: str) -> Peer | None:
         """Remove the peer with this name and return it, or None if there is none."""
-        self._live_peers = None
+        self._live_peers = self._known_vms = self._dead_zones = None
+        self._live_names.discard(key)
+        self._by_receipt.pop(key, None)
         return super().remove(key)
 
     def work_at(self, upstream: str) -> OutstandingWork:
         """Return the outstanding work of all live peers at an upstream."""
         return self._work.get(upstream, _NO_WORK)
 
+    def work_at_each(self, upstreams: Iterable[RegisteredUpstream]) -> list[OutstandingWork]:
+        """Return the outstanding work of all live peers at upstreams, in their order."""
+        work = self._work
+        return [work.get(upstream.name, _NO_WORK) for upstream in upstreams]
+
     def live_peers(self, now_ms: int) -> list[Peer]:
         """Return the peers whose latest report is recent; the list must not be changed."""
         if self._live_peers is None or self._live_peers[0] != now_ms:
             self._live_peers = (now_ms, [peer for peer in self.rows() if peer.is_live(now_ms)])
         return self._live_peers[1]
 
+    def live_count(self, now_ms: int) -> int:
+        """Return the number of peers whose latest report is recent."""
+        self._update_live(now_ms)
+        return len(self._live_names)
+
+    def oldest_report_age_ms(self, now_ms: int) -> int:
+        """Return the age of the oldest report of a live peer; -1 if there is none."""
+        for name in self._by_receipt:
+            peer = self._rows[name]
+            if peer.is_live(now_ms):
+                return now_ms - peer.received_at_ms
+        return -1
+
     def reaching(self, upstream: str, now_ms: int) -> list[Peer]:
         """Return the live peers that can connect to an upstream, as far as they have reported.
 
@@ -317,9 +361,7 @@
 
     def vms(self, now_ms: int) -> int:
         """Return the number of known VMs, live or not, including this one."""
-        if now_ms - self.started_at_ms < _REGISTRATION_GRACE_MS:
-            return len({self.own_name}.union(self._rows, self.registered_vms))
-        return len(self) + (self.own_name not in self)
+        return len(self._known(now_ms))
 
     def interval_ms(self, shortest_ms: int) -> int:
         """Return the report interval of a VM in a site of this size."""
@@ -335,15 +377,17 @@
 
     def zones_without_live_vms(self, now_ms: int) -> frozenset[str]:
         """Return the availability zones with known VMs of which none is live."""
-        if len(self.live_peers(now_ms)) == len(self):
+        if self.live_count(now_ms) == len(self):
             return frozenset()
-        zones = {peer.report.availability_zone for peer in self.rows()}
-        live_zones = {peer.report.availability_zone for peer in self.live_peers(now_ms)}
-        return frozenset(zones - live_zones)
+        if self._dead_zones is None:
+            zones = {peer.report.availability_zone for peer in self.rows()}
+            live_zones = {self._rows[name].report.availability_zone for name in self._live_names}
+            self._dead_zones = frozenset(zones - live_zones)
+        return self._dead_zones
 
-    def vm_count_outside(self, zones: Container[str], now_ms: int) -> int:
+    def vm_count_outside(self, zones: frozenset[str], now_ms: int) -> int:
         """Return the number of known VMs, less the VMs in ``zones`` that are not live."""
-        if len(self.live_peers(now_ms)) == len(self):
+        if not zones or self.live_count(now_ms) == len(self):
             return self.vms(now_ms)
         excluded = sum(
             not peer.is_live(now_ms) and peer.report.availability_zone in zones
@@ -351,16 +395,16 @@
         )
         return self.vms(now_ms) - excluded
 
-    def vm_names_outside(self, zones: Container[str], now_ms: int) -> frozenset[str]:
+    def vm_names_outside(self, zones: frozenset[str], now_ms: int) -> frozenset[str]:
         """Return the names of the known VMs, less those in ``zones`` that are not live."""
-        names = {
+        known = self._known(now_ms)
+        if not zones or self.live_count(now_ms) == len(self):
+            return known
+        return known - {
             name
             for name, peer in self.items()
-            if peer.is_live(now_ms) or peer.report.availability_zone not in zones
+            if not peer.is_live(now_ms) and peer.report.availability_zone in zones
         }
-        if now_ms - self.started_at_ms < _REGISTRATION_GRACE_MS:
-            names |= {name for name in self.registered_vms if name not in self._rows}
-        return frozenset(names | {self.own_name})
 
     def reporting_usage_share(self, own_units: int, now_ms: int) -> float:
         """Return the share of the total usage of the VMs that report in time, and this one.
@@ -409,6 +453,25 @@
             self.remove(name)
         self._work = _total_work(peer.report.work for peer in self.live_peers(now_ms))
 
+    def _update_live(self, now_ms: int) -> None:
+        if now_ms <= self._live_until_ms:
+            return
+        live = {name: peer for name, peer in self.items() if peer.is_live(now_ms)}
+        if live.keys() != self._live_names:
+            self._live_names = set(live)
+            self._dead_zones = None
+        self._live_until_ms = min((peer.live_until_ms for peer in live.values()), default=math.inf)
+
+    def _known(self, now_ms: int) -> frozenset[str]:
+        """Return the names of the known VMs, live or not, including this one."""
+        is_grace = now_ms - self.started_at_ms < _REGISTRATION_GRACE_MS
+        registered = self.registered_vms
+        cached = self._known_vms
+        if cached is None or cached[1] is not registered or cached[2] is not is_grace:
+            names = {self.own_name}.union(self._rows, registered if is_grace else ())
+            cached = self._known_vms = (frozenset(names), registered, is_grace)
+        return cached[0]
+
     def add_work(self, before: PeerReport | None, after: PeerReport) -> None:
         """Update the totals from a peer's previous report to its newer one."""
         old_work = before.work if before else {}
--- a/azureturn/gateway/decisions/_prefix_cache.py
+++ b/azureturn/gateway/decisions/_prefix_cache.py
@@ -5,11 +5,19 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
+from operator import attrgetter
 
 from azureturn.framework import Table
-from azureturn.gateway.site import PromptPart, PromptPrefix, UpstreamRun
+from azureturn.gateway.site import (
+    PromptPart,
+    PromptPrefix,
+    RegisteredUpstream,
+    UpstreamRun,
+    combine_parts,
+    prefix_keys,
+)
 
 #: Share of an engine's memory available to cached prefixes; running requests use the rest.
 _PREFIX_CACHE_SHARE = 0.6
@@ -21,6 +29,9 @@
 _REPORTED_SEGMENTS = 1_500
 
 
+_tokens_of = attrgetter("tokens")
+
+
 @dataclass(frozen=True)
 class SentPrompt:
     """A prompt that a VM sent to an upstream, as it reports it to its peers."""
@@ -49,10 +60,19 @@
 
     def record_prompt(self, prefixes: tuple[PromptPrefix, ...]) -> None:
         """Record a sent prompt, and evict the least recently used prefixes beyond the capacity."""
-        for prefix in prefixes:
-            replaced = self._tokens_by_prefix.pop(prefix.key, 0)
-            self._tokens_by_prefix[prefix.key] = prefix.segment_tokens
-            self._total_tokens += prefix.segment_tokens - replaced
+        self.record((prefix.key, prefix.segment_tokens) for prefix in prefixes)
+
+    def record_segments(self, model: str, segments: tuple[PromptPart, ...]) -> None:
+        """Record a sent prompt that is given by its segments."""
+        self.record(zip(prefix_keys(model, segments), map(_tokens_of, segments), strict=True))
+
+    def record(self, prefixes: Iterable[tuple[int, int]]) -> None:
+        """Record prefixes, given by their keys and the tokens of their last segments."""
+        tokens_by_prefix, total_tokens = self._tokens_by_prefix, self._total_tokens
+        for key, tokens in prefixes:
+            total_tokens += tokens - tokens_by_prefix.pop(key, 0)
+            tokens_by_prefix[key] = tokens
+        self._total_tokens = total_tokens
         while self._total_tokens > self._capacity_tokens and self._tokens_by_prefix:
             self._evict_oldest()
 
@@ -93,6 +113,19 @@
                 estimate.limit_entries(self._entries_each)
         return prefix_cache
 
+    def of_each(
+        self, upstreams: Iterable[RegisteredUpstream], capacity_tokens: int
+    ) -> list[PrefixCacheEstimate]:
+        """Return the estimates for upstreams, in their order."""
+        rows = self._rows
+        estimates = []
+        for upstream in upstreams:
+            estimate = rows.get(upstream.name)
+            if estimate is None or estimate.run[1] != upstream.started_unix_ms:
+                estimate = self.of(upstream.run, capacity_tokens)
+            estimates.append(estimate)
+        return estimates
+
     def record_prompt(self, run: UpstreamRun, prefixes: tuple[PromptPrefix, ...]) -> None:
         """Record a prompt that was sent to a run of an upstream, if there is an estimate for it."""
         prefix_cache = self.get(run[0])
@@ -100,6 +133,17 @@
             prefix_cache.record_prompt(prefixes)
             prefix_cache.limit_entries(self._entries_each)
 
+    def record_reported(self, run: UpstreamRun, prompt: SentPrompt) -> None:
+        """Record a prompt that a peer sent to a run of an upstream, if there is an estimate for it.
+
+        Every VM does this for each prompt that any VM sends.
+        """
+        prefix_cache = self.get(run[0])
+        if prefix_cache is not None and prefix_cache.run == run:
+            # An earlier build reports all parts of a prompt.
+            prefix_cache.record_segments(prompt.model, combine_parts(prompt.segments))
+            prefix_cache.limit_entries(self._entries_each)
+
     def keep_only(self, upstreams: Container[str]) -> None:
         """Remove the estimates for all other upstreams."""
         for name in [name for name, _ in self.items() if name not in upstreams]:
--- a/azureturn/gateway/decisions/_tables.py
+++ b/azureturn/gateway/decisions/_tables.py
@@ -24,6 +24,15 @@
         #: Runs that are known to leave, in the order in which this VM learned of them.
         self._leaving_runs: dict[UpstreamRun, None] = {}
         self._evacuated = EvacuatedZones()
+        #: Upstreams that may receive new requests, by service, outside of the zones that were
+        #: evacuated then.
+        self._serving_by_service: dict[str, list[RegisteredUpstream]] = {}
+        self._served_outside: frozenset[str] = frozenset()
+
+    def put(self, key: str, row: SiteView) -> None:
+        """Replace the view."""
+        self._serving_by_service.clear()
+        super().put(key, row)
 
     def current(self) -> SiteView:
         """Return the current view; it is empty until one is received from the store or a peer."""
@@ -63,6 +72,7 @@
         """
         if run in self._leaving_runs:
             return False
+        self._serving_by_service.clear()
         self._leaving_runs[run] = None
         if len(self._leaving_runs) > _LEAVING_RUNS_LIMIT:
             del self._leaving_runs[next(iter(self._leaving_runs))]
@@ -128,7 +138,22 @@
         return dropped
 
     def serving_upstreams(self, service: str, now_ms: int) -> list[RegisteredUpstream]:
-        """Return the upstreams of a service that may receive new requests."""
+        """Return the upstreams of a service that may receive new requests.
+
+        The list must not be changed. Every event asks for it, and views seldom change.
+        """
+        if self.retains_lapsed(now_ms):
+            return self._serving(service, now_ms)
+        evacuated = self.evacuated_zones(now_ms)
+        if evacuated != self._served_outside:
+            self._serving_by_service.clear()
+            self._served_outside = evacuated
+        serving = self._serving_by_service.get(service)
+        if serving is None:
+            serving = self._serving_by_service[service] = self._serving(service, now_ms)
+        return serving
+
+    def _serving(self, service: str, now_ms: int) -> list[RegisteredUpstream]:
         view = self.current()
         serving = [
             upstream
--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -1,11 +1,12 @@
 """State of each upstream: outstanding work, speed, failures and reachability."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
-from azureturn.gateway.site import UpstreamRun
+from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 
 #: Weight of a new sample in the moving averages.
 _EWMA_WEIGHT = 0.15
@@ -120,6 +121,17 @@
             self.put(run[0], state)
         return state
 
+    def of_each(self, upstreams: Iterable[RegisteredUpstream]) -> list[UpstreamState]:
+        """Return the states of upstreams, in their order."""
+        rows = self._rows
+        states = []
+        for upstream in upstreams:
+            state = rows.get(upstream.name)
+            if state is None or state.run[1] != upstream.started_unix_ms:
+                state = self.of(upstream.run)
+            states.append(state)
+        return states
+
     def is_unreachable(self, run: UpstreamRun) -> bool:
         """Return whether a run of an upstream could not be connected, or did not respond."""
         state = self.get(run[0])
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -123,12 +123,18 @@
                 options = self._options(request, snapshot, context)
                 if options.indexes and not options.have_capacity:
                     return False
-                is_usable = options.are_usable
+                sharing = self._sharing(service, snapshot, context)
+                own = sharing.usable_own(options) if sharing else []
+                is_usable = own or options.are_usable
                 if is_usable and self._should_yield_to_peers(request, snapshot, context):
                     context.post(ReportRequested())
                     return False
                 if is_usable:
-                    chosen = self._choose(options, service, context)
+                    chosen = (
+                        sharing.choose(options, own, context)
+                        if sharing
+                        else cheapest(options, context)
+                    )
                     if chosen is None and request.tried_upstreams:
                         continue
                     if chosen is None:
@@ -137,18 +143,14 @@
                     return True
         return False
 
-    def _choose(
-        self,
-        options: Options,
-        service: str,
-        context: Context,
-    ) -> Candidate | None:
-        """Return the candidate to use; None if the request has to wait for one."""
+    def _sharing(
+        self, service: str, snapshot: PlacementSnapshot, context: Context
+    ) -> SlotSharing | None:
+        """Return how slots are shared; None on a site whose VMs have recent reports."""
         peers = self.board.read(PeerTable)
         if not peers.has_old_reports(context.now_ms):
-            return cheapest(options, context)
+            return None
         vm_names = peers.vm_names_outside(self._partitioned_zones(context.now_ms), context.now_ms)
-        snapshot = options.snapshot
         upstreams = tuple(
             (upstream.name, slots)
             for upstream, slots in zip(snapshot.upstreams, snapshot.slots, strict=True)
@@ -156,14 +158,14 @@
         owned = self.board.write(SlotDivisionTable).owned(
             service, upstreams, vm_names, self.settings.vm.name
         )
-        sharing = SlotSharing(
+        return SlotSharing(
             service,
+            snapshot,
             owned,
             vm_count=len(vm_names),
             interval_ms=peers.interval_ms(self.settings.limits.report_interval_ms),
             loans=self.board.write(LoanTable),
         )
-        return sharing.choose(options, context)
 
     def _waits_for_own_slot(self, service: str, context: Context) -> bool:
         """Return whether this VM is known to have no slot for a request of a service.
@@ -227,7 +229,7 @@
             self._basis(service, engine, context.now_ms, relayed=relayed),
             engine,
             vm_count=vm_count,
-            live_share=(len(peers.live_peers(context.now_ms)) + 1) / vm_count,
+            live_share=(peers.live_count(context.now_ms) + 1) / vm_count,
             own_zone=self.settings.vm.availability_zone,
             policy=self.settings.policy,
             now_ms=context.now_ms,
@@ -241,23 +243,21 @@
         peers = self.board.read(PeerTable)
         limits = self.board.read(RequestLimitTable)
         serving = self.board.read(ViewTable).serving_upstreams(service, now_ms)
-        states_of = self.board.write(UpstreamStateTable).of
-        states = [states_of(upstream.run) for upstream in serving]
+        states = self.board.write(UpstreamStateTable).of_each(serving)
         if relayed:
             reachable = [bool(peers.reaching(upstream.name, now_ms)) for upstream in serving]
         else:
             reachable = [not state.is_unreachable for state in states]
-        upstreams = list(compress(serving, reachable))
-        prefix_cache_of = self.board.write(PrefixCacheTable).of
+        upstreams = serving
+        if not all(reachable):
+            upstreams = list(compress(serving, reachable))
+            states = list(compress(states, reachable))
+        prefix_caches = self.board.write(PrefixCacheTable)
         return SnapshotBasis(
             upstreams,
-            list(compress(states, reachable)),
-            [peers.work_at(upstream.name) for upstream in upstreams],
-            (
-                [prefix_cache_of(upstream.run, engine.memory_tokens) for upstream in upstreams]
-                if engine
-                else []
-            ),
+            states,
+            peers.work_at_each(upstreams),
+            prefix_caches.of_each(upstreams, engine.memory_tokens) if engine else [],
             self._may_send_to(upstreams, now_ms),
             relayed,
             # An upstream that has just started has stated nothing yet, but is like the others.
@@ -396,16 +396,12 @@
     def _reason(
         self, request: GatewayRequest, chosen: Candidate, candidate_count: int, context: Context
     ) -> PlacementReason:
-        ages = [
-            context.now_ms - peer.received_at_ms
-            for peer in self.board.read(PeerTable).live_peers(context.now_ms)
-        ]
         return PlacementReason(
             candidates=candidate_count,
             expected_ms=int(chosen.expected_ms),
             outstanding=round(chosen.requests),
             queued_ms=context.now_ms - request.arrived_at_ms,
-            report_age_ms=max(ages, default=-1),
+            report_age_ms=self.board.read(PeerTable).oldest_report_age_ms(context.now_ms),
         )
 
     def _engine_of(self, service_name: str) -> EngineCapacity | None:
--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -113,26 +113,25 @@
 
         If no upstream at all is within one of the limits, that limit is ignored.
         """
-        return (
-            self.has_capacity(index)
-            and not (self._heeds_timeout and self.candidate(index).exceeds_timeout)
-            and not (self._heeds_pause_limit and self.candidate(index).exceeds_pause_limit)
+        if not self.has_capacity(index):
+            return False
+        if not self._has_pause_limit and self.snapshot.usual_slowdown is None:
+            return True
+        candidate = self.candidate(index)
+        return not (candidate.exceeds_timeout and self._heeds_timeout) and not (
+            candidate.exceeds_pause_limit and self._heeds_pause_limit
         )
 
     @cached_property
     def _heeds_timeout(self) -> bool:
-        if self.snapshot.usual_slowdown is None:
-            return False
         return not all(self.candidate(index).exceeds_timeout for index in self.indexes)
 
     @cached_property
     def _heeds_pause_limit(self) -> bool:
-        if not self._has_pause_limit:
-            return False
         in_time = (
             candidate
             for candidate in map(self.candidate, self.indexes)
-            if not (self._heeds_timeout and candidate.exceeds_timeout)
+            if not (candidate.exceeds_timeout and self._heeds_timeout)
         )
         return not all(candidate.exceeds_pause_limit for candidate in in_time)
 
@@ -159,38 +158,52 @@
     """How a VM of a site with old reports chooses: its own slots first, then borrowed ones."""
 
     service: str
+    snapshot: PlacementSnapshot
     #: Slots that this VM owns, by upstream.
     owned: dict[str, int]
     vm_count: int
     interval_ms: int
     loans: LoanTable
 
-    def choose(self, options: Options, context: Context) -> Candidate | None:
+    def choose(self, options: Options, own: list[int], context: Context) -> Candidate | None:
         """Return the candidate to use; None if this VM has to wait for a slot of its own.
 
-        With fewer slots than VMs, nobody waits for a slot: only a rejection tells whether there is
-        room.
+        ``own`` are the usable upstreams with a slot of its own.
         """
-        snapshot = options.snapshot
-        slots = sum(snapshot.slots)
-        if slots >= self.vm_count and sum(snapshot.requests) > _FREE_USE_SHARE * slots:
-            own = [
-                index
-                for index in options.indexes
-                if self._has_own_slot(snapshot, index) and options.is_usable(index)
-            ]
-            if own:
-                return _draw(options, own, context)
-            if not self._may_borrow(snapshot, context):
+        if own:
+            return draw(options, own, context)
+        if self._are_divided:
+            if not self._may_borrow(context):
                 return None
             self.loans.record_borrowed(self.service)
-        return _draw(options, options.usable(), context)
+        return draw(options, options.usable(), context)
+
+    def usable_own(self, options: Options) -> list[int]:
+        """Return the usable upstreams with a slot of this VM's own, if it uses these first."""
+        if not self._are_divided:
+            return []
+        snapshot, owned = self.snapshot, self.owned
+        return [
+            index
+            for index in options.indexes
+            if (name := snapshot.upstreams[index].name) in owned
+            and snapshot.states[index].requests < owned[name]
+            and options.is_usable(index)
+        ]
+
+    @cached_property
+    def _are_divided(self) -> bool:
+        """Return whether VMs use their own slots first.
 
-    def _has_own_slot(self, snapshot: PlacementSnapshot, index: int) -> bool:
-        owned = self.owned.get(snapshot.upstreams[index].name, 0)
-        return snapshot.states[index].requests < owned
+        With fewer slots than VMs, nobody waits for a slot: only a rejection tells whether there is
+        room.
+        """
+        slots = sum(self.snapshot.slots)
+        requests = sum(self.snapshot.requests)
+        return slots >= self.vm_count and requests > _FREE_USE_SHARE * slots
 
-    def _may_borrow(self, snapshot: PlacementSnapshot, context: Context) -> bool:
+    def _may_borrow(self, context: Context) -> bool:
+        snapshot = self.snapshot
         free_slots = sum(
             max(0.0, slots - requests)
             for slots, requests in zip(snapshot.slots, snapshot.requests, strict=True)
@@ -204,7 +217,8 @@
         )
 
 
-def _draw(options: Options, indexes: list[int], context: Context) -> Candidate:
+def draw(options: Options, indexes: list[int], context: Context) -> Candidate:
+    """Return one of some upstreams, drawn by lot among those that look alike."""
     candidates = [options.candidate(index) for index in indexes]
     rows = [options.snapshot.row(index) for index in indexes]
     failure_shares = [row.state.expected_failure_share(context.now_ms) for row in rows]
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -40,7 +40,6 @@
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import combine_parts, prefixes_of
 
 #: One report in this many is also sent to the hosts of VMs that have not reported yet, and lists
 #: all VMs known to the sender for some of its receivers.
@@ -287,9 +286,7 @@
         for prompt in report.prompts:
             upstream = view.upstreams.get(prompt.upstream)
             if upstream is not None:
-                # An earlier build reports all parts of a prompt.
-                segments = combine_parts(prompt.segments)
-                prefix_caches.record_prompt(upstream.run, prefixes_of(prompt.model, segments))
+                prefix_caches.record_reported(upstream.run, prompt)
 
     def _apply_speeds(self, report: PeerReport, now_ms: int) -> None:
         upstreams = self.board.read(ViewTable).current().upstreams
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -31,6 +31,7 @@
     PromptPart,
     PromptPrefix,
     combine_parts,
+    prefix_keys,
     prefixes_of,
 )
 from azureturn.gateway.site._quarantine import (
@@ -89,6 +90,7 @@
     "is_digest_trait",
     "era_of",
     "join_revision",
+    "prefix_keys",
     "prefixes_of",
     "revision_in_era",
 ]
--- a/azureturn/gateway/site/_prompts.py
+++ b/azureturn/gateway/site/_prompts.py
@@ -72,6 +72,8 @@
     >>> combine_parts((PromptPart("a", 640), PromptPart("b", 30), PromptPart("c", 30)))
     (PromptPart(part_id='a', tokens=640), PromptPart(part_id='bc48d6c3c749be1e', tokens=60))
     """
+    if _are_segments(parts):
+        return parts
     segments: list[PromptPart] = []
     tokens_before = 0
     pending: list[PromptPart] = []
@@ -88,14 +90,34 @@
     return tuple(segments)
 
 
+def _are_segments(parts: tuple[PromptPart, ...]) -> bool:
+    """Return whether each part is so large that it is not combined with others."""
+    tokens_before = 0
+    for part in parts:
+        tokens = part.tokens
+        if tokens < 1 or tokens < tokens_before * _MIN_SEGMENT_SHARE:
+            return False
+        tokens_before += tokens
+    return True
+
+
 def prefixes_of(model: str, segments: tuple[PromptPart, ...]) -> tuple[PromptPrefix, ...]:
     """Return the prefixes of a prompt up to the end of each segment, the shortest first."""
-    key = xxhash.xxh3_64_intdigest(model.encode())
-    prefixes = []
+    keys = prefix_keys(model, segments)
+    return tuple(
+        PromptPrefix(key, segment.tokens) for key, segment in zip(keys, segments, strict=True)
+    )
+
+
+def prefix_keys(model: str, segments: tuple[PromptPart, ...]) -> list[int]:
+    """Return the keys of the prefixes of a prompt, the shortest first."""
+    digest = xxhash.xxh3_64_intdigest
+    key = digest(model.encode())
+    keys = []
     for segment in segments:
-        key = xxhash.xxh3_64_intdigest(segment.part_id.encode(), seed=key)
-        prefixes.append(PromptPrefix(key, segment.tokens))
-    return tuple(prefixes)
+        key = digest(segment.part_id.encode(), seed=key)
+        keys.append(key)
+    return keys
 
 
 def _combined(parts: list[PromptPart], tokens: int) -> PromptPart:
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -8,6 +8,7 @@
 
 import argparse
 import cProfile
+import gc
 import json
 import pstats
 import random
@@ -17,7 +18,8 @@
 from typing import Any
 
 from azureturn.framework import Core
-from azureturn.gateway.decisions import RequestReceived
+from azureturn.gateway.decisions import PeerReportReceived, RequestReceived
+from azureturn.gateway.decisions._peers import PeerTable
 from azureturn.gateway.decisions.tests.gateway_core_harness import (
     STREAM_ROUTE,
     GatewayCoreHarness,
@@ -37,6 +39,8 @@
 _ENGINE_QUEUE = 2
 #: Time after which the load has filled the engines.
 _WARM_UP_MS = 1_500
+#: For how long the VMs have been running.
+_RUNNING_MS = 60_000
 _US_PER_NS = 1e-3
 
 
@@ -84,6 +88,8 @@
 
     def _new_vm(self, number: int) -> GatewayCoreHarness:
         vm = super()._new_vm(number)
+        # The VM is not taken for one that has just started and may not have heard of all others.
+        vm.core.board.table(PeerTable).started_at_ms -= _RUNNING_MS
         self._times.measure(vm.core)
         return vm
 
@@ -93,7 +99,12 @@
         super()._submit(vm, prompt_tokens, answer_tokens)
 
     def _handle(self, number: int, event: object) -> None:
-        super()._handle(number, self._next_event if isinstance(event, RequestReceived) else event)
+        if isinstance(event, RequestReceived):
+            event = self._next_event
+        elif isinstance(event, PeerReportReceived):
+            # Most reports are sent without the list of VMs, which the simulation leaves in.
+            event = PeerReportReceived(event.report.without_peers())
+        super()._handle(number, event)
 
     def _request_event(self, prompt_tokens: int, answer_tokens: int) -> RequestReceived:
         request_id = f"r-{self.sent + 1}"
@@ -142,6 +153,9 @@
     )
     rate_per_s = arguments.load * arguments.engines * arguments.slots * _REQUESTS_PER_SLOT
     site.play(_WARM_UP_MS, rate_per_s, _tokens)
+    # The garbage of 73 VMs in one process would be collected at the cost of random events.
+    gc.collect()
+    gc.disable()
     times.reset()
     site.reset_counts()
     profile = cProfile.Profile()
