--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -229,7 +229,7 @@
 
     def is_live(self, now_ms: int) -> bool:
         """Return whether the report is recent enough to be used."""
-        return now_ms <= self.live_until_ms
+        return now_ms - self.received_at_ms <= _MISSED_REPORTS_LIMIT * self.interval_ms
 
     def reports_in_time(self, now_ms: int) -> bool:
         """Return whether its usage of allotments is known; it may still be live if not."""
@@ -279,10 +279,15 @@
         if key not in self._live_names:
             self._live_names.add(key)
             self._dead_zones = None
-        self._live_until_ms = min(self._live_until_ms, row.live_until_ms)
-        self._by_receipt[key] = None
-        self._by_receipt.move_to_end(key)
-        super().put(key, row)
+        # Hundreds of reports a second are put, so that this calls as little as possible.
+        live_until_ms = row.received_at_ms + _MISSED_REPORTS_LIMIT * row.interval_ms
+        if live_until_ms < self._live_until_ms:
+            self._live_until_ms = live_until_ms
+        if key in self._by_receipt:
+            self._by_receipt.move_to_end(key)
+        else:
+            self._by_receipt[key] = None
+        self._rows[key] = row
 
     def remove(self, key: str) -> Peer | None:
         """Remove the peer with this name and return it, or None if there is none."""
@@ -467,7 +472,12 @@
         is_grace = now_ms - self.started_at_ms < _REGISTRATION_GRACE_MS
         registered = self.registered_vms
         cached = self._known_vms
-        if cached is None or cached[1] is not registered or cached[2] is not is_grace:
+        if (
+            cached is None
+            or cached[1] is not registered
+            or cached[2] is not is_grace
+            or self.own_name not in cached[0]
+        ):
             names = {self.own_name}.union(self._rows, registered if is_grace else ())
             cached = self._known_vms = (frozenset(names), registered, is_grace)
         return cached[0]
