Heads of requests and connections count by bytes, with a limit for each server

Cause: a head of many small fields takes up far more than its bytes, while it is read and for as long as its request is in progress; only the size of each head and the number of connections were limited.

Change: ConnectionMemory counts 10 KiB for each connection and, beyond 16 KiB, three times the bytes of a head and 256 bytes for each field, against 48 MiB in each server (ServerLimits.connection_bytes), in what the budget of bodies leaves for the process. Without room the head that has been unfinished for longest, and for over 0.5 s, is given up (408), or else the new one is refused (503); what it held is dropped at once, since its task may run much later.

--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HTTPConnection, HTTPRequest, SizeCheckWrapper
 from cheroot.wsgi import Server
 
 from azureturn._socket_options import (
@@ -26,6 +26,13 @@
 )
 from azureturn.serving._caller_io import CallerReader, CallerWriter
 from azureturn.serving._caller_watch import has_disconnected
+from azureturn.serving._connection_memory import (
+    DEFAULT_LIMIT_BYTES,
+    ConnectionMemory,
+    HeadLines,
+    HeadMemory,
+    HeadRefusedError,
+)
 from azureturn.serving._loop_connections import LoopConnections
 from azureturn.serving._request_bodies import BodyInChunks, BodyWithLength
 from azureturn.serving._request_headers import StrictHeaderReader, framing_mistake
@@ -73,9 +80,27 @@
     def parse_request(self) -> None:
         """Read the request line and headers, with the header timeout for both together."""
         self.conn.rfile.set_deadline(self.server.header_timeout_ms)
-        super().parse_request()
+        head = self.conn.begin_head(self._stop_reading_head)
+        try:
+            super().parse_request()
+        except HeadRefusedError:
+            self.inheaders.clear()
+            self.refuse(_new_overloaded_error())
+        head.finish()
         self.conn.rfile.set_deadline(self.server.body_timeout_ms)
 
+    def _stop_reading_head(self) -> None:
+        # The task of this request may run much later, so what it holds is dropped here.
+        self.inheaders.clear()
+        self.conn.rfile.stop()
+
+    def read_request_line(self) -> bool:
+        """Read the request line; what is read of the head is counted from here on."""
+        lines = HeadLines(self.conn.rfile.readline, self.conn.head)
+        self.rfile = SizeCheckWrapper(lines, self.server.max_request_header_size)
+        is_read: bool = super().read_request_line()  # type: ignore[no-untyped-call]
+        return is_read
+
     def read_request_headers(self) -> bool:
         """Read the headers; return False after a refusal, which closes the connection."""
         is_read: bool = super().read_request_headers()  # type: ignore[no-untyped-call]
@@ -174,6 +199,9 @@
         super().__init__(server, sock, _make_file)
         self.drains_on_close = False
         self._resets_on_close = False
+        self.head: HeadMemory | None = None
+        self._is_counted = True
+        server.connection_memory.count_connection(1)
         sock.setblocking(False)
         for level, name, value in _CALLER_SOCKET_OPTIONS:
             sock.setsockopt(level, name, value)
@@ -183,9 +211,18 @@
         if self.server.drops_left_callers and has_disconnected(self.socket.fileno()):
             self.server.report_left_caller(self.rfile.has_unread_request)
             return False
-        goes_on: bool = super().communicate()  # type: ignore[no-untyped-call]
+        try:
+            goes_on: bool = super().communicate()  # type: ignore[no-untyped-call]
+        finally:
+            if self.head is not None:
+                self.head.release()
         return goes_on
 
+    def begin_head(self, stop_reading: Callable[[], None]) -> HeadMemory:
+        """Begin to count the head of the next request, until the request has been answered."""
+        self.head = HeadMemory(self.server.connection_memory, stop_reading)
+        return self.head
+
     def set_request_arrival(self, arrived_since_s: float) -> None:
         """Record when the next request may have arrived, in seconds of the monotonic clock."""
         self.rfile.set_arrival(arrived_since_s)
@@ -211,6 +248,9 @@
 
     def close(self) -> None:
         """Close the connection, after draining it if the caller may still be sending."""
+        if self._is_counted:
+            self._is_counted = False
+            self.server.connection_memory.count_connection(-1)
         if self.drains_on_close:
             self._drain()
         super().close()
@@ -236,6 +276,15 @@
             return
 
 
+def _new_overloaded_error() -> AzureturnError:
+    # The unread request may repeat a call that ran, so "not run" must not be reported.
+    return AzureturnError(
+        ErrorKind.OVERLOADED,
+        run_state=RunState.UNKNOWN,
+        retry_after_ms=DEFAULT_RETRY_AFTER_MS,
+    )
+
+
 @dataclass(frozen=True)
 class RefusalMessage:
     """Headers and body of the answer to a refused request."""
@@ -259,6 +308,8 @@
     idle_connections: int = _IDLE_CONNECTIONS
     #: Accepted connections that may wait for a thread, if the server has threads.
     accept_backlog: int = 1
+    #: Memory of all connections and of the heads of their requests.
+    connection_bytes: int = DEFAULT_LIMIT_BYTES
 
 
 class BoundedServer(Server):
@@ -298,6 +349,7 @@
             accepted_queue_size=limits.accept_backlog,
             accepted_queue_timeout=0,
         )
+        self.connection_memory = ConnectionMemory(limits.connection_bytes)
         self.keep_alive_conn_limit = limits.idle_connections
         self.max_request_header_size = limits.header_bytes
         # Disabled because the application limits bodies itself and reports the exact error kind.
@@ -375,13 +427,7 @@
             self._refuse_as_overloaded(connection)
 
     def _refuse_as_overloaded(self, connection: HTTPConnection) -> None:
-        # The unread request may repeat a call that ran, so "not run" must not be reported.
-        error = AzureturnError(
-            ErrorKind.OVERLOADED,
-            run_state=RunState.UNKNOWN,
-            retry_after_ms=DEFAULT_RETRY_AFTER_MS,
-        )
-        _CallerRequest(self, connection).refuse(error)
+        _CallerRequest(self, connection).refuse(_new_overloaded_error())
         connection.linger = True
         connection.close()
 
