Parts of streams that callers do not read count for the budget

Cause: while a caller does not read, the part of its stream that is being written, and the events in it, are held for up to 30 s, and nothing limited the sum.

Change: from the head of a stream on, what the kernel does not take at once needs room in the budget (StreamRoom), with 128 bytes for each event. A stream slower than the least pace loses its room to whoever waits, and is reset; a part without room for 1 s resets its own stream. Both are logged and counted as room_reclaimed, phase "streaming". A write that the kernel takes at once costs no system call more.

--- a/azureturn/gateway/exchange/_caller.py
+++ b/azureturn/gateway/exchange/_caller.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from azureturn.errors import AzureturnError
+from azureturn.gateway.exchange._room_reporter import RoomReporter
+from azureturn.gateway.exchange._stream_room import StreamRoom
 from azureturn.serving import BodyRoom, has_disconnected, now_ms, read_whole_body
 
 _MS_PER_S = 1_000
@@ -29,6 +31,7 @@
         self.header_values = {name.lower(): value for name, value in self.headers}
         #: Whether the head of the response has been sent.
         self.response_started = False
+        self._stream_room: StreamRoom | None = None
 
     @property
     def arrived_at_ms(self) -> int:
@@ -102,6 +105,8 @@
         on_progress: Callable[[int], None] | None = None,
     ) -> None:
         """Send a whole response with a Content-Length."""
+        # The exchange has room for the whole body.
+        self._request.conn.wfile.room = None
         content_length = [("Content-Length", str(len(body)))]
         self._send_head(status, reason, [*headers, *content_length], close=close)
         if not body or self.method == "HEAD":
@@ -118,12 +123,27 @@
     def start_stream(
         self, status: int, reason: str, headers: Iterable[tuple[str, str]], *, close: bool
     ) -> None:
-        """Send the head of a chunked response; the HTTP library ends it with an empty chunk."""
+        """Send the head of a chunked response; the HTTP library ends it with an empty chunk.
+
+        What the caller does not read of the response needs room from here on.
+        """
+        services = self._request.server.services
+        request_id = self.header_values.get("x-request-id", "")
+        reporter = RoomReporter(services.log, services.metrics, request_id)
+        self._stream_room = StreamRoom(services.pool.body_budget, reporter, self.reset)
+        self._request.conn.wfile.room = self._stream_room
         self._send_head(status, reason, list(headers), close=close)
 
     def write(self, data: bytes) -> None:
         """Write a part of a streamed response."""
-        self._request.write(data)
+        if self._stream_room is None:
+            self._request.write(data)
+            return
+        self._stream_room.part = data
+        try:
+            self._request.write(data)
+        finally:
+            self._stream_room.part = b""
 
     def _send_head(
         self, status: int, reason: str, headers: list[tuple[str, str]], *, close: bool
--- a/azureturn/gateway/exchange/_request_room.py
+++ b/azureturn/gateway/exchange/_request_room.py
@@ -5,37 +5,15 @@
 from azureturn.errors import DEFAULT_RETRY_AFTER_MS, ErrorKind, RefusedError
 from azureturn.gateway.exchange._body_budget import FREE_BYTES, BodyBudget, BodyReservation
 from azureturn.gateway.exchange._caller import CallerChannel
-from azureturn.observability import EventLog, LogEvent, Metric, Metrics
+from azureturn.gateway.exchange._room_reporter import RoomReporter
+
+__all__ = ["RequestRoom", "RoomReporter"]
 
 _MS_PER_S = 1_000
 #: How long a request waits for room if nothing else limits that.
 _MAX_WAIT_S = 15.0
 
 
-class RoomReporter:
-    """Logs and counts the connections that lose their room, and the requests that find none."""
-
-    def __init__(self, log: EventLog, metrics: Metrics, request_id: str) -> None:
-        self._log = log
-        self._metrics = metrics
-        self._request_id = request_id
-
-    def report_reclaimed(self, phase: str, reservation: BodyReservation, held_bytes: int) -> None:
-        """Log and count that room was taken from a connection; ``phase`` is what it was for."""
-        self._log.error(
-            LogEvent.ROOM_RECLAIMED,
-            request_id=self._request_id,
-            phase=phase,
-            rank=reservation.rank,
-            held_bytes=held_bytes,
-        )
-        self._metrics.count(Metric.ROOM_RECLAIMED, phase=phase)
-
-    def report_refused(self) -> None:
-        """Count that a request has waited for room in vain."""
-        self._metrics.count(Metric.ROOM_REFUSED)
-
-
 class RequestRoom:
     """The room of one request's body, which it loses if its caller makes no progress.
 
--- a/azureturn/serving/_caller_io.py
+++ b/azureturn/serving/_caller_io.py
@@ -3,8 +3,15 @@
 import socket
 import time
 from contextlib import suppress
+from typing import Protocol
 
-from azureturn.tasks import receive_available, send_all, yield_to_others
+from azureturn.tasks import (
+    WRITABLE,
+    receive_available,
+    send_all,
+    wait_until_ready,
+    yield_to_others,
+)
 
 _MS_PER_S = 1_000
 #: Maximum time for which the caller may read nothing of its answer.
@@ -140,15 +147,55 @@
         return received.data
 
 
+class WriteRoom(Protocol):
+    """Limits what is held for callers who do not read."""
+
+    def begin(self, size_bytes: int) -> None:
+        """Count bytes that the caller has not taken at once; may raise an ``OSError``."""
+
+    def record_progress(self, size_bytes: int) -> None:
+        """Record that the caller has taken so many of them."""
+
+    def end(self) -> None:
+        """Count them no more."""
+
+
 class CallerWriter:
     """Writes to a non-blocking socket, without copying what is written."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._socket = sock
         self.bytes_written = 0
+        #: Room for what the caller does not take at once; None if it needs none.
+        self.room: WriteRoom | None = None
 
     def write(self, data: bytes) -> int:
         """Write all bytes; raise ``TimeoutError`` if the caller does not read them."""
-        send_all(self._socket, data, CALLER_WRITE_TIMEOUT_S)
+        if self.room is None:
+            send_all(self._socket, data, CALLER_WRITE_TIMEOUT_S)
+        else:
+            self._write_with_room(self.room, memoryview(data))
         self.bytes_written += len(data)
         return len(data)
+
+    def _write_with_room(self, room: WriteRoom, data: memoryview) -> None:
+        sent_bytes = self._send_available(data)
+        if sent_bytes == len(data):
+            return
+        deadline_s = time.monotonic() + CALLER_WRITE_TIMEOUT_S
+        room.begin(len(data) - sent_bytes)
+        try:
+            while sent_bytes < len(data):
+                left_s = deadline_s - time.monotonic()
+                wait_until_ready({self._socket.fileno(): WRITABLE}, left_s)
+                taken_bytes = self._send_available(data[sent_bytes:])
+                room.record_progress(taken_bytes)
+                sent_bytes += taken_bytes
+        finally:
+            room.end()
+
+    def _send_available(self, data: memoryview) -> int:
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return 0
