--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -20,10 +20,13 @@
 from azureturn.gateway.decisions import (
     GATEWAY_CONTROLLERS,
     FetchView,
+    FollowerCall,
     GatewayStarted,
     PeerTable,
     ProbeConnection,
     SendReport,
+    StoreCallLimits,
+    StoreCallTable,
     UpstreamConnectionFailed,
     UpstreamProcessEnded,
     ViewTable,
@@ -35,6 +38,7 @@
     may_relay,
     may_relay_another,
     may_send,
+    next_follower_call,
 )
 from azureturn.gateway.exchange import (
     CONNECT_TIMEOUT_MS,
@@ -132,6 +136,7 @@
             log,
             wait_ms=lambda: self._settings.watch_wait_ms,
             vm_count=lambda: len(self._view_holder.view.vms),
+            follower_call=self._next_follower_call,
             loop=self._loop,
         )
         self._server = GatewayServer(self._services, self._loop)
@@ -311,16 +316,25 @@
     def _may_relay(self, upstream: RegisteredUpstream) -> bool:
         return self._runtime.inspect(lambda core: may_relay(core.board, upstream, now_ms()))
 
+    def _next_follower_call(self) -> FollowerCall | None:
+        limits = StoreCallLimits.from_bounds(self._settings.bounds)
+        return self._runtime.inspect(
+            lambda core: next_follower_call(core.board, limits, self._settings.vm, now_ms())
+        )
+
     def _configuration_age_ms(self) -> int:
         """Return the time since the store, or a peer that it answers, had no later configuration.
 
         The peer may have heard that when its own call to the store began to wait.
         """
-        by_peer_at_ms = self._runtime.inspect(
-            lambda core: core.board.table(ViewTable).confirmed_by_peer_at_ms
+        by_peer_at_ms, known_at_ms = self._runtime.inspect(
+            lambda core: (
+                core.board.table(ViewTable).confirmed_by_peer_at_ms,
+                core.board.table(StoreCallTable).known_at_ms or 0,
+            )
         )
         peer_knew_at_ms = by_peer_at_ms - self._settings.watch_wait_ms
-        return now_ms() - max(self._watcher.answered_at_ms, peer_knew_at_ms)
+        return now_ms() - max(self._watcher.answered_at_ms, peer_knew_at_ms, known_at_ms)
 
     def _find_available_upstream(self, name: str) -> RegisteredUpstream | None:
         """Return the upstream that a peer asks for, unless it may be sent no request now."""
--- a/azureturn/gateway/daemon/_peer_calls.py
+++ b/azureturn/gateway/daemon/_peer_calls.py
@@ -6,6 +6,7 @@
 from azureturn.gateway.daemon._store_watcher import ViewHolder
 from azureturn.gateway.daemon._threads import run_forever
 from azureturn.gateway.decisions import FetchView
+from azureturn.gateway.site import SiteView
 from azureturn.observability import EventLog, LogEvent
 from azureturn.peers import (
     ConfigurationAnswer,
@@ -38,8 +39,22 @@
         is_newer = view.revision > (query.newer_than_revision or 0)
         if not is_newer and view.configuration_version <= (query.newer_than_version or 0):
             return ConfigurationAnswer(revision=0, document=b"")
+        if query.only_changes:
+            return self._changes_after(query.newer_than_revision or 0)
         return ConfigurationAnswer(revision=view.revision, document=self._view_holder.encode())
 
+    def _changes_after(self, revision: int) -> ConfigurationAnswer:
+        encoded = self._view_holder.encode_changes(revision)
+        if encoded is None:
+            return ConfigurationAnswer(revision=0, document=b"")
+        difference, data = encoded
+        return ConfigurationAnswer(
+            revision=difference.revision,
+            document=data,
+            changes_after=revision,
+            changed_revision=difference.changed_revision,
+        )
+
     def find_outcome(self, query: OutcomeQuery) -> Outcome:
         """Not supported: the gateway has no claims."""
         raise _unsupported_call()
@@ -97,17 +112,32 @@
             if view.revision > action.newer_than_revision and has_configuration:
                 continue
             try:
-                query = ConfigurationQuery(
-                    newer_than_revision=view.revision,
-                    newer_than_version=view.configuration_version,
-                )
-                address = PeerAddress(action.host, self._peer_port)
-                answer = self._client.fetch_configuration(address, query)
-                if answer.revision:
-                    self._view_holder.apply_peer_view(answer.revision, answer.document)
+                is_done = action.takes_changes and self._fetch(action, view, only_changes=True)
+                if action.takes_whole and not is_done:
+                    self._fetch(action, view, only_changes=False)
             except (AzureturnError, ValueError) as error:
                 self._log.error(LogEvent.PEER_UNREACHABLE, vm_host=action.host, error=str(error))
 
+    def _fetch(self, action: FetchView, view: SiteView, *, only_changes: bool) -> bool:
+        """Fetch what is newer than a view; return whether there was something newer."""
+        query = ConfigurationQuery(
+            newer_than_revision=view.revision,
+            newer_than_version=view.configuration_version,
+            only_changes=only_changes or None,
+        )
+        address = PeerAddress(action.host, self._peer_port)
+        answer = self._client.fetch_configuration(address, query)
+        if not answer.revision:
+            return False
+        if answer.changes_after is None:
+            return self._view_holder.apply_peer_view(answer.revision, answer.document)
+        return self._view_holder.apply_peer_changes(
+            answer.document,
+            base_revision=answer.changes_after,
+            revision=answer.revision,
+            changed_revision=answer.changed_revision or 0,
+        )
+
 
 def _unsupported_call() -> AzureturnError:
     return AzureturnError(ErrorKind.NOT_FOUND, "call is not supported by the gateway")
--- a/azureturn/gateway/daemon/_report_codec.py
+++ b/azureturn/gateway/daemon/_report_codec.py
@@ -11,6 +11,7 @@
     QueueReport,
     SentPrompt,
     SpeedReport,
+    StoreState,
     StreamPace,
     Suspect,
     VersionCount,
@@ -97,6 +98,7 @@
         availability=[_availability_to_wire(row) for row in report.availability],
         cold=[ColdSeen(*row.run, row.left_ms) for row in report.cold] or None,
         speeds=[_speed_to_wire(row) for row in report.speeds] or None,
+        **_store_call_fields(report.store),
     )
 
 
@@ -145,6 +147,19 @@
         availability=tuple(_availability_from_wire(row) for row in wire.availability or ()),
         cold=tuple(_cold_from_wire(row) for row in wire.cold or ()),
         speeds=tuple(_speed_from_wire(row) for row in wire.speeds or ()),
+        store=_store_state_from_wire(wire),
+    )
+
+
+def _store_call_fields(store: StoreState | None) -> dict[str, int | None]:
+    return {} if store is None else vars(store)
+
+
+def _store_state_from_wire(wire: GatewayReport) -> StoreState | None:
+    if wire.changed_revision is None or wire.view_digest is None:
+        return None
+    return StoreState(
+        wire.changed_revision, wire.view_digest, wire.store_answered_ago_ms, wire.sent_at_ms
     )
 
 
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -12,8 +12,21 @@
 
 from azureturn.errors import PlatformError
 from azureturn.gateway.daemon._threads import run_forever
-from azureturn.gateway.decisions import StoreLost, StoreReached, ViewChanged, watch_delay_ms
-from azureturn.gateway.site import DocumentCodec, SiteView, StoredDocument
+from azureturn.gateway.decisions import (
+    FollowerCall,
+    StoreAnswered,
+    StoreLost,
+    StoreReached,
+    ViewChanged,
+    watch_delay_ms,
+)
+from azureturn.gateway.site import (
+    DocumentCodec,
+    SiteView,
+    StoredDocument,
+    ViewDifference,
+    era_of,
+)
 from azureturn.observability import EventLog, LogEvent
 from azureturn.serving import CoreRuntime, now_ms
 from azureturn.store import HistoryLostError, StoreChange, WatchedStore
@@ -21,6 +34,8 @@
 
 _INITIAL_BACKOFF_MS = 100
 _MAX_BACKOFF_MS = 1_000
+#: How often a VM that learns of changes from peers checks whether it has to call the store.
+_FOLLOWER_CHECK_MS = 250
 _MS_PER_S = 1_000
 
 
@@ -53,29 +68,51 @@
         """Inform the controllers that a call to the store failed."""
         self._runtime.submit(StoreLost())
 
+    def report_store_answered(self, asked_at_ms: int) -> None:
+        """Inform the controllers that the view has all changes as of then."""
+        self._runtime.submit(StoreAnswered(asked_at_ms))
+
     def apply_snapshot(self, entries: Iterable[StoreChange], revision: int, source: str) -> bool:
         """Replace the view by all entries of the store; return whether ``revision`` was newer."""
         written = self._decode_entries(entries)
-        view = SiteView().with_changes(written=written, removed=(), revision=revision)
-        return self._replace_view(view, source)
+        return self._replace_view(lambda view: view.replaced_by(written, revision), source)
 
     def apply_changes(
         self, changes: Iterable[StoreChange], *, base_revision: int, revision: int
     ) -> bool:
         """Apply the changes made after ``base_revision``, up to ``revision``.
 
-        Return False if they cannot be applied to the current view, so that the store must be read
-        as a whole.
+        The view may be of a later revision than the first, by changes of peers. Return False if
+        the changes cannot be applied to it, so that the store must be read as a whole.
         """
-        with self._lock:
-            if self._view.revision != base_revision:
-                return self._view.revision > base_revision
-            latest_changes = {change.key: change for change in changes}
-            written = self._decode_entries(latest_changes.values())
-            decoded_keys = {document.key for document in written}
-            removed = [key for key in latest_changes if key not in decoded_keys]
-            view = self._view.with_changes(written=written, removed=removed, revision=revision)
-        return self._replace_view(view, "watch") or revision == base_revision
+        latest_changes = {change.key: change for change in changes}
+        written = self._decode_entries(latest_changes.values())
+        decoded_keys = {document.key for document in written}
+
+        def update(view: SiteView) -> SiteView:
+            if view.revision < base_revision or view.era != era_of(base_revision):
+                return view
+            removals = {
+                key: change.revision
+                for key, change in latest_changes.items()
+                if key not in decoded_keys
+                and (change.value is None or key in view.stored_documents)
+            }
+            return view.with_changes(written=written, removals=removals, revision=revision)
+
+        if self._replace_view(update, "watch"):
+            return True
+        return revision == base_revision or self._view.revision > base_revision
+
+    def apply_difference(self, difference: ViewDifference) -> bool:
+        """Apply a peer's changes if they begin at the current view's revision."""
+
+        def update(view: SiteView) -> SiteView:
+            is_next = view.revision == difference.base_revision
+            is_same_era = view.era == era_of(difference.revision)
+            return view.with_difference(difference) if is_next and is_same_era else view
+
+        return self._replace_view(update, "peer")
 
     def encode(self) -> bytes:
         """Return the view encoded for a peer; the result is kept for the peers that ask next."""
@@ -100,6 +137,32 @@
     def _apply_peer_rows(self, rows: list[StoreChange], revision: int) -> bool:
         return self.apply_snapshot(rows, revision, "peer")
 
+    def encode_changes(self, base_revision: int) -> tuple[ViewDifference, bytes] | None:
+        """Return the changes after a revision, and their encoding; None if not all are known."""
+        difference = self._view.changes_since(base_revision)
+        if difference is None:
+            return None
+        written = [
+            [document.key, document.revision, b64encode(document.value).decode()]
+            for document in difference.written
+        ]
+        removed = [[key, revision, None] for key, revision in difference.removals.items()]
+        return difference, json.dumps(written + removed).encode()
+
+    def apply_peer_changes(
+        self, data: bytes, *, base_revision: int, revision: int, changed_revision: int
+    ) -> bool:
+        """Apply a peer's encoded changes; return whether they were applied."""
+        changes = [
+            StoreChange(key, at, None if value is None else b64decode(value))
+            for key, at, value in json.loads(data)
+        ]
+        removals = {change.key: change.revision for change in changes if change.value is None}
+        written = self._decode_entries(changes)
+        return self.apply_difference(
+            ViewDifference(base_revision, revision, changed_revision, written, removals)
+        )
+
     def _decode_entries(self, entries: Iterable[StoreChange]) -> list[StoredDocument]:
         stored_documents: list[StoredDocument] = []
         for entry in entries:
@@ -116,10 +179,10 @@
                 )
         return stored_documents
 
-    def _replace_view(self, view: SiteView, source: str) -> bool:
+    def _replace_view(self, update: Callable[[SiteView], SiteView], source: str) -> bool:
         with self._lock:
             old_view = self._view
-            view = _latest(old_view, view)
+            view = _latest(old_view, update(old_view))
             if view is old_view:
                 return False
             self._view = view
@@ -202,7 +265,10 @@
 
 
 class StoreWatcher:
-    """A task that reads the whole store once and then watches it for changes."""
+    """A task that reads the whole store once and then watches it for changes.
+
+    ``follower_call`` returns the next call if this VM learns of changes from peers, else None.
+    """
 
     def __init__(
         self,
@@ -213,9 +279,13 @@
         *,
         wait_ms: Callable[[], int],
         vm_count: Callable[[], int],
+        follower_call: Callable[[], FollowerCall | None] = lambda: None,
         loop: TaskLoop | None = None,
     ) -> None:
         self._store = store
+        self._follower_call = follower_call
+        #: Revision up to which the store itself has told this VM everything.
+        self._told_revision = 0
         self._view_holder = view_holder
         self._prefix = documents.watched_prefix
         self._log = log
@@ -255,27 +325,52 @@
                 backoff_ms = min(_MAX_BACKOFF_MS, 2 * backoff_ms)
 
     def _read_all(self) -> None:
+        asked_at_ms = now_ms()
         snapshot = self._store.read_all(self._prefix)
         self._mark_store_available()
         entries = [
             StoreChange(entry.key, entry.revision, entry.value) for entry in snapshot.entries
         ]
         self._view_holder.apply_snapshot(entries, snapshot.revision, "read")
+        self._told_revision = snapshot.revision
+        self._report_answer(asked_at_ms, snapshot.revision)
 
     def _watch_once(self) -> bool:
         """Make one watch call; return False if the store must be read as a whole.
 
         With many VMs the call is delayed, so that it returns several changes at once.
         """
-        sleep(watch_delay_ms(self._vm_count()) / _MS_PER_S)
-        base_revision = self._view_holder.view.revision
-        changes = self._store.changes(
-            self._prefix, after_revision=base_revision, wait_ms=self._wait_ms()
-        )
+        wait_ms = self._await_call()
+        view = self._view_holder.view
+        base_revision = self._told_revision
+        if view.era != era_of(base_revision):
+            base_revision = view.revision
+        asked_at_ms = now_ms()
+        changes = self._store.changes(self._prefix, after_revision=base_revision, wait_ms=wait_ms)
         self._mark_store_available()
-        return self._view_holder.apply_changes(
+        is_continuous = self._view_holder.apply_changes(
             changes.changes, base_revision=base_revision, revision=changes.revision
         )
+        if is_continuous and self._view_holder.view.revision == changes.revision:
+            self._told_revision = changes.revision
+        self._report_answer(asked_at_ms, changes.revision)
+        return is_continuous
+
+    def _await_call(self) -> int:
+        """Wait until the next call is due; return how long it waits for changes."""
+        sleep(watch_delay_ms(self._vm_count()) / _MS_PER_S)
+        while (call := self._follower_call()) is not None:
+            left_ms = call.due_at_ms - now_ms()
+            if left_ms <= 0:
+                return call.wait_ms
+            # Reports may change what is due, and whether this VM still is a follower.
+            sleep(min(left_ms, _FOLLOWER_CHECK_MS) / _MS_PER_S)
+        return self._wait_ms()
+
+    def _report_answer(self, asked_at_ms: int, revision: int) -> None:
+        view = self._view_holder.view
+        if view.era == era_of(revision) and view.revision >= revision:
+            self._view_holder.report_store_answered(asked_at_ms)
 
     def _mark_store_unavailable(self, error: PlatformError) -> None:
         self._failures += 1
--- /dev/null
+++ b/azureturn/gateway/daemon/tests/test_store_calls.py
@@ -0,0 +1,205 @@
+"""Calls to the store by many VMs, and the time until each VM knows of a change.
+
+Guards against calls that grow with the number of VMs, and against a VM that relies on watchers
+which crashed, are frozen, slow, behind or cut off.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from azureturn.gateway.daemon.tests.simulated_store_site import SimulatedSite, SimulatedVm
+from azureturn.gateway.decisions import SendReport
+from azureturn.gateway.decisions.tests.gateway_core_harness import BOUNDS
+
+_APPLY_MS = BOUNDS.shortest_apply_ms
+_SETTLED_MS = 4_000
+_CHANGED = "servers/u-0"
+
+
+def _watchers(site: SimulatedSite) -> list[SimulatedVm]:
+    return [vm for vm in site.vms if vm.watcher._follower_call() is None]
+
+
+def _change(site: SimulatedSite, *, removes: bool = False) -> int:
+    for vm in site.vms:
+        vm.knew_at_ms = None
+    if removes:
+        site.store.remove(_CHANGED)
+    else:
+        site.store.put(_CHANGED, leaving=True, sequence=1)
+    return site.now_ms
+
+
+def _times_until_known(
+    site: SimulatedSite, changed_at_ms: int, vms: list[SimulatedVm]
+) -> list[float]:
+    site.run_until(changed_at_ms + 2 * _APPLY_MS)
+    return [float("inf") if vm.knew_at_ms is None else vm.knew_at_ms - changed_at_ms for vm in vms]
+
+
+@pytest.mark.parametrize(("vm_count", "observed_ms"), [(24, 8_000), (73, 4_000), (195, 2_000)])
+def test_calls_fall_to_a_third_and_changes_arrive_in_time(
+    vm_count: int, observed_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    site = SimulatedSite(vm_count, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    calls = site.store.calls
+    changed_at_ms = _change(site)
+    site.run_for(observed_ms)
+    # Before, each VM made a call per delay and answer.
+    calls_before = vm_count * observed_ms / (min(400, 5 * vm_count) + site.store.latency_ms)
+    assert site.store.calls - calls <= calls_before / 3
+    assert max(vm.knew_at_ms or float("inf") for vm in site.vms) - changed_at_ms <= 0.5 * _APPLY_MS
+    assert site.whole_views == 0
+
+
+def _crash(site: SimulatedSite) -> None:
+    for vm in _watchers(site):
+        vm.is_up = False
+
+
+def _freeze(site: SimulatedSite) -> None:
+    for vm in _watchers(site):
+        vm.frozen_until_ms = site.now_ms + 5_000
+
+
+def _lose_store(site: SimulatedSite) -> None:
+    site.store.lost_by |= {vm.name for vm in _watchers(site)}
+
+
+def _reject_some(site: SimulatedSite) -> None:
+    site.store.rejects |= {vm.name for vm in site.vms[::2]}
+
+
+def _cut_off_followers(site: SimulatedSite) -> None:
+    """Every zone hears only itself, and its watchers crash."""
+    site.cut_zones |= {frozenset(pair) for pair in ("ab", "ac", "ad", "bc", "bd", "cd")}
+    _crash(site)
+
+
+def _slow_store(site: SimulatedSite) -> None:
+    site.store.latency_ms = 500
+
+
+def _lose_history(site: SimulatedSite) -> None:
+    site.store.lose_history()
+
+
+def _nothing(site: SimulatedSite) -> None:
+    """The watchers are well."""
+
+
+@pytest.mark.parametrize("removes", [False, True], ids=["written", "removed"])
+@pytest.mark.parametrize(
+    "fail",
+    [
+        _nothing,
+        _crash,
+        _freeze,
+        _lose_store,
+        _reject_some,
+        _cut_off_followers,
+        _slow_store,
+        _lose_history,
+    ],
+)
+@pytest.mark.parametrize("lead_ms", [0, 700])
+def test_every_vm_in_contact_knows_of_a_change_in_time(
+    fail: Callable[[SimulatedSite], None],
+    removes: bool,
+    lead_ms: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The failure comes together with the change, or before it."""
+    site = SimulatedSite(24, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    fail(site)
+    site.run_for(lead_ms)
+    changed_at_ms = _change(site, removes=removes)
+    cut_off = site.store.lost_by | site.store.rejects
+    vms = [
+        vm
+        for vm in site.vms
+        if vm.is_up and vm.frozen_until_ms <= site.now_ms and vm.name not in cut_off
+    ]
+    assert max(_times_until_known(site, changed_at_ms, vms)) <= _APPLY_MS - 200
+
+
+def test_a_vm_that_was_frozen_does_not_trust_reports_that_waited_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = SimulatedSite(24, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    watchers = _watchers(site)
+    frozen = [vm for vm in site.vms if vm not in watchers]
+    for vm in frozen:
+        vm.frozen_until_ms = site.now_ms + 3_000
+    site.run_for(2_000)
+    # All that the frozen VMs find when they go on is from before the change.
+    for vm in watchers:
+        vm.is_up = False
+    _change(site)
+    site.run_for(1_000)
+    thawed_at_ms = site.now_ms
+    site.run_for(_APPLY_MS)
+    assert max((vm.knew_at_ms or float("inf")) - thawed_at_ms for vm in frozen) <= _APPLY_MS / 2
+
+
+def test_a_vm_that_lost_the_store_and_all_watchers_notices(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    site = SimulatedSite(24, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    _cut_off_followers(site)
+    site.store.lost_by |= {vm.name for vm in site.vms}
+    site.run_for(BOUNDS.contact_ms)
+    assert all(vm.watcher._failures for vm in site.vms if vm.is_up)
+
+
+def test_a_restored_store_is_read_by_every_vm(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = SimulatedSite(24, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    copy, revision = dict(site.store.items), site.store.revision
+    site.run_for(1_000)
+    _change(site)
+    site.run_for(1_000)
+    site.store.restore(copy, revision)
+    site.run_for(_APPLY_MS)
+    assert {vm.holder.view.era for vm in site.vms} == {2}
+    assert not any(vm.holder.view.upstreams["u-0"].is_leaving for vm in site.vms)
+    assert site.whole_views == 0
+
+
+def test_old_builds_run_beside_new_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    site = SimulatedSite(24, monkeypatch)
+    old_vms = site.vms[:12]
+    send = site.send
+
+    def send_as_old(vm: SimulatedVm, action: SendReport) -> None:
+        if vm in old_vms:
+            action = replace(action, report=replace(action.report, store=None))
+        send(vm, action)
+
+    monkeypatch.setattr(site, "send", send_as_old)
+    for vm in old_vms:
+        vm.watcher._follower_call = lambda: None
+    site.run_for(_SETTLED_MS)
+    whole_views = site.whole_views
+    changed_at_ms = _change(site)
+    assert max(_times_until_known(site, changed_at_ms, site.vms)) <= _APPLY_MS - 200
+    assert site.whole_views == whole_views
+
+
+def test_the_allotment_record_is_not_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is written every second, and has some 30 kB on a large site."""
+    site = SimulatedSite(24, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    watcher = _watchers(site)[0]
+    base_revision = watcher.holder.view.revision
+    site.run_for(1_500)
+    view = watcher.holder.view
+    assert view.allotment_record_revision > base_revision
+    difference = view.changes_since(base_revision)
+    assert difference is not None and not difference.written
--- a/azureturn/gateway/decisions/__init__.py
+++ b/azureturn/gateway/decisions/__init__.py
@@ -34,6 +34,7 @@
     PlacementRequested,
     RequestClosed,
     RequestReceived,
+    StoreAnswered,
     StoreLost,
     StoreReached,
     UpstreamConnectionFailed,
@@ -50,6 +51,7 @@
     PeerReport,
     PeerTable,
     QueueReport,
+    StoreState,
     StreamPace,
     VersionCount,
 )
@@ -65,6 +67,12 @@
     may_send,
 )
 from azureturn.gateway.decisions._speeds import SpeedReport, SpeedTable
+from azureturn.gateway.decisions._store_calls import (
+    FollowerCall,
+    StoreCallLimits,
+    StoreCallTable,
+    next_follower_call,
+)
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_state import UpstreamState, UpstreamStateTable
 from azureturn.gateway.decisions._view_lag import watch_delay_ms
@@ -82,6 +90,7 @@
     "CrashReport",
     "FetchView",
     "FirstEventReceived",
+    "FollowerCall",
     "GATEWAY_CONTROLLERS",
     "GatewayQueueTable",
     "GatewayRequest",
@@ -120,8 +129,12 @@
     "SpeedReport",
     "SpeedTable",
     "Stage",
+    "StoreAnswered",
+    "StoreCallLimits",
+    "StoreCallTable",
     "StoreLost",
     "StoreReached",
+    "StoreState",
     "UpstreamConnectionFailed",
     "UpstreamProcessEnded",
     "UpstreamReconnected",
@@ -143,6 +156,7 @@
     "may_relay",
     "may_relay_another",
     "may_send",
+    "next_follower_call",
     "request_work",
     "watch_delay_ms",
 ]
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -66,6 +66,10 @@
     newer_than_revision: int
     #: Version of the configuration that the peer has.
     configuration_version: int = 0
+    #: Whether the changes since that revision are enough.
+    takes_changes: bool = False
+    #: Whether the whole view is fetched otherwise.
+    takes_whole: bool = True
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/_events.py
+++ b/azureturn/gateway/decisions/_events.py
@@ -59,6 +59,13 @@
     """A call to the store failed."""
 
 
+@dataclass(frozen=True)
+class StoreAnswered(Event):
+    """The view contains all changes as of the start of a call that the store has answered."""
+
+    asked_at_ms: int
+
+
 @dataclass(frozen=True)
 class UpstreamReconnected(Event):
     """A probe of an upstream over a direct connection succeeded."""
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -126,6 +126,19 @@
     condemned: bool
 
 
+@dataclass(frozen=True)
+class StoreState:
+    """What a VM knows of the store, and as of when."""
+
+    #: Revision of the last change in the VM's view.
+    changed_revision: int
+    view_digest: int
+    #: How long before the report the last answered call to the store began; None if long ago.
+    store_answered_ago_ms: int | None = None
+    #: When the report was made, by the sender's clock; None if there is no such call.
+    sent_at_ms: int | None = None
+
+
 @dataclass(frozen=True)
 class PeerReport:
     """Status report of one VM, which it sends to its peers."""
@@ -178,6 +191,8 @@
     cold: tuple[ColdReport, ...] = ()
     #: How long answers of upstreams took that ended since the previous report.
     speeds: tuple[SpeedReport, ...] = ()
+    #: What the VM knows of the store; None if it watches the store by itself, as on small sites.
+    store: StoreState | None = None
 
     def with_sequence(self, sequence: int) -> "PeerReport":
         """Return a copy with another number."""
--- a/azureturn/gateway/decisions/controllers/__init__.py
+++ b/azureturn/gateway/decisions/controllers/__init__.py
@@ -21,6 +21,7 @@
 from azureturn.gateway.decisions.controllers._reports import ReportController
 from azureturn.gateway.decisions.controllers._request_limits import RequestLimitController
 from azureturn.gateway.decisions.controllers._speeds import SpeedController
+from azureturn.gateway.decisions.controllers._store_calls import StoreCallController
 from azureturn.gateway.decisions.controllers._views import ViewController
 
 __all__ = [
@@ -41,5 +42,6 @@
     "ReportController",
     "RequestLimitController",
     "SpeedController",
+    "StoreCallController",
     "ViewController",
 ]
--- a/azureturn/gateway/decisions/controllers/_allotment_records.py
+++ b/azureturn/gateway/decisions/controllers/_allotment_records.py
@@ -5,6 +5,7 @@
 from azureturn.gateway.decisions._allotments import AllotmentTable
 from azureturn.gateway.decisions._events import ViewChanged
 from azureturn.gateway.decisions._peers import PeerTable
+from azureturn.gateway.decisions._store_calls import is_follower
 from azureturn.gateway.decisions._tables import ViewTable
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
@@ -73,6 +74,11 @@
         interval_ms = _URGENT_INTERVAL_MS if is_near_limit else _INTERVAL_MS
         if record_age_ms < interval_ms:
             return False
+        if is_follower(
+            self.board.read(PeerTable), self.board.read(ViewTable), self.settings.vm, now_ms
+        ):
+            # Peers do not pass the record on, so this VM does not know the latest one.
+            return False
         vms_ahead = self.board.read(PeerTable).vms_ahead(now_ms)
         return record_age_ms >= interval_ms + vms_ahead * _STAGGER_MS
 
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -27,25 +27,30 @@
     PeerReport,
     PeerTable,
     QueueReport,
+    StoreState,
 )
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable
 from azureturn.gateway.decisions._quarantine import QuarantineTable
 from azureturn.gateway.decisions._request_limits import RequestLimitTable
 from azureturn.gateway.decisions._speeds import SpeedTable
+from azureturn.gateway.decisions._store_calls import StoreCallLimits, StoreCallTable
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
-from azureturn.gateway.decisions._view_lag import view_lag_limit_ms
+from azureturn.gateway.decisions._view_lag import shares_store_calls, view_lag_limit_ms
 from azureturn.gateway.decisions.controllers._registry import (
     GatewayController,
     gateway_controller,
 )
-from azureturn.gateway.site import combine_parts, prefixes_of
+from azureturn.gateway.site import combine_parts, era_of, prefixes_of
 
 #: One report in this many is also sent to the hosts of VMs that have not reported yet, and lists
 #: all VMs known to the sender for some of its receivers.
 _MEMBERSHIP_INTERVAL = 10
 _FETCH_INTERVAL_MS = 400
+#: How long a VM waits for a peer of its own zone that has a change, so that the few VMs that learn
+#: of it first are not asked by all others.
+_OTHER_ZONE_DELAY_MS = 150
 #: A longer contact with the store is stated as this one, which is twice as long as the longest that
 #: receivers ask for. A report is then the same as the one before it if nothing has changed.
 _STATED_CONTACT_LIMIT_MS = 4_000
@@ -68,9 +73,10 @@
         UpstreamPathTable,
         PauseTable,
         ColdUpstreamTable,
+        StoreCallTable,
     )
     writes = (PeerTable, PrefixCacheTable, AllotmentTable, MoveTable, SpeedTable)
-    after = ("views", "moves")
+    after = ("views", "moves", "store_calls")
 
     _sequence = 0
     _sent_at_ms = 0
@@ -226,8 +232,27 @@
             configuration_version=configuration.version if configuration else 0,
             speeds=self.board.write(SpeedTable).take_unreported(),
             store_contact_ms=self._store_contact_ms(),
+            store=self._store_state(),
         )
 
+    def _store_state(self) -> StoreState | None:
+        view = self.board.read(ViewTable).current()
+        vm_count = self.board.read(PeerTable).vms(self._sent_at_ms)
+        if not view.changed_revision or not shares_store_calls(vm_count):
+            return None
+        asked_at_ms = self.board.read(StoreCallTable).asked_at_ms
+        if asked_at_ms is not None:
+            ago_ms = self._sent_at_ms - asked_at_ms
+            if ago_ms <= self._store_call_limits().known_age_ms:
+                return StoreState(
+                    view.changed_revision, view.digest, ago_ms, sent_at_ms=self._sent_at_ms
+                )
+        # Without these times, most reports are the same as the ones before them.
+        return StoreState(view.changed_revision, view.digest)
+
+    def _store_call_limits(self) -> StoreCallLimits:
+        return StoreCallLimits.from_bounds(self.settings.bounds)
+
     def _store_contact_ms(self) -> int | None:
         contact_ms = self.board.read(ViewTable).store_contact_ms(self._sent_at_ms)
         return None if contact_ms is None else min(contact_ms, _STATED_CONTACT_LIMIT_MS)
@@ -324,17 +349,77 @@
                 return
         elif report.view_revision <= own_revision:
             return
+        vm_count = self.board.read(PeerTable).vms(context.now_ms)
+        if (
+            shares_store_calls(vm_count)
+            and own_revision
+            and not self._lacks_changes(report, context)
+        ):
+            return
         if self._behind_revision != own_revision:
             self._behind_revision = own_revision
             self._behind_since_ms = context.now_ms
         waited_ms = context.now_ms - self._behind_since_ms
-        vm_count = self.board.read(PeerTable).vms(context.now_ms)
-        if own_revision and waited_ms < view_lag_limit_ms(vm_count):
+        if self._fetches_changes(report, vm_count, context):
+            if waited_ms >= self._changes_delay_ms(report):
+                self._fetch(report, own_revision, context, takes_changes=True, takes_whole=False)
+            return
+        limit_ms = view_lag_limit_ms(vm_count)
+        if shares_store_calls(vm_count) and self.board.read(StoreCallTable).known_at_ms is not None:
+            # Meanwhile this VM calls the store itself.
+            limit_ms += self._store_call_limits().known_age_ms
+        if own_revision and waited_ms < limit_ms:
             return
-        self._fetch(report, own_revision, context)
+        takes_changes = report.store is not None
+        self._fetch(report, own_revision, context, takes_changes=takes_changes)
 
-    def _fetch(self, report: PeerReport, own_revision: int, context: Context) -> None:
+    def _lacks_changes(self, report: PeerReport, context: Context) -> bool:
+        """Return whether a peer knows of a change, and not only of renewed entries."""
+        view = self.board.read(ViewTable).current()
+        if report.store is not None:
+            is_same = report.store.view_digest == view.digest
+            return not is_same and report.store.changed_revision > view.revision
+        # An earlier build does not say. This VM has what it may lack from others.
+        calls = self.board.read(StoreCallTable)
+        return not calls.knows_all(self._store_call_limits(), context.now_ms)
+
+    def _fetches_changes(self, report: PeerReport, vm_count: int, context: Context) -> bool:
+        """Return whether this VM gets the changes since its view from a peer.
+
+        Without contact it waits as long as before: entries that lapsed in an outage are removed
+        first, and this VM does not retain them before the store answers it.
+        """
+        views = self.board.read(ViewTable)
+        return (
+            shares_store_calls(vm_count)
+            and report.store is not None
+            and views.store_contact_ms(context.now_ms) is not None
+            and era_of(report.view_revision) == views.current().era
+        )
+
+    def _changes_delay_ms(self, report: PeerReport) -> int:
+        is_own_zone = report.availability_zone == self.settings.vm.availability_zone
+        return 0 if is_own_zone else _OTHER_ZONE_DELAY_MS
+
+    def _fetch(
+        self,
+        report: PeerReport,
+        own_revision: int,
+        context: Context,
+        *,
+        takes_changes: bool = False,
+        takes_whole: bool = True,
+    ) -> None:
         if context.now_ms - self._fetched_at_ms < _FETCH_INTERVAL_MS:
             return
         self._fetched_at_ms = context.now_ms
-        context.act(FetchView(report.vm, report.host, own_revision, report.configuration_version))
+        context.act(
+            FetchView(
+                report.vm,
+                report.host,
+                own_revision,
+                report.configuration_version,
+                takes_changes=takes_changes,
+                takes_whole=takes_whole,
+            )
+        )
--- a/azureturn/gateway/decisions/tests/gateway_core_harness.py
+++ b/azureturn/gateway/decisions/tests/gateway_core_harness.py
@@ -40,6 +40,14 @@
     StoredDocument,
 )
 
+BOUNDS = GatewayBounds(
+    stop_limit_ms=8_000,
+    contact_ms=3_000,
+    drain_ms=2_000,
+    retry=RetryBounds(ratio=0.2, slack=8),
+    allotment=AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=0),
+    move=MoveBounds(share=0.1),
+)
 STARTED_UNIX_MS = 1_780_000_000_000
 _FIRST_MS = 1_000
 ENGINE = EngineCapacity(slots=4, memory_tokens=100_000, tokens_per_event=5)
@@ -207,15 +215,7 @@
             4,
             is_first_start=is_first_start,
         )
-        bounds = GatewayBounds(
-            stop_limit_ms=8_000,
-            contact_ms=3_000,
-            drain_ms=2_000,
-            retry=RetryBounds(ratio=0.2, slack=8),
-            allotment=AllotmentBounds(window_ms=8_000, overshoot=0.1, slack=0),
-            move=MoveBounds(share=0.1),
-        )
-        self.settings = GatewaySettings(vm, bounds, policy=policy or GatewayPolicy())
+        self.settings = GatewaySettings(vm, BOUNDS, policy=policy or GatewayPolicy())
         self.core = Core.from_controllers(GATEWAY_CONTROLLERS, self.settings, seed=seed)
         self.now_ms = now_ms
         unix_ms = STARTED_UNIX_MS + now_ms - _FIRST_MS + clock_offset_ms
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -111,6 +111,13 @@
     allotment: AllotmentBounds
     move: MoveBounds
     cold: ColdBounds = ColdBounds()
+    #: Time from the write of a configuration until it is in force on each VM; None if not stated.
+    config_apply_ms: int | None = None
+
+    @property
+    def shortest_apply_ms(self) -> int:
+        """Return the shortest time in which each VM has to act on a change in the store."""
+        return min(self.drain_ms, self.config_apply_ms or self.drain_ms)
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/site/__init__.py
+++ b/azureturn/gateway/site/__init__.py
@@ -47,7 +47,8 @@
     StatedLimits,
 )
 from azureturn.gateway.site._revisions import era_of, join_revision, revision_in_era
-from azureturn.gateway.site._view import SiteView, StoredDocument
+from azureturn.gateway.site._view import SiteView
+from azureturn.gateway.site._view_changes import StoredDocument, ViewDifference
 
 __all__ = [
     "Allotment",
@@ -84,6 +85,7 @@
     "StatedLimits",
     "StoredDocument",
     "UpstreamRun",
+    "ViewDifference",
     "combine_parts",
     "digest_trait",
     "is_digest_trait",
--- a/azureturn/gateway/site/_view.py
+++ b/azureturn/gateway/site/_view.py
@@ -5,6 +5,7 @@
 from functools import cached_property
 from typing import TypeVar
 
+from azureturn.framework import changed_row
 from azureturn.gateway.site._allotment_usage import AllotmentRecord
 from azureturn.gateway.site._configuration import SiteConfiguration
 from azureturn.gateway.site._document_types import (
@@ -17,21 +18,13 @@
 )
 from azureturn.gateway.site._quarantine import QuarantineRecord
 from azureturn.gateway.site._revisions import era_of
+from azureturn.gateway.site._view_changes import StoredDocument, ViewDifference
 
+#: Removed keys that a view remembers for peers that lack their removal.
+_REMOVALS_LIMIT = 256
 _ContentType = TypeVar("_ContentType")
 
 
-@dataclass(frozen=True)
-class StoredDocument:
-    """A document of the store, in encoded and decoded form."""
-
-    key: str
-    #: Revision of the store at the last write of the document.
-    revision: int
-    value: bytes
-    content: DocumentContent
-
-
 @dataclass(frozen=True)
 class SiteView:
     """All documents in the store as of one revision.
@@ -43,17 +36,97 @@
     revision: int = 0
     #: Keyed by the document's key.
     stored_documents: Mapping[str, StoredDocument] = field(default_factory=dict)
+    #: Revision of the last change that every VM has to learn of; 0 if unknown. It is not higher
+    #: than ``revision``.
+    changed_revision: int = 0
+    #: Keys that were removed after ``removals_since``, with the revisions of their removal.
+    removals: Mapping[str, int] = field(default_factory=dict)
+    removals_since: int = 0
 
     def with_changes(
-        self, *, written: Iterable[StoredDocument], removed: Iterable[str], revision: int
+        self,
+        *,
+        written: Iterable[StoredDocument],
+        removed: Iterable[str] = (),
+        removals: Mapping[str, int] | None = None,
+        revision: int,
     ) -> "SiteView":
-        """Return the view after these changes of the store."""
-        stored_documents = dict(self.stored_documents)
-        for key in removed:
-            stored_documents.pop(key, None)
-        for stored in written:
-            stored_documents[stored.key] = stored
-        return SiteView(revision, stored_documents)
+        """Return the view after these changes of the store.
+
+        ``removals`` are removed keys with the revisions of their removal, ``removed`` those for
+        which it is not known. Removals of keys that this view lacks are remembered as well, since
+        a peer may have seen the entry.
+        """
+        old_documents = self.stored_documents
+        changes = [
+            document
+            for stored in written
+            if (document := stored.replacing(old := old_documents.get(stored.key))) is not old
+        ]
+        removed_at = {**dict.fromkeys(removed, revision), **(removals or {})}
+        gone = removed_at.keys() & old_documents.keys()
+        if not changes and not removed_at:
+            # What was computed from the documents stays valid.
+            return changed_row(self, revision=revision)
+        stored_documents = {key: old for key, old in old_documents.items() if key not in gone}
+        stored_documents.update((document.key, document) for document in changes)
+        changed_at = [document.last_change for document in changes if document.is_passed_on]
+        changed_revision = max([self.changed_revision, *changed_at, *removed_at.values()])
+        view = SiteView(revision, stored_documents, changed_revision)
+        return view._with_removals({**self.removals, **removed_at}, self.removals_since)
+
+    def _with_removals(self, removals: Mapping[str, int], since: int) -> "SiteView":
+        """Return the view with the latest of these removals, of keys that it does not contain."""
+        rows = [(key, at) for key, at in removals.items() if key not in self.stored_documents]
+        rows.sort(key=lambda row: row[1])
+        forgotten, kept = rows[:-_REMOVALS_LIMIT], rows[-_REMOVALS_LIMIT:]
+        since = max([since, *(at for _, at in forgotten)])
+        return changed_row(self, removals=dict(kept), removals_since=since)
+
+    def replaced_by(self, documents: Iterable[StoredDocument], revision: int) -> "SiteView":
+        """Return the view with exactly these documents, which were read as a whole.
+
+        A key that was written and removed since this view is not known to have been removed.
+        """
+        written = list(documents)
+        keys = {stored.key for stored in written}
+        removed = self.stored_documents.keys() - keys
+        view = self.with_changes(written=written, removed=removed, revision=revision)
+        return changed_row(view, removals={}, removals_since=revision)
+
+    def changes_since(self, revision: int) -> ViewDifference | None:
+        """Return the changes after an earlier revision; None if not all of them are known."""
+        if not self.removals_since <= revision <= self.revision:
+            return None
+        if era_of(revision) != self.era:
+            return None
+        written = [
+            stored
+            for stored in self.stored_documents.values()
+            if stored.last_change > revision and stored.is_passed_on
+        ]
+        removals = {key: at for key, at in self.removals.items() if at > revision}
+        return ViewDifference(revision, self.revision, self.changed_revision, written, removals)
+
+    def with_difference(self, difference: ViewDifference) -> "SiteView":
+        """Return the view after a peer's changes since this view's revision."""
+        view = self.with_changes(
+            written=difference.written,
+            removals=difference.removals,
+            revision=difference.revision,
+        )
+        # The peer may have received the changes together with others.
+        changed_revision = max(view.changed_revision, difference.changed_revision)
+        return changed_row(view, changed_revision=changed_revision)
+
+    @cached_property
+    def digest(self) -> int:
+        """Return a digest of what peers pass on; it is equal if two VMs know the same."""
+        digest = 0
+        for stored in self.stored_documents.values():
+            if stored.is_passed_on:
+                digest ^= stored.digest
+        return digest
 
     @property
     def era(self) -> int:
--- a/azureturn/peers/azureturn.thrift
+++ b/azureturn/peers/azureturn.thrift
@@ -104,12 +104,19 @@
   1: i64 newer_than_revision,
   // Version of the caller's configuration, where views and configurations are counted separately.
   2: i64 newer_than_version,
+  // Whether the caller wants only the changes since its revision, and nothing if there are none
+  // or the receiver does not know all of them. Earlier builds answer with the whole document.
+  70: optional bool only_changes,
 }
 
 // Revision 0 means that the peer has no newer configuration.
 struct ConfigurationAnswer {
   1: i64 revision,
   2: binary document,
+  // Present if the document contains only the changes after this revision.
+  70: optional i64 changes_after,
+  // Revision of the last change up to "revision".
+  71: optional i64 changed_revision,
 }
 
 // An operator query. The name is that of a registered query; argument and answer are the structs
@@ -387,6 +394,13 @@
   24: i64 configuration_version,
   40: optional list<ColdSeen> cold,
   50: optional list<SpeedSeen> speeds,
+  // Revision of the last change in the sender's view, and a digest of the view.
+  70: optional i64 changed_revision,
+  71: optional i64 view_digest,
+  // How long before this report the sender's last answered call to the store began, and when the
+  // report was made by the sender's clock.
+  72: optional i64 store_answered_ago_ms,
+  73: optional i64 sent_at_ms,
 }
 
 // The first message on a relayed connection: the upstream that the peer is to connect to.
--- a/azureturn/peers/gen/ttypes.py
+++ b/azureturn/peers/gen/ttypes.py
@@ -1249,18 +1249,21 @@
     Attributes:
      - newer_than_revision
      - newer_than_version
+     - only_changes
 
     """
 
     __slots__ = (
         'newer_than_revision',
         'newer_than_version',
+        'only_changes',
     )
 
 
-    def __init__(self, newer_than_revision=None, newer_than_version=None,):
+    def __init__(self, newer_than_revision=None, newer_than_version=None, only_changes=None,):
         self.newer_than_revision = newer_than_revision
         self.newer_than_version = newer_than_version
+        self.only_changes = only_changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1281,6 +1284,11 @@
                     self.newer_than_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 70:
+                if ftype == TType.BOOL:
+                    self.only_changes = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1299,6 +1307,10 @@
             oprot.writeFieldBegin('newer_than_version', TType.I64, 2)
             oprot.writeI64(self.newer_than_version)
             oprot.writeFieldEnd()
+        if self.only_changes is not None:
+            oprot.writeFieldBegin('only_changes', TType.BOOL, 70)
+            oprot.writeBool(self.only_changes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1329,18 +1341,24 @@
     Attributes:
      - revision
      - document
+     - changes_after
+     - changed_revision
 
     """
 
     __slots__ = (
         'revision',
         'document',
+        'changes_after',
+        'changed_revision',
     )
 
 
-    def __init__(self, revision=None, document=None,):
+    def __init__(self, revision=None, document=None, changes_after=None, changed_revision=None,):
         self.revision = revision
         self.document = document
+        self.changes_after = changes_after
+        self.changed_revision = changed_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1361,6 +1379,16 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 70:
+                if ftype == TType.I64:
+                    self.changes_after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 71:
+                if ftype == TType.I64:
+                    self.changed_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1379,6 +1407,14 @@
             oprot.writeFieldBegin('document', TType.STRING, 2)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.changes_after is not None:
+            oprot.writeFieldBegin('changes_after', TType.I64, 70)
+            oprot.writeI64(self.changes_after)
+            oprot.writeFieldEnd()
+        if self.changed_revision is not None:
+            oprot.writeFieldBegin('changed_revision', TType.I64, 71)
+            oprot.writeI64(self.changed_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4810,6 +4846,10 @@
      - configuration_version
      - cold
      - speeds
+     - changed_revision
+     - view_digest
+     - store_answered_ago_ms
+     - sent_at_ms
 
     """
 
@@ -4839,10 +4879,14 @@
         'configuration_version',
         'cold',
         'speeds',
+        'changed_revision',
+        'view_digest',
+        'store_answered_ago_ms',
+        'sent_at_ms',
     )
 
 
-    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None, availability=None, configuration_version=None, cold=None, speeds=None,):
+    def __init__(self, vm=None, host=None, boot=None, sequence=None, leaving=None, view_revision=None, work=None, spent=None, prompts=None, versions=None, moves=None, peers=None, strained=None, availability_zone=None, waiting=None, crashes=None, cleared_traits=None, quarantined=None, limits=None, unreachable=None, store_contact_ms=None, availability=None, configuration_version=None, cold=None, speeds=None, changed_revision=None, view_digest=None, store_answered_ago_ms=None, sent_at_ms=None,):
         self.vm = vm
         self.host = host
         self.boot = boot
@@ -4868,6 +4912,10 @@
         self.configuration_version = configuration_version
         self.cold = cold
         self.speeds = speeds
+        self.changed_revision = changed_revision
+        self.view_digest = view_digest
+        self.store_answered_ago_ms = store_answered_ago_ms
+        self.sent_at_ms = sent_at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5092,6 +5140,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 70:
+                if ftype == TType.I64:
+                    self.changed_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 71:
+                if ftype == TType.I64:
+                    self.view_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 72:
+                if ftype == TType.I64:
+                    self.store_answered_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 73:
+                if ftype == TType.I64:
+                    self.sent_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5247,6 +5315,22 @@
                 iter804.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.changed_revision is not None:
+            oprot.writeFieldBegin('changed_revision', TType.I64, 70)
+            oprot.writeI64(self.changed_revision)
+            oprot.writeFieldEnd()
+        if self.view_digest is not None:
+            oprot.writeFieldBegin('view_digest', TType.I64, 71)
+            oprot.writeI64(self.view_digest)
+            oprot.writeFieldEnd()
+        if self.store_answered_ago_ms is not None:
+            oprot.writeFieldBegin('store_answered_ago_ms', TType.I64, 72)
+            oprot.writeI64(self.store_answered_ago_ms)
+            oprot.writeFieldEnd()
+        if self.sent_at_ms is not None:
+            oprot.writeFieldBegin('sent_at_ms', TType.I64, 73)
+            oprot.writeI64(self.sent_at_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5659,12 +5743,149 @@
     None,  # 0
     (1, TType.I64, 'newer_than_revision', None, None, ),  # 1
     (2, TType.I64, 'newer_than_version', None, None, ),  # 2
+    None,  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    None,  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
+    None,  # 67
+    None,  # 68
+    None,  # 69
+    (70, TType.BOOL, 'only_changes', None, None, ),  # 70
 )
 all_structs.append(ConfigurationAnswer)
 ConfigurationAnswer.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
+    None,  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    None,  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
+    None,  # 67
+    None,  # 68
+    None,  # 69
+    (70, TType.I64, 'changes_after', None, None, ),  # 70
+    (71, TType.I64, 'changed_revision', None, None, ),  # 71
 )
 all_structs.append(OperatorQuery)
 OperatorQuery.thrift_spec = (
@@ -5969,6 +6190,29 @@
     None,  # 48
     None,  # 49
     (50, TType.LIST, 'speeds', (TType.STRUCT, [SpeedSeen, None], False), None, ),  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    None,  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
+    None,  # 67
+    None,  # 68
+    None,  # 69
+    (70, TType.I64, 'changed_revision', None, None, ),  # 70
+    (71, TType.I64, 'view_digest', None, None, ),  # 71
+    (72, TType.I64, 'store_answered_ago_ms', None, None, ),  # 72
+    (73, TType.I64, 'sent_at_ms', None, None, ),  # 73
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
