Store calls: outages are noticed by VMs that rarely call; log line, metric, tests

Cause: a VM that rarely calls the store may miss an outage in which entries expire. It would not retain them, and its report would tell others that the store had answered all the time.

Change: what a VM knows of the store is at most 1 s old before it calls, whatever the bounds; a VM whose last call is older states a contact of 0 ms, so that no peer drops entries that it retains. The log says when a VM begins or ceases to watch (store_role_changed), and the metric store.reads counts calls. Tests of the differences between views, of an outage, and of the new fields.

--- a/azureturn/gateway/daemon/_decision_log.py
+++ b/azureturn/gateway/daemon/_decision_log.py
@@ -9,6 +9,7 @@
     LogReachability,
     LogRetainedUpstreams,
     LogSilentUpstreams,
+    LogStoreRole,
     LogUpstreamLimit,
 )
 from azureturn.observability import EventLog, LogEvent
@@ -31,6 +32,7 @@
         runtime.register_handler(LogReachability, self._log_reachability)
         runtime.register_handler(LogRetainedUpstreams, self._log_retained_upstreams)
         runtime.register_handler(LogSilentUpstreams, self._log_silent_upstreams)
+        runtime.register_handler(LogStoreRole, self._log_store_role)
         runtime.register_handler(LogUpstreamLimit, self._log_upstream_limit)
 
     def _log_allotment_restore(self, action: LogAllotmentRestore) -> None:
@@ -103,6 +105,13 @@
             outcome=action.outcome,
         )
 
+    def _log_store_role(self, action: LogStoreRole) -> None:
+        self._log.info(
+            LogEvent.STORE_ROLE_CHANGED,
+            outcome="watches" if action.watches else "follows",
+            live_peers=action.live_peers,
+        )
+
     def _log_silent_upstreams(self, action: LogSilentUpstreams) -> None:
         self._log.info(
             LogEvent.UPSTREAMS_SILENT,
--- a/azureturn/gateway/daemon/_gateway.py
+++ b/azureturn/gateway/daemon/_gateway.py
@@ -56,6 +56,7 @@
 from azureturn.observability import (
     EventLog,
     LogEvent,
+    Metric,
     describe_error,
 )
 from azureturn.peers import EnvelopeSigner, PeerClient, PeerServer
@@ -137,6 +138,7 @@
             wait_ms=lambda: self._settings.watch_wait_ms,
             vm_count=lambda: len(self._view_holder.view.vms),
             follower_call=self._next_follower_call,
+            count_call=lambda: self._process_metrics.metrics.count(Metric.STORE_READS),
             loop=self._loop,
         )
         self._server = GatewayServer(self._services, self._loop)
--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -280,10 +280,12 @@
         wait_ms: Callable[[], int],
         vm_count: Callable[[], int],
         follower_call: Callable[[], FollowerCall | None] = lambda: None,
+        count_call: Callable[[], None] = lambda: None,
         loop: TaskLoop | None = None,
     ) -> None:
         self._store = store
         self._follower_call = follower_call
+        self._count_call = count_call
         #: Revision up to which the store itself has told this VM everything.
         self._told_revision = 0
         self._view_holder = view_holder
@@ -326,6 +328,7 @@
 
     def _read_all(self) -> None:
         asked_at_ms = now_ms()
+        self._count_call()
         snapshot = self._store.read_all(self._prefix)
         self._mark_store_available()
         entries = [
@@ -346,6 +349,7 @@
         if view.era != era_of(base_revision):
             base_revision = view.revision
         asked_at_ms = now_ms()
+        self._count_call()
         changes = self._store.changes(self._prefix, after_revision=base_revision, wait_ms=wait_ms)
         self._mark_store_available()
         is_continuous = self._view_holder.apply_changes(
--- a/azureturn/gateway/daemon/tests/test_store_calls.py
+++ b/azureturn/gateway/daemon/tests/test_store_calls.py
@@ -9,9 +9,11 @@
 
 import pytest
 
+from azureturn.gateway.daemon._report_codec import report_from_wire, report_to_wire
 from azureturn.gateway.daemon.tests.simulated_store_site import SimulatedSite, SimulatedVm
-from azureturn.gateway.decisions import SendReport
-from azureturn.gateway.decisions.tests.gateway_core_harness import BOUNDS
+from azureturn.gateway.decisions import SendReport, StoreState, ViewTable
+from azureturn.gateway.decisions.tests.gateway_core_harness import BOUNDS, peer_report
+from azureturn.peers import GatewayReport, decode_struct, encode_struct
 
 _APPLY_MS = BOUNDS.shortest_apply_ms
 _SETTLED_MS = 4_000
@@ -158,6 +160,26 @@
     assert all(vm.watcher._failures for vm in site.vms if vm.is_up)
 
 
+def test_upstreams_whose_entries_expired_in_an_outage_stay_in_use(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A VM that rarely calls must notice an outage in which entries expire."""
+    site = SimulatedSite(24, monkeypatch)
+    site.run_for(_SETTLED_MS)
+    site.store.lost_by |= {vm.name for vm in site.vms}
+    site.run_for(3_000)
+    for key in [key for key in site.store.items if key.startswith("servers/")]:
+        site.store.remove(key)
+    site.store.lost_by.clear()
+    for _ in range(30):
+        site.run_for(100)
+        for vm in site.vms:
+            assert vm.core.board.table(ViewTable).serving_upstreams("models", site.now_ms)
+        if site.now_ms % 1_200 < 100:
+            for number in range(30):
+                site.store.put(f"servers/u-{number}", leaving=False, sequence=1)
+
+
 def test_a_restored_store_is_read_by_every_vm(monkeypatch: pytest.MonkeyPatch) -> None:
     site = SimulatedSite(24, monkeypatch)
     site.run_for(_SETTLED_MS)
@@ -203,3 +225,10 @@
     assert view.allotment_record_revision > base_revision
     difference = view.changes_since(base_revision)
     assert difference is not None and not difference.written
+
+
+@pytest.mark.parametrize("state", [StoreState(7, -9), StoreState(7, 2**62, 40, 9_000)])
+def test_what_a_vm_knows_of_the_store_round_trips_through_the_codec(state: StoreState) -> None:
+    report = peer_report("vm-2", store=state)
+    data = encode_struct(report_to_wire(report))
+    assert report_from_wire(decode_struct(GatewayReport, data)) == report
--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -134,6 +134,14 @@
     live_peers: int
 
 
+@dataclass(frozen=True)
+class LogStoreRole(Action):
+    """Log that this VM began or ceased to watch the store for its zone."""
+
+    watches: bool
+    live_peers: int
+
+
 @dataclass(frozen=True)
 class LogProcessingLimit(Action):
     """Log that the number of requests that this VM works on at the same time was changed."""
--- a/azureturn/gateway/decisions/_store_calls.py
+++ b/azureturn/gateway/decisions/_store_calls.py
@@ -24,6 +24,9 @@
 _CALL_TIMEOUT_MS = 1_100
 _MARGIN_MS = 300
 _SHORTEST_WAIT_MS = 100
+#: Entries may expire in an outage of the store that lasts longer. A VM that has not noticed it
+#: would not retain them until they are renewed.
+_OUTAGE_NOTICE_MS = 1_000
 #: How long the smallest delay of a sender's reports is remembered. The clocks of two VMs drift
 #: apart by some 10 ms in this time.
 _CLOCK_WINDOW_MS = 120_000
@@ -50,12 +53,13 @@
     def from_bounds(cls, bounds: GatewayBounds) -> "StoreCallLimits":
         """Return the limits by which the bounds are met without any peer.
 
-        Half of the smallest bound is left for the call. A connection that has gone silent is
-        noticed within the contact time.
+        At least half of the smallest bound is left for the call. A connection that has gone
+        silent is noticed within the contact time.
         """
-        known_age_ms = bounds.shortest_apply_ms // 2
+        known_age_ms = min(_OUTAGE_NOTICE_MS, bounds.shortest_apply_ms // 2)
         wait_ms = bounds.contact_ms - known_age_ms - _CALL_TIMEOUT_MS - _MARGIN_MS
-        return cls(known_age_ms, 2 * bounds.contact_ms, max(_SHORTEST_WAIT_MS, wait_ms))
+        wait_ms = max(_SHORTEST_WAIT_MS, min(known_age_ms, wait_ms))
+        return cls(known_age_ms, 2 * bounds.contact_ms, wait_ms)
 
 
 @dataclass(frozen=True)
--- a/azureturn/gateway/decisions/controllers/_reports.py
+++ b/azureturn/gateway/decisions/controllers/_reports.py
@@ -255,7 +255,16 @@
 
     def _store_contact_ms(self) -> int | None:
         contact_ms = self.board.read(ViewTable).store_contact_ms(self._sent_at_ms)
-        return None if contact_ms is None else min(contact_ms, _STATED_CONTACT_LIMIT_MS)
+        if contact_ms is None:
+            return None
+        asked_at_ms = self.board.read(StoreCallTable).asked_at_ms
+        vm_count = self.board.read(PeerTable).vms(self._sent_at_ms)
+        if asked_at_ms is not None and shares_store_calls(vm_count):
+            known_until_ms = asked_at_ms + self._store_call_limits().known_age_ms
+            if self._sent_at_ms > known_until_ms:
+                # The store may have been down for all since this VM's last call.
+                return 0
+        return min(contact_ms, _STATED_CONTACT_LIMIT_MS)
 
     def _availability(self) -> tuple[AvailabilityReport, ...]:
         now_ms = self._sent_at_ms
--- a/azureturn/observability/_log_events.py
+++ b/azureturn/observability/_log_events.py
@@ -48,6 +48,7 @@
     STORE_HISTORY_LOST = "store_history_lost"
     STORE_RESTORED = "store_restored"
     STORE_ERA_INVALID = "store_era_invalid"
+    STORE_ROLE_CHANGED = "store_role_changed"
     MOVE_STATUS_WRITTEN = "move_status_written"
     ALLOTMENT_RECORD_WRITTEN = "allotment_record_written"
     ALLOTMENTS_RECALLED = "allotments_recalled"
@@ -245,6 +246,11 @@
             "era",
             "error",
         ),
+        LogEvent.STORE_ROLE_CHANGED: LogEventDefinition(
+            "This VM watches the key-value service for its zone (`watches`), or learns of changes "
+            "from the VMs that do (`follows`).",
+            ("outcome", "live_peers"),
+        ),
         LogEvent.MOVE_STATUS_WRITTEN: LogEventDefinition(
             "The status of a move was written, or another VM wrote first; see `outcome`.",
             ("service", "version", "state", "reason", "revision", "outcome"),
--- a/azureturn/observability/_metrics.py
+++ b/azureturn/observability/_metrics.py
@@ -51,6 +51,7 @@
     LOOP_LAG = "process.loop_lag_ms"
     COLD_UPSTREAMS = "upstreams.cold"
     EVACUATED_ZONES = "zones.evacuated"
+    STORE_READS = "store.reads"
 
     @property
     def tags(self) -> tuple[str, ...]:
@@ -160,6 +161,12 @@
             "Availability zones whose upstreams get nothing more, by operators' order (gateways "
             "only).",
         ),
+        Metric.STORE_READS: MetricDefinition(
+            MetricKind.COUNTER,
+            "calls",
+            "Calls to the key-value service that read or watch it, answered or not (gateways "
+            "only).",
+        ),
     }
 )
 
