Placement: cheaper estimates of all upstreams, and totals kept between reports

Below 0.4 of all slots in use, and for a borrowed slot, a placement still estimates all upstreams. Rows and candidates are named tuples without capacities, which were computed twice, and the work of a request is computed once for each number of cached tokens. Slots are divided anew only if the upstreams, their slots or the VMs change, which is compared without building a tuple of each upstream.

PeerTable added up the work of all peers before each report of its own. It now does so only if the sums contain anything else than the work of the live peers.

--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import cached_property
+from typing import NamedTuple
 
 from azureturn.gateway.decisions._peers import OutstandingWork
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheEstimate
@@ -11,7 +12,7 @@
 from azureturn.gateway.decisions._slot_sharing import expected_requests
 from azureturn.gateway.decisions._speeds import PLAIN_ANSWER_MS, SpeedEstimate
 from azureturn.gateway.decisions._upstream_state import UpstreamState
-from azureturn.gateway.decisions._work import request_work
+from azureturn.gateway.decisions._work import RequestWork, request_work
 from azureturn.gateway.settings import GatewayPolicy
 from azureturn.gateway.site import EngineCapacity, Prompt, RegisteredUpstream
 
@@ -35,9 +36,12 @@
 _PAUSE_LIMIT_SHARE = 0.85
 
 
-@dataclass(frozen=True)
-class Candidate:
-    """An upstream that a request could be placed on."""
+class Candidate(NamedTuple):
+    """An upstream that a request could be placed on.
+
+    Below 0.4 of all slots in use, each placement creates one for each upstream, and one of the
+    tuples below: they are created in a quarter of the time that a data class takes.
+    """
 
     upstream: RegisteredUpstream
     #: Requests at the upstream from all VMs.
@@ -49,7 +53,6 @@
     #: Cost by which candidates are compared: ``expected_ms`` plus the delay of other requests and
     #: the expected loss through failures.
     cost_ms: float
-    has_capacity: bool
     #: Whether this VM sends to the upstream through a peer.
     is_relayed: bool = False
     #: Whether the prefill of this prompt would pause concurrent answers beyond the route's limit.
@@ -77,8 +80,7 @@
     speeds: Mapping[str, SpeedEstimate]
 
 
-@dataclass(frozen=True)
-class UpstreamSnapshot:
+class UpstreamSnapshot(NamedTuple):
     """An upstream with the part of its state that its estimates depend on."""
 
     upstream: RegisteredUpstream
@@ -95,10 +97,6 @@
     requests: float
     #: Prompt tokens that it still has to prefill for requests of peers.
     peer_pending_tokens: int
-    #: Number of further requests that may be placed on it: of any tier, and of the most urgent
-    #: tier.
-    capacity_left: float
-    urgent_capacity_left: float
 
 
 class PlacementSnapshot:
@@ -217,8 +215,6 @@
                 self.slots[index],
                 self.requests[index],
                 self._pending_tokens_of_peers(index),
-                self.capacity_left(index, urgent=False),
-                self.capacity_left(index, urgent=True),
             )
         return row
 
@@ -250,11 +246,15 @@
     upstream_snapshot: UpstreamSnapshot,
     snapshot: PlacementSnapshot,
     policy: GatewayPolicy,
+    works: dict[int, RequestWork],
 ) -> Candidate:
-    """Return the estimates for placing a request on one upstream."""
+    """Return the estimates for placing a request on one upstream.
+
+    ``works`` has the work of this request by cached tokens, which is the same at most upstreams.
+    """
     if snapshot.engine is None or request.prompt is None:
         return _plain_candidate(upstream_snapshot, snapshot)
-    return _engine_candidate(request, request.prompt, upstream_snapshot, snapshot, policy)
+    return _engine_candidate(request, request.prompt, upstream_snapshot, snapshot, policy, works)
 
 
 def own_speed(state: UpstreamState, *, is_engine: bool, now_ms: int) -> SpeedEstimate:
@@ -274,14 +274,12 @@
         + answer_ms * upstream_snapshot.requests / slots
         + _common_cost(upstream_snapshot, snapshot)
     )
-    has_capacity = upstream_snapshot.capacity_left > 0
     return Candidate(
         upstream_snapshot.upstream,
         upstream_snapshot.requests,
         0,
         expected_ms,
         cost_ms,
-        has_capacity,
         upstream_snapshot.is_relayed,
     )
 
@@ -292,6 +290,7 @@
     upstream_snapshot: UpstreamSnapshot,
     snapshot: PlacementSnapshot,
     policy: GatewayPolicy,
+    works: dict[int, RequestWork],
 ) -> Candidate:
     state = upstream_snapshot.state
     requests = upstream_snapshot.requests
@@ -301,7 +300,9 @@
         if upstream_snapshot.prefix_cache
         else 0
     )
-    work = request_work(request, policy.engine, cached_tokens)
+    work = works.get(cached_tokens)
+    if work is None:
+        work = works[cached_tokens] = request_work(request, policy.engine, cached_tokens)
     uncached_tokens = work.prefill_tokens
     ms_per_token = slowdown / policy.engine.prefill_tokens_per_ms
     queued_prefill_ms = (
@@ -321,11 +322,6 @@
         + _INTERFERENCE_WEIGHT * requests * prefill_ms
         + _common_cost(upstream_snapshot, snapshot)
     )
-    capacity = (
-        upstream_snapshot.urgent_capacity_left
-        if request.urgency_rank == 0
-        else upstream_snapshot.capacity_left
-    )
     queued_tokens = state.pending_tokens + upstream_snapshot.peer_pending_tokens
     exceeds_limit = requests > 0 and _exceeds_pause_limit(
         request,
@@ -341,7 +337,6 @@
         uncached_tokens,
         expected_ms,
         cost_ms,
-        capacity > 0,
         upstream_snapshot.is_relayed,
         exceeds_limit,
         snapshot.usual_slowdown is not None
--- a/azureturn/gateway/decisions/_peers.py
+++ b/azureturn/gateway/decisions/_peers.py
@@ -250,6 +250,9 @@
     def __init__(self) -> None:
         super().__init__()
         self._work: dict[str, OutstandingWork] = {}
+        #: The work of each VM that the sums include, and whether they include nothing else.
+        self._added_work: dict[str, dict[str, OutstandingWork]] = {}
+        self._are_totals_exact = False
         self.own_name = ""
         #: Boot id of this process.
         self.own_boot = 0
@@ -456,7 +459,12 @@
             vm for vm, peer in self.items() if now_ms - peer.received_at_ms > PEER_EXPIRY_MS
         ]:
             self.remove(name)
-        self._work = _total_work(peer.report.work for peer in self.live_peers(now_ms))
+        live = {peer.report.vm: peer.report.work for peer in self.live_peers(now_ms)}
+        if self._are_totals_exact and _are_same(live, self._added_work):
+            return
+        self._work = _total_work(live.values())
+        self._added_work = live
+        self._are_totals_exact = True
 
     def _update_live(self, now_ms: int) -> None:
         if now_ms <= self._live_until_ms:
@@ -485,16 +493,19 @@
     def add_work(self, before: PeerReport | None, after: PeerReport) -> None:
         """Update the totals from a peer's previous report to its newer one."""
         old_work = before.work if before else {}
-        if old_work is after.work:
+        new_work = after.work
+        if old_work is new_work:
             return
-        for upstream, work in after.work.items():
+        if self._added_work.get(after.vm, old_work) is not old_work:
+            self._are_totals_exact = False
+        self._added_work[after.vm] = new_work
+        for upstream, work in new_work.items():
             old = old_work.get(upstream, _NO_WORK)
             if old != work:
-                requests = work.requests - old.requests
-                _add(self._work, upstream, requests, work.pending_tokens - old.pending_tokens)
+                _add(self._work, upstream, work[0] - old[0], work[1] - old[1])
         for upstream, work in old_work.items():
-            if upstream not in after.work:
-                _add(self._work, upstream, -work.requests, -work.pending_tokens)
+            if upstream not in new_work:
+                _add(self._work, upstream, -work[0], -work[1])
 
 
 _NO_WORK = OutstandingWork(0, 0)
@@ -506,10 +517,22 @@
 
 
 def _add(sums: dict[str, OutstandingWork], upstream: str, requests: int, tokens: int) -> None:
-    work = sums.get(upstream, _NO_WORK)
-    sums[upstream] = OutstandingWork(
-        max(0, work.requests + requests), max(0, work.pending_tokens + tokens)
-    )
+    old_requests, old_tokens = sums.get(upstream, _NO_WORK)
+    requests += old_requests
+    tokens += old_tokens
+    if requests <= 0 and tokens <= 0:
+        sums.pop(upstream, None)
+    else:
+        sums[upstream] = OutstandingWork(
+            requests if requests > 0 else 0, tokens if tokens > 0 else 0
+        )
+
+
+def _are_same(
+    first: dict[str, dict[str, OutstandingWork]], second: dict[str, dict[str, OutstandingWork]]
+) -> bool:
+    """Return whether the work by VM consists of the same objects."""
+    return len(first) == len(second) and all(second.get(vm) is work for vm, work in first.items())
 
 
 def _total_work(reports: Iterable[dict[str, OutstandingWork]]) -> dict[str, OutstandingWork]:
--- a/azureturn/gateway/decisions/_prefix_cache.py
+++ b/azureturn/gateway/decisions/_prefix_cache.py
@@ -7,7 +7,6 @@
 from collections import OrderedDict, deque
 from collections.abc import Container, Iterable
 from dataclasses import dataclass
-from operator import attrgetter
 
 from azureturn.framework import Table
 from azureturn.gateway.site import (
@@ -29,9 +28,6 @@
 _REPORTED_SEGMENTS = 1_500
 
 
-_tokens_of = attrgetter("tokens")
-
-
 @dataclass(frozen=True)
 class SentPrompt:
     """A prompt that a VM sent to an upstream, as it reports it to its peers."""
@@ -60,21 +56,21 @@
 
     def record_prompt(self, prefixes: tuple[PromptPrefix, ...]) -> None:
         """Record a sent prompt, and evict the least recently used prefixes beyond the capacity."""
-        self.record((prefix.key, prefix.segment_tokens) for prefix in prefixes)
+        self._record([(prefix.key, prefix.segment_tokens) for prefix in prefixes])
 
     def record_segments(self, model: str, segments: tuple[PromptPart, ...]) -> None:
         """Record a sent prompt that is given by its segments."""
-        self.record(zip(prefix_keys(model, segments), map(_tokens_of, segments), strict=True))
+        keys = prefix_keys(model, segments)
+        self._record(zip(keys, [segment.tokens for segment in segments], strict=True))
 
-    def record(self, prefixes: Iterable[tuple[int, int]]) -> None:
-        """Record prefixes, given by their keys and the tokens of their last segments."""
+    def _record(self, prefixes: Iterable[tuple[int, int]]) -> None:
         tokens_by_prefix, total_tokens = self._tokens_by_prefix, self._total_tokens
         for key, tokens in prefixes:
             total_tokens += tokens - tokens_by_prefix.pop(key, 0)
             tokens_by_prefix[key] = tokens
+        while total_tokens > self._capacity_tokens and tokens_by_prefix:
+            total_tokens -= tokens_by_prefix.popitem(last=False)[1]
         self._total_tokens = total_tokens
-        while self._total_tokens > self._capacity_tokens and self._tokens_by_prefix:
-            self._evict_oldest()
 
     def limit_entries(self, limit: int) -> None:
         """Evict the least recently used prefixes beyond a number of them."""
@@ -138,7 +134,7 @@
 
         Every VM does this for each prompt that any VM sends.
         """
-        prefix_cache = self.get(run[0])
+        prefix_cache = self._rows.get(run[0])
         if prefix_cache is not None and prefix_cache.run == run:
             # An earlier build reports all parts of a prompt.
             prefix_cache.record_segments(prompt.model, combine_parts(prompt.segments))
@@ -168,4 +164,4 @@
 
     @property
     def _entries_each(self) -> int:
-        return ENTRY_LIMIT // len(self)
+        return ENTRY_LIMIT // len(self._rows)
--- a/azureturn/gateway/decisions/_slot_sharing.py
+++ b/azureturn/gateway/decisions/_slot_sharing.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from azureturn.framework import Table
+from azureturn.gateway.site import RegisteredUpstream
 
 #: Weight of a new sample in the mean time of requests.
 _EWMA_WEIGHT = 0.05
@@ -49,7 +50,8 @@
 class SlotDivision:
     """The slots that this VM owns, and what they were computed from."""
 
-    upstreams: tuple[tuple[str, int], ...]
+    upstreams: list[RegisteredUpstream]
+    slots: list[int]
     vm_names: frozenset[str]
     owned: dict[str, int]
 
@@ -60,15 +62,22 @@
     def owned(
         self,
         service: str,
-        upstreams: tuple[tuple[str, int], ...],
+        upstreams: list[RegisteredUpstream],
+        slots: list[int],
         vm_names: frozenset[str],
         own_name: str,
     ) -> dict[str, int]:
         """Return how many slots of each upstream this VM owns; upstreams without any are absent."""
         division = self.get(service)
-        if division is None or division.upstreams != upstreams or division.vm_names != vm_names:
-            owned = owned_slots(upstreams, vm_names, own_name)
-            division = SlotDivision(upstreams, vm_names, owned)
+        if (
+            division is None
+            or (division.upstreams is not upstreams and division.upstreams != upstreams)
+            or division.slots != slots
+            or (division.vm_names is not vm_names and division.vm_names != vm_names)
+        ):
+            names = [upstream.name for upstream in upstreams]
+            owned = owned_slots(list(zip(names, slots, strict=True)), vm_names, own_name)
+            division = SlotDivision(upstreams, slots, vm_names, owned)
             self.put(service, division)
         return division.owned
 
--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -94,6 +94,8 @@
 
     def expected_failure_share(self, now_ms: int) -> float:
         """Return the share of answers that are expected to fail; it decays without samples."""
+        if not self.failure_share:
+            return 0.0
         age_ms = max(0, now_ms - self.failed_at_ms)
         return self.failure_share * math.exp2(-age_ms / _FAILURE_HALF_LIFE_MS)
 
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -151,12 +151,8 @@
         if not peers.has_old_reports(context.now_ms):
             return None
         vm_names = peers.vm_names_outside(self._partitioned_zones(context.now_ms), context.now_ms)
-        upstreams = tuple(
-            (upstream.name, slots)
-            for upstream, slots in zip(snapshot.upstreams, snapshot.slots, strict=True)
-        )
         owned = self.board.write(SlotDivisionTable).owned(
-            service, upstreams, vm_names, self.settings.vm.name
+            service, snapshot.upstreams, snapshot.slots, vm_names, self.settings.vm.name
         )
         return SlotSharing(
             service,
@@ -214,9 +210,15 @@
         self, request: GatewayRequest, snapshot: PlacementSnapshot, context: Context
     ) -> Options:
         tried = request.tried_upstreams
-        untried = [
-            index for index, upstream in enumerate(snapshot.upstreams) if upstream.name not in tried
-        ]
+        untried = (
+            [
+                index
+                for index, upstream in enumerate(snapshot.upstreams)
+                if upstream.name not in tried
+            ]
+            if tried
+            else list(range(len(snapshot.upstreams)))
+        )
         indexes = self._for_version(request, snapshot, untried, context)
         return Options(request, snapshot, indexes, self.settings.policy)
 
--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -13,6 +13,7 @@
 )
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.decisions._slot_sharing import LoanTable, draw_weight
+from azureturn.gateway.decisions._work import RequestWork
 from azureturn.gateway.settings import GatewayPolicy
 
 #: Candidates whose costs differ by less than this are treated as equal and chosen at random.
@@ -79,6 +80,7 @@
         self._request = request
         self._policy = policy
         self._candidates: dict[int, Candidate] = {}
+        self._works: dict[int, RequestWork] = {}
         self._is_urgent = request.urgency_rank == 0 and request.prompt is not None
         self._has_pause_limit = bool(
             request.prompt is not None and snapshot.engine and request.route.pause_limit_ms
@@ -90,7 +92,7 @@
         if candidate is None:
             row = self.snapshot.row(index)
             candidate = self._candidates[index] = estimate_candidate(
-                self._request, row, self.snapshot, self._policy
+                self._request, row, self.snapshot, self._policy, self._works
             )
         return candidate
 
--- a/azureturn/gateway/decisions/tests/test_placement_choice.py
+++ b/azureturn/gateway/decisions/tests/test_placement_choice.py
@@ -126,6 +126,8 @@
     )
     mean_tokens = sum(work.pending_tokens for work in works) // max(1, len(works))
     rows: list[UpstreamSnapshot] = []
+    capacities: list[float] = []
+    urgent_capacities: list[float] = []
     for row, work, at_peers in zip(reachable, works, expected, strict=True):
         state = states[row.name]
         requests: float = round((state.requests + work.requests) / live_share)
@@ -141,21 +143,26 @@
         cache = board.table(PrefixCacheTable).of(row.run, ENGINE.memory_tokens) if engine else None
         speed = own_speed(state, is_engine=engine is not None, now_ms=now_ms)
         tokens = mean_tokens if is_old else work.pending_tokens
-        rows.append(
-            UpstreamSnapshot(
-                row, state, cache, False, speed, row.slots, requests, tokens, capacity, urgent
-            )
-        )
+        rows.append(UpstreamSnapshot(row, state, cache, False, speed, row.slots, requests, tokens))
+        capacities.append(capacity)
+        urgent_capacities.append(urgent)
     snapshot = SimpleNamespace(engine=engine, own_zone="a", now_ms=now_ms, usual_slowdown=None)
+    is_urgent = engine is not None and waiting.urgency_rank == 0
+    usable_capacities = urgent_capacities if is_urgent else capacities
+    with_capacity = {
+        row.upstream.name
+        for row, capacity in zip(rows, usable_capacities, strict=True)
+        if capacity > 0
+    }
     all_candidates = [
-        estimate_candidate(waiting, row, snapshot, policy)  # type: ignore[arg-type]
+        estimate_candidate(waiting, row, snapshot, policy, {})  # type: ignore[arg-type]
         for row in rows
         if row.upstream.name not in waiting.tried_upstreams
     ]
-    candidates = [candidate for candidate in all_candidates if candidate.has_capacity]
+    candidates = [row for row in all_candidates if row.upstream.name in with_capacity]
     if not all(candidate.exceeds_pause_limit for candidate in all_candidates):
         candidates = [candidate for candidate in candidates if not candidate.exceeds_pause_limit]
-    if not candidates or all(row.urgent_capacity_left <= 0 for row in rows):
+    if not candidates or all(capacity <= 0 for capacity in urgent_capacities):
         return None
     if not is_old:
         least_ms = min(candidate.cost_ms for candidate in candidates) + 4.0
