--- a/azureturn/gateway/decisions/tests/test_placement_choice.py
+++ b/azureturn/gateway/decisions/tests/test_placement_choice.py
@@ -20,7 +20,7 @@
     own_speed,
 )
 from azureturn.gateway.decisions._events import PlacementRequested
-from azureturn.gateway.decisions._peers import PeerTable
+from azureturn.gateway.decisions._peers import Peer, PeerTable
 from azureturn.gateway.decisions._prefix_cache import PrefixCacheTable
 from azureturn.gateway.decisions._requests import GatewayRequestTable
 from azureturn.gateway.decisions._slot_sharing import (
@@ -263,3 +263,49 @@
     for _ in range(10):
         vm.handle_event(PlacementRequested("models"), at_ms=vm.now_ms + 1)
     assert estimates <= 10 * own_upstreams
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_what_is_kept_of_peers_is_what_would_be_counted_anew(seed: int) -> None:
+    """A VM that has gone silent would count as live, or its work would stay in the sums."""
+    generator = random.Random(seed)
+    peers = PeerTable()
+    peers.own_name = "vm-own"
+    peers.registered_vms = frozenset({"vm-own", "vm-1", "vm-registered"})
+    now_ms = 0
+    for sequence in range(2_000):
+        now_ms += generator.choice((0, 10, 10, 50, 900))
+        name = f"vm-{generator.randrange(12)}"
+        if generator.random() < 0.05:
+            peers.remove(name)
+        elif not (generator.random() < 0.3 and name in ("vm-2", "vm-3")):
+            work = {
+                f"u-{generator.randrange(4)}": OutstandingWork(generator.randrange(3), sequence)
+                for _ in range(3)
+            }
+            known = peers.get(name)
+            previous = known.report if known is not None and known.is_live(now_ms) else None
+            if previous is not None and generator.random() < 0.3:
+                work = previous.work
+            zone = "ab"[int(name[3:]) % 2]
+            report = peer_report(name, sequence, work=work, availability_zone=zone)
+            peers.put(name, Peer(report, now_ms, interval_ms=generator.choice((100, 400))))
+            peers.add_work(previous, report)
+        if generator.random() < 0.3:
+            peers.recompute_work(now_ms)
+            for upstream_name in ("u-0", "u-1", "u-2", "u-3"):
+                rows = [peer.report.work.get(upstream_name) for peer in peers.live_peers(now_ms)]
+                requests = sum(row.requests for row in rows if row)
+                tokens = sum(row.pending_tokens for row in rows if row)
+                assert peers.work_at(upstream_name) == OutstandingWork(requests, tokens)
+        live = [peer for peer in peers.rows() if peer.is_live(now_ms)]
+        assert peers.live_count(now_ms) == len(live)
+        ages_ms = [now_ms - peer.received_at_ms for peer in live]
+        assert peers.oldest_report_age_ms(now_ms) == max(ages_ms, default=-1)
+        zones = {peer.report.availability_zone for peer in peers.rows()}
+        live_zones = {peer.report.availability_zone for peer in live}
+        assert peers.zones_without_live_vms(now_ms) == zones - live_zones
+        names = {"vm-own", *(peer_name for peer_name, _ in peers.items())}
+        names |= peers.registered_vms if now_ms < 10_000 else set()
+        assert peers.vms(now_ms) == len(names)
+        assert peers.vm_names_outside(frozenset(), now_ms) == names
