--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -130,6 +130,9 @@
 
     @cached_property
     def _heeds_pause_limit(self) -> bool:
+        if self.snapshot.usual_slowdown is not None and self._request.is_late:
+            # It may be refused if it waits for longer, which costs more than delayed events.
+            return False
         in_time = (
             candidate
             for candidate in map(self.candidate, self.indexes)
