Placement: the pause limit is checked without full estimates

Where the fast engines are full and the free ones too slow for the requests at the head of the queue, each placement estimated all of these engines for up to 12 requests and placed nothing.

The comparison with full estimates computes the pause limit on its own now; it fails if the check is left out (mutated by hand).

--- a/azureturn/gateway/decisions/_estimates.py
+++ b/azureturn/gateway/decisions/_estimates.py
@@ -14,7 +14,7 @@
 from azureturn.gateway.decisions._upstream_state import UpstreamState
 from azureturn.gateway.decisions._work import RequestWork, request_work
 from azureturn.gateway.settings import GatewayPolicy
-from azureturn.gateway.site import EngineCapacity, Prompt, RegisteredUpstream
+from azureturn.gateway.site import EngineCapacity, RegisteredUpstream
 
 #: Expected time lost through a failure.
 FAILURE_COST_MS = 1_500.0
@@ -55,8 +55,6 @@
     cost_ms: float
     #: Whether this VM sends to the upstream through a peer.
     is_relayed: bool = False
-    #: Whether the prefill of this prompt would pause concurrent answers beyond the route's limit.
-    exceeds_pause_limit: bool = False
     #: Whether the answer would not end within the time limit of the request.
     exceeds_timeout: bool = False
 
@@ -134,6 +132,9 @@
         self._policy = policy
         self._has_old_reports = has_old_reports
         self._rows: dict[int, UpstreamSnapshot] = {}
+        self._capacities: dict[int, float] = {}
+        self._urgent_capacities: dict[int, float] = {}
+        self._pause_slowdowns: dict[int, float] = {}
         self.upstreams = basis.upstreams
         self.states = basis.states
         #: Number of requests that each runs at the same time without serving less.
@@ -176,6 +177,13 @@
 
         They are of any tier, or only of the most urgent one.
         """
+        capacities = self._urgent_capacities if urgent else self._capacities
+        capacity = capacities.get(index)
+        if capacity is None:
+            capacity = capacities[index] = self._capacity_left(index, urgent=urgent)
+        return capacity
+
+    def _capacity_left(self, index: int, *, urgent: bool) -> float:
         basis = self._basis
         if not basis.may_send(index):
             return 0
@@ -209,7 +217,7 @@
             row = self._rows[index] = UpstreamSnapshot(
                 basis.upstreams[index],
                 basis.states[index],
-                basis.prefix_caches[index] if basis.prefix_caches else None,
+                self.prefix_cache(index),
                 basis.is_relayed,
                 self.speed(index),
                 self.slots[index],
@@ -225,6 +233,28 @@
             basis.states[index], is_engine=self.engine is not None, now_ms=self.now_ms
         )
 
+    def prefix_cache(self, index: int) -> PrefixCacheEstimate | None:
+        """Return the cache estimate of an engine; None for an upstream of a plain service."""
+        return self._basis.prefix_caches[index] if self._basis.prefix_caches else None
+
+    def queued_tokens(self, index: int) -> int:
+        """Return the prompt tokens that an engine still has to prefill, for all VMs."""
+        return self.states[index].pending_tokens + self._pending_tokens_of_peers(index)
+
+    def pause_slowdown(self, index: int) -> float:
+        """Return the slowdown from which pauses of running answers are expected.
+
+        An answer of this VM shows at once that an engine is slow now.
+        """
+        slowdown = self._pause_slowdowns.get(index)
+        if slowdown is None:
+            slots = self.upstreams[index].slots
+            slowdown = self._pause_slowdowns[index] = max(
+                self.speed(index).slowdown(self.requests[index], slots),
+                self.states[index].expected_slowdown(self.now_ms),
+            )
+        return slowdown
+
     @cached_property
     def _mean_pending_tokens(self) -> int:
         peer_work = self._basis.peer_work
@@ -254,7 +284,47 @@
     """
     if snapshot.engine is None or request.prompt is None:
         return _plain_candidate(upstream_snapshot, snapshot)
-    return _engine_candidate(request, request.prompt, upstream_snapshot, snapshot, policy, works)
+    return _engine_candidate(request, upstream_snapshot, snapshot, policy, works)
+
+
+def exceeds_pause_limit(
+    request: GatewayRequest,
+    index: int,
+    snapshot: PlacementSnapshot,
+    policy: GatewayPolicy,
+    works: dict[int, RequestWork],
+) -> bool:
+    """Return whether prefilling a prompt at an engine would pause concurrent answers too long.
+
+    Load pattern: the fast engines are full, and those with capacity are too slow for the requests
+    at the head of the queue. Each placement then checks all of these for each of them, for which
+    full estimates would take four times as long.
+    """
+    if snapshot.requests[index] <= 0:
+        return False
+    work = _work_at(request, snapshot.prefix_cache(index), policy, works)
+    return _exceeds_pause_limit(
+        request,
+        snapshot.queued_tokens(index) + work.prefill_tokens,
+        snapshot.pause_slowdown(index),
+        snapshot,
+        policy,
+    )
+
+
+def _work_at(
+    request: GatewayRequest,
+    prefix_cache: PrefixCacheEstimate | None,
+    policy: GatewayPolicy,
+    works: dict[int, RequestWork],
+) -> RequestWork:
+    cached_tokens = 0
+    if request.prompt is not None and prefix_cache is not None:
+        cached_tokens = prefix_cache.cached_tokens(request.prompt.prefixes)
+    work = works.get(cached_tokens)
+    if work is None:
+        work = works[cached_tokens] = request_work(request, policy.engine, cached_tokens)
+    return work
 
 
 def own_speed(state: UpstreamState, *, is_engine: bool, now_ms: int) -> SpeedEstimate:
@@ -286,7 +356,6 @@
 
 def _engine_candidate(
     request: GatewayRequest,
-    prompt: Prompt,
     upstream_snapshot: UpstreamSnapshot,
     snapshot: PlacementSnapshot,
     policy: GatewayPolicy,
@@ -295,14 +364,7 @@
     state = upstream_snapshot.state
     requests = upstream_snapshot.requests
     slowdown = upstream_snapshot.speed.slowdown(requests, upstream_snapshot.upstream.slots)
-    cached_tokens = (
-        upstream_snapshot.prefix_cache.cached_tokens(prompt.prefixes)
-        if upstream_snapshot.prefix_cache
-        else 0
-    )
-    work = works.get(cached_tokens)
-    if work is None:
-        work = works[cached_tokens] = request_work(request, policy.engine, cached_tokens)
+    work = _work_at(request, upstream_snapshot.prefix_cache, policy, works)
     uncached_tokens = work.prefill_tokens
     ms_per_token = slowdown / policy.engine.prefill_tokens_per_ms
     queued_prefill_ms = (
@@ -322,15 +384,6 @@
         + _INTERFERENCE_WEIGHT * requests * prefill_ms
         + _common_cost(upstream_snapshot, snapshot)
     )
-    queued_tokens = state.pending_tokens + upstream_snapshot.peer_pending_tokens
-    exceeds_limit = requests > 0 and _exceeds_pause_limit(
-        request,
-        queued_tokens + uncached_tokens,
-        # An answer of this VM shows at once that this engine is slow now.
-        max(slowdown, state.expected_slowdown(snapshot.now_ms)),
-        snapshot,
-        policy,
-    )
     return Candidate(
         upstream_snapshot.upstream,
         requests,
@@ -338,7 +391,6 @@
         expected_ms,
         cost_ms,
         upstream_snapshot.is_relayed,
-        exceeds_limit,
         snapshot.usual_slowdown is not None
         and snapshot.now_ms + expected_ms + answer_ms > request.ends_at_ms,
     )
--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -10,6 +10,7 @@
     Candidate,
     PlacementSnapshot,
     estimate_candidate,
+    exceeds_pause_limit,
 )
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.decisions._slot_sharing import LoanTable, draw_weight
@@ -117,25 +118,32 @@
         """
         if not self.has_capacity(index):
             return False
-        if not self._has_pause_limit and self.snapshot.usual_slowdown is None:
-            return True
-        candidate = self.candidate(index)
-        return not (candidate.exceeds_timeout and self._heeds_timeout) and not (
-            candidate.exceeds_pause_limit and self._heeds_pause_limit
+        return not (self._exceeds_timeout(index) and self._heeds_timeout) and not (
+            self._exceeds_pause_limit(index) and self._heeds_pause_limit
         )
 
     @cached_property
     def _heeds_timeout(self) -> bool:
-        return not all(self.candidate(index).exceeds_timeout for index in self.indexes)
+        return not all(self._exceeds_timeout(index) for index in self.indexes)
 
     @cached_property
     def _heeds_pause_limit(self) -> bool:
         in_time = (
-            candidate
-            for candidate in map(self.candidate, self.indexes)
-            if not (candidate.exceeds_timeout and self._heeds_timeout)
+            index
+            for index in self.indexes
+            if not (self._exceeds_timeout(index) and self._heeds_timeout)
+        )
+        return not all(self._exceeds_pause_limit(index) for index in in_time)
+
+    def _exceeds_timeout(self, index: int) -> bool:
+        if self.snapshot.usual_slowdown is None:
+            return False
+        return self.candidate(index).exceeds_timeout
+
+    def _exceeds_pause_limit(self, index: int) -> bool:
+        return self._has_pause_limit and exceeds_pause_limit(
+            self._request, index, self.snapshot, self._policy, self._works
         )
-        return not all(candidate.exceeds_pause_limit for candidate in in_time)
 
     def usable(self) -> list[int]:
         """Return the usable upstreams."""
--- a/azureturn/gateway/decisions/tests/test_placement_choice.py
+++ b/azureturn/gateway/decisions/tests/test_placement_choice.py
@@ -160,8 +160,14 @@
         if row.upstream.name not in waiting.tried_upstreams
     ]
     candidates = [row for row in all_candidates if row.upstream.name in with_capacity]
-    if not all(candidate.exceeds_pause_limit for candidate in all_candidates):
-        candidates = [candidate for candidate in candidates if not candidate.exceeds_pause_limit]
+    by_name = {row.upstream.name: row for row in rows}
+    pausing = {
+        row.upstream.name
+        for row, candidate in ((by_name[row.upstream.name], row) for row in all_candidates)
+        if engine and row.requests > 0 and _pauses_too_long(row, candidate.pending_tokens, now_ms)
+    }
+    if not all(row.upstream.name in pausing for row in all_candidates):
+        candidates = [row for row in candidates if row.upstream.name not in pausing]
     if not candidates or all(capacity <= 0 for capacity in urgent_capacities):
         return None
     if not is_old:
@@ -171,6 +177,17 @@
     return _shared(vm, rows, candidates, generator)
 
 
+def _pauses_too_long(row: UpstreamSnapshot, uncached_tokens: int, now_ms: int) -> bool:
+    """Return whether a prefill exceeds the pause limit at the speeds of the default policy."""
+    slowdown = max(
+        row.speed.slowdown(row.requests, row.upstream.slots), row.state.expected_slowdown(now_ms)
+    )
+    queued_tokens = row.state.pending_tokens + row.peer_pending_tokens + uncached_tokens
+    tokens = min(queued_tokens, ENGINE.tokens_per_event * 2_048.0)
+    event_ms = ENGINE.tokens_per_event * 3.8 * slowdown
+    return tokens / 100.0 * slowdown > 0.85 * (STREAM_ROUTE.pause_limit_ms - event_ms)
+
+
 def _shared(
     vm: GatewayCoreHarness,
     rows: list[UpstreamSnapshot],
