--- a/azureturn/gateway/decisions/_upstream_state.py
+++ b/azureturn/gateway/decisions/_upstream_state.py
@@ -1,11 +1,12 @@
 """State of each upstream: outstanding work, speed, failures and reachability."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
-from azureturn.gateway.site import UpstreamRun
+from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 
 #: Weight of a new sample in the moving averages.
 _EWMA_WEIGHT = 0.15
@@ -93,6 +94,8 @@
 
     def expected_failure_share(self, now_ms: int) -> float:
         """Return the share of answers that are expected to fail; it decays without samples."""
+        if not self.failure_share:
+            return 0.0
         age_ms = max(0, now_ms - self.failed_at_ms)
         return self.failure_share * math.exp2(-age_ms / _FAILURE_HALF_LIFE_MS)
 
@@ -120,6 +123,17 @@
             self.put(run[0], state)
         return state
 
+    def of_each(self, upstreams: Iterable[RegisteredUpstream]) -> list[UpstreamState]:
+        """Return the states of upstreams, in their order."""
+        rows = self._rows
+        states = []
+        for upstream in upstreams:
+            state = rows.get(upstream.name)
+            if state is None or state.run[1] != upstream.started_unix_ms:
+                state = self.of(upstream.run)
+            states.append(state)
+        return states
+
     def is_unreachable(self, run: UpstreamRun) -> bool:
         """Return whether a run of an upstream could not be connected, or did not respond."""
         state = self.get(run[0])
