--- a/azureturn/gateway/exchange/_stream_relay.py
+++ b/azureturn/gateway/exchange/_stream_relay.py
@@ -51,13 +51,14 @@
         except ValueError as error:
             raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, str(error)) from error
         self._progress.partial_event_bytes = len(self._splitter.remainder)
-        in_order: list[SseEvent] = []
+        in_order = 0
         try:
             for event in events:
                 self._check_order(event.number)
-                in_order.append(event)
+                in_order += 1
         finally:
-            self._relay(in_order)
+            del events[in_order:]
+            self._relay(events)
 
     def finish(self) -> None:
         """Relay what follows the last event.
@@ -86,8 +87,12 @@
         self.last_event_number = number
 
     def _relay(self, events: list[SseEvent]) -> None:
-        if events:
-            if any(event.number is None for event in events):
-                self.is_resumable = False
-            self._progress.record(len(events), now_ms())
-            self._write(b"".join(event.data for event in events))
+        """Pass on events, and drop them before the caller takes them, which may be much later."""
+        if not events:
+            return
+        if any(event.number is None for event in events):
+            self.is_resumable = False
+        self._progress.record(len(events), now_ms())
+        data = b"".join(event.data for event in events)
+        events.clear()
+        self._write(data)
