--- a/azureturn/gateway/decisions/_actions.py
+++ b/azureturn/gateway/decisions/_actions.py
@@ -66,6 +66,10 @@
     newer_than_revision: int
     #: Version of the configuration that the peer has.
     configuration_version: int = 0
+    #: Whether the changes since that revision are enough.
+    takes_changes: bool = False
+    #: Whether the whole view is fetched otherwise.
+    takes_whole: bool = True
 
 
 @dataclass(frozen=True)
@@ -130,6 +134,14 @@
     live_peers: int
 
 
+@dataclass(frozen=True)
+class LogStoreRole(Action):
+    """Log that this VM began or ceased to watch the store for its zone."""
+
+    watches: bool
+    live_peers: int
+
+
 @dataclass(frozen=True)
 class LogProcessingLimit(Action):
     """Log that the number of requests that this VM works on at the same time was changed."""
--- a/azureturn/gateway/decisions/_prefix_cache.py
+++ b/azureturn/gateway/decisions/_prefix_cache.py
@@ -5,11 +5,18 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from azureturn.framework import Table
-from azureturn.gateway.site import PromptPart, PromptPrefix, UpstreamRun
+from azureturn.gateway.site import (
+    PromptPart,
+    PromptPrefix,
+    RegisteredUpstream,
+    UpstreamRun,
+    combine_parts,
+    prefix_keys,
+)
 
 #: Share of an engine's memory available to cached prefixes; running requests use the rest.
 _PREFIX_CACHE_SHARE = 0.6
@@ -49,12 +56,21 @@
 
     def record_prompt(self, prefixes: tuple[PromptPrefix, ...]) -> None:
         """Record a sent prompt, and evict the least recently used prefixes beyond the capacity."""
-        for prefix in prefixes:
-            replaced = self._tokens_by_prefix.pop(prefix.key, 0)
-            self._tokens_by_prefix[prefix.key] = prefix.segment_tokens
-            self._total_tokens += prefix.segment_tokens - replaced
-        while self._total_tokens > self._capacity_tokens and self._tokens_by_prefix:
-            self._evict_oldest()
+        self._record([(prefix.key, prefix.segment_tokens) for prefix in prefixes])
+
+    def record_segments(self, model: str, segments: tuple[PromptPart, ...]) -> None:
+        """Record a sent prompt that is given by its segments."""
+        keys = prefix_keys(model, segments)
+        self._record(zip(keys, [segment.tokens for segment in segments], strict=True))
+
+    def _record(self, prefixes: Iterable[tuple[int, int]]) -> None:
+        tokens_by_prefix, total_tokens = self._tokens_by_prefix, self._total_tokens
+        for key, tokens in prefixes:
+            total_tokens += tokens - tokens_by_prefix.pop(key, 0)
+            tokens_by_prefix[key] = tokens
+        while total_tokens > self._capacity_tokens and tokens_by_prefix:
+            total_tokens -= tokens_by_prefix.popitem(last=False)[1]
+        self._total_tokens = total_tokens
 
     def limit_entries(self, limit: int) -> None:
         """Evict the least recently used prefixes beyond a number of them."""
@@ -93,6 +109,19 @@
                 estimate.limit_entries(self._entries_each)
         return prefix_cache
 
+    def of_each(
+        self, upstreams: Iterable[RegisteredUpstream], capacity_tokens: int
+    ) -> list[PrefixCacheEstimate]:
+        """Return the estimates for upstreams, in their order."""
+        rows = self._rows
+        estimates = []
+        for upstream in upstreams:
+            estimate = rows.get(upstream.name)
+            if estimate is None or estimate.run[1] != upstream.started_unix_ms:
+                estimate = self.of(upstream.run, capacity_tokens)
+            estimates.append(estimate)
+        return estimates
+
     def record_prompt(self, run: UpstreamRun, prefixes: tuple[PromptPrefix, ...]) -> None:
         """Record a prompt that was sent to a run of an upstream, if there is an estimate for it."""
         prefix_cache = self.get(run[0])
@@ -100,6 +129,17 @@
             prefix_cache.record_prompt(prefixes)
             prefix_cache.limit_entries(self._entries_each)
 
+    def record_reported(self, run: UpstreamRun, prompt: SentPrompt) -> None:
+        """Record a prompt that a peer sent to a run of an upstream, if there is an estimate for it.
+
+        Every VM does this for each prompt that any VM sends.
+        """
+        prefix_cache = self._rows.get(run[0])
+        if prefix_cache is not None and prefix_cache.run == run:
+            # An earlier build reports all parts of a prompt.
+            prefix_cache.record_segments(prompt.model, combine_parts(prompt.segments))
+            prefix_cache.limit_entries(self._entries_each)
+
     def keep_only(self, upstreams: Container[str]) -> None:
         """Remove the estimates for all other upstreams."""
         for name in [name for name, _ in self.items() if name not in upstreams]:
@@ -124,4 +164,4 @@
 
     @property
     def _entries_each(self) -> int:
-        return ENTRY_LIMIT // len(self)
+        return ENTRY_LIMIT // len(self._rows)
--- a/azureturn/gateway/decisions/controllers/_placement_choice.py
+++ b/azureturn/gateway/decisions/controllers/_placement_choice.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cached_property
 
 from azureturn.framework import Context
 from azureturn.gateway.decisions._estimates import (
     FAILURE_COST_MS,
     Candidate,
     PlacementSnapshot,
-    UpstreamSnapshot,
+    estimate_candidate,
+    exceeds_pause_limit,
 )
 from azureturn.gateway.decisions._requests import GatewayRequest
 from azureturn.gateway.decisions._slot_sharing import LoanTable, draw_weight
+from azureturn.gateway.decisions._work import RequestWork
+from azureturn.gateway.settings import GatewayPolicy
 
 #: Candidates whose costs differ by less than this are treated as equal and chosen at random.
 _COST_TOLERANCE_MS = 4.0
@@ -39,10 +43,12 @@
     @property
     def have_capacity(self) -> bool:
         """Return whether an upstream may have capacity for a request of the most urgent tier."""
-        direct = self._direct.upstreams
-        if not direct or self._is_isolated:
+        direct = self._direct
+        if not direct.upstreams or self._is_isolated:
             return True
-        return any(upstream.urgent_capacity_left > 0 for upstream in direct)
+        return any(
+            direct.capacity_left(index, urgent=True) > 0 for index in range(len(direct.upstreams))
+        )
 
     def of(self, request: GatewayRequest) -> PlacementSnapshot:
         """Return the snapshot for a request."""
@@ -56,21 +62,97 @@
         return self._relayed if self._relayed.upstreams else self._direct
 
 
-def suitable(candidates: list[Candidate], with_capacity: list[Candidate]) -> list[Candidate]:
-    """Return the candidates with capacity where the answer ends in time, within the pause limit.
+class Options:
+    """The upstreams that a request may be placed on, given by their indexes in a snapshot.
 
-    If no candidate at all is within one of the limits, that limit is ignored.
+    Estimates are computed when they are needed. With many VMs that is only for the upstreams at
+    which this VM owns slots.
     """
-    if not all(candidate.exceeds_timeout for candidate in candidates):
-        with_capacity = [row for row in with_capacity if not row.exceeds_timeout]
-        candidates = [row for row in candidates if not row.exceeds_timeout]
-    if all(candidate.exceeds_pause_limit for candidate in candidates):
-        return with_capacity
-    return [candidate for candidate in with_capacity if not candidate.exceeds_pause_limit]
 
+    def __init__(
+        self,
+        request: GatewayRequest,
+        snapshot: PlacementSnapshot,
+        indexes: list[int],
+        policy: GatewayPolicy,
+    ) -> None:
+        self.snapshot = snapshot
+        self.indexes = indexes
+        self._request = request
+        self._policy = policy
+        self._candidates: dict[int, Candidate] = {}
+        self._works: dict[int, RequestWork] = {}
+        self._is_urgent = request.urgency_rank == 0 and request.prompt is not None
+        self._has_pause_limit = bool(
+            request.prompt is not None and snapshot.engine and request.route.pause_limit_ms
+        )
+
+    def candidate(self, index: int) -> Candidate:
+        """Return the estimates for an upstream."""
+        candidate = self._candidates.get(index)
+        if candidate is None:
+            row = self.snapshot.row(index)
+            candidate = self._candidates[index] = estimate_candidate(
+                self._request, row, self.snapshot, self._policy, self._works
+            )
+        return candidate
+
+    def has_capacity(self, index: int) -> bool:
+        """Return whether an upstream has capacity for the request."""
+        return self.snapshot.capacity_left(index, urgent=self._is_urgent) > 0
+
+    @property
+    def have_capacity(self) -> bool:
+        """Return whether any of the upstreams has capacity for the request."""
+        return any(self.has_capacity(index) for index in self.indexes)
+
+    @property
+    def are_usable(self) -> bool:
+        """Return whether any of the upstreams is usable."""
+        return any(self.is_usable(index) for index in self.indexes)
+
+    def is_usable(self, index: int) -> bool:
+        """Return whether an upstream has capacity, and its answer ends in time, without a pause.
+
+        If no upstream at all is within one of the limits, that limit is ignored.
+        """
+        if not self.has_capacity(index):
+            return False
+        return not (self._exceeds_timeout(index) and self._heeds_timeout) and not (
+            self._exceeds_pause_limit(index) and self._heeds_pause_limit
+        )
+
+    @cached_property
+    def _heeds_timeout(self) -> bool:
+        return not all(self._exceeds_timeout(index) for index in self.indexes)
+
+    @cached_property
+    def _heeds_pause_limit(self) -> bool:
+        in_time = (
+            index
+            for index in self.indexes
+            if not (self._exceeds_timeout(index) and self._heeds_timeout)
+        )
+        return not all(self._exceeds_pause_limit(index) for index in in_time)
+
+    def _exceeds_timeout(self, index: int) -> bool:
+        if self.snapshot.usual_slowdown is None:
+            return False
+        return self.candidate(index).exceeds_timeout
+
+    def _exceeds_pause_limit(self, index: int) -> bool:
+        return self._has_pause_limit and exceeds_pause_limit(
+            self._request, index, self.snapshot, self._policy, self._works
+        )
+
+    def usable(self) -> list[int]:
+        """Return the usable upstreams."""
+        return [index for index in self.indexes if self.is_usable(index)]
 
-def cheapest(candidates: list[Candidate], context: Context) -> Candidate:
+
+def cheapest(options: Options, context: Context) -> Candidate:
     """Return a candidate of least cost."""
+    candidates = [options.candidate(index) for index in options.usable()]
     least_cost_ms = min(candidate.cost_ms for candidate in candidates)
     return context.random.choice(
         [
@@ -93,29 +175,49 @@
     interval_ms: int
     loans: LoanTable
 
-    def choose(self, candidates: list[Candidate], context: Context) -> Candidate | None:
+    def choose(self, options: Options, own: list[int], context: Context) -> Candidate | None:
         """Return the candidate to use; None if this VM has to wait for a slot of its own.
 
-        With fewer slots than VMs, nobody waits for a slot: only a rejection tells whether there is
-        room.
+        ``own`` are the usable upstreams with a slot of its own.
         """
-        rows = {row.upstream.name: row for row in self.snapshot.upstreams}
-        slots = sum(row.slots for row in rows.values())
-        requests = sum(row.requests for row in rows.values())
-        if slots >= self.vm_count and requests > _FREE_USE_SHARE * slots:
-            own = [row for row in candidates if self._has_own_slot(rows[row.upstream.name])]
-            if not own and not self._may_borrow(context):
+        if own:
+            return draw(options, own, context)
+        if self._are_divided:
+            if not self._may_borrow(context):
                 return None
-            candidates = own or candidates
-            if not own:
-                self.loans.record_borrowed(self.service)
-        return self._draw(candidates, rows, context)
+            self.loans.record_borrowed(self.service)
+        return draw(options, options.usable(), context)
+
+    def usable_own(self, options: Options) -> list[int]:
+        """Return the usable upstreams with a slot of this VM's own, if it uses these first."""
+        if not self._are_divided:
+            return []
+        snapshot, owned = self.snapshot, self.owned
+        return [
+            index
+            for index in options.indexes
+            if (name := snapshot.upstreams[index].name) in owned
+            and snapshot.states[index].requests < owned[name]
+            and options.is_usable(index)
+        ]
 
-    def _has_own_slot(self, row: UpstreamSnapshot) -> bool:
-        return row.state.requests < self.owned.get(row.upstream.name, 0)
+    @cached_property
+    def _are_divided(self) -> bool:
+        """Return whether VMs use their own slots first.
+
+        With fewer slots than VMs, nobody waits for a slot: only a rejection tells whether there is
+        room.
+        """
+        slots = sum(self.snapshot.slots)
+        requests = sum(self.snapshot.requests)
+        return slots >= self.vm_count and requests > _FREE_USE_SHARE * slots
 
     def _may_borrow(self, context: Context) -> bool:
-        free_slots = sum(max(0.0, row.slots - row.requests) for row in self.snapshot.upstreams)
+        snapshot = self.snapshot
+        free_slots = sum(
+            max(0.0, slots - requests)
+            for slots, requests in zip(snapshot.slots, snapshot.requests, strict=True)
+        )
         return self.loans.may_borrow(
             self.service,
             free_slots / self.vm_count,
@@ -124,19 +226,20 @@
             generator=context.random,
         )
 
-    def _draw(
-        self, candidates: list[Candidate], rows: dict[str, UpstreamSnapshot], context: Context
-    ) -> Candidate:
-        chosen = [rows[candidate.upstream.name] for candidate in candidates]
-        failure_shares = [row.state.expected_failure_share(context.now_ms) for row in chosen]
-        # Rejections are part of the failures, and say little about the next request.
-        costs_ms = [
-            candidate.cost_ms - share * FAILURE_COST_MS
-            for candidate, share in zip(candidates, failure_shares, strict=True)
-        ]
-        least_ms = min(costs_ms)
-        weights = [
-            draw_weight(row.slots - row.requests, share, cost_ms - least_ms)
-            for row, share, cost_ms in zip(chosen, failure_shares, costs_ms, strict=True)
-        ]
-        return context.random.choices(candidates, weights)[0]
+
+def draw(options: Options, indexes: list[int], context: Context) -> Candidate:
+    """Return one of some upstreams, drawn by lot among those that look alike."""
+    candidates = [options.candidate(index) for index in indexes]
+    rows = [options.snapshot.row(index) for index in indexes]
+    failure_shares = [row.state.expected_failure_share(context.now_ms) for row in rows]
+    # Rejections are part of the failures, and say little about the next request.
+    costs_ms = [
+        candidate.cost_ms - share * FAILURE_COST_MS
+        for candidate, share in zip(candidates, failure_shares, strict=True)
+    ]
+    least_ms = min(costs_ms)
+    weights = [
+        draw_weight(row.slots - row.requests, share, cost_ms - least_ms)
+        for row, share, cost_ms in zip(rows, failure_shares, costs_ms, strict=True)
+    ]
+    return context.random.choices(candidates, weights)[0]
