--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -305,13 +305,12 @@
             queue.remove(request)
             demoted = request.with_late()
             self.board.write(GatewayRequestTable).put(request.request_id, demoted)
-            if request.tried_upstreams:
-                # A further attempt costs nothing in the queue, as the first one has been charged,
-                # and the patience of a new request was used up by it.
-                queue.push(QueuedRequest(demoted, 0.0, 1.0, request.ends_at_ms))
-                continue
-            cost = queue_cost(demoted, policy.engine)
+            # A further attempt costs nothing in the queue, as the first one has been charged.
+            cost = 0.0 if request.tried_upstreams else queue_cost(demoted, policy.engine)
             give_up_ms = self._give_up_at_ms(demoted, now_ms)
+            if request.run_attempts and not self._is_brittle(request.service, now_ms):
+                # The time of the attempt that ran does not count as its patience.
+                give_up_ms = request.ends_at_ms
             queue.push(QueuedRequest(demoted, cost, 1.0, give_up_ms))
 
     def _may_try(self, quarantined: QuarantinedTraits, now_ms: int) -> bool:
