--- a/azureturn/framework/_queue.py
+++ b/azureturn/framework/_queue.py
@@ -52,8 +52,6 @@
     weight: float
     #: Time at which the request is to be removed unserved, since it could not be answered in time.
     give_up_at_ms: int
-    #: Whether it goes before the earlier requests of its organisation and tier.
-    newest_first: bool = False
 
 
 class RequestQueue(Generic[_Request]):
@@ -90,7 +88,7 @@
         heapq.heappush(self._by_give_up_time, (entry.give_up_at_ms, request.request_id))
         self._tier(self._rank(request)).push(
             self._flow(request),
-            self._order(entry),
+            self._order(request),
             request.request_id,
             cost=entry.cost_tokens,
             weight=1.0 if self.first_come else entry.weight,
@@ -109,11 +107,10 @@
 
     def take(self, request: _Request) -> QueuedRequest[_Request]:
         """Remove a request in order to serve it, and charge its organisation."""
-        entry = self._entries.pop(request.request_id)
         self._tiers[self._rank(request)].serve(
-            self._flow(request), self._order(entry), request.request_id
+            self._flow(request), self._order(request), request.request_id
         )
-        return entry
+        return self._entries.pop(request.request_id)
 
     def remove(self, request: _Request) -> bool:
         """Remove a request without charging for it, and return whether it was queued."""
@@ -122,7 +119,7 @@
             return False
         queued = entry.request
         self._tiers[self._rank(queued)].discard(
-            self._flow(queued), self._order(entry), queued.request_id
+            self._flow(queued), self._order(queued), queued.request_id
         )
         return True
 
@@ -185,8 +182,5 @@
     def _flow(self, request: _Request) -> str:
         return "" if self.first_come else request.organisation
 
-    def _order(self, entry: QueuedRequest[_Request]) -> int:
-        request = entry.request
-        if self.first_come:
-            return request.arrived_at_ms
-        return -request.arrived_at_ms if entry.newest_first else request.deadline_ms
+    def _order(self, request: _Request) -> int:
+        return request.arrived_at_ms if self.first_come else request.deadline_ms
--- a/azureturn/gateway/decisions/controllers/_queue_admission.py
+++ b/azureturn/gateway/decisions/controllers/_queue_admission.py
@@ -108,9 +108,8 @@
         drains.put(request.service, drain)
         self.board.write(GatewayRequestTable).put(request.request_id, request)
         give_up_ms = self._give_up_at_ms(request, context.now_ms)
-        newest_first = self._goes_first(request, context.now_ms)
         self.board.write(GatewayQueueTable).of(request.service).push(
-            QueuedRequest(request, cost, 1.0, give_up_ms, newest_first)
+            QueuedRequest(request, cost_tokens=cost, weight=1.0, give_up_at_ms=give_up_ms)
         )
         context.post(PlacementRequested(request.service))
         context.post(RequestQueued())
@@ -201,19 +200,6 @@
         drain = self.board.read(DrainTable).of(request.service)
         return drain.wait_ms(request.tier_rank, work_ahead)
 
-    def _goes_first(self, request: GatewayRequest, now_ms: int) -> bool:
-        """Return whether a request goes before the earlier ones of its organisation and tier.
-
-        Load pattern: more requests than upstreams can serve, for seconds. In the order of deadlines
-        each is sent at the last moment, so that half of the answers come just too late. Newest
-        first, those that are served in time have time left, and the others are late anyway.
-        """
-        share = self.settings.policy.newest_first_share
-        if share <= 0.0 or request.is_late:
-            return False
-        slack_ms = request.latest_start_ms(self.settings.policy.engine) - now_ms
-        return self._wait_ms(request) > share * slack_ms
-
     def _can_be_served(self, request: GatewayRequest, now_ms: int) -> bool:
         """Return whether a request is expected to be served in time, or late but within its limit.
 
--- a/azureturn/gateway/settings/_types.py
+++ b/azureturn/gateway/settings/_types.py
@@ -147,9 +147,6 @@
     #: upstream, beyond ``patience_objectives``. Late requests of a tier take up the capacity for
     #: less urgent ones that would be in time. With 0 none waits for longer.
     late_wait_share: Share = 0.0
-    #: Share of the time that a request may wait and still meet its objective. If its expected wait
-    #: is longer, it goes before the earlier requests of its tier; with 0 it never does.
-    newest_first_share: Share = 0.0
     #: Number of requests sent to an engine in addition to its slots, so that the next one starts
     #: as soon as a slot becomes free.
     ahead_requests: Annotated[float, Field(ge=0)] = 1.0
