--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -129,8 +129,8 @@
                 raise ExchangeAbortedError(error.kind.value) from error
             self._refuse(error)
         finally:
-            # The relay refers to this exchange, so that the last part would stay in memory until the
-            # next garbage collection.
+            # The relay refers to this exchange, so that the last part would stay in memory until
+            # the next garbage collection.
             self._stream_relay = StreamRelay(None)
             self._failure_reservation.release()
             if self._room is not None:
