Store calls: entries written again, repeated orders, and answers that were not applied

Found in a review by reading. An entry that lapsed and was written again as before within one answer of the store was left out of the differences for peers that had seen only the removal. A repeated order of an operator, which begins anew, did not change the digest by which peers compare their views. An answer of the store that was not applied, since a peer's view was as new, counted as told. Tests for the first two fail without the change; the third has none.

--- a/azureturn/gateway/daemon/_store_watcher.py
+++ b/azureturn/gateway/daemon/_store_watcher.py
@@ -8,6 +8,7 @@
 import threading
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from enum import Enum, auto
 
 from azureturn.errors import PlatformError
@@ -48,6 +49,8 @@
         self._log = log
         self._lock = threading.Lock()
         self._view = SiteView()
+        #: Revision up to which changes of the store itself were applied last.
+        self.watched_revision = 0
         #: The view that was encoded last, and its encoding.
         self._encoded: tuple[SiteView | None, bytes] = (None, b"")
 
@@ -85,8 +88,18 @@
         The view may be of a later revision than the first, by changes of peers. Return False if
         the changes cannot be applied to it, so that the store must be read as a whole.
         """
+        changes = list(changes)
         latest_changes = {change.key: change for change in changes}
-        written = self._decode_entries(latest_changes.values())
+        # A VM that has seen only the removal needs the entry, even if it reads as before.
+        removed_keys = {change.key for change in changes if change.value is None}
+        written = [
+            (
+                replace(document, changed_revision=document.revision)
+                if document.key in removed_keys
+                else document
+            )
+            for document in self._decode_entries(latest_changes.values())
+        ]
         decoded_keys = {document.key for document in written}
 
         def update(view: SiteView) -> SiteView:
@@ -101,6 +114,7 @@
             return view.with_changes(written=written, removals=removals, revision=revision)
 
         if self._replace_view(update, "watch"):
+            self.watched_revision = revision
             return True
         return revision == base_revision or self._view.revision > base_revision
 
@@ -355,7 +369,9 @@
         is_continuous = self._view_holder.apply_changes(
             changes.changes, base_revision=base_revision, revision=changes.revision
         )
-        if is_continuous and self._view_holder.view.revision == changes.revision:
+        is_applied = self._view_holder.watched_revision == changes.revision
+        if is_continuous and (is_applied or not changes.changes):
+            # Otherwise a peer's view was as new, and the store tells the same changes again.
             self._told_revision = changes.revision
         self._report_answer(asked_at_ms, changes.revision)
         return is_continuous
--- a/azureturn/gateway/decisions/_overload.py
+++ b/azureturn/gateway/decisions/_overload.py
@@ -29,11 +29,11 @@
 def give_up_at_ms(request: GatewayRequest, policy: GatewayPolicy, *, limits_patience: bool) -> int:
     """Return until when a request may wait for an upstream.
 
-    After that its answer could not begin before its caller leaves, or not end within its time
-    limit. It waits for the configured share of its route's time limit, and for the configured
-    multiple of its objective at least. That multiple is the most for requests of a service whose
-    upstreams fall over if they reject many: the more requests wait at the VMs, the more of them
-    are sent to the same upstream at the moment when it has room.
+    It waits for the configured share of its route's time limit, while its answer can begin before
+    its caller leaves and end within its time limit, and for the configured multiple of its
+    objective at least. That multiple is the most for requests of a service whose upstreams fall
+    over if they reject many: the more requests wait at the VMs, the more of them are sent to the
+    same upstream at the moment when it has room.
     """
     patience_ms = int(policy.patience_objectives * request.route.objective_ms)
     patient_until_ms = request.arrived_at_ms + patience_ms
--- a/azureturn/gateway/site/_view_changes.py
+++ b/azureturn/gateway/site/_view_changes.py
@@ -10,6 +10,7 @@
 from hashlib import blake2b
 
 from azureturn.gateway.site._allotment_usage import AllotmentRecord
+from azureturn.gateway.site._configuration import SiteConfiguration
 from azureturn.gateway.site._document_types import DocumentContent, RegisteredUpstream
 
 
@@ -22,7 +23,8 @@
     revision: int
     value: bytes
     content: DocumentContent
-    #: Revision of the last write that every VM has to learn of; 0 if it is ``revision``.
+    #: Revision of the last write that every VM has to learn of; 0 if it is ``revision``, unless the
+    #: document turns out to be a renewal.
     changed_revision: int = 0
 
     @property
@@ -34,10 +36,15 @@
     def digest(self) -> int:
         """Return a digest of the key and the content that is the same on all VMs.
 
-        The value of an upstream's entry differs with each renewal.
+        The value of an upstream's entry differs with each renewal. Other documents have a meaning
+        of their own each time they are written, but for the configuration, which has a version.
         """
-        is_upstream = isinstance(self.content, RegisteredUpstream)
-        content = repr(self.content).encode() if is_upstream else self.value
+        if isinstance(self.content, RegisteredUpstream):
+            content = repr(self.content).encode()
+        elif isinstance(self.content, SiteConfiguration):
+            content = self.value
+        else:
+            content = self.value + b"\0%d" % self.revision
         data = b"\0".join((self.key.encode(), content))
         return int.from_bytes(blake2b(data, digest_size=8).digest(), signed=True)
 
@@ -58,6 +65,8 @@
         9
         """
         content = self.content
+        if self.changed_revision:
+            return self
         if old is None or not isinstance(content, RegisteredUpstream) or old.content != content:
             return self
         if content.cold_left_ms is None:
--- a/azureturn/gateway/site/tests/test_view_changes.py
+++ b/azureturn/gateway/site/tests/test_view_changes.py
@@ -1,7 +1,15 @@
 """Differences between views, which peers pass on to each other."""
 
+from dataclasses import replace
+
 from azureturn.gateway.decisions.tests.gateway_core_harness import upstream
-from azureturn.gateway.site import SiteView, StoredDocument, ViewDifference, join_revision
+from azureturn.gateway.site import (
+    RegisteredVm,
+    SiteView,
+    StoredDocument,
+    ViewDifference,
+    join_revision,
+)
 
 
 def _entry(name: str, revision: int, **fields: object) -> StoredDocument:
@@ -48,6 +56,22 @@
     assert caught_up.upstreams.keys() == {"u1"}
 
 
+def test_an_entry_that_was_removed_and_written_again_as_before_is_passed_on() -> None:
+    """The peer saw only the removal, and would have gone without the entry."""
+    first = _view(_entry("u1", 5))
+    follower = first.with_changes(written=[], removals={"u1": 10}, revision=10)
+    written_again = replace(_entry("u1", 11), changed_revision=11)
+    peer = first.with_changes(written=[written_again], removals={}, revision=15)
+    caught_up = follower.with_difference(_changes(peer, follower.revision))
+    assert caught_up.upstreams.keys() == {"u1"}
+
+
+def test_another_document_that_is_written_again_is_a_change() -> None:
+    """An order that an operator repeats begins anew."""
+    rows = [StoredDocument("k", revision, b"v", RegisteredVm("v", "h", 1)) for revision in (5, 6)]
+    assert rows[0].digest != rows[1].digest
+
+
 def test_views_that_differ_by_a_change_that_was_undone_have_different_digests() -> None:
     """The peer saw neither the change nor that it was undone, and must not vouch for it."""
     first = _view(_entry("u1", 5))
