--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,110 +1,104 @@
-"""A new version fails on one route, with one in 17 of its service's requests, from some time on."""
+"""Streams of a replica that preempts them are cut off around a SIGHUP, with nowhere to go on."""
 
 import asyncio
-import random
+import signal
 import sys
 from pathlib import Path
-from typing import Any
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent))
 sys.dont_write_bytecode = True
 
-from stand_ins_2 import LIMITS, Site, main, now_ms, plain_service, route  # noqa: E402
+from stand_ins_2 import LIMITS, Site, engine_service, main, now_ms, route  # noqa: E402
 
-REQUESTS_PER_S = 40
-BAD_ROUTE = "/quote/"
-BAD_ROUTE_SHARE = 0.06
-ORDER_AT_S = 4.0
-DURATION_S = 30
-#: The new version is good until then, counted from its start.
-BAD_AFTER_S = 8
-END_S = 40.0
-EXPOSURE_SHARE = 0.1
-EXPOSURE_TOLERANCE = 50
+#: The sheet's figures for the first kind of request of blsa-outage.
+GOAL_MS = 800
+GAP_TARGET_MS = 400
+TIMEOUT_MS = 15000
+#: Clients leave a stream after a gap of the longest of these.
+CLIENT_GAP_MS = max(2000, 4 * GOAL_MS, 8 * GAP_TARGET_MS)
+#: How long the replica is silent after the tenth event; clients wait for longer.
+PREEMPTED_AFTER = 10
+PREEMPTED_MS = 2400
+EVENTS = 60
+PAUSE_MS = 80
+STREAMS = 8
+ROUNDS = 3
+SIGHUP_AFTER_S = 0.5
+CONFIG_APPLY_MS = 2000
+#: No other disturbance is near a round.
+ROUND_S = 14.0
+CALM_S = 4.0
 
 
 async def run(site: Site, trouble: bool) -> tuple[bool, str]:
-    generator = random.Random(1)
-    fields = {"timeout_ms": 1500, "goal_ms": 150, "attempts": 1}
+    assert PREEMPTED_MS < CLIENT_GAP_MS
     await site.store.put(
         "op/config",
         {
             "version": 7,
             "routes": [
-                route("/status/", "desk", "idempotent", **fields),
-                route(BAD_ROUTE, "desk", "idempotent", **fields),
+                route(
+                    "/chat/", "llm", "stream", timeout_ms=TIMEOUT_MS, goal_ms=GOAL_MS,
+                    attempts=2, resumable=True, sticky=True, gap_target_ms=GAP_TARGET_MS,
+                ),
             ],
-            "services": [plain_service("desk")],
+            "services": [engine_service("llm", 9)],
             "limits": LIMITS,
         },
-    )
-    for number in range(2):
-        await site.start_replica(f"i-old-{number}", "desk", "v1", slots=6, work_ms=25)
-    await site.start_gateways(2)
-    site.note("gateways ready")
-    begin = asyncio.get_running_loop().time()
-
-    def now_s() -> float:
-        return asyncio.get_running_loop().time() - begin
-
-    def on_write(key: str, value: Any) -> None:
-        if not key.startswith("status/rollout/"):
-            return
-        site.note(f"{key} = {value}")
-        # At complete the platform stops the old replicas, at rolled_back the new ones drain.
-        if value["state"] == "complete":
-            for replica in [row for row in site.replicas if row.version == "v1"]:
-                site.background(site.stop_replica(replica))
-        elif value["state"] == "rolled_back":
-            for replica in [row for row in site.replicas if row.version == "v2"]:
-                site.background(site.drain_replica(replica))
-
-    async def requests() -> None:
-        while now_s() < END_S - 2:
-            is_bad_route = generator.random() < BAD_ROUTE_SHARE
-            path = f"{BAD_ROUTE}1" if is_bad_route else "/status/1"
+    )  # fmt: skip
+    options = {"slots": 9, "events": EVENTS, "pause_ms": PAUSE_MS, "first_ms": 60}
+    if trouble:
+        options |= {"preempted_after": PREEMPTED_AFTER, "preempted_ms": PREEMPTED_MS}
+    await site.start_replica("i-llm-0", "llm", **options)
+    await site.start_gateways(1)
+    site.note("gateway ready")
+    gateway = site.gateways[0]
+    await asyncio.sleep(CALM_S)
+    sighups_ms: list[int] = []
+    for number in range(ROUNDS):
+        for stream in range(STREAMS):
             site.background(
                 site.request(
-                    generator.choice(site.gateways), "GET", path, deadline_ms=1500, tag=path
+                    gateway, "POST", "/chat/1", deadline_ms=TIMEOUT_MS,
+                    headers=[
+                        "X-Model: m", "X-Token-Count: 660,420",
+                        f"X-Prompt-Prefix: 5c1e07a2:60,{number:04x}{stream:04x}:600",
+                    ],
+                    body=b"x" * 600, tag=f"chat-{number}",
                 )
-            )
-            await asyncio.sleep(generator.expovariate(REQUESTS_PER_S))
-
-    site.store.on_write = on_write
-    site.background(requests())
-    await asyncio.sleep(ORDER_AT_S - now_s())
-    fails_on = [BAD_ROUTE] if trouble else []
-    for number in range(2):
-        await site.start_replica(
-            f"i-new-{number}",
-            "desk",
-            "v2",
-            slots=6,
-            work_ms=25,
-            fails_on=fails_on,
-            fails_after_s=BAD_AFTER_S,
-        )
-    order = {"service": "desk", "target": "v2", "duration_s": DURATION_S}
-    await site.store.put("op/rollout/desk", order)
-    ordered_ms = now_ms()
-    site.note("roll-out of v2 ordered")
-    await asyncio.sleep(END_S - now_s())
-    runs = [
-        row
-        for row in site.runs()
-        if row["event"] == "runs" and 0 <= row["at_ms"] - ordered_ms <= 1_000 * DURATION_S
-    ]
-    new = [row for row in runs if row["replica"].startswith("i-new")]
-    bad = [row for row in site.runs() if row["event"] == "500"]
-    limit = EXPOSURE_SHARE * len(runs) + EXPOSURE_TOLERANCE
-    status = site.store.value("status/rollout/desk")
+            )  # fmt: skip
+        await asyncio.sleep(SIGHUP_AFTER_S)
+        # A field that is new, as "the settings file has changed".
+        gateway.change_setting("heartbeat_ms", str(1200 + number + 1))
+        gateway.signal(signal.SIGHUP)
+        sighups_ms.append(now_ms())
+        site.note("SIGHUP")
+        await asyncio.sleep(ROUND_S - SIGHUP_AFTER_S)
+    preempted = {row["id"] for row in site.runs() if row["event"] == "preempted"}
+    dropped = {row["id"] for row in site.runs() if row["event"] == "dropped"}
+    lost = [row for row in site.answers if is_lost(row, sighups_ms)]
+    complete = sum(answer.is_complete for answer in site.answers)
     summary = (
-        f"{'bad' if trouble else 'good'} version got {len(new)} of {len(runs)} requests between "
-        f"the order and its time limit (limit {limit:.0f} for a bad one), {len(bad)} bad answers, "
-        f"status {status and status['state']}"
+        f"of {len(site.answers)} streams around a SIGHUP, {len(preempted)} were preempted for "
+        f"{PREEMPTED_MS} ms and {complete} were complete; {len(lost)} ended without a complete "
+        f"answer after they had been passed on, before their time limit, and the replica saw "
+        f"{len(dropped)} channels close while it held the request"
+    )
+    return bool(lost), summary
+
+
+def is_lost(answer, sighups_ms: list[int]) -> bool:  # type: ignore[no-untyped-def]
+    """Return whether a request's channel ended too soon, by the rule, around a SIGHUP."""
+    if answer.is_complete or not answer.done_ms or answer.error == "time limit":
+        return False
+    if answer.done_ms - answer.sent_ms >= TIMEOUT_MS:
+        return False
+    return any(
+        answer.sent_ms <= at_ms + CONFIG_APPLY_MS and answer.done_ms > at_ms
+        for at_ms in sighups_ms
+        if abs(answer.sent_ms - at_ms) < 1_000 * ROUND_S / 2
     )
-    return trouble and len(new) > limit, summary
 
 
 main(CASE, run)
--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -171,6 +171,11 @@
             data = f"id: {number}\ndata: {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
+            if number == self._options.get("preempted_after") and first == 1:
+                # Its memory is taken, and its prompt is read again later.
+                self._record(sealed["X-Request-Id"], "preempted")
+                await asyncio.sleep(self._options["preempted_ms"] / 1_000)
+                self._record(sealed["X-Request-Id"], "goes on")
             await asyncio.sleep(self._options.get("pause_ms", 50) / 1_000)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
