--- a/review/8/case.py
+++ b/review/8/case.py
@@ -65,9 +65,7 @@
             is_bad_route = generator.random() < BAD_ROUTE_SHARE
             path = f"{BAD_ROUTE}1" if is_bad_route else "/status/1"
             site.background(
-                site.request(
-                    generator.choice(site.gateways), "GET", path, deadline_ms=1500, tag=path
-                )
+                site.request(site.entry(generator), "GET", path, deadline_ms=1500, tag=path)
             )
             await asyncio.sleep(generator.expovariate(REQUESTS_PER_S))
 
--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -14,6 +14,10 @@
 
 #: How often a replica looks whether the channel of a request has closed.
 CLOSE_CHECK_S = 0.02
+#: How often a preempted run looks for room, and how fast its prompt is read again (blsa-outage).
+MEMORY_CHECK_S = 0.01
+PREFILL_TOKENS_PER_S = 92_100
+TOKENS_PER_EVENT = 6
 
 
 class ReplicaProcess:
@@ -27,6 +31,8 @@
         self._waiting = 0
         self._active = 0
         self._runs = 0
+        #: Tokens of each run, the newest last; a preempted one has none.
+        self._memory: dict[str, int] = {}
         self._started_s = time.monotonic()
         self.port = 0
 
@@ -163,6 +169,43 @@
         events: int,
     ) -> None:
         first = int(headers.get("last-event-id") or 0) + 1
+        request_id = sealed["X-Request-Id"]
+        prompt_tokens = int(headers.get("x-token-count", "0").split(",")[0])
+        self._memory[request_id] = prompt_tokens
+        try:
+            await self._stream_events(first, request_id, prompt_tokens, sealed, writer, events)
+        finally:
+            self._memory.pop(request_id, None)
+
+    async def _use_memory(self, request_id: str, tokens: int) -> None:
+        """Count what a run holds; when memory runs out, the newest run is preempted.
+
+        It goes on when there is room for all that it had, and its prompt has been read again.
+        """
+        capacity = self._options.get("kv_capacity", 1 << 60)
+        if request_id in self._memory:
+            self._memory[request_id] = tokens
+            if sum(self._memory.values()) > capacity:
+                newest = next(reversed(self._memory))
+                del self._memory[newest]
+        if request_id in self._memory:
+            return
+        self._record(request_id, "preempted")
+        while sum(self._memory.values()) + tokens > capacity:
+            await asyncio.sleep(MEMORY_CHECK_S)
+        self._memory[request_id] = tokens
+        await asyncio.sleep(tokens / PREFILL_TOKENS_PER_S)
+        self._record(request_id, "goes on")
+
+    async def _stream_events(
+        self,
+        first: int,
+        request_id: str,
+        prompt_tokens: int,
+        sealed: dict[str, str],
+        writer: asyncio.StreamWriter,
+        events: int,
+    ) -> None:
         await asyncio.sleep(self._options.get("first_ms", 30) / 1_000)
         lines = [f"{name}: {value}" for name, value in sealed.items()]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
@@ -171,15 +214,11 @@
             data = f"id: {number}\ndata: {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
-            if number == self._options.get("preempted_after") and first == 1:
-                # Its memory is taken, and its prompt is read again later.
-                self._record(sealed["X-Request-Id"], "preempted")
-                await asyncio.sleep(self._options["preempted_ms"] / 1_000)
-                self._record(sealed["X-Request-Id"], "goes on")
+            await self._use_memory(request_id, prompt_tokens + number * TOKENS_PER_EVENT)
             await asyncio.sleep(self._options.get("pause_ms", 50) / 1_000)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        self._record(sealed["X-Request-Id"], "200")
+        self._record(request_id, "200")
 
     async def _send(
         self, writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes
