An answer without a length that is reset during the upload is not complete

Cause: the operating system reports a reset once, to the next call on the socket. Here that was the send of the body. UpstreamConnection.send() goes on after a failed send if a response has arrived, and the reads after it found no error any more but an end of the connection, which ends a body that has neither a length nor chunks.

Ruled out: through a peer's relay the cases passed before, since the end is told by a frame; answers with a length or chunks carry their end themselves.

Change: the connection keeps that a send found it lost, and an end that is read afterwards ends no body. EPIPE is no loss: it is reported if the other end had closed the connection in order before, so an answer without a length that ends with an ordinary close is still served, also if a reset follows the close (tested with all framings). The caller's own time-out is no loss either.

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from azureturn._socket_errors import is_connection_lost
 from azureturn._socket_options import RESET_AT_CLOSE
 from azureturn.errors import ErrorKind, UpstreamError
 from azureturn.gateway.exchange._body_budget import BodyBudget
@@ -54,6 +55,8 @@
         self._has_unsent_bytes = False
         self.idle_since_ms = 0
         self._aborted = False
+        #: Whether a send has found that the connection was reset or timed out.
+        self._is_lost = False
 
     def send(self, request: h11.Request, body: bytes, *, timeout_ms: int) -> None:
         """Send a whole request.
@@ -75,6 +78,7 @@
                 send_all(self._socket, body, max(1, deadline_ms - now_ms()) / _MS_PER_S)
             self._has_unsent_bytes = False
         except OSError as error:
+            self._is_lost = is_connection_lost(error)
             if not self._receive_early_response():
                 raise _connection_broken(error) from error
 
@@ -168,7 +172,7 @@
             self._http.receive_data(b"")
             return
         data = receive(self._socket, _READ_BYTES, timeout_s)
-        if not data and self._aborted:
+        if not data and (self._aborted or self._is_lost):
             # Only the upstream's close may end a body that has neither a length nor chunks.
             raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection aborted")
         part = self._upstream_bytes.feed(data)
--- /dev/null
+++ b/azureturn/gateway/exchange/tests/test_broken_answers.py
@@ -0,0 +1,95 @@
+"""Tests of :class:`Attempt` against upstreams that send broken answers."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from azureturn.errors import UpstreamError, UpstreamUnreachableError
+from azureturn.gateway.exchange._attempt import Attempt, UpstreamRequest
+from azureturn.gateway.exchange._connections import ConnectionPool
+from azureturn.gateway.exchange._connector import UpstreamConnector
+from azureturn.gateway.exchange.tests.plain_dialect import PlainDialect
+from azureturn.gateway.site import RegisteredUpstream
+from azureturn.serving import now_ms
+from standins.broken_server import (
+    REQUEST_ID,
+    Answer,
+    BrokenServer,
+    Ending,
+    Framing,
+    broken_server,
+)
+
+_WAIT_MS = 5_000
+_LONG_BODY = bytes(8 << 20)
+_SOUND = Answer(fields=(b"Request: " + REQUEST_ID, b"Seal: s"), body=b"all of it")
+_IS_REUSED = pytest.mark.parametrize("is_reused", [False, True], ids=["new", "reused"])
+
+
+@dataclass
+class _Client:
+    """Sends requests to a server, all of them through one pool."""
+
+    server: BrokenServer
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+
+    def call(self, request_id: str, body: bytes = b"body") -> bytes:
+        """Send a request, and return the body of the response."""
+        port = self.server.port
+        upstream = RegisteredUpstream("u", "s", "127.0.0.1", port, "a", "v1", slots=4)
+        attempt = Attempt(upstream, self.pool, UpstreamConnector(), PlainDialect())
+        headers = (("Host", "site.example"), ("X-Request-Id", request_id))
+        request = UpstreamRequest("POST", "/", headers, body, request_id)
+        ends_at_ms = now_ms() + _WAIT_MS
+        try:
+            attempt.send(request, unrepeatable=False, ends_at_ms=ends_at_ms)
+            attempt.read_head(ends_at_ms=ends_at_ms)
+            return attempt.read_body(ends_at_ms=ends_at_ms)
+        finally:
+            attempt.close()
+
+
+@contextmanager
+def _answering_client(answer: Answer, *, is_reused: bool) -> Iterator[_Client]:
+    """Run a server that gives the answer, after a sound one on the same connection if asked to."""
+    answers = [_SOUND, answer] if is_reused else [answer]
+    with broken_server(lambda _request: answers.pop(0) if answers else _SOUND) as server:
+        client = _Client(server)
+        if is_reused:
+            assert client.call("r0") == _SOUND.body
+        yield client
+        assert server.connections == 1
+
+
+@_IS_REUSED
+def test_an_answer_without_a_length_that_is_reset_during_the_upload_is_not_complete(
+    is_reused: bool,
+) -> None:
+    answer = replace(_SOUND, framing=Framing.CLOSE, ending=Ending.RESET)
+    with _answering_client(answer, is_reused=is_reused) as client:
+        with pytest.raises(UpstreamError) as raised:
+            client.call("r1", _LONG_BODY)
+        assert not isinstance(raised.value, UpstreamUnreachableError)
+
+
+@pytest.mark.parametrize("framing", Framing)
+@pytest.mark.parametrize("ending", [Ending.CLOSED, Ending.CLOSED_THEN_RESET])
+@_IS_REUSED
+def test_an_answer_that_ends_in_order_during_the_upload_is_complete(
+    framing: Framing, ending: Ending, is_reused: bool
+) -> None:
+    answer = replace(_SOUND, framing=framing, ending=ending)
+    with _answering_client(answer, is_reused=is_reused) as client:
+        assert client.call("r1", _LONG_BODY) == _SOUND.body
+
+
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+@_IS_REUSED
+def test_an_answer_with_a_marked_end_is_complete_although_the_upload_is_reset(
+    framing: Framing, is_reused: bool
+) -> None:
+    answer = replace(_SOUND, framing=framing, ending=Ending.RESET)
+    with _answering_client(answer, is_reused=is_reused) as client:
+        assert client.call("r1", _LONG_BODY) == _SOUND.body
