Clients of the store take no answer without a length that was reset during the upload

Cause: urllib3 reads the response although the request could not be sent, also after a reset. The operating system has then reported the reset already, so the reads after it find an ordinary end, which ends a body without a length.

Ruled out: dispatches to upstreams, which take no answer without a length or chunks anyway.

Change: a connection keeps that a send found it lost; a response whose end is not marked is then given up.

--- a/azureturn/_limited_http.py
+++ b/azureturn/_limited_http.py
@@ -10,6 +10,8 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from azureturn._socket_errors import is_connection_lost
+
 #: Maximum length of one line.
 MAX_LINE_BYTES = 65_536
 #: Maximum number of lines in a row, as of a head. A chunk's line is followed by data.
@@ -58,9 +60,40 @@
 
 
 class LimitedConnection(HTTPConnection):
-    """A connection of urllib3 with limited responses."""
+    """A connection of urllib3 with limited responses.
+
+    urllib3 reads a response although the request could not be sent as a whole. If the connection
+    was lost, its end ends no body.
+    """
 
     response_class = LimitedResponse
+    #: Whether a send has found that the connection was reset or timed out.
+    _is_lost = False
+
+    def connect(self) -> None:
+        """Open the connection, also again after it was closed."""
+        self._is_lost = False
+        super().connect()
+
+    def send(self, data: Any) -> None:
+        """Send a part of a request."""
+        try:
+            super().send(data)
+        except OSError as error:
+            self._is_lost = is_connection_lost(error)
+            raise
+
+    def getresponse(self) -> Any:
+        """Return the response, whose body has not been read.
+
+        Raises ``ConnectionResetError`` if the end of the body cannot be told.
+        """
+        response = super().getresponse()
+        has_marked_end = response.chunked or response.length_remaining is not None
+        if self._is_lost and not has_marked_end:
+            response.close()
+            raise ConnectionResetError("connection lost before a response without a length ended")
+        return response
 
 
 class LimitedConnectionPool(urllib3.HTTPConnectionPool):
