A response with a broken line in a head or trailer section is no response

Callers got a response of a faulty upstream whose head had a field with a blank or a control byte before its name: the line was passed on as part of the value of the field before it.

Cause: h11 checks names, so a blank or control byte inside a name, or at its end, was refused before. A line that begins with a blank it takes for the rest of the line before (obsolete line folding, RFC 9112, section 5.2, which servers must not send and a gateway may refuse), in heads, trailers and 1xx heads alike; and of control bytes in values it refuses only some.

Already handled, and now tested: a broken name inside, at its end or first in a head; a status of 000, 099 or with other than three digits.

Change: StrictConnection, which is h11's connection with one more check of the bytes of each head and trailer section. UpstreamConnection uses it, so it holds for requests, probes of the status, direct and relayed connections. A response that fails the check ends its attempt; the connection is closed.

Unusual sound heads, trailers and 1xx heads are taken.

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -11,6 +11,7 @@
 
 from azureturn._socket_errors import is_connection_lost
 from azureturn._socket_options import RESET_AT_CLOSE
+from azureturn._strict_http import StrictConnection
 from azureturn.errors import ErrorKind, UpstreamError
 from azureturn.gateway.exchange._body_budget import BodyBudget
 from azureturn.gateway.relay import DirectBytes, UpstreamBytes
@@ -49,7 +50,7 @@
         connection_socket.setblocking(False)
         self._socket = connection_socket
         self._upstream_bytes = upstream_bytes or DirectBytes()
-        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEADER_LIMIT_BYTES)
+        self._http = StrictConnection(max_head_bytes=_HEADER_LIMIT_BYTES)
         self._last_request: h11.Request | None = None
         #: Whether part of the last request has not been sent. h11 does not know.
         self._has_unsent_bytes = False
--- a/azureturn/gateway/exchange/tests/test_broken_answers.py
+++ b/azureturn/gateway/exchange/tests/test_broken_answers.py
@@ -11,7 +11,7 @@
 from azureturn.gateway.exchange._connections import ConnectionPool
 from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.exchange.tests.plain_dialect import PlainDialect
-from azureturn.gateway.site import RegisteredUpstream
+from azureturn.gateway.site import RegisteredUpstream, StatedAvailability
 from azureturn.serving import now_ms
 from standins.broken_server import (
     REQUEST_ID,
@@ -19,6 +19,7 @@
     BrokenServer,
     Ending,
     Framing,
+    broken_answers,
     broken_server,
 )
 
@@ -34,12 +35,20 @@
 
     server: BrokenServer
     pool: ConnectionPool = field(default_factory=ConnectionPool)
+    #: What responses have stated of the upstream's availability.
+    stated: list[StatedAvailability] = field(default_factory=list)
 
     def call(self, request_id: str, body: bytes = b"body") -> bytes:
         """Send a request, and return the body of the response."""
         port = self.server.port
         upstream = RegisteredUpstream("u", "s", "127.0.0.1", port, "a", "v1", slots=4)
-        attempt = Attempt(upstream, self.pool, UpstreamConnector(), PlainDialect())
+        attempt = Attempt(
+            upstream,
+            self.pool,
+            UpstreamConnector(),
+            PlainDialect(),
+            report_availability=self.stated.append,
+        )
         headers = (("Host", "site.example"), ("X-Request-Id", request_id))
         request = UpstreamRequest("POST", "/", headers, body, request_id)
         ends_at_ms = now_ms() + _WAIT_MS
@@ -52,15 +61,20 @@
 
 
 @contextmanager
-def _answering_client(answer: Answer, *, is_reused: bool) -> Iterator[_Client]:
-    """Run a server that gives the answer, after a sound one on the same connection if asked to."""
+def _answering_client(
+    answer: Answer, *, is_reused: bool, connections: int = 1
+) -> Iterator[_Client]:
+    """Run a server that gives the answer, after a sound one on the same connection if asked to.
+
+    Further answers are sound. Checks that the client has used that many connections.
+    """
     answers = [_SOUND, answer] if is_reused else [answer]
     with broken_server(lambda _request: answers.pop(0) if answers else _SOUND) as server:
         client = _Client(server)
         if is_reused:
             assert client.call("r0") == _SOUND.body
         yield client
-        assert server.connections == 1
+        assert server.connections == connections
 
 
 @_IS_REUSED
@@ -93,3 +107,42 @@
     answer = replace(_SOUND, framing=framing, ending=Ending.RESET)
     with _answering_client(answer, is_reused=is_reused) as client:
         assert client.call("r1", _LONG_BODY) == _SOUND.body
+
+
+@pytest.mark.parametrize("framing", Framing)
+@_IS_REUSED
+def test_a_broken_answer_is_not_taken_and_its_connection_not_kept(
+    framing: Framing, is_reused: bool
+) -> None:
+    sound = replace(_SOUND, framing=framing)
+    taken = [
+        name
+        for name, answer in broken_answers(sound).items()
+        if not _is_refused(answer, is_reused=is_reused)
+    ]
+    assert not taken
+
+
+def _is_refused(answer: Answer, *, is_reused: bool) -> bool:
+    """Return whether an answer is refused, and the next request gets one on a new connection."""
+    with _answering_client(answer, is_reused=is_reused, connections=2) as client:
+        with pytest.raises(UpstreamError) as raised:
+            client.call("r1")
+        assert client.call("r2") == _SOUND.body
+        return not isinstance(raised.value, UpstreamUnreachableError)
+
+
+@pytest.mark.parametrize("framing", Framing)
+def test_a_broken_head_says_nothing_of_the_upstream(framing: Framing) -> None:
+    fields = (*_SOUND.fields, b"Leaving: 1")
+    hints = (b"HTTP/1.1 103 Early Hints", b"Leaving: 1")
+    answers = {
+        **broken_answers(replace(_SOUND, framing=framing, fields=fields)),
+        "broken hints": replace(_SOUND, informational=(*hints, b" X-Broken: marker")),
+    }
+    for name, answer in answers.items():
+        with _answering_client(answer, is_reused=False) as client:
+            with pytest.raises(UpstreamError):
+                client.call("r1")
+            # A trailer comes after a head that is sound.
+            assert not client.stated or answer.trailers, name
