A response with a status that does not exist is no response

RFC 9110, section 15, calls such a status invalid and has a client treat it as a server's failure.

Cause: h11 refuses 000 to 099 and statuses with other than three digits, so those reached no caller before; it accepts 600 to 999.

Change: StrictConnection rejects statuses above 599.

--- a/azureturn/_strict_http.py
+++ b/azureturn/_strict_http.py
@@ -4,6 +4,7 @@
 
 import h11
 
+_MAX_STATUS = 599
 #: What no line of a head or trailer section may contain: a control byte other than the tab, or a
 #: line that continues the one before (RFC 9112, section 5.2, forbids servers to send either).
 _BROKEN_LINE = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|\n[ \t]")
@@ -16,7 +17,7 @@
 
     h11 checks the names of fields, but joins a line that begins with a blank to the line before it:
     a field whose name begins with a blank becomes part of another field's value. It also accepts
-    control bytes outside of names.
+    control bytes outside of names, and statuses that do not exist.
     """
 
     def __init__(self, *, max_head_bytes: int) -> None:
@@ -35,6 +36,8 @@
         event = super().next_event()
         if isinstance(event, h11.Response | h11.InformationalResponse):
             self._check_lines(self._take_processed())
+            if event.status_code > _MAX_STATUS:
+                raise h11.RemoteProtocolError(f"status {event.status_code} does not exist")
         elif isinstance(event, h11.EndOfMessage):
             processed = self._take_processed()
             if event.headers:
--- a/standins/broken_server.py
+++ b/standins/broken_server.py
@@ -108,7 +108,7 @@
     "no colon": b"marker",
 }
 #: What stands for a status that is none.
-BROKEN_STATUSES = (b"000 ", b"000 OK", b"099 OK", b"20 OK", b"2_00 OK")
+BROKEN_STATUSES = (b"000 ", b"000 OK", b"099 OK", b"600 OK", b"999 OK", b"20 OK", b"2_00 OK")
 _EARLY_HINTS = (b"HTTP/1.1 103 Early Hints", b"Link: </a>")
 
 
