Clients of upstreams and stores take no response with a broken head or trailer section

Cause: Python's http.client, which urllib3 reads with, ends a head at the first line that is no field. What follows is no field any more, so its Content-Length or Transfer-Encoding is lost, and the body has another end. It joins continued lines, takes the end of a connection for the end of a head or trailer section, skips only status 100, and accepts statuses up to 999 and a status like "2_00".

Change: a head is read as a whole and given to StrictConnection, the check of the gateway's own connections, before http.client reads it; informational responses are checked and left out. The last chunk and the trailers go through the same check. A head has the size limit that a line had.

--- a/azureturn/_limited_http.py
+++ b/azureturn/_limited_http.py
@@ -1,41 +1,60 @@
-"""HTTP responses of urllib3 whose lines have limits, whatever the other end sends.
+"""HTTP responses of urllib3 that are checked, and limited, whatever the other end sends.
 
 urllib3 reads the line before each chunk, and those after the last one, without a limit. Python's
-own library skips informational responses (status 1xx) for as long as they come.
+own library accepts heads that are broken: what follows a line without a field is no part of the
+head for it, and so the body may be another one than was sent.
 """
 
+import io
+import re
 from http.client import HTTPException, HTTPResponse
 from typing import Any
 
+import h11
 import urllib3
 from urllib3.connection import HTTPConnection
 
 from azureturn._socket_errors import is_connection_lost
+from azureturn._strict_http import StrictConnection
 
-#: Maximum length of one line.
+#: Maximum length of one line, and of a head or a trailer section.
 MAX_LINE_BYTES = 65_536
 #: Maximum number of lines in a row, as of a head. A chunk's line is followed by data.
 MAX_LINES = 1_000
+_LAST_CHUNK = re.compile(rb"0+[ \t]*(?:;.*)?\r?\n", re.DOTALL)
 
 
-class _LimitedLines:
-    """A socket's file whose lines have limits; raises ``HTTPException`` beyond them."""
+class _CheckedLines:
+    """A socket's file with one response, whose lines are limited and checked.
+
+    Informational responses are left out. Raises ``HTTPException`` for a broken head or trailer
+    section, and beyond the limits.
+    """
 
     def __init__(self, file: Any) -> None:
         self._file = file
         self._lines = 0
+        #: Sees the head and the trailer section, but no chunk between them.
+        self._http = StrictConnection(max_head_bytes=MAX_LINE_BYTES)
+        self._http.send(h11.Request(method="GET", target="/", headers=[("Host", "any")]))
+        self._http.send(h11.EndOfMessage())
+        #: The head, of which the lines are read after it has been checked; None before.
+        self._head: io.BytesIO | None = None
+        self._is_in_trailers = False
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._file, name)
 
     def readline(self, size: int = -1) -> bytes:
         """Return the next line, or the first ``size`` bytes of it."""
-        self._lines += 1
-        if self._lines > MAX_LINES:
-            raise HTTPException(f"more than {MAX_LINES} lines in a row")
-        line: bytes = self._file.readline(MAX_LINE_BYTES + 1 if size < 0 else size)
-        if len(line) > MAX_LINE_BYTES:
-            raise HTTPException(f"line of more than {MAX_LINE_BYTES} bytes")
+        if self._head is None:
+            self._head = io.BytesIO(self._read_head())
+        if head_line := self._head.readline(size):
+            return head_line
+        line = self._read_line(size)
+        if self._is_in_trailers or _LAST_CHUNK.fullmatch(line):
+            self._is_in_trailers = True
+            self._check(line)
         return line
 
     def read(self, size: int = -1) -> bytes:
@@ -50,13 +69,44 @@
         size: int = self._file.readinto(buffer)
         return size
 
+    def _read_head(self) -> bytes:
+        """Return the head of the final response; nothing if the connection ends before it."""
+        head = b""
+        while line := self._read_line():
+            head += line
+            event = self._check(line)
+            if isinstance(event, h11.Response):
+                return head
+            if isinstance(event, h11.InformationalResponse):
+                head = b""
+        if head:
+            raise HTTPException("connection closed inside a head")
+        return b""
+
+    def _read_line(self, size: int = -1) -> bytes:
+        self._lines += 1
+        if self._lines > MAX_LINES:
+            raise HTTPException(f"more than {MAX_LINES} lines in a row")
+        line: bytes = self._file.readline(MAX_LINE_BYTES + 1 if size < 0 else size)
+        if len(line) > MAX_LINE_BYTES:
+            raise HTTPException(f"line of more than {MAX_LINE_BYTES} bytes")
+        return line
+
+    def _check(self, line: bytes) -> object:
+        """Return h11's event after a line, which is empty at the end of the connection."""
+        self._http.receive_data(line)
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise HTTPException(str(error)) from error
+
 
 class LimitedResponse(HTTPResponse):
-    """A response whose lines have limits."""
+    """A response whose lines are limited and checked."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
-        self.fp: Any = _LimitedLines(self.fp)
+        self.fp: Any = _CheckedLines(self.fp)
 
 
 class LimitedConnection(HTTPConnection):
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -15,7 +15,9 @@
     Answer,
     Ending,
     Framing,
+    broken_answers,
     broken_server,
+    sound_answers,
 )
 
 _WAIT_MS = 5_000
@@ -178,9 +180,26 @@
     return taken
 
 
+_EACH_CLIENT = pytest.mark.parametrize("client", _CLIENTS, ids=lambda client: client.name)
 _EACH_FRAMING = pytest.mark.parametrize("framing", Framing)
 
 
+@_EACH_FRAMING
+@_EACH_CLIENT
+def test_a_broken_answer_is_not_taken(client: _Client, framing: Framing) -> None:
+    sound = client.sound(framing)
+    assert not _taken(client, sound, broken_answers(sound))
+
+
+@_EACH_FRAMING
+@_EACH_CLIENT
+def test_an_unusual_sound_answer_is_taken(client: _Client, framing: Framing) -> None:
+    sound = client.sound(framing)
+    expected = framing is not Framing.CLOSE or client.takes_unframed
+    answers = sound_answers(sound)
+    assert _taken(client, sound, answers) == (set(answers) if expected else set())
+
+
 _UPLOADS = {
     "dispatch": lambda port: _dispatch(port, body=_LONG_VALUE),
     "swap": lambda port: _swap(port, _LONG_VALUE),
