A refusal that proves to be broken promises nothing

A request that is not idempotent would have been sent once more.

Cause: the gateway reads the body of a refusal only to use the connection again, and took no notice of an error: the head counted, whatever came after it.

A broken head promised nothing before either; a sound refusal is still answered with 503.

Change: discard_body() raises what it finds, so that the attempt counts as broken. A body that only takes longer than the gateway waits for it does not contradict its head and changes nothing, nor does one over the limit.

--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one upstream: sends the request once and reads the response."""
 
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 
 import h11
@@ -220,16 +221,18 @@
         return reservation
 
     def discard_body(self, *, ends_at_ms: int) -> None:
-        """Read a body that is of no interest; close the connection if it does not end soon."""
+        """Read a body that is of no interest; close the connection if it does not end soon.
+
+        Raises :class:`UpstreamError` if the response proves to be broken: then nothing that its
+        head says counts.
+        """
         read_bytes = 0
-        try:
+        # A body that takes long does not contradict its head; only the connection is lost.
+        with suppress(TimeoutError):
             for part in self.iter_body(lambda: ends_at_ms):
                 read_bytes += len(part)
                 if read_bytes > _MAX_DISCARDED_BYTES:
                     break
-        except (UpstreamError, TimeoutError):
-            # The head has said all that there is to know; only the connection is lost.
-            pass
         self.close()
 
     def abort(self) -> None:
--- a/standins/broken_server.py
+++ b/standins/broken_server.py
@@ -52,6 +52,8 @@
     trailers: tuple[bytes, ...] = ()
     #: Lines of an informational response before the answer; without any, none is sent.
     informational: tuple[bytes, ...] = ()
+    #: Number of bytes at the end that are not sent.
+    cut_off_bytes: int = 0
     ending: Ending = Ending.KEPT
 
     def encode(self) -> bytes:
@@ -59,7 +61,8 @@
         fields = (*self.fields, *self._framing_field(), *self.last_fields)
         head = _encode_lines(b"HTTP/1.1 " + self.status, *fields)
         informational = _encode_lines(*self.informational) if self.informational else b""
-        return informational + head + self._encode_body()
+        data = informational + head + self._encode_body()
+        return data[: len(data) - self.cut_off_bytes]
 
     def _framing_field(self) -> tuple[bytes, ...]:
         if self.framing is Framing.LENGTH:
