A broken answer to a probe does not show that an upstream's responses come back

A probe of an upstream's status took the first head for the answer, so that an informational head was enough, whatever came after it: a final head with a broken line or a status of 000, or nothing.

Cause: request_status() returned after the first head; the connection was then closed.

Change: a probe reads informational heads, the final one and the body, with the functions with which an attempt skips a response (_response_reader.py, taken out of _attempt.py). What a head states of the upstream is reported as soon as it has been received, as before; a body that takes longer than the probe waits, or is over the limit, changes nothing.

--- a/azureturn/gateway/daemon/_connection_probes.py
+++ b/azureturn/gateway/daemon/_connection_probes.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+import h11
+
 from azureturn.errors import UpstreamError, UpstreamUnreachableError
 from azureturn.framework import Event
 from azureturn.gateway.daemon._threads import run_forever
@@ -74,15 +76,22 @@
     def _request_status(self, connection: UpstreamConnection, action: ProbeConnection) -> None:
         upstream = action.upstream
         asked_at_ms = now_ms()
-        response = request_status(
-            connection, upstream, action.status_path, timeout_ms=_STATUS_TIMEOUT_MS
+
+        def report_availability(head: h11.Response | h11.InformationalResponse) -> None:
+            availability = read_facts(head, self._dialect).availability
+            if availability != StatedAvailability():
+                relay_vm = action.relay.vm if action.relay else ""
+                self._runtime.submit(
+                    AvailabilityStated(upstream.run, availability, relay_vm, asked_at_ms)
+                )
+
+        request_status(
+            connection,
+            upstream,
+            action.status_path,
+            timeout_ms=_STATUS_TIMEOUT_MS,
+            on_head=report_availability,
         )
-        availability = read_facts(response, self._dialect).availability
-        if availability != StatedAvailability():
-            relay_vm = action.relay.vm if action.relay else ""
-            self._runtime.submit(
-                AvailabilityStated(upstream.run, availability, relay_vm, asked_at_ms)
-            )
 
     def _probe(self, action: ProbeConnection) -> Event | None:
         """Make one probe; return what it shows, or None if that is nothing."""
--- a/azureturn/gateway/exchange/_attempt.py
+++ b/azureturn/gateway/exchange/_attempt.py
@@ -16,6 +16,11 @@
 )
 from azureturn.gateway.exchange._connector import UpstreamConnector
 from azureturn.gateway.exchange._framing import BodyFraming
+from azureturn.gateway.exchange._response_reader import (
+    MAX_SKIPPED_BYTES,
+    read_final_head,
+    skip_body,
+)
 from azureturn.gateway.exchange._stated_availability import read_facts
 from azureturn.gateway.site import Dialect, RegisteredUpstream, ResponseFacts, StatedAvailability
 from azureturn.serving import now_ms
@@ -23,10 +28,6 @@
 #: Largest response body that is buffered as a whole, and largest one that is relayed in parts.
 MAX_RESPONSE_BYTES = 4 << 20
 MAX_STREAM_BYTES = 16 << 20
-#: How much of a response that is not relayed is read, so that its connection can be reused.
-_MAX_DISCARDED_BYTES = 1 << 16
-#: Maximum number of informational responses (status 1xx) before the response.
-_MAX_INFORMATIONAL_RESPONSES = 16
 #: Maximum number of responses that an attempt reads to find the response to its own request. A
 #: faulty upstream may send responses to other requests on the same connection.
 _MAX_RESPONSES_READ = 3
@@ -231,7 +232,7 @@
         with suppress(TimeoutError):
             for part in self.iter_body(lambda: ends_at_ms):
                 read_bytes += len(part)
-                if read_bytes > _MAX_DISCARDED_BYTES:
+                if read_bytes > MAX_SKIPPED_BYTES:
                     break
         self.close()
 
@@ -258,14 +259,10 @@
 
     def _next_head(self, ends_at_ms: int) -> ResponseHead:
         assert self._connection is not None
-        for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
-            event = self._connection.next_event(timeout_ms=ends_at_ms - now_ms())
-            if isinstance(event, h11.Response):
-                return self._decode_head(event)
-            if not isinstance(event, h11.InformationalResponse):
-                break
-            self._read_facts(event)
-        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "expected a response head")
+        response = read_final_head(
+            self._connection, ends_at_ms=ends_at_ms, on_informational=self._read_facts
+        )
+        return self._decode_head(response)
 
     def _decode_head(self, response: h11.Response) -> ResponseHead:
         # h11 has checked the value.
@@ -290,14 +287,7 @@
 
     def _skip_response(self, ends_at_ms: int) -> None:
         assert self._connection is not None
-        skipped_bytes = 0
-        while skipped_bytes <= _MAX_DISCARDED_BYTES:
-            event = self._connection.next_event(timeout_ms=ends_at_ms - now_ms())
-            if isinstance(event, h11.EndOfMessage):
-                break
-            assert isinstance(event, h11.Data)
-            skipped_bytes += len(event.data)
-        else:
+        if not skip_body(self._connection, ends_at_ms=ends_at_ms):
             raise _body_too_large()
         try:
             self._connection.expect_another_response()
--- a/azureturn/gateway/exchange/_status_request.py
+++ b/azureturn/gateway/exchange/_status_request.py
@@ -1,24 +1,34 @@
 """Asks an upstream for its status, which shows whether its responses come back."""
 
+from collections.abc import Callable
+from contextlib import suppress
+
 import h11
 
-from azureturn.errors import ErrorKind, UpstreamError
 from azureturn.gateway.exchange._connections import UpstreamConnection
+from azureturn.gateway.exchange._response_reader import read_final_head, skip_body
 from azureturn.gateway.site import RegisteredUpstream
+from azureturn.serving import now_ms
 
 
 def request_status(
-    connection: UpstreamConnection, upstream: RegisteredUpstream, path: str, *, timeout_ms: int
-) -> h11.Response | h11.InformationalResponse:
-    """Send a request for the status page, and return the head of any response.
+    connection: UpstreamConnection,
+    upstream: RegisteredUpstream,
+    path: str,
+    *,
+    timeout_ms: int,
+    on_head: Callable[[h11.Response | h11.InformationalResponse], None],
+) -> None:
+    """Send a request for the status page, and read any response.
 
-    Raises ``TimeoutError`` if there is none in time, and :class:`UpstreamError` if the connection
-    breaks or what arrives is no response.
+    ``on_head`` is called with each head as soon as it has been received. Raises ``TimeoutError`` if
+    the head of the response does not arrive in time, and :class:`UpstreamError` if the connection
+    breaks or what arrives is no response. A body that takes longer changes nothing.
     """
     headers = [("Host", f"{upstream.host}:{upstream.port}"), ("Connection", "close")]
     request = h11.Request(method="GET", target=path, headers=headers)
+    ends_at_ms = now_ms() + timeout_ms
     connection.send(request, b"", timeout_ms=timeout_ms)
-    event = connection.next_event(timeout_ms=timeout_ms)
-    if not isinstance(event, h11.Response | h11.InformationalResponse):
-        raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "expected a response head")
-    return event
+    on_head(read_final_head(connection, ends_at_ms=ends_at_ms, on_informational=on_head))
+    with suppress(TimeoutError):
+        skip_body(connection, ends_at_ms=ends_at_ms)
--- a/azureturn/gateway/exchange/tests/test_broken_answers.py
+++ b/azureturn/gateway/exchange/tests/test_broken_answers.py
@@ -1,7 +1,7 @@
 """Tests of :class:`Attempt` against upstreams that send broken answers."""
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -10,6 +10,7 @@
 from azureturn.gateway.exchange._attempt import Attempt, UpstreamRequest
 from azureturn.gateway.exchange._connections import ConnectionPool
 from azureturn.gateway.exchange._connector import UpstreamConnector
+from azureturn.gateway.exchange._status_request import request_status
 from azureturn.gateway.exchange.tests.plain_dialect import PlainDialect
 from azureturn.gateway.site import RegisteredUpstream, StatedAvailability
 from azureturn.serving import now_ms
@@ -21,11 +22,17 @@
     Framing,
     broken_answers,
     broken_server,
+    sound_answers,
 )
 
 _WAIT_MS = 5_000
 _LONG_BODY = bytes(8 << 20)
 _SOUND = Answer(fields=(b"Request: " + REQUEST_ID, b"Seal: s"), body=b"all of it")
+_ENDINGS = {
+    Framing.LENGTH: Ending.KEPT,
+    Framing.CHUNKED: Ending.KEPT,
+    Framing.CLOSE: Ending.CLOSED,
+}
 _IS_REUSED = pytest.mark.parametrize("is_reused", [False, True], ids=["new", "reused"])
 
 
@@ -146,3 +153,40 @@
                 client.call("r1")
             # A trailer comes after a head that is sound.
             assert not client.stated or answer.trailers, name
+
+
+def _request_status(answer: Answer) -> int:
+    """Ask a server that gives the answer for its status, and return the number of heads read."""
+    heads: list[object] = []
+    with broken_server(lambda _request: answer) as server:
+        upstream = RegisteredUpstream("u", "s", "127.0.0.1", server.port, "a", "v1", slots=4)
+        connection = UpstreamConnector().connect(upstream, "", timeout_ms=_WAIT_MS)
+        try:
+            request_status(
+                connection, upstream, "/health", timeout_ms=_WAIT_MS, on_head=heads.append
+            )
+        finally:
+            connection.close()
+    return len(heads)
+
+
+@pytest.mark.parametrize("framing", Framing)
+def test_a_broken_answer_to_a_probe_shows_nothing(framing: Framing) -> None:
+    sound = replace(_SOUND, framing=framing, ending=_ENDINGS[framing])
+    hints = (b"HTTP/1.1 103 Early Hints", b"Link: </a>")
+    answers = broken_answers(sound)
+    answers |= broken_answers(replace(sound, informational=hints))
+    answers["reset"] = replace(sound, cut_off_bytes=1, ending=Ending.RESET)
+    taken = set()
+    for name, answer in answers.items():
+        with suppress(UpstreamError):
+            _request_status(answer)
+            taken.add(name)
+    assert not taken
+
+
+@pytest.mark.parametrize("framing", Framing)
+def test_a_sound_answer_to_a_probe_is_read(framing: Framing) -> None:
+    answers = sound_answers(replace(_SOUND, framing=framing, ending=_ENDINGS[framing]))
+    for answer in answers.values():
+        assert _request_status(answer) == (2 if answer.informational else 1)
