Error messages to callers contain no bytes of a broken answer

Cause: the error of an upstream's client has the text of the library's exception, and h11 as well as urllib3 quote what they could not read: the line of a head, or the size of a chunk.

The gateway's own error responses have fixed texts and quoted nothing.

Change: the check of urllib3's lines raises texts of its own, and also checks the sizes of chunks, of which Python's int() accepted "+5" and "0x5".

--- a/azureturn/_limited_http.py
+++ b/azureturn/_limited_http.py
@@ -21,14 +21,15 @@
 MAX_LINE_BYTES = 65_536
 #: Maximum number of lines in a row, as of a head. A chunk's line is followed by data.
 MAX_LINES = 1_000
-_LAST_CHUNK = re.compile(rb"0+[ \t]*(?:;.*)?\r?\n", re.DOTALL)
+#: The line before a chunk, of which the size is 0 for the last one.
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;.*)?\r?\n", re.DOTALL)
 
 
 class _CheckedLines:
     """A socket's file with one response, whose lines are limited and checked.
 
-    Informational responses are left out. Raises ``HTTPException`` for a broken head or trailer
-    section, and beyond the limits.
+    Informational responses are left out. Raises ``HTTPException`` for a line that is broken, and
+    beyond the limits; its text does not contain the line.
     """
 
     def __init__(self, file: Any) -> None:
@@ -52,8 +53,8 @@
         if head_line := self._head.readline(size):
             return head_line
         line = self._read_line(size)
-        if self._is_in_trailers or _LAST_CHUNK.fullmatch(line):
-            self._is_in_trailers = True
+        self._is_in_trailers = self._is_in_trailers or _is_last_chunk(line)
+        if self._is_in_trailers:
             self._check(line)
         return line
 
@@ -98,7 +99,18 @@
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as error:
-            raise HTTPException(str(error)) from error
+            # The text of h11's error contains the line, which must reach no caller either.
+            raise HTTPException("broken head or trailer section") from error
+
+
+def _is_last_chunk(line: bytes) -> bool:
+    """Return whether the line before a chunk says that it is the last one."""
+    if not line:
+        return False
+    size = _CHUNK_SIZE.fullmatch(line)
+    if size is None:
+        raise HTTPException("broken size of a chunk")
+    return not size[1].strip(b"0")
 
 
 class LimitedResponse(HTTPResponse):
--- a/standins/broken_server.py
+++ b/standins/broken_server.py
@@ -48,6 +48,8 @@
     last_fields: tuple[bytes, ...] = ()
     framing: Framing = Framing.LENGTH
     body: bytes = b""
+    #: What stands before the size of each chunk but the last one.
+    chunk_size_prefix: bytes = b""
     #: Lines after the last chunk.
     trailers: tuple[bytes, ...] = ()
     #: Lines of an informational response before the answer; without any, none is sent.
@@ -56,6 +58,11 @@
     cut_off_bytes: int = 0
     ending: Ending = Ending.KEPT
 
+    @property
+    def may_break_after_head(self) -> bool:
+        """Return whether what is broken, if anything, may come after a sound head."""
+        return bool(self.trailers or self.chunk_size_prefix)
+
     def encode(self) -> bytes:
         """Return the bytes of the answer."""
         fields = (*self.fields, *self._framing_field(), *self.last_fields)
@@ -72,8 +79,8 @@
     def _encode_body(self) -> bytes:
         if self.framing is not Framing.CHUNKED:
             return self.body
-        chunk = b"%x\r\n%s\r\n" % (len(self.body), self.body) if self.body else b""
-        return chunk + _encode_lines(b"0", *self.trailers)
+        chunk = b"%s%x\r\n%s\r\n" % (self.chunk_size_prefix, len(self.body), self.body)
+        return (chunk if self.body else b"") + _encode_lines(b"0", *self.trailers)
 
     def send(self, connection: socket.socket, request_id: bytes) -> bool:
         """Send the answer; return whether the connection may be used again."""
@@ -149,6 +156,9 @@
         answers[f"status {status.decode()}"] = replace(sound, status=status)
         lines = (b"HTTP/1.1 " + status, b"Link: </a>")
         answers[f"status {status.decode()} before it"] = replace(sound, informational=lines)
+    if sound.framing is Framing.CHUNKED:
+        for prefix in (b"+", b"0x", b"marker"):
+            answers[f"size {prefix.decode()}"] = replace(sound, chunk_size_prefix=prefix)
     return answers
 
 
