A broken answer of a peer is no answer, whatever thrift makes of it

No such answer was taken: answers are signed, and those that were cut off raised the right error before.

Cause: PeerClient caught thrift's own errors, OSError and EOFError. For what it cannot decode thrift also raises UnicodeDecodeError and KeyError, among others.

Evidence: tests/test_broken_peer_answers.py changes each byte of an answer in three ways; all three cases failed before (UnicodeDecodeError, and KeyError once that was caught) and pass now. Cut off at each byte, and sound: passed before.

Change: any error of such a call closes its connection and is raised as PeerUnavailableError, as decode_struct() does for structs; its text names the type of the error only.

After: 5 passed.

--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -167,15 +167,18 @@
         *,
         timeout_ms: int,
     ) -> _Answer:
+        query = self._signer.seal(call_name, body)
         try:
             connection.open(timeout_ms)
-            envelope = getattr(connection.client, call_name)(self._signer.seal(call_name, body))
+            envelope = getattr(connection.client, call_name)(query)
         except PeerRefused as refused:
             connection.close()
             raise AzureturnError(_error_kind(refused), refused.message or "") from refused
-        except (TException, OSError, EOFError) as error:
+        except Exception as error:
+            # thrift raises errors of many types, for instance KeyError, for what it cannot decode.
             connection.close()
-            raise PeerUnavailableError(ErrorKind.INTERNAL, str(error)) from error
+            message = f"no valid answer of a peer: {type(error).__name__}"
+            raise PeerUnavailableError(ErrorKind.INTERNAL, message) from error
         self._release(address, connection)
         return self._signer.open(f"{call_name}.answer", envelope, answer_type)
 
