--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -173,9 +173,11 @@
             self._http.receive_data(b"")
             return
         data = receive(self._socket, _READ_BYTES, timeout_s)
-        if not data and (self._aborted or self._is_lost):
-            # Only the upstream's close may end a body that has neither a length nor chunks.
+        # Only the upstream's close may end a body that has neither a length nor chunks.
+        if not data and self._aborted:
             raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection aborted")
+        if not data and self._is_lost:
+            raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "connection lost during the request")
         part = self._upstream_bytes.feed(data)
         if part or self._upstream_bytes.has_ended:
             self._http.receive_data(part)
