Clients of stores take no body that is shorter than its length

Cause: read_whole() reads one byte more than its limit, and urllib3 compares the length only where a read returns nothing.

Evidence: a new test cuts answers off at each byte, in order.

--- a/azureturn/_limited_http.py
+++ b/azureturn/_limited_http.py
@@ -183,6 +183,9 @@
         data: bytes = response.read(limit_bytes + 1, decode_content=False)
         if len(data) > limit_bytes:
             raise urllib3.exceptions.HTTPError(f"body of more than {limit_bytes} bytes")
+        # urllib3 checks the length only where a read returns nothing.
+        if response.length_remaining:
+            raise urllib3.exceptions.IncompleteRead(len(data), response.length_remaining)
     except (urllib3.exceptions.HTTPError, OSError):
         response.close()
         raise
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -200,6 +200,19 @@
     assert _taken(client, sound, answers) == (set(answers) if expected else set())
 
 
+@_EACH_FRAMING
+@_EACH_CLIENT
+def test_an_answer_that_is_cut_off_is_not_taken(client: _Client, framing: Framing) -> None:
+    trailers = (b"T: 1",) if framing is Framing.CHUNKED else ()
+    whole = replace(client.sound(framing), trailers=trailers, ending=Ending.CLOSED)
+    # Without a length, a body that is cut off in order is complete.
+    first = 1 if framing is not Framing.CLOSE else 1 + len(whole.body)
+    answers = {
+        str(cut): replace(whole, cut_off_bytes=cut) for cut in range(first, len(whole.encode()))
+    }
+    assert not _taken(client, client.sound(framing), answers)
+
+
 _UPLOADS = {
     "dispatch": lambda port: _dispatch(port, body=_LONG_VALUE),
     "swap": lambda port: _swap(port, _LONG_VALUE),
