One listener for the three stand-ins that serve scripted bytes

Change: standins/_local_listener.py; the endless server, the scripted upstream and the broken server serve its connections. The endless server serves several clients at the same time now. No check changes.

--- a/azureturn/gateway/exchange/tests/scripted_upstream.py
+++ b/azureturn/gateway/exchange/tests/scripted_upstream.py
@@ -1,49 +1,29 @@
 """A fake upstream that sends the bytes that a test gives it."""
 
 import socket
-import threading
 from collections.abc import Callable
 
+from standins._local_listener import LocalListener
+
 #: Called with the connection and the request; sends a response.
 Script = Callable[[socket.socket, bytes], None]
 
 
-class ScriptedUpstream:
+class ScriptedUpstream(LocalListener):
     """Listens on a port and runs one script for each request that it reads, in order."""
 
     def __init__(self, *scripts: Script) -> None:
         self._scripts = list(scripts)
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port: int = self._listener.getsockname()[1]
         self.requests: list[bytes] = []
-        self.connections = 0
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def close(self) -> None:
-        """Stop accepting connections."""
-        # Without a shutdown, the thread blocked in accept would keep the closed socket listening.
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        super().__init__(self._run_scripts)
 
-    def _serve(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
+    def _run_scripts(self, connection: socket.socket) -> None:
+        while self._scripts:
+            request = _read_request(connection)
+            if not request:
                 return
-            self.connections += 1
-            threading.Thread(
-                target=self._handle_connection, args=(connection,), daemon=True
-            ).start()
-
-    def _handle_connection(self, connection: socket.socket) -> None:
-        with connection:
-            while self._scripts:
-                request = _read_request(connection)
-                if not request:
-                    return
-                self.requests.append(request)
-                self._scripts.pop(0)(connection, request)
+            self.requests.append(request)
+            self._scripts.pop(0)(connection, request)
 
 
 def _read_request(connection: socket.socket) -> bytes:
--- a/standins/broken_server.py
+++ b/standins/broken_server.py
@@ -1,13 +1,13 @@
 """A server whose answers are broken in a given way, or cut off, or sound for comparison."""
 
 import socket
-import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from azureturn._socket_options import RESET_AT_CLOSE
+from standins._local_listener import LocalListener
 
 #: What stands for the id of the request in the bytes of an answer.
 REQUEST_ID = b"REQUEST_ID"
@@ -162,39 +162,19 @@
     return answers
 
 
-class BrokenServer:
-    """Answers requests; reads their bodies only if the connection is kept."""
+class BrokenServer(LocalListener):
+    """Answers requests; reads their bodies only if the connection is kept.
+
+    ``answer_of`` returns the answer to a request of which the head, at least, is given.
+    """
 
     def __init__(self, answer_of: Callable[[bytes], Answer]) -> None:
-        #: Returns the answer to a request whose head is given.
         self._answer_of = answer_of
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.connections = 0
-        threading.Thread(target=self._accept_forever, daemon=True).start()
+        super().__init__(self._answer_requests)
 
-    @property
-    def port(self) -> int:
-        """Return the port to connect to."""
-        port: int = self._listener.getsockname()[1]
-        return port
-
-    def close(self) -> None:
-        """Accept no more connections."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept_forever(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connections += 1
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
+    def _answer_requests(self, connection: socket.socket) -> None:
         # The client may leave at any time.
-        with connection, suppress(OSError):
+        with suppress(OSError):
             while request := _read_head(connection):
                 answer = self._answer_of(request)
                 if answer.ending is Ending.KEPT:
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -1,15 +1,16 @@
 """A faulty server that sends bytes without end, until the client closes the connection."""
 
 import socket
-import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from standins._local_listener import LocalListener
+
 #: What a test treats as bytes without end.
 _MAX_SENT_BYTES = 1 << 28
 
 
-class EndlessServer:
+class EndlessServer(LocalListener):
     """Sends each client ``prefix``, and then ``block`` again and again."""
 
     def __init__(self, prefix: bytes, block: bytes) -> None:
@@ -18,28 +19,10 @@
         self._block = block * max(1, 65_536 // len(block))
         #: Bytes sent on each connection that has ended.
         self.sent_bytes: list[int] = []
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    @property
-    def port(self) -> int:
-        """Return the port to connect to."""
-        port: int = self._listener.getsockname()[1]
-        return port
-
-    def close(self) -> None:
-        """Accept no more connections."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        super().__init__(self._record_sent)
 
-    def _serve(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection:
-                self.sent_bytes.append(self._send(connection))
+    def _record_sent(self, connection: socket.socket) -> None:
+        self.sent_bytes.append(self._send(connection))
 
     def _send(self, connection: socket.socket) -> int:
         sent = 0
