--- a/azureturn/_strict_http.py
+++ b/azureturn/_strict_http.py
@@ -5,8 +5,8 @@
 import h11
 
 _MAX_STATUS = 599
-#: What no line of a head or trailer section may contain: a control byte other than the tab, or a
-#: line that continues the one before (RFC 9112, section 5.2, forbids servers to send either).
+#: What no head or trailer section may contain: a control byte other than the tab (RFC 9110, section
+#: 5.5), or a line that continues the one before it (RFC 9112, section 5.2).
 _BROKEN_LINE = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|\n[ \t]")
 #: The line before the trailer section. No line of that section has this form.
 _LAST_CHUNK = re.compile(rb"^0+[ \t]*(?:;[^\n]*)?\r?\n", re.MULTILINE)
--- a/azureturn/peers/_client.py
+++ b/azureturn/peers/_client.py
@@ -174,8 +174,12 @@
         except PeerRefused as refused:
             connection.close()
             raise AzureturnError(_error_kind(refused), refused.message or "") from refused
+        except (TException, OSError, EOFError) as error:
+            connection.close()
+            raise PeerUnavailableError(ErrorKind.INTERNAL, str(error)) from error
         except Exception as error:
-            # thrift raises errors of many types, for instance KeyError, for what it cannot decode.
+            # thrift raises errors of many other types, for instance KeyError, for what it cannot
+            # decode. Their texts may contain a part of it.
             connection.close()
             message = f"no valid answer of a peer: {type(error).__name__}"
             raise PeerUnavailableError(ErrorKind.INTERNAL, message) from error
