A connection that the kernel gives up is broken, not silent

What callers could see: part of an answer without a length as a whole one, or a wait until the time limit.

Cause: the kernel reports ETIMEDOUT once, as TimeoutError, which also says that nothing has arrived in time. UpstreamConnection.next_event took it for that, so the deadline read again and found what looks like the ordinary end.

Evidence: test_connections.py, 2 of 2 rows failed before (TimeoutError instead of UpstreamError), pass now.

--- a/azureturn/gateway/exchange/_connections.py
+++ b/azureturn/gateway/exchange/_connections.py
@@ -100,9 +100,9 @@
                 if remaining_ms <= 0:
                     raise TimeoutError
                 self._receive(remaining_ms / _MS_PER_S)
-        except TimeoutError:
-            raise
         except OSError as error:
+            if isinstance(error, TimeoutError) and not is_connection_lost(error):
+                raise
             raise _connection_broken(error) from error
         except h11.RemoteProtocolError as error:
             raise UpstreamError(ErrorKind.ANSWER_TRUNCATED, "not a valid HTTP response") from error
