A relay waits for a peer that reads only as its caller does

Cause: a peer reads on only as its caller does. The relay gave it up after 30 s without reading, and the kernel (TCP_USER_TIMEOUT) after 11 s already, so that the peer's attempt broke off and was resumed at another upstream.

Change: 120 s towards the peer, which ends the connection itself when it gives its caller up, and no kernel limit there; keep-alive probes still find a peer that has disappeared while nothing is unread. Towards the upstream nothing changes.

--- a/azureturn/_socket_options.py
+++ b/azureturn/_socket_options.py
@@ -39,6 +39,10 @@
     *keep_alive_options(idle_s=5, interval_s=2, probes=3),
 )
 
+#: Options of connections whose other end may leave unread what it is sent for longer than it takes
+#: to notice that its machine has disappeared. Keep-alive probes notice that, if all was read.
+PATIENT_SOCKET_OPTIONS = tuple(row for row in SOCKET_OPTIONS if row[1] != socket.TCP_USER_TIMEOUT)
+
 #: Size of the receive buffer, and limit on data that the other end's window does not admit yet.
 _SMALL_BUFFER_BYTES = 65_536
 #: Options that keep the kernel's buffers of a connection small: they would grow to megabytes, which
--- a/azureturn/gateway/relay/_relay.py
+++ b/azureturn/gateway/relay/_relay.py
@@ -9,8 +9,11 @@
 from azureturn.serving import has_disconnected
 from azureturn.tasks import HUNG_UP, READABLE, WRITABLE, wait_until_ready
 
-#: How long a side may read nothing of what the other one has sent.
-_WRITE_TIMEOUT_S = 30.0
+#: How long the upstream may read nothing of a request.
+_UPSTREAM_UNREAD_TIMEOUT_S = 30.0
+#: How long the peer may read nothing of a response. It reads on only as its caller does, and gives
+#: up a caller who has stopped by itself.
+_PEER_UNREAD_TIMEOUT_S = 120.0
 
 
 class Relay:
@@ -78,8 +81,7 @@
         for direction in directions:
             descriptor = direction.awaited.fileno()
             events[descriptor] = events.get(descriptor, 0) | direction.awaited_event
-        is_sending = any(direction.has_unsent_bytes for direction in directions)
-        ready = wait_until_ready(events, _WRITE_TIMEOUT_S if is_sending else None)
+        ready = wait_until_ready(events, self._unread_timeout_s)
         if self._to_upstream.has_unsent_bytes and has_disconnected(self._peer.fileno()):
             raise ConnectionAbortedError("the peer left before its request was passed on")
         ready_directions = [row for row in directions if row.awaited.fileno() in ready]
@@ -88,6 +90,13 @@
         for direction in ready_directions:
             self._advance(direction)
 
+    @property
+    def _unread_timeout_s(self) -> float | None:
+        """Return how long the side that is sent something may read nothing of it."""
+        if self._to_upstream.has_unsent_bytes:
+            return _UPSTREAM_UNREAD_TIMEOUT_S
+        return _PEER_UNREAD_TIMEOUT_S if self._to_peer.has_unsent_bytes else None
+
     def _advance(self, direction: "_Direction") -> None:
         try:
             direction.advance()
--- a/azureturn/gateway/relay/_server.py
+++ b/azureturn/gateway/relay/_server.py
@@ -5,7 +5,12 @@
 from contextlib import suppress
 from functools import partial
 
-from azureturn._socket_options import SMALL_BUFFER_OPTIONS, SOCKET_OPTIONS
+from azureturn._socket_options import (
+    PATIENT_SOCKET_OPTIONS,
+    SMALL_BUFFER_OPTIONS,
+    SOCKET_OPTIONS,
+    SocketOption,
+)
 from azureturn.errors import AzureturnError
 from azureturn.gateway.relay._messages import is_signed, receive_message, send_message
 from azureturn.gateway.relay._relay import Relay
@@ -110,7 +115,8 @@
 
     def _open(self, connection: socket.socket) -> Relay | None:
         """Read the peer's request, connect to the upstream, and answer the peer."""
-        _set_options(connection)
+        # The peer reads on only as its caller does.
+        _set_options(connection, PATIENT_SOCKET_OPTIONS)
         request = receive_message(connection, RelayRequest, _REQUEST_TIMEOUT_S)
         upstream = self._find_upstream(request.upstream or "")
         upstream_connection = None
@@ -147,7 +153,7 @@
             refused = isinstance(error, ConnectionRefusedError)
             self._report_failure(upstream.run, refused)
             return RelayOutcome.REFUSED if refused else RelayOutcome.UNREACHABLE, None
-        _set_options(connection)
+        _set_options(connection, SOCKET_OPTIONS)
         return RelayOutcome.CONNECTED, connection
 
 
@@ -159,6 +165,6 @@
     return upstream.run[1] == request.started_unix_ms and not upstream.is_leaving
 
 
-def _set_options(connection: socket.socket) -> None:
-    for level, name, value in (*SOCKET_OPTIONS, *SMALL_BUFFER_OPTIONS):
+def _set_options(connection: socket.socket, options: tuple[SocketOption, ...]) -> None:
+    for level, name, value in (*options, *SMALL_BUFFER_OPTIONS):
         connection.setsockopt(level, name, value)
--- a/azureturn/gateway/relay/tests/test_relay.py
+++ b/azureturn/gateway/relay/tests/test_relay.py
@@ -6,7 +6,7 @@
 import struct
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import ExitStack, suppress
 from dataclasses import replace
 
@@ -18,6 +18,7 @@
     RelayRefusedError,
     RelayServer,
 )
+from azureturn.gateway.relay import _relay as relay
 from azureturn.gateway.relay._messages import receive_message, relay_request, send_message
 from azureturn.gateway.site import RegisteredUpstream, UpstreamRun
 from azureturn.observability import EventLog
@@ -32,6 +33,8 @@
 _LONG_WAIT_S = 60.0
 #: How long a sender waits before it takes the other side for one that does not read.
 _FULL_AFTER_S = 0.3
+#: More than the sockets and the relay between a peer and an upstream hold.
+_LONG_MESSAGE = bytes(16 << 20)
 
 _Behaviour = Callable[[socket.socket], None]
 
@@ -232,6 +235,34 @@
         assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
 
 
+def test_a_peer_that_reads_only_as_its_caller_does_is_not_reset(
+    sites: Callable[[_Behaviour], _Site], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a second run for a caller who reads slowly (review/11, relayed).
+    waits_s: set[float | None] = set()
+    wait = relay.wait_until_ready
+
+    def record_wait(events: Mapping[int, int], timeout_s: float | None) -> list[int]:
+        waits_s.add(timeout_s)
+        return wait(events, timeout_s)
+
+    def respond(connection: socket.socket) -> None:
+        connection.sendall(_LONG_MESSAGE)
+
+    monkeypatch.setattr(relay, "wait_until_ready", record_wait)
+    site = sites(respond)
+    accepted = _accepted_by(site)
+    with site.connect() as connection:
+        # The kernel's limit would apply first.
+        assert not accepted[0].getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        _wait_until(lambda: relay._PEER_UNREAD_TIMEOUT_S in waits_s)
+        received = 0
+        while part := connection.recv(1 << 20):
+            received += len(part)
+    assert received == len(_LONG_MESSAGE)
+    assert waits_s <= {None, relay._PEER_UNREAD_TIMEOUT_S}
+
+
 def test_the_peers_connection_ends_after_the_last_bytes_of_the_upstream(
     sites: Callable[[_Behaviour], _Site],
 ) -> None:
@@ -264,15 +295,11 @@
             connection.recv(10)
 
 
-#: More than the sockets and the relay between a peer and an upstream hold.
-_LONG_REQUEST = bytes(16 << 20)
-
-
 def _send_until_full(connection: socket.socket) -> None:
     """Send until the upstream's not reading holds the sender up."""
     connection.settimeout(_FULL_AFTER_S)
     with pytest.raises(TimeoutError):
-        connection.sendall(_LONG_REQUEST)
+        connection.sendall(_LONG_MESSAGE)
     connection.settimeout(_TIMEOUT_MS / 1_000)
 
 
