A write to a slow caller is not taken for a silent upstream

Cause: a write to the caller that took over 30 s as a whole raised TimeoutError, as a silent upstream does. The attempt ended as silent, another one was made, and its events followed the part of a chunk.

Change: writes to callers raise CallerConnectionError, which nothing else raises; such an attempt is abandoned, not repeated, and not laid on the upstream. A write waits while the caller reads on, by what the kernel takes or what is acknowledged; a caller who reads nothing is given up after 30 s or at the time limit of its request, the later of both, and the kernel's limit follows. After a write that did not reach its end every further one fails. The chat form uses the same writer.

--- a/azureturn/daemon/_caller_application.py
+++ b/azureturn/daemon/_caller_application.py
@@ -20,7 +20,7 @@
     request_timeout_ms,
     requested_ticket_route,
 )
-from azureturn.daemon._caller_server import CALLER_SOCKET_NAME
+from azureturn.daemon._caller_server import CALLER_SOCKET_NAME, SET_TIME_LIMIT_NAME
 from azureturn.daemon._context import DaemonContext
 from azureturn.daemon._earlier_attempts import downgrade_not_run
 from azureturn.daemon._offers import (
@@ -247,7 +247,9 @@
         return self._json_answer(request_id, 201, document)
 
     def _serve_request(self, outgoing: OutgoingRequest) -> CallerAnswer:
-        caller = cherrypy.request.wsgi_environ[CALLER_SOCKET_NAME]
+        environ = cherrypy.request.wsgi_environ
+        caller = environ[CALLER_SOCKET_NAME]
+        environ[SET_TIME_LIMIT_NAME](outgoing.request.deadline_ms - now_ms())
         if FORWARDED_HEADER in cherrypy.request.headers:
             # A forwarded request must not be offered to further VMs.
             outgoing = replace(outgoing, request=replace(outgoing.request, offered=True))
--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -13,12 +13,15 @@
 
 #: Key of the caller's socket in the WSGI environment.
 CALLER_SOCKET_NAME = "azureturn.caller_socket"
+#: Key of the function that is told how much time, in ms, a request has left.
+SET_TIME_LIMIT_NAME = "azureturn.set_time_limit"
 
 
 class _CallerGateway(Gateway_10):
     def get_environ(self) -> Any:
         environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[CALLER_SOCKET_NAME] = self.req.conn.socket
+        environ[SET_TIME_LIMIT_NAME] = self.req.conn.set_time_limit
         return environ
 
 
--- a/azureturn/gateway/exchange/_caller.py
+++ b/azureturn/gateway/exchange/_caller.py
@@ -69,6 +69,10 @@
         left_s: float | None = self._request.conn.rfile.left_s
         return left_s
 
+    def set_time_limit(self, time_left_ms: int) -> None:
+        """Set for how long the caller may read nothing of its answer, if that is unusually long."""
+        self._request.conn.set_time_limit(time_left_ms)
+
     def stop_reading(self) -> None:
         """Let the reading of the body time out."""
         self._request.conn.rfile.stop()
@@ -104,7 +108,11 @@
         close: bool,
         on_progress: Callable[[int], None] | None = None,
     ) -> None:
-        """Send a whole response with a Content-Length."""
+        """Send a whole response with a Content-Length.
+
+        Raises :class:`CallerConnectionError`, as all methods that write do, if the caller has left
+        or does not read on.
+        """
         # The exchange has room for the whole body.
         self._request.conn.wfile.room = None
         content_length = [("Content-Length", str(len(body)))]
--- a/azureturn/gateway/exchange/_exchange.py
+++ b/azureturn/gateway/exchange/_exchange.py
@@ -51,7 +51,7 @@
     SiteConfiguration,
     StatedAvailability,
 )
-from azureturn.serving import next_action, now_ms
+from azureturn.serving import CallerConnectionError, next_action, now_ms
 from azureturn.tasks import Mailbox, Priority, current_task
 
 #: How long to wait for an action of the core beyond the request's time limit; after that, its
@@ -109,15 +109,10 @@
         Raises :class:`ExchangeAbortedError` if the caller's connection must be closed.
         """
         try:
-            self._serve()
-        except ExchangeAbortedError:
-            raise
-        except AzureturnError as error:
-            if self._caller.response_started:
-                # A refusal would become part of the response.
-                self._outcome, self._detail = "cut", error.message
-                raise ExchangeAbortedError(error.kind.value) from error
-            self._refuse(error)
+            self._serve_or_refuse()
+        except CallerConnectionError as error:
+            self._outcome, self._detail = ErrorKind.CALLER_GONE.value, str(error)
+            raise ExchangeAbortedError(self._outcome) from error
         finally:
             # The relay refers to this exchange, so that the last part would stay in memory until
             # the next garbage collection.
@@ -129,6 +124,16 @@
             )
             self._reporter.report_result(self._request, result)
 
+    def _serve_or_refuse(self) -> None:
+        try:
+            self._serve()
+        except AzureturnError as error:
+            if self._caller.response_started:
+                # A refusal would become part of the response.
+                self._outcome, self._detail = "cut", error.message
+                raise ExchangeAbortedError(error.kind.value) from error
+            self._refuse(error)
+
     def _serve(self) -> None:
         view = self._services.view()
         configuration = view.configuration
@@ -143,6 +148,7 @@
         if not self._fits_before_stop(request):
             raise RefusedError(ErrorKind.STOPPING, retry_after_ms=_STOPPING_RETRY_AFTER_MS)
         self._request = request
+        self._caller.set_time_limit(request.ends_at_ms - now_ms())
         self._stream_relay = StreamRelay(facts.last_event_number)
         runtime = self._services.runtime
         mailbox = runtime.open_mailbox(request.request_id)
@@ -265,14 +271,14 @@
             result = AttemptResult.WITHHELD
         except UpstreamUnreachableError as error:
             result, detail = AttemptResult.UNREACHABLE, error.message
+        except CallerConnectionError as error:
+            # The upstream is not at fault, and no other one could bring what the caller misses.
+            self._caller_disconnected = True
+            result, detail = AttemptResult.ABANDONED, str(error)
         except TimeoutError:
             result = AttemptResult.SILENT
         except UpstreamError as error:
             result, detail = AttemptResult.BROKEN, f"{error.kind.value}: {error.message}"
-        except OSError as error:
-            # Writing to the caller failed: it has disconnected.
-            self._caller_disconnected = True
-            result, detail = AttemptResult.ABANDONED, type(error).__name__
         finally:
             attempt.close()
         if self._caller_disconnected:
--- a/azureturn/serving/__init__.py
+++ b/azureturn/serving/__init__.py
@@ -9,6 +9,7 @@
     RefusalMessage,
     ServerLimits,
 )
+from azureturn.serving._caller_io import UNREAD_TIMEOUT_S, CallerConnectionError
 from azureturn.serving._caller_watch import (
     CallerWatch,
     LoopCallerWatch,
@@ -22,6 +23,7 @@
     "BACKLOG_LIMIT",
     "BodyRoom",
     "BoundedServer",
+    "CallerConnectionError",
     "CallerWatch",
     "CoreRuntime",
     "DRAIN_LIMIT_BYTES",
@@ -34,6 +36,7 @@
     "StopLimits",
     "StopStage",
     "ThreadCallerWatch",
+    "UNREAD_TIMEOUT_S",
     "has_disconnected",
     "next_action",
     "now_ms",
--- a/azureturn/serving/_bounded_server.py
+++ b/azureturn/serving/_bounded_server.py
@@ -24,7 +24,7 @@
     ErrorKind,
     RunState,
 )
-from azureturn.serving._caller_io import CallerReader, CallerWriter
+from azureturn.serving._caller_io import UNREAD_TIMEOUT_S, CallerReader, CallerWriter
 from azureturn.serving._caller_watch import has_disconnected
 from azureturn.serving._connection_memory import (
     DEFAULT_LIMIT_BYTES,
@@ -43,6 +43,10 @@
 #: Keep-alive probes detect a caller whose machine has disappeared after about 30 s, even while
 #: it waits for an answer.
 _CALLER_SOCKET_OPTIONS = keep_alive_options(idle_s=10, interval_s=5, probes=4)
+#: The kernel gives up a caller that takes nothing for this time.
+_USUAL_UNREAD_TIMEOUT_MS = int(_MS_PER_S * UNREAD_TIMEOUT_S)
+#: The longest such time that the kernel takes.
+_MAX_UNREAD_TIMEOUT_MS = (1 << 31) - 1
 
 #: Limits on draining a connection, that is, reading and discarding the rest of a refused request.
 DRAIN_LIMIT_MS = 300
@@ -201,6 +205,7 @@
         super().__init__(server, sock, _make_file)
         self.drains_on_close = False
         self._resets_on_close = False
+        self._unread_timeout_ms = _USUAL_UNREAD_TIMEOUT_MS
         self.head: HeadMemory | None = None
         sock.setblocking(False)
         for level, name, value in _CALLER_SOCKET_OPTIONS:
@@ -235,6 +240,20 @@
         age_s: float = time.monotonic() - self.rfile.arrived_since_s
         return age_s
 
+    def set_time_limit(self, time_left_ms: int) -> None:
+        """Set the time limit of the request, until which a caller that reads nothing is awaited.
+
+        A caller that reads slowly makes room for more of its answer only now and then.
+        """
+        self.wfile.patient_until_s = time.monotonic() + time_left_ms / _MS_PER_S
+        timeout_ms = min(max(_USUAL_UNREAD_TIMEOUT_MS, time_left_ms), _MAX_UNREAD_TIMEOUT_MS)
+        if timeout_ms == self._unread_timeout_ms:
+            return
+        self._unread_timeout_ms = timeout_ms
+        with suppress(OSError):
+            # A connection that has failed needs no time limit.
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def set_resets_on_close(self, resets: bool) -> None:
         """Set whether the end of the connection, or of this process, resets it.
 
--- a/azureturn/serving/_caller_io.py
+++ b/azureturn/serving/_caller_io.py
@@ -1,6 +1,10 @@
 """Reads from and writes to a caller's connection, with limits on the time and on what is held."""
 
+import errno
+import fcntl
 import socket
+import struct
+import termios
 import time
 from contextlib import suppress
 from typing import Protocol
@@ -8,14 +12,16 @@
 from azureturn.tasks import (
     WRITABLE,
     receive_available,
-    send_all,
     wait_until_ready,
     yield_to_others,
 )
 
 _MS_PER_S = 1_000
-#: Maximum time for which the caller may read nothing of its answer.
-CALLER_WRITE_TIMEOUT_S = 30.0
+#: Maximum time for which a caller may read nothing of its answer before the answer is given up.
+UNREAD_TIMEOUT_S = 30.0
+#: How often a write that waits looks whether the caller has read something.
+_PROGRESS_INTERVAL_S = 1.0
+_INT = struct.Struct("@i")
 #: How much is received ahead of what is parsed: a whole head within the stated limit.
 _READ_AHEAD_BYTES = 16_384
 #: A task lets others go on after it has received so much without waiting once.
@@ -160,42 +166,99 @@
         """Count them no more."""
 
 
+class CallerConnectionError(ConnectionError):
+    """The caller's connection has failed, or the caller has stopped reading its answer.
+
+    Only writes to callers raise it, so that it shows which side of an exchange has failed. The HTTP
+    library takes its error number for a caller who has left.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(errno.EPIPE, reason)
+
+
 class CallerWriter:
-    """Writes to a non-blocking socket, without copying what is written."""
+    """Writes to a non-blocking socket, without copying what is written.
+
+    Once a write has failed, of which the caller may have received a part, nothing more is written:
+    the caller would take it for the rest of that part.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         self._socket = sock
         self.bytes_written = 0
         #: Room for what the caller does not take at once; None if it needs none.
         self.room: WriteRoom | None = None
+        #: Until when the caller may read nothing, if that is later than by the usual limit.
+        self.patient_until_s = 0.0
+        #: Whether a write has begun and not reached its end.
+        self._is_incomplete = False
 
     def write(self, data: bytes) -> int:
-        """Write all bytes; raise ``TimeoutError`` if the caller does not read them."""
-        if self.room is None:
-            send_all(self._socket, data, CALLER_WRITE_TIMEOUT_S)
-        else:
-            self._write_with_room(self.room, memoryview(data))
+        """Write all bytes; raise :class:`CallerConnectionError` if the caller does not read on."""
+        if self._is_incomplete:
+            raise CallerConnectionError("an earlier write has not reached its end")
+        self._is_incomplete = True
+        try:
+            self._write_all(memoryview(data))
+        except OSError as error:
+            raise CallerConnectionError(str(error) or type(error).__name__) from error
+        self._is_incomplete = False
         self.bytes_written += len(data)
         return len(data)
 
-    def _write_with_room(self, room: WriteRoom, data: memoryview) -> None:
-        sent_bytes = self._send_available(data)
-        if sent_bytes == len(data):
+    def _write_all(self, data: memoryview) -> None:
+        unsent = data[self._send_available(data) :]
+        if not unsent:
+            return
+        if self.room is None:
+            self._write_rest(unsent)
             return
-        deadline_s = time.monotonic() + CALLER_WRITE_TIMEOUT_S
-        room.begin(len(data) - sent_bytes)
+        self.room.begin(len(unsent))
         try:
-            while sent_bytes < len(data):
-                left_s = deadline_s - time.monotonic()
-                wait_until_ready({self._socket.fileno(): WRITABLE}, left_s)
-                taken_bytes = self._send_available(data[sent_bytes:])
-                room.record_progress(taken_bytes)
-                sent_bytes += taken_bytes
+            self._write_rest(unsent)
         finally:
-            room.end()
+            self.room.end()
+
+    def _write_rest(self, unsent: memoryview) -> None:
+        while unsent:
+            self._wait_until_writable()
+            sent_bytes = self._send_available(unsent)
+            if self.room is not None:
+                self.room.record_progress(sent_bytes)
+            unsent = unsent[sent_bytes:]
+
+    def _wait_until_writable(self) -> None:
+        """Wait for as long as the caller reads on, however slowly.
+
+        What the kernel holds may be more than the caller reads for a long time, and the kernel
+        takes nothing more meanwhile. So what the caller has acknowledged of it counts, too.
+        """
+        stalled_since_s = time.monotonic()
+        unread_bytes = 0
+        while True:
+            with suppress(TimeoutError):
+                wait_until_ready({self._socket.fileno(): WRITABLE}, _PROGRESS_INTERVAL_S)
+                return
+            now_s = time.monotonic()
+            earlier_bytes, unread_bytes = unread_bytes, _unacknowledged_bytes(self._socket)
+            if unread_bytes < earlier_bytes:
+                stalled_since_s = now_s
+            gives_up_at_s = max(stalled_since_s + UNREAD_TIMEOUT_S, self.patient_until_s)
+            if now_s >= gives_up_at_s:
+                raise TimeoutError("the caller does not read its answer")
 
     def _send_available(self, data: memoryview) -> int:
         try:
             return self._socket.send(data)
         except BlockingIOError:
             return 0
+
+
+def _unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how much was sent that the other end has not acknowledged; 0 if that is not known."""
+    try:
+        return int(_INT.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_INT.size)))[0])
+    except OSError:
+        # Then only what the kernel takes shows that the caller reads on.
+        return 0
