--- a/azureturn/framework/_drain.py
+++ b/azureturn/framework/_drain.py
@@ -27,6 +27,8 @@
     #: Indexed by tier rank.
     arrival_rates: tuple[float, ...] = ()
     updated_at_ms: int = 0
+    #: Since when the rates are measured.
+    began_at_ms: int = 0
     #: Work placed since the last update.
     placed_tokens: float = 0.0
     #: Work that has arrived since the last update, indexed by tier rank.
@@ -49,10 +51,17 @@
         be emptied. With an empty queue it is limited by the arrivals, so it may only raise the
         estimate.
         """
+        if not self.updated_at_ms:
+            # What was counted before belongs to a time of unknown length.
+            return DrainRate(began_at_ms=now_ms, updated_at_ms=now_ms)
         elapsed_ms = now_ms - self.updated_at_ms
         if elapsed_ms <= 0:
             return self
-        weight = 1.0 - math.exp(-elapsed_ms / _RATE_TIME_CONSTANT_MS)
+        # At first the rates are averages over the whole time.
+        weight = max(
+            1.0 - math.exp(-elapsed_ms / _RATE_TIME_CONSTANT_MS),
+            elapsed_ms / (now_ms - self.began_at_ms),
+        )
         rate = self.placed_tokens / elapsed_ms
         placement_rate = self.placement_rate
         if backlogged or rate > placement_rate:
@@ -64,7 +73,7 @@
             previous + weight * (tokens / elapsed_ms - previous)
             for previous, tokens in zip(old, new, strict=True)
         )
-        return DrainRate(placement_rate, arrival_rates, now_ms)
+        return DrainRate(placement_rate, arrival_rates, now_ms, self.began_at_ms)
 
     def wait_ms(self, rank: int, tokens_ahead: float, *, min_share: float = _MIN_SHARE) -> float:
         """Return the expected wait of a request in a tier, behind ``tokens_ahead`` queued.
--- a/azureturn/gateway/decisions/tests/test_load_limits.py
+++ b/azureturn/gateway/decisions/tests/test_load_limits.py
@@ -93,6 +93,15 @@
     assert _refused_ids(_submit(site, "new", rank)) == refused_ids
 
 
+def test_the_first_requests_of_a_service_do_not_count_for_the_time_since_the_boot() -> None:
+    # Guards against an expected wait of minutes, for which a burst after the start was refused.
+    site = GatewayCoreHarness(view(upstream("m-1")), now_ms=3_600_000)
+    _fill(site)
+    site.tick(site.now_ms + 20)
+    for number in range(3):
+        assert not _refused_ids(_submit(site, f"waiting-{number}"))
+
+
 def test_with_all_sent_the_new_request_is_refused() -> None:
     site = _site(requests_in_progress=_SENT)
     _fill(site)
