The version of a waiting request is drawn once

Cause: the version was drawn each time that a request was considered. One for which the old version came out waited while that had no room and was drawn again at the next event, until the new one came out.

Change: what is drawn is kept while the request waits (VersionDrawTable). A request whose version has no room does not block those behind it that go to the other version.

--- a/azureturn/gateway/decisions/_moves.py
+++ b/azureturn/gateway/decisions/_moves.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from random import Random
 
 from azureturn.framework import Table
 from azureturn.framework import changed_row as changed
@@ -167,10 +166,12 @@
         }
 
     def choose_version(
-        self, move: Move, route: str, random: Random, *, now_ms: int, exposure_share: float
+        self, move: Move, route: str, drawn: float, *, now_ms: int, exposure_share: float
     ) -> tuple[bool, VersionChoice]:
         """Return whether a request goes to the new version, and how that was chosen.
 
+        ``drawn`` is the number from 0 to 1 that was drawn for the attempt.
+
         While the new version gets its first share, routes with few requests send a larger part of
         them to it. Over all routes the share is that of the move at the most.
         """
@@ -180,7 +181,6 @@
             even_part = self._route_answers.even_part(move.service, route)
             extra_share = min(_RAMP_SHARE, _EVEN_PART * share * even_part)
             share *= 1 - _EVEN_PART
-        drawn = random.random()
         new_share = share + extra_share
         is_new = drawn < new_share
         is_extra = is_new and drawn >= share
--- a/azureturn/gateway/decisions/controllers/_placement.py
+++ b/azureturn/gateway/decisions/controllers/_placement.py
@@ -17,6 +17,7 @@
 from azureturn.gateway.decisions._events import (
     PlacementRequested,
     ReportRequested,
+    RequestClosed,
     RequestTakenOver,
     RequestUnservable,
     TakeOverRequested,
@@ -43,7 +44,7 @@
 from azureturn.gateway.decisions._tables import GatewayQueueTable, ViewTable
 from azureturn.gateway.decisions._upstream_paths import UpstreamPathTable
 from azureturn.gateway.decisions._upstream_state import UpstreamStateTable
-from azureturn.gateway.decisions._version_choice import VersionChoice
+from azureturn.gateway.decisions._version_choice import VersionChoice, VersionDrawTable
 from azureturn.gateway.decisions.controllers._placement_choice import (
     Options,
     SlotSharing,
@@ -92,12 +93,17 @@
         ColdUpstreamTable,
         SlotDivisionTable,
         LoanTable,
+        VersionDrawTable,
     )
     after = ("admission", "attempts", "request_limits", "paths", "cold_upstreams")
 
     #: Where a request is placed whose attempt at a silent upstream is being ended.
     _take_over: tuple[Candidate, Options] | None = None
 
+    @on(RequestClosed)
+    def _on_request_closed(self, event: RequestClosed, context: Context) -> None:
+        self.board.write(VersionDrawTable).remove(event.request_id)
+
     @on(PlacementRequested)
     def _on_requested(self, event: PlacementRequested, context: Context) -> None:
         for service in self._services_in_turn(event.service):
@@ -130,7 +136,8 @@
 
         A request for which no upstream has capacity blocks all requests behind it. One that only
         has to avoid a long pause of running answers does not: the next one is tried. Nor does one
-        that has tried the upstreams at which this VM owns slots: others can use those.
+        that has tried the upstreams at which this VM owns slots, or that goes to the version of a
+        move that has no capacity: others can use what there is.
         """
         if self._waits_for_own_slot(service, context):
             return False
@@ -145,6 +152,8 @@
                 snapshot = snapshots.of(request)
                 options = self._options(request, snapshot, context)
                 if options.indexes and not options.have_capacity:
+                    if options.version_choice.is_divided:
+                        continue
                     return False
                 sharing = self._sharing(service, snapshot, context)
                 usable = UsableOptions.from_options(options, sharing)
@@ -457,7 +466,7 @@
         is_new, choice = moves.choose_version(
             move,
             request.route.name,
-            context.random,
+            self.board.write(VersionDrawTable).of(request.request_id, context.random),
             now_ms=context.now_ms,
             exposure_share=self.settings.bounds.move.share,
         )
@@ -472,6 +481,8 @@
         context: Context,
     ) -> None:
         cost = queue.take(request).cost_tokens
+        # A further attempt may go to another version.
+        self.board.write(VersionDrawTable).remove(request.request_id)
         drains = self.board.write(DrainTable)
         drains.put(request.service, drains.of(request.service).with_placed(cost))
         upstream = chosen.upstream
--- a/azureturn/gateway/decisions/tests/test_moves.py
+++ b/azureturn/gateway/decisions/tests/test_moves.py
@@ -1,5 +1,7 @@
 """Version moves: traffic shares, rollback criteria and status writes."""
 
+from dataclasses import replace
+
 import pytest
 
 from azureturn.gateway.decisions import (
@@ -59,6 +61,30 @@
     return [action.status.state for action in actions if isinstance(action, WriteMoveStatus)]
 
 
+def test_requests_that_wait_for_the_old_version_do_not_go_to_the_new_one() -> None:
+    # Guards against EXPOSURE (review/14): the version of a waiting request was drawn again and
+    # again, until the new one came out.
+    old, new = (upstream("old", "desk", slots=1), upstream("new", "desk", slots=99, version="v2"))
+    order = MoveOrder("desk", "v2", duration_ms=100_000)
+    harness = GatewayCoreHarness(view(old, new, order=order))
+    route = replace(STATUS_ROUTE, timeout_ms=600_000, objective_ms=300_000)
+    sent: dict[str, list[str]] = {"old": [], "new": []}
+
+    def record(actions: tuple[object, ...]) -> None:
+        for action in actions:
+            if isinstance(action, SendAttempt):
+                sent[action.upstream.name].append(action.request_id)
+
+    for number in range(300):
+        record(harness.submit_request(f"r-{number}", route=route))
+    for _ in range(100):
+        record(harness.tick(harness.now_ms + 50))
+        record(harness.handle_event(AttemptEnded(sent["old"][-1], AttemptResult.ANSWERED)))
+    # Of some hundred that were placed, the new version gets its small share.
+    assert len(sent["old"]) > 90
+    assert 0 < len(sent["new"]) <= 0.2 * len(sent["old"])
+
+
 def test_new_version_share_ramps_from_small_to_all() -> None:
     harness = _harness()
     early_counts = _send_requests(harness, 400, AttemptResult.ANSWERED)
