--- a/azureturn/daemon/_caller_server.py
+++ b/azureturn/daemon/_caller_server.py
@@ -71,6 +71,8 @@
         """Return the error; an earlier attempt of the call may have run."""
         error = super().new_stop_error(request, run_state)
         names = (IDEMPOTENCY_HEADER, FIRST_ATTEMPT_HEADER)
-        values = {name: request.inheaders.get(name.encode(), b"").decode() for name in names}
+        values = {
+            name: request.inheaders.get(name.encode(), b"").decode("latin-1") for name in names
+        }
         downgrade_not_run(error, {name: value for name, value in values.items() if value})
         return error
